Scaffold the workspace and the contracts between packages

Cause: every later part needs the layout, the pins and the typed borders first. Change: npm workspace with TypeScript project references, Standard style by neostandard, result codes, log events, configuration schema, and the interfaces of platform, runners, peers, callers, operators, budgets and routing. Conclusion: packages can be written side by side against these interfaces.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,10 @@
+import neostandard from 'neostandard'
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  ...neostandard({ ts: true, env: ['node', 'mocha'] }),
+  {
+    files: ['**/*.spec.ts'],
+    rules: { 'no-unused-expressions': 'off', '@typescript-eslint/no-unused-expressions': 'off' }
+  }
+]
--- /dev/null
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -0,0 +1,138 @@
+/**
+ * Budgets as the deciders see them: events in, actions out. A budget is prepaid in tokens; the
+ * table keeps, for each budget, what was paid, spent and allotted to holders, and every
+ * transaction keeps `spent + allotted <= paid`. A holder spends only from its allotment.
+ */
+import { z } from 'zod'
+import type { Instant } from '../clock/clockTypes.js'
+import type { Failure } from '../codes/failure.js'
+
+/** Row `budgets/<budget>`. All amounts in tokens. */
+export const budgetRowSchema = z.object({
+  budget: z.string(),
+  paid: z.number().int().nonnegative(),
+  spent: z.number().int().nonnegative(),
+  /** Sum of `held` over all allotment rows of the budget, open or in doubt. */
+  allotted: z.number().int().nonnegative()
+})
+export type BudgetRow = z.infer<typeof budgetRowSchema>
+
+/** Row `allotments/<budget>/<holder>`. */
+export const allotmentRowSchema = z.object({
+  budget: z.string(),
+  holder: z.string(),
+  domain: z.string(),
+  /** Tokens allotted and not yet settled or returned. */
+  held: z.number().int(),
+  /** `closed` once recovered: the holder may neither spend nor settle any more. */
+  state: z.enum(['open', 'closed'])
+})
+export type AllotmentRow = z.infer<typeof allotmentRowSchema>
+
+/** Row `topups/<operationId>`. */
+export const topUpRowSchema = z.object({
+  operationId: z.string(),
+  budget: z.string(),
+  tokens: z.number().int().positive(),
+  author: z.string()
+})
+export type TopUpRow = z.infer<typeof topUpRowSchema>
+
+/** One bill: what one request cost one budget. */
+export const billSchema = z.object({
+  requestId: z.string(),
+  budget: z.string(),
+  team: z.string(),
+  tokens: z.number().int().nonnegative(),
+  runner: z.string()
+})
+export type Bill = z.infer<typeof billSchema>
+
+/** Row `segments/<holder>/<seq>`: bills made durable together, in the transaction that settles them. */
+export const segmentRowSchema = z.object({
+  holder: z.string(),
+  seq: z.number().int().nonnegative(),
+  bills: z.array(billSchema)
+})
+export type SegmentRow = z.infer<typeof segmentRowSchema>
+
+/** Tokens that move between two holders of one domain without the table. */
+export const transferSchema = z.object({
+  transferId: z.string(),
+  budget: z.string(),
+  from: z.string(),
+  to: z.string(),
+  tokens: z.number().int().positive()
+})
+export type Transfer = z.infer<typeof transferSchema>
+
+/** What the ledger is told. */
+export type BudgetEvent =
+  /** A request asks for its worst case; answered by `admit` or `refuse` with the same id, at once or after later events. */
+  | { readonly kind: 'reserve', readonly reservationId: string, readonly budget: string, readonly tokens: number }
+  /** A run ended: the reservation is closed, `bill` says what it cost; no bill when nothing is owed. */
+  | { readonly kind: 'settle', readonly reservationId: string, readonly bill?: Bill }
+  /** The caller gave up while the reservation waited. */
+  | { readonly kind: 'withdraw', readonly reservationId: string }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'drawAnswered', readonly drawId: string, readonly outcome: DrawOutcome }
+  | { readonly kind: 'flushAnswered', readonly seq: number, readonly outcome: FlushOutcome }
+  | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly sameDomain: boolean }
+  | { readonly kind: 'giveAnswered', readonly transferId: string, readonly transfer?: Transfer }
+  | { readonly kind: 'recallAsked', readonly budget: string, readonly wanted: number }
+  | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number }
+  | { readonly kind: 'drain' }
+
+/** How a draw ended. `granted` tokens are durable in the table for this holder. */
+export type DrawOutcome =
+  | { readonly kind: 'granted', readonly tokens: number, readonly left: number, readonly sentAt: Instant }
+  /** The table was reached but nothing, or less than a useful amount, is left unallotted. `elsewhere` is held by others. */
+  | { readonly kind: 'short', readonly left: number, readonly elsewhere: number, readonly sentAt: Instant }
+  | { readonly kind: 'unknownBudget' }
+  | { readonly kind: 'unavailable' }
+
+/** How a flush ended; `closed` names budgets whose allotment was recovered by others meanwhile. */
+export type FlushOutcome =
+  | { readonly kind: 'durable', readonly sentAt: Instant }
+  | { readonly kind: 'unavailable' }
+  | { readonly kind: 'closed', readonly budgets: readonly string[] }
+
+/** What the shell has to do. */
+export type BudgetAction =
+  | { readonly kind: 'admit', readonly reservationId: string }
+  | { readonly kind: 'refuse', readonly reservationId: string, readonly failure: Failure }
+  /** Allot up to `tokens` more, at least `atLeast` if possible. */
+  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
+  /** One transaction: the segment row if absent, settlement of every bill, tokens given back, transfers recorded. */
+  | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[] }
+  /** Ask the holders of the own domain for a transfer. */
+  | { readonly kind: 'askGive', readonly transferId: string, readonly budget: string, readonly tokens: number }
+  /** Answer a `giveAsked`: the tokens are subtracted already; no transfer means nothing can be given. */
+  | { readonly kind: 'give', readonly transferId: string, readonly transfer?: Transfer }
+  /** Ask holders everywhere to return what they do not need. */
+  | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number }
+
+/** Tokens that go back to the table unspent. */
+export interface BudgetReturn {
+  readonly budget: string
+  readonly tokens: number
+}
+
+/** One budget as a holder sees it, for operators and metrics. */
+export interface BudgetView {
+  readonly budget: string
+  readonly held: number
+  readonly reserved: number
+  readonly unsettled: number
+}
+
+/** Decides admission, refill, transfer, recall and settlement for one holder. */
+export interface BudgetDecider {
+  /**
+   * Takes one event.
+   * @param event - what happened
+   * @param now - both clocks, read when it happened
+   */
+  handle (event: BudgetEvent, now: Instant): readonly BudgetAction[]
+  views (): readonly BudgetView[]
+}
--- /dev/null
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -0,0 +1,78 @@
+/**
+ * Result codes: every refusal, failure and exit has one numbered entry here. docs/CODES.md is
+ * the table for people; a test compares the two. Numbers are never used again for another meaning.
+ */
+import { z } from 'zod'
+
+/** Whether the work behind a refused or failed request was run. */
+export const ranSchema = z.enum(['no', 'yes', 'unknown'])
+export type Ran = z.infer<typeof ranSchema>
+
+/** Shape of one entry of the table. */
+export const resultCodeSchema = z.object({
+  /** Stable number, printed as `RS-<number>`. */
+  number: z.number().int().positive(),
+  /** HTTP status used towards callers and operators. */
+  status: z.number().int().min(200).max(599),
+  /** One line for people. */
+  title: z.string().min(1)
+})
+export type ResultCode = z.infer<typeof resultCodeSchema>
+
+/** The table itself. 1xx input, 2xx budgets, 3xx requests, 4xx routing, 5xx configuration, 6xx platform and peers, 7xx settings and tools. */
+export const resultCodes = {
+  badRequest: { number: 101, status: 400, title: 'The request is malformed' },
+  unauthorized: { number: 102, status: 401, title: 'The key is missing or not valid' },
+  forbidden: { number: 103, status: 403, title: 'The key does not allow this' },
+  notFound: { number: 104, status: 404, title: 'There is no such resource' },
+  bodyTooLarge: { number: 105, status: 413, title: 'The body exceeds the limit' },
+  methodNotAllowed: { number: 106, status: 405, title: 'The method is not allowed here' },
+  keyRequired: { number: 107, status: 400, title: 'This call may not be repeated and needs an Idempotency-Key' },
+  unknownModel: { number: 108, status: 404, title: 'The team may not use this model, or it does not exist' },
+
+  budgetSpent: { number: 201, status: 402, title: 'The prepaid budget is spent' },
+  budgetElsewhere: { number: 202, status: 503, title: 'Budget is left but held by VMs that cannot be reached now' },
+  budgetPending: { number: 203, status: 503, title: 'The budget could not be drawn in time' },
+  budgetUnknown: { number: 204, status: 404, title: 'There is no such budget' },
+  budgetBelowCommitted: { number: 205, status: 409, title: 'The budget cannot be lowered below what is spent and allotted' },
+  topUpConflict: { number: 206, status: 409, title: 'The operation id was used for another top-up' },
+  amountInvalid: { number: 207, status: 400, title: 'A token amount must be a positive whole number' },
+  allotmentClosed: { number: 208, status: 409, title: 'The allotment of this holder was closed' },
+
+  keyReused: { number: 301, status: 422, title: 'The Idempotency-Key was used with another body' },
+  inProgress: { number: 302, status: 409, title: 'A request with this key is in progress' },
+  notClaimed: { number: 303, status: 503, title: 'The call could not be claimed durably and was not run' },
+  claimOutcomeUnknown: { number: 304, status: 409, title: 'An earlier attempt was claimed and its outcome is not known' },
+  deadlineExceeded: { number: 305, status: 504, title: 'The deadline passed' },
+  answerCut: { number: 306, status: 502, title: 'The answer was cut short by the runner' },
+  answerMixed: { number: 307, status: 502, title: 'The runner sent pieces of another answer' },
+  callerGone: { number: 308, status: 499, title: 'The caller closed the connection' },
+
+  noRunner: { number: 401, status: 503, title: 'No runner serves this model now' },
+  queueFull: { number: 402, status: 429, title: 'The queue of the team is full' },
+  deadlineOutOfReach: { number: 403, status: 503, title: 'The request cannot finish before its deadline' },
+  runnerUnreachable: { number: 404, status: 502, title: 'The runner could not be reached' },
+  runnerRefused: { number: 405, status: 502, title: 'The runner refused the request' },
+  draining: { number: 406, status: 503, title: 'This VM is draining' },
+  overloaded: { number: 407, status: 503, title: 'The VM sheds load' },
+
+  configConflict: { number: 501, status: 409, title: 'The patch is based on another version' },
+  configInvalid: { number: 502, status: 422, title: 'The configuration does not follow its schema' },
+  patchInvalid: { number: 503, status: 400, title: 'The patch cannot be applied' },
+  patchIdReused: { number: 504, status: 409, title: 'The patch id was used for another patch' },
+  configNotLoaded: { number: 505, status: 503, title: 'No configuration is in force on this VM yet' },
+
+  platformUnavailable: { number: 601, status: 503, title: 'The platform service is not available' },
+  platformConflict: { number: 602, status: 409, title: 'The transaction conflicts with another' },
+  platformOutcomeUnknown: { number: 603, status: 503, title: 'The answer of the platform was lost; the write may have taken effect' },
+  peerUnreachable: { number: 604, status: 503, title: 'The peer VM cannot be reached' },
+  peerRefused: { number: 605, status: 403, title: 'The peer refused the call' },
+  leaseLost: { number: 606, status: 409, title: 'The lease is held by another VM' },
+
+  settingsInvalid: { number: 701, status: 400, title: 'The settings file has errors' },
+  usage: { number: 702, status: 400, title: 'The command line is wrong' },
+  internal: { number: 799, status: 500, title: 'An unexpected fault of the program' }
+} as const satisfies Record<string, ResultCode>
+
+/** Name of a result code. */
+export type ResultName = keyof typeof resultCodes
--- /dev/null
+++ b/packages/decisions/src/config/configSchema.ts
@@ -0,0 +1,98 @@
+/**
+ * The fleet configuration: what operators patch. One schema is the source; every type is
+ * inferred from it. Collections are records keyed by id, so that patches from two operators
+ * touch different paths. Token amounts of budgets are not in it: they live in budget rows.
+ */
+import { z } from 'zod'
+
+const id = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'use 1 to 63 of a-z 0-9 . _ -')
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use IPv4:port')
+const count = z.number().int().positive()
+
+/** A team: who may call, what it may use, and the budget it draws on. */
+export const teamSchema = z.strictObject({
+  displayName: z.string().min(1).max(200),
+  /** Hex SHA-256 of each valid key. */
+  keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'use a hex SHA-256')).max(8).default([]),
+  budget: id,
+  models: z.array(id).default([]),
+  services: z.array(id).default([]),
+  /** Share of a contended queue relative to other teams. */
+  weight: z.number().positive().max(1000).default(1),
+  /** Requests that may wait or run at once on one VM. */
+  maxInFlight: count.default(64)
+})
+export type TeamConfig = z.infer<typeof teamSchema>
+
+/** A model, its versions and limits. */
+export const modelSchema = z.strictObject({
+  version: z.string().min(1).max(64).default('1'),
+  adapters: z.array(id).default([]),
+  /** Upper bound of tokens for one answer, used when the caller gives none. */
+  maxTokens: count.max(1_000_000).default(1024),
+  /** Copies wanted, spread over failure domains. */
+  copies: count.max(1000).default(1)
+})
+export type ModelConfig = z.infer<typeof modelSchema>
+
+/** A model runner: one engine process on a target machine. */
+export const runnerSchema = z.strictObject({
+  address,
+  domain: id,
+  models: z.array(id).default([]),
+  /** Requests that the engine decodes at once. */
+  slots: count.max(4096).default(16),
+  state: z.enum(['active', 'leaving']).default('active'),
+  /** Whether the engine refuses orders with an old fencing number. */
+  checksFencing: z.boolean().default(true)
+})
+export type RunnerConfig = z.infer<typeof runnerSchema>
+
+/** One application runner of a service. */
+export const serviceRunnerSchema = z.strictObject({
+  address,
+  domain: id,
+  state: z.enum(['active', 'leaving']).default('active'),
+  maxInFlight: count.default(32)
+})
+
+/** A plain service behind application runners. */
+export const serviceSchema = z.strictObject({
+  runners: z.record(id, serviceRunnerSchema).default({}),
+  /** Paths whose POST may not be repeated; `*` at the end matches any rest. */
+  notRepeatable: z.array(z.string().startsWith('/')).default(['/*']),
+  timeoutMs: count.max(600_000).default(10_000)
+})
+export type ServiceConfig = z.infer<typeof serviceSchema>
+
+/** An operator and the hashes of its keys. */
+export const operatorSchema = z.strictObject({
+  keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'use a hex SHA-256')).max(8).default([]),
+  role: z.enum(['admin', 'viewer']).default('admin')
+})
+
+/** Limits that hold on every VM. */
+export const limitsSchema = z.strictObject({
+  requestTimeoutMs: count.max(3_600_000).default(60_000),
+  leavingGraceMs: count.max(60_000).default(3_000),
+  addressKeepMs: count.max(600_000).default(10_000),
+  /** How long an allotment may be spent after its last contact with the table. */
+  allotmentLapseMs: count.max(86_400_000).default(7_200_000)
+})
+
+/** The whole configuration. */
+export const fleetConfigSchema = z.strictObject({
+  teams: z.record(id, teamSchema).default({}),
+  models: z.record(id, modelSchema).default({}),
+  runners: z.record(id, runnerSchema).default({}),
+  services: z.record(id, serviceSchema).default({}),
+  operators: z.record(id, operatorSchema).default({}),
+  limits: limitsSchema.prefault({})
+})
+export type FleetConfig = z.infer<typeof fleetConfigSchema>
+
+/** A configuration with its number, as it is in force on a VM. */
+export interface NumberedConfig {
+  readonly version: number
+  readonly config: FleetConfig
+}
--- /dev/null
+++ b/packages/decisions/src/events/logEvents.ts
@@ -0,0 +1,69 @@
+/**
+ * Log events: every log line carries one numbered entry of this table. docs/EVENTS.md is the
+ * catalogue for people; a test compares the two. Numbers are never used again for another meaning.
+ */
+import { z } from 'zod'
+
+/** Shape of one entry of the table. */
+export const logEventSchema = z.object({
+  number: z.number().int().positive(),
+  level: z.enum(['debug', 'info', 'warn', 'error']),
+  /** One line for people: when it is written and what its fields are. */
+  title: z.string().min(1)
+})
+export type LogEvent = z.infer<typeof logEventSchema>
+
+/** 1xxx process, 2xxx budgets, 3xxx requests, 4xxx routing and placement, 5xxx configuration, 6xxx platform and peers. */
+export const logEvents = {
+  started: { number: 1001, level: 'info', title: 'The VM listens; fields: addresses, domain, holder' },
+  draining: { number: 1002, level: 'info', title: 'The VM began to drain; fields: open requests' },
+  stopped: { number: 1003, level: 'info', title: 'The VM stopped; fields: open requests, unsettled bills' },
+  clockJumped: { number: 1004, level: 'warn', title: 'A clock jumped: the process was paused or the clock was set; fields: jumpMs' },
+  fault: { number: 1099, level: 'error', title: 'An unexpected fault of the program; fields: err' },
+
+  budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, held' },
+  budgetFlushed: { number: 2002, level: 'info', title: 'Bills were made durable; fields: seq, bills, tokens' },
+  budgetTransferred: { number: 2003, level: 'info', title: 'Tokens moved between VMs of a domain; fields: budget, tokens, from, to' },
+  budgetRecalled: { number: 2004, level: 'info', title: 'Other holders were asked to return tokens; fields: budget, tokens' },
+  budgetReturned: { number: 2005, level: 'info', title: 'Unspent tokens went back to the table; fields: budget, tokens' },
+  budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: holder, billed, returned' },
+  budgetFault: { number: 2007, level: 'warn', title: 'A budget operation failed and will be tried again; fields: operation, code' },
+  allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
+
+  requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
+  requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, tokens, firstTokenMs, totalMs' },
+  requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
+  requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran' },
+  requestJoined: { number: 3005, level: 'info', title: 'A repeat joined the run of an earlier request; fields: request, runner' },
+  callClaimed: { number: 3006, level: 'info', title: 'A non-repeatable call was claimed; fields: request, service' },
+  callerGone: { number: 3007, level: 'info', title: 'The caller closed the connection; fields: request, cancelled' },
+
+  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, candidates, choice, reason' },
+  routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
+  runnerState: { number: 4003, level: 'warn', title: 'A runner changed state; fields: runner, state, reason' },
+  placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
+
+  configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
+  configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
+  configRefused: { number: 5003, level: 'info', title: 'A patch was refused; fields: base, patchId, code' },
+  configUnreachable: { number: 5004, level: 'warn', title: 'The configuration could not be read; the version in force stays; fields: version, code' },
+
+  platformFault: { number: 6001, level: 'warn', title: 'A platform call failed; fields: service, operation, code' },
+  peerFault: { number: 6002, level: 'warn', title: 'A peer call failed; fields: peer, method, code' },
+  leaseTaken: { number: 6003, level: 'info', title: 'A lease was taken; fields: role, fencing' },
+  leaseLost: { number: 6004, level: 'warn', title: 'A lease was lost; fields: role, fencing' },
+  peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: vm, state, evidence' }
+} as const satisfies Record<string, LogEvent>
+
+/** Name of a log event. */
+export type LogEventName = keyof typeof logEvents
+
+/** Where log lines go; the daemon binds bunyan, tests a list. */
+export interface EventLog {
+  /**
+   * Writes one line.
+   * @param event - name in the table of events
+   * @param fields - the fields the table names
+   */
+  write (event: LogEventName, fields: Readonly<Record<string, unknown>>): void
+}
--- /dev/null
+++ b/packages/decisions/src/routing/routingTypes.ts
@@ -0,0 +1,65 @@
+/**
+ * Routing as the decider sees it: runners with what is known of them and how old it is; one
+ * decision for one request.
+ */
+import type { Instant } from '../clock/clockTypes.js'
+import type { Failure } from '../codes/failure.js'
+
+/** What is known of one runner. */
+export interface RunnerView {
+  readonly runner: string
+  readonly address: string
+  readonly domain: string
+  readonly slots: number
+}
+
+/** A request to be routed. */
+export interface RouteRequest {
+  readonly requestId: string
+  readonly team: string
+  readonly model: string
+  readonly adapter?: string
+  /** Whether the caller gave a key: then repeats at other VMs must find the same runner. */
+  readonly keyed: boolean
+  readonly promptTokens: number
+  readonly maxTokens: number
+  /** Hashes of the prompt's prefixes, longest last. */
+  readonly prefixHashes: readonly string[]
+  readonly deadline: Instant
+  /** Runners already tried for this request. */
+  readonly exclude: readonly string[]
+}
+
+/** A decision. `before` are runners that a repeat at another VM might choose; they must be sealed first. */
+export type RouteDecision =
+  | {
+    readonly kind: 'routed'
+    readonly choice: RunnerView
+    readonly before: readonly RunnerView[]
+    readonly candidates: readonly string[]
+    readonly reason: string
+  }
+  | { readonly kind: 'refused', readonly failure: Failure, readonly candidates: readonly string[], readonly reason: string }
+
+/** What the router is told of runners. */
+export type RouteEvent =
+  | { readonly kind: 'configured', readonly model: string, readonly runners: readonly RunnerView[] }
+  | { readonly kind: 'dispatched', readonly runner: string, readonly requestId: string, readonly tokens: number }
+  | { readonly kind: 'firstToken', readonly runner: string, readonly requestId: string, readonly afterMs: number }
+  | { readonly kind: 'ended', readonly runner: string, readonly requestId: string, readonly ok: boolean, readonly tokens: number, readonly totalMs: number }
+  | { readonly kind: 'loadReported', readonly runner: string, readonly running: number, readonly waiting: number, readonly reportAgeMs: number, readonly leaving: boolean }
+  | { readonly kind: 'cacheReported', readonly runner: string, readonly stored: readonly string[], readonly evicted: readonly string[] }
+  | { readonly kind: 'leaving', readonly runner: string }
+
+/** Chooses runners. */
+export interface RouteDecider {
+  observe (event: RouteEvent, now: Instant): void
+  /**
+   * Decides where a request goes.
+   * @param req - the request
+   * @param now - both clocks
+   * @param random - a number in [0, 1) for each call, seeded in tests
+   */
+  route (req: RouteRequest, now: Instant, random: () => number): RouteDecision
+  inFlight (runner: string): number
+}
--- /dev/null
+++ b/packages/operators/src/admin/adminTypes.ts
@@ -0,0 +1,96 @@
+/**
+ * What the admin API asks of the rest of the VM, and the answers both it and
+ * `rosemaryspreadctl` understand. The daemon binds the implementations.
+ */
+import { z } from 'zod'
+import type { Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+
+/** Body of `POST /admin/v1/config/patches`. */
+export const patchRequestSchema = z.strictObject({
+  base: z.number().int().nonnegative(),
+  patchId: z.string().min(1).max(128),
+  author: z.string().min(1).max(128),
+  dryRun: z.boolean().default(false),
+  /** RFC 6902 operations. */
+  patch: z.array(z.record(z.string(), z.unknown())).min(1).max(1000)
+})
+export type PatchRequest = z.infer<typeof patchRequestSchema>
+
+/** Answer of an accepted patch. */
+export const patchAnswerSchema = z.object({ version: z.number().int(), repeated: z.boolean(), dryRun: z.boolean() })
+export type PatchAnswer = z.infer<typeof patchAnswerSchema>
+
+/** Configuration in force or at a version. */
+export const configAnswerSchema = z.object({ version: z.number().int(), config: z.unknown() })
+export type ConfigAnswer = z.infer<typeof configAnswerSchema>
+
+/** One line of the history. */
+export const historyEntrySchema = z.object({
+  version: z.number().int(),
+  patchId: z.string(),
+  author: z.string(),
+  at: z.number(),
+  patch: z.array(z.unknown())
+})
+export type HistoryEntry = z.infer<typeof historyEntrySchema>
+
+/** Body of `POST /admin/v1/budgets/:budget/topups`. */
+export const topUpRequestSchema = z.strictObject({
+  operationId: z.string().min(1).max(128),
+  tokens: z.number().int().positive().max(1_000_000_000_000),
+  author: z.string().min(1).max(128)
+})
+export type TopUpRequest = z.infer<typeof topUpRequestSchema>
+
+/** A budget as shown; all amounts in tokens. */
+export const budgetAnswerSchema = z.object({
+  budget: z.string(),
+  paid: z.number(),
+  spent: z.number(),
+  allotted: z.number(),
+  inDoubt: z.number(),
+  holders: z.array(z.object({ holder: z.string(), held: z.number(), ageMs: z.number(), state: z.string() }))
+})
+export type BudgetAnswer = z.infer<typeof budgetAnswerSchema>
+
+/** A VM as shown. */
+export const vmAnswerSchema = z.object({
+  vm: z.string(),
+  domain: z.string(),
+  address: z.string(),
+  state: z.string(),
+  configVersion: z.number().int().nullable(),
+  ageMs: z.number()
+})
+export type VmAnswer = z.infer<typeof vmAnswerSchema>
+
+/** A runner as shown. */
+export const runnerAnswerSchema = z.object({
+  runner: z.string(),
+  kind: z.enum(['model', 'application']),
+  domain: z.string(),
+  address: z.string(),
+  state: z.string(),
+  inFlight: z.number().int()
+})
+export type RunnerAnswer = z.infer<typeof runnerAnswerSchema>
+
+/** The operator behind a key. */
+export interface OperatorIdentity {
+  readonly operator: string
+  readonly role: 'admin' | 'viewer'
+}
+
+/** Everything the admin API asks. */
+export interface AdminService {
+  authenticate (bearer: string): Either<Failure, OperatorIdentity>
+  config (version?: number): Promise<Either<Failure, ConfigAnswer>>
+  patch (req: PatchRequest): Promise<Either<Failure, PatchAnswer>>
+  history (limit: number): Promise<Either<Failure, readonly HistoryEntry[]>>
+  topUp (budget: string, req: TopUpRequest): Promise<Either<Failure, BudgetAnswer>>
+  budget (budget: string): Promise<Either<Failure, BudgetAnswer>>
+  vms (): Promise<Either<Failure, readonly VmAnswer[]>>
+  runners (): Promise<Either<Failure, readonly RunnerAnswer[]>>
+  addresses (): { readonly addresses: readonly string[], readonly keepMs: number }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/measureRegistry.ts
@@ -0,0 +1,7 @@
+/**
+ * The list of measurements. A new one adds its import and its line here.
+ */
+import type { Measurement } from './measureTypes.js'
+
+/** All measurements by group and name. */
+export const measurements: readonly Measurement[] = []
