Add the table in memory as a store for tests

Cause: budgets, requests, configuration and leases all need the table service in their tests. Ruled out: a fake for each package, since each would have its own idea of version checks. Several stores can share one state, so a test can cut off one VM and not another.

--- /dev/null
+++ b/packages/stand-ins/src/table/memoryTableStore.ts
@@ -0,0 +1,74 @@
+/**
+ * A table store without a socket, for tests in one process. Several stores may share one
+ * {@link TableState}: each is then the table as one VM reaches it, with its own faults.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { transactionSchema, type ReadAnswer, type RowKey, type ScanAnswer, type ScanRequest, type TableStore, type TransactAnswer, type Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import { TableState } from './tableState.js'
+
+/** Name of an operation of the store. */
+export type TableOperation = 'read' | 'scan' | 'transact'
+
+/** The table in memory with switches for its faults. */
+export class MemoryTableStore implements TableStore {
+  /** While true, every call fails with `platformUnavailable` and has no effect. */
+  outage = false
+  /** Answers of the next transactions to lose after their effect. */
+  loseAnswers = 0
+  /** Next transactions to lose on the way there: no effect, and the caller cannot tell. */
+  loseRequests = 0
+  /** Awaited before each call takes effect; lets a test hold or order calls. */
+  before: (operation: TableOperation) => Promise<void> = async () => {}
+  /** Calls so far, failed ones included. */
+  readonly calls: Record<TableOperation, number> = { read: 0, scan: 0, transact: 0 }
+
+  /**
+   * @param state - rows, shared between stores where a test has several VMs
+   */
+  constructor (readonly state: TableState = new TableState()) {}
+
+  async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    return await this.call('read', () => Right(this.state.read(keys)))
+  }
+
+  async scan (req: ScanRequest): Promise<Either<Failure, ScanAnswer>> {
+    return await this.call('scan', () => Right(this.state.scan(req)))
+  }
+
+  async transact (tx: Transaction): Promise<Either<Failure, TransactAnswer>> {
+    const sent = structuredClone(tx)
+    return await this.call('transact', () => this.commit(sent))
+  }
+
+  private async call<T> (operation: TableOperation, effect: () => Either<Failure, T>): Promise<Either<Failure, T>> {
+    this.calls[operation]++
+    await this.before(operation)
+    if (this.outage) return Left(new Failure('platformUnavailable', 'the table is out of service'))
+    return copyOf(effect())
+  }
+
+  private commit (tx: Transaction): Either<Failure, TransactAnswer> {
+    const checked = transactionSchema.safeParse(tx)
+    if (!checked.success) return Left(new Failure('badRequest', checked.error.message))
+    if (take(this, 'loseRequests')) return Left(outcomeUnknown())
+    const outcome = this.state.transact(tx)
+    if (take(this, 'loseAnswers')) return Left(outcomeUnknown())
+    return outcome.mapLeft(conflicts => new Failure('platformConflict', conflicts.map(({ table, key }) => `${table}/${key}`).join(', ')))
+  }
+}
+
+/** Counts a switch down; answers whether it was set. */
+function take (store: MemoryTableStore, name: 'loseAnswers' | 'loseRequests'): boolean {
+  if (store[name] <= 0) return false
+  store[name]--
+  return true
+}
+
+function outcomeUnknown (): Failure {
+  return new Failure('platformOutcomeUnknown', 'the answer of the transaction was lost', { ran: 'unknown' })
+}
+
+function copyOf<T> (outcome: Either<Failure, T>): Either<Failure, T> {
+  return outcome.map(answer => structuredClone(answer))
+}
