Judge histories by one pure rule for each promise

Ruled out: checks inside the scenarios themselves, which would judge only what each scenario thought of. Change: nine rules over a sorted history, a reader for JSON lines with errors by line, and an entry point.

--- /dev/null
+++ b/packages/stand-ins/src/history/historyChecker.ts
@@ -0,0 +1,73 @@
+/**
+ * Judges all promises over any history. Pure: the same records give the same verdict.
+ */
+import { History } from './history.js'
+import type { HistoryRecord } from './historyTypes.js'
+import type { CheckLimits, Finding, HistoryRule } from './ruleTypes.js'
+import { AnswerRule } from './rules/answerRule.js'
+import { AtMostOnceRule } from './rules/atMostOnceRule.js'
+import { BillingRule } from './rules/billingRule.js'
+import { ConfigRule } from './rules/configRule.js'
+import { GracefulStopRule } from './rules/gracefulStopRule.js'
+import { LeaseRule } from './rules/leaseRule.js'
+import { LeavingRule } from './rules/leavingRule.js'
+import { OverspendRule } from './rules/overspendRule.js'
+import { RefusalRule } from './rules/refusalRule.js'
+
+/** One rule for each promise. */
+export const historyRules: readonly HistoryRule[] = [
+  new OverspendRule(),
+  new BillingRule(),
+  new AnswerRule(),
+  new RefusalRule(),
+  new AtMostOnceRule(),
+  new LeavingRule(),
+  new GracefulStopRule(),
+  new ConfigRule(),
+  new LeaseRule()
+]
+
+/** Three seconds of grace and two of tolerance for a leaving runner; twelve seconds for a version to spread. */
+export const defaultLimits: CheckLimits = { leavingGraceMs: 5_000, configSpreadMs: 12_000 }
+
+/** Records shown before and after the one where a promise broke. */
+const RECORDS_AROUND = 6
+
+/** A broken promise with the records around it. */
+export interface Violation extends Finding {
+  readonly rule: string
+  readonly promise: string
+  readonly around: readonly HistoryRecord[]
+}
+
+/**
+ * Judges a history.
+ * @param records - records in any order
+ * @param limits - times within which promises must hold
+ * @returns violations, the earliest first
+ */
+export function checkHistory (records: readonly HistoryRecord[], limits: CheckLimits = defaultLimits): readonly Violation[] {
+  const history = new History(records)
+  const violations = historyRules.flatMap(rule => rule.check(history, limits)
+    .map(finding => ({ ...finding, rule: rule.name, promise: rule.promise, around: recordsAround(history, finding) })))
+  return violations.sort((a, b) => brokenAt(a) - brokenAt(b))
+}
+
+function brokenAt (finding: Finding): number {
+  return Math.max(...finding.records.map(record => record.at))
+}
+
+function recordsAround (history: History, finding: Finding): readonly HistoryRecord[] {
+  const last = finding.records.at(-1)
+  const index = last === undefined ? 0 : history.records.indexOf(last)
+  return history.records.slice(Math.max(0, index - RECORDS_AROUND), index + RECORDS_AROUND + 1)
+}
+
+/**
+ * Renders a violation for people: the promise, what broke it and the records around it.
+ * @param violation - the violation
+ */
+export function renderViolation (violation: Violation): string {
+  const lines = violation.around.map(record => `  ${violation.records.includes(record) ? '>' : ' '} ${JSON.stringify(record)}`)
+  return [`broken promise: ${violation.promise} (${violation.rule})`, `  ${violation.text}`, ...lines].join('\n')
+}
--- /dev/null
+++ b/packages/stand-ins/src/history/historyFile.ts
@@ -0,0 +1,42 @@
+/**
+ * Reads and writes histories as JSON lines; mistakes are reported with the line they are on.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { historyRecordSchema, type HistoryRecord } from './historyTypes.js'
+
+/**
+ * Parses JSON lines; empty lines are skipped.
+ * @param text - the content of a history file
+ * @returns `badRequest` with one error for each bad line
+ */
+export function parseHistory (text: string): Either<Failure, readonly HistoryRecord[]> {
+  const records: HistoryRecord[] = []
+  const errors: string[] = []
+  for (const [index, line] of text.split('\n').entries()) {
+    if (line.trim() === '') continue
+    const parsed = parseLine(line)
+    if (typeof parsed === 'string') errors.push(`line ${index + 1}: ${parsed}`)
+    else records.push(parsed)
+  }
+  if (errors.length > 0) return Left(new Failure('badRequest', 'The history has bad lines', { errors }))
+  return Right(records)
+}
+
+function parseLine (line: string): HistoryRecord | string {
+  try {
+    const parsed = historyRecordSchema.safeParse(JSON.parse(line))
+    return parsed.success ? parsed.data : z.prettifyError(parsed.error).replaceAll('\n', ' ')
+  } catch (err) {
+    return String(err)
+  }
+}
+
+/**
+ * Renders records as JSON lines.
+ * @param records - the records
+ */
+export function renderHistory (records: readonly HistoryRecord[]): string {
+  return records.map(record => `${JSON.stringify(record)}\n`).join('')
+}
--- a/packages/stand-ins/src/history/historyTypes.ts
+++ b/packages/stand-ins/src/history/historyTypes.ts
@@ -14,8 +14,8 @@
   z.object({ kind: z.literal('refused'), at, ask: z.string(), requestId: z.string(), code: z.string(), ran: z.enum(['no', 'yes', 'unknown']), retryAfterMs: z.number().optional() }),
   /** A model run or an application call began at a runner. */
   z.object({ kind: z.literal('ran'), at, requestId: z.string(), runner: z.string(), team: z.string(), budget: z.string().optional(), digest: z.string().optional(), holder: z.string().optional() }),
-  /** The run ended; `text` is the whole answer, `tokens` what it cost. */
-  z.object({ kind: z.literal('ended'), at, requestId: z.string(), runner: z.string(), state: z.enum(['finished', 'cancelled']), text: z.string(), tokens: z.number() }),
+  /** The run ended; `text` is the whole answer, `tokens` what it cost, `reportedTokens` what a misbehaving runner claimed. */
+  z.object({ kind: z.literal('ended'), at, requestId: z.string(), runner: z.string(), state: z.enum(['finished', 'cancelled']), text: z.string(), tokens: z.number(), reportedTokens: z.number().optional() }),
   z.object({ kind: z.literal('paid'), at, budget: z.string(), operationId: z.string(), tokens: z.number() }),
   z.object({ kind: z.literal('billed'), at, requestId: z.string(), budget: z.string(), tokens: z.number(), holder: z.string() }),
   z.object({ kind: z.literal('claimed'), at, requestId: z.string(), holder: z.string() }),
@@ -25,6 +25,19 @@
   z.object({ kind: z.literal('vmStopping'), at, vm: z.string(), holder: z.string() }),
   z.object({ kind: z.literal('vmStopped'), at, vm: z.string(), holder: z.string(), interrupted: z.number() }),
   z.object({ kind: z.literal('leaseTaken'), at, role: z.string(), holder: z.string(), fencing: z.number() }),
-  z.object({ kind: z.literal('leaseWrite'), at, role: z.string(), holder: z.string(), fencing: z.number() })
+  z.object({ kind: z.literal('leaseWrite'), at, role: z.string(), holder: z.string(), fencing: z.number() }),
+  /** The caller's connection ended without an answer; `sent` is false when it was never made. */
+  z.object({ kind: z.literal('lost'), at, ask: z.string(), requestId: z.string(), sent: z.boolean() }),
+  /** The test reached a VM that is ready, or let it run or reach its peers and the platform again. */
+  z.object({ kind: z.literal('vmUp'), at, vm: z.string() }),
+  /** The test took a VM away: from here until `vmUp` it need not know new configuration versions. */
+  z.object({ kind: z.literal('vmDown'), at, vm: z.string(), cause: z.enum(['killed', 'frozen', 'cut', 'stopped']) }),
+  z.object({ kind: z.literal('tableDown'), at }),
+  z.object({ kind: z.literal('tableUp'), at }),
+  /** The system came to rest: from here on every bill that is owed must be durable. */
+  z.object({ kind: z.literal('settled'), at })
 ])
 export type HistoryRecord = z.infer<typeof historyRecordSchema>
+
+/** Records of one kind. */
+export type RecordOf<Kind extends HistoryRecord['kind']> = Extract<HistoryRecord, { kind: Kind }>
--- /dev/null
+++ b/packages/stand-ins/src/history/rules/atMostOnceRule.ts
@@ -0,0 +1,18 @@
+/**
+ * A request marked as not repeatable runs at most once over all runners.
+ */
+import type { History } from '../history.js'
+import type { Finding, HistoryRule } from '../ruleTypes.js'
+
+/** At most once. */
+export class AtMostOnceRule implements HistoryRule {
+  readonly name = 'atMostOnce'
+  readonly promise = 'A request marked as not repeatable runs at most once'
+
+  check (history: History): readonly Finding[] {
+    const marked = new Set(history.of('asked').filter(ask => !ask.repeatable).map(ask => ask.requestId))
+    return [...history.byRequest('ran')]
+      .filter(([requestId, runs]) => marked.has(requestId) && runs.length > 1)
+      .map(([requestId, runs]) => ({ text: `request ${requestId} may not be repeated and ran ${runs.length} times`, records: runs }))
+  }
+}
