Add RunnerRouter: first usable runner choice

The composition of the request path needs a RouteDecider. Plain requests go to the better of two random candidates and the believed prefix holder; keyed ones to the first fit in one common order. Loads join own requests in flight with aged reports; ejection, leaving and deadline checks are in.

--- /dev/null
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -0,0 +1,183 @@
+/**
+ * All runners one VM knows, fed by events: configuration, dispatches, first tokens, ends, load
+ * reports, cache events and leaving marks. It keeps the figures; {@link RunnerRouter} decides.
+ */
+import type { Instant } from '../clock/clockTypes.js'
+import { Ewma } from './ewma.js'
+import { LatencyModel } from './latencyModel.js'
+import { PrefixIndex } from './prefixIndex.js'
+import { subsetOf } from './runnerSubset.js'
+import { RunnerState } from './runnerState.js'
+import type { RouteEvent, RunnerView } from './routingTypes.js'
+
+/** Routed requests that are remembered until their dispatch is told. */
+const ROUTED_LIMIT = 4_096
+
+/** Times the median first-token time at which a runner is ejected as slow. */
+const SLOW_FACTOR = 3
+
+/** First tokens of a runner between two comparisons with the median. */
+const SLOW_CHECK_EVERY = 8
+
+/** Runners needed for a median to mean something. */
+const MEDIAN_RUNNERS = 3
+
+/** What was decided for a request, needed once it is dispatched. */
+export interface RoutedWork {
+  readonly maxTokens: number
+  readonly uncachedTokens: number
+  readonly unqueued: boolean
+  readonly prefixHashes: readonly string[]
+}
+
+/** Runners of one model. */
+export interface ModelRunners {
+  readonly all: readonly RunnerState[]
+  readonly watched: readonly RunnerState[]
+}
+
+type EventOf<K extends RouteEvent['kind']> = Extract<RouteEvent, { kind: K }>
+
+/** State of all runners. */
+export class FleetView {
+  readonly prefixes = new PrefixIndex()
+  readonly fleet = new LatencyModel()
+  private readonly runners = new Map<string, RunnerState>()
+  private readonly models = new Map<string, ModelRunners>()
+  private readonly routed = new Map<string, RoutedWork>()
+  private readonly othersPerSlot = new Ewma()
+
+  /**
+   * @param vm - name of this VM
+   * @param domain - its failure domain
+   */
+  constructor (private readonly vm: string, private readonly domain: string) {}
+
+  /** Requests of other VMs for each slot, over all runners that report. */
+  get prior (): number {
+    return this.othersPerSlot.mean
+  }
+
+  runnersOf (model: string): ModelRunners {
+    return this.models.get(model) ?? { all: [], watched: [] }
+  }
+
+  /** Runners whose load and cache events this VM should ask for. */
+  watchedRunners (): readonly RunnerView[] {
+    const states = new Set([...this.models.values()].flatMap(model => model.watched))
+    return [...states].map(state => state.view)
+  }
+
+  find (runner: string): RunnerState | undefined {
+    return this.runners.get(runner)
+  }
+
+  remember (requestId: string, work: RoutedWork): void {
+    this.routed.delete(requestId)
+    this.routed.set(requestId, work)
+    if (this.routed.size <= ROUTED_LIMIT) return
+    const oldest = this.routed.keys().next()
+    if (oldest.done !== true) this.routed.delete(oldest.value)
+  }
+
+  observe (event: RouteEvent, now: Instant): void {
+    if (event.kind === 'configured') {
+      this.configured(event)
+      return
+    }
+    const state = this.runners.get(event.runner)
+    if (state !== undefined) this.observeRunner(state, event, now.mono)
+  }
+
+  private observeRunner (state: RunnerState, event: Exclude<RouteEvent, { kind: 'configured' }>, mono: number): void {
+    switch (event.kind) {
+      case 'dispatched': return this.dispatched(state, event, mono)
+      case 'firstToken': return this.firstToken(state, event, mono)
+      case 'ended': return this.ended(state, event, mono)
+      case 'loadReported': return this.loadReported(state, event, mono)
+      case 'cacheReported': return this.cacheReported(event, mono)
+      case 'leaving': return state.leaving(event.source ?? 'config', mono)
+    }
+  }
+
+  private configured (event: EventOf<'configured'>): void {
+    for (const state of this.runnersOf(event.model).all) state.models.delete(event.model)
+    const all = event.runners.map(view => this.configuredRunner(view, event.model))
+    const chosen = new Set(subsetOf(this.vm, this.domain, event.runners).map(view => view.runner))
+    const watched = all.filter(state => chosen.has(state.view.runner))
+    if (all.length === 0) this.models.delete(event.model)
+    else this.models.set(event.model, { all, watched })
+    for (const state of this.runners.values()) this.dropUnused(state)
+  }
+
+  private configuredRunner (view: RunnerView, model: string): RunnerState {
+    const state = this.runners.get(view.runner) ?? new RunnerState(view)
+    state.configured(view)
+    state.models.add(model)
+    this.runners.set(view.runner, state)
+    return state
+  }
+
+  private dropUnused (state: RunnerState): void {
+    if (state.models.size === 0 && state.load.count === 0) this.runners.delete(state.view.runner)
+  }
+
+  private dispatched (state: RunnerState, event: EventOf<'dispatched'>, mono: number): void {
+    const work = this.routed.get(event.requestId)
+    this.routed.delete(event.requestId)
+    state.load.dispatched(event.requestId, {
+      atMono: mono,
+      tokens: event.tokens,
+      maxTokens: work?.maxTokens ?? 0,
+      uncachedTokens: work?.uncachedTokens ?? event.tokens,
+      unqueued: work?.unqueued ?? false
+    })
+    for (const hash of work?.prefixHashes ?? []) this.prefixes.stored(hash, state.view.runner, mono)
+  }
+
+  private firstToken (state: RunnerState, event: EventOf<'firstToken'>, mono: number): void {
+    const request = state.load.firstToken(event.requestId, event.afterMs)
+    state.health.responded(mono)
+    if (request?.unqueued !== true) return
+    state.latency.sawFirstToken(event.afterMs, request.uncachedTokens)
+    this.fleet.sawFirstToken(event.afterMs, request.uncachedTokens)
+    if (state.latency.unitMs.count % SLOW_CHECK_EVERY === 0) this.ejectIfSlow(state, mono)
+  }
+
+  private ended (state: RunnerState, event: EventOf<'ended'>, mono: number): void {
+    const request = state.load.ended(event.requestId, mono)
+    if (event.ok) state.health.succeeded(mono)
+    else state.health.failed(mono)
+    if (event.ok && request?.firstTokenMs !== undefined) {
+      const busy = Math.min(1, state.load.estimate(mono, this.prior * state.view.slots) / state.view.slots)
+      const decodeMs = event.totalMs - request.firstTokenMs
+      state.latency.sawAnswer(decodeMs, event.tokens, busy)
+      this.fleet.sawAnswer(decodeMs, event.tokens, busy)
+    }
+    this.dropUnused(state)
+  }
+
+  private loadReported (state: RunnerState, event: EventOf<'loadReported'>, mono: number): void {
+    const at = mono - event.reportAgeMs
+    const others = state.load.reported(event.running + event.waiting, at)
+    if (others === undefined) return
+    this.othersPerSlot.add(others / state.view.slots)
+    state.reportedLeaving(event.leaving, at)
+  }
+
+  private cacheReported (event: EventOf<'cacheReported'>, mono: number): void {
+    for (const hash of event.stored) this.prefixes.stored(hash, event.runner, mono)
+    for (const hash of event.evicted) this.prefixes.evicted(hash, event.runner)
+  }
+
+  private ejectIfSlow (state: RunnerState, mono: number): void {
+    const [model] = state.models
+    const peers = this.runnersOf(model ?? '').watched.filter(peer => peer !== state && peer.latency.trusted)
+    if (peers.length < MEDIAN_RUNNERS) return
+    const figures = peers.map(peer => peer.latency.unitMs.mean).sort((a, b) => a - b)
+    const median = figures[Math.floor(figures.length / 2)] ?? Infinity
+    if (state.latency.unitMs.mean <= SLOW_FACTOR * median) return
+    state.health.eject('slow first tokens', mono)
+    state.latency = new LatencyModel()
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/latencyModel.ts
@@ -0,0 +1,101 @@
+/**
+ * Measured speed of a runner and the prediction from it: time to first token grows with the
+ * prompt tokens that are not cached, time between tokens with the share of busy slots, and a
+ * request beyond the slots waits for others to end.
+ */
+import { Ewma } from './ewma.js'
+
+/** Fixed cost of a first token, expressed in prompt tokens. */
+const FIRST_TOKEN_OVERHEAD = 64
+
+/** How much slower a token is when all slots are busy than when one is, less 1. */
+const BUSY_SLOWDOWN = 1
+
+/** Samples below which a measured figure is not trusted. */
+const TRUSTED_SAMPLES = 5
+
+/** Mean deviations added for a cautious prediction. */
+const CAUTION = 2
+
+/** Assumed before anything was measured, in milliseconds. */
+const DEFAULT_UNIT_MS = 0.5
+const DEFAULT_TOKEN_MS = 20
+const DEFAULT_TOKENS = 200
+
+/** What one prediction is about. */
+export interface Work {
+  readonly uncachedTokens: number
+  readonly answerTokens: number
+  /** Requests at the runner without this one. */
+  readonly load: number
+  readonly slots: number
+}
+
+/** Predicted times in milliseconds. */
+export interface Prediction {
+  readonly waitMs: number
+  readonly firstTokenMs: number
+  readonly totalMs: number
+  /** Total on the runner when it is idle. */
+  readonly idleMs: number
+  /** For how long a typical request holds a slot. */
+  readonly slotMs: number
+}
+
+/** Measured speed, of one runner or of the fleet. */
+export class LatencyModel {
+  readonly unitMs = new Ewma()
+  readonly tokenMs = new Ewma()
+  readonly answerTokens = new Ewma()
+
+  /** Whether enough was measured to refuse a request by it. */
+  get trusted (): boolean {
+    return this.unitMs.count >= TRUSTED_SAMPLES && this.tokenMs.count >= TRUSTED_SAMPLES
+  }
+
+  sawFirstToken (afterMs: number, uncachedTokens: number): void {
+    this.unitMs.add(afterMs / (uncachedTokens + FIRST_TOKEN_OVERHEAD))
+  }
+
+  /**
+   * Takes the times of an ended request.
+   * @param decodeMs - from the first token to the end
+   * @param tokens - tokens generated
+   * @param busy - share of slots that was busy, 0 to 1
+   */
+  sawAnswer (decodeMs: number, tokens: number, busy: number): void {
+    this.answerTokens.add(tokens)
+    if (tokens > 1) this.tokenMs.add(decodeMs / (tokens - 1) / slowdown(busy))
+  }
+}
+
+/**
+ * Predicts the times of one request.
+ * @param own - what was measured of the runner
+ * @param fleet - what was measured of all, used where the runner's own figures are too few
+ * @param work - the request and the load
+ * @param cautious - true for a bound that most requests meet, false for the expected times
+ */
+export function predict (own: LatencyModel, fleet: LatencyModel, work: Work, cautious: boolean): Prediction {
+  const deviations = cautious ? CAUTION : 0
+  const unitMs = figure(own.unitMs, fleet.unitMs, deviations, DEFAULT_UNIT_MS)
+  const tokenMs = figure(own.tokenMs, fleet.tokenMs, deviations, DEFAULT_TOKEN_MS)
+  const perTokenMs = tokenMs * slowdown(Math.min(1, (work.load + 1) / work.slots))
+  const prefillMs = unitMs * (work.uncachedTokens + FIRST_TOKEN_OVERHEAD)
+  const typicalTokens = fleet.answerTokens.count > 0 ? fleet.answerTokens.mean : DEFAULT_TOKENS
+  const slotMs = prefillMs + typicalTokens * perTokenMs
+  const waitMs = Math.max(0, work.load + 1 - work.slots) * slotMs / work.slots
+  const firstTokenMs = waitMs + prefillMs
+  const totalMs = firstTokenMs + work.answerTokens * perTokenMs
+  const idleMs = prefillMs + work.answerTokens * tokenMs * slowdown(1 / work.slots)
+  return { waitMs, firstTokenMs, totalMs, idleMs, slotMs }
+}
+
+function slowdown (busy: number): number {
+  return 1 + BUSY_SLOWDOWN * busy
+}
+
+function figure (own: Ewma, fleet: Ewma, deviations: number, fallback: number): number {
+  if (own.count >= TRUSTED_SAMPLES) return own.above(deviations)
+  return fleet.count > 0 ? fleet.above(deviations) : fallback
+}
--- /dev/null
+++ b/packages/decisions/src/routing/rendezvous.ts
@@ -0,0 +1,36 @@
+/**
+ * Rendezvous (highest random weight) hashing on 32-bit hashes. Every VM computes the same order
+ * from the same names; adding or removing one name moves only the keys that it wins or held.
+ */
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/**
+ * 32-bit FNV-1a hash of a name, finished by a mixer.
+ * @param text - the name
+ */
+export function hashName (text: string): number {
+  let hash = FNV_OFFSET
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME)
+  }
+  return mix(hash)
+}
+
+/**
+ * Weight of a pair of hashed names, 0 to 2^32 - 1.
+ * @param left - hash of the key
+ * @param right - hash of the candidate
+ */
+export function pairWeight (left: number, right: number): number {
+  return mix(Math.imul(left, 0x9e3779b1) ^ right)
+}
+
+/** Finalizer of MurmurHash3: each input bit changes about half of the output bits. */
+function mix (value: number): number {
+  let hash = value
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
--- a/packages/decisions/src/routing/routingTypes.ts
+++ b/packages/decisions/src/routing/routingTypes.ts
@@ -11,6 +11,10 @@
   readonly address: string
   readonly domain: string
   readonly slots: number
+  /** What the configuration says: true takes it out of use, false brings it back, absent leaves it as it is. */
+  readonly leaving?: boolean
+  /** Wall milliseconds when the configuration first named it; recent ones come last in the order of keyed requests. */
+  readonly addedAt?: number
 }
 
 /** A request to be routed. */
@@ -39,9 +43,23 @@
     readonly candidates: readonly string[]
     readonly reason: string
   }
-  | { readonly kind: 'refused', readonly failure: Failure, readonly candidates: readonly string[], readonly reason: string }
+  | {
+    readonly kind: 'refused'
+    readonly failure: Failure
+    readonly candidates: readonly string[]
+    readonly reason: string
+    /**
+     * Set for keyed requests, whose failure says `ran: unknown`: where an earlier run of the id would be, in this order.
+     * The first of them without a record of the id proves that it was not run.
+     */
+    readonly lookIn?: readonly RunnerView[]
+  }
 
-/** What the router is told of runners. */
+/**
+ * What the router is told of runners. `dispatched.tokens` is the worst case of prompt and answer, `ended.tokens` the
+ * tokens generated; `ended.ok` is false only for a failure of the runner, not when the caller went away. The mark of
+ * `leaving` with source `runner` (it answered so) is lifted by its own later report; any other only by `configured`.
+ */
 export type RouteEvent =
   | { readonly kind: 'configured', readonly model: string, readonly runners: readonly RunnerView[] }
   | { readonly kind: 'dispatched', readonly runner: string, readonly requestId: string, readonly tokens: number }
@@ -49,7 +67,7 @@
   | { readonly kind: 'ended', readonly runner: string, readonly requestId: string, readonly ok: boolean, readonly tokens: number, readonly totalMs: number }
   | { readonly kind: 'loadReported', readonly runner: string, readonly running: number, readonly waiting: number, readonly reportAgeMs: number, readonly leaving: boolean }
   | { readonly kind: 'cacheReported', readonly runner: string, readonly stored: readonly string[], readonly evicted: readonly string[] }
-  | { readonly kind: 'leaving', readonly runner: string }
+  | { readonly kind: 'leaving', readonly runner: string, readonly source?: 'config' | 'runner' }
 
 /** Chooses runners. */
 export interface RouteDecider {
--- /dev/null
+++ b/packages/decisions/src/routing/runnerHealth.ts
@@ -0,0 +1,93 @@
+/**
+ * Circuit breaker and outlier ejection of one runner, as one VM sees it. Consecutive failures, a
+ * high error rate or first tokens far slower than the median eject it for a time that doubles
+ * with each ejection. It returns slowly: one probe first, then a share that grows.
+ */
+import { Ewma } from './ewma.js'
+
+/** Failures in a row that eject. */
+const CONSECUTIVE_LIMIT = 3
+
+/** Error rate that ejects, and the outcomes needed to judge it. */
+const ERROR_RATE_LIMIT = 0.5
+const ERROR_RATE_SAMPLES = 10
+
+/** First ejection in milliseconds, doubled for each further one. */
+const EJECT_BASE_MS = 2_000
+const EJECT_MAX_MS = 60_000
+
+/** Milliseconds over which a returned runner gets back to its full share. */
+export const RETURN_MS = 10_000
+
+/** Milliseconds of good service after which past ejections are forgotten. */
+const FORGIVE_MS = 60_000
+
+/** Health of one runner. Times are monotonic milliseconds. */
+export class RunnerHealth {
+  private consecutive = 0
+  private errors = new Ewma()
+  private ejections = 0
+  private ejectedUntil = -Infinity
+  private probing = false
+  private reasonText = 'healthy'
+
+  get reason (): string {
+    return this.reasonText
+  }
+
+  /** End of the present or last ejection. */
+  get until (): number {
+    return this.ejectedUntil
+  }
+
+  succeeded (mono: number): void {
+    this.consecutive = 0
+    this.errors.add(0)
+    this.responded(mono)
+    if (mono - this.ejectedUntil > FORGIVE_MS) this.ejections = 0
+  }
+
+  /**
+   * A first token came: an answer to a probe ends the probing.
+   * @param mono - present time
+   */
+  responded (mono: number): void {
+    if (!this.probing || this.isEjected(mono)) return
+    this.probing = false
+    this.ejectedUntil = mono
+  }
+
+  failed (mono: number): void {
+    this.consecutive += 1
+    this.errors.add(1)
+    if (this.isEjected(mono)) return
+    if (this.probing) this.eject('probe failed', mono)
+    else if (this.consecutive >= CONSECUTIVE_LIMIT) this.eject('consecutive failures', mono)
+    else if (this.errors.count >= ERROR_RATE_SAMPLES && this.errors.mean >= ERROR_RATE_LIMIT) this.eject('error rate', mono)
+  }
+
+  eject (reason: string, mono: number): void {
+    const span = Math.min(EJECT_MAX_MS, EJECT_BASE_MS * 2 ** this.ejections)
+    this.ejections += 1
+    this.ejectedUntil = mono + span
+    this.probing = true
+    this.errors = new Ewma()
+    this.reasonText = reason
+  }
+
+  isEjected (mono: number): boolean {
+    return mono < this.ejectedUntil
+  }
+
+  /**
+   * Share of its usual work that the runner may get: 0 while ejected, 1 when it is fully back.
+   * @param mono - present time
+   * @param inFlight - own requests there; while probing only one is allowed
+   */
+  share (mono: number, inFlight: number): number {
+    if (this.isEjected(mono)) return 0
+    if (this.probing) return inFlight === 0 ? 1 : 0
+    const back = mono - this.ejectedUntil
+    return back >= RETURN_MS ? 1 : Math.max(0.1, back / RETURN_MS)
+  }
+}
