Apply, check and order configuration versions without I/O

Operators race with patches and a VM may be told of versions late, twice or out of order, so which version is in force has to be decided in one pure place.

--- /dev/null
+++ b/packages/decisions/src/config/configCheck.ts
@@ -0,0 +1,117 @@
+/**
+ * Checks a configuration document: the schema of every entry, then what no schema can say
+ * (references between entries, addresses and keys used once). Every mistake is named by its
+ * path. Checked entries are frozen and remembered, so that checking the next version costs only
+ * the entries its patch touched.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { z } from 'zod'
+import { Failure } from '../codes/failure.js'
+import { fleetConfigSchema, type FleetConfig } from './configSchema.js'
+import { canonicalJson, isObject } from './configDigest.js'
+import { crossErrors } from './configReferences.js'
+import type { ConfigDocument } from './configRows.js'
+
+/** Mistakes named in one failure; more are only counted. */
+const MAX_ERRORS = 50
+/** Ids that every JavaScript object answers to. */
+const reservedIds = new Set(['__proto__', 'constructor', 'prototype'])
+
+const shape = fleetConfigSchema.shape
+const collectionSchemas = {
+  teams: shape.teams.unwrap(),
+  models: shape.models.unwrap(),
+  runners: shape.runners.unwrap(),
+  services: shape.services.unwrap(),
+  operators: shape.operators.unwrap()
+} as const
+
+/** Checked entries by the schema that checked them. */
+const checkedEntries = new WeakMap<z.ZodType, WeakMap<object, unknown>>()
+
+/**
+ * Checks a document and gives the configuration it stands for, with all defaults filled in.
+ * Entries that need no default are the document's own, now frozen. Collections have no prototype.
+ * @param document - the document
+ * @returns the configuration, or `configInvalid` with every error as `/path: message`
+ */
+export function checkConfig (document: ConfigDocument): Either<Failure, FleetConfig> {
+  const errors: string[] = []
+  for (const name of Object.keys(document)) {
+    if (!Object.hasOwn(shape, name)) errors.push(`/${escapePointer(name)}: unknown member`)
+  }
+  const collections = Object.entries(collectionSchemas).map(([name, schema]) =>
+    [name, checkCollection(name, schema, document[name], errors)] as const)
+  const limits = shape.limits.safeParse(document.limits)
+  if (!limits.success) errors.push(...issueLines('/limits', limits.error))
+  if (errors.length > 0) return Left(invalid(errors))
+  const config = Object.freeze({ ...Object.fromEntries(collections), limits: freezeDeep(limits.data) }) as FleetConfig
+  const dangling = crossErrors(config)
+  return dangling.length > 0 ? Left(invalid(dangling)) : Right(config)
+}
+
+function checkCollection (name: string, schema: z.ZodRecord, section: unknown, errors: string[]): Readonly<Record<string, unknown>> {
+  const entries: Record<string, unknown> = Object.create(null)
+  if (section === undefined) return entries
+  if (!isObject(section)) {
+    errors.push(`/${name}: expected an object`)
+    return entries
+  }
+  for (const id of Object.keys(section)) {
+    const path = `/${name}/${escapePointer(id)}`
+    if (reservedIds.has(id)) errors.push(`${path}: this id is reserved`)
+    const key = (schema.keyType as z.ZodType).safeParse(id)
+    if (!key.success) errors.push(...issueLines(path, key.error))
+    entries[id] = checkEntry(path, schema.valueType as z.ZodType, section[id], errors)
+  }
+  return Object.freeze(entries)
+}
+
+function checkEntry (path: string, schema: z.ZodType, entry: unknown, errors: string[]): unknown {
+  const memory = checkedBy(schema)
+  const known = isObject(entry) ? memory.get(entry) : undefined
+  if (known !== undefined) return known
+  const result = schema.safeParse(entry)
+  if (!result.success) {
+    errors.push(...issueLines(path, result.error))
+    return undefined
+  }
+  const raw = entry as object
+  const same = canonicalJson(raw) === canonicalJson(result.data)
+  const checked = freezeDeep(same ? raw : result.data)
+  memory.set(freezeDeep(raw), checked)
+  return checked
+}
+
+function checkedBy (schema: z.ZodType): WeakMap<object, unknown> {
+  const memory = checkedEntries.get(schema) ?? new WeakMap<object, unknown>()
+  checkedEntries.set(schema, memory)
+  return memory
+}
+
+function issueLines (path: string, error: z.ZodError): string[] {
+  return error.issues.map(issue => {
+    const rest = issue.path.map(part => `/${escapePointer(String(part))}`).join('')
+    return `${path}${rest}: ${issue.message}`
+  })
+}
+
+function invalid (errors: readonly string[]): Failure {
+  const named = errors.slice(0, MAX_ERRORS)
+  const detail = errors.length > named.length ? `${errors.length} errors, the first ${MAX_ERRORS} named` : `${errors.length} error(s): ${named[0]}`
+  return new Failure('configInvalid', detail, { errors: named })
+}
+
+function freezeDeep<T> (value: T): T {
+  if (typeof value !== 'object' || value === null || Object.isFrozen(value)) return value
+  Object.values(value).forEach(freezeDeep)
+  return Object.freeze(value)
+}
+
+/**
+ * Escapes one part of a JSON pointer.
+ * @param part - member name
+ */
+export function escapePointer (part: string): string {
+  return part.replaceAll('~', '~0').replaceAll('/', '~1')
+}
--- /dev/null
+++ b/packages/decisions/src/config/configDecider.ts
@@ -0,0 +1,137 @@
+/**
+ * Decides which configuration version is in force on a VM. Whatever arrives, in whatever order
+ * and however late (a stale read, a push repeated, an older snapshot, a fetch that began before
+ * a pause), the version in force only rises, and only by versions whose digest was verified.
+ */
+import type { Either } from 'purify-ts'
+import type { Instant } from '../clock/clockTypes.js'
+import type { Failure } from '../codes/failure.js'
+import { holdDocument, replayRows, type HeldConfig } from './configPatch.js'
+import type { VersionMark, VersionRow, WholeConfig } from './configRows.js'
+
+/** Where a version was heard of or came from. */
+export type ConfigSource = 'table' | 'peer' | 'snapshot' | 'patch'
+
+/** What a source delivered: rows that follow each other, or a whole version, with rows after it. */
+export interface ConfigCandidate {
+  readonly whole?: WholeConfig
+  readonly rows: readonly VersionRow[]
+}
+
+/** What the holder is told. */
+export type ConfigEvent =
+  /** A source names its newest version; `peer` is the address to fetch from when the table is down. */
+  | { readonly kind: 'heard', readonly source: ConfigSource, readonly mark: VersionMark, readonly peer?: string }
+  | { readonly kind: 'delivered', readonly source: ConfigSource, readonly candidate: ConfigCandidate }
+  /** A version that this process has verified itself. */
+  | { readonly kind: 'accepted', readonly source: ConfigSource, readonly held: HeldConfig }
+
+/** What the shell has to do. */
+export type ConfigAction =
+  /** Get everything from `after` to `target`. */
+  | { readonly kind: 'fetch', readonly after: number, readonly target: VersionMark, readonly peer?: string }
+  /** The version is in force from now on: tell listeners. */
+  | { readonly kind: 'apply', readonly source: ConfigSource, readonly held: HeldConfig }
+  /** Tell peers. */
+  | { readonly kind: 'announce', readonly mark: VersionMark }
+  /** The source is wrong: it delivered something that does not verify, or names another content for the version in force. */
+  | { readonly kind: 'reject', readonly source: ConfigSource, readonly version: number, readonly detail: string }
+
+/** How far this VM is. */
+export interface ConfigStatus {
+  /** The version in force; undefined before the first. */
+  readonly version: number | undefined
+  /** The highest version heard of. */
+  readonly heard: number | undefined
+  /** Since when a higher version is known than is in force. */
+  readonly behindSince: Instant | undefined
+}
+
+/** Decides what is in force. */
+export interface ConfigDecider {
+  decide (event: ConfigEvent, now: Instant): readonly ConfigAction[]
+  readonly inForce: HeldConfig | undefined
+  readonly status: ConfigStatus
+}
+
+/** The decider of the product. */
+export class ConfigHolder implements ConfigDecider {
+  #held: HeldConfig | undefined
+  #heard: VersionMark | undefined
+  #behindSince: Instant | undefined
+  readonly #origin: HeldConfig
+
+  /**
+   * @param origin - version 0, upon which rows are replayed when nothing is in force yet
+   */
+  constructor (origin: HeldConfig) {
+    this.#origin = origin
+  }
+
+  /** The version in force. */
+  get inForce (): HeldConfig | undefined {
+    return this.#held
+  }
+
+  /** How far this VM is. */
+  get status (): ConfigStatus {
+    return { version: this.#held?.version, heard: this.#heard?.version, behindSince: this.#behindSince }
+  }
+
+  /**
+   * Takes one event.
+   * @param event - what happened
+   * @param now - present time
+   */
+  decide (event: ConfigEvent, now: Instant): readonly ConfigAction[] {
+    switch (event.kind) {
+      case 'heard': return this.#hear(event.source, event.mark, event.peer, now)
+      case 'delivered': return this.#verify(event.source, event.candidate)
+      case 'accepted': return this.#raise(event.source, event.held)
+    }
+  }
+
+  #hear (source: ConfigSource, mark: VersionMark, peer: string | undefined, now: Instant): readonly ConfigAction[] {
+    const held = this.#held
+    if (held !== undefined && mark.version === held.version && mark.digest !== held.digest) {
+      return [{ kind: 'reject', source, version: mark.version, detail: 'another content for the version in force' }]
+    }
+    if (held !== undefined && mark.version <= held.version) return []
+    if (mark.version > (this.#heard?.version ?? -1)) this.#heard = mark
+    this.#behindSince ??= now
+    const fetch = { kind: 'fetch', after: held?.version ?? 0, target: mark } as const
+    return [peer === undefined ? fetch : { ...fetch, peer }]
+  }
+
+  #verify (source: ConfigSource, candidate: ConfigCandidate): readonly ConfigAction[] {
+    const version = candidate.rows.at(-1)?.version ?? candidate.whole?.version ?? 0
+    if (!this.#isHigher(version)) return []
+    return this.#build(candidate).caseOf<readonly ConfigAction[]>({
+      Left: failure => [{ kind: 'reject', source, version, detail: failure.message }],
+      Right: held => this.#raise(source, held)
+    })
+  }
+
+  /** Replays upon the version in force where the rows reach it, so that a late delivery costs only what is new. */
+  #build (candidate: ConfigCandidate): Either<Failure, HeldConfig> {
+    const base = this.#held ?? this.#origin
+    const first = candidate.rows[0]
+    const reachesBase = first !== undefined && first.version <= base.version + 1
+    if (candidate.whole === undefined || reachesBase) {
+      return replayRows(base, candidate.rows.filter(row => row.version > base.version))
+    }
+    return holdDocument(candidate.whole).chain(whole => replayRows(whole, candidate.rows))
+  }
+
+  #raise (source: ConfigSource, held: HeldConfig): readonly ConfigAction[] {
+    if (!this.#isHigher(held.version)) return []
+    this.#held = held
+    if ((this.#heard?.version ?? -1) <= held.version) this.#behindSince = undefined
+    const mark = { version: held.version, digest: held.digest }
+    return [{ kind: 'apply', source, held }, { kind: 'announce', mark }]
+  }
+
+  #isHigher (version: number): boolean {
+    return this.#held === undefined || version > this.#held.version
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/config/configReferences.ts
@@ -0,0 +1,76 @@
+/**
+ * Checks between entries of a configuration: references name something that exists, addresses
+ * can be dialled and are used once, and a key belongs to one team or operator.
+ */
+import type { FleetConfig } from './configSchema.js'
+
+const MAX_OCTET = 255
+const MAX_PORT = 65_535
+
+/**
+ * Every mistake between entries as `/path: message`.
+ * @param config - a configuration that follows its schema
+ */
+export function crossErrors (config: FleetConfig): string[] {
+  return [...referenceErrors(config), ...addressErrors(config), ...keyErrors(config)]
+}
+
+function referenceErrors (config: FleetConfig): string[] {
+  const errors: string[] = []
+  const check = (path: string, ids: readonly string[], known: object, what: string): void => {
+    ids.forEach((id, index) => {
+      if (!Object.hasOwn(known, id)) errors.push(`${path}/${index}: there is no ${what} '${id}'`)
+    })
+  }
+  for (const [id, team] of Object.entries(config.teams)) {
+    check(`/teams/${id}/models`, team.models, config.models, 'model')
+    check(`/teams/${id}/services`, team.services, config.services, 'service')
+  }
+  for (const [id, runner] of Object.entries(config.runners)) {
+    check(`/runners/${id}/models`, runner.models, config.models, 'model')
+  }
+  return errors
+}
+
+function addressErrors (config: FleetConfig): string[] {
+  const errors: string[] = []
+  const users = new Map<string, string>()
+  for (const [path, address] of runnerAddresses(config)) {
+    const earlier = users.get(address)
+    if (!isDialable(address)) errors.push(`${path}: '${address}' is not an IPv4 address and port`)
+    else if (earlier !== undefined) errors.push(`${path}: '${address}' is already used by ${earlier}`)
+    else users.set(address, path)
+  }
+  return errors
+}
+
+function * runnerAddresses (config: FleetConfig): Generator<readonly [string, string]> {
+  for (const [id, runner] of Object.entries(config.runners)) yield [`/runners/${id}/address`, runner.address]
+  for (const [service, { runners }] of Object.entries(config.services)) {
+    for (const [id, runner] of Object.entries(runners)) yield [`/services/${service}/runners/${id}/address`, runner.address]
+  }
+}
+
+function isDialable (address: string): boolean {
+  const [host = '', port = ''] = address.split(':')
+  const octets = host.split('.').map(Number)
+  return octets.every(octet => octet <= MAX_OCTET) && Number(port) >= 1 && Number(port) <= MAX_PORT
+}
+
+function keyErrors (config: FleetConfig): string[] {
+  return [...sharedKeys('teams', config.teams), ...sharedKeys('operators', config.operators)]
+}
+
+function sharedKeys (section: string, owners: Readonly<Record<string, { readonly keyHashes: readonly string[] }>>): string[] {
+  const errors: string[] = []
+  const users = new Map<string, string>()
+  for (const [id, { keyHashes }] of Object.entries(owners)) {
+    keyHashes.forEach((hash, index) => {
+      const path = `/${section}/${id}/keyHashes/${index}`
+      const earlier = users.get(hash)
+      if (earlier === undefined) users.set(hash, path)
+      else errors.push(`${path}: this key is already used by ${earlier}`)
+    })
+  }
+  return errors
+}
