Add links between VMs: JSON-RPC over TCP with mutual proof of a fleet key

Cause: VMs pass budgets, heartbeats and configuration versions to each other, and no other process may take part.

Ruled out: one shared connection for both directions of a pair, because a caller knows a callee by its advertised address and an accepted connection does not carry it. Notifications alone as a sign of life: a cut that drops packets silently leaves a dead connection which the kernel retries for minutes; a link that was silent is therefore probed at the next send.

A lost connection fails its open calls with `ran: unknown`; a call without a connection fails with `ran: no`.

--- /dev/null
+++ b/packages/peers/src/link/failureCodec.ts
@@ -0,0 +1,49 @@
+/**
+ * Failures as JSON-RPC errors and back: a numbered failure of the called VM arrives as the same
+ * numbered failure at the caller.
+ */
+import { createJSONRPCErrorResponse, JSONRPCErrorCode, type JSONRPCError, type JSONRPCErrorResponse, type JSONRPCID } from 'json-rpc-2.0'
+import { z } from 'zod'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { ranSchema, resultCodes, type ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+
+/** Code that json-rpc-2.0 itself gives to calls that it fails locally. */
+export const LOCAL_ERROR_CODE = 0
+
+const failureDataSchema = z.object({
+  name: z.string().refine(name => Object.hasOwn(resultCodes, name)).transform(name => name as ResultName),
+  ran: ranSchema,
+  retryAfterMs: z.number().optional(),
+  errors: z.array(z.string()).optional()
+})
+
+/**
+ * Renders anything thrown by a handler.
+ * @param id - id of the call
+ * @param err - what was thrown
+ */
+export function toErrorResponse (id: JSONRPCID, err: unknown): JSONRPCErrorResponse {
+  const failure = toFailure(err)
+  const data = {
+    name: failure.code,
+    ran: failure.ran,
+    ...(failure.retryAfterMs === undefined ? {} : { retryAfterMs: failure.retryAfterMs }),
+    ...(failure.errors.length === 0 ? {} : { errors: failure.errors })
+  }
+  return createJSONRPCErrorResponse(id, failure.entry.number, failure.message, data)
+}
+
+/**
+ * Reads the error of an answer.
+ * @param error - the error member of the answer
+ */
+export function fromErrorResponse (error: JSONRPCError): Failure {
+  const data = failureDataSchema.safeParse(error.data)
+  if (data.success) {
+    const { name, ran, retryAfterMs, errors = [] } = data.data
+    return new Failure(name, error.message, { ran, errors, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
+  }
+  if (error.code === LOCAL_ERROR_CODE) return new Failure('peerUnreachable', error.message, { ran: 'unknown' })
+  if (error.code === JSONRPCErrorCode.MethodNotFound) return new Failure('peerRefused', error.message)
+  return new Failure('peerRefused', error.message, { ran: 'unknown' })
+}
--- /dev/null
+++ b/packages/peers/src/link/peerClient.ts
@@ -0,0 +1,167 @@
+/**
+ * Calls other VMs over TCP. A link is opened when a call asks for it and opened again after a
+ * loss only by the next call; after a failed attempt calls fail at once until a jittered
+ * backoff has passed.
+ */
+import { connect } from 'node:net'
+import { Either, Left } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { parseAddress } from './address.js'
+import { KeyRing } from './handshake.js'
+import { defaultLinkLimits, type Dial, type LinkLimits, type PeerClient, type PeerIdentity, type PeerNotifier } from './linkTypes.js'
+import { PeerLink, type LinkContext } from './peerLink.js'
+
+/** Addresses whose state is kept at most; the longest unused goes first. */
+const MAX_PEERS = 1_024
+const MAX_BACKOFF_DOUBLINGS = 10
+
+/** Connects over TCP. */
+export const dialTcp: Dial = address => connect(parseAddress(address))
+
+/** What is kept for one address. */
+interface PeerState {
+  link: PeerLink | undefined
+  openCalls: number
+  failures: number
+  /** Monotonic milliseconds before which no new attempt is made. */
+  notBefore: number
+}
+
+/** Everything a client needs; only `identity`, `clock` and `random` have no default. */
+export interface PeerClientOptions {
+  readonly identity: PeerIdentity
+  readonly clock: Clock
+  /** Uniform in [0, 1), for jitter. */
+  readonly random: () => number
+  readonly dial?: Dial
+  readonly limits?: LinkLimits
+}
+
+/** Peer client over TCP, JSON-RPC and msgpackr. */
+export class JsonRpcPeerClient implements PeerClient, PeerNotifier {
+  private readonly peers = new Map<string, PeerState>()
+  private readonly context: LinkContext
+  private readonly limits: LinkLimits
+  private readonly clock: Clock
+  private readonly random: () => number
+  private readonly dial: Dial
+  private isClosed = false
+
+  /**
+   * @param options - identity, clock, randomness and limits
+   * @throws Failure `settingsInvalid` when there is no usable key
+   */
+  constructor (options: PeerClientOptions) {
+    this.limits = options.limits ?? defaultLinkLimits
+    this.clock = options.clock
+    this.random = options.random
+    this.dial = options.dial ?? dialTcp
+    this.context = {
+      holder: options.identity.holder,
+      keys: new KeyRing(options.identity.keys),
+      limits: this.limits,
+      clock: this.clock
+    }
+  }
+
+  /**
+   * Calls a method of a VM. Failures besides the peer's own: `peerUnreachable` (`ran: no` when no
+   * connection was made, `unknown` once the call was sent), `peerRefused` (wrong key or no such
+   * method), `overloaded` (too many open calls), `bodyTooLarge`.
+   */
+  async call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>> {
+    const peer = this.peerAt(address)
+    if (peer.openCalls >= this.limits.openCalls) {
+      return Left(new Failure('overloaded', `${peer.openCalls} calls to ${address} are open`, { retryAfterMs: this.limits.backoffMinMs }))
+    }
+    peer.openCalls += 1
+    try {
+      return await this.callOver(address, peer, method, params, timeoutMs)
+    } finally {
+      peer.openCalls -= 1
+    }
+  }
+
+  notify (address: string, method: string, params: unknown): void {
+    this.linkTo(address, this.peerAt(address)).ifRight(link => {
+      if (link.wasOpen) link.notify(method, params)
+      else link.ready.then(outcome => outcome.ifRight(() => link.notify(method, params)), () => {})
+    })
+  }
+
+  /** Drops every link; open calls fail, later ones too. */
+  close (): void {
+    this.isClosed = true
+    for (const peer of this.peers.values()) peer.link?.close()
+    this.peers.clear()
+  }
+
+  private async callOver (address: string, peer: PeerState, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>> {
+    const link = this.linkTo(address, peer)
+    if (link.isLeft()) return link
+    const opened = link.extract() as PeerLink
+    if (opened.wasOpen) return await opened.request(method, params, timeoutMs)
+    const startedAt = this.clock.now().mono
+    const ready = await within(timeoutMs, opened.ready)
+    if (ready.isLeft()) return ready
+    const leftMs = Math.max(1, timeoutMs - (this.clock.now().mono - startedAt))
+    return await opened.request(method, params, leftMs)
+  }
+
+  private linkTo (address: string, peer: PeerState): Either<Failure, PeerLink> {
+    if (peer.link?.usable === true) return Either.of(peer.link)
+    if (this.isClosed) return Left(new Failure('peerUnreachable', 'the client is closed'))
+    const waitMs = peer.notBefore - this.clock.now().mono
+    if (waitMs > 0) {
+      return Left(new Failure('peerUnreachable', `${address} failed recently`, { retryAfterMs: Math.ceil(waitMs) }))
+    }
+    return Either.encase(() => this.openLink(address, peer)).mapLeft(err => new Failure('peerUnreachable', err.message))
+  }
+
+  private openLink (address: string, peer: PeerState): PeerLink {
+    const link = new PeerLink(this.dial(address), this.context)
+    peer.link = link
+    link.ready.then(outcome => outcome.isLeft() ? this.failed(peer) : this.succeeded(peer), () => {})
+    return link
+  }
+
+  private succeeded (peer: PeerState): void {
+    peer.failures = 0
+  }
+
+  private failed (peer: PeerState): void {
+    const doublings = Math.min(peer.failures, MAX_BACKOFF_DOUBLINGS)
+    const backoffMs = Math.min(this.limits.backoffMaxMs, this.limits.backoffMinMs * 2 ** doublings)
+    peer.failures += 1
+    peer.notBefore = this.clock.now().mono + backoffMs * (0.5 + this.random() / 2)
+  }
+
+  private peerAt (address: string): PeerState {
+    const known = this.peers.get(address)
+    const peer = known ?? { link: undefined, openCalls: 0, failures: 0, notBefore: 0 }
+    // Moves the address to the end, so that the first one is the longest unused.
+    this.peers.delete(address)
+    this.peers.set(address, peer)
+    if (this.peers.size > MAX_PEERS) this.forgetOldest()
+    return peer
+  }
+
+  private forgetOldest (): void {
+    const [address, peer] = this.peers.entries().next().value!
+    peer.link?.close()
+    this.peers.delete(address)
+  }
+}
+
+async function within (timeoutMs: number, ready: Promise<Either<Failure, void>>): Promise<Either<Failure, void>> {
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<Either<Failure, void>>(resolve => {
+    timer = setTimeout(() => resolve(Left(new Failure('peerUnreachable', `no connection within ${timeoutMs} ms`))), timeoutMs)
+  })
+  try {
+    return await Promise.race([ready, late])
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- /dev/null
+++ b/packages/peers/src/link/peerLink.spec.ts
@@ -0,0 +1,212 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { expect } from 'chai'
+import { Packr } from 'msgpackr'
+import type { Either } from 'purify-ts'
+import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { parseAddress } from './address.js'
+import { KeyRing, makeNonce } from './handshake.js'
+import { defaultLinkLimits, type LinkLimits } from './linkTypes.js'
+import { JsonRpcPeerClient, type PeerClientOptions } from './peerClient.js'
+import { JsonRpcPeerServer } from './peerServer.js'
+
+const CALL_MS = 2_000
+
+class ManualClock implements Clock {
+  mono = 1_000
+  now (): Instant {
+    return { mono: this.mono, wall: this.mono }
+  }
+}
+
+/** `ok`, or the code of a failure and whether the call ran. */
+function outcomeOf (answer: Either<Failure, unknown>): string {
+  return answer.caseOf({ Left: err => `${err.code} ${err.ran}`, Right: () => 'ok' })
+}
+
+describe('links between VMs', () => {
+  const closers: (() => unknown)[] = []
+  const silent = { write: () => {} }
+
+  async function serverWith (keys: readonly string[], limits: Partial<LinkLimits> = {}): Promise<JsonRpcPeerServer> {
+    const server = new JsonRpcPeerServer({ holder: 'b~1', keys }, silent, { ...defaultLinkLimits, ...limits })
+    closers.push(() => server.close())
+    server.register('echo', async params => params)
+    server.register('whoCalls', async (_params, from) => from)
+    server.register('never', () => new Promise(() => {}))
+    server.register('refuse', async () => { throw new Failure('draining', 'going away', { retryAfterMs: 700 }) })
+    server.register('break', async () => { throw new Error('broken') })
+    server.register('large', async () => 'x'.repeat(defaultLinkLimits.frameBytes))
+    await server.listen('127.0.0.1:0')
+    return server
+  }
+
+  function clientWith (keys: readonly string[], options: Partial<PeerClientOptions> = {}, limits: Partial<LinkLimits> = {}): JsonRpcPeerClient {
+    const client = new JsonRpcPeerClient({
+      identity: { holder: 'a~1', keys },
+      clock: new ManualClock(),
+      random: () => 0.5,
+      limits: { ...defaultLinkLimits, ...limits },
+      ...options
+    })
+    closers.push(() => client.close())
+    return client
+  }
+
+  afterEach(async () => {
+    for (const close of closers.splice(0).reverse()) await close()
+  })
+
+  const keyCases = [
+    { title: 'same key', client: ['new'], server: ['new'], expected: 'ok' },
+    { title: 'rotation, client signs with the new key', client: ['new', 'old'], server: ['old', 'new'], expected: 'ok' },
+    { title: 'rotation, server signs with the new key', client: ['old', 'new'], server: ['new', 'old'], expected: 'ok' },
+    { title: 'old key withdrawn at the server', client: ['old'], server: ['new'], expected: 'peerRefused no' },
+    { title: 'server accepts the client, which knows only another key', client: ['wrong'], server: ['new', 'wrong'], expected: 'peerRefused no' },
+    { title: 'client accepts the server, which does not know the first key', client: ['wrong', 'new'], server: ['new'], expected: 'peerRefused no' }
+  ]
+  for (const { title, client, server, expected } of keyCases) {
+    it(`${expected}: ${title}`, async () => {
+      const { address } = await serverWith(server)
+      expect(outcomeOf(await clientWith(client).call(address, 'echo', {}, CALL_MS))).equal(expected)
+    })
+  }
+
+  it('refuses to work without keys', () => {
+    for (const keys of [[], ['']]) expect(() => new KeyRing(keys)).throw(Failure)
+  })
+
+  it('accepts no proof sent back to its author and none of another exchange', () => {
+    const ring = new KeyRing(['k'])
+    const transcript = { clientHolder: 'a~1', serverHolder: 'b~1', clientNonce: makeNonce(), serverNonce: makeNonce() }
+    const proof = ring.prove('server', transcript)
+    expect(ring.accepts('server', transcript, proof)).equal(true)
+    expect(ring.accepts('client', transcript, proof)).equal(false)
+    expect(ring.accepts('server', { ...transcript, clientNonce: makeNonce() }, proof)).equal(false)
+    expect(ring.accepts('server', { ...transcript, clientHolder: 'c~1' }, proof)).equal(false)
+    expect(ring.accepts('server', transcript, proof.subarray(1))).equal(false)
+  })
+
+  const callCases = [
+    { method: 'echo', expected: 'ok' },
+    { method: 'refuse', expected: 'draining no' },
+    { method: 'break', expected: 'internal unknown' },
+    { method: 'absent', expected: 'peerRefused no' },
+    { method: 'large', expected: 'bodyTooLarge yes' },
+    { method: 'never', expected: 'peerUnreachable unknown', timeoutMs: 30 }
+  ]
+  for (const { method, expected, timeoutMs = CALL_MS } of callCases) {
+    it(`a call of '${method}' ends with ${expected}, and the link goes on`, async () => {
+      const { address } = await serverWith(['k'])
+      const client = clientWith(['k'])
+      expect(outcomeOf(await client.call(address, method, { a: 1 }, timeoutMs))).equal(expected)
+      expect((await client.call(address, 'whoCalls', null, CALL_MS)).extract()).equal('a~1')
+    })
+  }
+
+  it('carries many record shapes over one link, and goes on after a frame that was too large to send', async () => {
+    const { address } = await serverWith(['k'])
+    const client = clientWith(['k'])
+    for (let i = 0; i < 200; i += 1) {
+      const value = { [`field${i % 90}`]: i, nested: { [`deep${i % 40}`]: [i, null] } }
+      expect((await client.call(address, 'echo', value, CALL_MS)).extract()).deep.equal(value)
+      if (i !== 100) continue
+      const large = { unseenShape: 'x'.repeat(defaultLinkLimits.frameBytes) }
+      expect(outcomeOf(await client.call(address, 'echo', large, CALL_MS))).equal('bodyTooLarge no')
+    }
+  })
+
+  it('drops a connection whose frame exceeds the limit, and fails its open calls', async () => {
+    const { address } = await serverWith(['k'], { frameBytes: 100_000 })
+    const client = clientWith(['k'])
+    const large = 'x'.repeat(1_000_000)
+    expect(outcomeOf(await client.call(address, 'echo', large, CALL_MS))).equal('peerUnreachable unknown')
+    expect(outcomeOf(await client.call(address, 'echo', 'small', CALL_MS))).equal('ok')
+  })
+
+  const strangers = [
+    { title: 'says nothing', bytes: Buffer.alloc(0) },
+    { title: 'sends no hello', bytes: Buffer.from(new Packr().pack({ jsonrpc: '2.0', id: 1, method: 'echo' })) },
+    { title: 'sends too much before its proof', bytes: Buffer.alloc(defaultLinkLimits.handshakeBytes + 1, 0xc0) },
+    { title: 'sends a huge length', bytes: Buffer.from([0xdd, 0xff, 0xff, 0xff, 0xff]) }
+  ]
+  for (const { title, bytes } of strangers) {
+    it(`drops a stranger that ${title}`, async () => {
+      const { address } = await serverWith(['k'], { handshakeMs: 50 })
+      const socket = connect(parseAddress(address))
+      closers.push(() => socket.destroy())
+      socket.resume()
+      socket.write(bytes)
+      await once(socket, 'close')
+    })
+  }
+
+  it('tells a call that was never sent from one whose connection was cut', async () => {
+    const { address } = await serverWith(['k'])
+    const sockets: Socket[] = []
+    const dial = (to: string): Socket => {
+      const socket = connect(parseAddress(to))
+      sockets.push(socket)
+      return socket
+    }
+    const client = clientWith(['k'], { dial })
+    expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('ok')
+    const open = client.call(address, 'never', null, CALL_MS)
+    sockets[0]!.destroy()
+    expect(outcomeOf(await open)).equal('peerUnreachable unknown')
+    expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS)), 'connects again on demand').equal('ok')
+    expect(sockets.length).equal(2)
+  })
+
+  it('fails at once within the backoff and connects again after it', async () => {
+    const gone = createServer()
+    gone.listen(0, '127.0.0.1')
+    await once(gone, 'listening')
+    const address = `127.0.0.1:${(gone.address() as AddressInfo).port}`
+    gone.close()
+    await once(gone, 'close')
+    let dials = 0
+    const clock = new ManualClock()
+    const client = clientWith(['k'], { clock, dial: to => { dials += 1; return connect(parseAddress(to)) } })
+    for (const [afterMs, expectedDials] of [[0, 1], [0, 1], [75, 2], [75, 2], [76, 3]] as const) {
+      clock.mono += afterMs
+      expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('peerUnreachable no')
+      expect(dials).equal(expectedDials)
+    }
+  })
+
+  it('bounds the calls open with one peer', async () => {
+    const { address } = await serverWith(['k'])
+    const client = clientWith(['k'], {}, { openCalls: 2 })
+    const open = [client.call(address, 'never', null, 50), client.call(address, 'never', null, 50)]
+    expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('overloaded no')
+    await Promise.all(open)
+    expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('ok')
+  })
+
+  it('drops a link whose peer does not answer a probe', async () => {
+    const { address } = await serverWith(['k'])
+    const clock = new ManualClock()
+    const sockets: Socket[] = []
+    const client = clientWith(['k'], { clock, dial: to => { sockets.push(connect(parseAddress(to))); return sockets.at(-1)! } })
+    await client.call(address, 'echo', 1, CALL_MS)
+    sockets[0]!.pause()
+    clock.mono += defaultLinkLimits.probeAfterMs + 1
+    client.notify(address, 'echo', 1)
+    clock.mono += defaultLinkLimits.probeTimeoutMs + 1
+    client.notify(address, 'echo', 1)
+    expect(sockets[0]!.destroyed).equal(true)
+    expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('ok')
+  })
+
+  it('delivers notifications in order, the first ones after the handshake', async () => {
+    const server = await serverWith(['k'])
+    const seen: unknown[] = []
+    server.register('note', async params => { seen.push(params) })
+    const client = clientWith(['k'])
+    for (let i = 0; i < 5; i += 1) client.notify(server.address, 'note', i)
+    await client.call(server.address, 'echo', 1, CALL_MS)
+    expect(seen).deep.equal([0, 1, 2, 3, 4])
+  })
+})
--- /dev/null
+++ b/packages/peers/src/link/peerLink.ts
@@ -0,0 +1,174 @@
+/**
+ * The connecting end of one link: handshake, open calls, and the watch over a silent peer. A
+ * link that closed is never used again; the client opens another when a call asks for it.
+ */
+import type { Socket } from 'node:net'
+import { createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCRequest, isJSONRPCResponse, JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0'
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { fromErrorResponse, LOCAL_ERROR_CODE } from './failureCodec.js'
+import { FrameChannel } from './frameChannel.js'
+import { challengeSchema, makeNonce, welcomeSchema, type KeyRing, type Transcript } from './handshake.js'
+import { PROBE_METHOD, type LinkLimits } from './linkTypes.js'
+
+type LinkState = 'greeting' | 'proving' | 'open' | 'closed'
+
+/** What a link needs of its client. */
+export interface LinkContext {
+  readonly holder: string
+  readonly keys: KeyRing
+  readonly limits: LinkLimits
+  readonly clock: Clock
+}
+
+/** One connection to a peer. */
+export class PeerLink {
+  /** Settles when the handshake ended, with the failure (`ran: no`) if it did not succeed. */
+  readonly ready: Promise<Either<Failure, void>>
+  private readonly channel: FrameChannel
+  private readonly rpc: JSONRPCClient
+  private readonly nonce = makeNonce()
+  private readonly deadline: NodeJS.Timeout
+  private settle: (outcome: Either<Failure, void>) => void = () => {}
+  private state: LinkState = 'greeting'
+  private opened = false
+  private heardAt: number
+  private probedAt: number | undefined
+  private nextId = 0
+  /** Why a call was not sent, by its id, until the call is answered. */
+  private readonly unsent = new Map<number, Failure>()
+
+  /**
+   * @param socket - a connecting socket
+   * @param context - identity, limits and clock of the client
+   */
+  constructor (private readonly socket: Socket, private readonly context: LinkContext) {
+    const { limits, clock, holder } = context
+    this.heardAt = clock.now().mono
+    this.ready = new Promise(resolve => { this.settle = resolve })
+    this.channel = new FrameChannel(socket, limits, frame => this.take(frame))
+    this.rpc = new JSONRPCClient(req => this.send(req))
+    this.deadline = setTimeout(() => socket.destroy(), limits.handshakeMs)
+    socket.once('connect', () => this.channel.send({ kind: 'hello', protocol: 1, holder, nonce: this.nonce }))
+    socket.once('close', () => this.closed())
+  }
+
+  /** Whether the link may be used or will be soon. */
+  get usable (): boolean {
+    return this.state !== 'closed' && !this.socket.destroyed
+  }
+
+  /** Whether the handshake succeeded at some time. */
+  get wasOpen (): boolean {
+    return this.opened
+  }
+
+  /**
+   * Calls a method; the handshake must have succeeded.
+   * @param method - method name
+   * @param params - a value that msgpackr can carry
+   * @param timeoutMs - milliseconds until the call is given up
+   */
+  async request (method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>> {
+    this.watch()
+    if (!this.usable) return Left(new Failure('peerUnreachable', 'the link was closed'))
+    this.nextId += 1
+    const id = this.nextId
+    const req = createJSONRPCRequest(id, method, params)
+    const timed = this.rpc.timeout(timeoutMs, lateId => createJSONRPCErrorResponse(lateId, LOCAL_ERROR_CODE, `no answer to ${method} within ${timeoutMs} ms`))
+    const answer: JSONRPCResponse = await timed.requestAdvanced(req)
+    if (answer.error === undefined) return Right(answer.result)
+    const unsent = this.unsent.get(id)
+    this.unsent.delete(id)
+    return Left(unsent ?? fromErrorResponse(answer.error))
+  }
+
+  /**
+   * Sends a notification, unless the peer is too slow to take it.
+   * @param method - method name
+   * @param params - a value that msgpackr can carry
+   */
+  notify (method: string, params: unknown): void {
+    this.watch()
+    if (!this.usable || this.channel.waitingBytes > this.context.limits.waitingBytes) return
+    this.channel.send(createJSONRPCNotification(method, params))
+  }
+
+  /** Drops the connection; open calls fail. */
+  close (): void {
+    this.socket.destroy()
+  }
+
+  private send (req: JSONRPCRequest): void {
+    this.channel.send(req).ifLeft(err => {
+      this.unsent.set(Number(req.id), err)
+      throw err
+    })
+  }
+
+  private take (frame: unknown): void {
+    this.heardAt = this.context.clock.now().mono
+    this.probedAt = undefined
+    switch (this.state) {
+      case 'greeting': return this.prove(frame)
+      case 'proving': return this.open(frame)
+      case 'open': if (isJSONRPCResponse(frame)) this.rpc.receive(frame)
+    }
+  }
+
+  private prove (frame: unknown): void {
+    const challenge = challengeSchema.safeParse(frame)
+    if (!challenge.success) return this.refuse('the peer speaks another protocol')
+    const { holder, keys } = this.context
+    const transcript: Transcript = {
+      clientHolder: holder,
+      serverHolder: challenge.data.holder,
+      clientNonce: this.nonce,
+      serverNonce: challenge.data.nonce
+    }
+    if (!keys.accepts('server', transcript, challenge.data.proof)) return this.refuse('the peer knows no valid key')
+    this.state = 'proving'
+    this.channel.send({ kind: 'response', proof: keys.prove('client', transcript) })
+  }
+
+  private open (frame: unknown): void {
+    if (!welcomeSchema.safeParse(frame).success) return this.refuse('the peer speaks another protocol')
+    clearTimeout(this.deadline)
+    this.state = 'open'
+    this.opened = true
+    this.channel.trust()
+    this.socket.setTimeout(this.context.limits.idleMs, () => this.socket.destroy())
+    this.settle(Right(undefined))
+  }
+
+  private refuse (detail: string): void {
+    this.settle(Left(new Failure('peerRefused', detail)))
+    this.socket.destroy()
+  }
+
+  private closed (): void {
+    const last = this.state
+    this.state = 'closed'
+    clearTimeout(this.deadline)
+    // A peer that drops the link instead of a welcome did not accept the proof.
+    this.settle(Left(last === 'proving'
+      ? new Failure('peerRefused', 'the peer did not accept the key')
+      : new Failure('peerUnreachable', 'no connection was made')))
+    this.rpc.rejectAllPendingRequests('the connection was lost')
+  }
+
+  /** Probes a peer that was silent for long; drops the link when an earlier probe got no answer. */
+  private watch (): void {
+    const { clock, limits } = this.context
+    const now = clock.now().mono
+    if (this.probedAt !== undefined) {
+      if (now - this.probedAt > limits.probeTimeoutMs) this.socket.destroy()
+      return
+    }
+    if (now - this.heardAt <= limits.probeAfterMs) return
+    this.probedAt = now
+    this.nextId += 1
+    this.rpc.timeout(limits.probeTimeoutMs).requestAdvanced(createJSONRPCRequest(this.nextId, PROBE_METHOD)).then(() => {}, () => {})
+  }
+}
--- /dev/null
+++ b/packages/peers/src/link/peerSession.ts
@@ -0,0 +1,123 @@
+/**
+ * The listening end of one link: handshake first, then calls.
+ */
+import type { Socket } from 'node:net'
+import { createJSONRPCErrorResponse, isJSONRPCRequest, JSONRPCErrorCode, type JSONRPCRequest, type JSONRPCResponse, type JSONRPCServer } from 'json-rpc-2.0'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { toErrorResponse } from './failureCodec.js'
+import { FrameChannel } from './frameChannel.js'
+import { helloSchema, makeNonce, responseSchema, type Hello, type KeyRing, type Transcript } from './handshake.js'
+import type { LinkLimits } from './linkTypes.js'
+
+/** A server keeps an idle link so many times longer than a client, so that the client closes it. */
+const SERVER_IDLE_FACTOR = 3
+
+type SessionState =
+  | { readonly kind: 'greeting' }
+  | { readonly kind: 'challenged', readonly transcript: Transcript }
+  | { readonly kind: 'open', readonly from: string }
+
+/** What a session needs of its server. */
+export interface SessionContext {
+  readonly holder: string
+  readonly keys: KeyRing
+  readonly limits: LinkLimits
+  readonly rpc: JSONRPCServer<string>
+}
+
+/**
+ * Serves one accepted connection until it closes.
+ * @param socket - the accepted connection
+ * @param context - identity, limits and methods of the server
+ */
+export function servePeer (socket: Socket, context: SessionContext): PeerSession {
+  return new PeerSession(socket, context)
+}
+
+/** One accepted connection. */
+class PeerSession {
+  private readonly channel: FrameChannel
+  private readonly deadline: NodeJS.Timeout
+  private state: SessionState = { kind: 'greeting' }
+  private running = 0
+
+  /**
+   * @param socket - the accepted connection
+   * @param context - identity, limits and methods of the server
+   */
+  constructor (private readonly socket: Socket, private readonly context: SessionContext) {
+    this.channel = new FrameChannel(socket, context.limits, frame => this.take(frame))
+    this.deadline = setTimeout(() => socket.destroy(), context.limits.handshakeMs)
+    socket.once('close', () => clearTimeout(this.deadline))
+  }
+
+  private take (frame: unknown): void {
+    switch (this.state.kind) {
+      case 'greeting': return this.greet(frame)
+      case 'challenged': return this.admit(frame, this.state.transcript)
+      case 'open': this.serve(frame, this.state.from)
+    }
+  }
+
+  private greet (frame: unknown): void {
+    const hello = helloSchema.safeParse(frame)
+    if (!hello.success) {
+      this.socket.destroy()
+      return
+    }
+    this.challenge(hello.data)
+  }
+
+  private challenge (hello: Hello): void {
+    const { holder, keys } = this.context
+    const nonce = makeNonce()
+    const transcript = { clientHolder: hello.holder, serverHolder: holder, clientNonce: hello.nonce, serverNonce: nonce }
+    this.state = { kind: 'challenged', transcript }
+    this.channel.send({ kind: 'challenge', holder, nonce, proof: keys.prove('server', transcript) })
+  }
+
+  private admit (frame: unknown, transcript: Transcript): void {
+    const response = responseSchema.safeParse(frame)
+    if (!response.success || !this.context.keys.accepts('client', transcript, response.data.proof)) {
+      this.socket.destroy()
+      return
+    }
+    clearTimeout(this.deadline)
+    this.state = { kind: 'open', from: transcript.clientHolder }
+    this.channel.trust()
+    this.socket.setTimeout(this.context.limits.idleMs * SERVER_IDLE_FACTOR, () => this.socket.destroy())
+    this.channel.send({ kind: 'welcome' })
+  }
+
+  private serve (frame: unknown, from: string): void {
+    if (!isJSONRPCRequest(frame)) {
+      this.channel.send(createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, 'not a request'))
+      return
+    }
+    if (this.running >= this.context.limits.openCalls) {
+      this.shed(frame)
+      return
+    }
+    this.run(frame, from).catch(() => this.socket.destroy())
+  }
+
+  private shed (req: JSONRPCRequest): void {
+    if (req.id === undefined) return
+    this.channel.send(toErrorResponse(req.id, new Failure('overloaded', 'too many calls are running for this peer')))
+  }
+
+  private async run (req: JSONRPCRequest, from: string): Promise<void> {
+    this.running += 1
+    const response = await this.context.rpc.receive(req, from)
+    this.running -= 1
+    if (response !== null) this.answer(response)
+  }
+
+  private answer (response: JSONRPCResponse): void {
+    if (this.socket.destroyed) return
+    this.channel.send(response).ifLeft(err => {
+      const failure = new Failure(err.code, err.message, { ran: 'yes' })
+      this.channel.send(toErrorResponse(response.id, failure))
+    })
+  }
+}
