--- a/packages/decisions/src/config/configDecider.ts
+++ b/packages/decisions/src/config/configDecider.ts
@@ -20,8 +20,8 @@
 
 /** What the holder is told. */
 export type ConfigEvent =
-  /** A source names its newest version; `peer` is the address to fetch from when the table is down. */
-  | { readonly kind: 'heard', readonly source: ConfigSource, readonly mark: VersionMark, readonly peer?: string }
+  /** A source names its newest version. */
+  | { readonly kind: 'heard', readonly source: ConfigSource, readonly mark: VersionMark }
   | { readonly kind: 'delivered', readonly source: ConfigSource, readonly candidate: ConfigCandidate }
   /** A version that this process has verified itself. */
   | { readonly kind: 'accepted', readonly source: ConfigSource, readonly held: HeldConfig }
@@ -29,11 +29,9 @@
 /** What the shell has to do. */
 export type ConfigAction =
   /** Get everything from `after` to `target`. */
-  | { readonly kind: 'fetch', readonly after: number, readonly target: VersionMark, readonly peer?: string }
+  | { readonly kind: 'fetch', readonly after: number, readonly target: VersionMark }
   /** The version is in force from now on: tell listeners. */
   | { readonly kind: 'apply', readonly source: ConfigSource, readonly held: HeldConfig }
-  /** Tell peers. */
-  | { readonly kind: 'announce', readonly mark: VersionMark }
   /** The source is wrong: it delivered something that does not verify, or names another content for the version in force. */
   | { readonly kind: 'reject', readonly source: ConfigSource, readonly version: number, readonly detail: string }
 
@@ -85,13 +83,13 @@
    */
   decide (event: ConfigEvent, now: Instant): readonly ConfigAction[] {
     switch (event.kind) {
-      case 'heard': return this.#hear(event.source, event.mark, event.peer, now)
+      case 'heard': return this.#hear(event.source, event.mark, now)
       case 'delivered': return this.#verify(event.source, event.candidate)
       case 'accepted': return this.#raise(event.source, event.held)
     }
   }
 
-  #hear (source: ConfigSource, mark: VersionMark, peer: string | undefined, now: Instant): readonly ConfigAction[] {
+  #hear (source: ConfigSource, mark: VersionMark, now: Instant): readonly ConfigAction[] {
     const held = this.#held
     if (held !== undefined && mark.version === held.version && mark.digest !== held.digest) {
       return [{ kind: 'reject', source, version: mark.version, detail: 'another content for the version in force' }]
@@ -99,8 +97,7 @@
     if (held !== undefined && mark.version <= held.version) return []
     if (mark.version > (this.#heard?.version ?? -1)) this.#heard = mark
     this.#behindSince ??= now
-    const fetch = { kind: 'fetch', after: held?.version ?? 0, target: mark } as const
-    return [peer === undefined ? fetch : { ...fetch, peer }]
+    return [{ kind: 'fetch', after: held?.version ?? 0, target: mark }]
   }
 
   #verify (source: ConfigSource, candidate: ConfigCandidate): readonly ConfigAction[] {
@@ -127,8 +124,7 @@
     if (!this.#isHigher(held.version)) return []
     this.#held = held
     if ((this.#heard?.version ?? -1) <= held.version) this.#behindSince = undefined
-    const mark = { version: held.version, digest: held.digest }
-    return [{ kind: 'apply', source, held }, { kind: 'announce', mark }]
+    return [{ kind: 'apply', source, held }]
   }
 
   #isHigher (version: number): boolean {
--- /dev/null
+++ b/packages/rosemaryspread/src/config/configPatcher.ts
@@ -0,0 +1,149 @@
+/**
+ * Carries a patch to acceptance: one transaction that succeeds only if the version is still the
+ * one the patch is based on. Accepted means that this transaction took effect; a lost answer is
+ * resolved by reading the patch id back. All reads are confirmed ones, so that neither a refusal
+ * nor a repeated answer rests on a lagging replica.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { digestOf } from '@rosemaryspread/decisions/config/configDigest.js'
+import { preparePatch, type HeldConfig, type PreparedPatch } from '@rosemaryspread/decisions/config/configPatch.js'
+import { PATCH_TABLE, patchRowSchema, VERSION_TABLE, versionKey, type VersionMark, type VersionRow } from '@rosemaryspread/decisions/config/configRows.js'
+import type { PatchRequest } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { transactUntilKnown, type TransactBuild, type TransactSettled } from '@rosemaryspread/platform/table/tableTransact.js'
+import type { ReadAnswer, Row, RowKey, TableStore, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import { currentKey, parseRow, type ConfigReader } from './configReader.js'
+import type { ConfigStoreParts } from './configTypes.js'
+
+const ATTEMPTS = 8
+const PAUSE_MS = 50
+const MAX_PAUSE_MS = 1_000
+const RETRY_AFTER_MS = 2_000
+
+/** A patch that was accepted, now or earlier. */
+export interface AcceptedPatch {
+  readonly version: number
+  readonly repeated: boolean
+  /** The version and its row, when this call made it. */
+  readonly made?: { readonly held: HeldConfig, readonly row: VersionRow }
+}
+
+/** One patch on its way. */
+export class ConfigPatcher {
+  readonly #digest: string
+  #made: { held: HeldConfig, row: VersionRow } | undefined
+  /** Time of the first attempt; later ones repeat its row exactly. */
+  #at: number | undefined
+
+  /**
+   * @param table - the table service with confirmed reads
+   * @param reader - reads versions
+   * @param parts - timers and randomness
+   * @param inForce - the version in force on this VM, asked anew at each attempt
+   * @param req - the patch
+   */
+  constructor (
+    private readonly table: TableStore,
+    private readonly reader: ConfigReader,
+    private readonly parts: ConfigStoreParts,
+    private readonly inForce: () => HeldConfig | undefined,
+    private readonly req: PatchRequest
+  ) {
+    this.#digest = digestOf(req.patch)
+  }
+
+  /**
+   * Has the patch accepted.
+   * @returns `configConflict`, `patchIdReused`, `patchInvalid`, `configInvalid`, `platformUnavailable`
+   * (none of them accepted the patch) or `platformOutcomeUnknown`
+   */
+  async accept (): Promise<Either<Failure, AcceptedPatch>> {
+    const make: TransactBuild = { keys: this.#keys(), build: read => this.#transaction(read) }
+    const limits = {
+      attempts: ATTEMPTS,
+      pauseMs: PAUSE_MS,
+      maxPauseMs: MAX_PAUSE_MS,
+      pause: async (ms: number) => { await new Promise<void>(resolve => { this.parts.timers.after(ms, resolve) }) },
+      random: this.parts.random
+    }
+    const settled = await transactUntilKnown(this.table, make, rows => this.#isApplied(rows[1] ?? null), limits)
+    return settled.mapLeft(explain).chain(outcome => this.#accepted(outcome))
+  }
+
+  /** Checks the patch as {@link accept} would and writes nothing. */
+  async check (): Promise<Either<Failure, AcceptedPatch>> {
+    const read = await this.table.read(this.#keys())
+    return read.chain(answer => this.#isApplied(answer.rows[1] ?? null)
+      ? this.#accepted({ how: 'before', read: answer })
+      : this.#prepare(answer).map(({ next }) => ({ version: next.version, repeated: false })))
+  }
+
+  #keys (): readonly RowKey[] {
+    return [currentKey, { table: PATCH_TABLE, key: this.req.patchId }]
+  }
+
+  #isApplied (row: Row | null): boolean {
+    return row !== null && parseRow(patchRowSchema, row).map(({ digest }) => digest === this.#digest).orDefault(false)
+  }
+
+  #transaction (read: ReadAnswer): Either<Failure, Transaction> {
+    return this.#prepare(read).map(({ patch, delta, next }) => {
+      const { patchId, author } = this.req
+      this.#at ??= read.now
+      const row: VersionRow = { version: next.version, digest: next.digest, patchId, author, at: this.#at, patch: [...patch], delta: [...delta] }
+      this.#made = { held: next, row }
+      const [current, patchKey] = this.#keys() as [RowKey, RowKey]
+      const versionRow = { table: VERSION_TABLE, key: versionKey(next.version) }
+      return {
+        checks: [{ ...current, version: read.rows[0]?.version ?? null }, { ...versionRow, version: null }, { ...patchKey, version: null }],
+        writes: [
+          { ...versionRow, value: row },
+          { ...patchKey, value: { version: next.version, digest: this.#digest } },
+          { ...current, value: { version: next.version, digest: next.digest, patchId } }
+        ]
+      }
+    })
+  }
+
+  #prepare (read: ReadAnswer): Either<Failure, PreparedPatch> {
+    if (read.rows[1] != null) return Left(new Failure('patchIdReused', `patch id '${this.req.patchId}' belongs to another patch`))
+    return this.reader.markOf(read.rows[0] ?? null)
+      .chain(mark => this.#base(mark))
+      .chain(base => preparePatch(base, this.req.patch))
+  }
+
+  #base (mark: VersionMark): Either<Failure, HeldConfig> {
+    const held = this.inForce()
+    if (mark.version !== this.req.base) {
+      return Left(new Failure('configConflict', `the patch is based on version ${this.req.base}, the current version is ${mark.version}`))
+    }
+    if (held?.version === mark.version && held.digest === mark.digest) return Right(held)
+    const detail = `version ${mark.version} is not in force on this VM yet`
+    return Left(new Failure('configNotLoaded', detail, { retryAfterMs: RETRY_AFTER_MS }))
+  }
+
+  #accepted (outcome: TransactSettled): Either<Failure, AcceptedPatch> {
+    const repeated = outcome.how === 'before'
+    const made = this.#made
+    if (outcome.how === 'answered' && made !== undefined) return Right({ version: made.held.version, repeated, made })
+    const row = outcome.read.rows[1]
+    if (row == null) return Left(new Failure('internal', 'the patch row is missing', { ran: 'unknown' }))
+    return parseRow(patchRowSchema, row).map(({ version }) => made?.held.version === version && !repeated
+      ? { version, repeated, made }
+      : { version, repeated })
+  }
+}
+
+function explain (failure: Failure): Failure {
+  const { message, errors } = failure
+  switch (failure.code) {
+    case 'platformOutcomeUnknown':
+      return new Failure('platformOutcomeUnknown', `${message}; send the patch again under the same patch id`, { ran: 'unknown', retryAfterMs: RETRY_AFTER_MS, errors })
+    case 'platformConflict':
+      return new Failure('platformUnavailable', message, { retryAfterMs: RETRY_AFTER_MS })
+    case 'platformUnavailable':
+      return new Failure('platformUnavailable', message, { retryAfterMs: RETRY_AFTER_MS })
+    default:
+      return failure
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/config/configSnapshots.ts
@@ -0,0 +1,130 @@
+/**
+ * Configuration versions in the object store: a whole snapshot every so many versions, a small
+ * object for each version, and a pointer to the newest snapshot. They bound the start-up of a VM
+ * and are what a VM starts from while the table is down. All are written after acceptance and
+ * at best effort; the table decides what was accepted.
+ */
+import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ConfigCandidate } from '@rosemaryspread/decisions/config/configDecider.js'
+import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
+import { deltaName, LATEST_OBJECT, SNAPSHOT_EVERY, snapshotName, versionMarkSchema, versionRowSchema, wholeConfigSchema, type VersionMark, type VersionRow, type WholeConfig } from '@rosemaryspread/decisions/config/configRows.js'
+import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
+import type { z } from 'zod'
+
+/** Version objects fetched at once when walking past the newest snapshot. */
+const WALK_WIDTH = 8
+/** Versions a snapshot may lag before any VM writes a newer one. */
+const MAX_LAG = 2 * SNAPSHOT_EVERY
+
+/** Snapshots and version objects. */
+export class ConfigSnapshots {
+  /**
+   * @param objects - the object store
+   */
+  constructor (private readonly objects: ObjectStore) {}
+
+  /** The mark of the newest snapshot, if any. */
+  async latest (): Promise<Either<Failure, Maybe<VersionMark>>> {
+    return await this.#get(LATEST_OBJECT, versionMarkSchema)
+  }
+
+  /**
+   * A whole version; its digest is verified by whoever takes it into use.
+   * @param mark - version and digest
+   */
+  async whole (mark: VersionMark): Promise<Either<Failure, Maybe<WholeConfig>>> {
+    return await this.#get(snapshotName(mark), wholeConfigSchema)
+  }
+
+  /** The newest state the object store can tell: the newest snapshot and all versions after it. */
+  async newest (): Promise<Either<Failure, Maybe<ConfigCandidate>>> {
+    const latest = await this.latest()
+    if (latest.isLeft()) return latest
+    const mark = latest.unsafeCoerce().extractNullable()
+    const whole = mark === null ? Nothing : (await this.whole(mark)).orDefault(Nothing)
+    const rows = await this.#walk(whole.map(({ version }) => version).orDefault(0))
+    if (whole.isNothing() && rows.length === 0) return Right(Nothing)
+    return Right(Just({ rows, ...whole.map(found => ({ whole: found })).orDefault({} as { whole: WholeConfig }) }))
+  }
+
+  /**
+   * Keeps an accepted version. When the version before it is missing, a whole snapshot closes the gap.
+   * @param row - its version row
+   * @param held - the version whole
+   */
+  async keep (row: VersionRow, held: HeldConfig): Promise<Either<Failure, void>> {
+    const put = await this.#put(deltaName(row.version), row)
+    if (put.isLeft()) return put
+    const due = row.version % SNAPSHOT_EVERY === 0 || !await this.#has(row.version - 1)
+    return due ? await this.snapshot(held) : put
+  }
+
+  /**
+   * Writes a whole snapshot, and points to it unless a newer one is pointed to.
+   * @param held - the version
+   */
+  async snapshot (held: HeldConfig): Promise<Either<Failure, void>> {
+    const { version, digest, document } = held
+    const put = await this.#put(snapshotName(held), { version, digest, document } satisfies WholeConfig)
+    if (put.isLeft()) return put
+    const latest = await this.latest()
+    const newest = latest.orDefault(Nothing).map(mark => mark.version).orDefault(-1)
+    return newest >= version ? put : await this.#put(LATEST_OBJECT, { version, digest })
+  }
+
+  /**
+   * Writes a snapshot when what the object store has would not lead to the version in force.
+   * @param held - the version in force
+   * @returns whether one was written
+   */
+  async repair (held: HeldConfig): Promise<Either<Failure, boolean>> {
+    if (held.version === 0) return Right(false)
+    const latest = await this.latest()
+    if (latest.isLeft()) return latest
+    const newest = latest.unsafeCoerce().map(mark => mark.version).orDefault(0)
+    const reached = held.version <= newest || (held.version - newest < MAX_LAG && await this.#has(held.version))
+    if (reached) return Right(false)
+    return (await this.snapshot(held)).map(() => true)
+  }
+
+  async #walk (after: number): Promise<VersionRow[]> {
+    const rows: VersionRow[] = []
+    for (;;) {
+      const first = after + rows.length + 1
+      const names = Array.from({ length: WALK_WIDTH }, (_, index) => deltaName(first + index))
+      const page = await Promise.all(names.map(async name => await this.#get(name, versionRowSchema)))
+      const found = page.map(result => result.orDefault(Nothing).extractNullable())
+      const gap = found.findIndex(row => row === null)
+      const kept = gap < 0 ? found : found.slice(0, gap)
+      rows.push(...kept.filter(row => row !== null))
+      if (gap >= 0) return rows
+    }
+  }
+
+  async #has (version: number): Promise<boolean> {
+    if (version <= 0) return true
+    const found = await this.#get(deltaName(version), versionRowSchema)
+    return found.orDefault(Nothing).isJust()
+  }
+
+  async #get<T> (name: string, schema: z.ZodType<T>): Promise<Either<Failure, Maybe<T>>> {
+    const body = await this.objects.get(name)
+    return body.chain(found => found.caseOf<Either<Failure, Maybe<T>>>({
+      Nothing: () => Right(Nothing),
+      Just: bytes => parseObject(name, schema, bytes).map(Just)
+    }))
+  }
+
+  async #put (name: string, value: unknown): Promise<Either<Failure, void>> {
+    return await this.objects.put(name, Buffer.from(JSON.stringify(value)))
+  }
+}
+
+function parseObject<T> (name: string, schema: z.ZodType<T>, bytes: Buffer): Either<Failure, T> {
+  try {
+    return Right(schema.parse(JSON.parse(bytes.toString('utf8'))))
+  } catch {
+    return Left(new Failure('configInvalid', `object ${name} is malformed`))
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -0,0 +1,236 @@
+/**
+ * The configuration on this VM: what is in force, patches, versions and history, over the table
+ * service and the object store. Which version is in force is decided by {@link ConfigHolder};
+ * this class carries its actions out.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { ConfigHolder, type ConfigAction, type ConfigCandidate, type ConfigEvent, type ConfigSource, type ConfigStatus } from '@rosemaryspread/decisions/config/configDecider.js'
+import { firstConfig, type HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
+import type { VersionMark } from '@rosemaryspread/decisions/config/configRows.js'
+import type { ConfigAnswer, HistoryEntry, PatchAnswer, PatchRequest } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { ConfigPatcher, type AcceptedPatch } from './configPatcher.js'
+import { ConfirmedTable, ConfigReader } from './configReader.js'
+import { ConfigSnapshots } from './configSnapshots.js'
+import type { ConfigListener, ConfigStoreParts } from './configTypes.js'
+import { ConfigVersions } from './configVersions.js'
+import { RecentRows } from './recentRows.js'
+
+/** The configuration store of one VM. */
+export class ConfigStore {
+  readonly #parts: ConfigStoreParts
+  readonly #confirmed: ConfirmedTable
+  readonly #reader: ConfigReader
+  readonly #versions: ConfigVersions
+  readonly #holder: ConfigHolder
+  readonly #recent = new RecentRows()
+  readonly #listeners: ConfigListener[] = []
+  #fetching: Promise<void> | undefined
+  /** Snapshots and version objects. */
+  readonly snapshots: ConfigSnapshots
+
+  /**
+   * @param parts - services, clocks and log
+   */
+  constructor (parts: ConfigStoreParts) {
+    const origin = firstConfig()
+    this.#parts = parts
+    this.#confirmed = new ConfirmedTable(parts.table)
+    this.#reader = new ConfigReader(parts.table, origin)
+    this.snapshots = new ConfigSnapshots(parts.objects)
+    this.#versions = new ConfigVersions(this.#reader, this.snapshots, origin)
+    this.#holder = new ConfigHolder(origin)
+  }
+
+  /** The version in force; undefined until the first one is. */
+  get inForce (): HeldConfig | undefined {
+    return this.#holder.inForce
+  }
+
+  /** The version in force, the highest heard of, and since when this VM lags. */
+  get status (): ConfigStatus {
+    return this.#holder.status
+  }
+
+  /**
+   * Registers for versions that come into force, in order.
+   * @param listener - called in the same turn; what it throws is logged
+   */
+  onChange (listener: ConfigListener): void {
+    this.#listeners.push(listener)
+  }
+
+  /**
+   * Brings a first version into force: from the table, or while that is down the newest one that
+   * the object store can prove.
+   * @returns the version in force, or `configNotLoaded`
+   */
+  async load (): Promise<Either<Failure, HeldConfig>> {
+    const outcome = await this.refresh()
+    outcome.ifLeft(({ code }) => this.#parts.log.write('configUnreachable', { version: undefined, code }))
+    if (this.inForce === undefined) await this.#loadSnapshot()
+    const held = this.inForce
+    if (held !== undefined) return Right(held)
+    return Left(new Failure('configNotLoaded', outcome.swap().map(failure => failure.message).orDefault('no version could be verified')))
+  }
+
+  /**
+   * Reads the current version from the table and brings it into force when it is higher.
+   * @returns the failure of the read; the version in force stays
+   */
+  async refresh (): Promise<Either<Failure, VersionMark>> {
+    const mark = await this.#reader.current()
+    if (mark.isRight()) await this.hear('table', mark.unsafeCoerce())
+    return mark
+  }
+
+  /**
+   * Takes note of a version that exists, and fetches it from the table when it is higher.
+   * @param source - who names it
+   * @param mark - version and digest
+   */
+  async hear (source: ConfigSource, mark: VersionMark): Promise<void> {
+    for (const action of this.#decide({ kind: 'heard', source, mark })) {
+      if (action.kind === 'fetch') await this.#fetch(action.target)
+    }
+  }
+
+  /**
+   * Offers versions that a source delivered; they come into force if they verify and are higher.
+   * @param source - who delivered them
+   * @param candidate - rows, or a whole version
+   */
+  deliver (source: ConfigSource, candidate: ConfigCandidate): void {
+    this.#decide({ kind: 'delivered', source, candidate })
+    if (this.inForce?.version === candidate.rows.at(-1)?.version) this.#recent.add(candidate.rows)
+  }
+
+  /**
+   * What a peer needs to go on from a version.
+   * @param after - the peer's version; undefined when it has none
+   * @returns rows or a whole version; nothing when the peer is not behind
+   */
+  candidateAfter (after: number | undefined): ConfigCandidate | undefined {
+    const held = this.inForce
+    if (held === undefined || (after !== undefined && after >= held.version)) return undefined
+    const rows = this.#recent.between(after ?? 0, held.version)
+    if (rows !== undefined) return { rows }
+    const { version, digest, document } = held
+    return { whole: { version, digest, document }, rows: [] }
+  }
+
+  /**
+   * Has a patch accepted as the next version.
+   * @param req - base version, patch id, author and operations
+   * @returns the version it became; `configConflict` names the current version and what changed
+   * since the base; `patchIdReused`, `patchInvalid`, `configInvalid` name what is wrong;
+   * `platformUnavailable` when nothing was written, `platformOutcomeUnknown` when that is open
+   */
+  async patch (req: PatchRequest): Promise<Either<Failure, PatchAnswer>> {
+    await this.refresh()
+    const patcher = new ConfigPatcher(this.#confirmed, this.#reader, this.#parts, () => this.inForce, req)
+    const outcome = req.dryRun ? await patcher.check() : await patcher.accept()
+    if (outcome.isLeft()) return Left(await this.#refused(req, outcome.extract() as Failure))
+    const accepted = outcome.unsafeCoerce()
+    if (!req.dryRun) this.#applyAccepted(req, accepted)
+    return Right({ version: accepted.version, repeated: accepted.repeated, dryRun: req.dryRun })
+  }
+
+  /**
+   * A version of the configuration.
+   * @param version - the version; the one in force when absent
+   * @returns `notFound`, `configNotLoaded` or a failure of the platform
+   */
+  async get (version?: number): Promise<Either<Failure, ConfigAnswer>> {
+    const held = this.inForce
+    if (version === undefined || version === held?.version) {
+      if (held !== undefined) return Right({ version: held.version, config: held.config })
+      return Left(new Failure('configNotLoaded', 'no configuration is in force on this VM yet'))
+    }
+    return (await this.#versions.at(version)).map(found => ({ version, config: found.config }))
+  }
+
+  /**
+   * The newest accepted versions, newest first.
+   * @param limit - how many
+   */
+  async history (limit: number): Promise<Either<Failure, readonly HistoryEntry[]>> {
+    const current = await this.#reader.current()
+    if (current.isLeft()) return current
+    const newest = current.unsafeCoerce().version
+    const rows = await this.#reader.rows(Math.max(newest - limit, 0), newest)
+    return rows.map(all => all.reverse().map(({ version, patchId, author, at, patch }) => ({ version, patchId, author, at, patch })))
+  }
+
+  #decide (event: ConfigEvent): readonly ConfigAction[] {
+    const actions = this.#holder.decide(event, this.#parts.clock.now())
+    for (const action of actions) {
+      if (action.kind === 'apply') this.#apply(action.source, action.held)
+      if (action.kind === 'reject') this.#logUnverified(action.source, action.version, action.detail)
+    }
+    return actions
+  }
+
+  #apply (source: ConfigSource, held: HeldConfig): void {
+    this.#parts.log.write('configApplied', { version: held.version, source })
+    for (const listener of this.#listeners) {
+      try {
+        listener(held)
+      } catch (err) {
+        this.#parts.log.write('fault', { err: toFailure(err).message })
+      }
+    }
+  }
+
+  #logUnverified (source: ConfigSource, rejected: number, detail: string): void {
+    this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: 'configInvalid', source, rejected, detail })
+  }
+
+  /** One fetch from the table at a time; who comes meanwhile waits for it and then looks again. */
+  async #fetch (target: VersionMark): Promise<void> {
+    while (this.#fetching !== undefined) await this.#fetching
+    if (this.inForce !== undefined && this.inForce.version >= target.version) return
+    this.#fetching = this.#fetchNow(target).finally(() => { this.#fetching = undefined })
+    await this.#fetching
+  }
+
+  async #fetchNow (target: VersionMark): Promise<void> {
+    const candidate = await this.#versions.candidate(this.inForce, target)
+    candidate.caseOf({
+      Left: failure => this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: failure.code, detail: failure.message }),
+      Right: found => this.deliver('table', found)
+    })
+  }
+
+  async #loadSnapshot (): Promise<void> {
+    const newest = await this.snapshots.newest()
+    const candidate = newest.toMaybe().chain(found => found).extractNullable()
+    if (candidate === null) return
+    this.deliver('snapshot', candidate)
+    if (this.inForce !== undefined) return
+    if (candidate.whole !== undefined) this.deliver('snapshot', { whole: candidate.whole, rows: [] })
+    for (const row of candidate.rows) this.deliver('snapshot', { rows: [row] })
+  }
+
+  #applyAccepted (req: PatchRequest, { version, repeated, made }: AcceptedPatch): void {
+    if (!repeated) this.#parts.log.write('configAccepted', { version, patchId: req.patchId, author: req.author })
+    if (made === undefined) return
+    this.#decide({ kind: 'accepted', source: 'patch', held: made.held })
+    this.#recent.add([made.row])
+    this.#keep(made).catch(err => this.#parts.log.write('fault', { err: toFailure(err).message }))
+  }
+
+  async #keep ({ row, held }: NonNullable<AcceptedPatch['made']>): Promise<void> {
+    const kept = await this.snapshots.keep(row, held)
+    kept.ifLeft(failure => this.#parts.log.write('platformFault', { service: 'objects', operation: 'configSnapshot', code: failure.code }))
+  }
+
+  async #refused (req: PatchRequest, failure: Failure): Promise<Failure> {
+    this.#parts.log.write('configRefused', { base: req.base, patchId: req.patchId, code: failure.code })
+    if (failure.code !== 'configConflict') return failure
+    await this.refresh()
+    const changes = await this.#versions.changesSince(req.base)
+    const detail = changes.length === 0 ? failure.message : `${failure.message}; since then: ${changes.join('; ')}`
+    return new Failure('configConflict', detail, { errors: changes })
+  }
+}
