Serve the API for callers over restify

Callers need completions, application calls, addresses, usage and health over HTTP, and operators will need a server with the same rules. What both share is in the new package http: problem bodies, body reading, input checks, event streams, limits and graceful close.

Ruled out: restify's bodyParser and formatters, which change bytes and bodies; sending the headers of a stream at `begin`, which would turn a refusal before the first piece into a 200; passing service paths on in any spelling, since notRepeatable is matched on the text and `/x/../dispatch` or `/%64ispatch` would slip by it.

A call carries the id told in X-Request-Id (optional member requestId).

--- /dev/null
+++ b/packages/callers/src/api/callerServer.ts
@@ -0,0 +1,107 @@
+/**
+ * The HTTP API for callers. docs/API.md describes it for people.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
+import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
+import { HttpServer } from '@rosemaryspread/http/server/httpServer.js'
+import type { ApplicationService, CallerDirectory, CallerIdentity, CompletionService } from '../completion/completionTypes.js'
+import { callerOf } from './callerCalls.js'
+import { CompletionRoute } from './completionRoute.js'
+import { ServiceRoute } from './serviceRoute.js'
+
+/** What the server needs. */
+export interface CallerServerDeps {
+  readonly completions: CompletionService
+  readonly services: ApplicationService
+  readonly directory: CallerDirectory
+  readonly log: EventLog
+  readonly limits: HttpLimits
+}
+
+const msPerSecond = 1000
+const metricsType = 'text/plain; version=0.0.4; charset=utf-8'
+const notStored = { 'Cache-Control': 'no-store' }
+
+/** The server of the API for callers. */
+export class CallerServer {
+  private readonly http: HttpServer
+  private readonly directory: CallerDirectory
+
+  /** @param deps - services, log and limits */
+  constructor (deps: CallerServerDeps) {
+    this.directory = deps.directory
+    this.http = new HttpServer(deps)
+    const completions = new CompletionRoute(deps.completions, deps.directory, deps.log)
+    const services = new ServiceRoute(deps.services, deps.directory)
+    this.http.route('POST', '/v1/chat/completions', (exchange) => completions.serve(exchange))
+    this.http.route('GET', '/v1/services/:service/*', (exchange) => services.serve('GET', exchange))
+    this.http.route('POST', '/v1/services/:service/*', (exchange) => services.serve('POST', exchange))
+    this.http.route('GET', '/v1/models', (exchange) => this.models(exchange))
+    this.http.route('GET', '/v1/addresses', (exchange) => this.addresses(exchange))
+    this.http.route('GET', '/v1/usage', (exchange) => this.usage(exchange))
+    this.http.route('GET', '/healthz', (exchange) => this.live(exchange))
+    this.http.route('GET', '/readyz', (exchange) => this.ready(exchange))
+    this.http.route('GET', '/metrics', (exchange) => this.metrics(exchange))
+  }
+
+  /**
+   * Listens; resolves to the address in use.
+   * @param address - IPv4:port; port 0 takes any free one
+   */
+  listen (address: string): Promise<string> {
+    return this.http.listen(address)
+  }
+
+  /** Stops accepting connections; resolves when all open requests are answered. */
+  close (): Promise<void> {
+    return this.http.close()
+  }
+
+  /** Requests that are not answered yet. */
+  openRequests (): number {
+    return this.http.openRequests()
+  }
+
+  private async models (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    return callerOf(exchange, this.directory)
+      .map((caller) => this.modelList(caller))
+      .map((list) => exchange.sendJson(200, list, notStored))
+  }
+
+  private modelList (caller: CallerIdentity): object {
+    const data = this.directory.models(caller).map((id) => ({ id, object: 'model', owned_by: 'rosemaryspread' }))
+    return { object: 'list', data }
+  }
+
+  private async addresses (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    const answer = this.directory.addresses()
+    const maxAge = Math.floor(answer.keepMs / msPerSecond)
+    exchange.sendJson(200, answer, { 'Cache-Control': `max-age=${maxAge}` })
+    return Right(undefined)
+  }
+
+  private async usage (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    const caller = callerOf(exchange, this.directory)
+    if (caller.isLeft()) return Left(caller.extract())
+    const usage = await this.directory.usage(caller.unsafeCoerce())
+    return usage.map((answer) => exchange.sendJson(200, answer, notStored))
+  }
+
+  private async live (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    exchange.sendJson(200, { live: true }, notStored)
+    return Right(undefined)
+  }
+
+  private async ready (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    return this.directory.ready().ifRight(() => exchange.sendJson(200, { ready: true }, notStored))
+  }
+
+  private async metrics (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    const text = Buffer.from(this.directory.metrics())
+    exchange.sendBytes(200, text, { 'Content-Type': metricsType, ...notStored })
+    return Right(undefined)
+  }
+}
--- /dev/null
+++ b/packages/callers/src/api/completionAnswers.ts
@@ -0,0 +1,119 @@
+/**
+ * The two ways an answer reaches the caller: as a stream of events or as one JSON value. Both
+ * take the first ending only, so that nothing follows a failure and a failure never follows the
+ * end.
+ */
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
+import { EventStream } from '@rosemaryspread/http/sse/eventStream.js'
+import type { AnswerSink, CompletionUsage } from '../completion/completionTypes.js'
+import { contentChunk, finalChunk, wholeCompletion, type AnswerHead, type FinishReason } from './completionChunks.js'
+
+const msPerSecond = 1000
+
+/** A sink that knows whether it was ended. */
+export interface CompletionAnswer extends AnswerSink {
+  readonly ended: boolean
+}
+
+function headOf (requestId: string, model: string): AnswerHead {
+  return { requestId, model, created: Math.floor(Date.now() / msPerSecond) }
+}
+
+/** Streams the pieces; the stream begins with the first piece. */
+export class StreamedAnswer implements CompletionAnswer {
+  ended = false
+  private head: AnswerHead
+  private readonly stream: EventStream
+
+  /**
+   * @param exchange - where the answer goes
+   * @param model - model asked for
+   * @param log - told when a caller reads too slowly
+   */
+  constructor (private readonly exchange: HttpExchange, model: string, private readonly log: EventLog) {
+    this.head = headOf(exchange.requestId, model)
+    this.stream = new EventStream(exchange)
+  }
+
+  begin (requestId: string, model: string): void {
+    if (this.stream.open) return
+    this.exchange.requestId = requestId
+    this.head = headOf(requestId, model)
+  }
+
+  piece (text: string): void {
+    if (this.ended || this.exchange.closed) return
+    this.open()
+    this.send(contentChunk(this.head, { content: text }))
+    if (this.stream.overfull) this.cutSlowCaller()
+  }
+
+  finish (finishReason: FinishReason, usage: CompletionUsage): void {
+    if (this.ended) return
+    this.ended = true
+    this.open()
+    this.send(finalChunk(this.head, finishReason, usage))
+    this.stream.send('[DONE]')
+    this.stream.end()
+  }
+
+  fail (failure: Failure): void {
+    if (this.ended) return
+    this.ended = true
+    if (this.stream.open) this.stream.fail(failure)
+    else this.exchange.refuse(failure)
+  }
+
+  private open (): void {
+    if (!this.stream.open) this.send(contentChunk(this.head, { role: 'assistant', content: '' }))
+  }
+
+  private send (chunk: object): void {
+    this.stream.send(JSON.stringify(chunk))
+  }
+
+  private cutSlowCaller (): void {
+    const failure = new Failure('callerSlow', 'the answer was read too slowly and is cut here', { ran: 'yes' })
+    this.log.write('requestFailed', { request: this.exchange.requestId, code: failure.code, ran: failure.ran })
+    this.fail(failure)
+    this.exchange.abandon(failure)
+  }
+}
+
+/** Collects the pieces and sends them as one JSON value. */
+export class WholeAnswer implements CompletionAnswer {
+  ended = false
+  private head: AnswerHead
+  private readonly pieces: string[] = []
+
+  /**
+   * @param exchange - where the answer goes
+   * @param model - model asked for
+   */
+  constructor (private readonly exchange: HttpExchange, model: string) {
+    this.head = headOf(exchange.requestId, model)
+  }
+
+  begin (requestId: string, model: string): void {
+    this.exchange.requestId = requestId
+    this.head = headOf(requestId, model)
+  }
+
+  piece (text: string): void {
+    if (!this.ended) this.pieces.push(text)
+  }
+
+  finish (finishReason: FinishReason, usage: CompletionUsage): void {
+    if (this.ended) return
+    this.ended = true
+    this.exchange.sendJson(200, wholeCompletion(this.head, this.pieces.join(''), finishReason, usage))
+  }
+
+  fail (failure: Failure): void {
+    if (this.ended) return
+    this.ended = true
+    this.exchange.refuse(failure)
+  }
+}
--- /dev/null
+++ b/packages/callers/src/api/completionRoute.ts
@@ -0,0 +1,80 @@
+/**
+ * `POST /v1/chat/completions`.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { callHeaders, type CallHeaders } from '@rosemaryspread/http/input/callHeaders.js'
+import { badRequest, together } from '@rosemaryspread/http/input/inputChecks.js'
+import { jsonBody } from '@rosemaryspread/http/input/jsonBody.js'
+import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
+import {
+  completionBodySchema, type CallerDirectory, type CompletionBody, type CompletionCall, type CompletionService
+} from '../completion/completionTypes.js'
+import { identifyCall, receiveCall, type ReceivedCall } from './callerCalls.js'
+import { StreamedAnswer, WholeAnswer, type CompletionAnswer } from './completionAnswers.js'
+
+/** Serves chat completions. */
+export class CompletionRoute {
+  /**
+   * @param completions - runs them
+   * @param directory - knows the keys
+   * @param log - told of faults
+   */
+  constructor (
+    private readonly completions: CompletionService,
+    private readonly directory: CallerDirectory,
+    private readonly log: EventLog
+  ) {}
+
+  /**
+   * Answers one request.
+   * @param exchange - the request
+   */
+  async serve (exchange: HttpExchange): Promise<Either<Failure, void>> {
+    const received = await receiveCall(exchange, this.directory)
+    const call = received.chain((parts) => checkCall(exchange, parts))
+    if (call.isLeft()) return Left(call.extract())
+    await this.run(exchange, call.unsafeCoerce())
+    return Right(undefined)
+  }
+
+  private async run (exchange: HttpExchange, call: CompletionCall): Promise<void> {
+    const answer = this.answerFor(exchange, call.body)
+    try {
+      await this.completions.complete(call, answer)
+    } catch (err) {
+      this.fault(exchange, answer, err)
+    }
+    if (!answer.ended && !exchange.closed) this.fault(exchange, answer, new Error('the completion ended without an answer'))
+  }
+
+  private answerFor (exchange: HttpExchange, body: CompletionBody): CompletionAnswer {
+    if (body.stream) return new StreamedAnswer(exchange, body.model, this.log)
+    return new WholeAnswer(exchange, body.model)
+  }
+
+  private fault (exchange: HttpExchange, answer: CompletionAnswer, err: unknown): void {
+    this.log.write('fault', { request: exchange.requestId, err })
+    answer.fail(new Failure('internal', `see the log for request ${exchange.requestId}`, { ran: 'unknown' }))
+  }
+}
+
+function checkCall (exchange: HttpExchange, received: ReceivedCall): Either<Failure, CompletionCall> {
+  const { headers } = exchange.req
+  return together(callHeaders(headers), jsonBody(completionBodySchema, headers, received.body))
+    .mapLeft(badRequest)
+    .map(([callHead, body]) => toCall(exchange, received, callHead, body))
+}
+
+function toCall (exchange: HttpExchange, received: ReceivedCall, headers: CallHeaders, body: CompletionBody): CompletionCall {
+  identifyCall(exchange, received.caller, headers)
+  return {
+    caller: received.caller,
+    body,
+    digest: received.digest,
+    requestId: exchange.requestId,
+    ...headers,
+    gone: exchange.gone
+  }
+}
--- a/packages/callers/src/completion/completionTypes.ts
+++ b/packages/callers/src/completion/completionTypes.ts
@@ -31,6 +31,8 @@
   readonly body: CompletionBody
   /** Hex SHA-256 of the body as received. */
   readonly digest: string
+  /** As the caller reads it in `X-Request-Id`: the id of the key at every VM, or a fresh one for a call without key. */
+  readonly requestId?: string
   readonly idempotencyKey?: string
   /** Milliseconds the caller is ready to wait; the configured timeout when absent. */
   readonly timeoutMs?: number
@@ -67,6 +69,8 @@
   readonly contentType?: string
   readonly body: Buffer
   readonly digest: string
+  /** As the caller reads it in `X-Request-Id`: the id of the key at every VM, or a fresh one for a call without key. */
+  readonly requestId?: string
   readonly idempotencyKey?: string
   readonly timeoutMs?: number
   readonly gone: AbortSignal
--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -47,6 +47,7 @@
   answerCut: { number: 306, status: 502, title: 'The answer was cut short by the runner' },
   answerMixed: { number: 307, status: 502, title: 'The runner sent pieces of another answer' },
   callerGone: { number: 308, status: 499, title: 'The caller closed the connection' },
+  callerSlow: { number: 309, status: 499, title: 'The caller read its answer too slowly' },
 
   noRunner: { number: 401, status: 503, title: 'No runner serves this model now' },
   queueFull: { number: 402, status: 429, title: 'The queue of the team is full' },
--- /dev/null
+++ b/packages/http/src/body/bodyReader.ts
@@ -0,0 +1,45 @@
+/**
+ * Reads the raw bytes of a request body up to a limit. A body over the limit is discarded while
+ * it comes in, up to a multiple of the limit, because a client that still sends when its
+ * connection closes often never sees the answer.
+ */
+import type { IncomingMessage } from 'node:http'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+
+/** How many times the limit is read and discarded before the connection is given up. */
+const discardFactor = 4
+
+function tooLarge (maxBytes: number): Failure {
+  return new Failure('bodyTooLarge', `the limit is ${maxBytes} bytes`)
+}
+
+function declaredBytes (req: IncomingMessage): number {
+  return Number(req.headers['content-length'] ?? 0)
+}
+
+/**
+ * Reads a whole body. Failures: `bodyTooLarge`, `callerGone`.
+ * @param req - the request
+ * @param maxBytes - limit in bytes
+ */
+export function readBody (req: IncomingMessage, maxBytes: number): Promise<Either<Failure, Buffer>> {
+  if (declaredBytes(req) > maxBytes * discardFactor) return Promise.resolve(Left(tooLarge(maxBytes)))
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const onData = (chunk: Buffer): void => {
+      bytes += chunk.length
+      if (bytes <= maxBytes) chunks.push(chunk)
+      else chunks.length = 0
+      if (bytes > maxBytes * discardFactor) settle(Left(tooLarge(maxBytes)))
+    }
+    const onEnd = (): void => settle(bytes > maxBytes ? Left(tooLarge(maxBytes)) : Right(Buffer.concat(chunks)))
+    const onGone = (): void => settle(Left(new Failure('callerGone', 'the body did not arrive whole')))
+    const settle = (outcome: Either<Failure, Buffer>): void => {
+      req.off('data', onData).off('end', onEnd).off('close', onGone)
+      resolve(outcome)
+    }
+    req.on('data', onData).on('end', onEnd).on('close', onGone).on('error', onGone)
+  })
+}
--- /dev/null
+++ b/packages/http/src/input/callHeaders.ts
@@ -0,0 +1,48 @@
+/**
+ * The headers by which a caller marks a call as the same as an earlier one and says how long it
+ * is ready to wait.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { z } from 'zod'
+import { checkBy, type Checked } from './inputChecks.js'
+
+const maxTimeoutMs = 3_600_000
+const timeoutRule = `use a whole number of milliseconds from 1 to ${maxTimeoutMs}`
+
+/** Header values as they are checked; keys are what a mistake names. */
+const callHeadersSchema = z.object({
+  'header Idempotency-Key': z.string()
+    .regex(/^[\x20-\x7e]{1,256}$/, 'use 1 to 256 printable ASCII characters')
+    .optional(),
+  'header X-Timeout-Ms': z.string()
+    .regex(/^[0-9]{1,7}$/, timeoutRule)
+    .transform(Number)
+    .refine((ms) => ms >= 1 && ms <= maxTimeoutMs, timeoutRule)
+    .optional()
+})
+
+/** What the headers say. */
+export interface CallHeaders {
+  readonly idempotencyKey?: string
+  /** Milliseconds. */
+  readonly timeoutMs?: number
+}
+
+/**
+ * Checks the headers of a call.
+ * @param headers - headers of the request
+ */
+export function callHeaders (headers: IncomingHttpHeaders): Checked<CallHeaders> {
+  const raw = {
+    'header Idempotency-Key': headers['idempotency-key'],
+    'header X-Timeout-Ms': headers['x-timeout-ms']
+  }
+  return checkBy(callHeadersSchema, raw, 'headers').map((values) => {
+    const key = values['header Idempotency-Key']
+    const timeoutMs = values['header X-Timeout-Ms']
+    return {
+      ...(key === undefined ? {} : { idempotencyKey: key }),
+      ...(timeoutMs === undefined ? {} : { timeoutMs })
+    }
+  })
+}
--- /dev/null
+++ b/packages/http/src/input/inputChecks.ts
@@ -0,0 +1,55 @@
+/**
+ * Checks of what comes from outside. Each check gives either the typed value or every mistake
+ * it found, named by path; `together` joins checks so that a caller learns all mistakes at once.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+
+/** Every mistake found, or the checked value. */
+export type Checked<T> = Either<readonly string[], T>
+
+function pathText (path: readonly PropertyKey[]): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === 'number') return `${text}[${part}]`
+    return text === '' ? String(part) : `${text}.${String(part)}`
+  }, '')
+}
+
+function issueTexts (issue: z.core.$ZodIssue, subject: string): string[] {
+  const at = pathText(issue.path)
+  if (issue.code !== 'unrecognized_keys') return [`${at === '' ? subject : at}: ${issue.message}`]
+  return issue.keys.map((key) => `${at === '' ? key : `${at}.${key}`}: this member is not known`)
+}
+
+/**
+ * Checks a value by a schema.
+ * @param schema - what is allowed
+ * @param value - what came
+ * @param subject - what to call the value itself in a mistake
+ */
+export function checkBy<S extends z.ZodType> (schema: S, value: unknown, subject: string): Checked<z.output<S>> {
+  const result = schema.safeParse(value)
+  if (result.success) return Right(result.data)
+  return Left(result.error.issues.flatMap((issue) => issueTexts(issue, subject)))
+}
+
+/**
+ * Joins two checks; the mistakes of both are kept.
+ * @param first - one check
+ * @param second - another check
+ */
+export function together<A, B> (first: Checked<A>, second: Checked<B>): Checked<readonly [A, B]> {
+  const mistakes = [...first.swap().orDefault([]), ...second.swap().orDefault([])]
+  if (mistakes.length > 0) return Left(mistakes)
+  return first.chain((a) => second.map((b) => [a, b] as const))
+}
+
+/**
+ * The failure for mistakes in the input.
+ * @param mistakes - each mistake with its path
+ */
+export function badRequest (mistakes: readonly string[]): Failure {
+  const detail = mistakes.length === 1 ? String(mistakes[0]) : `${mistakes.length} mistakes, see errors`
+  return new Failure('badRequest', detail, { errors: mistakes })
+}
--- /dev/null
+++ b/packages/http/src/input/jsonBody.ts
@@ -0,0 +1,43 @@
+/**
+ * Turns the raw bytes of a request body into a JSON value, strictly: content type, encoding,
+ * UTF-8 and JSON itself are each checked.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { Left, Right } from 'purify-ts'
+import type { z } from 'zod'
+import { checkBy, type Checked } from './inputChecks.js'
+
+const jsonType = 'application/json'
+
+function headerMistakes (headers: IncomingHttpHeaders): string[] {
+  const mistakes: string[] = []
+  const [type, ...params] = (headers['content-type'] ?? '').toLowerCase().split(';').map((part) => part.trim())
+  if (type !== jsonType) mistakes.push(`header Content-Type: use ${jsonType}`)
+  const charset = params.find((param) => param.startsWith('charset='))?.replace(/["']/g, '')
+  if (charset !== undefined && charset !== 'charset=utf-8') mistakes.push('header Content-Type: use charset utf-8')
+  const encoding = headers['content-encoding'] ?? 'identity'
+  if (encoding !== 'identity') mistakes.push('header Content-Encoding: send the body without encoding')
+  return mistakes
+}
+
+function parse (bytes: Buffer): Checked<unknown> {
+  try {
+    const text = new TextDecoder('utf-8', { fatal: true }).decode(bytes)
+    return Right(JSON.parse(text))
+  } catch (err) {
+    const reason = err instanceof SyntaxError ? err.message : 'the bytes are not UTF-8'
+    return Left([`body: not JSON: ${reason}`])
+  }
+}
+
+/**
+ * Reads a JSON body by a schema.
+ * @param schema - what the body must be
+ * @param headers - headers of the request
+ * @param bytes - the body as received
+ */
+export function jsonBody<S extends z.ZodType> (schema: S, headers: IncomingHttpHeaders, bytes: Buffer): Checked<z.output<S>> {
+  const mistakes = headerMistakes(headers)
+  if (mistakes.length > 0) return Left(mistakes)
+  return parse(bytes).chain((value) => checkBy(schema, value, 'body'))
+}
--- /dev/null
+++ b/packages/http/src/server/httpServer.ts
@@ -0,0 +1,155 @@
+/**
+ * An HTTP server by restify with this project's rules: every failure is answered with a
+ * numbered problem, a fault in a handler included; limits on what clients send; and a graceful
+ * close that finishes the open requests.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import restify from 'restify'
+import type { Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { HttpExchange } from './httpExchange.js'
+import type { HttpLimits } from './httpLimits.js'
+import { parserFailure, refuseSocket, routerFailure, type StatusError } from './protocolFailures.js'
+import { silentLog } from './silentLog.js'
+
+/** Answers an exchange, or says why it is refused. */
+export type ExchangeHandler = (exchange: HttpExchange) => Promise<Either<Failure, void>>
+
+/** Methods that routes are made for. */
+export type RouteMethod = 'GET' | 'POST'
+
+/** What a server needs. */
+export interface HttpServerDeps {
+  readonly log: EventLog
+  readonly limits: HttpLimits
+}
+
+const keepAliveProbeMs = 30_000
+
+/** The server. */
+export class HttpServer {
+  private readonly app: restify.Server
+  private readonly open = new Set<HttpExchange>()
+  private closing = false
+
+  /** @param deps - log and limits */
+  constructor (private readonly deps: HttpServerDeps) {
+    this.app = restify.createServer({ name: '', log: silentLog as never })
+    this.node.headersTimeout = deps.limits.headersMs
+    this.node.requestTimeout = deps.limits.requestMs
+    this.node.keepAliveTimeout = deps.limits.idleMs
+    this.node.maxHeadersCount = deps.limits.headerCount
+    this.node.maxConnections = deps.limits.connections
+    this.app.on('connection', (socket: Socket) => socket.setKeepAlive(true, keepAliveProbeMs))
+    this.app.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.refuseInvalid(err, socket))
+    // Restify's own answer is left out by not calling its callback.
+    this.app.on('restifyError', (req: IncomingMessage, res: ServerResponse, err: StatusError) => {
+      this.refuse(this.exchangeOf(req, res), routerFailure(err))
+    })
+  }
+
+  /**
+   * Adds a route.
+   * @param method - HTTP method
+   * @param path - path in restify's notation
+   * @param handler - answers the requests
+   */
+  route (method: RouteMethod, path: string, handler: ExchangeHandler): void {
+    const serve = (req: restify.Request, res: restify.Response, next: restify.Next): void => {
+      this.serve(this.exchangeOf(req, res), handler).then(() => {
+        if (res.headersSent) next()
+      })
+    }
+    if (method === 'GET') this.app.get(path, serve)
+    else this.app.post(path, serve)
+  }
+
+  /**
+   * Listens; resolves to the address in use, which tells the port when 0 was asked.
+   * @param address - IPv4:port
+   */
+  listen (address: string): Promise<string> {
+    const [host, port] = address.split(':')
+    return new Promise((resolve, reject) => {
+      this.node.once('error', reject)
+      this.app.listen(Number(port), host, () => {
+        this.node.off('error', reject)
+        const bound = this.node.address() as AddressInfo
+        resolve(`${bound.address}:${bound.port}`)
+      })
+    })
+  }
+
+  /** Stops accepting connections; resolves when all open requests are answered. */
+  close (): Promise<void> {
+    this.closing = true
+    return new Promise((resolve) => {
+      this.node.close(() => resolve())
+      this.node.closeIdleConnections()
+    })
+  }
+
+  /** Requests that are not answered yet. */
+  openRequests (): number {
+    return this.open.size
+  }
+
+  private get node (): Server {
+    return this.app.server as Server
+  }
+
+  private exchangeOf (req: IncomingMessage, res: ServerResponse): HttpExchange {
+    const exchange = new HttpExchange(req, res, this.deps.limits)
+    this.open.add(exchange)
+    if (this.closing) res.setHeader('Connection', 'close')
+    res.once('close', () => {
+      this.open.delete(exchange)
+      if (this.closing) setImmediate(() => this.node.closeIdleConnections())
+    })
+    return exchange
+  }
+
+  private async serve (exchange: HttpExchange, handler: ExchangeHandler): Promise<void> {
+    try {
+      const outcome = await handler(exchange)
+      outcome.ifLeft((failure) => this.refuse(exchange, failure))
+    } catch (err) {
+      this.fault(exchange, err)
+    }
+  }
+
+  private fault (exchange: HttpExchange, err: unknown): void {
+    this.deps.log.write('fault', { request: exchange.requestId, err })
+    exchange.refuse(new Failure('internal', `see the log for request ${exchange.requestId}`, { ran: 'unknown' }))
+  }
+
+  private refuse (exchange: HttpExchange, failure: Failure): void {
+    this.deps.log.write('requestRefused', {
+      request: exchange.requestId,
+      team: exchange.client,
+      code: failure.code,
+      ran: failure.ran,
+      retryAfterMs: failure.retryAfterMs
+    })
+    exchange.refuse(failure)
+  }
+
+  private refuseInvalid (err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const failure = parserFailure(err.code)
+    const exchange = [...this.open].find((candidate) => candidate.req.socket === socket)
+    if (exchange === undefined) refuseSocket(socket, failure)
+    else if (exchange.res.headersSent) socket.destroy()
+    else this.refuseAndClose(exchange, failure)
+  }
+
+  private refuseAndClose (exchange: HttpExchange, failure: Failure): void {
+    exchange.res.setHeader('Connection', 'close')
+    this.refuse(exchange, failure)
+  }
+}
