Add clients of the platform and the runners

Cause: the interfaces of the table service, object store, weight store, VM list, engines and application runners had no implementation.

Ruled out: automatic retries and redirects of got, since only the caller knows how to read back a lost write; telling "never connected" by error codes, since some of them also occur on connections in use (the timings that got keeps say whether the connection was made).

--- /dev/null
+++ b/packages/platform/src/objects/httpObjectStore.ts
@@ -0,0 +1,45 @@
+/**
+ * Client of the platform's object store.
+ */
+import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { HttpTransport } from '../http/httpTransport.js'
+import { readFailed, readRefused, writeLost, writeRefused } from '../http/platformFailure.js'
+import type { ObjectStore } from './objectTypes.js'
+
+/** The object store over HTTP. */
+export class HttpObjectStore implements ObjectStore {
+  private readonly transport: HttpTransport
+
+  /**
+   * @param baseUrl - where the store listens, without a slash at the end
+   * @param vm - name of this VM
+   * @param timeoutMs - milliseconds until a call is given up
+   */
+  constructor (private readonly baseUrl: string, vm: string, private readonly timeoutMs: number) {
+    this.transport = new HttpTransport({ vm, connectMs: timeoutMs })
+  }
+
+  async get (name: string): Promise<Either<Failure, Maybe<Buffer>>> {
+    const answer = await this.transport.call({ method: 'GET', url: this.urlOf(name), timeoutMs: this.timeoutMs })
+    return answer.mapLeft(lost => readFailed(lost.detail)).chain(res => {
+      if (res.status === 404) return Right(Nothing)
+      return res.status === 200 ? Right(Just(res.body)) : Left(readRefused(res))
+    })
+  }
+
+  async put (name: string, body: Buffer): Promise<Either<Failure, void>> {
+    const headers = { 'content-type': 'application/octet-stream' }
+    const answer = await this.transport.call({ method: 'PUT', url: this.urlOf(name), headers, body, timeoutMs: this.timeoutMs })
+    return answer.mapLeft(writeLost).chain(res => res.status === 204 ? Right(undefined) : Left(writeRefused(res)))
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    this.transport.close()
+  }
+
+  private urlOf (name: string): string {
+    return `${this.baseUrl}/objects/${encodeURIComponent(name)}`
+  }
+}
--- /dev/null
+++ b/packages/platform/src/table/httpTableStore.spec.ts
@@ -0,0 +1,97 @@
+/**
+ * Every way in which the table service may answer, or not answer, and what is concluded.
+ */
+import { expect } from 'chai'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { answers, breaksOff, closedAddress, drops, hangs, startTestServer, type TestHandler } from '../http/testServer.spec.js'
+import { HttpTableStore } from './httpTableStore.js'
+
+const TIMEOUT_MS = 200
+const KEY = { table: 'budgets', key: 'one' }
+const ROW = { ...KEY, version: 3, value: { paid: 5 }, updatedAt: 10 }
+const TX = { checks: [{ ...KEY, version: 3 }], writes: [{ ...KEY, value: { paid: 6 } }] }
+
+type Operation = 'read' | 'scan' | 'transact'
+
+async function run (baseUrl: string, operation: Operation): Promise<unknown> {
+  const store = new HttpTableStore(baseUrl, 'vm-1', TIMEOUT_MS)
+  const calls = {
+    read: () => store.read([KEY]),
+    scan: () => store.scan({ table: 'budgets', prefix: 'o', limit: 10 }),
+    transact: () => store.transact(TX)
+  }
+  const result = await calls[operation]()
+  store.close()
+  return result.extract()
+}
+
+function outcome (result: unknown): string {
+  return result instanceof Failure ? `${result.code} ${result.ran}` : 'right'
+}
+
+const redirect: TestHandler = (res, call, index) => {
+  if (index > 0) return answers(200, { version: 1, now: 1 })(res, call, index)
+  res.writeHead(303, { location: '/elsewhere' })
+  res.end()
+}
+
+const cases: readonly [title: string, operation: Operation, handler: TestHandler, expected: string][] = [
+  ['an answer', 'transact', answers(200, { version: 4, now: 11 }), 'right'],
+  ['a conflict', 'transact', answers(409, { conflicts: [KEY] }), 'platformConflict no'],
+  ['a conflict that does not fit', 'transact', answers(409, { error: 'other service' }), 'platformOutcomeUnknown unknown'],
+  ['an outage', 'transact', answers(503, {}), 'platformUnavailable no'],
+  ['an unexpected status', 'transact', answers(500, {}), 'platformOutcomeUnknown unknown'],
+  ['a redirect', 'transact', redirect, 'platformOutcomeUnknown unknown'],
+  ['an answer that does not fit', 'transact', answers(200, { version: 'four' }), 'platformOutcomeUnknown unknown'],
+  ['an answer that is no JSON', 'transact', res => { res.end('<html>') }, 'platformOutcomeUnknown unknown'],
+  ['a lost answer', 'transact', drops, 'platformOutcomeUnknown unknown'],
+  ['half an answer', 'transact', breaksOff, 'platformOutcomeUnknown unknown'],
+  ['no answer in time', 'transact', hangs, 'platformOutcomeUnknown unknown'],
+  ['an answer', 'read', answers(200, { rows: [ROW], now: 11 }), 'right'],
+  ['no such row', 'read', answers(200, { rows: [null], now: 11 }), 'right'],
+  ['too few rows', 'read', answers(200, { rows: [], now: 11 }), 'platformUnavailable no'],
+  ['another row', 'read', answers(200, { rows: [{ ...ROW, key: 'two' }], now: 11 }), 'platformUnavailable no'],
+  ['an outage', 'read', answers(503, {}), 'platformUnavailable no'],
+  ['a lost answer', 'read', drops, 'platformUnavailable no'],
+  ['half an answer', 'read', breaksOff, 'platformUnavailable no'],
+  ['no answer in time', 'read', hangs, 'platformUnavailable no'],
+  ['an answer', 'scan', answers(200, { rows: [ROW], now: 11 }), 'right'],
+  ['a row outside the prefix', 'scan', answers(200, { rows: [{ ...ROW, key: 'two' }], now: 11 }), 'platformUnavailable no']
+]
+
+describe('HttpTableStore', () => {
+  for (const [title, operation, handler, expected] of cases) {
+    it(`${operation}: ${title} is ${expected}, sent once`, async () => {
+      const server = await startTestServer(handler)
+      const result = await run(`http://${server.address}`, operation)
+      await server.close()
+      expect(outcome(result)).to.equal(expected)
+      expect(server.calls).to.have.length(1)
+      expect(server.calls[0]?.headers['x-vm']).to.equal('vm-1')
+    })
+  }
+
+  it('knows that nothing was written when nobody listens', async () => {
+    expect(outcome(await run(`http://${await closedAddress()}`, 'transact'))).to.equal('platformUnavailable no')
+  })
+
+  it('names the rows in conflict and the time to come back', async () => {
+    const handlers = [answers(409, { conflicts: [KEY] }), answers(503, {}, { 'retry-after': '2' })]
+    const server = await startTestServer((res, call, index) => handlers[index]?.(res, call, index))
+    const conflict = await run(`http://${server.address}`, 'transact') as Failure
+    const outage = await run(`http://${server.address}`, 'transact') as Failure
+    await server.close()
+    expect(conflict.errors).to.deep.equal(['budgets/one'])
+    expect(outage.retryAfterMs).to.equal(2000)
+  })
+
+  it('does not take a reused connection that breaks for one that was never made', async () => {
+    const server = await startTestServer((res, call, index) => index === 0 ? answers(200, { version: 4, now: 1 })(res, call, index) : drops(res, call, index))
+    const store = new HttpTableStore(`http://${server.address}`, 'vm-1', TIMEOUT_MS)
+    const results = [await store.transact(TX), await store.transact(TX)]
+    store.close()
+    await server.close()
+    expect(server.connections()).to.equal(1)
+    expect(results.map(result => outcome(result.extract()))).to.deep.equal(['right', 'platformOutcomeUnknown unknown'])
+  })
+})
--- /dev/null
+++ b/packages/platform/src/table/httpTableStore.ts
@@ -0,0 +1,95 @@
+/**
+ * Client of the platform's table service. It never repeats a transaction by itself: when the
+ * answer is lost, only the caller knows how to read back whether it took effect.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { HttpTransport, parseJson, type HttpAnswer, type LostCall } from '../http/httpTransport.js'
+import { outcomeUnknown, readFailed, readRefused, writeLost, writeRefused } from '../http/platformFailure.js'
+import {
+  readAnswerSchema, rowKeySchema, scanAnswerSchema, transactAnswerSchema,
+  type ReadAnswer, type Row, type RowKey, type ScanAnswer, type ScanRequest, type TableStore, type TransactAnswer, type Transaction
+} from './tableTypes.js'
+
+const conflictAnswerSchema = z.object({ conflicts: z.array(rowKeySchema) })
+
+function isRowOf (row: Row | null, key: RowKey | undefined): boolean {
+  return row === null || (row.table === key?.table && row.key === key.key)
+}
+
+function checkRead (keys: readonly RowKey[], answer: ReadAnswer): Either<string, ReadAnswer> {
+  const fits = answer.rows.length === keys.length && answer.rows.every((row, index) => isRowOf(row, keys[index]))
+  return fits ? Right(answer) : Left('the answer has other rows than asked')
+}
+
+function checkScan (req: ScanRequest, answer: ScanAnswer): Either<string, ScanAnswer> {
+  const fits = answer.rows.every(row => row.table === req.table && row.key.startsWith(req.prefix))
+  return fits ? Right(answer) : Left('the answer has other rows than asked')
+}
+
+function toConflict (answer: HttpAnswer): Failure {
+  return parseJson(conflictAnswerSchema, answer.body).caseOf({
+    Left: detail => outcomeUnknown(`status 409, but ${detail}`),
+    Right: ({ conflicts }) => new Failure('platformConflict', 'a check failed and nothing was written', {
+      errors: conflicts.map(item => `${item.table}/${item.key}`)
+    })
+  })
+}
+
+/** The table service over HTTP. */
+export class HttpTableStore implements TableStore {
+  private readonly transport: HttpTransport
+
+  /**
+   * @param baseUrl - where the service listens, without a slash at the end
+   * @param vm - name of this VM
+   * @param timeoutMs - milliseconds until a call is given up
+   */
+  constructor (private readonly baseUrl: string, vm: string, private readonly timeoutMs: number) {
+    this.transport = new HttpTransport({ vm, connectMs: timeoutMs })
+  }
+
+  async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    const body = { keys: keys.map(({ table, key }) => ({ table, key })) }
+    const answer = await this.query('read', body, readAnswerSchema)
+    return answer.chain(read => checkRead(keys, read).mapLeft(detail => readFailed(detail)))
+  }
+
+  async scan (req: ScanRequest): Promise<Either<Failure, ScanAnswer>> {
+    const answer = await this.query('scan', req, scanAnswerSchema)
+    return answer.chain(scan => checkScan(req, scan).mapLeft(detail => readFailed(detail)))
+  }
+
+  async transact (tx: Transaction): Promise<Either<Failure, TransactAnswer>> {
+    const answer = await this.post('transact', tx)
+    return answer.mapLeft(writeLost).chain(res => {
+      if (res.status === 409) return Left(toConflict(res))
+      if (res.status !== 200) return Left(writeRefused(res))
+      return parseJson(transactAnswerSchema, res.body).mapLeft(outcomeUnknown)
+    })
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    this.transport.close()
+  }
+
+  private async query<T> (operation: string, body: unknown, schema: z.ZodType<T>): Promise<Either<Failure, T>> {
+    const answer = await this.post(operation, body)
+    return answer.mapLeft(lost => readFailed(lost.detail)).chain(res => {
+      if (res.status !== 200) return Left(readRefused(res))
+      return parseJson(schema, res.body).mapLeft(detail => readFailed(detail))
+    })
+  }
+
+  private post (operation: string, body: unknown): Promise<Either<LostCall, HttpAnswer>> {
+    return this.transport.call({
+      method: 'POST',
+      url: `${this.baseUrl}/table/${operation}`,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      timeoutMs: this.timeoutMs
+    })
+  }
+}
--- /dev/null
+++ b/packages/platform/src/table/tableTransact.spec.ts
@@ -0,0 +1,183 @@
+/**
+ * Transactions under lost, late and refused answers: every sequence of outcomes up to a length
+ * is tried, and weaker ways of retrying are shown to break the promise on some of them.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { expect } from 'chai'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { transactUntilKnown, type TransactBuild, type TransactSettled, type WasApplied } from './tableTransact.js'
+import type { ReadAnswer, Row, RowKey, TableStore, Transaction } from './tableTypes.js'
+
+/** What happens to a transaction; `late` ones take effect only after the next read. */
+const OUTCOMES = ['ok', 'lostAfter', 'lostBefore', 'late', 'raced', 'down'] as const
+type Outcome = typeof OUTCOMES[number]
+
+const ATTEMPTS = 3
+const COUNTER = { table: 'budgets', key: 'one' }
+const MARKER = { table: 'topups', key: 'op' }
+const unknownOutcome = (): Failure => new Failure('platformOutcomeUnknown', 'lost', { ran: 'unknown' })
+const unavailable = (): Failure => new Failure('platformUnavailable', 'down')
+
+/** A table in memory that follows a script. */
+class ScriptedTable implements TableStore {
+  private readonly rows = new Map<string, Row>()
+  private version = 0
+  private late: Transaction[] = []
+  private sent = 0
+  private reads = 0
+
+  constructor (private readonly script: readonly Outcome[], private readonly readsDown: readonly boolean[]) {
+    this.apply({ checks: [], writes: [{ ...COUNTER, value: 0 }] })
+  }
+
+  async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    if (this.readsDown[this.reads++] === true) return Left(unavailable())
+    return Right({ rows: keys.map(key => this.row(key)), now: 0 })
+  }
+
+  async scan (): Promise<never> { throw new Error('not used') }
+
+  async transact (tx: Transaction) {
+    this.land()
+    const outcome = this.script[this.sent++] ?? 'ok'
+    if (outcome === 'down') return Left(unavailable())
+    if (outcome === 'lostBefore') return Left(unknownOutcome())
+    if (outcome === 'late') {
+      this.late.push(tx)
+      return Left(unknownOutcome())
+    }
+    if (outcome === 'raced') this.apply({ checks: [], writes: [{ ...COUNTER, value: this.counter() }] })
+    const applied = this.apply(tx)
+    if (outcome === 'lostAfter') return Left(unknownOutcome())
+    return applied ? Right({ version: this.version, now: 0 }) : Left(new Failure('platformConflict', 'raced'))
+  }
+
+  /** Lets late transactions take effect, if their checks still hold. */
+  land (): void {
+    this.late.forEach(tx => this.apply(tx))
+    this.late = []
+  }
+
+  counter (): number {
+    return this.row(COUNTER)?.value as number
+  }
+
+  private row (key: RowKey): Row | null {
+    return this.rows.get(`${key.table}/${key.key}`) ?? null
+  }
+
+  private apply (tx: Transaction): boolean {
+    if (tx.checks.some(check => check.version !== (this.row(check)?.version ?? null))) return false
+    this.version++
+    for (const { table, key, value } of tx.writes) {
+      this.rows.set(`${table}/${key}`, { table, key, value, version: this.version, updatedAt: 0 })
+    }
+    return true
+  }
+}
+
+const increment: TransactBuild = {
+  keys: [COUNTER, MARKER],
+  build: ({ rows: [counter, marker] }) => Right({
+    checks: [{ ...COUNTER, version: counter?.version ?? null }, { ...MARKER, version: marker?.version ?? null }],
+    writes: [{ ...COUNTER, value: (counter?.value as number) + 1 }, { ...MARKER, value: true }]
+  })
+}
+const hasMarker: WasApplied = rows => rows[1] != null
+const limits = { attempts: ATTEMPTS, pauseMs: 1, maxPauseMs: 4, pause: async (): Promise<void> => {} }
+
+type Way = (table: TableStore) => Promise<Either<Failure, unknown>>
+const product: Way = table => transactUntilKnown(table, increment, hasMarker, limits)
+/** Retries after a lost answer as after a conflict, without looking. */
+const withoutReadBack: Way = table => transactUntilKnown(table, increment, () => false, limits)
+/** Reads back once and takes a missing marker for the proof that nothing will be written. */
+const trustingOneReadBack: Way = async table => {
+  const before = (await table.read(increment.keys)).map(read => increment.build(read).unsafeCoerce())
+  if (before.isLeft()) return before
+  const answer = await table.transact(before.unsafeCoerce())
+  if (answer.isRight() || (answer.extract() as Failure).code !== 'platformOutcomeUnknown') return answer
+  const after = await table.read(increment.keys)
+  return after.chain(({ rows }): Either<Failure, unknown> => hasMarker(rows) ? Right(rows) : Left(unavailable()))
+}
+
+function sequencesOf<T> (items: readonly T[], length: number): T[][] {
+  if (length === 0) return [[]]
+  return sequencesOf(items, length - 1).flatMap(rest => items.map(item => [item, ...rest]))
+}
+
+/** Runs a way on one script; undefined when the promise held, else how it broke. */
+async function breach (way: Way, script: readonly Outcome[], readsDown: readonly boolean[]): Promise<string | undefined> {
+  const table = new ScriptedTable(script, readsDown)
+  const result = await way(table)
+  table.land()
+  const applied = table.counter()
+  if (applied > 1) return `applied ${applied} times`
+  if (result.isRight()) return applied === 1 ? undefined : 'said applied and was not'
+  return applied === 1 && (result.extract() as Failure).ran === 'no' ? 'said not applied and was' : undefined
+}
+
+async function breaches (way: Way): Promise<string[]> {
+  const found: string[] = []
+  for (const script of sequencesOf(OUTCOMES, ATTEMPTS)) {
+    for (const readsDown of sequencesOf([false, true], ATTEMPTS + 1)) {
+      const broken = await breach(way, script, readsDown)
+      if (broken !== undefined) found.push(broken)
+    }
+  }
+  return found
+}
+
+const cases: readonly [script: Outcome[], expected: string, applied: number][] = [
+  [['ok'], 'answered', 1],
+  [['lostAfter'], 'readBack', 1],
+  [['lostBefore', 'ok'], 'answered', 1],
+  [['late', 'ok'], 'readBack', 1],
+  [['raced', 'raced', 'ok'], 'answered', 1],
+  [['raced', 'raced', 'raced'], 'platformConflict', 0],
+  [['lostBefore', 'raced', 'raced'], 'platformConflict', 0],
+  [['lostBefore', 'lostBefore', 'late'], 'platformOutcomeUnknown', 1],
+  [['lostBefore', 'down', 'down'], 'platformOutcomeUnknown', 0],
+  [['down'], 'platformUnavailable', 0]
+]
+
+function howOrCode (result: Either<Failure, TransactSettled>): string {
+  return result.caseOf<string>({ Left: failure => failure.code, Right: settled => settled.how })
+}
+
+describe('transactUntilKnown', () => {
+  for (const [script, expected, applied] of cases) {
+    it(`${script.join(', ')}: ${expected}`, async () => {
+      const table = new ScriptedTable(script, [])
+      const result = await transactUntilKnown(table, increment, hasMarker, limits)
+      table.land()
+      expect(howOrCode(result)).to.equal(expected)
+      expect(table.counter()).to.equal(applied)
+    })
+  }
+
+  it('finds what an earlier run applied', async () => {
+    const table = new ScriptedTable([], [])
+    await product(table)
+    expect(howOrCode(await transactUntilKnown(table, increment, hasMarker, limits))).to.equal('before')
+    expect(table.counter()).to.equal(1)
+  })
+
+  it('refuses a transaction whose copies do not exclude each other', async () => {
+    const table = new ScriptedTable([], [])
+    const unguarded: TransactBuild = { ...increment, build: () => Right({ checks: [], writes: [{ ...COUNTER, value: 9 }] }) }
+    expect(howOrCode(await transactUntilKnown(table, unguarded, hasMarker, limits))).to.equal('internal')
+    expect(table.counter()).to.equal(0)
+  })
+
+  it('holds over every sequence of outcomes', async () => {
+    expect(await breaches(product)).to.deep.equal([])
+  })
+
+  it('would apply twice without reading back (counter-example)', async () => {
+    expect(await breaches(withoutReadBack)).to.include('applied 2 times')
+  })
+
+  it('would deny a late write when one read back were trusted (counter-example)', async () => {
+    expect(await breaches(trustingOneReadBack)).to.include('said not applied and was')
+  })
+})
--- /dev/null
+++ b/packages/platform/src/vmList/httpVmList.ts
@@ -0,0 +1,35 @@
+/**
+ * Client of the platform's list of VMs.
+ */
+import { Left, type Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { HttpTransport, parseJson } from '../http/httpTransport.js'
+import { readFailed, readRefused } from '../http/platformFailure.js'
+import { vmListAnswerSchema, type VmList, type VmListAnswer } from './vmListTypes.js'
+
+/** The VM list over HTTP. Failure: `platformUnavailable`. */
+export class HttpVmList implements VmList {
+  private readonly transport: HttpTransport
+
+  /**
+   * @param baseUrl - where the list is served, without a slash at the end
+   * @param vm - name of this VM
+   * @param timeoutMs - milliseconds until a call is given up
+   */
+  constructor (private readonly baseUrl: string, vm: string, private readonly timeoutMs: number) {
+    this.transport = new HttpTransport({ vm, connectMs: timeoutMs })
+  }
+
+  async list (): Promise<Either<Failure, VmListAnswer>> {
+    const answer = await this.transport.call({ method: 'GET', url: `${this.baseUrl}/vms`, timeoutMs: this.timeoutMs })
+    return answer.mapLeft(lost => readFailed(lost.detail)).chain(res => {
+      if (res.status !== 200) return Left(readRefused(res))
+      return parseJson(vmListAnswerSchema, res.body).mapLeft(detail => readFailed(detail))
+    })
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    this.transport.close()
+  }
+}
--- /dev/null
+++ b/packages/runners/src/application/httpApplicationClient.ts
@@ -0,0 +1,51 @@
+/**
+ * Client of application runners over HTTP. Body and answer are passed on whole; a call is never
+ * repeated or redirected. An answer that breaks off, or exceeds the limit, is no answer.
+ */
+import { Left, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { HttpTransport } from '@rosemaryspread/platform/http/httpTransport.js'
+import type { ApplicationAnswer, ApplicationCall, ApplicationClient } from './applicationTypes.js'
+
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
+
+/** Settings of the client. */
+export interface ApplicationClientSettings {
+  /** Name of this VM, sent as `x-vm`. */
+  readonly vm: string
+  /** Milliseconds for making a connection. */
+  readonly connectMs: number
+  /** Largest answer, in bytes. */
+  readonly maxBytes: number
+}
+
+/** Application runners over HTTP. Addresses are `IPv4:port`. Failures: `badRequest`, `runnerUnreachable`. */
+export class HttpApplicationClient implements ApplicationClient {
+  private readonly transport: HttpTransport
+
+  constructor (private readonly settings: ApplicationClientSettings) {
+    this.transport = new HttpTransport(settings)
+  }
+
+  async call (address: string, call: ApplicationCall): Promise<Either<Failure, ApplicationAnswer>> {
+    if (!call.path.startsWith('/')) return Left(new Failure('badRequest', 'the path has to begin with a slash'))
+    const answer = await this.transport.call({
+      method: call.method,
+      url: `http://${address}${call.path}`,
+      headers: { 'content-type': call.contentType, 'x-request-id': call.requestId },
+      ...(call.method === 'GET' && call.body.length === 0 ? {} : { body: call.body }),
+      timeoutMs: call.timeoutMs,
+      maxBytes: this.settings.maxBytes,
+      decompress: true
+    })
+    return answer.bimap(
+      lost => new Failure('runnerUnreachable', lost.detail, { ran: lost.connected ? 'unknown' : 'no' }),
+      res => ({ status: res.status, contentType: String(res.headers['content-type'] ?? DEFAULT_CONTENT_TYPE), body: res.body })
+    )
+  }
+
+  /** Closes all connections; calls in progress fail. */
+  close (): void {
+    this.transport.close()
+  }
+}
--- a/packages/runners/src/engine/engineTypes.ts
+++ b/packages/runners/src/engine/engineTypes.ts
@@ -102,6 +102,8 @@
 
 /** A stream in progress. */
 export interface EngineStream {
+  /** Holder that started the run, by the engine's header `x-run-holder`; another's when the submit joined a run. */
+  readonly holder: string
   readonly events: AsyncIterable<EngineEvent>
   /** Closes the connection without cancelling the run. */
   close (): void
--- /dev/null
+++ b/packages/runners/src/engine/httpEngineClient.ts
@@ -0,0 +1,189 @@
+/**
+ * Client of model engines over HTTP. One client serves all engines of a VM. It repeats nothing
+ * by itself; going on with a broken stream is decided in engineAnswer.ts.
+ */
+import type { Request, Response } from 'got'
+import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { HttpTransport, parseJson, toLostCall, type HttpAnswer, type HttpCall } from '@rosemaryspread/platform/http/httpTransport.js'
+import { answerUnfit, callRefused, orderRefused, runnerLost, submitRefused } from './engineFailure.js'
+import { HttpEngineStream, type StreamLimits, type StreamSubject } from './httpEngineStream.js'
+import {
+  cacheEventsSchema, loadReportSchema, runRecordSchema,
+  type CacheEvents, type EngineClient, type EngineOrder, type EngineRequest, type EngineStream, type LoadReport, type RunRecord
+} from './engineTypes.js'
+
+const EVENT_STREAM = 'text/event-stream'
+const JSON_HEADERS = { 'content-type': 'application/json' }
+
+const runListSchema = z.object({ runs: z.array(runRecordSchema) })
+const sealedSchema = z.object({ sealed: z.literal(true) })
+
+/** Settings of the client; all times in milliseconds. */
+export interface EngineClientSettings extends StreamLimits {
+  /** Name of this VM, sent as `x-vm`. */
+  readonly vm: string
+  readonly connectMs: number
+  /** For calls other than streams. */
+  readonly callMs: number
+}
+
+type Refusal = (status: number, headers: HttpAnswer['headers']) => Failure
+
+/** Waits for the status and headers of a streamed answer. */
+function responseOf (req: Request): Promise<Response> {
+  return new Promise((resolve, reject) => {
+    req.once('response', resolve)
+    req.on('error', reject)
+  })
+}
+
+function submitBody (req: EngineRequest): string {
+  return JSON.stringify({
+    model: req.model,
+    adapter: req.adapter,
+    messages: req.messages,
+    max_tokens: req.maxTokens,
+    stream: true
+  })
+}
+
+function submitHeaders (req: EngineRequest): Readonly<Record<string, string>> {
+  return {
+    ...JSON_HEADERS,
+    accept: EVENT_STREAM,
+    'x-request-id': req.requestId,
+    'x-run-digest': req.digest,
+    'x-holder': req.holder,
+    'x-team': req.team,
+    'x-budget': req.budget,
+    'x-priority': String(req.priority)
+  }
+}
+
+function runPath (requestId: string): string {
+  return `/v1/runs/${encodeURIComponent(requestId)}`
+}
+
+function recordOf (requestId: string) {
+  return runRecordSchema.refine(record => record.requestId === requestId, 'a record of another run')
+}
+
+/** Engines over HTTP. Addresses are `IPv4:port`. */
+export class HttpEngineClient implements EngineClient {
+  private readonly transport: HttpTransport
+
+  constructor (private readonly settings: EngineClientSettings) {
+    this.transport = new HttpTransport(settings)
+  }
+
+  submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>> {
+    const call: HttpCall = {
+      method: 'POST',
+      url: `http://${address}/v1/chat/completions`,
+      headers: submitHeaders(req),
+      body: submitBody(req),
+      timeoutMs: this.settings.firstEventMs
+    }
+    return this.open(call, { requestId: req.requestId, from: 0 }, submitRefused)
+  }
+
+  resume (address: string, requestId: string, sequence: number): Promise<Either<Failure, EngineStream>> {
+    const call: HttpCall = {
+      method: 'GET',
+      url: `http://${address}${runPath(requestId)}/events?from=${sequence}`,
+      headers: { accept: EVENT_STREAM },
+      timeoutMs: this.settings.firstEventMs
+    }
+    return this.open(call, { requestId, from: sequence }, callRefused)
+  }
+
+  async find (address: string, requestId: string): Promise<Either<Failure, Maybe<RunRecord>>> {
+    const answer = await this.call(address, 'GET', runPath(requestId))
+    return answer.chain(res => {
+      if (res.status === 404) return Right(Nothing)
+      return this.read(res, recordOf(requestId)).map(Just)
+    })
+  }
+
+  async listByHolder (address: string, holder: string): Promise<Either<Failure, readonly RunRecord[]>> {
+    const answer = await this.call(address, 'GET', `/v1/runs?holder=${encodeURIComponent(holder)}`)
+    const schema = runListSchema.refine(list => list.runs.every(run => run.holder === holder), 'a record of another holder')
+    return answer.chain(res => this.read(res, schema)).map(list => list.runs)
+  }
+
+  async cancel (address: string, requestId: string): Promise<Either<Failure, RunRecord>> {
+    const answer = await this.call(address, 'POST', `${runPath(requestId)}/cancel`)
+    return answer.chain(res => this.read(res, recordOf(requestId)))
+  }
+
+  async seal (address: string, requestId: string): Promise<Either<Failure, Maybe<RunRecord>>> {
+    const answer = await this.call(address, 'POST', `${runPath(requestId)}/seal`)
+    return answer.chain((res): Either<Failure, Maybe<RunRecord>> => {
+      if (res.status === 409) return parseJson(recordOf(requestId), res.body).bimap(answerUnfit, Just)
+      return this.read(res, sealedSchema).map(() => Nothing)
+    })
+  }
+
+  async load (address: string): Promise<Either<Failure, LoadReport>> {
+    const answer = await this.call(address, 'GET', '/load')
+    return answer.chain(res => this.read(res, loadReportSchema))
+  }
+
+  async cacheEvents (address: string, after: number): Promise<Either<Failure, CacheEvents>> {
+    const answer = await this.call(address, 'GET', `/cache-events?after=${after}`)
+    return answer.chain(res => this.read(res, cacheEventsSchema))
+  }
+
+  async order (address: string, order: EngineOrder): Promise<Either<Failure, void>> {
+    const answer = await this.call(address, 'POST', '/orders', order)
+    return answer.chain(res => res.status === 200 ? Right(undefined) : Left(orderRefused(res.status, res.headers)))
+  }
+
+  /** Closes all connections; streams in progress are cut. */
+  close (): void {
+    this.transport.close()
+  }
+
+  private async open (
+    call: HttpCall, subject: Omit<StreamSubject, 'holder'>, refused: Refusal
+  ): Promise<Either<Failure, EngineStream>> {
+    const req = this.transport.stream(call)
+    try {
+      const res = await responseOf(req)
+      const problem = this.unfit(res, refused)
+      if (problem === undefined) return Right(this.toStream(req, res, subject))
+      req.destroy()
+      return Left(problem)
+    } catch (err) {
+      return Left(runnerLost(toLostCall(err)))
+    }
+  }
+
+  private unfit (res: Response, refused: Refusal): Failure | undefined {
+    if (res.statusCode !== 200) return refused(res.statusCode, res.headers)
+    const contentType = res.headers['content-type'] ?? ''
+    return contentType.startsWith(EVENT_STREAM) ? undefined : answerUnfit(`content type '${contentType}'`)
+  }
+
+  private toStream (req: Request, res: Response, subject: Omit<StreamSubject, 'holder'>): EngineStream {
+    const holder = res.headers['x-run-holder']
+    return new HttpEngineStream(req, { ...subject, holder: typeof holder === 'string' ? holder : '' }, this.settings)
+  }
+
+  private async call (address: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Either<Failure, HttpAnswer>> {
+    const answer = await this.transport.call({
+      method,
+      url: `http://${address}${path}`,
+      ...(body === undefined ? {} : { headers: JSON_HEADERS, body: JSON.stringify(body) }),
+      timeoutMs: this.settings.callMs
+    })
+    return answer.mapLeft(runnerLost)
+  }
+
+  private read<T> (res: HttpAnswer, schema: z.ZodType<T>): Either<Failure, T> {
+    if (res.status !== 200) return Left(callRefused(res.status, res.headers))
+    return parseJson(schema, res.body).mapLeft(answerUnfit)
+  }
+}
