Add the scenario language and its runner

Cause: promises have to be shown under failure against separate processes. Change: YAML scenarios checked with errors by line; a runner that starts stand-ins and VMs on loopback, cuts them at fake links and control ports, signals them, records callers, and judges the history at rest.

--- /dev/null
+++ b/packages/stand-ins/src/scenario/callers/testOperator.ts
@@ -0,0 +1,89 @@
+/**
+ * An operator over the admin API of a VM.
+ */
+import { createHash } from 'node:crypto'
+import got from 'got'
+import { z } from 'zod'
+import { configAnswerSchema } from '@rosemaryspread/operators/admin/adminTypes.js'
+
+const OPERATOR_KEY = 'scenario-operator-key'
+const AUTHOR = 'scenario'
+const CALL_LIMIT_MS = 20_000
+
+/** Hash of the operator's key, for the settings of VMs. */
+export const operatorKeyHash = createHash('sha256').update(OPERATOR_KEY).digest('hex')
+
+/** How a call ended: its status, 0 when the answer was lost, and the name of the failure. */
+export interface OperatorOutcome {
+  readonly status: number
+  readonly name: string | undefined
+}
+
+/** One RFC 6902 operation. */
+export type PatchOperation = Readonly<Record<string, unknown>>
+
+/** What a patch call says. */
+export interface PatchCall {
+  readonly base: number
+  readonly patchId: string
+  readonly patch: readonly PatchOperation[]
+}
+
+const problemSchema = z.object({ name: z.string() })
+
+/** Calls the admin API. */
+export class TestOperator {
+  /**
+   * Sends a patch.
+   * @param baseUrl - address of a VM for operators
+   * @param call - the patch
+   */
+  async patch (baseUrl: string, call: PatchCall): Promise<OperatorOutcome> {
+    return await this.post(`${baseUrl}/admin/v1/config/patches`, { ...call, author: AUTHOR })
+  }
+
+  /**
+   * Sends a top-up.
+   * @param baseUrl - address of a VM for operators
+   * @param budget - the budget
+   * @param operationId - id of the top-up, the same for repeats
+   * @param tokens - tokens paid
+   */
+  async topUp (baseUrl: string, budget: string, operationId: string, tokens: number): Promise<OperatorOutcome> {
+    return await this.post(`${baseUrl}/admin/v1/budgets/${budget}/topups`, { operationId, tokens, author: AUTHOR })
+  }
+
+  /**
+   * The version that a VM names, or nothing when it cannot.
+   * @param baseUrl - address of a VM for operators
+   */
+  async version (baseUrl: string): Promise<number | undefined> {
+    const answer = await got.get(`${baseUrl}/admin/v1/config`, this.options()).catch(() => undefined)
+    if (answer?.statusCode !== 200) return undefined
+    return configAnswerSchema.parse(JSON.parse(answer.body)).version
+  }
+
+  private async post (url: string, json: object): Promise<OperatorOutcome> {
+    const answer = await got.post(url, { ...this.options(), json }).catch(() => undefined)
+    if (answer === undefined) return { status: 0, name: undefined }
+    if (answer.statusCode < 400) return { status: answer.statusCode, name: undefined }
+    return { status: answer.statusCode, name: nameOf(answer.body) }
+  }
+
+  private options () {
+    return {
+      headers: { authorization: `Bearer ${OPERATOR_KEY}` },
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: CALL_LIMIT_MS }
+    }
+  }
+}
+
+function nameOf (body: string): string | undefined {
+  try {
+    return problemSchema.safeParse(JSON.parse(body)).data?.name
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/fleet/fleet.ts
@@ -0,0 +1,248 @@
+/**
+ * All processes of one scenario on loopback: stand-ins, VMs, links between VMs.
+ */
+import { join } from 'node:path'
+import type { HistoryRecord } from '../../history/historyTypes.js'
+import { TestOperator } from '../callers/testOperator.js'
+import type { FleetHead } from '../language/scenarioSchema.js'
+import { FakeLink } from './fakeLink.js'
+import { firstPatch, vmSettings, type PlatformUrls } from './fleetConfig.js'
+import { takePort } from './freePorts.js'
+import { Network } from './network.js'
+import { StandInProcess } from './standInProcess.js'
+import { VmProcess } from './vmProcess.js'
+import { waitFor } from './waiting.js'
+
+const PLATFORM = ['table', 'objects', 'weights', 'vm-list'] as const
+const VM_LIST_LAG_MS = 300
+const START_LIMIT_MS = 30_000
+const DRAIN_LIMIT_MS = 60_000
+const FIRST_PATCH = 'scenario-first'
+
+/** How a fleet is brought up. */
+export interface FleetOptions {
+  readonly head: FleetHead
+  /** Where settings and output of all processes are kept. */
+  readonly folder: string
+  /** Whether VMs reach each other over links that can be cut. */
+  readonly links: boolean
+  /** Name of a weaker decider for all VMs. */
+  readonly weakness: string | undefined
+}
+
+/** The processes of one scenario. */
+export class Fleet {
+  readonly records: HistoryRecord[] = []
+  readonly vms = new Map<string, VmProcess>()
+  readonly standIns = new Map<string, StandInProcess>()
+  readonly operator = new TestOperator()
+  readonly network: Network
+  private readonly links = new Map<string, FakeLink>()
+  private readonly listed = new Map<string, 'live' | 'leaving' | 'gone'>()
+
+  private constructor (private readonly options: FleetOptions) {
+    this.network = new Network(this.links, this.standIns, name => this.namesIn(name), record => this.note(record))
+  }
+
+  /**
+   * Starts everything and brings the scenario's configuration and budgets into force.
+   * @param options - what to start
+   */
+  static async start (options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options)
+    try {
+      await fleet.startStandIns()
+      await fleet.prepareVms()
+      const first = Object.keys(options.head.vms).filter(vm => !options.head.later.includes(vm))
+      await Promise.all(first.map(async vm => await fleet.launch(vm)))
+      await fleet.configure(first)
+      return fleet
+    } catch (err) {
+      await fleet.end()
+      throw err
+    }
+  }
+
+  vm (name: string): VmProcess {
+    const vm = this.vms.get(name)
+    if (vm === undefined) throw new Error(`there is no VM '${name}'`)
+    return vm
+  }
+
+  standIn (name: string): StandInProcess {
+    const standIn = this.standIns.get(name)
+    if (standIn === undefined) throw new Error(`there is no stand-in '${name}'`)
+    return standIn
+  }
+
+  note (record: HistoryRecord): void {
+    this.records.push(record)
+  }
+
+  /** @param name - a VM to start, or to start again */
+  async startVm (name: string): Promise<void> {
+    await this.launch(name)
+    await this.vm(name).ready()
+    this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+  }
+
+  /** @param name - a VM to end without warning */
+  async killVm (name: string): Promise<void> {
+    this.note({ kind: 'vmDown', at: Date.now(), vm: name, cause: 'killed' })
+    await this.vm(name).kill()
+    await this.list(name, 'gone')
+  }
+
+  /** @param name - a VM to stop gracefully; does not wait for its end */
+  async stopVm (name: string): Promise<void> {
+    const vm = this.vm(name)
+    if (!vm.running || vm.ending) return
+    this.note({ kind: 'vmDown', at: Date.now(), vm: name, cause: 'stopped' })
+    vm.ending = true
+    vm.signal('SIGTERM')
+    await this.list(name, 'leaving')
+    vm.exited().then(async () => await this.list(name, 'gone')).catch(() => {})
+  }
+
+  /** @param name - a VM to pause */
+  freezeVm (name: string): void {
+    this.note({ kind: 'vmDown', at: Date.now(), vm: name, cause: 'frozen' })
+    this.vm(name).frozen = true
+    this.vm(name).signal('SIGSTOP')
+  }
+
+  /** @param name - a VM to wake */
+  thawVm (name: string): void {
+    this.vm(name).signal('SIGCONT')
+    this.vm(name).frozen = false
+    this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+  }
+
+  /**
+   * Begins or ends an outage of a stand-in.
+   * @param name - its name
+   * @param outage - whether it is out
+   */
+  async setOutage (name: string, outage: boolean): Promise<void> {
+    if (name === 'table' && outage) this.note({ kind: 'tableDown', at: Date.now() })
+    await this.standIn(name).control({ outage })
+    if (name === 'table' && !outage) this.note({ kind: 'tableUp', at: Date.now() })
+  }
+
+  /** Ends all cuts, outages and slowness, and wakes all VMs. */
+  async healAll (): Promise<void> {
+    await this.network.healAll()
+    await Promise.all([...this.standIns.values()].map(async standIn => await standIn.control({ outage: false, slowMs: 0, loseAnswers: 0, refuse: false })))
+    this.note({ kind: 'tableUp', at: Date.now() })
+    for (const vm of this.vms.values()) if (vm.frozen && vm.running) this.thawVm(vm.name)
+  }
+
+  /** Stops all VMs gracefully and waits for their ends; answers the names of those that ended badly. */
+  async stopAll (): Promise<readonly string[]> {
+    const running = [...this.vms.values()].filter(vm => vm.running)
+    await Promise.all(running.map(async vm => await this.stopVm(vm.name)))
+    await waitFor('all VMs to stop', DRAIN_LIMIT_MS, () => running.every(vm => !vm.running))
+    return running.filter(vm => vm.exitCode !== 0).map(vm => `${vm.name} (exit ${vm.exitCode})`)
+  }
+
+  /** VMs that ended though nobody told them to. */
+  crashed (): readonly string[] {
+    return [...this.vms.values()].filter(vm => vm.exitCode !== undefined && !vm.ending).map(vm => `${vm.name} (exit ${vm.exitCode})`)
+  }
+
+  /** All records of stand-ins and VMs so far. */
+  async history (): Promise<readonly HistoryRecord[]> {
+    const seen = await Promise.all([...this.standIns.values()].map(async standIn => await standIn.history()))
+    return [...this.records, ...seen.flat(), ...[...this.vms.values()].flatMap(vm => vm.records)]
+  }
+
+  /** Ends all processes at once. */
+  async end (): Promise<void> {
+    for (const link of this.links.values()) link.close()
+    await Promise.all([...this.vms.values()].map(async vm => await vm.kill()))
+    await Promise.all([...this.standIns.values()].map(async standIn => await standIn.end()))
+  }
+
+  private namesIn (name: string): readonly string[] {
+    const inDomain = [...this.vms.values()].filter(vm => vm.domain === name).map(vm => vm.name)
+    const engines = Object.entries(this.options.head.engines).filter(([, engine]) => engine.domain === name).map(([engine]) => engine)
+    const services = Object.values(this.options.head.services).flatMap(service => Object.entries(service.runners))
+    const applications = services.filter(([, domain]) => domain === name).map(([runner]) => runner)
+    const all = [...inDomain, ...engines, ...applications]
+    if (all.length > 0) return all
+    if (!this.vms.has(name) && !this.standIns.has(name)) throw new Error(`there is no VM, stand-in or failure domain '${name}'`)
+    return [name]
+  }
+
+  private async startStandIns (): Promise<void> {
+    const { engines, services } = this.options.head
+    const engineArgs = Object.entries(engines).map(([name, engine]) => [name, [
+      'engine', '--name', name, '--slots', String(engine.slots), '--models', engine.models.join(','),
+      '--ms-per-token', String(engine.msPerToken), ...(engine.checksFencing ? [] : ['--no-checks-fencing'])
+    ]] as const)
+    const applicationArgs = Object.entries(services).flatMap(([service, { runners }]) =>
+      Object.keys(runners).map(name => [name, ['application', '--name', name, '--service', service]] as const))
+    const platformArgs = PLATFORM.map(name =>
+      [name, name === 'vm-list' ? [name, '--lag-ms', String(VM_LIST_LAG_MS)] : [name]] as const)
+    for (const [name, args] of [...platformArgs, ...engineArgs, ...applicationArgs]) {
+      const ports = { listen: await takePort(), control: await takePort() }
+      this.standIns.set(name, new StandInProcess(name, args, ports, join(this.options.folder, `${name}.log`)))
+    }
+    await Promise.all([...this.standIns.values()].map(async standIn => await standIn.ready()))
+  }
+
+  private async prepareVms (): Promise<void> {
+    const { head, folder, links, weakness } = this.options
+    for (const [name, domain] of Object.entries(head.vms)) {
+      const [callers, operators, peers] = [await takePort(), await takePort(), await takePort()]
+      const ports = { callers, operators, peers, link: links ? await takePort() : peers }
+      const settings = vmSettings(head, name, ports, this.platformUrls())
+      this.vms.set(name, new VmProcess(name, domain, ports, folder, settings, weakness))
+      const link = new FakeLink(ports.link, ports.peers)
+      this.links.set(name, link)
+      if (links) await link.open()
+    }
+  }
+
+  private platformUrls (): PlatformUrls {
+    const url = (name: typeof PLATFORM[number]): string => this.standIn(name).url
+    return { table: url('table'), objects: url('objects'), weights: url('weights'), vmList: url('vm-list') }
+  }
+
+  private async launch (name: string): Promise<void> {
+    await this.list(name, 'live')
+    await this.vm(name).start()
+  }
+
+  private async list (name: string, state: 'live' | 'leaving' | 'gone'): Promise<void> {
+    this.listed.set(name, state)
+    const vms = [...this.listed].map(([vm, listed]) => {
+      const { domain, ports } = this.vm(vm)
+      return { vm, domain, address: `127.0.0.1:${ports.callers}`, state: listed }
+    })
+    await this.standIn('vm-list').post('/control/vms', { vms })
+  }
+
+  private async configure (started: readonly string[]): Promise<void> {
+    const url = this.vm(started[0]!).operatorsUrl
+    const patch = firstPatch(this.options.head, runner => this.standIn(runner).url.replace('http://', ''))
+    await this.insist('the first configuration', async () => await this.operator.patch(url, { base: 0, patchId: FIRST_PATCH, patch }))
+    for (const [budget, tokens] of Object.entries(this.options.head.budgets)) {
+      await this.insist(`the payment of ${budget}`, async () => await this.operator.topUp(url, budget, `first-${budget}`, tokens))
+    }
+    await Promise.all(started.map(async name => {
+      await this.vm(name).ready()
+      await waitFor(`the configuration at VM ${name}`, START_LIMIT_MS, () => this.vm(name).versionInForce > 0)
+      this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+    }))
+  }
+
+  private async insist (what: string, call: () => Promise<{ readonly status: number, readonly name: string | undefined }>): Promise<void> {
+    let last = ''
+    await waitFor(what, START_LIMIT_MS, async () => {
+      const { status, name } = await call()
+      last = `${status} ${name ?? ''}`
+      return status >= 200 && status < 300
+    }).catch((err: unknown) => { throw new Error(`${String(err)}; last answer ${last}`) })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/language/scenarioParser.ts
@@ -0,0 +1,108 @@
+/**
+ * Reads scenario files. Every mistake is reported with its line; nothing runs before a file is
+ * free of them.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { isMap, isSeq, LineCounter, parseDocument, type Document, type ParsedNode } from 'yaml'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { historyRules } from '../../history/historyChecker.js'
+import { fleetSchema, verbSchemas, type FleetHead, type Scenario, type Step, type Verb } from './scenarioSchema.js'
+
+const ruleNames = historyRules.map(rule => rule.name)
+
+const headSchema = z.strictObject({
+  title: z.string().min(1),
+  promises: z.array(z.string().refine(name => ruleNames.includes(name), `use names of rules: ${ruleNames.join(', ')}`)).min(1),
+  fleet: fleetSchema,
+  steps: z.array(z.unknown()).min(1)
+})
+
+type Path = ReadonlyArray<string | number>
+
+/** Reads one file, collecting mistakes. */
+class ScenarioReader {
+  readonly errors: string[] = []
+  private readonly lines = new LineCounter()
+  private readonly document: Document.Parsed
+
+  constructor (text: string) {
+    this.document = parseDocument(text, { lineCounter: this.lines })
+    for (const err of this.document.errors) this.errors.push(`line ${err.linePos?.[0].line ?? 1}: ${err.message.split('\n')[0]}`)
+  }
+
+  read (): Scenario | undefined {
+    if (this.errors.length > 0) return undefined
+    const head = this.check(headSchema, this.document.toJS(), [])
+    if (head === undefined) return undefined
+    const steps = this.readSteps(['steps'])
+    this.checkNames(head.fleet)
+    return { title: head.title, promises: head.promises, fleet: head.fleet, steps }
+  }
+
+  private readSteps (path: Path): Step[] {
+    const node = this.document.getIn(path, true)
+    if (!isSeq(node)) {
+      this.mistake(path, 'use a list of steps')
+      return []
+    }
+    return node.items.flatMap((_, index) => this.readStep([...path, index]) ?? [])
+  }
+
+  private readStep (path: Path): Step | undefined {
+    const node = this.document.getIn(path, true)
+    if (!isMap(node) || node.items.length !== 1) return this.mistake(path, 'a step is a map with one verb')
+    const verb = String(node.items[0]?.key)
+    const line = this.lineOf(path)
+    if (verb === 'race') return { verb, value: this.readSteps([...path, verb]), line }
+    if (!Object.hasOwn(verbSchemas, verb)) {
+      return this.mistake(path, `there is no verb '${verb}'; use one of: ${Object.keys(verbSchemas).join(', ')}, race`)
+    }
+    const value = this.check(verbSchemas[verb as Verb], (node.toJSON() as Record<string, unknown>)[verb], [...path, verb])
+    return value === undefined ? undefined : { verb, value, line } as Step
+  }
+
+  private checkNames (fleet: FleetHead): void {
+    for (const [team, { budget }] of Object.entries(fleet.teams)) {
+      if (fleet.budgets[budget] === undefined) this.mistake(['fleet', 'teams', team], `there is no budget '${budget}'`)
+    }
+    for (const [index, vm] of fleet.later.entries()) {
+      if (fleet.vms[vm] === undefined) this.mistake(['fleet', 'later', index], `there is no VM '${vm}'`)
+    }
+  }
+
+  private check<Schema extends z.ZodType> (schema: Schema, value: unknown, path: Path): z.infer<Schema> | undefined {
+    const parsed = schema.safeParse(value)
+    if (parsed.success) return parsed.data
+    for (const issue of parsed.error.issues) {
+      const at = [...path, ...issue.path.filter(part => typeof part !== 'symbol')]
+      this.mistake(at, `${at.join('.')}: ${issue.message}`)
+    }
+    return undefined
+  }
+
+  private mistake (path: Path, text: string): undefined {
+    this.errors.push(`line ${this.lineOf(path)}: ${text}`)
+  }
+
+  /** Line of the node at a path, or of its nearest parent that exists. */
+  private lineOf (path: Path): number {
+    for (let length = path.length; length > 0; length--) {
+      const node = this.document.getIn(path.slice(0, length), true) as ParsedNode | undefined
+      if (node?.range != null) return this.lines.linePos(node.range[0]).line
+    }
+    return 1
+  }
+}
+
+/**
+ * Parses the text of a scenario file.
+ * @param text - YAML
+ * @returns `badRequest` with one error for each mistake, by line
+ */
+export function parseScenario (text: string): Either<Failure, Scenario> {
+  const reader = new ScenarioReader(text)
+  const scenario = reader.read()
+  if (scenario !== undefined && reader.errors.length === 0) return Right(scenario)
+  return Left(new Failure('badRequest', 'The scenario has mistakes', { errors: reader.errors }))
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/soak/soak.ts
@@ -0,0 +1,39 @@
+/**
+ * Random scenarios from a seed, over the same vocabulary, one after another for some minutes.
+ */
+import { rm } from 'node:fs/promises'
+import { join } from 'node:path'
+import { runScenario } from '../scenarioRun.js'
+import { randomScenario } from './randomScenario.js'
+
+const MS_PER_MINUTE = 60_000
+
+/** Options of a soak. */
+export interface SoakOptions {
+  readonly seed: string
+  readonly minutes: number
+  readonly folder: string
+}
+
+/**
+ * Runs random scenarios until the time is over; folders of runs that failed stay.
+ * @param options - seed, length and place
+ * @returns whether all promises held
+ */
+export async function soak ({ seed, minutes, folder }: SoakOptions): Promise<boolean> {
+  const end = Date.now() + minutes * MS_PER_MINUTE
+  const broken: string[] = []
+  let rounds = 0
+  while (Date.now() < end) {
+    const round = `${seed}-${rounds++}`
+    const verdict = await runScenario(randomScenario(round), { folder: join(folder, round) })
+    console.log(`${verdict.passed ? 'ok    ' : 'FAILED'} round ${round} (${verdict.ms} ms, ${verdict.records} records)`)
+    if (verdict.passed) await rm(verdict.folder, { recursive: true })
+    else {
+      broken.push(round)
+      console.log(`${verdict.report}\nhistory: ${verdict.folder}`)
+    }
+  }
+  console.log(`soak: seed ${seed}, ${rounds} rounds, ${broken.length} with broken promises${broken.length === 0 ? '' : `: ${broken.join(' ')}`}`)
+  return broken.length === 0
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/steps/conditions.ts
@@ -0,0 +1,79 @@
+/**
+ * Conditions that `until` waits for and `expect` checks.
+ */
+import type { HistoryRecord } from '../../history/historyTypes.js'
+import type { Fleet } from '../fleet/fleet.js'
+import type { Condition } from '../language/scenarioSchema.js'
+import { describeOutcome, fitsExpectation } from './outcomeText.js'
+import type { RequestBook } from './requestBook.js'
+import type { RequestSteps } from './requestSteps.js'
+
+/** Judges conditions over the present state of a scenario. */
+export class Conditions {
+  /**
+   * @param fleet - the processes
+   * @param book - requests by name
+   * @param requests - progress of loads
+   */
+  constructor (private readonly fleet: Fleet, private readonly book: RequestBook, private readonly requests: RequestSteps) {}
+
+  /**
+   * What does not hold yet; empty when the condition is met.
+   * @param condition - the condition
+   */
+  async unmet (condition: Condition): Promise<readonly string[]> {
+    return [
+      ...this.unmetRequest(condition),
+      ...await this.unmetRuns(condition),
+      ...await this.unmetVersion(condition),
+      ...this.unmetVm(condition),
+      ...this.unmetLoad(condition)
+    ]
+  }
+
+  private unmetRequest ({ request, pieces, outcome, sameAs }: Condition): string[] {
+    if (request === undefined) return []
+    const { asks } = this.book.get(request)
+    const last = asks.at(-1)
+    const unmet: string[] = []
+    if (pieces !== undefined && (last?.pieces ?? 0) < pieces) unmet.push(`request ${request} has ${last?.pieces ?? 0} pieces`)
+    if (outcome !== undefined && !fitsExpectation(last, outcome)) unmet.push(`request ${request}: ${asks.map(describeOutcome).join(', ')}`)
+    if (sameAs !== undefined && last?.text !== this.book.get(sameAs).asks.at(-1)?.text) unmet.push(`the texts of ${request} and ${sameAs} differ`)
+    return unmet
+  }
+
+  private async unmetRuns ({ request, ran }: Condition): Promise<string[]> {
+    if (request === undefined || ran === undefined) return []
+    const ids = new Set(this.book.get(request).asks.map(ask => ask.requestId))
+    const runs = (await this.fleet.history()).filter(record => record.kind === 'ran' && ids.has(record.requestId))
+    return runs.length === ran ? [] : [`request ${request} ran ${runs.length} times`]
+  }
+
+  private async unmetVersion ({ inForce }: Condition): Promise<string[]> {
+    if (inForce === undefined) return []
+    const wanted = inForce === 'latest' ? latestAccepted(await this.fleet.history()) : inForce
+    return [...this.fleet.vms.values()]
+      .filter(vm => vm.up && vm.versionInForce < wanted)
+      .map(vm => `VM ${vm.name} has version ${vm.versionInForce} of ${wanted}`)
+  }
+
+  private unmetVm ({ stopped, vm, logged }: Condition): string[] {
+    const unmet: string[] = []
+    if (stopped !== undefined && this.fleet.vm(stopped).running) unmet.push(`VM ${stopped} runs`)
+    if (vm !== undefined && logged !== undefined && !this.fleet.vm(vm).lines.some(line => line.event === logged)) {
+      unmet.push(`VM ${vm} has not logged ${logged}`)
+    }
+    return unmet
+  }
+
+  private unmetLoad ({ load, answered }: Condition): string[] {
+    if (load === undefined) return []
+    const progress = this.requests.loads.get(load)
+    const found = progress?.answered ?? 0
+    return found >= (answered ?? 0) ? [] : [`load ${load} has ${found} answers, ${progress?.ended ?? 0} ended`]
+  }
+}
+
+function latestAccepted (records: readonly HistoryRecord[]): number {
+  return Math.max(0, ...records.map(record => record.kind === 'configAccepted' ? record.version : 0))
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/steps/operatorSteps.ts
@@ -0,0 +1,53 @@
+/**
+ * Steps of operators: patches and top-ups, repeated under the same id when the outcome is not known.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { OperatorOutcome } from '../callers/testOperator.js'
+import type { Fleet } from '../fleet/fleet.js'
+import type { PatchStep, TopUpStep } from '../language/scenarioSchema.js'
+
+const RETRY_PAUSE_MS = 200
+
+/** Carries out the steps of operators. */
+export class OperatorSteps {
+  /** @param fleet - the VMs */
+  constructor (private readonly fleet: Fleet) {}
+
+  /** @param step - a patch of the configuration */
+  async patch (step: PatchStep): Promise<void> {
+    const url = this.fleet.vm(step.vm).operatorsUrl
+    const base = step.base ?? await this.fleet.operator.version(url)
+    if (base === undefined) throw new Error(`VM ${step.vm} names no version to patch`)
+    const call = { base, patchId: step.id, patch: step.ops }
+    await this.insist(`patch ${step.id}`, step, async () => await this.fleet.operator.patch(url, call))
+  }
+
+  /** @param step - a top-up */
+  async topUp (step: TopUpStep): Promise<void> {
+    const url = this.fleet.vm(step.vm).operatorsUrl
+    await this.insist(`top-up ${step.id}`, step, async () => await this.fleet.operator.topUp(url, step.budget, step.id, step.tokens))
+  }
+
+  private async insist (what: string, step: PatchStep | TopUpStep, call: () => Promise<OperatorOutcome>): Promise<void> {
+    const outcomes: OperatorOutcome[] = []
+    for (let number = 0; number <= step.retries; number++) {
+      if (number > 0) await sleep(RETRY_PAUSE_MS)
+      const outcome = await call()
+      outcomes.push(outcome)
+      if (isAccepted(outcome) || isFinal(outcome)) break
+    }
+    const last = outcomes.at(-1)
+    const found = last !== undefined && isAccepted(last) ? 'accepted' : 'refused'
+    if (step.expect === 'any' || step.expect === found) return
+    throw new Error(`${what} was expected to be ${step.expect}, but: ${outcomes.map(({ status, name }) => `${status} ${name ?? ''}`).join(', ')}`)
+  }
+}
+
+function isAccepted ({ status }: OperatorOutcome): boolean {
+  return status >= 200 && status < 300
+}
+
+/** Whether asking again under the same id cannot change the outcome. */
+function isFinal ({ status }: OperatorOutcome): boolean {
+  return status >= 400 && status < 500
+}
