Add the stand-in processes for the platform and the runners

Cause: VMs need a table, stores, engines and services to run against, and failure tests need these to misbehave on order. Ruled out: restify for the stand-ins, since one port with faults around every call and a port that closes and opens again needed less code on node:http. Change: one program with subcommands table, objects, weights, vm-list, engine, application; each has a control port for outage, slowness, lost answers, closed port and cut VMs, and answers what it saw as history records. The engine batches continuously, joins, resumes, cancels and seals runs, reports load late and cache events late and with gaps.

--- /dev/null
+++ b/packages/stand-ins/src/application/applicationRoutes.ts
@@ -0,0 +1,84 @@
+/**
+ * An application runner: a plain service that carries out every call it gets and counts each, so
+ * that a call which ran twice shows. It knows nothing of request ids but to record them.
+ */
+import { createHash } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { HistoryLog } from '../control/historyLog.js'
+import type { HttpAnswer, HttpRequest, HttpRoute } from '../control/httpTypes.js'
+import type { StandInParts } from '../control/standIn.js'
+
+const CONFIRMATION_LENGTH = 8
+
+/** Options of an application runner. */
+export interface ApplicationOptions {
+  /** Runner id as in the fleet configuration. */
+  readonly name: string
+  readonly service: string
+  /** Milliseconds that one call takes. */
+  readonly delayMs: number
+}
+
+/** One call that was carried out. */
+export interface Execution {
+  readonly execution: number
+  readonly at: number
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly digest: string
+}
+
+/** Carries calls out. */
+class Application {
+  readonly executions: Execution[] = []
+
+  constructor (private readonly options: ApplicationOptions, private readonly history: HistoryLog) {}
+
+  async serve (req: HttpRequest): Promise<HttpAnswer> {
+    const execution = this.begin(req)
+    await sleep(this.options.delayMs)
+    const body = JSON.stringify(this.answer(execution))
+    const { requestId } = execution
+    this.history.add({ kind: 'ended', at: Date.now(), requestId, runner: this.options.name, state: 'finished', text: body, tokens: 0 })
+    const status = execution.method === 'POST' ? 201 : 200
+    return { status, body, headers: { 'content-type': 'application/json' }, effect: execution.method === 'POST' }
+  }
+
+  private begin (req: HttpRequest): Execution {
+    const execution: Execution = {
+      execution: this.executions.length + 1,
+      at: Date.now(),
+      requestId: req.header('x-request-id'),
+      method: req.method,
+      path: `${req.url.pathname}${req.url.search}`,
+      digest: createHash('sha256').update(req.body).digest('hex')
+    }
+    this.executions.push(execution)
+    const { at, requestId, digest } = execution
+    this.history.add({ kind: 'ran', at, requestId, runner: this.options.name, team: req.header('x-team'), digest })
+    return execution
+  }
+
+  private answer ({ execution, requestId, method, path, digest }: Execution): unknown {
+    const { name, service } = this.options
+    const confirmation = createHash('sha256').update(`${service}\n${requestId}\n${path}\n${digest}`).digest('hex').slice(0, CONFIRMATION_LENGTH)
+    return { service, runner: name, execution, requestId, method, path, confirmation }
+  }
+}
+
+/**
+ * An application runner that has run nothing yet.
+ * @param options - its name and speed
+ */
+export function applicationParts (options: ApplicationOptions): StandInParts {
+  const history = new HistoryLog()
+  const application = new Application(options, history)
+  const serve: HttpRoute['serve'] = async req => await application.serve(req)
+  return {
+    routes: [{ method: 'GET', pattern: /^/, serve }, { method: 'POST', pattern: /^/, serve }],
+    history,
+    state: () => ({ ...options, executions: application.executions }),
+    controlRoutes: [{ method: 'GET', pattern: /^\/control\/executions$/, serve: () => ({ status: 200, body: { executions: application.executions } }) }]
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/cli/standInMain.ts
@@ -0,0 +1,107 @@
+/**
+ * One program for all stand-ins of the outside systems, one process each. It prints one line of
+ * JSON when it listens and stops at SIGTERM.
+ */
+import yargs, { type Argv } from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { applicationParts } from '../application/applicationRoutes.js'
+import type { PortAddress } from '../control/httpPort.js'
+import { StandIn, type StandInAddresses, type StandInParts } from '../control/standIn.js'
+import { engineParts } from '../engine/engineParts.js'
+import { HttpWeightSource, LocalWeightSource } from '../engine/weightSource.js'
+import { objectParts } from '../objects/objectRoutes.js'
+import { tableParts } from '../table/tableRoutes.js'
+import { vmListParts } from '../vmList/vmListRoutes.js'
+import { weightParts } from '../weights/weightRoutes.js'
+
+const DEFAULT_CACHE_EVENT_LOSS = 0.05
+const DEFAULT_CACHE_TOKENS = 100_000
+
+const addressOptions = {
+  listen: { type: 'string', demandOption: true, describe: 'IPv4:port to serve on; port 0 takes a free one', coerce: parseAddress },
+  control: { type: 'string', demandOption: true, describe: 'IPv4:port of the control port', coerce: parseAddress }
+} as const
+
+const rateOptions = {
+  'per-minute': { type: 'number', default: 30, describe: 'takes of weights a minute' },
+  burst: { type: 'number', default: 10, describe: 'takes of weights at once after a rest' }
+} as const
+
+const engineOptions = {
+  name: { type: 'string', demandOption: true, describe: 'runner id as in the configuration' },
+  domain: { type: 'string', default: '', describe: 'failure domain, for the printed line only' },
+  models: { type: 'string', default: '', describe: 'loaded models, comma-separated, as model or model@version' },
+  slots: { type: 'number', default: 16, describe: 'runs decoded at once' },
+  'ms-per-token': { type: 'number', default: 20, describe: 'milliseconds for a token of a run that is alone' },
+  'prompt-ms-per-token': { type: 'number', default: 0.2, describe: 'milliseconds for a prompt token that is not cached' },
+  'checks-fencing': { type: 'boolean', default: true, describe: 'refuse orders with an old fencing number' },
+  'load-lag-ms': { type: 'number', default: 500, describe: 'age of the load report' },
+  'cache-event-lag-ms': { type: 'number', default: 1000, describe: 'lateness of cache events' },
+  'cache-event-loss': { type: 'number', default: DEFAULT_CACHE_EVENT_LOSS, describe: 'share of cache events lost, 0 to 1' },
+  'cache-tokens': { type: 'number', default: DEFAULT_CACHE_TOKENS, describe: 'memory of the prefix cache, in tokens' },
+  weights: { type: 'string', describe: 'base URL of the weight store; without it the rate below holds inside the engine' },
+  seed: { type: 'string', default: '1', describe: 'seed of lost cache events' },
+  ...rateOptions
+} as const
+
+const applicationOptions = {
+  name: { type: 'string', demandOption: true, describe: 'runner id as in the configuration' },
+  service: { type: 'string', demandOption: true, describe: 'service id as in the configuration' },
+  'delay-ms': { type: 'number', default: 5, describe: 'milliseconds that one call takes' }
+} as const
+
+function parseAddress (text: string): PortAddress {
+  const match = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(text)
+  if (match === null) throw new Error(`'${text}' is not an IPv4:port`)
+  return { host: match[1]!, port: Number(match[2]) }
+}
+
+function listOf (text: string): readonly string[] {
+  return text.split(',').map(item => item.trim()).filter(item => item !== '')
+}
+
+async function run (kind: string, addresses: StandInAddresses, parts: StandInParts, labels: Readonly<Record<string, string>> = {}): Promise<void> {
+  const standIn = new StandIn(addresses, parts)
+  const { listen, control } = await standIn.start()
+  const show = ({ host, port }: PortAddress): string => `${host}:${port}`
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop(standIn))
+  console.log(JSON.stringify({ ready: true, kind, ...labels, listen: show(listen), control: show(control) }))
+}
+
+function stop (standIn: StandIn): void {
+  standIn.stop().then(() => process.exit(0), () => process.exit(1))
+}
+
+function weightSourceOf (args: { weights?: string, name: string, perMinute: number, burst: number }): HttpWeightSource | LocalWeightSource {
+  if (args.weights !== undefined) return new HttpWeightSource(args.weights, args.name)
+  return new LocalWeightSource(args.perMinute, args.burst)
+}
+
+function withStores (argv: Argv): Argv {
+  return argv
+    .command('table', 'the transactional table service', builder => builder.options(addressOptions), async args => await run('table', args, tableParts()))
+    .command('objects', 'the object store', builder => builder.options(addressOptions), async args => await run('objects', args, objectParts()))
+    .command('weights', 'the weight store', builder => builder.options(addressOptions).options(rateOptions)
+      .option('sets', { type: 'string', default: '', describe: 'model@version that exist, comma-separated; all when empty' }),
+    async args => await run('weights', args, weightParts({ ...args, sets: listOf(args.sets) })))
+    .command('vm-list', 'the list of VMs', builder => builder.options(addressOptions)
+      .option('lag-ms', { type: 'number', default: 2000, describe: 'how late a change is seen' }),
+    async args => await run('vm-list', args, vmListParts(args.lagMs)))
+}
+
+function withRunners (argv: Argv): Argv {
+  return argv
+    .command('engine', 'a model engine', builder => builder.options(addressOptions).options(engineOptions), async args => {
+      const cache = { capacity: args.cacheTokens, eventLagMs: args.cacheEventLagMs, eventLoss: args.cacheEventLoss }
+      const parts = engineParts({ ...args, models: listOf(args.models), cache }, args.seed, weightSourceOf(args))
+      await run('engine', args, parts, { name: args.name, domain: args.domain })
+    })
+    .command('application', 'an application runner', builder => builder.options(addressOptions).options(applicationOptions), async args => {
+      await run('application', args, applicationParts({ name: args.name, service: args.service, delayMs: args.delayMs }), { name: args.name, service: args.service })
+    })
+}
+
+await withRunners(withStores(yargs(hideBin(process.argv)).scriptName('standIn')))
+  .demandCommand(1, 'name a stand-in')
+  .strict()
+  .parseAsync()
--- /dev/null
+++ b/packages/stand-ins/src/control/httpPort.ts
@@ -0,0 +1,105 @@
+/**
+ * One listening port of a stand-in: reads requests, finds their route and sends answers. A guard
+ * stands before and after each call, where the faults are made.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import type { AddressInfo } from 'node:net'
+import { HttpFault, HttpRequest, type BodyAnswer, type HttpAnswer, type HttpRoute } from './httpTypes.js'
+
+/** What happens around each call. */
+export interface PortGuard {
+  /** Before the effect; false when the connection is to be cut. A thrown {@link HttpFault} is answered. */
+  enter (req: IncomingMessage): Promise<boolean>
+  /** After the effect; false when the answer is lost. */
+  leave (answer: HttpAnswer): boolean
+}
+
+/** Address that a port listens on. */
+export interface PortAddress {
+  readonly host: string
+  readonly port: number
+}
+
+/** A port with its routes. */
+export class HttpPort {
+  private readonly server: Server
+  private address: PortAddress
+
+  /**
+   * @param address - where to listen; port 0 takes a free one
+   * @param routes - calls served; the first match counts
+   * @param guard - faults; none on the control port
+   */
+  constructor (address: PortAddress, private readonly routes: readonly HttpRoute[], private readonly guard?: PortGuard) {
+    this.address = address
+    this.server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
+      this.serve(req, res).catch(() => req.socket.destroy())
+    })
+  }
+
+  /** Listens; on the same port as before when it was closed meanwhile. */
+  async open (): Promise<PortAddress> {
+    if (this.server.listening) return this.address
+    this.server.listen(this.address.port, this.address.host, 1024)
+    await once(this.server, 'listening')
+    this.address = { host: this.address.host, port: (this.server.address() as AddressInfo).port }
+    return this.address
+  }
+
+  /** Refuses new connections and cuts those that are open. */
+  async close (): Promise<void> {
+    if (!this.server.listening) return
+    const closed = once(this.server, 'close')
+    this.server.close()
+    this.server.closeAllConnections()
+    await closed
+  }
+
+  private async serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    try {
+      const body = await readBody(req)
+      if (this.guard !== undefined && !await this.guard.enter(req)) {
+        req.socket.destroy()
+        return
+      }
+      const answer = await this.answer(req, body)
+      if (this.guard !== undefined && !this.guard.leave(answer)) req.socket.destroy()
+      else if ('open' in answer) answer.open(res)
+      else send(res, answer)
+    } catch (err) {
+      this.fail(req, res, err)
+    }
+  }
+
+  private async answer (req: IncomingMessage, body: Buffer): Promise<HttpAnswer> {
+    const url = new URL(req.url ?? '/', 'http://stand-in')
+    const path = decodeURIComponent(url.pathname)
+    const fitting = this.routes.filter(route => route.pattern.test(path))
+    const route = fitting.find(({ method }) => method === req.method)
+    if (route === undefined) throw new HttpFault(fitting.length === 0 ? 404 : 405, `no call ${req.method} ${path}`)
+    const params = route.pattern.exec(path)?.slice(1) ?? []
+    return await route.serve(new HttpRequest(route.method, url, req.headers, body, params))
+  }
+
+  private fail (req: IncomingMessage, res: ServerResponse, err: unknown): void {
+    if (req.socket.destroyed) return
+    if (res.headersSent) req.socket.destroy()
+    else if (err instanceof HttpFault) send(res, { status: err.status, body: { error: err.message } })
+    else send(res, { status: 500, body: { error: String(err) } })
+  }
+}
+
+async function readBody (req: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = []
+  for await (const part of req) parts.push(part as Buffer)
+  return Buffer.concat(parts)
+}
+
+function send (res: ServerResponse, { status, body, headers = {} }: BodyAnswer): void {
+  const raw = body === undefined || typeof body === 'string' || Buffer.isBuffer(body)
+  const bytes = raw ? Buffer.from(body ?? '') : Buffer.from(JSON.stringify(body))
+  const contentType = raw ? 'application/octet-stream' : 'application/json'
+  res.writeHead(status, { 'content-type': contentType, 'content-length': bytes.length, ...headers })
+  res.end(bytes)
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engineParts.ts
@@ -0,0 +1,68 @@
+/**
+ * Puts the engine stand-in together: state, calls, control messages and the timer that drives it.
+ */
+import seedrandom from 'seedrandom'
+import { engineControlSchema, type EngineControl } from '../control/controlTypes.js'
+import { HistoryLog } from '../control/historyLog.js'
+import type { StandInParts } from '../control/standIn.js'
+import { StreamFaults } from './engineFaults.js'
+import { EngineService } from './engineRoutes.js'
+import { EngineState, type EngineOptions } from './engineState.js'
+import type { WeightSource } from './weightSource.js'
+
+/** Wakes the engine when its next step is due. */
+class EngineTimer {
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly state: EngineState) {}
+
+  /** Sets the timer for the next step, if there is one. */
+  readonly arm = (): void => {
+    const { dueAt } = this.state.batch
+    if (this.timer !== undefined || dueAt === undefined) return
+    this.timer = setTimeout(() => this.wake(), Math.max(1, dueAt - Date.now()))
+  }
+
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+
+  private wake (): void {
+    this.timer = undefined
+    this.state.advance(Date.now())
+    this.arm()
+  }
+}
+
+/**
+ * An engine without runs.
+ * @param options - settings
+ * @param seed - seed of its random decisions
+ * @param weights - where orders take weights from
+ */
+export function engineParts (options: EngineOptions, seed: string, weights: WeightSource): StandInParts {
+  const history = new HistoryLog()
+  const state = new EngineState(options, seedrandom(seed), history, Date.now())
+  const faults = new StreamFaults()
+  const timer = new EngineTimer(state)
+  return {
+    routes: new EngineService(state, faults, weights, timer.arm).routes(),
+    history,
+    state: () => state.state,
+    controlSchema: engineControlSchema,
+    onControl: control => obey(state, faults, control),
+    stop: () => timer.stop()
+  }
+}
+
+function obey (state: EngineState, faults: StreamFaults, control: EngineControl): void {
+  const now = Date.now()
+  state.advance(now)
+  if (control.mixNext === true) faults.mixNext()
+  if (control.doubleEnd === true) faults.doubleEnd()
+  if (control.killStreams === true) state.loseRuns(now)
+  if (control.leaving !== undefined) state.setLeaving(control.leaving, now)
+  state.overreportNext = control.overreportNext ?? state.overreportNext
+  state.cache.dropEvents = control.dropCacheEvents ?? state.cache.dropEvents
+  state.batch.options.msPerToken = control.msPerToken ?? state.batch.options.msPerToken
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engineState.ts
@@ -0,0 +1,245 @@
+/**
+ * The engine stand-in without its sockets: runs by id, batching, prefix cache, load report and
+ * models. Time and randomness come from outside.
+ */
+import type { CacheEvents, EngineOrder, EngineRequest, LoadReport, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { HistoryLog } from '../control/historyLog.js'
+import { LaggingValue } from '../control/laggingValue.js'
+import { Batch, type BatchOptions } from './batch.js'
+import { EngineModels, type OrderOutcome } from './engineModels.js'
+import { EngineRun } from './engineRun.js'
+import { PrefixCache, type PrefixCacheOptions } from './prefixCache.js'
+import { RunRegistry } from './runRegistry.js'
+
+/** Settings of an engine. */
+export interface EngineOptions extends BatchOptions {
+  /** Runner id as in the fleet configuration. */
+  readonly name: string
+  readonly models: readonly string[]
+  readonly checksFencing: boolean
+  readonly loadLagMs: number
+  readonly cache: PrefixCacheOptions
+}
+
+/** What became of a submission. */
+export type SubmitOutcome =
+  | { readonly kind: 'started' | 'joined', readonly run: EngineRun }
+  | { readonly kind: 'otherDigest' | 'sealed' | 'notLoaded' | 'leaving' }
+
+type Load = Omit<LoadReport, 'asOf'>
+
+/** One engine. */
+export class EngineState {
+  readonly models: EngineModels
+  readonly cache: PrefixCache
+  readonly batch: Batch
+  /** Tokens above its cap that the next run to finish reports; 0 for none. */
+  overreportNext = 0
+  private readonly runs = new RunRegistry()
+  private readonly load: LaggingValue<Load>
+  private leaving = false
+  private submitted = 0
+  /** What the newest sample of the load report says, to note only changes. */
+  private noted = ''
+
+  /**
+   * @param options - settings
+   * @param random - numbers in [0, 1)
+   * @param history - where runs are recorded
+   * @param now - wall milliseconds at the start
+   */
+  constructor (private readonly options: EngineOptions, random: () => number, private readonly history: HistoryLog, now: number) {
+    this.models = new EngineModels(options.models, options.checksFencing)
+    this.cache = new PrefixCache(options.cache, random)
+    this.batch = new Batch(options, this.cache, {
+      began: (run, at) => this.noteBegan(run, at),
+      finished: (run, at) => this.finish(run, at)
+    })
+    this.load = new LaggingValue(this.loadNow(), now, options.loadLagMs)
+  }
+
+  /**
+   * Does what is due; called before anything else is asked.
+   * @param now - wall milliseconds
+   */
+  advance (now: number): void {
+    this.batch.advance(now)
+    this.runs.forget(now)
+    this.noteLoad(now)
+  }
+
+  /**
+   * Starts a run, or joins the one with this id.
+   * @param req - the request
+   * @param now - wall milliseconds
+   */
+  submit (req: EngineRequest, now: number): SubmitOutcome {
+    this.advance(now)
+    const known = this.runs.find(req.requestId)
+    if (known !== undefined) return known.req.digest === req.digest ? { kind: 'joined', run: known } : { kind: 'otherDigest' }
+    if (this.runs.isSealed(req.requestId)) return { kind: 'sealed' }
+    if (this.leaving) return { kind: 'leaving' }
+    if (!this.models.serves(req.model, req.adapter)) return { kind: 'notLoaded' }
+    const run = new EngineRun(req)
+    this.submitted++
+    this.runs.add(run)
+    this.batch.add(run, now)
+    this.noteLoad(now)
+    return { kind: 'started', run }
+  }
+
+  /**
+   * A known run.
+   * @param requestId - its id
+   */
+  run (requestId: string): EngineRun | undefined {
+    return this.runs.find(requestId)
+  }
+
+  /**
+   * The record of an id, sealed ones included.
+   * @param requestId - the id
+   */
+  find (requestId: string): RunRecord | undefined {
+    return this.runs.record(requestId)
+  }
+
+  /**
+   * Records of one holder, or of all.
+   * @param holder - holder id
+   */
+  list (holder?: string): readonly RunRecord[] {
+    return this.runs.records(holder)
+  }
+
+  /**
+   * Stops a run; one that ended stays as it is.
+   * @param requestId - its id
+   * @param now - wall milliseconds
+   */
+  cancel (requestId: string, now: number): RunRecord | undefined {
+    this.advance(now)
+    const run = this.runs.find(requestId)
+    if (run?.state === 'running') {
+      this.batch.remove(run)
+      run.end('cancelled')
+      this.noteEnded(run, now)
+      this.noteLoad(now)
+    }
+    return this.find(requestId)
+  }
+
+  /**
+   * Refuses later submissions of an id, unless its run is known already.
+   * @param requestId - the id
+   * @param now - wall milliseconds
+   * @returns the record of the known run, or nothing when the id is sealed now
+   */
+  seal (requestId: string, now: number): RunRecord | undefined {
+    this.advance(now)
+    const run = this.runs.find(requestId)
+    if (run === undefined) this.runs.seal(requestId, now)
+    return run?.record
+  }
+
+  /**
+   * The lagging report of load.
+   * @param now - wall milliseconds
+   */
+  report (now: number): LoadReport {
+    this.advance(now)
+    const { asOf, value } = this.load.seen(now)
+    return { asOf, ...value }
+  }
+
+  /**
+   * Cache events as published by now.
+   * @param after - the last number known to the caller
+   * @param now - wall milliseconds
+   */
+  cacheEvents (after: number, now: number): CacheEvents {
+    this.advance(now)
+    return this.cache.eventsAfter(after, now)
+  }
+
+  /**
+   * Carries out an order.
+   * @param order - the order, its weights at hand
+   * @param now - wall milliseconds
+   */
+  obey (order: EngineOrder, now: number): OrderOutcome {
+    this.advance(now)
+    const outcome = this.models.obey(order)
+    this.noteLoad(now)
+    return outcome
+  }
+
+  /**
+   * Begins or ends leaving: no new runs, those known go on.
+   * @param leaving - whether it leaves
+   * @param now - wall milliseconds
+   */
+  setLeaving (leaving: boolean, now: number): void {
+    if (leaving && !this.leaving) this.history.add({ kind: 'runnerLeaving', at: now, runner: this.options.name })
+    this.leaving = leaving
+    this.noteLoad(now)
+  }
+
+  /**
+   * Loses all unfinished runs, as a restart of the engine's process does.
+   * @param now - wall milliseconds
+   */
+  loseRuns (now: number): void {
+    for (const run of [...this.batch.running, ...this.batch.waiting]) {
+      this.batch.remove(run)
+      this.runs.drop(run)
+      run.lose()
+      this.record(run, now)
+    }
+    this.noteLoad(now)
+  }
+
+  /** A dump for tests. */
+  get state (): unknown {
+    const { running, waiting } = this.loadNow()
+    return { name: this.options.name, running, waiting, leaving: this.leaving, submitted: this.submitted, cache: this.cache.size, ...this.models.state as object, runs: this.list() }
+  }
+
+  private finish (run: EngineRun, at: number): void {
+    run.overreport = this.overreportNext
+    this.overreportNext = 0
+    run.end('finished')
+    this.noteEnded(run, at)
+  }
+
+  private noteBegan (run: EngineRun, at: number): void {
+    const { requestId, team, budget, digest, holder } = run.req
+    this.history.add({ kind: 'ran', at: Math.floor(at), requestId, runner: this.options.name, team, budget, digest, holder })
+  }
+
+  private noteEnded (run: EngineRun, at: number): void {
+    this.runs.noteEnd(run.req.requestId, at)
+    this.record(run, at)
+  }
+
+  private record (run: EngineRun, at: number): void {
+    if (!run.started) return
+    const state = run.state === 'finished' ? 'finished' : 'cancelled'
+    const reported = run.overreport > 0 ? { reportedTokens: run.usage.promptTokens + run.usage.completionTokens } : {}
+    const { requestId } = run.req
+    this.history.add({ kind: 'ended', at: Math.floor(at), requestId, runner: this.options.name, state, text: run.text, tokens: run.tokens, ...reported })
+  }
+
+  private loadNow (): Load {
+    const { running, waiting } = this.batch
+    return { running: running.size, waiting: waiting.length, slots: this.options.slots, models: this.models.report, leaving: this.leaving }
+  }
+
+  private noteLoad (now: number): void {
+    const { running, waiting } = this.batch
+    const summary = [running.size, waiting.length, this.leaving, this.models.orders.length].join()
+    if (summary === this.noted) return
+    this.noted = summary
+    this.load.set(this.loadNow(), now)
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engineStream.ts
@@ -0,0 +1,73 @@
+/**
+ * One SSE response that follows a run. It writes what is generated already from the piece asked,
+ * then each piece as it comes.
+ */
+import type { ServerResponse } from 'node:http'
+import type { StreamFaults } from './engineFaults.js'
+import type { EngineRun, RunListener } from './engineRun.js'
+
+const MIXED_PIECE = 1
+const DONE = 'data: [DONE]\n\n'
+
+/** Writes a run to a response. */
+export class EngineStream implements RunListener {
+  private readonly head: string
+
+  /**
+   * @param run - the run to follow
+   * @param res - response to write
+   * @param faults - faults to show
+   */
+  constructor (private readonly run: EngineRun, private readonly res: ServerResponse, private readonly faults: StreamFaults) {
+    this.head = headOf(run.req.requestId, run.req.model)
+  }
+
+  /**
+   * Writes the response's head and the pieces known so far, and follows the run.
+   * @param from - first piece wanted
+   */
+  open (from: number): void {
+    this.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
+    this.res.flushHeaders()
+    for (let index = from; index < this.run.generated; index++) this.piece(index)
+    if (this.run.state !== 'running') {
+      this.ended()
+      return
+    }
+    this.run.listeners.add(this)
+    this.res.once('close', () => this.run.listeners.delete(this))
+  }
+
+  piece (index: number): void {
+    if (index === MIXED_PIECE && this.faults.takeMix()) this.res.write(this.foreignPiece(index))
+    this.res.write(`id: ${index}\n${this.head}${JSON.stringify(this.run.answer.pieces[index])}},"finish_reason":null}]}\n\n`)
+  }
+
+  ended (): void {
+    if (this.run.state === 'finished') this.writeEnd()
+    this.res.end()
+  }
+
+  lost (): void {
+    this.res.destroy()
+  }
+
+  private writeEnd (): void {
+    const { answer: { pieces, finishReason }, usage } = this.run
+    const reported = JSON.stringify({ prompt_tokens: usage.promptTokens, completion_tokens: usage.completionTokens })
+    const end = `id: ${pieces.length}\n${this.head}""},"finish_reason":"${finishReason}"}],"usage":${reported}}\n\n`
+    if (this.faults.takeDoubleEnd()) this.res.write(`${end}${DONE}`)
+    this.res.write(`${end}${DONE}`)
+  }
+
+  /** A piece as another run would send it. */
+  private foreignPiece (index: number): string {
+    const head = headOf(`foreign-${this.run.req.requestId}`, this.run.req.model)
+    return `id: ${index}\n${head}"ajeno "},"finish_reason":null}]}\n\n`
+  }
+}
+
+/** Data of an event up to the content. */
+function headOf (requestId: string, model: string): string {
+  return `data: {"id":${JSON.stringify(requestId)},"model":${JSON.stringify(model)},"choices":[{"index":0,"delta":{"content":`
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/prefixCache.ts
@@ -0,0 +1,136 @@
+/**
+ * The engine's prompt prefix cache: prefixes end at message borders, memory is limited in tokens,
+ * and the longest unused goes first. What it stores and evicts is published late and with gaps.
+ */
+import { createHash } from 'node:crypto'
+import type { CacheEvents, ChatMessage } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { tokensFor } from './engineText.js'
+
+const KEPT_EVENTS = 10_000
+const HASH_LENGTH = 32
+
+/** A prefix of a conversation. */
+export interface PromptPrefix {
+  readonly hash: string
+  /** Tokens up to its end. */
+  readonly tokens: number
+}
+
+/** Settings of the cache. */
+export interface PrefixCacheOptions {
+  /** Memory, in tokens. */
+  readonly capacity: number
+  readonly eventLagMs: number
+  /** Share of events that are lost, 0 to 1. */
+  readonly eventLoss: number
+}
+
+type CacheEvent = CacheEvents['events'][number] & { readonly at: number }
+
+/**
+ * The prefixes of a prompt, shortest first: after each message, the hex SHA-256 of the model and
+ * the JSON of role and content of all messages so far, cut to 32 characters.
+ * @param model - model name
+ * @param messages - the conversation
+ */
+export function promptPrefixes (model: string, messages: readonly ChatMessage[]): readonly PromptPrefix[] {
+  const hash = createHash('sha256').update(model)
+  let characters = 0
+  return messages.map(({ role, content }) => {
+    hash.update(`\n${JSON.stringify([role, content])}`)
+    characters += content.length
+    return { hash: hash.copy().digest('hex').slice(0, HASH_LENGTH), tokens: tokensFor(characters) }
+  })
+}
+
+/** Least-recently-used cache with its events. */
+export class PrefixCache {
+  /** While true, every event is lost. */
+  dropEvents = false
+  /** Tokens each stored prefix adds to the one before it, least recently used first. */
+  private readonly stored = new Map<string, number>()
+  private used = 0
+  private lastSequence = 0
+  private readonly events: CacheEvent[] = []
+
+  /**
+   * @param options - memory, lag and loss
+   * @param random - numbers in [0, 1)
+   */
+  constructor (private readonly options: PrefixCacheOptions, private readonly random: () => number) {}
+
+  /**
+   * Tokens of the longest prefix that need not be computed.
+   * @param prefixes - prefixes of the prompt, shortest first
+   */
+  cachedTokens (prefixes: readonly PromptPrefix[]): number {
+    let cached = 0
+    for (const { hash, tokens } of prefixes) {
+      if (!this.touch(hash)) break
+      cached = tokens
+    }
+    return cached
+  }
+
+  /**
+   * Stores the prefixes of a computed prompt and evicts others to make room.
+   * @param prefixes - shortest first
+   * @param now - wall milliseconds
+   */
+  store (prefixes: readonly PromptPrefix[], now: number): void {
+    let before = 0
+    for (const { hash, tokens } of prefixes) {
+      if (!this.touch(hash)) this.add(hash, tokens - before, now)
+      before = tokens
+    }
+    while (this.used > this.options.capacity) this.evictOldest(now)
+  }
+
+  /**
+   * Events as published by now.
+   * @param after - the last number known to the caller
+   * @param now - wall milliseconds
+   */
+  eventsAfter (after: number, now: number): CacheEvents {
+    const visible = this.events.filter(({ at }) => at <= now - this.options.eventLagMs)
+    const events = visible
+      .filter(({ sequence }) => sequence > after)
+      .map(({ sequence, kind, prefixHash }) => ({ sequence, kind, prefixHash }))
+    return { next: visible.at(-1)?.sequence ?? 0, events }
+  }
+
+  /** Prefixes and tokens stored now. */
+  get size (): { readonly prefixes: number, readonly tokens: number } {
+    return { prefixes: this.stored.size, tokens: this.used }
+  }
+
+  private touch (hash: string): boolean {
+    const tokens = this.stored.get(hash)
+    if (tokens === undefined) return false
+    this.stored.delete(hash)
+    this.stored.set(hash, tokens)
+    return true
+  }
+
+  private add (hash: string, tokens: number, now: number): void {
+    this.stored.set(hash, tokens)
+    this.used += tokens
+    this.publish('stored', hash, now)
+  }
+
+  private evictOldest (now: number): void {
+    const [oldest] = this.stored
+    if (oldest === undefined) return
+    this.stored.delete(oldest[0])
+    this.used -= oldest[1]
+    this.publish('evicted', oldest[0], now)
+  }
+
+  private publish (kind: CacheEvent['kind'], prefixHash: string, at: number): void {
+    const sequence = ++this.lastSequence
+    const lost = this.random() < this.options.eventLoss || this.dropEvents
+    if (lost) return
+    this.events.push({ sequence, kind, prefixHash, at })
+    if (this.events.length > KEPT_EVENTS) this.events.shift()
+  }
+}
--- a/packages/stand-ins/src/table/memoryTableStore.ts
+++ b/packages/stand-ins/src/table/memoryTableStore.ts
@@ -14,7 +14,7 @@
 export class MemoryTableStore implements TableStore {
   /** While true, every call fails with `platformUnavailable` and has no effect. */
   outage = false
-  /** Answers of the next transactions to lose after their effect. */
+  /** Answers of the next transactions that take effect to lose. */
   loseAnswers = 0
   /** Next transactions to lose on the way there: no effect, and the caller cannot tell. */
   loseRequests = 0
@@ -53,7 +53,7 @@
     if (!checked.success) return Left(new Failure('badRequest', checked.error.message))
     if (take(this, 'loseRequests')) return Left(outcomeUnknown())
     const outcome = this.state.transact(tx)
-    if (take(this, 'loseAnswers')) return Left(outcomeUnknown())
+    if (outcome.isRight() && take(this, 'loseAnswers')) return Left(outcomeUnknown())
     return outcome.mapLeft(conflicts => new Failure('platformConflict', conflicts.map(({ table, key }) => `${table}/${key}`).join(', ')))
   }
 }
--- /dev/null
+++ b/packages/stand-ins/src/table/tableHistory.ts
@@ -0,0 +1,70 @@
+/**
+ * Reads the history of budgets, claims, versions and leases out of committed table rows. Only
+ * what is new in a row counts: a row that is written again as it was says nothing twice, and a
+ * row that was deleted and written anew does.
+ */
+import { z, type ZodType } from 'zod'
+import type { Row } from '@rosemaryspread/platform/table/tableTypes.js'
+import { segmentRowSchema, topUpRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { HistoryLog } from '../control/historyLog.js'
+import type { HistoryRecord } from '../history/historyTypes.js'
+
+const claimSchema = z.object({ requestId: z.string().optional(), holder: z.string() })
+const configSchema = z.object({ version: z.number(), patchId: z.string() })
+const leaseSchema = z.object({ holder: z.string(), fencing: z.number(), role: z.string().optional() })
+const fencedSchema = z.object({ holder: z.string(), fencing: z.number(), role: z.string() })
+
+type Reader = (row: Row) => HistoryRecord[]
+
+const readers: Readonly<Record<string, Reader>> = {
+  topups: reader(topUpRowSchema, ({ budget, operationId, tokens }, at) => [{ kind: 'paid', at, budget, operationId, tokens }]),
+  segments: reader(segmentRowSchema, ({ holder, bills }, at) =>
+    bills.map(({ requestId, budget, tokens }) => ({ kind: 'billed', at, requestId, budget, tokens, holder }))),
+  claims: reader(claimSchema, ({ requestId, holder }, at, key) => [{ kind: 'claimed', at, requestId: requestId ?? key, holder }]),
+  configs: reader(configSchema, ({ version, patchId }, at) => [{ kind: 'configAccepted', at, version, patchId }]),
+  leases: reader(leaseSchema, ({ holder, fencing, role }, at, key) => [{ kind: 'leaseTaken', at, role: role ?? key, holder, fencing }])
+}
+const readFenced = reader(fencedSchema, ({ holder, fencing, role }, at) => [{ kind: 'leaseWrite', at, role, holder, fencing }])
+
+function reader<T> (schema: ZodType<T>, records: (value: T, at: number, key: string) => HistoryRecord[]): Reader {
+  return row => {
+    const checked = schema.safeParse(row.value)
+    return checked.success ? records(checked.data, row.updatedAt, row.key) : []
+  }
+}
+
+/** Turns commits into history records. */
+export class TableHistory {
+  /** What each row said last, by `<table>/<key>`. */
+  private readonly said = new Map<string, ReadonlySet<string>>()
+
+  /**
+   * @param log - where records go
+   */
+  constructor (private readonly log: HistoryLog) {}
+
+  /**
+   * Takes the rows of one committed transaction.
+   * @param rows - rows as written; `null` deletes
+   */
+  note (rows: readonly Row[]): void {
+    for (const row of rows) {
+      const read = readers[row.table]
+      if (read === undefined) for (const record of readFenced(row)) this.log.add(record)
+      else this.noteNew(row, read(row))
+    }
+  }
+
+  private noteNew (row: Row, records: readonly HistoryRecord[]): void {
+    const name = `${row.table}/${row.key}`
+    const before = this.said.get(name)
+    for (const record of records) if (before?.has(contentOf(record)) !== true) this.log.add(record)
+    if (row.value === null) this.said.delete(name)
+    else this.said.set(name, new Set(records.map(contentOf)))
+  }
+}
+
+/** A record without its time. */
+function contentOf (record: HistoryRecord): string {
+  return JSON.stringify({ ...record, at: 0 })
+}
