--- /dev/null
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -0,0 +1,183 @@
+/**
+ * What one holder knows of one budget it draws on: tokens held and what binds them, the lease on
+ * its allotment, demand, and requests that wait for tokens.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import { targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetView, Transfer } from './budgetTypes.js'
+import { DemandRate } from './demandRate.js'
+
+/** A request that waits for tokens. */
+export interface WaitingRequest {
+  readonly reservationId: string
+  readonly tokens: number
+  readonly since: Instant
+  readonly giveUpAfterMs: number
+}
+
+/** Received tokens whose transfer is not in the table yet. */
+interface ReceivedTokens {
+  readonly tokens: number
+  readonly validForMs: number
+  readonly askedAt: Instant
+}
+
+/** Why tokens could not be had, as of the last try. */
+export type Shortage =
+  | { readonly kind: 'unavailable' | 'unknownBudget' }
+  | { readonly kind: 'short', readonly unspent: number }
+
+/** One step of a search for tokens. */
+export type RoundStage = 'draw' | 'give' | 'recall' | 'redraw'
+
+/** The present step; `operationId` is set once its action was emitted. */
+export interface Round {
+  readonly stage: RoundStage
+  readonly operationId?: string
+}
+
+/** One budget at one holder. All amounts in tokens, all plain numbers of time monotonic milliseconds. */
+export class BudgetEntry {
+  /** Durable tokens of this holder, with those received from other holders, less those settled or given. */
+  held = 0
+  /** Worst cases of running requests. */
+  reserved = 0
+  /** Bills not yet durable. */
+  unsettled = 0
+  /** Part of `unsettled` that is in the flush in flight. */
+  flushing = 0
+  /** Tokens on their way back to the table. */
+  returning = 0
+  /** Bills dropped because a recovery accounts for them. */
+  inDoubt = 0
+  /** Free tokens right after the last change from outside; the low-water mark is a part of it. */
+  level = 0
+  largest = 0
+  lastAskedAt = 0
+  /** Cleared when the holder drains or the budget is idle: no more tokens are drawn. */
+  isWanted = true
+  touchedAt: Instant | undefined
+  /** When a renewal was last queued. */
+  renewedAt: Instant | undefined
+  /** Set when the allotment was closed and the next draw has to open it again. */
+  reopen = false
+  draw: { readonly drawId: string, readonly inFlight: boolean } | undefined
+  round: Round | undefined
+  shortage: Shortage | undefined
+  /** Tokens held by holders that the last recall could not reach. */
+  unreachable = 0
+  nextDrawAt = 0
+  drawPauseMs = 0
+  nextRoundAt = 0
+  roundPauseMs = 0
+  waiting: WaitingRequest[] = []
+  readonly rate: DemandRate
+  private readonly received = new Map<string, ReceivedTokens>()
+
+  /**
+   * @param budget - budget id
+   * @param policy - sizes and times
+   */
+  constructor (readonly budget: string, private readonly policy: BudgetPolicy) {
+    this.rate = new DemandRate(policy.rateWindowMs)
+  }
+
+  /** Tokens that bind nothing. */
+  get free (): number {
+    return this.held - this.reserved - this.unsettled - this.returning
+  }
+
+  /** Free tokens that the table knows as held by this holder; only they may be given on. */
+  get giveable (): number {
+    let unrecorded = 0
+    for (const item of this.received.values()) unrecorded += item.tokens
+    return Math.max(0, this.free - unrecorded)
+  }
+
+  /** Tokens that waiting requests lack. */
+  get need (): number {
+    const wanted = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
+    return Math.max(0, wanted - Math.max(0, this.free))
+  }
+
+  /**
+   * Milliseconds for which tokens of the allotment may still be reserved.
+   * @param now - both clocks
+   */
+  leaseLeftMs (now: Instant): number {
+    if (this.touchedAt === undefined) return 0
+    return usableMs(this.policy) - elapsedMs(this.touchedAt, now)
+  }
+
+  /**
+   * Whether tokens may be reserved now: neither the own allotment nor a received transfer has lapsed.
+   * @param now - both clocks
+   */
+  isUsable (now: Instant): boolean {
+    for (const item of this.received.values()) {
+      if (elapsedMs(item.askedAt, now) >= item.validForMs) return false
+    }
+    if (this.touchedAt === undefined) return this.received.size > 0
+    return this.leaseLeftMs(now) > 0
+  }
+
+  /**
+   * Allotment to aim at.
+   * @param now - both clocks
+   */
+  target (now: Instant): number {
+    return targetTokens(this.policy, this.rate.perMs(now.mono), this.largest)
+  }
+
+  /**
+   * Takes in a transfer.
+   * @param transfer - what was received
+   * @param askedAt - when it was asked for
+   */
+  receive (transfer: Transfer, askedAt: Instant): void {
+    this.received.set(transfer.transferId, { tokens: transfer.tokens, validForMs: transfer.validForMs ?? 0, askedAt })
+    this.held += transfer.tokens
+    this.level = Math.max(0, this.free)
+  }
+
+  /**
+   * Notes that a transfer is in the table.
+   * @param transferId - id of the transfer
+   */
+  recorded (transferId: string): void {
+    this.received.delete(transferId)
+  }
+
+  /**
+   * Takes back a received transfer that can no longer be recorded.
+   * @param transferId - id of the transfer
+   */
+  loseTransfer (transferId: string): void {
+    this.held -= this.received.get(transferId)?.tokens ?? 0
+    this.received.delete(transferId)
+  }
+
+  /** Whether nothing is held, owed or awaited, so that the entry can be forgotten. */
+  get isEmpty (): boolean {
+    return this.held === 0 && this.reserved === 0 && this.unsettled === 0 && this.waiting.length === 0 &&
+      this.draw === undefined && this.round === undefined && this.received.size === 0
+  }
+
+  /** Forgets all tokens after the allotment was closed. */
+  reset (): void {
+    this.held = 0
+    this.reserved = 0
+    this.unsettled = 0
+    this.flushing = 0
+    this.returning = 0
+    this.level = 0
+    this.touchedAt = undefined
+    this.reopen = true
+    this.received.clear()
+  }
+
+  view (): BudgetView {
+    const { budget, held, reserved, unsettled, inDoubt } = this
+    return { budget, held, reserved, unsettled, inDoubt }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -0,0 +1,122 @@
+/**
+ * Tokens that leave a holder for others: transfers within the failure domain, kept under an id so
+ * that a repeated ask gets the same answer, and returns to the table on recall.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import { giveTokens, recallTokens, type BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetEvent, Transfer } from './budgetTypes.js'
+import type { FlushQueue } from './flushQueue.js'
+
+type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
+
+/** Least lease with which tokens are given. */
+const LEAST_LEASE_MS = 60_000
+
+/** A transfer that was given. */
+interface GivenTransfer {
+  readonly transfer: Transfer
+  readonly at: Instant
+}
+
+/** Gives tokens away. */
+export class BudgetGiving {
+  /** Given and received transfers by id, in the order of time. */
+  private readonly given = new Map<string, GivenTransfer>()
+  private readonly received = new Map<string, Instant>()
+  private readonly fenced = new Map<string, Instant>()
+
+  /**
+   * @param holder - holder id of this process
+   * @param policy - sizes and times
+   * @param queue - where transfers and returns become durable
+   */
+  constructor (
+    private readonly holder: string,
+    private readonly policy: BudgetPolicy,
+    private readonly queue: FlushQueue
+  ) {}
+
+  /**
+   * Answers an ask for a transfer; the tokens are subtracted before the answer.
+   * @param event - the ask
+   * @param entry - the budget, if this holder draws on it
+   * @param now - both clocks
+   */
+  give (event: EventOf<'giveAsked'>, entry: BudgetEntry | undefined, now: Instant): Transfer | undefined {
+    if (this.isFenced(event.to, now) || !event.sameDomain || event.to === this.holder) return undefined
+    const earlier = this.given.get(event.transferId)
+    if (earlier !== undefined) return this.withLease(earlier.transfer, entry, now)
+    if (entry === undefined || entry.leaseLeftMs(now) < LEAST_LEASE_MS) return undefined
+    const tokens = giveTokens(entry.giveable, event.wanted, event.atLeast ?? 0)
+    if (tokens <= 0) return undefined
+    const transfer = { transferId: event.transferId, budget: event.budget, from: this.holder, to: event.to, tokens }
+    entry.held -= tokens
+    entry.level = Math.min(entry.level, Math.max(0, entry.free))
+    this.given.set(event.transferId, { transfer, at: now })
+    this.queue.addTransfer(transfer, now.mono)
+    this.forgetOld(now)
+    return this.withLease(transfer, entry, now)
+  }
+
+  /**
+   * Takes in a transfer once.
+   * @param transfer - what was received
+   * @param entry - the budget
+   * @param askedAt - when this answer was asked for
+   * @param now - both clocks
+   */
+  receive (transfer: Transfer, entry: BudgetEntry, askedAt: Instant, now: Instant): boolean {
+    if (this.received.has(transfer.transferId) || this.isFenced(transfer.from, now)) return false
+    this.received.set(transfer.transferId, now)
+    entry.receive(transfer, askedAt)
+    this.queue.addTransfer(transfer, now.mono)
+    return true
+  }
+
+  /**
+   * Returns what can be spared.
+   * @param event - the recall
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  returnOnRecall (event: EventOf<'recallAsked'>, entry: BudgetEntry, now: Instant): number {
+    const keep = entry.rate.perMs(now.mono) * this.policy.recallKeepMs
+    const tokens = recallTokens(entry.free, keep, event.atLeast ?? event.wanted)
+    if (tokens === 0) return 0
+    entry.returning += tokens
+    entry.level = Math.min(entry.level, Math.max(0, entry.free))
+    this.queue.addReturn({ budget: event.budget, tokens }, now.mono)
+    return tokens
+  }
+
+  /**
+   * Stops transfers from and to an ended holder; answers of it that are still on their way are void.
+   * @param holder - the ended holder
+   * @param now - both clocks
+   */
+  fence (holder: string, now: Instant): void {
+    this.fenced.set(holder, now)
+  }
+
+  private isFenced (holder: string, now: Instant): boolean {
+    const since = this.fenced.get(holder)
+    return since !== undefined && elapsedMs(since, now) < this.policy.lapseMs
+  }
+
+  private withLease (transfer: Transfer, entry: BudgetEntry | undefined, now: Instant): Transfer {
+    const validForMs = Math.max(0, entry?.leaseLeftMs(now) ?? 0)
+    return { ...transfer, validForMs }
+  }
+
+  private forgetOld (now: Instant): void {
+    for (const [id, item] of this.given) {
+      if (elapsedMs(item.at, now) < this.policy.lapseMs) break
+      this.given.delete(id)
+    }
+    for (const [id, at] of this.received) {
+      if (elapsedMs(at, now) < this.policy.lapseMs) break
+      this.received.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetKeys.ts
@@ -0,0 +1,54 @@
+/**
+ * Names of the tables and keys in which budgets are kept.
+ */
+import type { HolderId } from '../names/nameTypes.js'
+
+/** Tables of the budget rows. */
+export const budgetTables = {
+  budgets: 'budgets',
+  allotments: 'allotments',
+  /** Index `<holder>/<budget>` of allotments, so that recovery finds what an ended holder held. */
+  holdings: 'holdings',
+  segments: 'segments',
+  topUps: 'topups',
+  transfers: 'transfers'
+} as const
+
+/**
+ * Key of the index row of an allotment.
+ * @param holder - holder id
+ * @param budget - budget id
+ */
+export function holdingKey (holder: HolderId, budget: string): string {
+  return `${holder}/${budget}`
+}
+
+const SEQ_DIGITS = 12
+
+/**
+ * Key of an allotment row.
+ * @param budget - budget id
+ * @param holder - holder id
+ */
+export function allotmentKey (budget: string, holder: HolderId): string {
+  return `${budget}/${holder}`
+}
+
+/**
+ * Key of a segment row; keys of one holder sort by number.
+ * @param holder - holder id
+ * @param seq - number of the segment
+ */
+export function segmentKey (holder: HolderId, seq: number): string {
+  return `${holder}/${String(seq).padStart(SEQ_DIGITS, '0')}`
+}
+
+/**
+ * Key of the segment that a recovery writes; sorts after all numbered ones.
+ * @param holder - the ended holder
+ * @param budget - budget id
+ * @param version - version of the allotment row that was closed
+ */
+export function recoveredSegmentKey (holder: HolderId, budget: string, version: number): string {
+  return `${holder}/recovered-${budget}-${version}`
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -0,0 +1,235 @@
+/**
+ * The budget decider of one holder. It admits requests from tokens it durably holds, makes bills
+ * durable in group commits, and asks for tokens ahead of need. It does no I/O: the shell carries
+ * out its actions and reports the outcomes as events.
+ */
+import type { Instant } from '../clock/clockTypes.js'
+import { Failure } from '../codes/failure.js'
+import { BudgetEntry } from './budgetEntry.js'
+import { BudgetGiving } from './budgetGiving.js'
+import { BudgetUpkeep } from './budgetUpkeep.js'
+import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
+import { isAmount } from './budgetRows.js'
+import { BudgetSettlement } from './budgetSettlement.js'
+import { BudgetSupply } from './budgetSupply.js'
+import type { BudgetAction, BudgetDecider, BudgetEvent, BudgetView, DrawOutcome, Transfer } from './budgetTypes.js'
+import { FlushQueue } from './flushQueue.js'
+
+type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
+
+/** Milliseconds that a request waits when the caller names no limit. */
+const DEFAULT_GIVE_UP_MS = 10_000
+
+const UNAVAILABLE: DrawOutcome = { kind: 'unavailable' }
+
+/** Budgets of one holder; entries exist only for budgets drawn on. */
+export class BudgetLedger implements BudgetDecider {
+  private readonly entries = new Map<string, BudgetEntry>()
+  /** Entries to be looked at on the next tick. */
+  private readonly attention = new Set<BudgetEntry>()
+  private readonly queue: FlushQueue
+  private readonly supply: BudgetSupply
+  private readonly giving: BudgetGiving
+  private readonly upkeep: BudgetUpkeep
+  private readonly settlement: BudgetSettlement
+  private draining = false
+
+  /**
+   * @param holder - holder id of this process
+   * @param policy - sizes and times
+   */
+  constructor (holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy) {
+    this.queue = new FlushQueue(policy)
+    this.supply = new BudgetSupply(holder, policy)
+    this.giving = new BudgetGiving(holder, policy, this.queue)
+    this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries)
+    this.settlement = new BudgetSettlement(this.entries, this.queue)
+  }
+
+  handle (event: BudgetEvent, now: Instant): readonly BudgetAction[] {
+    const actions = this.take(event, now)
+    const flush = this.queue.next(now.mono)
+    if (flush === undefined) return actions
+    this.settlement.sent(flush)
+    return [...actions, { kind: 'flush', ...flush }]
+  }
+
+  views (): readonly BudgetView[] {
+    return [...this.entries.values()].map(entry => entry.view())
+  }
+
+  /**
+   * One budget as this holder sees it.
+   * @param budget - budget id
+   */
+  view (budget: string): BudgetView | undefined {
+    return this.entries.get(budget)?.view()
+  }
+
+  /** Whether everything owed is durable and nothing is held any more. */
+  get isSettled (): boolean {
+    return this.queue.isEmpty && [...this.entries.values()].every(entry => entry.isEmpty)
+  }
+
+  /**
+   * Whether a reservation may still be spent; asked again right before the run is dispatched.
+   * @param reservationId - the reservation
+   * @param now - both clocks
+   */
+  isValid (reservationId: string, now: Instant): boolean {
+    const budget = this.settlement.budgetOf(reservationId)
+    return budget !== undefined && this.entries.get(budget)?.isUsable(now) === true
+  }
+
+  /**
+   * Whether a transfer from or to a holder is not known to be recorded.
+   * @param holder - holder id
+   */
+  hasTransferWith (holder: string): boolean {
+    return this.queue.hasTransferWith(holder)
+  }
+
+  private take (event: BudgetEvent, now: Instant): readonly BudgetAction[] {
+    switch (event.kind) {
+      case 'reserve': return this.reserve(event, now)
+      case 'settle': return this.settle(event, now)
+      case 'withdraw': return this.withdraw(event, now)
+      case 'tick': return this.tick(now)
+      case 'drawAnswered': return this.drawAnswered(event, now)
+      case 'flushAnswered': return this.flushAnswered(event, now)
+      case 'giveAsked': return this.giveAsked(event, now)
+      case 'giveAnswered': return this.giveAnswered(event, now)
+      case 'recallAsked': return this.recallAsked(event, now)
+      case 'recallAnswered': return this.recallAnswered(event, now)
+      case 'fence': this.giving.fence(event.holder, now); return []
+      case 'drain': return this.drain(now)
+    }
+  }
+
+  private reserve (event: EventOf<'reserve'>, now: Instant): readonly BudgetAction[] {
+    const { reservationId, budget, tokens } = event
+    const refuse = (failure: Failure): readonly BudgetAction[] => [{ kind: 'refuse', reservationId, failure }]
+    if (!isAmount(tokens) || tokens === 0) return refuse(new Failure('amountInvalid', `${tokens} tokens cannot be reserved`))
+    if (this.draining) return refuse(new Failure('draining', 'this VM is draining', { retryAfterMs: 0 }))
+    const entry = this.entryOf(budget)
+    entry.lastAskedAt = now.mono
+    entry.isWanted = true
+    entry.largest = Math.max(entry.largest, tokens)
+    entry.waiting.push({ reservationId, tokens, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
+    return this.pump(entry, now)
+  }
+
+  private settle (event: EventOf<'settle'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.settlement.settle(event, now)
+    return entry === undefined ? [] : this.pump(entry, now)
+  }
+
+  private withdraw (event: EventOf<'withdraw'>, now: Instant): readonly BudgetAction[] {
+    for (const entry of this.attention) {
+      entry.waiting = entry.waiting.filter(item => item.reservationId !== event.reservationId)
+    }
+    return this.settle({ kind: 'settle', reservationId: event.reservationId }, now)
+  }
+
+  private tick (now: Instant): readonly BudgetAction[] {
+    const actions = [...this.attention].flatMap(entry => this.pump(entry, now))
+    for (const entry of this.upkeep.visit(now, this.draining)) this.attention.add(entry)
+    return actions
+  }
+
+  private drawAnswered (event: EventOf<'drawAnswered'>, now: Instant): readonly BudgetAction[] {
+    const entry = [...this.attention].find(item => item.draw?.drawId === event.drawId)
+    if (entry === undefined) return []
+    const isClosed = event.outcome.kind === 'closed'
+    // An open flush of this budget has to fail first: a reopened row would take its bills a second time.
+    const outcome = isClosed && this.settlement.isFlushing(entry.budget) ? UNAVAILABLE : event.outcome
+    const closed = outcome.kind === 'closed' ? this.settlement.close(entry) : []
+    this.supply.drawn(entry, outcome, now)
+    return [...closed, ...this.pump(entry, now)]
+  }
+
+  private flushAnswered (event: EventOf<'flushAnswered'>, now: Instant): readonly BudgetAction[] {
+    const { changed, actions } = this.settlement.flushed(event, now)
+    return [...actions, ...changed.flatMap(entry => this.pump(entry, now))]
+  }
+
+  private giveAsked (event: EventOf<'giveAsked'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.get(event.budget)
+    const transfer = this.giving.give(event, this.draining ? undefined : entry, now)
+    if (entry !== undefined) this.attention.add(entry)
+    return [{ kind: 'give', transferId: event.transferId, transfer }]
+  }
+
+  private giveAnswered (event: EventOf<'giveAnswered'>, now: Instant): readonly BudgetAction[] {
+    if (event.transfer !== undefined) return this.receive(event.transfer, event.askedAt ?? now, now)
+    const entry = [...this.attention].find(item => item.round?.operationId === event.transferId)
+    if (entry === undefined) return []
+    this.supply.endStage(entry, event.transferId, now)
+    return this.pump(entry, now)
+  }
+
+  private receive (transfer: Transfer, askedAt: Instant, now: Instant): readonly BudgetAction[] {
+    const entry = this.entryOf(transfer.budget)
+    if (!this.giving.receive(transfer, entry, askedAt, now)) return []
+    return this.pump(entry, now)
+  }
+
+  private recallAsked (event: EventOf<'recallAsked'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.get(event.budget)
+    const tokens = entry === undefined ? 0 : this.giving.returnOnRecall(event, entry, now)
+    return [{ kind: 'returning', budget: event.budget, tokens }]
+  }
+
+  private recallAnswered (event: EventOf<'recallAnswered'>, now: Instant): readonly BudgetAction[] {
+    const entry = [...this.attention].find(item => item.round?.operationId === event.recallId)
+    if (entry === undefined) return []
+    entry.unreachable = event.unreachable ?? 0
+    this.supply.endStage(entry, event.recallId, now)
+    return this.pump(entry, now)
+  }
+
+  private drain (now: Instant): readonly BudgetAction[] {
+    this.draining = true
+    const actions: BudgetAction[] = []
+    for (const entry of this.entries.values()) {
+      for (const item of entry.waiting) {
+        const failure = new Failure('draining', 'this VM is draining', { retryAfterMs: 0 })
+        actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
+      }
+      entry.waiting = []
+      entry.isWanted = false
+      this.attention.add(entry)
+    }
+    this.upkeep.returnAll(now)
+    return actions
+  }
+
+  private pump (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    const before = entry.waiting
+    if (before.length > 0 && entry.held > 0 && !entry.isUsable(now)) this.upkeep.renew(entry, now)
+    const actions = this.supply.pump(entry, now)
+    for (const action of actions) {
+      if (action.kind !== 'admit') continue
+      const tokens = before.find(item => item.reservationId === action.reservationId)?.tokens ?? 0
+      this.settlement.open(action.reservationId, entry.budget, tokens)
+    }
+    if (this.draining) this.upkeep.returnFree(entry, 0, now)
+    if (this.needsAttention(entry, now)) this.attention.add(entry)
+    else this.attention.delete(entry)
+    return actions
+  }
+
+  private needsAttention (entry: BudgetEntry, now: Instant): boolean {
+    return entry.waiting.length > 0 || entry.draw !== undefined || entry.round !== undefined || this.supply.isLow(entry, now)
+  }
+
+  private entryOf (budget: string): BudgetEntry {
+    let entry = this.entries.get(budget)
+    if (entry === undefined) {
+      entry = new BudgetEntry(budget, this.policy)
+      entry.isWanted = !this.draining
+      this.entries.set(budget, entry)
+    }
+    return entry
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -0,0 +1,134 @@
+/**
+ * Sizes and times of the budget policy: how much a holder allots itself, gives and returns. All
+ * functions are pure; docs/design/budgets.md has the measurements behind the defaults.
+ */
+
+/** Settings of the policy; times in milliseconds, amounts in tokens. */
+export interface BudgetPolicy {
+  /** Demand that an allotment covers; has to exceed the partition to survive. */
+  readonly horizonMs: number
+  /** Time constant of the demand rate. */
+  readonly rateWindowMs: number
+  /** Least allotment aimed at. */
+  readonly minTokens: number
+  /** A holder takes at most the unallotted remainder divided by this times the number of holders. */
+  readonly shareDivisor: number
+  /** Refill when less than this part of the level after the last draw is free. */
+  readonly lowWater: number
+  /** Return what exceeds this many targets. */
+  readonly excessFactor: number
+  /** A budget not asked for this long is returned whole. */
+  readonly idleReturnMs: number
+  /** Bills wait at most this long for company. */
+  readonly flushMs: number
+  /** Pause after a table call that failed, before the next try; doubles up to `retryMaxMs`. */
+  readonly retryMs: number
+  readonly retryMaxMs: number
+  /** Pause between rounds of draw, transfer and recall for one budget. */
+  readonly roundMs: number
+  readonly roundMaxMs: number
+  /** How long a request waits when the table or holders cannot be reached. */
+  readonly patienceMs: number
+  /** Own demand that a holder keeps back when asked to return tokens. */
+  readonly recallKeepMs: number
+  /** How long after its last contact with the table an allotment may be taken by recovery. */
+  readonly lapseMs: number
+  /** Margin for clocks that run at different rates. */
+  readonly marginMs: number
+  /** Longest time between a reservation and the end of its run. */
+  readonly requestTimeoutMs: number
+}
+
+const SECOND = 1000
+const MINUTE = 60 * SECOND
+const HOUR = 60 * MINUTE
+
+/** Defaults, chosen by measurement. */
+export const defaultBudgetPolicy: BudgetPolicy = {
+  horizonMs: 120 * MINUTE,
+  rateWindowMs: 20 * MINUTE,
+  minTokens: 8_192,
+  shareDivisor: 2,
+  lowWater: 0.5,
+  excessFactor: 2,
+  idleReturnMs: 6 * HOUR,
+  flushMs: SECOND,
+  retryMs: SECOND,
+  retryMaxMs: 15 * SECOND,
+  roundMs: 500,
+  roundMaxMs: 8 * SECOND,
+  patienceMs: 2 * SECOND,
+  recallKeepMs: 20 * SECOND,
+  lapseMs: 100 * MINUTE,
+  marginMs: MINUTE,
+  requestTimeoutMs: MINUTE
+}
+
+/** Longest lapse that leaves time to recover before engines forget their runs (two hours). */
+export const MAX_LAPSE_MS = 100 * MINUTE
+
+/** Part of the lapse after which an idle allotment is renewed. */
+const RENEW_PART = 0.25
+
+/** Requests of the largest size seen that the least allotment covers. */
+const LARGEST_COVERED = 4
+
+/**
+ * Milliseconds after a contact during which a holder may reserve.
+ * @param policy - the policy
+ */
+export function usableMs (policy: BudgetPolicy): number {
+  return policy.lapseMs - policy.marginMs - policy.requestTimeoutMs
+}
+
+/**
+ * Milliseconds after a contact when an idle allotment is renewed.
+ * @param policy - the policy
+ */
+export function renewAfterMs (policy: BudgetPolicy): number {
+  return policy.lapseMs * RENEW_PART
+}
+
+/**
+ * Allotment to aim at.
+ * @param policy - the policy
+ * @param ratePerMs - demand in tokens a millisecond
+ * @param largest - largest reservation seen
+ */
+export function targetTokens (policy: BudgetPolicy, ratePerMs: number, largest: number): number {
+  return Math.ceil(Math.max(ratePerMs * policy.horizonMs, policy.minTokens, largest * LARGEST_COVERED))
+}
+
+/**
+ * Tokens that the table grants.
+ * @param wanted - amount wanted
+ * @param atLeast - amount needed now
+ * @param left - unallotted tokens
+ * @param holders - number of VMs that may draw
+ * @param shareDivisor - see {@link BudgetPolicy}
+ */
+export function grantTokens (wanted: number, atLeast: number, left: number, holders: number, shareDivisor: number): number {
+  const share = Math.floor(left / Math.max(1, holders * shareDivisor))
+  return Math.max(0, Math.min(left, Math.max(wanted, atLeast), Math.max(atLeast, share)))
+}
+
+/**
+ * Tokens given to another holder: what it needs now if there is as much, more only up to half.
+ * @param free - tokens free here
+ * @param wanted - amount wanted
+ * @param atLeast - amount needed now
+ */
+export function giveTokens (free: number, wanted: number, atLeast: number): number {
+  const half = Math.floor(free / 2)
+  return Math.max(0, Math.min(free, Math.max(atLeast, Math.min(wanted, half))))
+}
+
+/**
+ * Tokens returned on recall: all but the own demand of a short time, and that too when it is needed elsewhere now.
+ * @param free - tokens free here
+ * @param keep - own demand kept back
+ * @param atLeast - amount needed now elsewhere
+ */
+export function recallTokens (free: number, keep: number, atLeast: number): number {
+  return Math.max(0, Math.min(free, Math.max(free - Math.ceil(keep), atLeast)))
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetRows.ts
@@ -0,0 +1,178 @@
+/**
+ * Arithmetic on budget and allotment rows. Every change of these rows anywhere in the system goes
+ * through one of these functions; each refuses an amount that is not a whole number and keeps
+ * `spent + allotted <= paid` and `held >= 0`.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '../codes/failure.js'
+import type { AllotmentRow, BudgetRow, Transfer } from './budgetTypes.js'
+
+/** Largest amount of tokens in one operation. */
+export const MAX_TOKENS = 1_000_000_000_000
+
+/** A budget row and the allotment row that changes with it. */
+export interface RowPair {
+  readonly budget: BudgetRow
+  readonly allotment: AllotmentRow
+}
+
+/** Both allotment rows of a transfer. */
+export interface TransferPair {
+  readonly giver: AllotmentRow
+  readonly receiver: AllotmentRow
+}
+
+/**
+ * Whether a value is a whole number of tokens from 0 to {@link MAX_TOKENS}.
+ * @param tokens - any value
+ */
+export function isAmount (tokens: unknown): tokens is number {
+  return Number.isSafeInteger(tokens) && (tokens as number) >= 0 && (tokens as number) <= MAX_TOKENS
+}
+
+function invalidAmount<T> (tokens: unknown): Either<Failure, T> {
+  return Left(new Failure('amountInvalid', `${String(tokens)} is not a valid amount of tokens`))
+}
+
+function broken<T> (detail: string): Either<Failure, T> {
+  return Left(new Failure('internal', detail))
+}
+
+function closed<T> (row: AllotmentRow): Either<Failure, T> {
+  return Left(new Failure('allotmentClosed', `the allotment of ${row.holder} in ${row.budget} is closed`))
+}
+
+/**
+ * Tokens of a budget that no holder has.
+ * @param row - the budget row
+ */
+export function unallotted (row: BudgetRow): number {
+  return row.paid - row.spent - row.allotted
+}
+
+/**
+ * A fresh, empty allotment row.
+ * @param budget - budget id
+ * @param holder - holder id
+ * @param domain - failure domain of the holder
+ */
+export function emptyAllotment (budget: string, holder: string, domain: string): AllotmentRow {
+  return { budget, holder, domain, held: 0, settled: 0, state: 'open' }
+}
+
+function checkBudget (row: BudgetRow): Either<Failure, BudgetRow> {
+  if (row.spent < 0 || row.allotted < 0) return broken(`negative amounts in budget ${row.budget}`)
+  if (row.spent + row.allotted > row.paid) return broken(`budget ${row.budget} would be overspent`)
+  return Right(row)
+}
+
+/**
+ * Adds paid tokens, or lowers the budget when `tokens` is negative.
+ * @param row - the budget row, absent for a new budget
+ * @param budget - budget id
+ * @param tokens - whole tokens, not 0
+ */
+export function applyTopUp (row: BudgetRow | undefined, budget: string, tokens: number): Either<Failure, BudgetRow> {
+  if (!isAmount(Math.abs(tokens)) || tokens === 0) return invalidAmount(tokens)
+  const before = row ?? { budget, paid: 0, spent: 0, allotted: 0 }
+  const paid = before.paid + tokens
+  if (!Number.isSafeInteger(paid)) return invalidAmount(tokens)
+  if (paid < before.spent + before.allotted) {
+    const committed = before.spent + before.allotted
+    return Left(new Failure('budgetBelowCommitted', `${committed} tokens of ${budget} are spent or allotted`))
+  }
+  return Right({ ...before, paid })
+}
+
+/**
+ * Moves billed tokens of an allotment to `spent` of its budget.
+ * @param pair - both rows
+ */
+export function fold (pair: RowPair): RowPair {
+  const { budget, allotment } = pair
+  return {
+    budget: { ...budget, spent: budget.spent + allotment.settled, allotted: budget.allotted - allotment.settled },
+    allotment: { ...allotment, settled: 0 }
+  }
+}
+
+/**
+ * Allots tokens to a holder.
+ * @param pair - both rows
+ * @param tokens - amount granted
+ * @param drawId - id of the draw
+ */
+export function applyDraw (pair: RowPair, tokens: number, drawId: string): Either<Failure, RowPair> {
+  if (!isAmount(tokens)) return invalidAmount(tokens)
+  if (pair.allotment.state === 'closed') return closed(pair.allotment)
+  const { budget, allotment } = fold(pair)
+  const granted = { ...allotment, held: allotment.held + tokens, lastDraw: { drawId, tokens } }
+  return checkBudget({ ...budget, allotted: budget.allotted + tokens })
+    .map(row => ({ budget: row, allotment: granted }))
+}
+
+/**
+ * Bills tokens against an allotment.
+ * @param row - the allotment row
+ * @param tokens - billed amount
+ */
+export function applySettle (row: AllotmentRow, tokens: number): Either<Failure, AllotmentRow> {
+  if (!isAmount(tokens)) return invalidAmount(tokens)
+  if (row.state === 'closed') return closed(row)
+  if (tokens > row.held) return broken(`${row.holder} settles ${tokens} of ${row.held} tokens in ${row.budget}`)
+  return Right({ ...row, held: row.held - tokens, settled: row.settled + tokens })
+}
+
+/**
+ * Gives unspent tokens back to the budget.
+ * @param pair - both rows
+ * @param tokens - amount returned
+ */
+export function applyReturn (pair: RowPair, tokens: number): Either<Failure, RowPair> {
+  if (!isAmount(tokens)) return invalidAmount(tokens)
+  if (pair.allotment.state === 'closed') return closed(pair.allotment)
+  if (tokens > pair.allotment.held) return broken(`${pair.allotment.holder} returns more than it holds`)
+  const { budget, allotment } = fold(pair)
+  return checkBudget({ ...budget, allotted: budget.allotted - tokens })
+    .map(row => ({ budget: row, allotment: { ...allotment, held: allotment.held - tokens } }))
+}
+
+/**
+ * Records a transfer between two holders.
+ * @param pair - allotment rows of giver and receiver
+ * @param transfer - what moved
+ */
+export function applyTransfer (pair: TransferPair, transfer: Transfer): Either<Failure, TransferPair> {
+  const { giver, receiver } = pair
+  if (!isAmount(transfer.tokens)) return invalidAmount(transfer.tokens)
+  if (giver.state === 'closed') return closed(giver)
+  if (receiver.state === 'closed') return closed(receiver)
+  if (giver.domain !== receiver.domain) return broken('a transfer between failure domains')
+  if (transfer.tokens > giver.held) return broken(`${giver.holder} gave more than it holds in ${giver.budget}`)
+  return Right({
+    giver: { ...giver, held: giver.held - transfer.tokens },
+    receiver: { ...receiver, held: receiver.held + transfer.tokens }
+  })
+}
+
+/**
+ * Closes the allotments of ended holders of one domain: what they still owed is billed, the rest goes back.
+ * @param budget - the budget row
+ * @param allotments - open rows of the ended holders
+ * @param billed - tokens of runs that no segment has billed
+ */
+export function applyClose (
+  budget: BudgetRow, allotments: readonly AllotmentRow[], billed: number
+): Either<Failure, { readonly budget: BudgetRow, readonly allotments: readonly AllotmentRow[] }> {
+  if (!isAmount(billed)) return invalidAmount(billed)
+  const already = allotments.find(row => row.state === 'closed')
+  if (already !== undefined) return closed(already)
+  const held = allotments.reduce((sum, row) => sum + row.held, 0)
+  const settled = allotments.reduce((sum, row) => sum + row.settled, 0)
+  if (billed > held) return broken(`${billed} tokens are owed but only ${held} are held in ${budget.budget}`)
+  const after = { ...budget, spent: budget.spent + settled + billed, allotted: budget.allotted - settled - held }
+  return checkBudget(after).map(row => ({
+    budget: row,
+    allotments: allotments.map(item => ({ ...item, held: 0, settled: 0, state: 'closed' as const }))
+  }))
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -0,0 +1,190 @@
+/**
+ * Reservations and bills of one holder: what a run cost is queued for the next flush, and the
+ * outcome of a flush moves it from owed to settled.
+ */
+import type { Instant } from '../clock/clockTypes.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import { isAmount } from './budgetRows.js'
+import type { Bill, BudgetAction, BudgetEvent, FlushOutcome } from './budgetTypes.js'
+import type { FlushOrder } from './flushPlan.js'
+import type { FlushQueue } from './flushQueue.js'
+
+type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
+
+/** A running request. */
+interface OpenReservation {
+  readonly budget: string
+  readonly tokens: number
+}
+
+/** What the outcome of a flush came to. */
+export interface FlushResult {
+  readonly changed: readonly BudgetEntry[]
+  readonly actions: readonly BudgetAction[]
+}
+
+/** Reservations and bills. */
+export class BudgetSettlement {
+  private readonly reservations = new Map<string, OpenReservation>()
+
+  constructor (private readonly entries: ReadonlyMap<string, BudgetEntry>, private readonly queue: FlushQueue) {}
+
+  /**
+   * Notes an admitted request.
+   * @param reservationId - id of the reservation
+   * @param budget - budget id
+   * @param tokens - the worst case
+   */
+  open (reservationId: string, budget: string, tokens: number): void {
+    this.reservations.set(reservationId, { budget, tokens })
+  }
+
+  /**
+   * The budget of an open reservation.
+   * @param reservationId - id of the reservation
+   */
+  budgetOf (reservationId: string): string | undefined {
+    return this.reservations.get(reservationId)?.budget
+  }
+
+  /**
+   * Ends a reservation. A second end is ignored; a bill is never more than the reservation, and an
+   * amount that is no whole number costs the whole reservation.
+   * @param event - the end
+   * @param now - both clocks
+   */
+  settle (event: EventOf<'settle'>, now: Instant): BudgetEntry | undefined {
+    const reservation = this.reservations.get(event.reservationId)
+    if (reservation === undefined) return undefined
+    this.reservations.delete(event.reservationId)
+    const entry = this.entries.get(reservation.budget)
+    if (entry === undefined) return undefined
+    entry.reserved -= reservation.tokens
+    if (event.bill !== undefined) this.bill(entry, event.bill, reservation, now)
+    return entry
+  }
+
+  /**
+   * Notes that a flush goes out.
+   * @param flush - the flush
+   */
+  sent (flush: FlushOrder): void {
+    const sums = new Map<string, number>()
+    for (const bill of flush.bills) sums.set(bill.budget, (sums.get(bill.budget) ?? 0) + bill.tokens)
+    for (const [budget, tokens] of sums) {
+      const entry = this.entries.get(budget)
+      if (entry !== undefined) entry.flushing = tokens
+    }
+  }
+
+  /**
+   * Whether the outcome of a flush that touches a budget is open.
+   * @param budget - budget id
+   */
+  isFlushing (budget: string): boolean {
+    const flush = this.queue.open
+    if (flush === undefined) return false
+    return [...flush.bills, ...flush.returns, ...flush.transfers].some(item => item.budget === budget)
+  }
+
+  /**
+   * Takes the outcome of a flush.
+   * @param event - the outcome
+   * @param now - both clocks
+   */
+  flushed (event: EventOf<'flushAnswered'>, now: Instant): FlushResult {
+    const { outcome, seq } = event
+    if (this.queue.open?.seq !== seq) return { changed: [], actions: [] }
+    if (outcome.kind === 'unavailable') {
+      this.queue.retry(now.mono)
+      return { changed: [], actions: [] }
+    }
+    const flush = this.queue.finish(now.mono)
+    if (flush === undefined) return { changed: [], actions: [] }
+    if (outcome.kind === 'durable') return { changed: this.durable(flush, outcome.sentAt), actions: [] }
+    return this.refused(flush, outcome, now)
+  }
+
+  /**
+   * Gives up an allotment that a recovery closed; its open reservations end without a bill.
+   * @param entry - the budget
+   */
+  close (entry: BudgetEntry): readonly BudgetAction[] {
+    let inDoubt = this.queue.dropBudget(entry.budget).reduce((sum, bill) => sum + bill.tokens, 0)
+    for (const [id, item] of this.reservations) {
+      if (item.budget !== entry.budget) continue
+      this.reservations.delete(id)
+      inDoubt += item.tokens
+    }
+    entry.reset()
+    entry.inDoubt += inDoubt
+    return [{ kind: 'closed', budget: entry.budget, inDoubt }]
+  }
+
+  private bill (entry: BudgetEntry, bill: Bill, reservation: OpenReservation, now: Instant): void {
+    const tokens = isAmount(bill.tokens) ? Math.min(bill.tokens, reservation.tokens) : reservation.tokens
+    entry.unsettled += tokens
+    entry.rate.add(tokens, now.mono)
+    this.queue.addBill({ ...bill, budget: reservation.budget, tokens }, now.mono)
+  }
+
+  private durable (flush: FlushOrder, sentAt: Instant): readonly BudgetEntry[] {
+    const changed = new Set<BudgetEntry>()
+    for (const bill of flush.bills) {
+      const entry = this.entries.get(bill.budget)
+      if (entry === undefined) continue
+      entry.held -= bill.tokens
+      entry.unsettled -= bill.tokens
+      entry.flushing = 0
+      changed.add(entry)
+    }
+    for (const item of flush.returns) {
+      const entry = this.entries.get(item.budget)
+      if (entry === undefined) continue
+      entry.held -= item.tokens
+      entry.returning -= item.tokens
+      changed.add(entry)
+    }
+    for (const item of flush.transfers) this.entries.get(item.budget)?.recorded(item.transferId)
+    for (const entry of changed) entry.touchedAt = sentAt
+    return [...changed]
+  }
+
+  /** Nothing was written: what is still possible is queued again for a later number. */
+  private refused (flush: FlushOrder, outcome: Extract<FlushOutcome, { kind: 'closed' }>, now: Instant): FlushResult {
+    const lost = new Set(outcome.lostTransfers ?? [])
+    const closed = new Set(outcome.budgets)
+    for (const bill of flush.bills) this.queue.addBill(bill, now.mono)
+    for (const item of flush.returns) if (!closed.has(item.budget)) this.queue.addReturn(item, now.mono)
+    for (const item of flush.transfers) if (!lost.has(item.transferId)) this.queue.addTransfer(item, now.mono)
+    const changed: BudgetEntry[] = []
+    const actions: BudgetAction[] = []
+    for (const budget of closed) {
+      const entry = this.entries.get(budget)
+      if (entry === undefined) continue
+      changed.push(entry)
+      actions.push(...this.close(entry))
+    }
+    for (const item of flush.transfers) {
+      const entry = this.entries.get(item.budget)
+      if (entry === undefined || !lost.has(item.transferId) || closed.has(item.budget)) continue
+      entry.loseTransfer(item.transferId)
+      actions.push(...this.dropUncovered(entry))
+      changed.push(entry)
+    }
+    return { changed, actions }
+  }
+
+  /** Bills for tokens of a lost transfer are in doubt: the recovery of the giver accounts for them. */
+  private dropUncovered (entry: BudgetEntry): readonly BudgetAction[] {
+    let inDoubt = 0
+    while (entry.unsettled + entry.returning > entry.held) {
+      const bill = this.queue.dropLatestBill(entry.budget)
+      if (bill === undefined) break
+      entry.unsettled -= bill.tokens
+      inDoubt += bill.tokens
+    }
+    entry.inDoubt += inDoubt
+    return inDoubt > 0 ? [{ kind: 'closed', budget: entry.budget, inDoubt }] : []
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -0,0 +1,229 @@
+/**
+ * How a holder gets tokens: a draw ahead of need, or, when requests wait, a round of draw from the
+ * table, transfer within the failure domain, recall from everywhere and a second draw. What still
+ * waits is refused only when the tokens cannot come back, or when its time is over.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import { Failure } from '../codes/failure.js'
+import type { BudgetEntry, RoundStage, Shortage, WaitingRequest } from './budgetEntry.js'
+import type { BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
+
+/** Pause before the next draw ahead of need once nothing was left. */
+const EMPTY_TABLE_PAUSE_MS = 30_000
+/** Advice to callers when the budget is spent. */
+const SPENT_RETRY_MS = 30_000
+/** Advice to callers when tokens are held elsewhere. */
+const ELSEWHERE_RETRY_MS = 5_000
+/** Least advice to callers when the table cannot be reached. */
+const PENDING_RETRY_MS = 1_000
+
+const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
+
+/** Gets tokens for the entries of one holder. */
+export class BudgetSupply {
+  private operations = 0
+
+  /**
+   * @param holder - holder id, part of the ids of its operations
+   * @param policy - sizes and times
+   */
+  constructor (private readonly holder: string, private readonly policy: BudgetPolicy) {}
+
+  /**
+   * Admits what fits, refuses what cannot be served, and goes on with the search for tokens.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  pump (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    const admitted = this.admit(entry, now)
+    const refused = this.refuse(entry, now)
+    return [...admitted, ...refused, ...this.advance(entry, now)]
+  }
+
+  /**
+   * Takes the answer of a draw.
+   * @param entry - the budget
+   * @param outcome - how the draw ended
+   * @param now - both clocks
+   */
+  drawn (entry: BudgetEntry, outcome: DrawOutcome, now: Instant): void {
+    const drawId = entry.draw?.drawId ?? ''
+    entry.draw = outcome.kind === 'unavailable' ? { drawId, inFlight: false } : undefined
+    if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
+    else this.notGranted(entry, outcome, now)
+    this.endStage(entry, drawId, now)
+  }
+
+  /**
+   * Ends the transfer or recall stage of a round.
+   * @param entry - the budget
+   * @param operationId - id of the operation that ended
+   * @param now - both clocks
+   */
+  endStage (entry: BudgetEntry, operationId: string, now: Instant): void {
+    const round = entry.round
+    if (round === undefined || round.operationId !== operationId) return
+    const stage = this.stageAfter(entry, round.stage)
+    if (stage !== undefined && entry.need > 0) {
+      entry.round = { stage }
+      return
+    }
+    this.endRound(entry, now)
+  }
+
+  /**
+   * Whether the allotment should be refilled.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  isLow (entry: BudgetEntry, now: Instant): boolean {
+    return entry.isWanted && entry.free < Math.min(entry.target(now), entry.level) * this.policy.lowWater
+  }
+
+  private endRound (entry: BudgetEntry, now: Instant): void {
+    entry.round = undefined
+    entry.roundPauseMs = Math.min(this.policy.roundMaxMs, Math.max(this.policy.roundMs, entry.roundPauseMs * 2))
+    entry.nextRoundAt = now.mono + entry.roundPauseMs
+  }
+
+  private stageAfter (entry: BudgetEntry, stage: RoundStage): RoundStage | undefined {
+    const next = nextStage[stage]
+    const reachable = entry.shortage === undefined || entry.shortage.kind === 'short'
+    return next === 'recall' && !reachable ? undefined : next
+  }
+
+  private granted (entry: BudgetEntry, tokens: number, sentAt: Instant): void {
+    entry.held += tokens
+    entry.touchedAt = sentAt
+    entry.reopen = false
+    entry.shortage = undefined
+    entry.drawPauseMs = 0
+    entry.roundPauseMs = 0
+    entry.level = Math.max(0, entry.free)
+  }
+
+  private notGranted (entry: BudgetEntry, outcome: DrawOutcome, now: Instant): void {
+    if (outcome.kind === 'closed') {
+      entry.reset()
+      return
+    }
+    entry.shortage = this.shortageOf(outcome)
+    const { retryMs, retryMaxMs } = this.policy
+    entry.drawPauseMs = outcome.kind === 'unavailable'
+      ? Math.min(retryMaxMs, Math.max(retryMs, entry.drawPauseMs * 2))
+      : EMPTY_TABLE_PAUSE_MS
+    entry.nextDrawAt = now.mono + entry.drawPauseMs
+  }
+
+  private shortageOf (outcome: DrawOutcome): Shortage | undefined {
+    if (outcome.kind === 'short') {
+      return { kind: 'short', unspent: outcome.unspent ?? outcome.left + outcome.elsewhere }
+    }
+    if (outcome.kind === 'unavailable' || outcome.kind === 'unknownBudget') return { kind: outcome.kind }
+    return undefined
+  }
+
+  private admit (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (entry.waiting.length === 0 || !entry.isUsable(now)) return []
+    const actions: BudgetAction[] = []
+    entry.waiting = entry.waiting.filter(item => {
+      if (item.tokens > entry.free) return true
+      entry.reserved += item.tokens
+      actions.push({ kind: 'admit', reservationId: item.reservationId })
+      return false
+    })
+    return actions
+  }
+
+  private refuse (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    const actions: BudgetAction[] = []
+    entry.waiting = entry.waiting.filter(item => {
+      const failure = this.verdict(entry, item, now)
+      if (failure === undefined) return true
+      actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
+      return false
+    })
+    return actions
+  }
+
+  private verdict (entry: BudgetEntry, item: WaitingRequest, now: Instant): Failure | undefined {
+    const shortage = entry.shortage
+    if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `there is no budget ${entry.budget}`)
+    if (shortage?.kind === 'short' && this.cannotComeBack(entry, shortage.unspent, item.tokens)) {
+      return new Failure('budgetSpent', `fewer than ${item.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
+    }
+    const waitedMs = elapsedMs(item.since, now)
+    const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0)
+    const patienceMs = isCutOff && entry.round === undefined ? Math.min(this.policy.patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
+    return waitedMs >= patienceMs ? this.timedOut(entry, now) : undefined
+  }
+
+  private cannotComeBack (entry: BudgetEntry, unspent: number, tokens: number): boolean {
+    return unspent - (entry.unsettled - entry.flushing) < tokens
+  }
+
+  private timedOut (entry: BudgetEntry, now: Instant): Failure {
+    if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
+      return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: ELSEWHERE_RETRY_MS })
+    }
+    const retryAfterMs = Math.max(PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
+    return new Failure('budgetPending', `tokens of ${entry.budget} could not be had in time`, { retryAfterMs })
+  }
+
+  private advance (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (entry.round !== undefined) return this.runStage(entry, now)
+    if (entry.waiting.length === 0) return this.drawAhead(entry, now)
+    if (now.mono < entry.nextRoundAt) return []
+    entry.round = { stage: 'draw' }
+    return this.runStage(entry, now)
+  }
+
+  private runStage (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (entry.round === undefined || entry.round.operationId !== undefined) return []
+    const { stage } = entry.round
+    const { budget, need } = entry
+    if (stage === 'draw' || stage === 'redraw') {
+      const actions = this.startDraw(entry, now)
+      entry.round = { stage, operationId: entry.draw?.drawId ?? '' }
+      return actions
+    }
+    const operationId = this.nextId(stage)
+    entry.round = { stage, operationId }
+    const wanted = Math.max(need, this.missing(entry, now))
+    if (stage === 'give') return [{ kind: 'askGive', transferId: operationId, budget, tokens: wanted, atLeast: need }]
+    return [{ kind: 'recall', recallId: operationId, budget, tokens: wanted, atLeast: need }]
+  }
+
+  private startDraw (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (entry.draw?.inFlight === true) return []
+    const drawId = entry.draw?.drawId ?? this.nextId('draw')
+    entry.draw = { drawId, inFlight: true }
+    const { budget, need: atLeast, reopen } = entry
+    const tokens = Math.max(atLeast, this.missing(entry, now))
+    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen }]
+  }
+
+  private drawAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (now.mono < entry.nextDrawAt) return []
+    const isOpen = entry.draw?.inFlight === false
+    return isOpen || this.isLow(entry, now) ? this.startDraw(entry, now) : []
+  }
+
+  /** Tokens up to the target, with what waiting requests take on top. */
+  private missing (entry: BudgetEntry, now: Instant): number {
+    const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
+    const target = entry.isWanted ? entry.target(now) : 0
+    return Math.max(0, target + wanted - Math.max(0, entry.free))
+  }
+
+  private least (entry: BudgetEntry): number {
+    const smallest = entry.waiting.reduce((least, item) => Math.min(least, item.tokens), Infinity)
+    return Number.isFinite(smallest) ? Math.max(1, smallest - Math.max(0, entry.free)) : 0
+  }
+
+  private nextId (stage: RoundStage): string {
+    this.operations += 1
+    return `${this.holder}.${stage}${this.operations}`
+  }
+}
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -12,7 +12,7 @@
   budget: z.string(),
   paid: z.number().int().nonnegative(),
   spent: z.number().int().nonnegative(),
-  /** Sum of `held` over all allotment rows of the budget, open or in doubt. */
+  /** Sum of `held + settled` over all allotment rows of the budget, open or in doubt. */
   allotted: z.number().int().nonnegative()
 })
 export type BudgetRow = z.infer<typeof budgetRowSchema>
@@ -23,7 +23,16 @@
   holder: z.string(),
   domain: z.string(),
   /** Tokens allotted and not yet settled or returned. */
-  held: z.number().int(),
+  held: z.number().int().nonnegative(),
+  /**
+   * Tokens billed in segments and not yet moved to `spent` of the budget row. A flush writes only
+   * rows of its own holder, so holders of one budget do not contend; a draw or return moves it.
+   */
+  settled: z.number().int().nonnegative().default(0),
+  /** The last draw that took effect, so that a draw whose answer was lost counts once. */
+  lastDraw: z.object({ drawId: z.string(), tokens: z.number().int().nonnegative() }).optional(),
+  /** Highest segment that touched this row. */
+  lastSeq: z.number().int().optional(),
   /** `closed` once recovered: the holder may neither spend nor settle any more. */
   state: z.enum(['open', 'closed'])
 })
@@ -33,7 +42,8 @@
 export const topUpRowSchema = z.object({
   operationId: z.string(),
   budget: z.string(),
-  tokens: z.number().int().positive(),
+  /** Positive for a top-up, negative for an adjustment that lowers the budget. */
+  tokens: z.number().int(),
   author: z.string()
 })
 export type TopUpRow = z.infer<typeof topUpRowSchema>
@@ -62,14 +72,16 @@
   budget: z.string(),
   from: z.string(),
   to: z.string(),
-  tokens: z.number().int().positive()
+  tokens: z.number().int().positive(),
+  /** Milliseconds for which the receiver may spend before the transfer is recorded, counted from its ask. */
+  validForMs: z.number().nonnegative().optional()
 })
 export type Transfer = z.infer<typeof transferSchema>
 
 /** What the ledger is told. */
 export type BudgetEvent =
   /** A request asks for its worst case; answered by `admit` or `refuse` with the same id, at once or after later events. */
-  | { readonly kind: 'reserve', readonly reservationId: string, readonly budget: string, readonly tokens: number }
+  | { readonly kind: 'reserve', readonly reservationId: string, readonly budget: string, readonly tokens: number, readonly giveUpAfterMs?: number }
   /** A run ended: the reservation is closed, `bill` says what it cost; no bill when nothing is owed. */
   | { readonly kind: 'settle', readonly reservationId: string, readonly bill?: Bill }
   /** The caller gave up while the reservation waited. */
@@ -77,40 +89,48 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'drawAnswered', readonly drawId: string, readonly outcome: DrawOutcome }
   | { readonly kind: 'flushAnswered', readonly seq: number, readonly outcome: FlushOutcome }
-  | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly sameDomain: boolean }
-  | { readonly kind: 'giveAnswered', readonly transferId: string, readonly transfer?: Transfer }
-  | { readonly kind: 'recallAsked', readonly budget: string, readonly wanted: number }
-  | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number }
+  | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly atLeast?: number, readonly sameDomain: boolean }
+  | { readonly kind: 'giveAnswered', readonly transferId: string, readonly transfer?: Transfer, readonly askedAt?: Instant }
+  | { readonly kind: 'recallAsked', readonly budget: string, readonly wanted: number, readonly atLeast?: number }
+  | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number, readonly unreachable?: number }
+  /** A holder ended: no transfer from or to it may begin, and late answers of it are void. */
+  | { readonly kind: 'fence', readonly holder: string }
   | { readonly kind: 'drain' }
 
 /** How a draw ended. `granted` tokens are durable in the table for this holder. */
 export type DrawOutcome =
   | { readonly kind: 'granted', readonly tokens: number, readonly left: number, readonly sentAt: Instant }
-  /** The table was reached but nothing, or less than a useful amount, is left unallotted. `elsewhere` is held by others. */
-  | { readonly kind: 'short', readonly left: number, readonly elsewhere: number, readonly sentAt: Instant }
+  /** The table was reached but nothing, or less than a useful amount, is left unallotted. `elsewhere` is held by others, `unspent` is `paid` less all that is billed. */
+  | { readonly kind: 'short', readonly left: number, readonly elsewhere: number, readonly unspent?: number, readonly sentAt: Instant }
+  /** The allotment row was closed by a recovery; nothing was drawn. */
+  | { readonly kind: 'closed' }
   | { readonly kind: 'unknownBudget' }
   | { readonly kind: 'unavailable' }
 
-/** How a flush ended; `closed` names budgets whose allotment was recovered by others meanwhile. */
+/** How a flush ended; `closed` names budgets whose allotment was recovered by others meanwhile, and transfers that can no longer be recorded; nothing of the flush was written. */
 export type FlushOutcome =
   | { readonly kind: 'durable', readonly sentAt: Instant }
   | { readonly kind: 'unavailable' }
-  | { readonly kind: 'closed', readonly budgets: readonly string[] }
+  | { readonly kind: 'closed', readonly budgets: readonly string[], readonly lostTransfers?: readonly string[] }
 
 /** What the shell has to do. */
 export type BudgetAction =
   | { readonly kind: 'admit', readonly reservationId: string }
   | { readonly kind: 'refuse', readonly reservationId: string, readonly failure: Failure }
-  /** Allot up to `tokens` more, at least `atLeast` if possible. */
-  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
-  /** One transaction: the segment row if absent, settlement of every bill, tokens given back, transfers recorded. */
+  /** Allot up to `tokens` more, `atLeast` if possible; less than `least` is of no use. */
+  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean }
+  /** One transaction: the segment row if absent, settlement of every bill, tokens given back (0 only renews the row), transfers recorded. */
   | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[] }
   /** Ask the holders of the own domain for a transfer. */
-  | { readonly kind: 'askGive', readonly transferId: string, readonly budget: string, readonly tokens: number }
+  | { readonly kind: 'askGive', readonly transferId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answer a `giveAsked`: the tokens are subtracted already; no transfer means nothing can be given. */
   | { readonly kind: 'give', readonly transferId: string, readonly transfer?: Transfer }
   /** Ask holders everywhere to return what they do not need. */
-  | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number }
+  | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
+  /** Answer to a `recallAsked`: so much is on its way to the table. */
+  | { readonly kind: 'returning', readonly budget: string, readonly tokens: number }
+  /** The allotment of this holder was closed; `inDoubt` tokens were billed here but are accounted for by the recovery. */
+  | { readonly kind: 'closed', readonly budget: string, readonly inDoubt: number }
 
 /** Tokens that go back to the table unspent. */
 export interface BudgetReturn {
@@ -124,6 +144,7 @@
   readonly held: number
   readonly reserved: number
   readonly unsettled: number
+  readonly inDoubt?: number
 }
 
 /** Decides admission, refill, transfer, recall and settlement for one holder. */
--- /dev/null
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -0,0 +1,107 @@
+/**
+ * Slow work on the budgets of one holder: leases of idle allotments are renewed, tokens that are
+ * not needed go back, and entries that hold nothing are forgotten. Each tick visits a bounded
+ * number of entries, so the work follows the tick and not the number of budgets.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import { renewAfterMs, type BudgetPolicy } from './budgetPolicy.js'
+import type { FlushQueue } from './flushQueue.js'
+
+/** Entries visited in one tick. */
+const VISITS_PER_TICK = 100
+
+/** Visits all entries in turn. */
+export class BudgetUpkeep {
+  private cursor: Iterator<BudgetEntry> | undefined
+
+  constructor (
+    private readonly policy: BudgetPolicy,
+    private readonly queue: FlushQueue,
+    private readonly entries: Map<string, BudgetEntry>
+  ) {}
+
+  /**
+   * Visits the next entries; answers those that need more than upkeep.
+   * @param now - both clocks
+   * @param draining - whether everything free goes back
+   */
+  visit (now: Instant, draining: boolean): readonly BudgetEntry[] {
+    const visited: BudgetEntry[] = []
+    const count = Math.min(VISITS_PER_TICK, this.entries.size)
+    while (visited.length < count) {
+      this.cursor ??= this.entries.values()
+      const step = this.cursor.next()
+      if (step.done === true) {
+        this.cursor = undefined
+        break
+      }
+      this.look(step.value, now, draining)
+      visited.push(step.value)
+    }
+    return visited
+  }
+
+  /**
+   * Renews the lease of an allotment.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  renew (entry: BudgetEntry, now: Instant): void {
+    if (entry.renewedAt !== undefined && elapsedMs(entry.renewedAt, now) < this.policy.retryMaxMs) return
+    entry.renewedAt = now
+    this.queue.addReturn({ budget: entry.budget, tokens: 0 }, now.mono)
+  }
+
+  /**
+   * Returns free tokens above a level.
+   * @param entry - the budget
+   * @param keep - tokens that stay
+   * @param now - both clocks
+   */
+  returnFree (entry: BudgetEntry, keep: number, now: Instant): void {
+    const tokens = entry.free - keep
+    if (tokens <= 0) return
+    entry.returning += tokens
+    entry.level = Math.max(0, entry.free)
+    this.queue.addReturn({ budget: entry.budget, tokens }, now.mono)
+  }
+
+  /**
+   * Returns all free tokens of all budgets and makes everything queued due.
+   * @param now - both clocks
+   */
+  returnAll (now: Instant): void {
+    for (const entry of this.entries.values()) this.returnFree(entry, 0, now)
+    this.queue.hurry(now.mono)
+  }
+
+  private look (entry: BudgetEntry, now: Instant, draining: boolean): void {
+    if (entry.isEmpty && !this.isRecent(entry, now)) {
+      this.entries.delete(entry.budget)
+      return
+    }
+    if (draining) this.returnFree(entry, 0, now)
+    else if (!this.isRecent(entry, now)) this.retire(entry, now)
+    else this.trim(entry, now)
+    if (entry.held > 0 && this.renewIsDue(entry, now)) this.renew(entry, now)
+  }
+
+  private isRecent (entry: BudgetEntry, now: Instant): boolean {
+    return now.mono - entry.lastAskedAt < this.policy.idleReturnMs
+  }
+
+  private retire (entry: BudgetEntry, now: Instant): void {
+    entry.isWanted = false
+    this.returnFree(entry, 0, now)
+  }
+
+  private trim (entry: BudgetEntry, now: Instant): void {
+    const target = entry.target(now)
+    if (entry.free > target * this.policy.excessFactor) this.returnFree(entry, target, now)
+  }
+
+  private renewIsDue (entry: BudgetEntry, now: Instant): boolean {
+    return entry.touchedAt === undefined || elapsedMs(entry.touchedAt, now) > renewAfterMs(this.policy)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -0,0 +1,132 @@
+/**
+ * The transaction of a flush: the segment row, inserted if absent, decides whether the flush took
+ * effect; with it go the settlement of each bill, returned tokens and transfers between holders.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '../codes/failure.js'
+import { allotmentOf, budgetOf, putAllotment, putBudget } from './budgetPlans.js'
+import { allotmentKey, budgetTables, segmentKey } from './budgetKeys.js'
+import { applyReturn, applySettle, applyTransfer, emptyAllotment } from './budgetRows.js'
+import { segmentRowSchema, transferSchema, type Bill, type BudgetReturn, type Transfer } from './budgetTypes.js'
+import type { PlanKey, RowSet } from './rowSet.js'
+
+/** Content of a flush; the same for every try of one number. */
+export interface FlushOrder {
+  readonly seq: number
+  readonly bills: readonly Bill[]
+  readonly returns: readonly BudgetReturn[]
+  readonly transfers: readonly Transfer[]
+}
+
+/** Who flushes. */
+export interface Flusher {
+  readonly holder: string
+  readonly domain: string
+}
+
+/** What a flush comes to. */
+export type FlushPlan =
+  | { readonly kind: 'write' | 'done' }
+  /** Nothing of this flush may be written: allotments were closed, transfers can no longer be recorded. */
+  | { readonly kind: 'closed', readonly budgets: readonly string[], readonly lostTransfers: readonly string[] }
+
+function ownBudgets (order: FlushOrder): ReadonlySet<string> {
+  return new Set([...order.bills.map(bill => bill.budget), ...order.returns.map(item => item.budget)])
+}
+
+/**
+ * Rows that a flush reads.
+ * @param order - the flush
+ * @param flusher - who flushes
+ */
+export function flushKeys (order: FlushOrder, flusher: Flusher): readonly PlanKey[] {
+  const allotments = new Set([...ownBudgets(order)].map(budget => allotmentKey(budget, flusher.holder)))
+  for (const item of order.transfers) {
+    allotments.add(allotmentKey(item.budget, item.from))
+    allotments.add(allotmentKey(item.budget, item.to))
+  }
+  return [
+    { table: budgetTables.segments, key: segmentKey(flusher.holder, order.seq) },
+    ...[...allotments].map(key => ({ table: budgetTables.allotments, key })),
+    ...order.transfers.map(item => ({ table: budgetTables.transfers, key: item.transferId })),
+    ...[...new Set(order.returns.map(item => item.budget))].map(key => ({ table: budgetTables.budgets, key }))
+  ]
+}
+
+function isRecorded (rows: RowSet, transfer: Transfer): boolean {
+  return rows.get(transferSchema, budgetTables.transfers, transfer.transferId) !== undefined
+}
+
+function isClosed (rows: RowSet, budget: string, holder: string): boolean {
+  return allotmentOf(rows, budget, holder)?.state === 'closed'
+}
+
+function lostTransfers (rows: RowSet, order: FlushOrder): readonly string[] {
+  return order.transfers
+    .filter(item => !isRecorded(rows, item))
+    .filter(item => allotmentOf(rows, item.budget, item.from)?.state !== 'open' || isClosed(rows, item.budget, item.to))
+    .map(item => item.transferId)
+}
+
+function recordTransfer (rows: RowSet, transfer: Transfer, domain: string): Either<Failure, void> {
+  if (isRecorded(rows, transfer)) return Right(undefined)
+  const giver = allotmentOf(rows, transfer.budget, transfer.from)
+  if (giver === undefined) return Left(new Failure('internal', `no allotment of ${transfer.from}`))
+  const receiver = allotmentOf(rows, transfer.budget, transfer.to) ?? emptyAllotment(transfer.budget, transfer.to, domain)
+  return applyTransfer({ giver, receiver }, transfer).ifRight(pair => {
+    putAllotment(rows, pair.giver)
+    putAllotment(rows, pair.receiver)
+    rows.set(budgetTables.transfers, transfer.transferId, transfer)
+  }).map(() => undefined)
+}
+
+function settleBill (rows: RowSet, bill: Bill, flusher: Flusher): Either<Failure, void> {
+  const row = allotmentOf(rows, bill.budget, flusher.holder) ?? emptyAllotment(bill.budget, flusher.holder, flusher.domain)
+  return applySettle(row, bill.tokens).ifRight(after => putAllotment(rows, after)).map(() => undefined)
+}
+
+function giveBack (rows: RowSet, item: BudgetReturn, flusher: Flusher): Either<Failure, void> {
+  const budget = budgetOf(rows, item.budget)
+  const allotment = allotmentOf(rows, item.budget, flusher.holder)
+  if (budget === undefined || allotment === undefined) {
+    return item.tokens === 0 ? Right(undefined) : Left(new Failure('internal', `no rows to return ${item.budget} to`))
+  }
+  return applyReturn({ budget, allotment }, item.tokens).ifRight(pair => {
+    putBudget(rows, pair.budget)
+    putAllotment(rows, pair.allotment)
+  }).map(() => undefined)
+}
+
+function stampSeq (rows: RowSet, order: FlushOrder, flusher: Flusher): void {
+  for (const budget of ownBudgets(order)) {
+    const row = allotmentOf(rows, budget, flusher.holder)
+    if (row !== undefined) putAllotment(rows, { ...row, lastSeq: order.seq })
+  }
+}
+
+/**
+ * Plans a flush.
+ * @param rows - rows of {@link flushKeys}
+ * @param order - the flush
+ * @param flusher - who flushes
+ */
+export function planFlush (rows: RowSet, order: FlushOrder, flusher: Flusher): Either<Failure, FlushPlan> {
+  const { holder, domain } = flusher
+  const key = segmentKey(holder, order.seq)
+  if (rows.get(segmentRowSchema, budgetTables.segments, key) !== undefined) return Right({ kind: 'done' })
+  const budgets = [...ownBudgets(order)].filter(budget => isClosed(rows, budget, holder))
+  const lost = lostTransfers(rows, order)
+  if (budgets.length > 0 || lost.length > 0) return Right({ kind: 'closed', budgets, lostTransfers: lost })
+  const steps = [
+    ...order.transfers.map(item => () => recordTransfer(rows, item, domain)),
+    ...order.bills.map(bill => () => settleBill(rows, bill, flusher)),
+    ...order.returns.map(item => () => giveBack(rows, item, flusher))
+  ]
+  for (const step of steps) {
+    const result = step()
+    if (result.isLeft()) return result.map(() => ({ kind: 'done' }))
+  }
+  stampSeq(rows, order, flusher)
+  rows.set(budgetTables.segments, key, { holder, seq: order.seq, bills: order.bills })
+  return Right({ kind: 'write' })
+}
--- /dev/null
+++ b/packages/decisions/src/budget/flushQueue.ts
@@ -0,0 +1,195 @@
+/**
+ * Group commit of one holder. What has to become durable is queued and goes out in numbered
+ * flushes, one at a time. The content of a number never changes once it was sent, so a flush
+ * whose answer was lost can be sent again until the table says what became of it.
+ */
+import type { Bill, BudgetReturn, Transfer } from './budgetTypes.js'
+import type { FlushOrder } from './flushPlan.js'
+
+/** Bounds that keep a flush under the limits of a transaction. */
+export const MAX_FLUSH_BILLS = 150
+export const MAX_FLUSH_BUDGETS = 100
+export const MAX_FLUSH_TRANSFERS = 60
+
+/** Times of a flush queue in milliseconds. */
+export interface FlushTimes {
+  readonly flushMs: number
+  readonly retryMs: number
+  readonly retryMaxMs: number
+}
+
+/** Queue of bills, returns and transfers. */
+export class FlushQueue {
+  private bills: Bill[] = []
+  private transfers: Transfer[] = []
+  private readonly returns = new Map<string, number>()
+  private sent: FlushOrder | undefined
+  private inFlight = false
+  private seq = 0
+  private dueAt: number | undefined
+  private pauseMs = 0
+  private retryAt = 0
+
+  constructor (private readonly times: FlushTimes) {}
+
+  /** The flush that was sent and whose outcome is open. */
+  get open (): FlushOrder | undefined {
+    return this.sent
+  }
+
+  /** Whether nothing waits to become durable. */
+  get isEmpty (): boolean {
+    return this.sent === undefined && !this.hasQueued
+  }
+
+  private get hasQueued (): boolean {
+    return this.bills.length > 0 || this.transfers.length > 0 || this.returns.size > 0
+  }
+
+  /**
+   * Queues a bill.
+   * @param bill - the bill
+   * @param mono - monotonic milliseconds
+   */
+  addBill (bill: Bill, mono: number): void {
+    this.bills.push(bill)
+    this.schedule(mono + this.times.flushMs)
+  }
+
+  /**
+   * Queues tokens to be returned; 0 only renews the row.
+   * @param item - budget and tokens
+   * @param mono - monotonic milliseconds; returned tokens go out at once
+   */
+  addReturn (item: BudgetReturn, mono: number): void {
+    this.returns.set(item.budget, (this.returns.get(item.budget) ?? 0) + item.tokens)
+    this.schedule(mono)
+  }
+
+  /**
+   * Queues a transfer to be recorded.
+   * @param transfer - given or received
+   * @param mono - monotonic milliseconds
+   */
+  addTransfer (transfer: Transfer, mono: number): void {
+    this.transfers.push(transfer)
+    this.schedule(mono + this.times.flushMs)
+  }
+
+  /**
+   * Makes what is queued due now.
+   * @param mono - monotonic milliseconds
+   */
+  hurry (mono: number): void {
+    if (!this.isEmpty) this.schedule(mono)
+  }
+
+  /**
+   * Whether a transfer from or to a holder is not known to be recorded.
+   * @param holder - holder id
+   */
+  hasTransferWith (holder: string): boolean {
+    const all = [...this.transfers, ...this.sent?.transfers ?? []]
+    return all.some(item => item.from === holder || item.to === holder)
+  }
+
+  /**
+   * The flush to send now, if one is due and none is in flight.
+   * @param mono - monotonic milliseconds
+   */
+  next (mono: number): FlushOrder | undefined {
+    if (this.inFlight || this.dueAt === undefined || mono < this.dueAt) return undefined
+    if (this.sent === undefined && !this.hasQueued) return undefined
+    if (this.sent !== undefined && mono < this.retryAt) return undefined
+    this.sent ??= this.takeBatch()
+    this.inFlight = true
+    this.dueAt = this.hasQueued ? mono + this.times.flushMs : undefined
+    return this.sent
+  }
+
+  /**
+   * Ends the open flush: it is durable, or it is certain that it never will be.
+   * @param mono - monotonic milliseconds
+   */
+  finish (mono: number): FlushOrder | undefined {
+    const done = this.sent
+    this.sent = undefined
+    this.inFlight = false
+    this.pauseMs = 0
+    if (this.hasQueued) this.schedule(mono + this.times.flushMs)
+    return done
+  }
+
+  /**
+   * The outcome of the open flush is not known; the same content is sent again after a pause.
+   * @param mono - monotonic milliseconds
+   */
+  retry (mono: number): void {
+    this.inFlight = false
+    this.pauseMs = Math.min(this.times.retryMaxMs, Math.max(this.times.retryMs, this.pauseMs * 2))
+    this.retryAt = mono + this.pauseMs
+    this.schedule(this.retryAt)
+  }
+
+  /**
+   * Drops queued bills of a budget.
+   * @param budget - budget id
+   */
+  dropBudget (budget: string): readonly Bill[] {
+    const dropped = this.bills.filter(bill => bill.budget === budget)
+    this.bills = this.bills.filter(bill => bill.budget !== budget)
+    this.transfers = this.transfers.filter(item => item.budget !== budget)
+    this.returns.delete(budget)
+    return dropped
+  }
+
+  /**
+   * Drops the latest queued bill of a budget.
+   * @param budget - budget id
+   */
+  dropLatestBill (budget: string): Bill | undefined {
+    const index = this.bills.findLastIndex(bill => bill.budget === budget)
+    return index < 0 ? undefined : this.bills.splice(index, 1)[0]
+  }
+
+  private schedule (mono: number): void {
+    this.dueAt = this.dueAt === undefined ? mono : Math.min(this.dueAt, mono)
+  }
+
+  private takeBatch (): FlushOrder {
+    this.seq += 1
+    const transfers = this.transfers.splice(0, MAX_FLUSH_TRANSFERS)
+    const budgets = new Set<string>()
+    const bills = this.transfers.length > 0 ? [] : this.takeBills(budgets)
+    const returns = this.takeReturns(budgets, transfers)
+    return { seq: this.seq, bills, returns, transfers }
+  }
+
+  private takeBills (budgets: Set<string>): readonly Bill[] {
+    let count = 0
+    while (count < this.bills.length && count < MAX_FLUSH_BILLS) {
+      const bill = this.bills[count]
+      if (bill === undefined || (budgets.size === MAX_FLUSH_BUDGETS && !budgets.has(bill.budget))) break
+      budgets.add(bill.budget)
+      count += 1
+    }
+    return this.bills.splice(0, count)
+  }
+
+  private takeReturns (budgets: Set<string>, transfers: readonly Transfer[]): readonly BudgetReturn[] {
+    const taken: BudgetReturn[] = []
+    for (const [budget, tokens] of this.returns) {
+      if (budgets.size >= MAX_FLUSH_BUDGETS && !budgets.has(budget)) continue
+      if (this.transfers.some(item => item.budget === budget)) continue
+      budgets.add(budget)
+      taken.push({ budget, tokens })
+      this.returns.delete(budget)
+    }
+    const touched = new Set(taken.map(item => item.budget))
+    for (const item of transfers) {
+      if (!touched.has(item.budget)) taken.push({ budget: item.budget, tokens: 0 })
+      touched.add(item.budget)
+    }
+    return taken
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -0,0 +1,127 @@
+/**
+ * Asks other holders for tokens: transfers within the failure domain and recalls from everywhere.
+ * An ask whose answer was lost is asked again under the same id until its outcome is known, so
+ * that no given tokens are stranded.
+ */
+import type { Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import { surveyBudget, type AgedAllotment } from './budgetSharing.js'
+import type { BudgetPeers, GiveAnswer, GiveAsk } from './budgetPeers.js'
+
+type AskAction = Extract<BudgetAction, { kind: 'askGive' }>
+type RecallAction = Extract<BudgetAction, { kind: 'recall' }>
+
+/** An ask whose outcome is open. */
+interface OpenAsk {
+  readonly giver: string
+  readonly ask: GiveAsk
+}
+
+/** Open asks that are repeated in one tick. */
+const REPEATS_PER_TICK = 8
+
+/** This holder and what it needs to ask others. */
+export interface AskingParts {
+  readonly holder: string
+  readonly domain: string
+  readonly peers: BudgetPeers
+  readonly store: TableStore
+  readonly clock: Clock
+  readonly log: EventLog
+  dispatch (event: BudgetEvent): void
+}
+
+/** Asks other holders. */
+export class BudgetAsking {
+  private readonly open = new Map<string, OpenAsk>()
+  private repeating = false
+
+  constructor (private readonly parts: AskingParts) {}
+
+  /**
+   * Asks the holders of the own domain one after another until enough was given.
+   * @param action - what the ledger wants
+   */
+  async askGive (action: AskAction): Promise<void> {
+    let missing = action.atLeast
+    for (const giver of this.domainMembers()) {
+      if (missing <= 0) break
+      const transferId = `${action.transferId}/${giver}`
+      const { holder: to, domain } = this.parts
+      missing -= await this.ask({ giver, ask: { transferId, budget: action.budget, to, domain, wanted: action.tokens, atLeast: missing } })
+    }
+    this.parts.dispatch({ kind: 'giveAnswered', transferId: action.transferId })
+  }
+
+  /** Repeats asks whose answer was lost; called on each tick. */
+  async repeatOpen (): Promise<void> {
+    if (this.repeating || this.open.size === 0) return
+    this.repeating = true
+    const present = new Set(this.domainMembers())
+    for (const item of [...this.open.values()].slice(0, REPEATS_PER_TICK)) {
+      // The recovery of an ended holder accounts for what it gave.
+      if (present.has(item.giver)) await this.ask(item)
+      else this.open.delete(item.ask.transferId)
+    }
+    this.repeating = false
+  }
+
+  /** Whether every ask has its answer. */
+  get isIdle (): boolean {
+    return this.open.size === 0
+  }
+
+  /**
+   * Asks all other holders of a budget to return what they can.
+   * @param action - what the ledger wants
+   */
+  async recall (action: RecallAction): Promise<void> {
+    const { budget, tokens, atLeast, recallId } = action
+    this.parts.log.write('budgetRecalled', { budget, tokens })
+    const survey = await surveyBudget(this.parts.store, budget)
+    const others = survey.map(found => found.allotments).orDefault([])
+      .filter(item => item.row.holder !== this.parts.holder && item.row.state === 'open' && item.row.held > 0)
+    const answers = await Promise.all(others.map(async item => await this.recallFrom(item, tokens, atLeast)))
+    const returned = answers.reduce((sum, item) => sum + item.returned, 0)
+    const unreachable = answers.reduce((sum, item) => sum + item.unreachable, 0)
+    this.parts.dispatch({ kind: 'recallAnswered', recallId, returned, unreachable })
+  }
+
+  private async ask (item: OpenAsk): Promise<number> {
+    const askedAt = this.parts.clock.now()
+    this.open.set(item.ask.transferId, item)
+    const answer: Either<Failure, GiveAnswer> = await this.parts.peers.give(item.giver, item.ask)
+    if (answer.isLeft()) {
+      const failure = answer.extract() as Failure
+      if (failure.ran === 'no') this.open.delete(item.ask.transferId)
+      this.parts.log.write('budgetFault', { operation: 'give', budget: item.ask.budget, peer: item.giver, code: failure.code })
+      return 0
+    }
+    this.open.delete(item.ask.transferId)
+    const { transfer } = answer.unsafeCoerce()
+    if (transfer === undefined || transfer.transferId !== item.ask.transferId || transfer.to !== this.parts.holder) return 0
+    this.parts.dispatch({ kind: 'giveAnswered', transferId: transfer.transferId, transfer, askedAt })
+    return transfer.tokens
+  }
+
+  private domainMembers (): readonly string[] {
+    return this.parts.peers.members()
+      .filter(member => member.domain === this.parts.domain && member.holder !== this.parts.holder)
+      .map(member => member.holder)
+  }
+
+  private async recallFrom (item: AgedAllotment, wanted: number, atLeast: number): Promise<{ returned: number, unreachable: number }> {
+    const { budget, holder, held } = item.row
+    const isMember = this.parts.peers.members().some(member => member.holder === holder)
+    if (!isMember) return { returned: 0, unreachable: held }
+    const answer = await this.parts.peers.recall(holder, { budget, wanted, atLeast })
+    return answer.caseOf({
+      Left: () => ({ returned: 0, unreachable: held }),
+      Right: ({ returned }) => ({ returned, unreachable: 0 })
+    })
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetFlushing.ts
@@ -0,0 +1,49 @@
+/**
+ * Flushes: makes bills, returns and transfers of this holder durable in one transaction.
+ */
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { BudgetAction, FlushOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { flushKeys, planFlush, type Flusher } from '@rosemaryspread/decisions/budget/flushPlan.js'
+import type { BudgetTable } from './budgetTable.js'
+
+type FlushAction = Extract<BudgetAction, { kind: 'flush' }>
+
+/** Carries out flushes. */
+export class BudgetFlushing {
+  constructor (
+    private readonly table: BudgetTable,
+    private readonly self: Flusher,
+    private readonly log: EventLog
+  ) {}
+
+  /**
+   * Flushes.
+   * @param action - what the ledger wants
+   */
+  async flush (action: FlushAction): Promise<FlushOutcome> {
+    const keys = flushKeys(action, this.self)
+    const done = await this.table.run(`flush${action.seq}`, keys, rows => planFlush(rows, action, this.self))
+    if (done.isLeft()) return this.failed(action, done.extract() as Failure)
+    const { plan, sentAt } = done.unsafeCoerce()
+    if (plan.kind === 'closed') return plan
+    this.report(action)
+    return { kind: 'durable', sentAt }
+  }
+
+  private failed (action: FlushAction, failure: Failure): FlushOutcome {
+    this.log.write('budgetFault', { operation: 'flush', seq: action.seq, code: failure.code, detail: failure.message })
+    return { kind: 'unavailable' }
+  }
+
+  private report (action: FlushAction): void {
+    const tokens = action.bills.reduce((sum, bill) => sum + bill.tokens, 0)
+    if (action.bills.length > 0) this.log.write('budgetFlushed', { seq: action.seq, bills: action.bills.length, tokens })
+    for (const item of action.returns) {
+      if (item.tokens > 0) this.log.write('budgetReturned', { budget: item.budget, tokens: item.tokens })
+    }
+    for (const { budget, tokens, from, to } of action.transfers) {
+      this.log.write('budgetTransferred', { budget, tokens, from, to })
+    }
+  }
+}
--- a/packages/rosemaryspread/src/budget/budgetPort.ts
+++ b/packages/rosemaryspread/src/budget/budgetPort.ts
@@ -1,6 +1,6 @@
 /**
- * What request handling asks of budgets. The driver behind it feeds the ledger and carries out
- * its actions against the table service and the peers.
+ * What request handling and operators ask of budgets. The driver behind it feeds the ledger and
+ * carries out its actions against the table service and the peers.
  */
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
@@ -22,6 +22,12 @@
    * @param giveUpAfterMs - milliseconds after which waiting ends in a refusal
    */
   reserve (budget: string, tokens: number, giveUpAfterMs: number): Promise<Either<Failure, Reservation>>
+  /**
+   * Whether a reservation may still be spent. To be asked right before the run is dispatched,
+   * after the last wait: a VM that was paused in between has lost its allotment.
+   * @param reservation - the reservation
+   */
+  confirm (reservation: Reservation): Either<Failure, void>
   /**
    * Ends a reservation and bills what was used.
    * @param reservation - the one to end
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -0,0 +1,97 @@
+/**
+ * Optimistic transactions on budget rows: read, plan, write if unchanged. A conflict is read and
+ * planned anew; a lost answer is resolved by the plan itself, which finds its earlier effect.
+ */
+import { Either, Left, Right } from 'purify-ts'
+import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { RowSet, type PlanKey } from '@rosemaryspread/decisions/budget/rowSet.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+
+/** Tries of one transaction before the caller has to come back. */
+const MAX_TRIES = 8
+
+/** A plan that is done, or has its writes in the row set. */
+interface Planned {
+  readonly kind: string
+}
+
+/** Outcome of a transaction; `sentAt` is an instant not after the one at which the write was sent. */
+export interface Committed<P> {
+  readonly plan: P
+  readonly sentAt: Instant
+}
+
+/** Runs planned transactions. */
+export class BudgetTable {
+  /** Table writes that took effect, for metrics. */
+  writes = 0
+  conflicts = 0
+
+  /** Start of the first try of operations whose outcome is not known yet. */
+  private readonly firstSent = new Map<string, Instant>()
+
+  constructor (readonly store: TableStore, private readonly clock: Clock) {}
+
+  /**
+   * Reads rows, plans on them and writes the result. A plan of another kind than `write` ends it without a write.
+   * @param operationId - id under which a later run finds its effect
+   * @param keys - rows to read
+   * @param plan - changes the row set or says why not
+   */
+  async run<P extends Planned> (
+    operationId: string, keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>
+  ): Promise<Either<Failure, Committed<P>>> {
+    const startedAt = this.clock.now()
+    for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
+      const read = await this.store.read(keys)
+      if (read.isLeft()) return Left(read.extract() as Failure)
+      const rows = new RowSet(keys, read.unsafeCoerce().rows)
+      const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
+      if (planned.isLeft()) return Left(planned.extract() as Failure)
+      const value = planned.unsafeCoerce()
+      if (value.kind !== 'write') return Right(this.resolved(operationId, value, startedAt))
+      const sentAt = this.clock.now()
+      const written = await this.write(rows)
+      if (written.isRight()) {
+        this.firstSent.delete(operationId)
+        return Right({ plan: value, sentAt })
+      }
+      const failure = written.extract() as Failure
+      if (failure.code === 'platformUnavailable') return Left(failure)
+      if (failure.code !== 'platformConflict') this.noteUnknown(operationId, startedAt)
+    }
+    return Left(new Failure('platformUnavailable', 'the transaction conflicted too often'))
+  }
+
+  /**
+   * Whether a write of an operation may have taken effect without an answer.
+   * @param operationId - id of the operation
+   */
+  isUnknown (operationId: string): boolean {
+    return this.firstSent.has(operationId)
+  }
+
+  /** Both clocks. */
+  now (): Instant {
+    return this.clock.now()
+  }
+
+  /** An effect found later was sent no later than the first try with an unknown outcome. */
+  private resolved<P> (operationId: string, plan: P, startedAt: Instant): Committed<P> {
+    const sentAt = this.firstSent.get(operationId) ?? startedAt
+    this.firstSent.delete(operationId)
+    return { plan, sentAt }
+  }
+
+  private noteUnknown (operationId: string, startedAt: Instant): void {
+    if (!this.firstSent.has(operationId)) this.firstSent.set(operationId, startedAt)
+  }
+
+  private async write (rows: RowSet): Promise<Either<Failure, unknown>> {
+    const result = await this.store.transact({ checks: [...rows.checks()], writes: [...rows.writes()] })
+    result.ifRight(() => { this.writes += 1 })
+    result.ifLeft(failure => { if (failure.code === 'platformConflict') this.conflicts += 1 })
+    return result
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -0,0 +1,57 @@
+/**
+ * Top-ups, adjustments and the view of a budget for operators.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { planTopUp, topUpKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
+import type { TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSharing.js'
+import type { BudgetTable } from './budgetTable.js'
+
+/** Tells whether an allotment can still be spent by its holder. */
+export type IsInDoubt = (item: AgedAllotment) => boolean
+
+/** Operators' side of budgets. */
+export class BudgetTopUps {
+  constructor (private readonly table: BudgetTable, private readonly isInDoubt: IsInDoubt) {}
+
+  /**
+   * Adds paid tokens once for each operation id, or lowers the budget when `tokens` is negative. A
+   * failure with `ran: unknown` is resolved by the same call again.
+   * @param topUp - the operation
+   */
+  async topUp (topUp: TopUpRow): Promise<Either<Failure, BudgetAnswer>> {
+    const keys = topUpKeys(topUp.operationId, topUp.budget)
+    const done = await this.table.run(topUp.operationId, keys, rows => planTopUp(rows, topUp))
+    if (done.isLeft()) return Left(this.honest(done.extract() as Failure, topUp.operationId))
+    return await this.show(topUp.budget)
+  }
+
+  /**
+   * A budget with all its holders.
+   * @param budget - budget id
+   */
+  async show (budget: string): Promise<Either<Failure, BudgetAnswer>> {
+    const survey = await surveyBudget(this.table.store, budget)
+    return survey.chain(found => this.answer(budget, found))
+  }
+
+  private answer (id: string, survey: BudgetSurvey): Either<Failure, BudgetAnswer> {
+    const { budget, allotments } = survey
+    if (budget === undefined) return Left(new Failure('budgetUnknown', `there is no budget ${id}`))
+    const settled = allotments.reduce((sum, item) => sum + item.row.settled, 0)
+    const inDoubt = allotments.filter(this.isInDoubt).reduce((sum, item) => sum + item.row.held, 0)
+    const holders = allotments
+      .filter(item => item.row.state === 'open')
+      .map(({ row, ageMs }) => ({ holder: row.holder, held: row.held, ageMs, state: row.state }))
+    const { paid, spent, allotted } = budget
+    return Right({ budget: id, paid, spent: spent + settled, allotted: allotted - settled, inDoubt, holders })
+  }
+
+  /** A write whose answer was lost in an earlier try may have taken effect. */
+  private honest (failure: Failure, operationId: string): Failure {
+    if (!this.table.isUnknown(operationId)) return failure
+    return new Failure('platformOutcomeUnknown', failure.message, { ran: 'unknown', retryAfterMs: 1000 })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/budget/budgetDriver.spec.ts
@@ -0,0 +1,153 @@
+/**
+ * The budget driver against a table in memory with its faults.
+ */
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { LogEventName } from '@rosemaryspread/decisions/events/logEvents.js'
+import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
+import type { BudgetPeers } from 'rosemaryspread/budget/budgetPeers.js'
+import type { Reservation } from 'rosemaryspread/budget/budgetPort.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+
+const TICK_MS = 200
+
+const noPeers: BudgetPeers = {
+  members: () => [],
+  give: async () => Right({}),
+  recall: async () => Right({ returned: 0 }),
+  confirmNoTransfers: async () => Right({ none: true })
+}
+
+/** One driver in virtual time. */
+class Bench {
+  readonly store = new MemoryTableStore()
+  readonly events: LogEventName[] = []
+  private mono = 0
+  readonly driver = new BudgetDriver({
+    holder: 'vm1~a',
+    domain: 'quito-centro',
+    store: this.store,
+    peers: noPeers,
+    clock: { now: () => ({ mono: this.mono, wall: this.mono }) },
+    log: { write: event => this.events.push(event) }
+  })
+
+  async pass (ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      this.mono += TICK_MS
+      this.driver.tick()
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
+  async topUp (tokens: number, operationId = 'op1'): Promise<string> {
+    const result = await this.driver.topUp({ operationId, budget: 'b', tokens, author: 'ana' })
+    return result.caseOf({ Left: failure => failure.code, Right: answer => String(answer.paid) })
+  }
+
+  async reserve (tokens: number, budget = 'b'): Promise<Reservation | Failure> {
+    const promise = this.driver.reserve(budget, tokens, 5000)
+    await this.pass(6000)
+    return (await promise).extract()
+  }
+
+  settle (reservation: Reservation | Failure, requestId: string, tokens: number): void {
+    if ('reservationId' in reservation) {
+      this.driver.settle(reservation, { requestId, budget: 'b', team: 't', tokens, runner: 'r' })
+    }
+  }
+
+  async spent (): Promise<{ spent: number, allotted: number } | undefined> {
+    const shown = await this.driver.show('b')
+    return shown.map(({ spent, allotted }) => ({ spent, allotted })).toMaybe().extract()
+  }
+}
+
+describe('budget driver', () => {
+  it('reserves, bills, and strands nothing on drain', async () => {
+    const bench = new Bench()
+    await bench.topUp(10_000)
+    const first = await bench.reserve(1000)
+    bench.settle(first, 'r1', 600)
+    bench.settle(first, 'r1', 600)
+    await bench.pass(3000)
+    expect(await bench.spent()).to.include({ spent: 600 })
+    const drained = bench.driver.drain()
+    await bench.pass(3000)
+    await drained
+    expect(await bench.spent()).to.deep.equal({ spent: 600, allotted: 0 })
+  })
+
+  const refusals: ReadonlyArray<{ title: string, tokens: number, budget?: string, outage?: boolean, code: string }> = [
+    { title: 'more than is paid', tokens: 10_001, code: 'budgetSpent' },
+    { title: 'an unknown budget', tokens: 1, budget: 'x', code: 'budgetUnknown' },
+    { title: 'a negative amount', tokens: -1, code: 'amountInvalid' },
+    { title: 'a fraction', tokens: 1.5, code: 'amountInvalid' },
+    { title: 'a huge amount', tokens: 1e300, code: 'amountInvalid' },
+    { title: 'no number', tokens: NaN, code: 'amountInvalid' },
+    { title: 'anything while the table is down', tokens: 5, outage: true, code: 'budgetPending' }
+  ]
+  for (const { title, tokens, budget, outage = false, code } of refusals) {
+    it(`refuses ${title} with ${code}`, async () => {
+      const bench = new Bench()
+      await bench.topUp(10_000)
+      bench.store.outage = outage
+      expect(await bench.reserve(tokens, budget)).to.include({ code, ran: 'no' })
+    })
+  }
+
+  const reports: ReadonlyArray<{ title: string, tokens: number, billed: number }> = [
+    { title: 'more than the cap', tokens: 5000, billed: 1000 },
+    { title: 'a negative usage', tokens: -5, billed: 1000 },
+    { title: 'a fractional usage', tokens: 1.5, billed: 1000 },
+    { title: 'no number', tokens: NaN, billed: 1000 },
+    { title: 'nothing used', tokens: 0, billed: 0 }
+  ]
+  for (const { title, tokens, billed } of reports) {
+    it(`bills at most the reservation when a runner reports ${title}`, async () => {
+      const bench = new Bench()
+      await bench.topUp(10_000)
+      bench.settle(await bench.reserve(1000), 'r1', tokens)
+      await bench.pass(3000)
+      expect(await bench.spent()).to.include({ spent: billed })
+    })
+  }
+
+  const topUps: ReadonlyArray<{ title: string, ops: ReadonlyArray<readonly [string, number]>, answers: readonly string[] }> = [
+    { title: 'repeated', ops: [['a', 10], ['a', 10]], answers: ['10', '10'] },
+    { title: 'under a used id', ops: [['a', 10], ['a', 11]], answers: ['10', 'topUpConflict'] },
+    { title: 'of two ids', ops: [['a', 10], ['b', 10]], answers: ['10', '20'] },
+    { title: 'lowered', ops: [['a', 10], ['b', -4]], answers: ['10', '6'] },
+    { title: 'lowered too far', ops: [['a', 10], ['b', -11]], answers: ['10', 'budgetBelowCommitted'] },
+    { title: 'of nothing', ops: [['a', 0]], answers: ['amountInvalid'] },
+    { title: 'of a fraction', ops: [['a', 0.5]], answers: ['amountInvalid'] }
+  ]
+  for (const { title, ops, answers } of topUps) {
+    for (const loseAnswers of [0, 1]) {
+      it(`answers a top-up ${title}, answers lost: ${loseAnswers}`, async () => {
+        const bench = new Bench()
+        const found: string[] = []
+        for (const [id, tokens] of ops) {
+          bench.store.loseAnswers = loseAnswers
+          found.push(await bench.topUp(tokens, id))
+        }
+        expect(found).to.deep.equal(answers)
+      })
+    }
+  }
+
+  it('keeps every bill through an outage and lost answers', async () => {
+    const bench = new Bench()
+    await bench.topUp(10_000)
+    bench.store.loseAnswers = 1
+    const runs = [await bench.reserve(100), await bench.reserve(100), await bench.reserve(100)]
+    bench.store.outage = true
+    runs.forEach((run, index) => bench.settle(run, `r${index}`, 50))
+    await bench.pass(60_000)
+    bench.store.outage = false
+    bench.store.loseAnswers = 3
+    await bench.pass(60_000)
+    expect(await bench.spent()).to.include({ spent: 150 })
+  })
+})
