--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -2,6 +2,7 @@
  * The one error value of the system: a result code, whether the work ran, and when to come back.
  * Functions return it inside purify-ts `Either`; it is thrown only where a library demands it.
  */
+import type { Either } from 'purify-ts'
 import { resultCodes, type Ran, type ResultCode, type ResultName } from './resultCodes.js'
 
 /** Optional parts of a {@link Failure}. */
@@ -81,3 +82,11 @@
   if (err instanceof Failure) return err
   return new Failure('internal', err instanceof Error ? err.message : String(err), { ran: 'unknown' })
 }
+
+/**
+ * The failure of a result, or undefined when it succeeded.
+ * @param result - any result
+ */
+export function failureOf (result: Either<Failure, unknown>): Failure | undefined {
+  return result.caseOf<Failure | undefined>({ Left: failure => failure, Right: () => undefined })
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/cli/serveMain.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+/**
+ * The binary `rosemaryspread`: runs one VM, or only checks its settings file.
+ */
+import 'reflect-metadata'
+import { readFileSync } from 'node:fs'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { failureOf, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Settings } from '../settings/settingsSchema.js'
+import { loadSettings } from '../settings/settingsLoader.js'
+import { composeVm } from '../compose/composeVm.js'
+import { exitCodes } from './exitCodes.js'
+
+const packageFile = new URL('../../package.json', import.meta.url)
+
+function readVersion (): string {
+  const parsed: unknown = JSON.parse(readFileSync(packageFile, 'utf8'))
+  return String((parsed as { version: unknown }).version)
+}
+
+/** Loads the settings or ends the process with every mistake named. */
+async function settingsOrExit (file: string): Promise<Settings> {
+  const loaded = await loadSettings(file)
+  const failure = failureOf(loaded)
+  if (failure !== undefined) exitWith(failure)
+  return loaded.unsafeCoerce()
+}
+
+function exitWith (failure: Failure): never {
+  console.error(`RS-${failure.entry.number} ${failure.entry.title}: ${failure.message}`)
+  failure.errors.forEach(line => { console.error(`  ${line}`) })
+  process.exit(exitCodes.settingsInvalid)
+}
+
+async function checkConfig (file: string): Promise<void> {
+  const { vm, domain } = await settingsOrExit(file)
+  console.log(`${file}: VM ${vm} in failure domain ${domain}, no mistakes`)
+}
+
+async function serve (file: string): Promise<void> {
+  const settings = await settingsOrExit(file)
+  const vm = composeVm(settings)
+  const started = await vm.start()
+  started.ifLeft(failure => {
+    console.error(`RS-${failure.entry.number} ${failure.entry.title}: ${failure.message}`)
+    process.exit(exitCodes.listenFailed)
+  })
+  const stop = (): void => {
+    vm.drain()
+      .then(clean => process.exit(clean ? exitCodes.ok : exitCodes.drainTimeout))
+      .catch(() => process.exit(exitCodes.fault))
+  }
+  process.once('SIGTERM', stop)
+  process.once('SIGINT', stop)
+}
+
+await yargs(hideBin(process.argv))
+  .scriptName('rosemaryspread')
+  .usage('$0 <command>')
+  .command('serve', 'run one VM of the fleet', args => args.option('config', { type: 'string', demandOption: true, describe: 'settings file (YAML)' }), async args => { await serve(args.config) })
+  .command('check-config <file>', 'check a settings file and start nothing', args => args.positional('file', { type: 'string', demandOption: true, describe: 'settings file (YAML)' }), async args => { await checkConfig(args.file) })
+  .demandCommand(1, 'name a command')
+  .strict()
+  .version(readVersion())
+  .help()
+  .fail((message, err, args) => {
+    console.error(message ?? err?.message)
+    args.showHelp()
+    process.exit(exitCodes.usage)
+  })
+  .parseAsync()
--- /dev/null
+++ b/packages/rosemaryspread/src/completion/completionFinder.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds the run that a keyed request already has. Every VM computes the same order of runners
+ * for a request id; a runner that is passed over is sealed first, so that no VM can start a
+ * second run there.
+ */
+import type { Maybe } from 'purify-ts'
+import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { RunnerAddress } from './completionUnsettled.js'
+
+/** What was found. */
+export interface FoundRun {
+  /** The runner that has the run, and its record. */
+  readonly at?: { readonly runner: RunnerAddress, readonly record: RunRecord }
+  /** Runners that could be neither sealed nor asked. */
+  readonly unsealed: readonly RunnerAddress[]
+  /** Whether the choice was sealed by an earlier decision: the run, if any, is further down the order. */
+  readonly choiceSealed: boolean
+}
+
+/**
+ * Seals the runners before the choice and looks the run up at the choice.
+ * @param client - reaches engines
+ * @param requestId - the keyed request
+ * @param before - runners passed over, in order
+ * @param choice - runner chosen for a new run
+ */
+export async function findRun (client: EngineClient, requestId: string, before: readonly RunnerAddress[], choice: RunnerAddress): Promise<FoundRun> {
+  const unsealed: RunnerAddress[] = []
+  for (const runner of before) {
+    const sealed = await client.seal(runner.address, requestId)
+    if (sealed.isLeft()) {
+      unsealed.push(runner)
+      continue
+    }
+    const record = knownRun(sealed.extract() as Maybe<RunRecord>)
+    if (record !== undefined) return { at: { runner, record }, unsealed, choiceSealed: false }
+  }
+  const found = await client.find(choice.address, requestId)
+  if (found.isLeft()) return { unsealed, choiceSealed: false }
+  const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+  if (record === null) return { unsealed, choiceSealed: false }
+  if (record.state === 'sealed') return { unsealed, choiceSealed: true }
+  return { at: { runner: choice, record }, unsealed, choiceSealed: false }
+}
+
+function knownRun (record: Maybe<RunRecord>): RunRecord | undefined {
+  const known = record.extractNullable()
+  return known === null || known.state === 'sealed' ? undefined : known
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/completion/completionUnsettled.ts
@@ -0,0 +1,119 @@
+/**
+ * Runs whose cost is not known yet: the runner could not be asked how the run ended, or an
+ * earlier runner of a keyed request could not be sealed. Each keeps its reservation until the
+ * runners answer, so that nothing is billed twice and nothing owed is forgotten.
+ */
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Bill } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { EngineClient, RunRecord, Usage } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { Maybe } from 'purify-ts'
+import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
+import type { AdmittedCompletion } from './completionAdmission.js'
+import { billOf, freeBill } from './completionBill.js'
+
+/** A runner as far as settlement needs it. */
+export interface RunnerAddress {
+  readonly runner: string
+  readonly address: string
+}
+
+/** One run to be settled. */
+export interface UnsettledRun {
+  readonly admitted: AdmittedCompletion
+  readonly reservation: Reservation
+  readonly ranAt: RunnerAddress
+  /** Known usage; absent when the runner has to be asked. */
+  readonly usage?: Usage
+  /** Earlier runners in the order of a keyed request that could not be sealed. */
+  readonly unsealed: readonly RunnerAddress[]
+  readonly debt: RunDebt
+}
+
+/**
+ * Whether a run is paid for: `owed` by the team; `free` when the system failed the request, so
+ * that a bill of nothing closes the run; `none` when another run of the request is billed.
+ */
+export type RunDebt = 'owed' | 'free' | 'none'
+
+/** Bill, or no bill, once it is known; `later` when the runners must be asked again. */
+type Settlement = { readonly kind: 'settle', readonly bill?: Bill } | { readonly kind: 'later' }
+
+const LATER: Settlement = { kind: 'later' }
+const NO_BILL: Settlement = { kind: 'settle' }
+
+/** Keeps unsettled runs and settles them as the runners answer. */
+export class UnsettledRuns {
+  private readonly runs = new Map<string, UnsettledRun>()
+
+  constructor (
+    private readonly client: EngineClient,
+    private readonly budgets: BudgetPort,
+    private readonly holder: string,
+    private readonly isDeclared: (runner: string) => boolean
+  ) {}
+
+  get size (): number {
+    return this.runs.size
+  }
+
+  /**
+   * Takes a run and tries to settle it at once.
+   * @param run - the run
+   */
+  async add (run: UnsettledRun): Promise<void> {
+    this.runs.set(run.reservation.reservationId, run)
+    await this.trySettle(run)
+  }
+
+  /** Tries every kept run once. */
+  async retryAll (): Promise<void> {
+    for (const run of [...this.runs.values()]) await this.trySettle(run)
+  }
+
+  private async trySettle (run: UnsettledRun): Promise<void> {
+    const settlement = await this.settlementOf(run)
+    if (settlement.kind === 'later' || !this.runs.delete(run.reservation.reservationId)) return
+    this.budgets.settle(run.reservation, settlement.bill)
+  }
+
+  private async settlementOf (run: UnsettledRun): Promise<Settlement> {
+    const earlier = await this.sealEarlier(run)
+    if (earlier !== undefined) return earlier
+    if (run.usage !== undefined) return { kind: 'settle', bill: billOf(run.admitted, run.ranAt.runner, run.usage) }
+    return await this.askRunner(run)
+  }
+
+  /** Undefined when every earlier runner is sealed or no longer declared. */
+  private async sealEarlier (run: UnsettledRun): Promise<Settlement | undefined> {
+    for (const { runner, address } of run.unsealed) {
+      if (!this.isDeclared(runner)) continue
+      const sealed = await this.client.seal(address, run.admitted.requestId)
+      if (sealed.isLeft()) return LATER
+      const record = (sealed.extract() as Maybe<RunRecord>).extractNullable()
+      if (record !== null && record.state !== 'sealed') return NO_BILL
+    }
+    return undefined
+  }
+
+  private async askRunner (run: UnsettledRun): Promise<Settlement> {
+    const { requestId, keyed } = run.admitted
+    const found = await this.client.find(run.ranAt.address, requestId)
+    if (found.isLeft()) return this.isDeclared(run.ranAt.runner) ? LATER : NO_BILL
+    const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+    if (record === null || record.holder !== this.holder) return NO_BILL
+    if (record.state !== 'running') return this.settleRecord(run, record)
+    if (keyed) return LATER
+    const cancelled = await this.client.cancel(run.ranAt.address, requestId)
+    return cancelled.caseOf<Settlement>({
+      Left: (_: Failure) => LATER,
+      Right: ended => this.settleRecord(run, ended)
+    })
+  }
+
+  private settleRecord (run: UnsettledRun, record: RunRecord): Settlement {
+    if (run.debt === 'none') return NO_BILL
+    const owed = run.debt === 'owed' || run.admitted.keyed
+    const bill = owed ? billOf(run.admitted, run.ranAt.runner, record) : freeBill(run.admitted, run.ranAt.runner)
+    return { kind: 'settle', bill }
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/compose/bindBudgets.ts
@@ -0,0 +1,26 @@
+/**
+ * Bindings of budgets: the driver over the table service and the other VMs.
+ */
+import type { Container } from 'inversify'
+import { BudgetDriver } from '../budget/budgetDriver.js'
+import { BudgetPeerCalls } from '../budget/budgetPeerCalls.js'
+import { ids } from './serviceIds.js'
+
+/**
+ * Binds budgets.
+ * @param container - the container; base and membership are bound already
+ */
+export function bindBudgets (container: Container): void {
+  container.bind(ids.budgets).toDynamicValue(ctx => {
+    const { holder, domain } = ctx.get(ids.identity)
+    const members = ctx.get(ids.members)
+    return new BudgetDriver({
+      holder,
+      domain,
+      store: ctx.get(ids.table),
+      peers: new BudgetPeerCalls({ client: ctx.get(ids.peerClient), holder, members: () => members.members() }),
+      clock: ctx.get(ids.clock),
+      log: ctx.get(ids.log)
+    })
+  }).inSingletonScope()
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/compose/bindConfig.ts
@@ -0,0 +1,72 @@
+/**
+ * Bindings of membership and the numbered configuration.
+ */
+import { Maybe } from 'purify-ts'
+import type { Container } from 'inversify'
+import { ConfigSpread } from '../config/configSpread.js'
+import { ConfigStore } from '../config/configStore.js'
+import { defaultSpread, type ConfigTimers } from '../config/configTypes.js'
+import { MemberDriver } from '../membership/memberDriver.js'
+import { ids } from './serviceIds.js'
+
+const systemTimers: ConfigTimers = {
+  after: (ms, fn) => {
+    const timer = setTimeout(fn, ms)
+    return () => { clearTimeout(timer) }
+  }
+}
+
+/**
+ * Binds membership and configuration.
+ * @param container - the container; the base is bound already
+ */
+export function bindConfig (container: Container): void {
+  container.bind(ids.configStore).toResolvedValue((table, objects, clock, log, random) =>
+    new ConfigStore({ table, objects, clock, log, timers: systemTimers, random: () => random.next() }),
+  [ids.table, ids.objects, ids.clock, ids.log, ids.random]).inSingletonScope()
+
+  container.bind(ids.currentConfig).toResolvedValue(store => ({
+    current: () => Maybe.fromNullable(store.inForce)
+  }), [ids.configStore]).inSingletonScope()
+
+  container.bind(ids.members).toDynamicValue(ctx => {
+    const identity = ctx.get(ids.identity)
+    const store = ctx.get(ids.configStore)
+    const work = ctx.get(ids.work)
+    const random = ctx.get(ids.random)
+    return new MemberDriver({
+      self: { ...identity, state: 'live', configVersion: null, capacity: 1 },
+      table: ctx.get(ids.table),
+      vmList: ctx.get(ids.vmList),
+      client: ctx.get(ids.peerClient),
+      server: ctx.get(ids.peerServer),
+      clock: ctx.get(ids.clock),
+      log: ctx.get(ids.log),
+      random: () => random.next(),
+      status: () => ({ configVersion: store.inForce?.version ?? null, openRequests: work.openCount() }),
+      onReplaced: ctx.get(ids.onReplaced)
+    })
+  }).inSingletonScope()
+
+  container.bind(ids.configSpread).toDynamicValue(ctx => {
+    const settings = ctx.get(ids.settings)
+    const { vm, peers } = ctx.get(ids.identity)
+    const members = ctx.get(ids.members)
+    const client = ctx.get(ids.peerClient)
+    const random = ctx.get(ids.random)
+    return new ConfigSpread({
+      store: ctx.get(ids.configStore),
+      peers: {
+        addresses: () => members.members()
+          .filter(member => member.vm !== vm && member.state !== 'gone')
+          .map(member => member.peers),
+        call: async (address, method, params, timeoutMs) => await client.call(address, method, params, timeoutMs)
+      },
+      address: peers,
+      timers: systemTimers,
+      random: () => random.next(),
+      log: ctx.get(ids.log),
+      settings: { ...defaultSpread, pollMs: settings.config.pollMs }
+    })
+  }).inSingletonScope()
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/compose/composeVm.ts
@@ -0,0 +1,31 @@
+/**
+ * The composition root: builds the container of one VM and hands out the running process.
+ */
+import 'reflect-metadata'
+import { Container } from 'inversify'
+import type { Settings } from '../settings/settingsSchema.js'
+import { bindBase } from './bindBase.js'
+import { bindBudgets } from './bindBudgets.js'
+import { bindConfig } from './bindConfig.js'
+import { bindServing } from './bindServing.js'
+import { ids } from './serviceIds.js'
+import { VmProcess } from './vmProcess.js'
+
+/**
+ * Composes one VM.
+ * @param settings - its settings
+ * @param rebind - changes bindings before anything is built; tests bind weaker parts with it
+ */
+export function composeVm (settings: Settings, rebind: (container: Container) => void = () => {}): VmProcess {
+  const container = new Container()
+  bindBase(container, settings)
+  bindConfig(container)
+  bindBudgets(container)
+  bindServing(container)
+  let replaced: (by: string) => void = () => {}
+  container.bind(ids.onReplaced).toConstantValue(by => { replaced(by) })
+  rebind(container)
+  const vm = new VmProcess(container)
+  replaced = by => { vm.replacedBy(by) }
+  return vm
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -0,0 +1,122 @@
+/**
+ * One running VM: starts its parts in order, keeps their timers, and drains it gracefully.
+ */
+import type { Container } from 'inversify'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { serveBudgetPeers } from '../budget/budgetPeerCalls.js'
+import { FETCH_METHOD, PUSH_METHOD } from '../config/configSpread.js'
+import { ids } from './serviceIds.js'
+
+/** Milliseconds between two ticks of the budgets. */
+const BUDGET_TICK_MS = 100
+/** Milliseconds between two tries to settle runs whose cost is not known. */
+const UNSETTLED_RETRY_MS = 1_000
+
+/** The process of one VM. */
+export class VmProcess {
+  private readonly log: EventLog
+  private readonly timers: NodeJS.Timeout[] = []
+
+  constructor (private readonly container: Container) {
+    this.log = container.get(ids.log)
+  }
+
+  /** Starts everything; the failure is `settingsInvalid` when an address cannot be listened on. */
+  async start (): Promise<Either<Failure, void>> {
+    const settings = this.container.get(ids.settings)
+    const identity = this.container.get(ids.identity)
+    this.followConfig()
+    this.servePeers()
+    try {
+      await this.container.get(ids.peerServer).listen(settings.listen.peers)
+      await this.container.get(ids.adminServer).listen(settings.listen.operators)
+      await this.container.get(ids.callerServer).listen(settings.listen.callers)
+    } catch (err) {
+      return Left(new Failure('settingsInvalid', `cannot listen: ${toFailure(err).message}`))
+    }
+    this.log.write('started', { ...identity })
+    this.startTimers()
+    await this.container.get(ids.configStore).load()
+    this.container.get(ids.configSpread).start()
+    await this.container.get(ids.members).start()
+    return Right(undefined)
+  }
+
+  /** Takes no new work, finishes what is open, and hands everything back. Resolves to false when the time ran out. */
+  async drain (): Promise<boolean> {
+    const work = this.container.get(ids.work)
+    const { drainTimeoutMs } = this.container.get(ids.settings)
+    work.draining = true
+    this.log.write('draining', { open: work.openCount() })
+    await this.container.get(ids.members).announceLeaving()
+    const idle = await work.idle(drainTimeoutMs)
+    await this.container.get(ids.callerServer).close()
+    const settled = await this.within(this.container.get(ids.budgets).drain(), drainTimeoutMs)
+    await this.stop()
+    this.log.write('stopped', { open: work.openCount(), interrupted: work.openCount(), settled })
+    return idle && settled
+  }
+
+  /**
+   * Stops taking work because another process runs under this VM's name.
+   * @param by - its holder id
+   */
+  replacedBy (by: string): void {
+    this.log.write('peerSeen', { vm: this.container.get(ids.identity).vm, state: 'replaced', evidence: by })
+    this.drain()
+      .then(() => process.exit(0))
+      .catch(() => process.exit(1))
+  }
+
+  private followConfig (): void {
+    const routing = this.container.get(ids.routing)
+    const teamKeys = this.container.get(ids.teamKeys)
+    const operatorKeys = this.container.get(ids.operatorKeys)
+    this.container.get(ids.configStore).onChange(({ config }) => {
+      teamKeys.replace(Object.entries(config.teams).map(([team, { keyHashes }]) => [team, keyHashes]))
+      operatorKeys.replace(Object.entries(config.operators).map(([operator, { keyHashes }]) => [operator, keyHashes]))
+      routing.configure(config)
+    })
+  }
+
+  private servePeers (): void {
+    const server = this.container.get(ids.peerServer)
+    const spread = this.container.get(ids.configSpread)
+    server.register(PUSH_METHOD, async params => await spread.onPush(params))
+    server.register(FETCH_METHOD, async params => await spread.onFetch(params))
+    serveBudgetPeers(server, this.container.get(ids.budgets))
+  }
+
+  private startTimers (): void {
+    const { runners } = this.container.get(ids.settings)
+    const budgets = this.container.get(ids.budgets)
+    const poller = this.container.get(ids.poller)
+    const unsettled = this.container.get(ids.unsettled)
+    this.every(BUDGET_TICK_MS, async () => { budgets.tick() })
+    this.every(runners.loadPollMs, async () => { await poller.poll() })
+    this.every(UNSETTLED_RETRY_MS, async () => { await unsettled.retryAll() })
+  }
+
+  private every (ms: number, work: () => Promise<void>): void {
+    this.timers.push(setInterval(() => {
+      work().catch((err: unknown) => { this.log.write('fault', { err: toFailure(err).message }) })
+    }, ms))
+  }
+
+  private async within (work: Promise<void>, ms: number): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined
+    const late = new Promise<boolean>(resolve => { timer = setTimeout(() => { resolve(false) }, ms) })
+    return await Promise.race([work.then(() => true), late]).finally(() => { clearTimeout(timer) })
+  }
+
+  private async stop (): Promise<void> {
+    this.timers.forEach(timer => { clearInterval(timer) })
+    this.container.get(ids.configSpread).stop()
+    this.container.get(ids.members).stop()
+    await this.container.get(ids.adminServer).close()
+    this.container.get(ids.peerClient).close()
+    await this.container.get(ids.peerServer).close()
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/directory/callerDirectory.ts
@@ -0,0 +1,79 @@
+/**
+ * What callers may know: who they are, the models of their team, the addresses to use, and
+ * what their budget is.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { AddressAnswer, CallerDirectory, CallerIdentity, UsageAnswer } from '@rosemaryspread/callers/completion/completionTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { FleetConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
+import type { CurrentConfig, DrainState } from '../completion/completionPorts.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import type { KeyDirectory } from './keyDirectory.js'
+
+/** Milliseconds to come back after when the VM is not ready. */
+const NOT_READY_RETRY_MS = 500
+
+/** Reads budgets. */
+export interface BudgetReader {
+  show (budget: string): Promise<Either<Failure, BudgetAnswer>>
+}
+
+/** What the directory is composed of. */
+export interface DirectoryDeps {
+  readonly config: CurrentConfig
+  readonly work: DrainState
+  readonly keys: KeyDirectory
+  readonly budgets: BudgetReader
+  readonly metrics: Metrics
+  /** Callers' addresses in the order to try, without scheme. */
+  readonly addresses: () => readonly string[]
+}
+
+/** Answers callers from the configuration in force. */
+export class ConfiguredDirectory implements CallerDirectory {
+  constructor (private readonly deps: DirectoryDeps) {}
+
+  authenticate (bearer: string): Either<Failure, CallerIdentity> {
+    if (this.deps.config.current().isNothing()) return Left(notLoaded())
+    const team = this.deps.keys.ownerOf(bearer)
+    return team === undefined ? Left(new Failure('unauthorized', 'no team has this key')) : Right({ team })
+  }
+
+  models (caller: CallerIdentity): readonly string[] {
+    return this.config()?.teams[caller.team]?.models ?? []
+  }
+
+  addresses (): AddressAnswer {
+    const current = this.deps.config.current().extractNullable()
+    return {
+      version: current?.version ?? 0,
+      addresses: this.deps.addresses().map(address => `http://${address}`),
+      keepMs: current?.config.limits.addressKeepMs ?? NOT_READY_RETRY_MS
+    }
+  }
+
+  async usage (caller: CallerIdentity): Promise<Either<Failure, UsageAnswer>> {
+    const budget = this.config()?.teams[caller.team]?.budget
+    if (budget === undefined) return Left(new Failure('forbidden', `team ${caller.team} is not in the configuration`))
+    const shown = await this.deps.budgets.show(budget)
+    return shown.map(({ paid, spent, allotted }) => ({ team: caller.team, budget, paid, spent, allotted }))
+  }
+
+  ready (): Either<Failure, void> {
+    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining', { retryAfterMs: NOT_READY_RETRY_MS }))
+    return this.deps.config.current().isNothing() ? Left(notLoaded()) : Right(undefined)
+  }
+
+  metrics (): string {
+    return this.deps.metrics.render()
+  }
+
+  private config (): FleetConfig | undefined {
+    return this.deps.config.current().extractNullable()?.config
+  }
+}
+
+function notLoaded (): Failure {
+  return new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NOT_READY_RETRY_MS })
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/membership/memberDriver.ts
@@ -0,0 +1,191 @@
+/**
+ * Carries out what the membership decider asks: heartbeats over the links between VMs, rows in
+ * the table service, and the platform's list. It also answers who is there and which addresses
+ * callers should use.
+ */
+import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { addressesFor, type CallerAddresses } from '@rosemaryspread/decisions/membership/callerAddresses.js'
+import { roleCandidates } from '@rosemaryspread/decisions/membership/memberRing.js'
+import { ROLE_CANDIDATES } from '@rosemaryspread/decisions/membership/memberRoles.js'
+import { MemberTable } from '@rosemaryspread/decisions/membership/memberTable.js'
+import { defaultMemberLimits, heartbeatSchema, type MemberAction, type MemberEvent, type MemberLimits, type MemberRow, type MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
+import type { HolderId } from '@rosemaryspread/decisions/names/nameTypes.js'
+import type { PeerNotifier, PeerServer } from '@rosemaryspread/peers/link/linkTypes.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { VmList } from '@rosemaryspread/platform/vmList/vmListTypes.js'
+import { MemberRows } from './memberRows.js'
+
+/** Method of heartbeats between VMs; short, for it is sent with each one. */
+export const HEARTBEAT_METHOD = 'beat'
+
+/** Part of the period by which ticks are spread, so that VMs started together drift apart. */
+const JITTER = 0.2
+
+/** What the VM says of itself now. */
+export interface MemberStatus {
+  readonly configVersion: number | null
+  readonly openRequests: number
+}
+
+/** What a {@link MemberDriver} works with. */
+export interface MemberDriverOptions {
+  /** The row of this process as it starts. */
+  readonly self: MemberRow
+  readonly table: TableStore
+  readonly vmList: VmList
+  readonly client: PeerNotifier
+  readonly server: PeerServer
+  readonly clock: Clock
+  readonly log: EventLog
+  /** Uniform in [0, 1). */
+  readonly random: () => number
+  readonly status: () => MemberStatus
+  /** Called when another process runs under this VM's name; this one must stop. */
+  readonly onReplaced: (by: HolderId) => void
+  /** Called when a heartbeat names a configuration version; `address` is the sender's peer address. */
+  readonly onConfigVersion?: (version: number, address: string) => void
+  readonly limits?: MemberLimits
+}
+
+/** Membership of one VM at work. */
+export class MemberDriver {
+  private readonly decider: MemberTable
+  private readonly rows: MemberRows
+  private readonly limits: MemberLimits
+  private timer: NodeJS.Timeout | undefined
+  private running = false
+
+  /**
+   * @param options - collaborators
+   */
+  constructor (private readonly options: MemberDriverOptions) {
+    this.limits = options.limits ?? defaultMemberLimits
+    this.decider = new MemberTable(options.self, options.random, this.limits)
+    this.rows = new MemberRows(options.table, options.log)
+  }
+
+  /**
+   * Registers the heartbeat method, writes the own row and reads the others. Resolves when the
+   * first attempt ended; without the table it goes on trying in the background.
+   */
+  async start (): Promise<void> {
+    this.options.server.register(HEARTBEAT_METHOD, async (params, from) => { await this.takeHeartbeat(params, from) })
+    this.running = true
+    const first = this.tick()
+    this.schedule()
+    await first
+  }
+
+  /** One period; resolves when everything it started has ended. */
+  async tick (): Promise<void> {
+    const { configVersion, openRequests } = this.options.status()
+    await this.feed({ kind: 'self', configVersion, openRequests })
+    await this.feed({ kind: 'tick' })
+  }
+
+  /** Ends the heartbeats. */
+  stop (): void {
+    this.running = false
+    clearTimeout(this.timer)
+  }
+
+  /** Every known VM, this one included. */
+  members (): readonly MemberView[] {
+    return this.decider.members(this.now())
+  }
+
+  /** Whether a pause was noticed and the own row was not read since. */
+  mayBeReplaced (): boolean {
+    return this.decider.mayBeReplaced()
+  }
+
+  /**
+   * Addresses for callers, as IPv4:port.
+   * @param keepMs - how long they may be kept, from the configuration
+   */
+  addresses (keepMs: number): CallerAddresses {
+    return addressesFor(this.options.self, this.members(), keepMs, this.options.random)
+  }
+
+  /**
+   * Whether this VM should try to take a role.
+   * @param role - the role
+   * @param domain - the failure domain whose VMs may hold it; absent when every VM may
+   */
+  isCandidate (role: string, domain?: string): boolean {
+    const live = this.members().filter(member => member.state === 'live' && (domain === undefined || member.domain === domain))
+    return roleCandidates(role, live.map(member => member.vm), ROLE_CANDIDATES).includes(this.options.self.vm)
+  }
+
+  /** Tells the other VMs at once that this one takes no new work, and writes it to the table. */
+  async announceLeaving (): Promise<void> {
+    await this.feed({ kind: 'leave' })
+  }
+
+  private schedule (): void {
+    const waitMs = this.limits.periodMs * (1 + (this.options.random() - 0.5) * JITTER)
+    this.timer = setTimeout(() => {
+      if (!this.running) return
+      this.schedule()
+      this.tick().catch((err: unknown) => this.options.log.write('fault', { err }))
+    }, waitMs)
+  }
+
+  private async takeHeartbeat (params: unknown, from: HolderId): Promise<void> {
+    const heartbeat = heartbeatSchema.parse(params)
+    await this.feed({ kind: 'heard', from, heartbeat })
+    this.offerConfigVersion(heartbeat.self.config, from)
+  }
+
+  private offerConfigVersion (version: number | null, from: HolderId): void {
+    if (version === null || this.options.onConfigVersion === undefined) return
+    const sender = this.members().find(member => member.holder === from)
+    if (sender !== undefined) this.options.onConfigVersion(version, sender.peers)
+  }
+
+  private async feed (event: MemberEvent): Promise<void> {
+    const actions = this.decider.handle(event, this.now())
+    await Promise.all(actions.map(async action => { await this.carryOut(action) }))
+  }
+
+  private async carryOut (action: MemberAction): Promise<void> {
+    const askedAt = this.now()
+    const { self, log } = this.options
+    switch (action.kind) {
+      case 'beat': return this.send(action.to, action.heartbeat)
+      case 'scan': return await this.feedRead(await this.rows.scan(), true, askedAt)
+      case 'readRows': return await this.feedRead(await this.rows.read(action.vms), false, askedAt)
+      case 'readList': return await this.readList(askedAt)
+      case 'readOwn': return await this.feed(await this.rows.readOwn(self.vm))
+      case 'writeOwn': return await this.feed({ kind: 'ownWritten', outcome: await this.rows.writeOwn(action.row, action.version) })
+      case 'changed': return log.write('peerSeen', { vm: action.vm, state: action.state, evidence: action.evidence })
+      case 'jumped': return log.write('clockJumped', { jumpMs: action.jumpMs })
+      case 'replaced': return this.options.onReplaced(action.by)
+    }
+  }
+
+  private send (to: readonly string[], heartbeat: unknown): void {
+    for (const address of to) this.options.client.notify(address, HEARTBEAT_METHOD, heartbeat)
+  }
+
+  private async feedRead (read: Awaited<ReturnType<MemberRows['scan']>>, whole: boolean, askedAt: Instant): Promise<void> {
+    if (read !== undefined) await this.feed({ kind: 'rowsRead', rows: read, whole, askedAt })
+  }
+
+  private async readList (askedAt: Instant): Promise<void> {
+    const answer = await this.options.vmList.list()
+    const list = answer.caseOf({ Left: err => this.fault(err), Right: value => value })
+    if (list === undefined) return
+    await this.feed({ kind: 'listRead', vms: list.vms, lagMs: Math.max(0, list.now - list.asOf), askedAt })
+  }
+
+  private fault (err: Failure): undefined {
+    this.options.log.write('platformFault', { service: 'vmList', operation: 'list', code: err.code })
+  }
+
+  private now (): Instant {
+    return this.options.clock.now()
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/membership/memberRows.ts
@@ -0,0 +1,97 @@
+/**
+ * The rows `vms/<vm>` in the table service.
+ */
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { MEMBER_TABLE, memberRowSchema, type MemberEvent, type MemberRow, type OwnWriteOutcome, type ReadMember } from '@rosemaryspread/decisions/membership/memberTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+
+const SCAN_PAGE = 500
+
+/** Reads and writes rows of VMs. */
+export class MemberRows {
+  /**
+   * @param table - the table service
+   * @param log - where faults go
+   */
+  constructor (private readonly table: TableStore, private readonly log: EventLog) {}
+
+  /** Every row, or undefined when the table failed on the way. */
+  async scan (): Promise<readonly ReadMember[] | undefined> {
+    const found: ReadMember[] = []
+    let after: string | undefined
+    do {
+      const page = await this.table.scan({ table: MEMBER_TABLE, prefix: '', limit: SCAN_PAGE, ...(after === undefined ? {} : { after }) })
+      const answer = page.caseOf({ Left: err => this.fault('scan', err), Right: value => value })
+      if (answer === undefined) return undefined
+      found.push(...parseRows(answer.rows, answer.now))
+      after = answer.next
+    } while (after !== undefined)
+    return found
+  }
+
+  /**
+   * The rows of some VMs, or undefined when the table failed.
+   * @param vms - names of the VMs
+   */
+  async read (vms: readonly string[]): Promise<readonly ReadMember[] | undefined> {
+    const answer = await this.table.read(vms.map(vm => ({ table: MEMBER_TABLE, key: vm })))
+    return answer.caseOf<readonly ReadMember[] | undefined>({
+      Left: err => this.fault('read', err),
+      Right: ({ rows, now }) => parseRows(rows, now)
+    })
+  }
+
+  /**
+   * The row of this VM, as the event that the decider expects.
+   * @param vm - name of this VM
+   */
+  async readOwn (vm: string): Promise<MemberEvent> {
+    const answer = await this.table.read([{ table: MEMBER_TABLE, key: vm }])
+    return answer.caseOf<MemberEvent>({
+      Left: err => {
+        this.fault('read', err)
+        return { kind: 'ownUnreadable' }
+      },
+      Right: ({ rows: [row] }) => ({ kind: 'ownRead', found: row == null ? null : { holder: holderOfRow(row), version: row.version } })
+    })
+  }
+
+  /**
+   * Writes the row of this VM on condition of its version.
+   * @param row - the new row
+   * @param version - version of the row as last known; null when there is none
+   */
+  async writeOwn (row: MemberRow, version: number | null): Promise<OwnWriteOutcome> {
+    const key = { table: MEMBER_TABLE, key: row.vm }
+    const answer = await this.table.transact({ checks: [{ ...key, version }], writes: [{ ...key, value: row }] })
+    return answer.caseOf<OwnWriteOutcome>({
+      Left: err => this.failedWrite(err),
+      Right: written => ({ kind: 'written', version: written.version })
+    })
+  }
+
+  private failedWrite (err: Failure): OwnWriteOutcome {
+    if (err.code === 'platformConflict') return { kind: 'conflict' }
+    this.fault('transact', err)
+    return { kind: err.code === 'platformUnavailable' ? 'unavailable' : 'unknown' }
+  }
+
+  private fault (operation: string, err: Failure): undefined {
+    this.log.write('platformFault', { service: 'table', operation, code: err.code })
+  }
+}
+
+function parseRows (rows: readonly (Row | null)[], now: number): readonly ReadMember[] {
+  return rows.flatMap(row => {
+    const parsed = memberRowSchema.safeParse(row?.value)
+    if (row === null || !parsed.success) return []
+    return { row: parsed.data, version: row.version, ageMs: Math.max(0, now - row.updatedAt) }
+  })
+}
+
+/** Holder in a row; a row that cannot be read names nobody. */
+function holderOfRow (row: Row): string {
+  const parsed = memberRowSchema.safeParse(row.value)
+  return parsed.success ? parsed.data.holder : ''
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/metrics/metricsRecorder.ts
@@ -0,0 +1,43 @@
+/**
+ * Counters, and hdr-histogram-js histograms, rendered in the Prometheus text format.
+ */
+import { build, type Histogram } from 'hdr-histogram-js'
+import type { HistogramName, Metrics } from './metricsTypes.js'
+
+const QUANTILES = [50, 95, 99]
+const MAX_MILLISECONDS = 3_600_000
+
+/** Keeps metrics in memory. */
+export class MetricsRecorder implements Metrics {
+  private readonly counters = new Map<string, number>()
+  private readonly histograms = new Map<HistogramName, Histogram>()
+
+  count (name: string, by = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + by)
+  }
+
+  record (name: HistogramName, milliseconds: number): void {
+    const whole = Math.min(MAX_MILLISECONDS, Math.max(0, Math.round(milliseconds)))
+    this.histogram(name).recordValue(whole)
+  }
+
+  render (): string {
+    const counters = [...this.counters].map(([name, value]) => `rosemaryspread_${name}_total ${value}`)
+    const histograms = [...this.histograms].flatMap(([name, histogram]) => renderHistogram(name, histogram))
+    return [...counters, ...histograms, ''].join('\n')
+  }
+
+  private histogram (name: HistogramName): Histogram {
+    const known = this.histograms.get(name)
+    if (known !== undefined) return known
+    const fresh = build({ lowestDiscernibleValue: 1, highestTrackableValue: MAX_MILLISECONDS, numberOfSignificantValueDigits: 2 })
+    this.histograms.set(name, fresh)
+    return fresh
+  }
+}
+
+function renderHistogram (name: string, histogram: Histogram): string[] {
+  const lines = QUANTILES.map(quantile =>
+    `rosemaryspread_${name}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile)}`)
+  return [...lines, `rosemaryspread_${name}_count ${histogram.totalCount}`]
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -0,0 +1,200 @@
+/**
+ * Passes calls on to application runners. A call that may not be repeated is claimed durably
+ * first and dispatched once at most; what happened to it is told as far as it is known.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { ApplicationService, ServiceAnswer, ServiceCall } from '@rosemaryspread/callers/completion/completionTypes.js'
+import { elapsedMs, type Clock, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { FleetConfig, ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
+import type { ApplicationAnswer, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
+import type { CurrentConfig, DrainState, RandomSource } from '../completion/completionPorts.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import type { BackgroundWrites } from './serviceBackground.js'
+import type { ClaimRow, ClaimStore, HeldClaim } from './serviceClaim.js'
+import { chooseServiceRunner, isRepeatable, ServiceLoad, type ServiceChoice } from './serviceRoute.js'
+
+/** A claim older than this when the call would be dispatched is abandoned: its holder was paused. */
+const CLAIM_FRESH_MS = 5_000
+/** Milliseconds to come back after when an earlier attempt is in progress. */
+const IN_PROGRESS_RETRY_MS = 1_000
+/** Milliseconds to come back after when the VM drains or has no configuration. */
+const NOT_READY_RETRY_MS = 500
+
+/** What the service is composed of. */
+export interface ServiceDeps {
+  readonly holder: string
+  readonly domain: string
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly config: CurrentConfig
+  readonly work: DrainState
+  readonly claims: ClaimStore
+  readonly background: BackgroundWrites
+  readonly runners: ApplicationClient
+  readonly log: EventLog
+  readonly metrics: Metrics
+}
+
+/** A call that was checked. */
+interface CheckedCall {
+  readonly call: ServiceCall
+  readonly service: ServiceConfig
+  readonly requestId: string
+  readonly startedAt: Instant
+  readonly timeoutMs: number
+  readonly repeatable: boolean
+}
+
+/** Passes calls to application runners under claims. */
+export class ClaimedServiceCalls implements ApplicationService {
+  private readonly load = new ServiceLoad()
+
+  constructor (private readonly deps: ServiceDeps) {}
+
+  async call (call: ServiceCall): Promise<Either<Failure, ServiceAnswer>> {
+    const close = this.deps.work.open()
+    try {
+      const checked = this.check(call)
+      const answer = checked.isLeft()
+        ? Left(checked.extract() as Failure)
+        : await this.serve(checked.extract() as CheckedCall)
+      return answer.ifLeft(failure => { this.refused(call, failure) })
+    } finally {
+      close()
+    }
+  }
+
+  /** Open calls at an application runner, by this VM's own count. */
+  inFlight (runner: string): number {
+    return this.load.of(runner)
+  }
+
+  private check (call: ServiceCall): Either<Failure, CheckedCall> {
+    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining; use another address', { retryAfterMs: NOT_READY_RETRY_MS }))
+    return this.deps.config.current()
+      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NOT_READY_RETRY_MS }))
+      .chain(({ config }) => this.checkAgainst(call, config))
+  }
+
+  private checkAgainst (call: ServiceCall, config: FleetConfig): Either<Failure, CheckedCall> {
+    const { caller, idempotencyKey } = call
+    const allowed = config.teams[caller.team]?.services.includes(call.service) === true
+    const service = allowed ? config.services[call.service] : undefined
+    if (service === undefined) return Left(new Failure('notFound', `team ${caller.team} has no service ${call.service}`))
+    const repeatable = isRepeatable(service, call.method, call.path)
+    if (!repeatable && idempotencyKey === undefined) {
+      return Left(new Failure('keyRequired', 'this call may not be repeated: send an Idempotency-Key'))
+    }
+    return Right({
+      call,
+      service,
+      requestId: idempotencyKey === undefined ? this.deps.random.id() : keyedRequestId(caller.team, `${call.service}\n${idempotencyKey}`),
+      startedAt: this.deps.clock.now(),
+      timeoutMs: Math.min(call.timeoutMs ?? service.timeoutMs, service.timeoutMs),
+      repeatable
+    })
+  }
+
+  private async serve (checked: CheckedCall): Promise<Either<Failure, ServiceAnswer>> {
+    return checked.repeatable ? await this.dispatch(checked) : await this.serveOnce(checked)
+  }
+
+  private async serveOnce (checked: CheckedCall): Promise<Either<Failure, ServiceAnswer>> {
+    const { call, requestId } = checked
+    const row: ClaimRow = {
+      requestId,
+      team: call.caller.team,
+      service: call.service,
+      digest: call.digest,
+      holder: this.deps.holder,
+      nonce: this.deps.random.id(),
+      state: 'claimed'
+    }
+    const sentAt = this.deps.clock.now()
+    const claimed = await this.deps.claims.claim(row)
+    if (claimed.isLeft()) return this.claimFailed(row, claimed.extract() as Failure)
+    const outcome = claimed.extract() as { kind: 'held', claim: HeldClaim } | { kind: 'found', row: ClaimRow }
+    if (outcome.kind === 'found') return repeatOf(outcome.row)
+    this.deps.log.write('callClaimed', { request: requestId, service: call.service })
+    return await this.dispatchClaimed(checked, outcome.claim, sentAt)
+  }
+
+  /** A claim whose write may have taken effect is abandoned in the background, so that a repeat can be run. */
+  private claimFailed (row: ClaimRow, failure: Failure): Either<Failure, ServiceAnswer> {
+    if (failure.code === 'notClaimed') this.deps.background.abandonIfOurs(row)
+    return Left(failure)
+  }
+
+  private async dispatchClaimed (checked: CheckedCall, claim: HeldClaim, sentAt: Instant): Promise<Either<Failure, ServiceAnswer>> {
+    if (elapsedMs(sentAt, this.deps.clock.now()) > CLAIM_FRESH_MS) {
+      this.deps.background.abandon(claim)
+      return Left(new Failure('notClaimed', 'the claim took too long and was given up', { retryAfterMs: IN_PROGRESS_RETRY_MS }))
+    }
+    const answer = await this.dispatch(checked)
+    answer.caseOf({
+      Left: failure => { if (failure.ran === 'no') this.deps.background.abandon(claim) },
+      Right: ({ status, contentType, body }) => { this.deps.background.finish(claim, { status, contentType, body }) }
+    })
+    return answer
+  }
+
+  /** Tries runners in turn; after one may have run the call, only a repeatable call goes on. */
+  private async dispatch (checked: CheckedCall): Promise<Either<Failure, ServiceAnswer>> {
+    const exclude: string[] = []
+    let last: Failure | undefined
+    for (;;) {
+      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude)
+      if (chosen.isLeft()) return Left(last ?? chosen.extract() as Failure)
+      const leftMs = checked.timeoutMs - elapsedMs(checked.startedAt, this.deps.clock.now())
+      if (leftMs <= 0) return Left(last ?? new Failure('deadlineExceeded', 'the deadline passed before the call was dispatched'))
+      const answer = await this.callRunner(checked, chosen.extract() as ServiceChoice, leftMs)
+      if (answer.isRight()) return answer.map(({ status, contentType, body }) => ({ status, contentType, body, requestId: checked.requestId, repeated: false }))
+      last = worse(last, answer.extract() as Failure)
+      if (last.ran !== 'no' && !checked.repeatable) return Left(last)
+      exclude.push((chosen.extract() as ServiceChoice).runner)
+    }
+  }
+
+  private async callRunner (checked: CheckedCall, choice: ServiceChoice, timeoutMs: number): Promise<Either<Failure, ApplicationAnswer>> {
+    const { call, requestId } = checked
+    this.deps.log.write('routed', { request: requestId, service: call.service, candidates: choice.candidates, choice: choice.runner, reason: 'fewest open calls' })
+    this.load.add(choice.runner, 1)
+    try {
+      return await this.deps.runners.call(choice.address, {
+        requestId,
+        method: call.method,
+        path: call.path,
+        ...(call.contentType === undefined ? {} : { contentType: call.contentType }),
+        body: call.body,
+        timeoutMs
+      })
+    } finally {
+      this.load.add(choice.runner, -1)
+      this.deps.metrics.record('service_call_ms', elapsedMs(checked.startedAt, this.deps.clock.now()))
+    }
+  }
+
+  private refused (call: ServiceCall, failure: Failure): void {
+    const { code, ran, retryAfterMs } = failure
+    this.deps.metrics.count(`refusals_${code}`)
+    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: '-', team: call.caller.team, code, ran, retryAfterMs, detail: failure.message })
+  }
+}
+
+/** Of two failures keeps the one that admits that the call may have run. */
+function worse (known: Failure | undefined, next: Failure): Failure {
+  return known === undefined || known.ran === 'no' ? next : known
+}
+
+/** What a repeat is told about a call that another attempt claimed. */
+function repeatOf (row: ClaimRow): Either<Failure, ServiceAnswer> {
+  if (row.state === 'done' && row.answer !== undefined) {
+    const { status, contentType, body } = row.answer
+    return Right({ status, contentType, body: Buffer.from(body, 'base64'), requestId: row.requestId, repeated: true })
+  }
+  if (row.state === 'done') return Left(new Failure('claimOutcomeUnknown', 'the call was run; its answer was too large to keep', { ran: 'yes' }))
+  return Left(new Failure('claimOutcomeUnknown', 'an earlier attempt claimed this call; it may be in progress or may have run', { ran: 'unknown', retryAfterMs: IN_PROGRESS_RETRY_MS }))
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -0,0 +1,139 @@
+/**
+ * Claims of calls that may not be repeated: one row for each request id in the table, inserted
+ * before anything is dispatched. Whoever finds the row does not dispatch.
+ */
+import { z } from 'zod'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+
+/** Table of the claims. */
+export const CLAIMS_TABLE = 'claims'
+/** Largest answer kept for repeats, in bytes. */
+const MAX_KEPT_ANSWER_BYTES = 65_536
+/** Milliseconds to come back after when the table cannot be reached. */
+const TABLE_RETRY_MS = 2_000
+
+/** Row `claims/<requestId>`. */
+export const claimRowSchema = z.object({
+  requestId: z.string(),
+  team: z.string(),
+  service: z.string(),
+  digest: z.string(),
+  holder: z.string(),
+  /** Tells two claims of one holder apart. */
+  nonce: z.string(),
+  /** `abandoned`: certainly not dispatched; the request may be claimed anew. */
+  state: z.enum(['claimed', 'done', 'abandoned']),
+  answer: z.object({ status: z.number(), contentType: z.string(), body: z.string() }).optional()
+})
+export type ClaimRow = z.infer<typeof claimRowSchema>
+
+/** A claim that this process holds, with the row's version. */
+export interface HeldClaim {
+  readonly row: ClaimRow
+  readonly version: number
+}
+
+/** What a claim attempt found. */
+export type ClaimOutcome =
+  | { readonly kind: 'held', readonly claim: HeldClaim }
+  | { readonly kind: 'found', readonly row: ClaimRow }
+
+/** Claims in the table service. */
+export class ClaimStore {
+  constructor (private readonly table: TableStore) {}
+
+  /**
+   * Claims a request, unless it is claimed already.
+   * @param wanted - the row to insert
+   */
+  async claim (wanted: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
+    const first = await this.write(wanted, null)
+    if (failureOf(first)?.code !== 'platformConflict') return first.map(version => held(wanted, version))
+    const found = await this.read(wanted.requestId)
+    if (found.isLeft()) return Left(notClaimed('the claim could not be read'))
+    const row = found.extract() as Row | undefined
+    if (row === undefined) return Left(notClaimed('the claim changed while it was read'))
+    return await this.takeOver(wanted, row)
+  }
+
+  /**
+   * Finds a claim that this process may have written.
+   * @param row - the row as it was sent
+   */
+  async find (row: ClaimRow): Promise<Either<Failure, HeldClaim | undefined>> {
+    const found = await this.read(row.requestId)
+    return found.map(stored => {
+      const parsed = claimRowSchema.safeParse(stored?.value)
+      const ours = parsed.success && parsed.data.nonce === row.nonce && parsed.data.state === 'claimed'
+      return ours && stored !== undefined ? { row, version: stored.version } : undefined
+    })
+  }
+
+  /**
+   * Marks a claim as certainly not dispatched.
+   * @param claim - a held claim
+   */
+  async abandon (claim: HeldClaim): Promise<Either<Failure, number>> {
+    return await this.write({ ...claim.row, state: 'abandoned' }, claim.version)
+  }
+
+  /**
+   * Keeps the answer of a claim for repeats; a body over the limit is not kept.
+   * @param claim - a held claim
+   * @param answer - the whole answer
+   */
+  async finish (claim: HeldClaim, answer: { status: number, contentType: string, body: Buffer }): Promise<Either<Failure, number>> {
+    const kept = answer.body.byteLength <= MAX_KEPT_ANSWER_BYTES
+      ? { answer: { ...answer, body: answer.body.toString('base64') } }
+      : {}
+    return await this.write({ ...claim.row, state: 'done', ...kept }, claim.version)
+  }
+
+  private async takeOver (wanted: ClaimRow, row: Row): Promise<Either<Failure, ClaimOutcome>> {
+    const parsed = claimRowSchema.safeParse(row.value)
+    if (!parsed.success) return Left(notClaimed('the claim row is malformed'))
+    if (parsed.data.digest !== wanted.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body'))
+    if (parsed.data.nonce === wanted.nonce) return Right(held(wanted, row.version))
+    if (parsed.data.state !== 'abandoned') return Right({ kind: 'found', row: parsed.data })
+    const again = await this.write(wanted, row.version)
+    return again.map(version => held(wanted, version)).mapLeft(() => notClaimed('another attempt claimed the request'))
+  }
+
+  /** Writes the row; an unknown outcome is resolved by reading back, and stays `notClaimed` when that fails too. */
+  private async write (row: ClaimRow, expected: number | null): Promise<Either<Failure, number>> {
+    const key = { table: CLAIMS_TABLE, key: row.requestId }
+    const answer = await this.table.transact({ checks: [{ ...key, version: expected }], writes: [{ ...key, value: row }] })
+    if (answer.isRight()) return answer.map(({ version }) => version)
+    const failure = answer.extract() as Failure
+    if (failure.code === 'platformConflict') return Left(failure)
+    if (failure.code !== 'platformOutcomeUnknown') return Left(notClaimed(failure.message))
+    return await this.readBack(row)
+  }
+
+  private async readBack (row: ClaimRow): Promise<Either<Failure, number>> {
+    const found = await this.read(row.requestId)
+    return found
+      .mapLeft(() => notClaimed('the outcome of the claim is not known'))
+      .chain(stored => {
+        const parsed = claimRowSchema.safeParse(stored?.value)
+        const ours = parsed.success && parsed.data.nonce === row.nonce && parsed.data.state === row.state
+        if (ours && stored !== undefined) return Right(stored.version)
+        return Left(stored === undefined ? notClaimed('the claim was not written') : new Failure('platformConflict', 'claimed by another'))
+      })
+  }
+
+  private async read (requestId: string): Promise<Either<Failure, Row | undefined>> {
+    const answer = await this.table.read([{ table: CLAIMS_TABLE, key: requestId }])
+    return answer.map(({ rows }) => rows[0] ?? undefined)
+  }
+}
+
+function held (row: ClaimRow, version: number): ClaimOutcome {
+  return { kind: 'held', claim: { row, version } }
+}
+
+function notClaimed (detail: string): Failure {
+  return new Failure('notClaimed', detail, { retryAfterMs: TABLE_RETRY_MS })
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/service/serviceRoute.ts
@@ -0,0 +1,65 @@
+/**
+ * Chooses application runners: the fewest open calls by this VM's own count, the own failure
+ * domain first among equals; leaving and full runners get nothing.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+
+/** Milliseconds to come back after when every runner is full. */
+const FULL_RETRY_MS = 500
+/** Milliseconds to come back after when no runner is declared or left. */
+const NONE_RETRY_MS = 5_000
+
+/** An application runner chosen for a call. */
+export interface ServiceChoice {
+  readonly runner: string
+  readonly address: string
+  readonly candidates: readonly string[]
+}
+
+/** Counts open calls for each application runner. */
+export class ServiceLoad {
+  private readonly open = new Map<string, number>()
+
+  of (runner: string): number {
+    return this.open.get(runner) ?? 0
+  }
+
+  add (runner: string, by: 1 | -1): void {
+    this.open.set(runner, this.of(runner) + by)
+  }
+}
+
+/**
+ * Chooses a runner for a call.
+ * @param service - the service's configuration
+ * @param domain - failure domain of this VM
+ * @param load - open calls
+ * @param exclude - runners tried already
+ */
+export function chooseServiceRunner (service: ServiceConfig, domain: string, load: ServiceLoad, exclude: readonly string[]): Either<Failure, ServiceChoice> {
+  const active = Object.entries(service.runners)
+    .filter(([runner, { state }]) => state === 'active' && !exclude.includes(runner))
+  if (active.length === 0) return Left(new Failure('noRunner', 'no application runner is left to try', { retryAfterMs: NONE_RETRY_MS }))
+  const free = active.filter(([runner, { maxInFlight }]) => load.of(runner) < maxInFlight)
+  if (free.length === 0) return Left(new Failure('overloaded', 'every application runner is full', { retryAfterMs: FULL_RETRY_MS }))
+  const distance = (other: string): number => other === domain ? 0 : 1
+  const [best] = free.sort(([a, left], [b, right]) =>
+    load.of(a) - load.of(b) || distance(left.domain) - distance(right.domain) || a.localeCompare(b))
+  const [runner, { address }] = best as NonNullable<typeof best>
+  return Right({ runner, address, candidates: free.map(([name]) => name) })
+}
+
+/**
+ * Whether a call may be repeated by the service's own declaration.
+ * @param service - the service's configuration
+ * @param method - HTTP method
+ * @param path - path below the service
+ */
+export function isRepeatable (service: ServiceConfig, method: string, path: string): boolean {
+  if (method === 'GET') return true
+  const bare = path.split('?')[0] ?? path
+  return !service.notRepeatable.some(pattern =>
+    pattern.endsWith('*') ? bare.startsWith(pattern.slice(0, -1)) : bare === pattern)
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/settings/settingsLoader.ts
@@ -0,0 +1,47 @@
+/**
+ * Reads a settings file and names every mistake in it at once.
+ */
+import { readFile } from 'node:fs/promises'
+import { Left, Right, type Either } from 'purify-ts'
+import { parseDocument } from 'yaml'
+import type { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { settingsSchema, type Settings } from './settingsSchema.js'
+
+/**
+ * Reads and checks a settings file.
+ * @param file - path of a YAML file
+ */
+export async function loadSettings (file: string): Promise<Either<Failure, Settings>> {
+  const text = await readFile(file, 'utf8').catch(() => undefined)
+  if (text === undefined) return Left(new Failure('settingsInvalid', `${file} cannot be read`))
+  return parseSettings(text)
+}
+
+/**
+ * Checks the text of a settings file.
+ * @param text - YAML
+ */
+export function parseSettings (text: string): Either<Failure, Settings> {
+  const document = parseDocument(text)
+  if (document.errors.length > 0) {
+    return Left(invalid(document.errors.map(err => err.message.split('\n')[0] ?? err.message)))
+  }
+  const parsed = settingsSchema.safeParse(document.toJS())
+  return parsed.success ? Right(parsed.data) : Left(invalid(parsed.error.issues.flatMap(describeIssue)))
+}
+
+function invalid (errors: readonly string[]): Failure {
+  return new Failure('settingsInvalid', `${errors.length} mistakes in the settings`, { errors })
+}
+
+function describeIssue (issue: z.core.$ZodIssue): string[] {
+  const path = issue.path.join('.')
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => `${path === '' ? key : `${path}.${key}`}: there is no such setting`)
+  }
+  if (issue.code === 'invalid_value') {
+    return [`${path}: use one of ${issue.values.join(', ')}`]
+  }
+  return [`${path === '' ? 'the file' : path}: ${issue.message}`]
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -0,0 +1,50 @@
+/**
+ * Settings of one VM: what a process must know before it can reach anything else. One schema is
+ * the source of the types, of the defaults and of the checks; docs/SETTINGS.md describes each.
+ */
+import { z } from 'zod'
+
+const ipPort = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use IPv4:port, such as 10.0.0.4:7000')
+const baseUrl = z.url({ protocol: /^https?$/, error: 'use an http or https URL' })
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'use 1 to 63 of a-z 0-9 -')
+const milliseconds = z.number().int().positive()
+
+/** Settings of one VM; times in milliseconds, sizes in bytes. */
+export const settingsSchema = z.strictObject({
+  /** Name of the VM; lasts over restarts. */
+  vm: name,
+  /** Failure domain in which the VM runs. */
+  domain: name,
+  region: name,
+  listen: z.strictObject({ callers: ipPort, operators: ipPort, peers: ipPort }),
+  /** Address told to other VMs and callers, where it differs from the one listened on. */
+  advertise: z.strictObject({ callers: ipPort.optional(), operators: ipPort.optional(), peers: ipPort.optional() }).prefault({}),
+  platform: z.strictObject({
+    table: baseUrl,
+    objects: baseUrl,
+    weights: baseUrl,
+    vmList: baseUrl,
+    timeoutMs: milliseconds.max(60_000).default(2_000)
+  }),
+  /** Fleet keys of at least 16 characters; the first signs, all are accepted. */
+  peerKeys: z.array(z.string().min(16, 'use at least 16 characters')).min(1).max(4),
+  /** Hex SHA-256 of the key of the first operator, valid while the configuration names no operator. */
+  bootstrapOperatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/, 'use a hex SHA-256').optional(),
+  runners: z.strictObject({
+    connectTimeoutMs: milliseconds.max(60_000).default(1_000),
+    firstTokenTimeoutMs: milliseconds.max(600_000).default(20_000),
+    betweenTokensTimeoutMs: milliseconds.max(600_000).default(10_000),
+    loadPollMs: milliseconds.max(60_000).default(500)
+  }).prefault({}),
+  budgets: z.strictObject({
+    flushMs: milliseconds.max(60_000).default(200),
+    reserveTimeoutMs: milliseconds.max(60_000).default(3_000)
+  }).prefault({}),
+  config: z.strictObject({ pollMs: milliseconds.max(10_000).default(1_000) }).prefault({}),
+  drainTimeoutMs: milliseconds.max(3_600_000).default(120_000),
+  maxBodyBytes: z.number().int().positive().max(64 * 1024 * 1024).default(4 * 1024 * 1024),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
+})
+
+/** Settings of one VM with all defaults filled in. */
+export type Settings = z.infer<typeof settingsSchema>
