Prove the runner clients against engines that misbehave

Cause: the clients of packages/runners had no specs, streamWhole did not stop before a slow submit ended, and pieces ahead of a wrong event were handed on or not depending on packets.

Change: tables of misbehaviours (pieces of another run, gaps, repeats, two ends, cuts, stalls, bad usage, lost answers, refusals) against small HTTP servers; streamWhole stops at once when aborted and says whether anything was sent; pieces are handed on one by one.

--- /dev/null
+++ b/packages/runners/src/application/httpApplicationClient.spec.ts
@@ -0,0 +1,66 @@
+/**
+ * Calls to application runners: whole answers, and what is known when there is none.
+ */
+import { gzipSync } from 'node:zlib'
+import { expect } from 'chai'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { answers, breaksOff, closedAddress, drops, hangs, startTestServer, type TestHandler } from '@rosemaryspread/platform/http/testServer.spec.js'
+import type { ApplicationCall } from './applicationTypes.js'
+import { HttpApplicationClient } from './httpApplicationClient.js'
+
+const MAX_BYTES = 1000
+const CALL: ApplicationCall = { requestId: 'req-1', method: 'POST', path: '/dispatch?gate=3', contentType: 'text/plain', body: Buffer.from('escort'), timeoutMs: 200 }
+const redirects: TestHandler = res => {
+  res.writeHead(303, { location: '/elsewhere' })
+  res.end()
+}
+const compressed: TestHandler = res => {
+  res.writeHead(200, { 'content-encoding': 'gzip', 'content-type': 'text/plain' })
+  res.end(gzipSync('whole'))
+}
+
+const cases: readonly [title: string, handler: TestHandler, expected: string][] = [
+  ['an answer', res => { res.end('done') }, '200 application/octet-stream done'],
+  ['an error of the service', answers(500, 'no'), '500 application/json "no"'],
+  ['a redirect', redirects, '303 application/octet-stream '],
+  ['a compressed answer', compressed, '200 text/plain whole'],
+  ['an answer at the limit', res => { res.end('x'.repeat(MAX_BYTES)) }, `200 application/octet-stream ${'x'.repeat(MAX_BYTES)}`],
+  ['an answer above the limit', res => { res.end('x'.repeat(MAX_BYTES + 1)) }, 'runnerUnreachable unknown'],
+  ['an endless answer', res => { setInterval(() => res.write('x'.repeat(MAX_BYTES)), 1).unref() }, 'runnerUnreachable unknown'],
+  ['half an answer', breaksOff, 'runnerUnreachable unknown'],
+  ['a lost answer', drops, 'runnerUnreachable unknown'],
+  ['no answer in time', hangs, 'runnerUnreachable unknown']
+]
+
+async function run (address: string, call: ApplicationCall): Promise<string> {
+  const client = new HttpApplicationClient({ vm: 'vm-1', connectMs: 200, maxBytes: MAX_BYTES })
+  const result = (await client.call(address, call)).extract()
+  client.close()
+  return result instanceof Failure ? `${result.code} ${result.ran}` : `${result.status} ${result.contentType} ${result.body.toString()}`
+}
+
+describe('HttpApplicationClient', () => {
+  for (const [title, handler, expected] of cases) {
+    it(`${title}, sent once`, async () => {
+      const server = await startTestServer(handler)
+      expect(await run(server.address, CALL)).to.equal(expected)
+      await server.close()
+      expect(server.calls).to.have.length(1)
+      expect(server.calls[0]).to.include({ method: 'POST', url: CALL.path, body: 'escort' })
+      expect(server.calls[0]?.headers).to.include({ 'x-request-id': 'req-1', 'x-vm': 'vm-1', 'content-type': 'text/plain' })
+    })
+  }
+
+  it('knows that nothing ran when nobody listens', async () => {
+    expect(await run(await closedAddress(), CALL)).to.equal('runnerUnreachable no')
+  })
+
+  it('sends GET without a body, and no path that leads to another host', async () => {
+    const server = await startTestServer(res => { res.end('ok') })
+    expect(await run(server.address, { ...CALL, method: 'GET', body: Buffer.alloc(0) })).to.contain('ok')
+    expect(await run(server.address, { ...CALL, path: '//127.0.0.2:1/x' })).to.contain('ok')
+    expect(await run(server.address, { ...CALL, path: '@127.0.0.2:1/x' })).to.equal('badRequest no')
+    await server.close()
+    expect(server.calls).to.have.length(2)
+  })
+})
--- /dev/null
+++ b/packages/runners/src/engine/answerAssembler.spec.ts
@@ -0,0 +1,32 @@
+/**
+ * The assembler on pieces that overlap, are missing, or belong elsewhere.
+ */
+import { expect } from 'chai'
+import { AnswerAssembler } from './answerAssembler.js'
+
+type Step = readonly [sequence: number | 'end', text: string, requestId?: string]
+
+const cases: readonly [title: string, steps: readonly Step[], expected: string][] = [
+  ['in order', [[0, 'a'], [1, 'b'], ['end', '']], 'ab.'],
+  ['overlap after a resumption', [[0, 'a'], [1, 'b'], [0, 'a'], [1, 'b'], [2, 'c'], ['end', '']], 'abc.'],
+  ['overlap with other text', [[0, 'a'], [1, 'b'], [1, 'x']], 'ab!'],
+  ['a gap', [[0, 'a'], [2, 'c']], 'a!'],
+  ['another request', [[0, 'a'], [1, 'b', 'req-2']], 'a!'],
+  ['an end of another request', [[0, 'a'], ['end', '', 'req-2']], 'a!'],
+  ['a second end', [[0, 'a'], ['end', ''], ['end', '']], 'a.!'],
+  ['a piece after the end', [['end', ''], [0, 'a']], '.!']
+]
+
+function play (steps: readonly Step[]): string {
+  const assembler = new AnswerAssembler('req-1')
+  return steps.map(([sequence, text, requestId = 'req-1']) => {
+    if (sequence === 'end') return assembler.finish(requestId).caseOf({ Left: () => '!', Right: () => '.' })
+    return assembler.accept({ requestId, sequence, text }).caseOf({ Left: () => '!', Right: item => item.orDefault('') })
+  }).join('')
+}
+
+describe('AnswerAssembler', () => {
+  for (const [title, steps, expected] of cases) {
+    it(title, () => expect(play(steps)).to.equal(expected))
+  }
+})
--- a/packages/runners/src/engine/engineAnswer.ts
+++ b/packages/runners/src/engine/engineAnswer.ts
@@ -17,7 +17,7 @@
   readonly pauseMs: number
   /** Waits; bound to a timer by the daemon. */
   readonly pause: (ms: number) => Promise<void>
-  /** Stops following when aborted; its reason is thrown when it is a {@link Failure}, else `callerGone`. */
+  /** Stops following at once when aborted; throws the code of its reason when that is a {@link Failure}, else `callerGone`. */
   readonly signal?: AbortSignal
 }
 
@@ -27,6 +27,8 @@
   | { readonly kind: 'text', readonly text: string }
   | { readonly kind: 'end', readonly end: AnswerEnd }
 
+const CALLER_GONE = { code: 'callerGone', message: 'the caller went away' } as const
+
 const RESUMABLE: readonly string[] = ['answerCut', 'runnerUnreachable']
 
 function orThrow<T> (result: Either<Failure, T>): T {
@@ -42,6 +44,8 @@
   private accepted = false
   /** Whether an earlier submit may have started the run. */
   private maybeStarted = false
+  /** Whether a submit is under way or was made. */
+  private submitted = false
 
   constructor (
     private readonly client: EngineClient,
@@ -71,11 +75,11 @@
   }
 
   private async * connection (): AsyncGenerator<WholeEvent> {
+    this.throwIfAborted()
     const first = !this.accepted
-    const stream = orThrow(await this.open())
+    const stream = orThrow(await this.untilAborted(this.open()))
     this.stream = stream
     this.accepted = true
-    this.throwIfAborted()
     if (first) yield { kind: 'started', holder: stream.holder }
     for await (const event of stream.events) {
       const next = this.take(event)
@@ -85,9 +89,13 @@
     throw new Failure('answerCut', 'the stream stopped without an end', { ran: 'yes' })
   }
 
-  private open (): Promise<Either<Failure, EngineStream>> {
-    if (this.accepted) return this.client.resume(this.address, this.req.requestId, this.assembler.next)
-    return this.client.submit(this.address, this.req)
+  private async open (): Promise<Either<Failure, EngineStream>> {
+    this.submitted = true
+    const opened = this.accepted
+      ? await this.client.resume(this.address, this.req.requestId, this.assembler.next)
+      : await this.client.submit(this.address, this.req)
+    if (this.options.signal?.aborted === true) opened.ifRight(stream => stream.close())
+    return opened
   }
 
   private take (event: EngineEvent): WholeEvent | undefined {
@@ -104,8 +112,7 @@
     this.throwIfAborted()
     if (failure.ran !== 'no') this.maybeStarted = true
     if (!this.goesOn(failure) || tries >= this.options.resumes) throw this.conclude(failure)
-    await this.options.pause(this.options.pauseMs)
-    this.throwIfAborted()
+    await this.untilAborted(this.options.pause(this.options.pauseMs))
   }
 
   private goesOn (failure: Failure): boolean {
@@ -125,10 +132,25 @@
   }
 
   private throwIfAborted (): void {
+    if (this.options.signal?.aborted === true) throw this.aborted(this.options.signal)
+  }
+
+  /** Waits for the work, but not beyond the abort. */
+  private async untilAborted<T> (work: Promise<T>): Promise<T> {
     const signal = this.options.signal
-    if (signal?.aborted !== true) return
-    if (signal.reason instanceof Failure) throw signal.reason
-    throw new Failure('callerGone', 'the caller went away', { ran: this.accepted ? 'yes' : 'unknown' })
+    if (signal === undefined) return await work
+    let onAbort = (): void => {}
+    const abort = new Promise<never>((resolve, reject) => {
+      onAbort = () => reject(this.aborted(signal))
+      signal.addEventListener('abort', onAbort)
+    })
+    return await Promise.race([work, abort]).finally(() => signal.removeEventListener('abort', onAbort))
+  }
+
+  private aborted (signal: AbortSignal): Failure {
+    const { code, message } = signal.reason instanceof Failure ? signal.reason : CALLER_GONE
+    const ran = this.accepted ? 'yes' : this.submitted ? 'unknown' : 'no'
+    return new Failure(code, message, { ran })
   }
 }
 
@@ -136,7 +158,8 @@
  * Runs a request on an engine and yields its whole answer. Closing the generator early closes
  * the connection and leaves the run to the engine. Throws {@link Failure}: those of
  * `EngineClient.submit`; `answerCut` when the stream broke and could not be resumed;
- * `answerMixed` when it brought what does not belong to the answer; `callerGone` when aborted.
+ * `answerMixed` when it brought what does not belong to the answer; when aborted, the reason or
+ * `callerGone`, with `ran: no` only if nothing was sent.
  * @param client - the engine client
  * @param address - IPv4:port of the engine
  * @param req - the request
--- a/packages/runners/src/engine/engineEvents.ts
+++ b/packages/runners/src/engine/engineEvents.ts
@@ -22,17 +22,10 @@
     delta: z.object({ content: z.string().nullish() }),
     finish_reason: z.enum(['stop', 'length']).nullable()
   })).length(1),
-  usage: z.unknown()
+  usage: z.unknown().optional()
 })
 type WireEvent = z.infer<typeof wireEventSchema>
 
-/** What an event means for the reader. */
-export type CheckedEvent =
-  | { readonly kind: 'events', readonly events: readonly EngineEvent[] }
-  | { readonly kind: 'done', readonly events: readonly EngineEvent[] }
-
-const NO_EVENTS: CheckedEvent = { kind: 'events', events: [] }
-
 /** Checks the events of one stream in order. Every method throws a {@link Failure} at the first one that does not fit. */
 export class EngineEventCheck {
   private expected: number | undefined
@@ -50,17 +43,23 @@
     return this.expected !== undefined
   }
 
+  /** The end, with the last piece ahead of it if there is one; undefined until `[DONE]` came. */
+  get whole (): readonly EngineEvent[] | undefined {
+    return this.done ? this.finalEvents : undefined
+  }
+
   /**
    * Takes the next event.
    * @param event - as parsed from the stream
+   * @returns the piece to hand on, if it is one; pieces of the last event are kept for `whole`
    */
-  accept (event: EventSourceMessage): CheckedEvent {
+  accept (event: EventSourceMessage): EngineEvent | undefined {
     if (this.done) throw this.mixed('an event follows the end')
     if (event.data === DONE) return this.finish()
     if (this.finalEvents !== undefined) throw this.mixed('an event follows the last one')
     const wire = this.parse(event.data)
     const sequence = this.sequenceOf(event)
-    return this.toEvents(wire, sequence)
+    return this.toEvent(wire, sequence)
   }
 
   /**
@@ -79,10 +78,9 @@
     return new Failure('answerMixed', detail, { ran: 'yes' })
   }
 
-  private finish (): CheckedEvent {
+  private finish (): undefined {
     if (this.finalEvents === undefined) throw this.cut('the stream ended without its last event')
     this.done = true
-    return { kind: 'done', events: this.finalEvents }
   }
 
   private parse (data: string): WireEvent {
@@ -106,16 +104,16 @@
     return sequence
   }
 
-  private toEvents (wire: WireEvent, sequence: number): CheckedEvent {
+  private toEvent (wire: WireEvent, sequence: number): EngineEvent | undefined {
     const choice = wire.choices[0]
     const text = choice?.delta.content ?? ''
     const finishReason = choice?.finish_reason ?? null
     const piece: EngineEvent = { kind: 'piece', piece: { requestId: this.requestId, sequence, text } }
-    if (finishReason === null) return { kind: 'events', events: [piece] }
+    if (finishReason === null) return piece
     if (sequence < this.from) throw this.mixed('the answer ends before the piece that was asked for')
     const end = this.toEnd(finishReason, wire.usage)
     this.finalEvents = [...(text === '' ? [] : [piece]), { kind: 'end', requestId: this.requestId, end }]
-    return NO_EVENTS
+    return undefined
   }
 
   private toEnd (finishReason: AnswerEnd['finishReason'], usage: unknown): AnswerEnd {
--- a/packages/runners/src/engine/httpEngineStream.ts
+++ b/packages/runners/src/engine/httpEngineStream.ts
@@ -4,7 +4,7 @@
  */
 import type { Request } from 'got'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { EngineEventCheck, type CheckedEvent } from './engineEvents.js'
+import { EngineEventCheck } from './engineEvents.js'
 import { EventReader, type EventBatch } from './eventReader.js'
 import type { EngineEvent, EngineStream } from './engineTypes.js'
 
@@ -45,15 +45,16 @@
 
   private async * read (): AsyncGenerator<EngineEvent> {
     try {
-      for (;;) {
+      while (this.check.whole === undefined) {
         const batch = await this.nextBatch()
         if (batch.ended) throw this.check.cut('the stream ended before [DONE]')
-        const checked = batch.events.map(event => this.check.accept(event))
-        const done = checked.some(item => item.kind === 'done')
-        if (done) await this.expectNothing()
-        yield * checked.flatMap((item: CheckedEvent) => item.events)
-        if (done) return
+        for (const event of batch.events) {
+          const checked = this.check.accept(event)
+          if (checked !== undefined) yield checked
+        }
       }
+      await this.expectNothing()
+      yield * this.check.whole
     } finally {
       this.close()
     }
--- /dev/null
+++ b/packages/runners/src/engine/testEngine.spec.ts
@@ -0,0 +1,78 @@
+/**
+ * Frames of an engine's stream for specs, and a server that sends them as a script says.
+ */
+import type { ServerResponse } from 'node:http'
+import { startTestServer, type TestServer } from '@rosemaryspread/platform/http/testServer.spec.js'
+import { HttpEngineClient } from './httpEngineClient.js'
+import type { EngineRequest } from './engineTypes.js'
+
+/** The request of all specs. */
+export const REQUEST: EngineRequest = {
+  requestId: 'req-1',
+  digest: 'd',
+  holder: 'vm-1~a',
+  team: 't',
+  budget: 'b',
+  model: 'm',
+  messages: [{ role: 'user', content: 'Allillanchu?' }],
+  maxTokens: 10,
+  priority: 1
+}
+
+const USAGE = { prompt_tokens: 3, completion_tokens: 2 }
+
+function frame (sequence: number | string, choice: object, rest: object): string {
+  const data = { id: REQUEST.requestId, model: 'm', choices: [{ index: 0, ...choice }], ...rest }
+  return `id: ${sequence}\ndata: ${JSON.stringify(data)}\n\n`
+}
+
+/** Frame of one piece; `rest` overrides members of the data. */
+export const piece = (sequence: number | string, content: string, rest: object = {}): string =>
+  frame(sequence, { delta: { content }, finish_reason: null }, rest)
+
+/** Last frame of an answer; `rest` overrides members of the data. */
+export const last = (sequence: number | string, rest: object = {}): string =>
+  frame(sequence, { delta: {}, finish_reason: 'stop' }, { usage: USAGE, ...rest })
+
+export const DONE = 'data: [DONE]\n\n'
+
+/** What the engine does after the frames. */
+export type Ending = 'close' | 'break' | 'hang'
+
+/** One connection: the frames, or a status that refuses, or no answer at all. */
+export type Connection = readonly [frames: readonly string[], ending: Ending] | number | 'drop' | 'hang'
+
+function sendStream (res: ServerResponse, frames: readonly string[], ending: Ending): void {
+  res.writeHead(200, { 'content-type': 'text/event-stream', 'x-run-holder': REQUEST.holder })
+  res.write(': hello\n\n')
+  res.write(frames.join(''), () => {
+    if (ending === 'close') res.end()
+    if (ending === 'break') res.destroy()
+  })
+}
+
+function serve (res: ServerResponse, connection: Connection): void {
+  if (connection === 'drop') {
+    res.destroy()
+  } else if (connection === 'hang') {
+    res.setTimeout(0)
+  } else if (typeof connection === 'number') {
+    res.statusCode = connection
+    res.end()
+  } else {
+    sendStream(res, ...connection)
+  }
+}
+
+/**
+ * Starts an engine that serves one scripted connection after the other, the last one again and again.
+ * @param script - the connections
+ */
+export function startTestEngine (script: readonly Connection[]): Promise<TestServer> {
+  return startTestServer((res, call, index) => serve(res, script[Math.min(index, script.length - 1)] ?? 'drop'))
+}
+
+/** A client with short limits. */
+export function testClient (): HttpEngineClient {
+  return new HttpEngineClient({ vm: 'vm-1', connectMs: 200, callMs: 200, firstEventMs: 200, betweenEventsMs: 200, afterEndMs: 50 })
+}
