--- a/packages/rosemaryspread/src/budget/budgetAsking.ts
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -32,6 +32,8 @@
   readonly store: TableStore
   readonly clock: Clock
   readonly log: EventLog
+  /** Whether this holder is in the register, without which recovery would not know of its runs. */
+  isRegistered (): boolean
   dispatch (event: BudgetEvent): void
 }
 
@@ -109,6 +111,7 @@
   }
 
   private domainMembers (): readonly string[] {
+    if (!this.parts.isRegistered()) return []
     return this.parts.peers.members()
       .filter(member => member.domain === this.parts.domain && member.holder !== this.parts.holder)
       .map(member => member.holder)
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -18,6 +18,9 @@
 import type { BudgetPeers, ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
 import type { AgedAllotment } from './budgetSharing.js'
+import { BudgetRecovery, type ListEvidence } from './budgetRecovery.js'
+import type { RecoveryRunners } from './budgetRecoveryRuns.js'
+import { BudgetRegistry } from './budgetRegistry.js'
 import { BudgetTable } from './budgetTable.js'
 import { BudgetTopUps } from './budgetTopUps.js'
 
@@ -30,6 +33,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly policy?: BudgetPolicy
+  /** Runners to ask on recovery; without them nothing is recovered. */
+  readonly runners?: RecoveryRunners
 }
 
 /** Counters for metrics. */
@@ -56,6 +61,8 @@
   private readonly flushing: BudgetFlushing
   private readonly asking: BudgetAsking
   private readonly topUps: BudgetTopUps
+  private readonly registry: BudgetRegistry
+  private readonly recovery: BudgetRecovery | undefined
   private readonly policy: BudgetPolicy
   private readonly waiting = new Map<string, WaitingReservation>()
   /** Peers that wait until tokens of a budget are back in the table. */
@@ -72,7 +79,10 @@
     const { shareDivisor } = this.policy
     this.drawing = new BudgetDrawing(this.table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1 }, log)
     this.flushing = new BudgetFlushing(this.table, { holder, domain }, log)
-    this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, dispatch: event => this.dispatch(event) })
+    this.registry = new BudgetRegistry(this.table, { holder, domain })
+    const isRegistered = (): boolean => this.registry.isRegistered
+    this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, isRegistered, dispatch: event => this.dispatch(event) })
+    this.recovery = this.recoveryOf(parts)
     this.topUps = new BudgetTopUps(this.table, item => this.isInDoubt(item))
   }
 
@@ -100,6 +110,7 @@
   tick (): void {
     this.dispatch({ kind: 'tick' })
     this.run(this.asking.repeatOpen())
+    if (!this.registry.isRegistered) this.run(this.registry.register())
   }
 
   /** Stops admitting; resolves when every bill is durable and every free token returned. Ticks have to go on. */
@@ -125,6 +136,14 @@
     return await this.topUps.show(budget)
   }
 
+  /**
+   * One pass of recovery over holders that ended; to be called every few seconds by at least one VM.
+   * @param list - the platform's list of VMs, when it could be read
+   */
+  async recoverDead (list?: ListEvidence): Promise<void> {
+    await this.recovery?.pass(list)
+  }
+
   /** Budgets as this holder sees them. */
   views (): readonly BudgetView[] {
     return this.ledger.views()
@@ -171,6 +190,13 @@
     return this.ledger.isSettled && this.asking.isIdle
   }
 
+  private recoveryOf (parts: BudgetDriverParts): BudgetRecovery | undefined {
+    const { holder, peers, log, runners } = parts
+    if (runners === undefined) return undefined
+    const confirmOwn = (ended: string): boolean => this.onConfirm({ holder: ended }).none
+    return new BudgetRecovery(this.table, { holder, policy: this.policy, peers, runners, log, confirmOwn }, this.registry)
+  }
+
   private isInDoubt (item: AgedAllotment): boolean {
     const { holder, state } = item.row
     const isPresent = holder === this.parts.holder || this.parts.peers.members().some(member => member.holder === holder)
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -0,0 +1,176 @@
+/**
+ * Recovers what ended holders held. It goes on only with proof for each step: the holder ended,
+ * every other holder of its failure domain has no unrecorded transfer with it, every declared
+ * runner told of its runs, and none of them is still running. Otherwise all stays in doubt until
+ * the next pass.
+ */
+import type { Either } from 'purify-ts'
+import { EitherAsync } from 'purify-ts'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
+import { GoneVms, hasLapsed, mayBeForgotten, type RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import type { BudgetPeers } from './budgetPeers.js'
+import { BudgetRegistry } from './budgetRegistry.js'
+import { RecoveryRuns, type RecoveryRunners } from './budgetRecoveryRuns.js'
+import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSharing.js'
+import type { BudgetTable } from './budgetTable.js'
+
+/** The platform's list as far as recovery needs it. */
+export interface ListEvidence {
+  readonly asOf: number
+  readonly vms: ReadonlyArray<{ readonly vm: string, readonly state: string }>
+}
+
+/** What recovery is built from. */
+export interface RecoveryParts {
+  readonly holder: string
+  readonly policy: BudgetPolicy
+  readonly peers: BudgetPeers
+  readonly runners: RecoveryRunners
+  readonly log: EventLog
+  /** Fences an ended holder at this VM; true when no transfer with it is unrecorded here. */
+  confirmOwn (holder: string): boolean
+}
+
+/** Holders of one failure domain as a pass sees them. */
+interface DomainView {
+  /** Ended by the platform's word. */
+  readonly ended: readonly RegisteredHolder[]
+  /** Neither ended nor a member: they may have lapsed. */
+  readonly absent: readonly RegisteredHolder[]
+  readonly present: readonly RegisteredHolder[]
+}
+
+function waiting (detail: string): Failure {
+  return new Failure('budgetPending', detail)
+}
+
+/** Runs recovery passes. */
+export class BudgetRecovery {
+  private readonly gone = new GoneVms()
+  private readonly registry: BudgetRegistry
+  private readonly runs: RecoveryRuns
+  private running = false
+
+  constructor (private readonly table: BudgetTable, private readonly parts: RecoveryParts, registry: BudgetRegistry) {
+    this.registry = registry
+    this.runs = new RecoveryRuns(table.store, parts.runners)
+  }
+
+  /**
+   * One pass over all failure domains; passes do not overlap.
+   * @param list - the platform's list, when it could be read
+   */
+  async pass (list?: ListEvidence): Promise<void> {
+    if (list !== undefined) this.gone.note(list.asOf, list.vms)
+    if (this.running) return
+    this.running = true
+    try {
+      const holders = (await this.registry.all()).orDefault([])
+      for (const domain of new Set(holders.map(item => item.domain))) {
+        await this.recoverDomain(this.viewOf(holders.filter(item => item.domain === domain)))
+      }
+    } finally {
+      this.running = false
+    }
+  }
+
+  private viewOf (holders: readonly RegisteredHolder[]): DomainView {
+    const members = new Set([this.parts.holder, ...this.parts.peers.members().map(member => member.holder)])
+    const ended = holders.filter(item => this.gone.proves(item))
+    const rest = holders.filter(item => !this.gone.proves(item))
+    return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)) }
+  }
+
+  private async recoverDomain (view: DomainView): Promise<void> {
+    const budgets = new Set<string>()
+    for (const { holder } of [...view.ended, ...view.absent]) {
+      for (const budget of (await this.registry.budgetsOf(holder)).orDefault([])) budgets.add(budget)
+    }
+    for (const budget of budgets) await this.recoverBudget(view, budget)
+    for (const item of view.ended) await this.removeWhenClosed(view, item)
+  }
+
+  private async recoverBudget (view: DomainView, budget: string): Promise<void> {
+    const result = await EitherAsync<Failure, void>(async ({ fromPromise, throwE }) => {
+      const survey = await fromPromise(surveyBudget(this.table.store, budget))
+      const closing = this.closing(view, survey)
+      if (closing.length === 0) return
+      const reason = await this.blocked(view, survey, closing)
+      if (reason !== undefined) throwE(reason)
+      const owed = await fromPromise(this.owed(view, survey, closing, budget))
+      await fromPromise(this.close({ budget, owed, closing: closing.map(item => ({ holder: item.row.holder, version: item.version })) }, closing))
+    }).mapLeft(toFailure).run()
+    result.ifLeft(failure => this.parts.log.write('budgetFault', { operation: 'recover', budget, code: failure.code, detail: failure.message }))
+  }
+
+  private closing (view: DomainView, survey: BudgetSurvey): readonly AgedAllotment[] {
+    const ended = new Set(view.ended.map(item => item.holder))
+    const absent = new Set(view.absent.map(item => item.holder))
+    return survey.allotments.filter(({ row, ageMs }) => row.state === 'open' &&
+      (ended.has(row.holder) || (absent.has(row.holder) && hasLapsed(this.parts.policy, ageMs))))
+  }
+
+  /** Why the allotments cannot be closed yet. */
+  private async blocked (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): Promise<Failure | undefined> {
+    const closed = new Set(closing.map(item => item.row.holder))
+    const unsure = view.absent.find(item => !closed.has(item.holder))
+    if (unsure !== undefined) return waiting(`${unsure.holder} may hold a transfer and has not lapsed`)
+    for (const item of closing) {
+      if (mayBeForgotten(this.parts.policy, await this.runs.contactAgeMs(item, survey.now))) {
+        return waiting(`runners may have forgotten runs of ${item.row.holder}; an operator has to decide`)
+      }
+      if (!await this.isConfirmed(view, item.row.holder)) return waiting(`transfers with ${item.row.holder} may be unrecorded`)
+    }
+    return undefined
+  }
+
+  private async isConfirmed (view: DomainView, ended: string): Promise<boolean> {
+    for (const { holder } of view.present) {
+      const isNone = holder === this.parts.holder
+        ? this.parts.confirmOwn(ended)
+        : (await this.parts.peers.confirmNoTransfers(holder, { holder: ended })).map(answer => answer.none).orDefault(false)
+      if (!isNone) return false
+    }
+    return true
+  }
+
+  /** Runs of every ended holder of the domain count: one may have spent what another gave. */
+  private async owed (
+    view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[], budget: string
+  ): Promise<Either<Failure, readonly OwedBill[]>> {
+    const lapsed = new Set(closing.map(item => item.row.holder))
+    const ended = view.ended.map(item => item.holder)
+    const holders = [...new Set([...ended, ...lapsed])]
+    const rows = new Map(survey.allotments.map(item => [item.row.holder, item]))
+    return await this.runs.unbilled(budget, holders.map(holder => ({
+      holder,
+      lastSeq: rows.get(holder)?.row.lastSeq,
+      mayCancel: !ended.includes(holder)
+    })))
+  }
+
+  private async close (order: RecoveryOrder, closing: readonly AgedAllotment[]): Promise<Either<Failure, void>> {
+    const id = `recover/${order.budget}/${order.closing.map(item => item.version).join('-')}`
+    const done = await this.table.run(id, recoveryKeys(order), rows => planRecovery(rows, order))
+    return done.map(({ plan }) => {
+      if (plan.kind !== 'write') return
+      const holder = closing.map(item => item.row.holder).join(' ')
+      this.parts.log.write('budgetRecovered', { holder, budget: order.budget, billed: plan.billed, returned: plan.returned })
+    })
+  }
+
+  private async removeWhenClosed (view: DomainView, item: RegisteredHolder): Promise<void> {
+    const budgets = await this.registry.budgetsOf(item.holder)
+    if (budgets.isLeft() || !await this.isConfirmed(view, item.holder)) return
+    const found = budgets.orDefault([])
+    for (const budget of found) {
+      const survey = await surveyBudget(this.table.store, budget)
+      const row = survey.map(value => value.allotments.find(other => other.row.holder === item.holder)).orDefault(undefined)
+      if (survey.isLeft() || row?.row.state === 'open') return
+    }
+    await this.registry.remove(item, found)
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -0,0 +1,105 @@
+/**
+ * Finds what ended holders still owe: runs that the runners know and no segment has billed.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { budgetTables, segmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { RUN_RETENTION_MS } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import type { OwedBill } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
+import { segmentRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { scanAll, type AgedAllotment } from './budgetSharing.js'
+
+/** Every declared model runner, and how to ask it. */
+export interface RecoveryRunners {
+  readonly engines: Pick<EngineClient, 'listByHolder' | 'cancel'>
+  declared (): ReadonlyArray<{ readonly runner: string, readonly address: string }>
+}
+
+/** An ended holder whose runs are looked for. */
+export interface RunOwner {
+  readonly holder: string
+  /** Highest segment with bills of the budget; absent when there is none. */
+  readonly lastSeq: number | undefined
+  /** Whether its running requests may be cancelled; otherwise their end is awaited. */
+  readonly mayCancel: boolean
+}
+
+/** Segments read at first, going back from the last one. */
+const FIRST_STEP = 256
+
+/** Looks for unbilled runs. */
+export class RecoveryRuns {
+  constructor (private readonly store: TableStore, private readonly runners: RecoveryRunners) {}
+
+  /**
+   * Milliseconds since a holder itself wrote to the table.
+   * @param item - its allotment
+   * @param now - table milliseconds
+   */
+  async contactAgeMs (item: AgedAllotment, now: number): Promise<number> {
+    const { holder, lastSeq } = item.row
+    if (lastSeq === undefined) return item.ageMs
+    const read = await this.store.read([{ table: budgetTables.segments, key: segmentKey(holder, lastSeq) }])
+    const row = read.map(answer => answer.rows[0] ?? null).orDefault(null)
+    return row === null ? item.ageMs : Math.max(item.ageMs, now - row.updatedAt)
+  }
+
+  /**
+   * Runs of ended holders for one budget that are not billed. Fails while a runner cannot be asked or a run has not ended.
+   * @param budget - budget id
+   * @param owners - ended holders
+   */
+  async unbilled (budget: string, owners: readonly RunOwner[]): Promise<Either<Failure, readonly OwedBill[]>> {
+    const owed: OwedBill[] = []
+    for (const owner of owners) {
+      const billed = await this.billedIds(owner)
+      if (billed.isLeft()) return Left(billed.extract() as Failure)
+      const seen = new Set(billed.unsafeCoerce())
+      for (const { runner, address } of this.runners.declared()) {
+        const records = await this.ended(address, owner, budget)
+        if (records.isLeft()) return Left(records.extract() as Failure)
+        for (const record of records.unsafeCoerce()) {
+          if (seen.has(record.requestId)) continue
+          seen.add(record.requestId)
+          owed.push({ holder: owner.holder, bill: billOf(record, runner) })
+        }
+      }
+    }
+    return Right(owed)
+  }
+
+  private async ended (address: string, owner: RunOwner, budget: string): Promise<Either<Failure, readonly RunRecord[]>> {
+    const list = await this.runners.engines.listByHolder(address, owner.holder)
+    if (list.isLeft()) return list
+    const records = list.unsafeCoerce().filter(record => record.budget === budget && record.state !== 'sealed')
+    const running = records.filter(record => record.state === 'running')
+    if (running.length === 0) return Right(records)
+    if (owner.mayCancel) await Promise.all(running.map(async record => await this.runners.engines.cancel(address, record.requestId)))
+    return Left(new Failure('budgetPending', `${running.length} runs of ${owner.holder} have not ended`))
+  }
+
+  /** Ids billed by segments that are not older than the oldest run a runner may remember. */
+  private async billedIds (owner: RunOwner): Promise<Either<Failure, readonly string[]>> {
+    let step = FIRST_STEP
+    for (;;) {
+      const from = Math.max(0, (owner.lastSeq ?? 0) - step)
+      const scan = await scanAll(this.store, budgetTables.segments, `${owner.holder}/`, segmentKey(owner.holder, from)).run()
+      if (scan.isLeft()) return Left(scan.extract() as Failure)
+      const { rows, now } = scan.unsafeCoerce()
+      if (from === 0 || isOldEnough(rows, now)) return Right(rows.flatMap(row => segmentRowSchema.parse(row.value).bills.map(bill => bill.requestId)))
+      step *= 2
+    }
+  }
+}
+
+function isOldEnough (rows: readonly Row[], now: number): boolean {
+  const oldest = rows[0]
+  return oldest !== undefined && now - oldest.updatedAt > RUN_RETENTION_MS * 2
+}
+
+function billOf (record: RunRecord, runner: string): OwedBill['bill'] {
+  const { requestId, budget, team, promptTokens, completionTokens } = record
+  return { requestId, budget, team, tokens: promptTokens + completionTokens, runner }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -0,0 +1,74 @@
+/**
+ * The register of holders: one row for each process that may hold tokens, by failure domain.
+ * Recovery reads it, because membership alone may have missed a process.
+ */
+import { Right, type Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { holderRowSchema, holdingRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { scanAll } from './budgetSharing.js'
+import type { BudgetTable } from './budgetTable.js'
+
+/** Registers this holder and finds the others. */
+export class BudgetRegistry {
+  private registering = false
+  private registered = false
+
+  constructor (private readonly table: BudgetTable, private readonly self: { readonly holder: string, readonly domain: string }) {}
+
+  /** Whether the row of this holder is durable; before, it must not take transfers. */
+  get isRegistered (): boolean {
+    return this.registered
+  }
+
+  /** Registers this holder unless it is done or under way. */
+  async register (): Promise<void> {
+    if (this.registered || this.registering) return
+    this.registering = true
+    const { holder, domain } = this.self
+    const key = `${domain}/${holder}`
+    const done = await this.table.run('register', [{ table: budgetTables.holders, key }], rows => {
+      if (rows.version(budgetTables.holders, key) !== null) return Right({ kind: 'done' })
+      rows.set(budgetTables.holders, key, { holder, domain })
+      return Right({ kind: 'write' })
+    })
+    this.registering = false
+    this.registered = done.isRight()
+  }
+
+  /** All registered holders. */
+  async all (): Promise<Either<Failure, readonly RegisteredHolder[]>> {
+    const scan = await scanAll(this.table.store, budgetTables.holders, '').run()
+    return scan.map(({ rows }) => rows.map(row => ({ ...holderRowSchema.parse(row.value), registeredAt: row.updatedAt })))
+  }
+
+  /**
+   * Budgets of which a holder has an allotment row.
+   * @param holder - holder id
+   */
+  async budgetsOf (holder: string): Promise<Either<Failure, readonly string[]>> {
+    const scan = await scanAll(this.table.store, budgetTables.holdings, `${holder}/`).run()
+    return scan.map(({ rows }) => rows.map(row => holdingRowSchema.parse(row.value).budget))
+  }
+
+  /**
+   * Forgets an ended holder whose allotments are all closed.
+   * @param item - the holder
+   * @param budgets - its budgets
+   */
+  async remove (item: RegisteredHolder, budgets: readonly string[]): Promise<void> {
+    const { holder, domain } = item
+    const writes = [
+      ...budgets.slice(0, MAX_REMOVED).flatMap(budget => [
+        { table: budgetTables.holdings, key: `${holder}/${budget}`, value: null },
+        { table: budgetTables.allotments, key: `${budget}/${holder}`, value: null }
+      ]),
+      ...(budgets.length > MAX_REMOVED ? [] : [{ table: budgetTables.holders, key: `${domain}/${holder}`, value: null }])
+    ]
+    await this.table.store.transact({ checks: [], writes })
+  }
+}
+
+/** Budgets of a holder removed in one transaction. */
+const MAX_REMOVED = 200
--- a/packages/rosemaryspread/src/config/configStore.ts
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -5,7 +5,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
-import { ConfigHolder, type ConfigAction, type ConfigCandidate, type ConfigEvent, type ConfigSource, type ConfigStatus } from '@rosemaryspread/decisions/config/configDecider.js'
+import { ConfigHolder, type ConfigAction, type ConfigCandidate, type ConfigDecider, type ConfigEvent, type ConfigSource, type ConfigStatus } from '@rosemaryspread/decisions/config/configDecider.js'
 import { firstConfig, type HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import type { VersionMark } from '@rosemaryspread/decisions/config/configRows.js'
 import type { ConfigAnswer, HistoryEntry, PatchAnswer, PatchRequest } from '@rosemaryspread/operators/admin/adminTypes.js'
@@ -22,7 +22,7 @@
   readonly #confirmed: ConfirmedTable
   readonly #reader: ConfigReader
   readonly #versions: ConfigVersions
-  readonly #holder: ConfigHolder
+  readonly #holder: ConfigDecider
   readonly #recent = new RecentRows()
   readonly #listeners: ConfigListener[] = []
   #fetching: Promise<void> | undefined
@@ -31,15 +31,16 @@
 
   /**
    * @param parts - services, clocks and log
+   * @param holder - decides what is in force; another one only in tests
    */
-  constructor (parts: ConfigStoreParts) {
+  constructor (parts: ConfigStoreParts, holder?: ConfigDecider) {
     const origin = firstConfig()
     this.#parts = parts
     this.#confirmed = new ConfirmedTable(parts.table)
     this.#reader = new ConfigReader(parts.table, origin)
     this.snapshots = new ConfigSnapshots(parts.objects)
     this.#versions = new ConfigVersions(this.#reader, this.snapshots, origin)
-    this.#holder = new ConfigHolder(origin)
+    this.#holder = holder ?? new ConfigHolder(origin)
   }
 
   /** The version in force; undefined until the first one is. */
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -8,7 +8,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { FleetConfig, ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
+import { bodyDigest, keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
 import type { ApplicationAnswer, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import type { CurrentConfig, DrainState, RandomSource } from '../completion/completionPorts.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
@@ -91,7 +91,7 @@
     return Right({
       call,
       service,
-      requestId: idempotencyKey === undefined ? this.deps.random.id() : keyedRequestId(caller.team, `${call.service}\n${idempotencyKey}`),
+      requestId: idempotencyKey === undefined ? this.deps.random.id() : keyedRequestId(caller.team, idempotencyKey),
       startedAt: this.deps.clock.now(),
       timeoutMs: Math.min(call.timeoutMs ?? service.timeoutMs, service.timeoutMs),
       repeatable
@@ -108,7 +108,7 @@
       requestId,
       team: call.caller.team,
       service: call.service,
-      digest: call.digest,
+      digest: callDigest(call),
       holder: this.deps.holder,
       nonce: this.deps.random.id(),
       state: 'claimed'
@@ -184,6 +184,11 @@
   }
 }
 
+/** Digest of all that makes two calls the same: a key used for another service or path is used wrongly too. */
+function callDigest ({ service, method, path, digest }: ServiceCall): string {
+  return bodyDigest(`${service} ${method} ${path} ${digest}`)
+}
+
 /** Of two failures keeps the one that admits that the call may have run. */
 function worse (known: Failure | undefined, next: Failure): Failure {
   return known === undefined || known.ran === 'no' ? next : known
