Add membership: bounded heartbeats, evidence with age, caller addresses

Cause: callers have no balancer before them and ask any VM for addresses, and the platform's list of VMs lags; so the VMs have to find out themselves who is there, without a second coordination service and at a cost that does not grow with the fleet.

Ruled out: a full mesh of heartbeats beyond eight VMs (bytes grow with the square of the fleet); a central observer, because none is set aside and its own traffic would grow. A suspicion passed on with the heartbeat last seen by its teller let receivers that had seen a later one flip back to live for good; it now carries the heartbeat after which it was suspected.

Change: MemberTable (ring of four successors per domain, the first candidate for the writer's role, one random VM; changes and a part of all entries ride along), OwnRow (registration, renewal on condition of the row's version, `replaced` on waking), addressesFor, and MemberDriver with MemberRows.

--- /dev/null
+++ b/packages/decisions/src/membership/memberTable.spec.ts
@@ -0,0 +1,234 @@
+import { expect } from 'chai'
+import { Fleet, type FleetVm } from './memberFleet.fixture.js'
+import { addressesFor } from './callerAddresses.js'
+import { heartbeatSources, heartbeatTargets, roleCandidates } from './memberRing.js'
+import { defaultMemberLimits, type MemberView } from './memberTypes.js'
+
+const DOMAINS = ['quito', 'cumbaya', 'tababela']
+
+function fleetOf (perDomain: number): Fleet {
+  const fleet = new Fleet()
+  for (const domain of DOMAINS) {
+    for (let i = 1; i <= perDomain; i += 1) fleet.add(domain, i)
+  }
+  fleet.run(22)
+  return fleet
+}
+
+/** States of one VM in the eyes of all active others, each once. */
+function statesOf (fleet: Fleet, vm: FleetVm): readonly string[] {
+  const others = fleet.vms.filter(other => other !== vm && other.active)
+  return [...new Set(others.map(other => other.stateOf(vm.row.vm) ?? 'unknown'))].sort()
+}
+
+describe('membership', () => {
+  for (const perDomain of [1, 2, 6]) {
+    it(`${perDomain * 3} VMs: all see all as live, and a silent one as suspected until it is heard again`, () => {
+      const fleet = fleetOf(perDomain)
+      const victim = fleet.vms[0]!
+      for (const vm of fleet.vms) expect(statesOf(fleet, vm)).deep.equal(['live'])
+      victim.frozen = true
+      fleet.run(perDomain > 2 ? 12 : 4)
+      expect(statesOf(fleet, victim)).deep.equal(['suspected'])
+      for (const vm of fleet.vms.slice(1)) expect(statesOf(fleet, vm), vm.row.vm).deep.equal(['live'])
+      victim.frozen = false
+      fleet.run(perDomain > 2 ? 30 : 1)
+      expect(statesOf(fleet, victim)).deep.equal(['live'])
+      expect(victim.stateOf(fleet.vms[1]!.row.vm), 'a paused VM does not suspect the others').equal('live')
+    })
+  }
+
+  it('a leaving VM tells the VMs of its domain at once, and the table', () => {
+    for (const perDomain of [2, 6]) {
+      const fleet = fleetOf(perDomain)
+      const vm = fleet.vms[0]!
+      vm.feed({ kind: 'leave' })
+      const domain = fleet.vms.filter(other => other !== vm && other.row.domain === vm.row.domain)
+      for (const other of domain) expect(other.stateOf(vm.row.vm)).equal('leaving')
+      expect(fleet.rows.get(vm.row.vm)?.row.state).equal('leaving')
+      fleet.run(8)
+      expect(statesOf(fleet, vm)).deep.equal(['leaving'])
+    }
+  })
+
+  const listCases = [
+    { title: 'gone later than the last heartbeat', state: 'gone', asOf: 0, expected: 'gone' },
+    { title: 'gone, but a minute old and heard since', state: 'gone', asOf: -60_000, expected: 'live' },
+    { title: 'leaving', state: 'leaving', asOf: 0, expected: 'leaving' },
+    { title: 'leaving, from before this incarnation', state: 'leaving', asOf: -60_000, expected: 'live' },
+    { title: 'live', state: 'live', asOf: 0, expected: 'live' }
+  ] as const
+  for (const { title, state, asOf, expected } of listCases) {
+    it(`the list says ${title}: ${expected}`, () => {
+      const fleet = fleetOf(1)
+      const [vm, observer] = fleet.vms as [FleetVm, FleetVm]
+      fleet.time += 500
+      observer.mono += 500
+      observer.feed({ kind: 'listRead', vms: [{ vm: vm.row.vm, state }], lagMs: -asOf, askedAt: observer.now() })
+      expect(observer.stateOf(vm.row.vm)).equal(expected)
+    })
+  }
+
+  it('a list that lags by a minute does not hide a dead VM, and its late word makes it gone', () => {
+    const fleet = fleetOf(2)
+    const victim = fleet.vms[0]!
+    victim.dead = true
+    const diedAt = fleet.time
+    for (let i = 0; i < 70; i += 1) {
+      const asOf = fleet.time - 60_000
+      fleet.list = { asOf, vms: [{ vm: victim.row.vm, state: asOf > diedAt ? 'gone' : 'live' }] }
+      fleet.run(1)
+      if (i === 5) expect(statesOf(fleet, victim)).deep.equal(['suspected'])
+    }
+    expect(statesOf(fleet, victim)).deep.equal(['gone'])
+    fleet.add('quito', 1, 2)
+    fleet.run(3)
+    expect(statesOf(fleet, victim), 'the next incarnation is live, though the list lags').deep.equal(['live'])
+  })
+
+  for (const monoStopped of [false, true]) {
+    it(`a VM replaced while frozen (monotonic clock ${monoStopped ? 'stopped' : 'running'}) stops on waking`, () => {
+      const fleet = fleetOf(1)
+      const frozen = fleet.vms[0]!
+      Object.assign(frozen, { frozen: true, monoStopped })
+      fleet.run(10)
+      fleet.add('quito', 1, 2)
+      fleet.run(3)
+      Object.assign(frozen, { frozen: false, monoStopped: false })
+      fleet.run(1)
+      expect(frozen.table.mayBeReplaced()).equal(true)
+      expect(frozen.actions.filter(action => action.kind === 'replaced')).deep.equal([{ kind: 'replaced', by: 'quito-1~2' }])
+      expect(fleet.rows.get('quito-1')?.row.holder).equal('quito-1~2')
+      fleet.run(30)
+      expect(fleet.rows.get('quito-1')?.row.holder, 'never written again by the old one').equal('quito-1~2')
+    })
+  }
+
+  it('a renewal that does not check the version would take the name back (counter-example)', () => {
+    const fleet = fleetOf(1)
+    const frozen = fleet.vms[0]!
+    frozen.frozen = true
+    fleet.add('quito', 1, 2)
+    fleet.run(1)
+    fleet.store(frozen.row, fleet.rows.get('quito-1')!.version)
+    expect(fleet.rows.get('quito-1')?.row.holder).equal('quito-1~1')
+  })
+
+  it('while the table is down a woken VM knows that it may have been replaced, until it has read its row', () => {
+    const fleet = fleetOf(1)
+    const vm = fleet.vms[0]!
+    vm.frozen = true
+    fleet.run(10)
+    fleet.tableDown = true
+    vm.frozen = false
+    fleet.run(5)
+    expect(vm.table.mayBeReplaced()).equal(true)
+    fleet.tableDown = false
+    fleet.run(2)
+    expect(vm.table.mayBeReplaced()).equal(false)
+    expect(vm.count('replaced')).equal(0)
+  })
+
+  it('lost answers of registration and renewal are read back, not taken for another holder', () => {
+    const fleet = new Fleet()
+    const vm = fleet.add('quito', 1)
+    fleet.loseAnswers = 1
+    fleet.run(2)
+    expect(vm.count('writeOwn')).equal(1)
+    fleet.loseAnswers = 1
+    fleet.run(22)
+    expect(vm.count('replaced')).equal(0)
+    expect(fleet.rows.get('quito-1')?.updatedAt).greaterThan(fleet.time - 21_000)
+  })
+
+  it('the row is renewed by time and at once with another configuration version', () => {
+    const fleet = fleetOf(1)
+    const vm = fleet.vms[0]!
+    const before = vm.count('writeOwn')
+    fleet.run(40)
+    expect(vm.count('writeOwn') - before).equal(2)
+    vm.feed({ kind: 'self', configVersion: 2, openRequests: 0 })
+    expect(fleet.rows.get(vm.row.vm)?.row.configVersion).equal(2)
+  })
+
+  it('domains that are cut apart suspect each other, while a third that reaches both sees all as live', () => {
+    const fleet = fleetOf(2)
+    const statesIn = (domain: string, of: string): readonly string[] => {
+      const seen = fleet.vms.filter(vm => vm.row.domain === domain).flatMap(vm => [1, 2].map(i => vm.row.vm === `${of}-${i}` ? 'live' : vm.stateOf(`${of}-${i}`) ?? 'unknown'))
+      return [...new Set(seen)]
+    }
+    fleet.cuts.add('quito|cumbaya')
+    fleet.run(20)
+    for (const [from, to] of [['quito', 'cumbaya'], ['cumbaya', 'quito']] as const) expect(statesIn(from, to)).deep.equal(['suspected'])
+    for (const to of DOMAINS) expect(statesIn('tababela', to)).deep.equal(['live'])
+    for (const domain of DOMAINS) expect(statesIn(domain, domain)).deep.equal(['live'])
+    fleet.cuts.clear()
+    fleet.run(2)
+    for (const vm of fleet.vms) expect(statesOf(fleet, vm), vm.row.vm).deep.equal(['live'])
+  })
+
+  it('messages and their sizes do not grow with the fleet', () => {
+    const fleet = fleetOf(30)
+    const before = fleet.messages
+    fleet.run(8)
+    expect((fleet.messages - before) / fleet.vms.length / 8).below(6)
+    const beats = fleet.vms[0]!.actions.flatMap(action => action.kind === 'beat' ? [action.heartbeat.news.length] : [])
+    expect(Math.max(...beats)).most(defaultMemberLimits.rumors + defaultMemberLimits.digest)
+  })
+
+  it('a heartbeat under another name than the proven one is ignored', () => {
+    const fleet = fleetOf(1)
+    const [vm, other] = fleet.vms as [FleetVm, FleetVm]
+    const forged = { holder: other.row.holder, beat: 9_999, state: 'leaving', config: 1, open: 0, age: 0 } as const
+    vm.feed({ kind: 'heard', from: 'tababela-1~1', heartbeat: { self: forged, news: [], ask: false } })
+    expect(vm.stateOf(other.row.vm)).equal('live')
+  })
+})
+
+describe('ring of heartbeats', () => {
+  const members = DOMAINS.flatMap(domain => Array.from({ length: 20 }, (_, i) => ({ vm: `${domain}-${i}`, domain })))
+
+  it('sources are the inverse of targets, inside the domain, bounded', () => {
+    for (const self of members) {
+      const targets = heartbeatTargets(self, members, defaultMemberLimits)
+      expect(targets.length).equal(defaultMemberLimits.ringFanout)
+      for (const target of targets) {
+        expect(target.domain).equal(self.domain)
+        expect(heartbeatSources(target, members, defaultMemberLimits)).include(self)
+      }
+    }
+  })
+
+  it('candidates for a role do not depend on the order of names, and mostly stay when others go', () => {
+    const vms = members.map(member => member.vm)
+    const first = roleCandidates('placement', vms, 3)
+    expect(roleCandidates('placement', [...vms].reverse(), 3)).deep.equal(first)
+    const without = vms.filter(vm => vm !== first[0])
+    expect(roleCandidates('placement', without, 3).slice(0, 2)).deep.equal(first.slice(1))
+  })
+})
+
+describe('addresses for callers', () => {
+  const place = { domain: 'quito', region: 'sierra' }
+  const member = (vm: string, over: Partial<MemberView> = {}): MemberView => ({
+    vm, holder: `${vm}~1`, domain: 'quito', region: 'sierra', callers: vm, operators: vm, peers: vm, state: 'live', configVersion: 1, capacity: 1, openRequests: 0, ageMs: 0, ...over
+  })
+  const cases = [
+    { title: 'own domain, then own region, then the rest', members: [member('far', { domain: 'hcm', region: 'south' }), member('near', { domain: 'cumbaya' }), member('own')], expected: ['own', 'near', 'far'] },
+    { title: 'never leaving, suspected or gone', members: [member('a', { state: 'leaving' }), member('b', { state: 'suspected' }), member('c', { state: 'gone' }), member('d', { domain: 'cumbaya' })], expected: ['d'] },
+    { title: 'less loaded first at equal draws', members: [member('busy', { openRequests: 9 }), member('idle')], expected: ['idle', 'busy'] },
+    { title: 'larger first at equal draws', members: [member('small'), member('large', { capacity: 4 })], expected: ['large', 'small'] }
+  ]
+  for (const { title, members, expected } of cases) {
+    it(title, () => {
+      expect(addressesFor(place, members, 9_000, () => 0.5)).deep.equal({ addresses: expected, keepMs: 9_000 })
+    })
+  }
+
+  it('spreads callers by load', () => {
+    const { random } = new Fleet()
+    const members = [member('idle'), member('busy', { openRequests: 3 })]
+    const firsts = Array.from({ length: 4_000 }, () => addressesFor(place, members, 1, random).addresses[0])
+    expect(firsts.filter(vm => vm === 'idle').length / firsts.length).within(0.77, 0.83)
+  })
+})
--- /dev/null
+++ b/packages/decisions/src/membership/memberTable.ts
@@ -0,0 +1,288 @@
+/**
+ * Decides what this VM knows of the fleet and whom it tells. Heartbeats go to a bounded number
+ * of VMs whatever the size of the fleet; the VMs that get them judge silence, and what they find
+ * spreads with later heartbeats. A VM that is wrongly suspected hears of it and answers at once.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import { vmOf, type HolderId } from '../names/nameTypes.js'
+import { heartbeatSources, heartbeatTargets, roleCandidates, type RingMember } from './memberRing.js'
+import { earlier, MemberRecord } from './memberRecord.js'
+import { MEMBER_ROLES } from './memberRoles.js'
+import { defaultMemberLimits, type Heartbeat, type MemberAction, type MemberDecider, type MemberEvent, type MemberLimits, type MemberNews, type MemberRow, type MemberState, type MemberView, type ReadMember } from './memberTypes.js'
+import { OwnRow } from './ownRow.js'
+import { RumorQueue } from './rumorQueue.js'
+
+/** Rows asked for at once when news name unknown holders. */
+const MAX_ASKED_ROWS = 50
+/** Milliseconds before the row of a VM is asked for again. */
+const ASK_ROW_AGAIN_MS = 5_000
+
+/** Membership as one VM sees it. */
+export class MemberTable implements MemberDecider {
+  private readonly records = new Map<string, MemberRecord>()
+  private readonly lastStates = new Map<string, MemberState>()
+  private readonly askedRows = new Map<string, Instant>()
+  private readonly unknown = new Set<string>()
+  private readonly rumors: RumorQueue
+  private readonly ownRow: OwnRow
+  private self: MemberRow
+  private openRequests = 0
+  private beat = 0
+  private startedAt: Instant | undefined
+  private lastTickAt: Instant | undefined
+  private lastScanAt: Instant | undefined
+  private lastListAt: Instant | undefined
+
+  /**
+   * @param self - the row of this process; `state` and `configVersion` change later
+   * @param random - uniform in [0, 1), for the choice of VMs to tell
+   * @param limits - periods and bounds
+   */
+  constructor (self: MemberRow, private readonly random: () => number, private readonly limits: MemberLimits = defaultMemberLimits) {
+    this.self = self
+    this.rumors = new RumorQueue(limits.rumorTimes)
+    this.ownRow = new OwnRow(self.holder, limits.renewMs)
+  }
+
+  handle (event: MemberEvent, now: Instant): readonly MemberAction[] {
+    switch (event.kind) {
+      case 'tick': return this.tick(now)
+      case 'self': return this.updateSelf(event.configVersion, event.openRequests, now)
+      case 'heard': return this.hear(event.from, event.heartbeat, now)
+      case 'rowsRead': return this.readRows(event.rows, event.whole, event.askedAt, now)
+      case 'listRead': return this.readList(event.vms, earlier(event.askedAt, event.lagMs), now)
+      case 'ownRead': return [...this.ownRow.read(event.found), ...this.ownRow.due(this.self, now)]
+      case 'ownUnreadable': return this.answerUnreadable()
+      case 'ownWritten': return this.answerWritten(event.outcome, now)
+      case 'leave': return this.leave(now)
+    }
+  }
+
+  members (now: Instant): readonly MemberView[] {
+    const own: MemberView = { ...this.self, openRequests: this.openRequests, ageMs: 0 }
+    const others = [...this.records.values()].map(record => record.view(this.stateOf(record, now), now))
+    return [own, ...others].sort((a, b) => a.vm < b.vm ? -1 : Number(a.vm > b.vm))
+  }
+
+  mayBeReplaced (): boolean {
+    return this.ownRow.mayBeReplaced
+  }
+
+  private tick (now: Instant): readonly MemberAction[] {
+    this.startedAt ??= now
+    const jumped = this.noticeJump(now)
+    this.updateWatch(now)
+    const changed = this.noticeChanges(now, 'silence')
+    return [...jumped, ...this.ownRow.due(this.self, now), ...changed, ...this.heartbeats(now), ...this.reads(now)]
+  }
+
+  private noticeJump (now: Instant): readonly MemberAction[] {
+    const last = this.lastTickAt
+    this.lastTickAt = now
+    if (last === undefined) return []
+    const jumpMs = elapsedMs(last, now) - this.limits.periodMs
+    if (jumpMs < this.limits.jumpMs) return []
+    this.ownRow.doubt()
+    for (const record of this.records.values()) record.resetWatch(now)
+    return [{ kind: 'jumped', jumpMs }]
+  }
+
+  private updateSelf (configVersion: number | null, openRequests: number, now: Instant): readonly MemberAction[] {
+    this.self = { ...this.self, configVersion }
+    this.openRequests = openRequests
+    return this.ownRow.registered ? this.ownRow.due(this.self, now) : []
+  }
+
+  private hear (from: HolderId, heartbeat: Heartbeat, now: Instant): readonly MemberAction[] {
+    if (heartbeat.self.holder !== from) return []
+    const ownNews = heartbeat.news.filter(news => vmOf(news.holder) === this.self.vm)
+    if (ownNews.some(news => news.holder !== this.self.holder)) this.ownRow.unsure()
+    const all = [{ ...heartbeat.self, age: 0 }, ...heartbeat.news]
+    for (const news of all) this.hearNews(news, now)
+    const isSuspectedHere = ownNews.some(news => news.holder === this.self.holder && news.state === 'suspected')
+    const answer = heartbeat.ask || isSuspectedHere ? this.answerTo(from, now) : []
+    return [...this.noticeChanges(now, from, all.map(news => vmOf(news.holder))), ...this.askRows(now), ...answer]
+  }
+
+  private hearNews (news: MemberNews, now: Instant): void {
+    const vm = vmOf(news.holder)
+    if (vm === this.self.vm) return
+    const record = this.records.get(vm)
+    if (record?.holder === news.holder) record.hear(news, now)
+    else this.unknown.add(vm)
+  }
+
+  private askRows (now: Instant): readonly MemberAction[] {
+    const due = [...this.unknown].filter(vm => {
+      const askedAt = this.askedRows.get(vm)
+      return askedAt === undefined || elapsedMs(askedAt, now) >= ASK_ROW_AGAIN_MS
+    })
+    const vms = due.slice(0, MAX_ASKED_ROWS)
+    if (vms.length === 0) return []
+    for (const vm of vms) {
+      this.unknown.delete(vm)
+      this.askedRows.set(vm, now)
+    }
+    return [{ kind: 'readRows', vms }]
+  }
+
+  private readRows (rows: readonly ReadMember[], whole: boolean, askedAt: Instant, now: Instant): readonly MemberAction[] {
+    for (const read of rows) this.readRow(read, askedAt)
+    if (whole) this.dropMissing(new Set(rows.map(read => read.row.vm)))
+    this.updateWatch(now)
+    return this.noticeChanges(now, 'table')
+  }
+
+  private readRow (read: ReadMember, askedAt: Instant): void {
+    const { vm, holder } = read.row
+    if (vm === this.self.vm) {
+      if (holder !== this.self.holder && this.ownRow.registered) this.ownRow.unsure()
+      return
+    }
+    this.askedRows.delete(vm)
+    const record = this.records.get(vm)
+    if (record === undefined) this.records.set(vm, new MemberRecord(read, askedAt))
+    else record.readRow(read, askedAt)
+  }
+
+  private dropMissing (present: ReadonlySet<string>): void {
+    for (const vm of this.records.keys()) {
+      if (present.has(vm)) continue
+      this.records.delete(vm)
+      this.lastStates.delete(vm)
+    }
+  }
+
+  private readList (vms: readonly { readonly vm: string, readonly state: 'live' | 'leaving' | 'gone' }[], at: Instant, now: Instant): readonly MemberAction[] {
+    for (const { vm, state } of vms) this.records.get(vm)?.readList(state, at)
+    return this.noticeChanges(now, 'list')
+  }
+
+  private answerUnreadable (): readonly MemberAction[] {
+    this.ownRow.unreadable()
+    return []
+  }
+
+  private answerWritten (outcome: Parameters<OwnRow['wrote']>[0], now: Instant): readonly MemberAction[] {
+    this.ownRow.wrote(outcome)
+    return this.ownRow.due(this.self, now)
+  }
+
+  private leave (now: Instant): readonly MemberAction[] {
+    this.self = { ...this.self, state: 'leaving' }
+    this.ownRow.hurry()
+    this.beat += 1
+    const told = this.ringMembers(now).filter(record => record.domain === this.self.domain || this.records.size < this.limits.meshMembers)
+    return [...this.beatTo(told, [], false, now), ...this.ownRow.due(this.self, now)]
+  }
+
+  private heartbeats (now: Instant): readonly MemberAction[] {
+    this.beat += 1
+    const members = this.ringMembers(now)
+    const targets = new Set<MemberRecord>(heartbeatTargets(this.self, members, this.limits))
+    const writer = this.beat % this.limits.writerEvery === 0 ? this.writerCandidate(now) : undefined
+    if (writer !== undefined) targets.add(writer)
+    const rumors = this.rumors.takeRumors(this.limits.rumors)
+    const others = members.filter(record => !targets.has(record))
+    const stranger = others[Math.floor(this.random() * others.length)]
+    const silent = [...this.records.values()].filter(record => this.isSilent(record, now))
+    return [
+      ...this.beatTo([...targets].filter(record => !silent.includes(record)), rumors, false, now),
+      ...this.beatTo(silent, [], true, now),
+      ...this.beatTo(stranger === undefined ? [] : [stranger], [...rumors, ...this.nextDigest()], false, now)
+    ]
+  }
+
+  private nextDigest (): readonly string[] {
+    return this.rumors.takeDigest([...this.records.keys()], this.limits.digest)
+  }
+
+  /** A watched VM that should be asked for a sign of life. */
+  private isSilent (record: MemberRecord, now: Instant): boolean {
+    const silenceMs = record.silenceMs(now)
+    return silenceMs > this.limits.askAfterMs && silenceMs < this.limits.forgetAfterMs && this.stateOf(record, now) !== 'gone'
+  }
+
+  private writerCandidate (now: Instant): MemberRecord | undefined {
+    const [best] = roleCandidates(MEMBER_ROLES.writer(this.self.domain), this.liveOfDomain(now), 1)
+    return best === undefined ? undefined : this.records.get(best)
+  }
+
+  private liveOfDomain (now: Instant): readonly string[] {
+    const others = [...this.records.values()].filter(record => record.domain === this.self.domain && this.stateOf(record, now) === 'live')
+    return [this.self.vm, ...others.map(record => record.vm)]
+  }
+
+  private answerTo (from: HolderId, now: Instant): readonly MemberAction[] {
+    const record = this.records.get(vmOf(from))
+    return record === undefined ? [] : this.beatTo([record], [], false, now)
+  }
+
+  private beatTo (to: readonly MemberRecord[], about: readonly string[], ask: boolean, now: Instant): readonly MemberAction[] {
+    if (to.length === 0) return []
+    const news = [...new Set(about)].flatMap(vm => {
+      const record = this.records.get(vm)
+      return record?.news(this.stateOf(record, now), now) ?? []
+    })
+    return [{ kind: 'beat', to: to.map(record => record.peers), heartbeat: { self: this.ownNews(), news, ask } }]
+  }
+
+  private ownNews (): MemberNews {
+    const { holder, state, configVersion } = this.self
+    return { holder, beat: this.beat, state, config: configVersion, open: this.openRequests, age: 0 }
+  }
+
+  private reads (now: Instant): readonly MemberAction[] {
+    const size = this.records.size
+    const actions: MemberAction[] = []
+    if (isDue(this.lastScanAt, now, this.scanPeriodMs(size, now))) {
+      this.lastScanAt = now
+      actions.push({ kind: 'scan' })
+    }
+    if (isDue(this.lastListAt, now, Math.max(this.limits.listMs, size * this.limits.listMsPerMember))) {
+      this.lastListAt = now
+      actions.push({ kind: 'readList' })
+    }
+    return [...actions, ...this.askRows(now)]
+  }
+
+  /** Scans follow each other closely after the start, when many VMs may start together. */
+  private scanPeriodMs (size: number, now: Instant): number {
+    const steadyMs = Math.max(this.limits.scanMs, size * this.limits.scanMsPerMember)
+    const sinceStartMs = this.startedAt === undefined ? 0 : elapsedMs(this.startedAt, now)
+    return Math.min(steadyMs, Math.max(this.limits.periodMs, sinceStartMs))
+  }
+
+  private updateWatch (now: Instant): void {
+    const sources = new Set<RingMember>(heartbeatSources(this.self, this.ringMembers(now), this.limits))
+    for (const record of this.records.values()) record.watch(sources.has(record), now)
+  }
+
+  /** VMs that take part in heartbeats: all but those gone or long unheard. */
+  private ringMembers (now: Instant): readonly MemberRecord[] {
+    return [...this.records.values()].filter(record => record.ageMs(now) < this.limits.forgetAfterMs && this.stateOf(record, now) !== 'gone')
+  }
+
+  private stateOf (record: MemberRecord, now: Instant): MemberState {
+    const staleMs = Math.max(this.limits.staleAfterMs, this.records.size * this.limits.staleMsPerMember)
+    return record.state(now, this.limits, staleMs)
+  }
+
+  private noticeChanges (now: Instant, evidence: string, vms: Iterable<string> = this.records.keys()): readonly MemberAction[] {
+    const actions: MemberAction[] = []
+    for (const vm of vms) {
+      const record = this.records.get(vm)
+      if (record === undefined) continue
+      const state = this.stateOf(record, now)
+      if (this.lastStates.get(vm) === state) continue
+      this.lastStates.set(record.vm, state)
+      this.rumors.add(record.vm)
+      actions.push({ kind: 'changed', vm: record.vm, state, evidence })
+    }
+    return actions
+  }
+}
+
+function isDue (lastAt: Instant | undefined, now: Instant, periodMs: number): boolean {
+  return lastAt === undefined || elapsedMs(lastAt, now) >= periodMs
+}
