Serve the admin API and add rosemaryspreadctl

Operators drive the fleet by numbered patches, top-ups and lists from any VM. The admin API needs a key on every route; viewers may only read.

rosemaryspreadctl tries its servers in order and sends a write whose answer was lost again under the same id, to another server first. A refusal that comes after a lost answer is told as unknown, not as not run, unless it rests on the id (409, 422).

Ruled out: bin pointing into dist, which npm does not link on a fresh clone (it links only files that exist when it installs); numbers parsed by yargs, which takes 1e3 for tokens.

--- a/packages/http/src/server/httpExchange.ts
+++ b/packages/http/src/server/httpExchange.ts
@@ -12,6 +12,11 @@
 /** Header fields of an answer. */
 export type HeaderFields = Readonly<Record<string, string>>
 
+/** A request after restify's router saw it. */
+interface RoutedRequest extends IncomingMessage {
+  readonly params?: Readonly<Record<string, unknown>>
+}
+
 const requestIdBytes = 16
 
 /** One request and its answer. */
@@ -45,6 +50,11 @@
     return this.ended || this.gone.aborted
   }
 
+  /** Parameters of the path, decoded. */
+  get params (): Readonly<Record<string, unknown>> {
+    return (this.req as RoutedRequest).params ?? {}
+  }
+
   /** Bytes of the answer that the caller has not taken yet. */
   get bufferedBytes (): number {
     return this.res.writableLength
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -114,12 +114,18 @@
   private async serve (exchange: HttpExchange, handler: ExchangeHandler): Promise<void> {
     try {
       const outcome = await handler(exchange)
-      outcome.ifLeft((failure) => this.refuse(exchange, failure))
+      outcome.ifLeft((left) => this.fail(exchange, left))
     } catch (err) {
       this.fault(exchange, err)
     }
   }
 
+  /** `EitherAsync` also puts what was thrown on the left side, whatever its type says. */
+  private fail (exchange: HttpExchange, left: unknown): void {
+    if (left instanceof Failure) this.refuse(exchange, left)
+    else this.fault(exchange, left)
+  }
+
   private fault (exchange: HttpExchange, err: unknown): void {
     this.deps.log.write('fault', { request: exchange.requestId, err })
     exchange.refuse(new Failure('internal', `see the log for request ${exchange.requestId}`, { ran: 'unknown' }))
--- /dev/null
+++ b/packages/operators/src/admin/adminQueries.ts
@@ -0,0 +1,52 @@
+/**
+ * What the admin API reads from URLs.
+ */
+import type { Either } from 'purify-ts'
+import { z } from 'zod'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { badRequest, checkBy } from '@rosemaryspread/http/input/inputChecks.js'
+
+const defaultHistoryLimit = 20
+const maxHistoryLimit = 1000
+const maxNameLength = 128
+const anyBase = 'http://admin.invalid'
+
+const wholeText = z.string().regex(/^[0-9]{1,15}$/, 'use a whole number').transform(Number)
+
+const versionQuerySchema = z.strictObject({ version: wholeText.optional() })
+
+const historyQuerySchema = z.strictObject({
+  limit: wholeText
+    .refine((limit) => limit >= 1 && limit <= maxHistoryLimit, `use 1 to ${maxHistoryLimit}`)
+    .default(defaultHistoryLimit)
+})
+
+const budgetNameSchema = z.string().min(1).max(maxNameLength)
+
+function queryOf (url: string): Record<string, string> {
+  return Object.fromEntries(new URL(url, anyBase).searchParams)
+}
+
+/**
+ * The version asked for, if any. Failure: `badRequest`.
+ * @param url - URL of the request
+ */
+export function versionQuery (url: string): Either<Failure, number | undefined> {
+  return checkBy(versionQuerySchema, queryOf(url), 'query').bimap(badRequest, (query) => query.version)
+}
+
+/**
+ * How many entries of the history are asked for. Failure: `badRequest`.
+ * @param url - URL of the request
+ */
+export function historyQuery (url: string): Either<Failure, number> {
+  return checkBy(historyQuerySchema, queryOf(url), 'query').bimap(badRequest, (query) => query.limit)
+}
+
+/**
+ * The budget named in the path. Failure: `badRequest`.
+ * @param params - parameters of the path, decoded
+ */
+export function budgetParam (params: Readonly<Record<string, unknown>>): Either<Failure, string> {
+  return checkBy(budgetNameSchema, params.budget, 'budget').mapLeft(badRequest)
+}
--- /dev/null
+++ b/packages/operators/src/admin/adminServer.ts
@@ -0,0 +1,126 @@
+/**
+ * The admin API: configuration, budgets and what runs. Every call needs a key, on loopback too;
+ * viewers may read only. docs/API.md describes it for people.
+ */
+import { EitherAsync, Left, Right, type Either } from 'purify-ts'
+import type { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { bearerKey } from '@rosemaryspread/http/auth/bearerKey.js'
+import { readBody } from '@rosemaryspread/http/body/bodyReader.js'
+import { badRequest } from '@rosemaryspread/http/input/inputChecks.js'
+import { jsonBody } from '@rosemaryspread/http/input/jsonBody.js'
+import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
+import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
+import { HttpServer, type RouteMethod } from '@rosemaryspread/http/server/httpServer.js'
+import { budgetParam, historyQuery, versionQuery } from './adminQueries.js'
+import { patchRequestSchema, topUpRequestSchema, type AdminService } from './adminTypes.js'
+import { configStatus, type ConfigStatus } from './configStatus.js'
+
+/** What the server needs. */
+export interface AdminServerDeps {
+  readonly service: AdminService
+  readonly log: EventLog
+  readonly limits: HttpLimits
+}
+
+/** Works out the JSON answer of one route. */
+type Answering = (exchange: HttpExchange) => Promise<Either<Failure, unknown>>
+
+/** The server of the admin API. */
+export class AdminServer {
+  private readonly http: HttpServer
+  private readonly service: AdminService
+
+  /** @param deps - service, log and limits */
+  constructor (deps: AdminServerDeps) {
+    this.service = deps.service
+    this.http = new HttpServer(deps)
+    this.route('GET', '/admin/v1/config', (exchange) => this.config(exchange))
+    this.route('POST', '/admin/v1/config/patches', (exchange) => this.patch(exchange))
+    this.route('GET', '/admin/v1/config/history', (exchange) => this.history(exchange))
+    this.route('GET', '/admin/v1/config/status', () => this.status())
+    this.route('GET', '/admin/v1/budgets/:budget', (exchange) => this.budget(exchange))
+    this.route('POST', '/admin/v1/budgets/:budget/topups', (exchange) => this.topUp(exchange))
+    this.route('GET', '/admin/v1/vms', async () => (await this.service.vms()).map((vms) => ({ vms })))
+    this.route('GET', '/admin/v1/runners', async () => (await this.service.runners()).map((runners) => ({ runners })))
+    this.route('GET', '/admin/v1/addresses', async () => Right(this.service.addresses()))
+  }
+
+  /**
+   * Listens; resolves to the address in use.
+   * @param address - IPv4:port; port 0 takes any free one
+   */
+  listen (address: string): Promise<string> {
+    return this.http.listen(address)
+  }
+
+  /** Stops accepting connections; resolves when all open requests are answered. */
+  close (): Promise<void> {
+    return this.http.close()
+  }
+
+  /** Requests that are not answered yet. */
+  openRequests (): number {
+    return this.http.openRequests()
+  }
+
+  private route (method: RouteMethod, path: string, answering: Answering): void {
+    this.http.route(method, path, async (exchange) => {
+      const allowed = this.allow(method, exchange)
+      if (allowed.isLeft()) return allowed
+      const answer = await answering(exchange)
+      return answer.map((body) => exchange.sendJson(200, body, { 'Cache-Control': 'no-store' }))
+    })
+  }
+
+  private allow (method: RouteMethod, exchange: HttpExchange): Either<Failure, void> {
+    const operator = bearerKey(exchange.req.headers).chain((key) => this.service.authenticate(key))
+    return operator.chain(({ operator: name, role }) => {
+      exchange.client = name
+      if (method === 'GET' || role === 'admin') return Right(undefined)
+      return Left(new Failure('forbidden', `the key of ${name} may only read`))
+    })
+  }
+
+  private config (exchange: HttpExchange): Promise<Either<Failure, unknown>> {
+    return EitherAsync.liftEither(versionQuery(exchange.req.url ?? ''))
+      .chain((version) => this.service.config(version))
+      .run()
+  }
+
+  private history (exchange: HttpExchange): Promise<Either<Failure, unknown>> {
+    return EitherAsync.liftEither(historyQuery(exchange.req.url ?? ''))
+      .chain((limit) => this.service.history(limit))
+      .map((entries) => ({ entries }))
+      .run()
+  }
+
+  private async status (): Promise<Either<Failure, ConfigStatus>> {
+    const [config, vms] = await Promise.all([this.service.config(), this.service.vms()])
+    return config.chain(({ version }) => vms.map((list) => configStatus(version, list)))
+  }
+
+  private patch (exchange: HttpExchange): Promise<Either<Failure, unknown>> {
+    return this.body(exchange, patchRequestSchema)
+      .chain((req) => this.service.patch(req))
+      .run()
+  }
+
+  private budget (exchange: HttpExchange): Promise<Either<Failure, unknown>> {
+    return EitherAsync.liftEither(budgetParam(exchange.params))
+      .chain((budget) => this.service.budget(budget))
+      .run()
+  }
+
+  private topUp (exchange: HttpExchange): Promise<Either<Failure, unknown>> {
+    return EitherAsync.liftEither(budgetParam(exchange.params))
+      .chain((budget) => this.body(exchange, topUpRequestSchema).chain((req) => this.service.topUp(budget, req)))
+      .run()
+  }
+
+  private body<S extends z.ZodType> (exchange: HttpExchange, schema: S): EitherAsync<Failure, z.output<S>> {
+    return EitherAsync.fromPromise(() => readBody(exchange.req, exchange.limits.bodyBytes))
+      .chain(async (bytes) => jsonBody(schema, exchange.req.headers, bytes).mapLeft(badRequest))
+  }
+}
--- /dev/null
+++ b/packages/operators/src/ctl/adminClient.ts
@@ -0,0 +1,103 @@
+/**
+ * Client of the admin API. Servers are tried in order. Every write carries an id, so a write
+ * whose answer was lost is sent again, to another server first.
+ */
+import { Left, type Either } from 'purify-ts'
+import type { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+import { checkBy } from '@rosemaryspread/http/input/inputChecks.js'
+import { sendOnce, type AdminRequest } from './adminRequest.js'
+
+/** How a client reaches the system. */
+export interface AdminClientOptions {
+  /** Base URLs in the order to try. */
+  readonly servers: readonly string[]
+  readonly key: string
+  readonly timeoutMs: number
+  readonly pause: (ms: number) => Promise<void>
+}
+
+const rounds = 3
+const roundPauseMs = 250
+const serverErrorStatus = 500
+
+/** Failures of one server that another one may not have. */
+const tryElsewhere: ReadonlySet<ResultName> = new Set<ResultName>([
+  'peerUnreachable', 'platformOutcomeUnknown', 'draining', 'configNotLoaded'
+])
+
+const notAllowed: ReadonlySet<ResultName> = new Set<ResultName>(['unauthorized', 'forbidden'])
+
+/** The client. */
+export class AdminClient {
+  /** @param options - servers, key and timeout */
+  constructor (private readonly options: AdminClientOptions) {}
+
+  /**
+   * Reads.
+   * @param path - path and query below the server
+   * @param schema - what the answer must be
+   */
+  async get<S extends z.ZodType> (path: string, schema: S): Promise<Either<Failure, z.output<S>>> {
+    return checkAnswer(schema, await this.send({ method: 'GET', path }))
+  }
+
+  /**
+   * Writes; the body must carry an id by which the system knows a repeat.
+   * @param path - path below the server
+   * @param body - a JSON value
+   * @param schema - what the answer must be
+   */
+  async post<S extends z.ZodType> (path: string, body: unknown, schema: S): Promise<Either<Failure, z.output<S>>> {
+    return checkAnswer(schema, await this.send({ method: 'POST', path, body }))
+  }
+
+  private async send (req: AdminRequest): Promise<Either<Failure, unknown>> {
+    const failures: Failure[] = []
+    for (let round = 1; round <= rounds; round++) {
+      const answer = await this.sendToAny(req, failures)
+      if (answer !== undefined) return answer.mapLeft((failure) => afterLosses(failure, failures))
+      if (round === rounds || !failures.some(isLost)) break
+      await this.options.pause(round * roundPauseMs)
+    }
+    return Left(this.unreachable(failures))
+  }
+
+  /** Tries each server once; the first definite answer counts. */
+  private async sendToAny (req: AdminRequest, failures: Failure[]): Promise<Either<Failure, unknown> | undefined> {
+    for (const server of this.options.servers) {
+      const answer = await sendOnce(server, this.options.key, this.options.timeoutMs, req)
+      const failure = answer.swap().toMaybe().extract()
+      if (failure === undefined || !tryElsewhere.has(failure.code)) return answer
+      failures.push(failure)
+    }
+    return undefined
+  }
+
+  private unreachable (failures: readonly Failure[]): Failure {
+    const last = failures[failures.length - 1]
+    const refusal = failures.some(isLost) || last?.code === 'peerUnreachable' ? undefined : last
+    if (refusal !== undefined) return refusal
+    const errors = [...new Set(failures.map((failure) => failure.message))]
+    const ran = failures.some(isLost) ? 'unknown' : 'no'
+    return new Failure('peerUnreachable', 'no server gave an answer', { ran, errors })
+  }
+}
+
+function isLost (failure: Failure): boolean {
+  return failure.ran === 'unknown'
+}
+
+/** A refusal after a lost answer says nothing about the attempt that was lost, unless it rests on the id. */
+function afterLosses (failure: Failure, earlier: readonly Failure[]): Failure {
+  const definite = failure.entry.status < serverErrorStatus && !notAllowed.has(failure.code)
+  if (definite || !earlier.some(isLost)) return failure
+  const detail = `${failure.message}; an earlier attempt of this command may have taken effect`
+  return new Failure(failure.code, detail, { ran: 'unknown', errors: failure.errors })
+}
+
+function checkAnswer<S extends z.ZodType> (schema: S, answer: Either<Failure, unknown>): Either<Failure, z.output<S>> {
+  return answer.chain((value) => checkBy(schema, value, 'answer').mapLeft((errors) =>
+    new Failure('internal', 'the answer of the server is not understood', { ran: 'unknown', errors })))
+}
--- /dev/null
+++ b/packages/operators/src/ctl/adminRequest.ts
@@ -0,0 +1,99 @@
+/**
+ * One HTTP request to one server of the admin API.
+ */
+import got, { RequestError, TimeoutError } from 'got'
+import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { ranSchema, resultCodes, type ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+
+/** What is asked. */
+export interface AdminRequest {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly body?: unknown
+}
+
+const okStatus = 200
+
+/** Errors before a connection stood, so that nothing was sent. */
+const notConnected: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'EADDRNOTAVAIL'
+])
+
+const problemSchema = z.object({
+  name: z.string(),
+  code: z.string().default(''),
+  title: z.string().default(''),
+  detail: z.string(),
+  ran: ranSchema,
+  retryAfterMs: z.number().optional(),
+  errors: z.array(z.string()).optional()
+})
+
+/**
+ * Sends a request to one server. `peerUnreachable` with `ran: unknown` means that the answer of
+ * a write was lost.
+ * @param server - base URL
+ * @param key - bearer key
+ * @param timeoutMs - milliseconds for the whole request
+ * @param req - what is asked
+ */
+export async function sendOnce (server: string, key: string, timeoutMs: number, req: AdminRequest): Promise<Either<Failure, unknown>> {
+  try {
+    const res = await got(`${server}${req.path}`, {
+      method: req.method,
+      headers: { authorization: `Bearer ${key}` },
+      ...(req.body === undefined ? {} : { json: req.body }),
+      timeout: { request: timeoutMs },
+      retry: { limit: 0 },
+      followRedirect: false,
+      throwHttpErrors: false,
+      responseType: 'text'
+    })
+    return readAnswer(server, res.statusCode, res.body)
+  } catch (err) {
+    return Left(networkFailure(server, req, err))
+  }
+}
+
+function networkFailure (server: string, req: AdminRequest, err: unknown): Failure {
+  const sent = !(err instanceof RequestError && (notConnected.has(err.code) || isConnectTimeout(err)))
+  const ran = sent && req.method === 'POST' ? 'unknown' : 'no'
+  return new Failure('peerUnreachable', `${server}: ${err instanceof Error ? err.message : String(err)}`, { ran })
+}
+
+function isConnectTimeout (err: RequestError): boolean {
+  return err instanceof TimeoutError && err.event === 'connect'
+}
+
+function parsed (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function readAnswer (server: string, status: number, text: string): Either<Failure, unknown> {
+  const value = parsed(text)
+  if (status === okStatus && value !== undefined) return Right(value)
+  const problem = problemSchema.safeParse(value)
+  if (!problem.success) return Left(new Failure('internal', `${server} answered HTTP ${status} in a form that is not understood`, { ran: 'unknown' }))
+  return Left(problemFailure(problem.data))
+}
+
+function isResultName (name: string): name is ResultName {
+  return Object.hasOwn(resultCodes, name)
+}
+
+function problemFailure (problem: z.output<typeof problemSchema>): Failure {
+  const { name, code, title, detail, ran, retryAfterMs, errors } = problem
+  const extras = {
+    ran,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    ...(errors === undefined ? {} : { errors })
+  }
+  if (isResultName(name)) return new Failure(name, detail, extras)
+  return new Failure('internal', `${code} ${title}: ${detail}`, extras)
+}
--- /dev/null
+++ b/packages/operators/src/ctl/budgetCommands.ts
@@ -0,0 +1,50 @@
+/**
+ * `rosemaryspreadctl budget ...`
+ */
+import { budgetAnswerSchema, type BudgetAnswer } from '../admin/adminTypes.js'
+import type { CtlAction, CtlOutput } from './ctlTypes.js'
+import { ageText, textTable } from './textTable.js'
+
+/** Arguments of `budget topup`. */
+export interface TopUpArgs {
+  readonly budget: string
+  readonly tokens: number
+  readonly operationId?: string
+  readonly author: string
+}
+
+function budgetPath (budget: string): string {
+  return `/admin/v1/budgets/${encodeURIComponent(budget)}`
+}
+
+/**
+ * `budget topup`: says the operation id first, so that a command that was broken off can be
+ * repeated without adding twice.
+ * @param args - arguments of the command
+ */
+export function topUpBudget (args: TopUpArgs): CtlAction {
+  return async ({ client, io }) => {
+    const { budget, tokens, author } = args
+    const operationId = args.operationId ?? io.newId()
+    io.err(`operation id: ${operationId}`)
+    const answer = await client.post(`${budgetPath(budget)}/topups`, { operationId, tokens, author }, budgetAnswerSchema)
+    return answer.map(budgetOutput)
+  }
+}
+
+/**
+ * `budget show`
+ * @param budget - budget id
+ */
+export function showBudget (budget: string): CtlAction {
+  return async ({ client }) => (await client.get(budgetPath(budget), budgetAnswerSchema)).map(budgetOutput)
+}
+
+function budgetOutput (value: BudgetAnswer): CtlOutput {
+  const { budget, paid, spent, allotted, inDoubt, holders } = value
+  const total = textTable(['BUDGET', 'PAID', 'SPENT', 'ALLOTTED', 'IN DOUBT', 'LEFT'],
+    [[budget, paid, spent, allotted, inDoubt, paid - spent - allotted]])
+  const rows = holders.map(({ holder, held, ageMs, state }) => [holder, held, state, ageText(ageMs)])
+  const held = rows.length === 0 ? '' : `\n\n${textTable(['HOLDER', 'HELD', 'STATE', 'HEARD'], rows)}`
+  return { value, text: total + held }
+}
--- /dev/null
+++ b/packages/operators/src/ctl/ctlProgram.ts
@@ -0,0 +1,94 @@
+/**
+ * `rosemaryspreadctl` without its process: arguments in, exit code out.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { AdminClient } from './adminClient.js'
+import { ctlParser } from './ctlArguments.js'
+import type { CtlAction, CtlIo, CtlOutput } from './ctlTypes.js'
+import { exitCodeOf, exitCodes } from './exitCodes.js'
+
+/** Options of every command. */
+interface GlobalArgs {
+  readonly server?: readonly string[]
+  readonly key?: string
+  readonly output: 'table' | 'json'
+  readonly timeoutMs: number
+}
+
+/** What the command line says. */
+interface Parsed {
+  readonly globals: GlobalArgs
+  /** Absent when only help or the version was asked for. */
+  readonly action?: CtlAction
+}
+
+const indent = 2
+
+/**
+ * Runs one command and resolves to its exit code.
+ * @param args - arguments after the program's name
+ * @param io - the world outside
+ */
+export async function runCtl (args: readonly string[], io: CtlIo): Promise<number> {
+  const parsed = await parse(args, io)
+  if (parsed.isLeft()) return fail(io, parsed.extract())
+  const { action, globals } = parsed.unsafeCoerce()
+  if (action === undefined) return exitCodes.ok
+  const client = clientFor(globals, io)
+  if (client.isLeft()) return fail(io, client.extract())
+  const outcome = await action({ client: client.unsafeCoerce(), io })
+  return outcome.caseOf({
+    Left: (failure) => fail(io, failure),
+    Right: (output) => print(io, globals, output)
+  })
+}
+
+async function parse (args: readonly string[], io: CtlIo): Promise<Either<Failure, Parsed>> {
+  let action: CtlAction | undefined
+  const parser = ctlParser(io, (chosen) => { action = chosen })
+  try {
+    const argv = await parser.parseAsync([...args], {}, (_err, _argv, output) => {
+      if (output !== '') io.out(output)
+    })
+    return Right({ globals: argv as unknown as GlobalArgs, ...(action === undefined ? {} : { action }) })
+  } catch (err) {
+    return Left(usageFailure((err as Error).message))
+  }
+}
+
+/** The message of yargs may have several lines; the first is the detail, the others name the mistakes. */
+function usageFailure (message: string): Failure {
+  const [detail = '', ...errors] = message.split('\n').map((line) => line.trim()).filter((line) => line !== '')
+  return new Failure('usage', `${detail.replace(/:$/, '')} (see --help)`, { errors })
+}
+
+function clientFor ({ server, key, timeoutMs }: GlobalArgs, io: CtlIo): Either<Failure, AdminClient> {
+  const names = server ?? io.env.RSCTL_SERVER?.split(',').map((name) => name.trim()).filter((name) => name !== '') ?? []
+  const servers = names.map(baseUrl)
+  const wrong = names.filter((_, index) => servers[index] === undefined)
+  const secret = key ?? io.env.RSCTL_KEY ?? ''
+  if (timeoutMs === 0) return Left(usageFailure('--timeout-ms: use at least 1'))
+  if (servers.length === 0) return Left(usageFailure('name a server by --server or RSCTL_SERVER'))
+  if (wrong.length > 0) return Left(usageFailure(`no base URL: ${wrong.join(', ')}`))
+  if (secret === '') return Left(usageFailure('give the key by RSCTL_KEY or --key'))
+  const urls = servers.filter((url) => url !== undefined)
+  return Right(new AdminClient({ servers: urls, key: secret, timeoutMs, pause: (ms) => io.pause(ms) }))
+}
+
+/** The URL without a slash at its end; `IPv4:port` alone is taken as http. */
+function baseUrl (name: string): string | undefined {
+  const text = /^https?:\/\//.test(name) ? name : `http://${name}`
+  return URL.canParse(text) ? text.replace(/\/+$/, '') : undefined
+}
+
+function print (io: CtlIo, { output }: GlobalArgs, { value, text }: CtlOutput): number {
+  io.out(output === 'json' ? JSON.stringify(value, null, indent) : text)
+  return exitCodes.ok
+}
+
+function fail (io: CtlIo, failure: Failure): number {
+  io.err(`RS-${failure.entry.number} ${failure.entry.title}: ${failure.message}`)
+  for (const line of failure.errors) io.err(`  ${line}`)
+  return exitCodeOf(failure)
+}
