--- a/packages/stand-ins/src/application/applicationRoutes.ts
+++ b/packages/stand-ins/src/application/applicationRoutes.ts
@@ -4,8 +4,9 @@
  */
 import { createHash } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { runnerControlSchema, type RunnerControl } from '../control/controlTypes.js'
 import { HistoryLog } from '../control/historyLog.js'
-import type { HttpAnswer, HttpRequest, HttpRoute } from '../control/httpTypes.js'
+import { HttpFault, type HttpAnswer, type HttpRequest, type HttpRoute } from '../control/httpTypes.js'
 import type { StandInParts } from '../control/standIn.js'
 
 const CONFIRMATION_LENGTH = 8
@@ -32,10 +33,12 @@
 /** Carries calls out. */
 class Application {
   readonly executions: Execution[] = []
+  private leaving = false
 
   constructor (private readonly options: ApplicationOptions, private readonly history: HistoryLog) {}
 
   async serve (req: HttpRequest): Promise<HttpAnswer> {
+    if (this.leaving) throw new HttpFault(503, 'the runner is leaving')
     const execution = this.begin(req)
     await sleep(this.options.delayMs)
     const body = JSON.stringify(this.answer(execution))
@@ -45,6 +48,16 @@
     return { status, body, headers: { 'content-type': 'application/json' }, effect: execution.method === 'POST' }
   }
 
+  /**
+   * Carries out a control message.
+   * @param control - the message
+   */
+  obey (control: RunnerControl): void {
+    const { leaving = this.leaving } = control
+    if (leaving && !this.leaving) this.history.add({ kind: 'runnerLeaving', at: Date.now(), runner: this.options.name })
+    this.leaving = leaving
+  }
+
   private begin (req: HttpRequest): Execution {
     const execution: Execution = {
       execution: this.executions.length + 1,
@@ -79,6 +92,8 @@
     routes: [{ method: 'GET', pattern: /^/, serve }, { method: 'POST', pattern: /^/, serve }],
     history,
     state: () => ({ ...options, executions: application.executions }),
+    controlSchema: runnerControlSchema,
+    onControl: control => application.obey(control),
     controlRoutes: [{ method: 'GET', pattern: /^\/control\/executions$/, serve: () => ({ status: 200, body: { executions: application.executions } }) }]
   }
 }
--- a/packages/stand-ins/src/control/controlTypes.ts
+++ b/packages/stand-ins/src/control/controlTypes.ts
@@ -21,8 +21,15 @@
 }).partial()
 export type Control = z.infer<typeof controlSchema>
 
+/** Settings of both kinds of runners besides. */
+export const runnerControlSchema = controlSchema.extend({
+  /** Whether the runner takes no new work. */
+  leaving: z.boolean().optional()
+})
+export type RunnerControl = z.infer<typeof runnerControlSchema>
+
 /** Faults and settings of the engine besides. */
-export const engineControlSchema = controlSchema.extend({
+export const engineControlSchema = runnerControlSchema.extend({
   /** Cuts every stream and loses the unfinished runs. */
   killStreams: z.boolean().optional(),
   /** The next stream to send its second piece carries one piece of another run. */
@@ -33,8 +40,6 @@
   doubleEnd: z.boolean().optional(),
   /** Milliseconds for one token of a run that is alone. */
   msPerToken: z.number().positive().optional(),
-  /** Whether the engine takes no new runs. */
-  leaving: z.boolean().optional(),
   /** While true, all cache events are lost. */
   dropCacheEvents: z.boolean().optional()
 })
--- a/packages/stand-ins/src/engine/engineStream.ts
+++ b/packages/stand-ins/src/engine/engineStream.ts
@@ -27,7 +27,8 @@
    * @param from - first piece wanted
    */
   open (from: number): void {
-    this.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
+    const holder = this.run.req.holder
+    this.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-run-holder': holder })
     this.res.flushHeaders()
     for (let index = from; index < this.run.generated; index++) this.piece(index)
     if (this.run.state !== 'running') {
--- a/packages/stand-ins/src/engine/prefixCache.ts
+++ b/packages/stand-ins/src/engine/prefixCache.ts
@@ -7,7 +7,7 @@
 import { tokensFor } from './engineText.js'
 
 const KEPT_EVENTS = 10_000
-const HASH_LENGTH = 32
+const HASH_LENGTH = 16
 
 /** A prefix of a conversation. */
 export interface PromptPrefix {
@@ -28,8 +28,8 @@
 type CacheEvent = CacheEvents['events'][number] & { readonly at: number }
 
 /**
- * The prefixes of a prompt, shortest first: after each message, the hex SHA-256 of the model and
- * the JSON of role and content of all messages so far, cut to 32 characters.
+ * The prefixes of a prompt, shortest first: one after each message, named by the first 16 hex
+ * digits of SHA-256 over the model's name and, for each message so far, `\n` role `:` content.
  * @param model - model name
  * @param messages - the conversation
  */
@@ -37,7 +37,7 @@
   const hash = createHash('sha256').update(model)
   let characters = 0
   return messages.map(({ role, content }) => {
-    hash.update(`\n${JSON.stringify([role, content])}`)
+    hash.update(`\n${role}:${content}`)
     characters += content.length
     return { hash: hash.copy().digest('hex').slice(0, HASH_LENGTH), tokens: tokensFor(characters) }
   })
