Show the whole path: demo of both deployments, README, architecture

Cause: the path has to be seen working as a newcomer would run it. Ruled out: a launcher of the demo's own (the scenario runner's fleet serves both). Change: npm run demo with nine checked steps; README, LICENSE, ARCHITECTURE, DECISIONS, GLOSSARY, SETTINGS. Conclusion: the thin path stands.

--- /dev/null
+++ b/packages/stand-ins/src/demo/demoMain.ts
@@ -0,0 +1,68 @@
+/**
+ * `npm run demo`: a whole deployment on loopback, its steps, and then requests of your own.
+ */
+import { mkdtemp } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { TestCaller } from '../scenario/callers/testCaller.js'
+import { OPERATOR_KEY } from '../scenario/callers/testOperator.js'
+import { Fleet } from '../scenario/fleet/fleet.js'
+import { teamKey } from '../scenario/fleet/fleetConfig.js'
+import { DemoContext } from './demoContext.js'
+import { demoShapes, type DemoShape } from './demoShapes.js'
+import { demoSteps } from './demoSteps.js'
+
+/** Runs all steps; answers whether each held. */
+async function runSteps (ctx: DemoContext): Promise<boolean> {
+  for (const [index, step] of demoSteps.entries()) {
+    const label = `${index + 1}/${demoSteps.length} ${step.title}`
+    try {
+      console.log(`ok     ${label}: ${await step.run(ctx)}`)
+    } catch (err) {
+      console.log(`FAILED ${label}: ${err instanceof Error ? err.message : String(err)}`)
+      return false
+    }
+  }
+  return true
+}
+
+function printInvitation (ctx: DemoContext): void {
+  const { team, model } = ctx.shape.asks[0] as DemoShape['asks'][number]
+  const { operatorsUrl } = ctx.fleet.vm(ctx.vmName(0))
+  console.log(`
+Send requests of your own:
+  curl -N ${ctx.callersUrl(0)}/v1/chat/completions -H 'Authorization: Bearer ${teamKey(team)}' \\
+    -H 'Content-Type: application/json' -H 'Idempotency-Key: my-first' \\
+    -d '{"model":"${model}","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"hola"}]}'
+See the bill:
+  npx rosemaryspreadctl --server ${operatorsUrl} --key ${OPERATOR_KEY} budget show budget-a
+Stop with Ctrl-C.`)
+}
+
+async function main (): Promise<void> {
+  const args = await yargs(hideBin(process.argv))
+    .scriptName('npm run demo --')
+    .option('once', { type: 'boolean', default: false, describe: 'end after the steps; exit code 0 only if each held' })
+    .option('shape', { choices: Object.keys(demoShapes), default: 'manos', describe: 'which deployment' })
+    .strict()
+    .parse()
+  const shape = demoShapes[args.shape] as DemoShape
+  const folder = await mkdtemp(join(tmpdir(), 'rosemaryspread-demo-'))
+  console.log(`${shape.name}: ${Object.keys(shape.head.vms).length} VMs; settings and logs in ${folder}`)
+  const fleet = await Fleet.start({ head: shape.head, folder, links: false, weakness: undefined })
+  const ctx = new DemoContext(shape, fleet, new TestCaller())
+  const stop = (): void => { fleet.end().finally(() => process.exit(0)) }
+  process.once('SIGINT', stop)
+  process.once('SIGTERM', stop)
+  const held = await runSteps(ctx)
+  if (held && !args.once) {
+    printInvitation(ctx)
+    return
+  }
+  await fleet.end()
+  process.exit(held ? 0 : 1)
+}
+
+await main()
--- /dev/null
+++ b/packages/stand-ins/src/demo/demoSteps.ts
@@ -0,0 +1,153 @@
+/**
+ * The steps of the demo. Each does one thing, checks that it held, and says what happened.
+ */
+import got from 'got'
+import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { checkHistory, renderViolation } from '../history/historyChecker.js'
+import { History } from '../history/history.js'
+import type { Ask } from '../scenario/callers/callerTypes.js'
+import { waitFor } from '../scenario/fleet/waiting.js'
+import type { DemoContext } from './demoContext.js'
+
+const SHORT_ANSWER_TOKENS = 24
+const LONG_ANSWER_TOKENS = 200
+const TOP_UP_TOKENS = 5_000
+const WAIT_MS = 20_000
+/** VM that the demo stops under a stream. */
+const STOPPED_VM = 5
+
+/** One step; it throws when something did not hold. */
+export interface DemoStep {
+  readonly title: string
+  run (ctx: DemoContext): Promise<string>
+}
+
+function insist (holds: boolean, detail: string): void {
+  if (!holds) throw new Error(detail)
+}
+
+function insistWhole (ask: Ask): void {
+  insist(ask.outcome?.kind === 'answered' && ask.outcome.whole, `not a whole answer: ${JSON.stringify(ask.outcome)}`)
+}
+
+async function budgetOf (ctx: DemoContext, budget: string): Promise<BudgetAnswer> {
+  return await ctx.ctlJson<BudgetAnswer>('budget', 'show', budget)
+}
+
+function streamed (index: number): DemoStep {
+  return {
+    title: `a streamed answer for team ${index + 1}`,
+    run: async ctx => {
+      const ask = await ctx.ask(ctx.completion(index, SHORT_ANSWER_TOKENS), index)
+      insistWhole(ask)
+      return `${ctx.vmName(index)} answered ${ask.pieces} pieces: ${ask.text.trim()}`
+    }
+  }
+}
+
+const addresses: DemoStep = {
+  title: 'which VMs to use',
+  run: async ctx => {
+    let answer = { addresses: [] as string[], keepMs: 0 }
+    await waitFor('all VMs to be named', WAIT_MS, async () => {
+      answer = await got.get(`${ctx.callersUrl(0)}/v1/addresses`).json()
+      return answer.addresses.length === ctx.vmNames.length
+    })
+    return `${answer.addresses.join(', ')}; keep for ${answer.keepMs} ms`
+  }
+}
+
+const dispatchOnce: DemoStep = {
+  title: 'a dispatch that may not be repeated, sent to two VMs',
+  run: async ctx => {
+    const first = await ctx.ask(ctx.dispatch('demo-dispatch'), 1)
+    const second = await ctx.ask(ctx.dispatch('demo-dispatch'), 2)
+    insistWhole(first)
+    insist(first.text === second.text, 'the repeat got another answer')
+    const runs = new History(await ctx.fleet.history()).of('ran').filter(run => run.requestId === first.requestId)
+    insist(runs.length === 1, `it ran ${runs.length} times`)
+    return `ran once at ${runs[0]?.runner}; both VMs answered ${first.text}`
+  }
+}
+
+const topUp: DemoStep = {
+  title: 'a top-up, sent twice under one operation id',
+  run: async ctx => {
+    const before = await budgetOf(ctx, 'budget-b')
+    const args = ['budget', 'topup', 'budget-b', '--tokens', String(TOP_UP_TOKENS), '--operation-id', 'demo-topup', '--author', 'demo']
+    await ctx.ctl(...args)
+    await ctx.ctl(...args)
+    const after = await budgetOf(ctx, 'budget-b')
+    insist(after.paid === before.paid + TOP_UP_TOKENS, `paid went from ${before.paid} to ${after.paid}`)
+    return `paid ${before.paid} -> ${after.paid}`
+  }
+}
+
+const patchConfig: DemoStep = {
+  title: 'a configuration patch, in force on all VMs',
+  run: async ctx => {
+    const before = await ctx.ctlJson<{ version: number }>('config', 'get')
+    const vms = [...ctx.fleet.vms.values()]
+    const url = ctx.fleet.vm(ctx.vmName(0)).operatorsUrl
+    const patch = [{ op: 'add', path: '/limits/requestTimeoutMs', value: 90_000 }]
+    const answer = await ctx.fleet.operator.patch(url, { base: before.version, patchId: 'demo-patch', patch })
+    insist(answer.status === 200 || answer.status === 201, `the patch was answered with ${answer.status} ${answer.name ?? ''}`)
+    const next = before.version + 1
+    await waitFor('the patch in force everywhere', WAIT_MS, () => vms.every(vm => vm.versionInForce >= next))
+    return `version ${next} is in force on ${vms.length} VMs`
+  }
+}
+
+const stopUnderStream: DemoStep = {
+  title: 'a graceful stop of one VM under a stream',
+  run: async ctx => {
+    const vm = ctx.fleet.vm(ctx.vmName(STOPPED_VM))
+    let ask: Ask | undefined
+    const answer = ctx.ask(ctx.completion(0, LONG_ANSWER_TOKENS), STOPPED_VM, begun => { ask = begun })
+    await waitFor('the stream to begin', WAIT_MS, () => (ask?.pieces ?? 0) > 1)
+    const piecesAtStop = ask?.pieces ?? 0
+    await ctx.fleet.stopVm(vm.name)
+    insistWhole(await answer)
+    await waitFor('the VM to stop', WAIT_MS, () => !vm.running)
+    insist(vm.exitCode === 0, `the VM ended with exit code ${vm.exitCode}`)
+    return `stopped after ${piecesAtStop} pieces; all ${ask?.pieces} pieces arrived, then exit code 0`
+  }
+}
+
+const bills: DemoStep = {
+  title: 'the bills and the budgets',
+  run: async ctx => {
+    const spentOf = async (budget: string): Promise<number> => (await budgetOf(ctx, budget)).spent
+    const billed = async (budget: string): Promise<number> => new History(await ctx.fleet.history()).of('billed')
+      .filter(bill => bill.budget === budget)
+      .reduce((sum, bill) => sum + bill.tokens, 0)
+    const answered = new Set(ctx.caller.records.flatMap(record => record.kind === 'answered' && record.whole ? [record.requestId] : []))
+    await waitFor('a bill for each answer', WAIT_MS, async () => {
+      const bills = new Set(new History(await ctx.fleet.history()).of('billed').map(({ requestId }) => requestId))
+      const completions = ctx.caller.asks.filter(({ asked }) => asked.repeatable && answered.has(asked.requestId))
+      return completions.every(({ requestId }) => bills.has(requestId))
+    })
+    for (const budget of Object.keys(ctx.shape.head.budgets)) {
+      insist(await spentOf(budget) === await billed(budget), `bills and spent of ${budget} differ`)
+    }
+    const rows = new History(await ctx.fleet.history()).of('billed')
+      .map(bill => `  bill ${bill.requestId}: ${bill.tokens} tokens of ${bill.budget} by ${bill.holder}`)
+    const shown = await Promise.all(Object.keys(ctx.shape.head.budgets).map(async budget => await ctx.ctl('budget', 'show', budget)))
+    return ['', ...rows, ...shown].join('\n')
+  }
+}
+
+const promises: DemoStep = {
+  title: 'the history of the run against every promise',
+  run: async ctx => {
+    const records = [...await ctx.fleet.history(), ...ctx.caller.records]
+    const violations = checkHistory(records)
+    insist(violations.length === 0, violations.map(renderViolation).join('\n'))
+    return `${records.length} records, no promise broken`
+  }
+}
+
+/** All steps in order. */
+export const demoSteps: readonly DemoStep[] = [
+  addresses, streamed(0), streamed(1), dispatchOnce, topUp, patchConfig, stopUnderStream, bills, promises
+]
--- a/packages/stand-ins/src/scenario/callers/testOperator.ts
+++ b/packages/stand-ins/src/scenario/callers/testOperator.ts
@@ -6,7 +6,8 @@
 import { z } from 'zod'
 import { configAnswerSchema } from '@rosemaryspread/operators/admin/adminTypes.js'
 
-const OPERATOR_KEY = 'scenario-operator-key'
+/** Key of the operator in scenarios and the demo. */
+export const OPERATOR_KEY = 'scenario-operator-key'
 const AUTHOR = 'scenario'
 const CALL_LIMIT_MS = 20_000
 
--- a/packages/stand-ins/src/scenario/steps/requestBook.ts
+++ b/packages/stand-ins/src/scenario/steps/requestBook.ts
@@ -81,7 +81,8 @@
     const body = JSON.stringify({ order: step.prompt ?? step.as })
     const patterns = this.head.services[service]?.notRepeatable ?? ['/*']
     const repeatable = !patterns.some(pattern => fits(step.path, pattern))
-    return { ...this.commonSpec(step.team, step.key, body, step.timeoutMs), path: `/v1/services/${service}${step.path}`, repeatable, streamed: false }
+    const common = this.commonSpec(step.team, step.key, body, step.timeoutMs)
+    return { ...common, path: `/v1/services/${service}${step.path}`, repeatable, streamed: false }
   }
 
   private commonSpec (team: string, key: string | undefined, body: string, timeoutMs: number | undefined) {
