--- a/packages/stand-ins/src/cli/standInMain.ts
+++ b/packages/stand-ins/src/cli/standInMain.ts
@@ -56,6 +56,13 @@
   return { host: match[1]!, port: Number(match[2]) }
 }
 
+/** Names every number that is none or negative. */
+function checkNumbers (args: Readonly<Record<string, unknown>>): true {
+  const wrong = Object.entries(args).filter(([name, value]) => !/[A-Z]/.test(name) && typeof value === 'number' && !(value >= 0))
+  if (wrong.length > 0) throw new Error(`not a number of 0 or more: ${wrong.map(([name]) => `--${name}`).join(', ')}`)
+  return true
+}
+
 function listOf (text: string): readonly string[] {
   return text.split(',').map(item => item.trim()).filter(item => item !== '')
 }
@@ -103,5 +110,6 @@
 
 await withRunners(withStores(yargs(hideBin(process.argv)).scriptName('standIn')))
   .demandCommand(1, 'name a stand-in')
+  .check(checkNumbers)
   .strict()
   .parseAsync()
--- a/packages/stand-ins/src/engine/batch.ts
+++ b/packages/stand-ins/src/engine/batch.ts
@@ -8,6 +8,8 @@
 
 /** A full batch takes this much longer for one step than a single run. */
 const FULL_BATCH_SLOWDOWN = 0.5
+/** Shortest step, in milliseconds, so that time always moves on. */
+const SHORTEST_STEP_MS = 0.1
 
 /** Speed of the engine. */
 export interface BatchOptions {
@@ -82,7 +84,8 @@
 
   private stepMs (): number {
     const { msPerToken, slots } = this.options
-    return msPerToken * (1 + FULL_BATCH_SLOWDOWN * Math.max(0, this.running.size - 1) / slots)
+    const slowdown = 1 + FULL_BATCH_SLOWDOWN * Math.max(0, this.running.size - 1) / slots
+    return Math.max(SHORTEST_STEP_MS, msPerToken * slowdown)
   }
 
   private fillSlots (at: number): void {
