Prove configuration versions under races, losses and faults; mend two faults found

Cause: the store and its spread stood unproved. A fleet of VMs in one process runs in virtual time over the memory table; a judge reads the rows and what came into force.

--- a/packages/rosemaryspread/src/config/configPatcher.ts
+++ b/packages/rosemaryspread/src/config/configPatcher.ts
@@ -13,7 +13,7 @@
 import { transactUntilKnown, type TransactBuild, type TransactSettled } from '@rosemaryspread/platform/table/tableTransact.js'
 import type { ReadAnswer, Row, RowKey, TableStore, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
 import { currentKey, parseRow, type ConfigReader } from './configReader.js'
-import type { ConfigStoreParts } from './configTypes.js'
+import { pauseOn, type ConfigStoreParts } from './configTypes.js'
 
 const ATTEMPTS = 8
 const PAUSE_MS = 50
@@ -63,7 +63,7 @@
       attempts: ATTEMPTS,
       pauseMs: PAUSE_MS,
       maxPauseMs: MAX_PAUSE_MS,
-      pause: async (ms: number) => { await new Promise<void>(resolve => { this.parts.timers.after(ms, resolve) }) },
+      pause: async (ms: number) => { await pauseOn(this.parts.timers, ms) },
       random: this.parts.random
     }
     const settled = await transactUntilKnown(this.table, make, rows => this.#isApplied(rows[1] ?? null), limits)
--- a/packages/rosemaryspread/src/config/configReader.ts
+++ b/packages/rosemaryspread/src/config/configReader.ts
@@ -12,6 +12,8 @@
 const PAGE_ROWS = 32
 /** Reads that may turn out to be stale, or lose their confirmation, before the table counts as unavailable. */
 const CONFIRM_ATTEMPTS = 5
+/** Milliseconds between them; a lagging replica catches up meanwhile. */
+const CONFIRM_PAUSE_MS = 50
 
 /** Key of the row that names the current version. */
 export const currentKey: RowKey = { table: CURRENT_TABLE, key: CURRENT_KEY }
@@ -37,9 +39,12 @@
    */
   constructor (private readonly table: TableStore, private readonly origin: VersionMark) {}
 
-  /** The current version as the table, or a replica of it, tells. */
-  async current (): Promise<Either<Failure, VersionMark>> {
-    const answer = await this.table.read([currentKey])
+  /**
+   * The current version.
+   * @param table - with confirmed reads where it must not be an older one
+   */
+  async current (table: TableStore): Promise<Either<Failure, VersionMark>> {
+    const answer = await table.read([currentKey])
     return answer.chain(({ rows }) => this.markOf(rows[0] ?? null))
   }
 
@@ -68,7 +73,7 @@
    * Version rows in order.
    * @param after - the version before the first
    * @param upTo - the last version wanted
-   * @returns the rows there are, or the failure of a page
+   * @returns all of them; `platformUnavailable` when some are not there yet, or the failure of a page
    */
   async rows (after: number, upTo: number): Promise<Either<Failure, VersionRow[]>> {
     const found: VersionRow[] = []
@@ -79,7 +84,7 @@
       const rows = page.chain(answer => parseAll(answer.rows))
       if (rows.isLeft()) return rows
       const read = rows.unsafeCoerce().filter(row => row.version <= upTo)
-      if (read.length === 0) break
+      if (read.length === 0) return Left(new Failure('platformUnavailable', `version ${last + 1} cannot be read yet`))
       found.push(...read)
       last = read.at(-1)?.version ?? upTo
     }
@@ -105,11 +110,13 @@
 export class ConfirmedTable implements TableStore {
   /**
    * @param table - the table service
+   * @param pause - waits some milliseconds
    */
-  constructor (private readonly table: TableStore) {}
+  constructor (private readonly table: TableStore, private readonly pause: (ms: number) => Promise<void>) {}
 
   async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
     for (let attempt = 0; attempt < CONFIRM_ATTEMPTS; attempt++) {
+      if (attempt > 0) await this.pause(CONFIRM_PAUSE_MS)
       const answer = await this.table.read(keys)
       if (answer.isLeft()) return answer
       const checks = keys.map((key, index) => ({ ...key, version: answer.unsafeCoerce().rows[index]?.version ?? null }))
--- a/packages/rosemaryspread/src/config/configSnapshots.ts
+++ b/packages/rosemaryspread/src/config/configSnapshots.ts
@@ -30,11 +30,12 @@
   }
 
   /**
-   * A whole version; its digest is verified by whoever takes it into use.
+   * A whole version; that its content has this digest is verified by whoever takes it into use.
    * @param mark - version and digest
    */
   async whole (mark: VersionMark): Promise<Either<Failure, Maybe<WholeConfig>>> {
-    return await this.#get(snapshotName(mark), wholeConfigSchema)
+    const found = await this.#get(snapshotName(mark), wholeConfigSchema)
+    return found.map(whole => whole.filter(({ version, digest }) => version === mark.version && digest === mark.digest))
   }
 
   /** The newest state the object store can tell: the newest snapshot and all versions after it. */
--- a/packages/rosemaryspread/src/config/configStore.ts
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -12,7 +12,7 @@
 import { ConfigPatcher, type AcceptedPatch } from './configPatcher.js'
 import { ConfirmedTable, ConfigReader } from './configReader.js'
 import { ConfigSnapshots } from './configSnapshots.js'
-import type { ConfigListener, ConfigStoreParts } from './configTypes.js'
+import { pauseOn, type ConfigListener, type ConfigStoreParts } from './configTypes.js'
 import { ConfigVersions } from './configVersions.js'
 import { RecentRows } from './recentRows.js'
 
@@ -36,7 +36,7 @@
   constructor (parts: ConfigStoreParts, holder?: ConfigDecider) {
     const origin = firstConfig()
     this.#parts = parts
-    this.#confirmed = new ConfirmedTable(parts.table)
+    this.#confirmed = new ConfirmedTable(parts.table, async ms => { await pauseOn(parts.timers, ms) })
     this.#reader = new ConfigReader(parts.table, origin)
     this.snapshots = new ConfigSnapshots(parts.objects)
     this.#versions = new ConfigVersions(this.#reader, this.snapshots, origin)
@@ -76,11 +76,13 @@
   }
 
   /**
-   * Reads the current version from the table and brings it into force when it is higher.
+   * Reads the current version from the table and brings it into force when it is higher. The first
+   * version of a process comes from a confirmed read, so that a lagging replica cannot take this
+   * VM below what an earlier process of it had in force.
    * @returns the failure of the read; the version in force stays
    */
   async refresh (): Promise<Either<Failure, VersionMark>> {
-    const mark = await this.#reader.current()
+    const mark = await this.#reader.current(this.inForce === undefined ? this.#confirmed : this.#parts.table)
     if (mark.isRight()) await this.hear('table', mark.unsafeCoerce())
     return mark
   }
@@ -156,7 +158,7 @@
    * @param limit - how many
    */
   async history (limit: number): Promise<Either<Failure, readonly HistoryEntry[]>> {
-    const current = await this.#reader.current()
+    const current = await this.#reader.current(this.#confirmed)
     if (current.isLeft()) return current
     const newest = current.unsafeCoerce().version
     const rows = await this.#reader.rows(Math.max(newest - limit, 0), newest)
@@ -176,7 +178,7 @@
     this.#parts.log.write('configApplied', { version: held.version, source })
     for (const listener of this.#listeners) {
       try {
-        listener(held)
+        listener(held, source)
       } catch (err) {
         this.#parts.log.write('fault', { err: toFailure(err).message })
       }
@@ -196,10 +198,23 @@
   }
 
   async #fetchNow (target: VersionMark): Promise<void> {
-    const candidate = await this.#versions.candidate(this.inForce, target)
-    candidate.caseOf({
-      Left: failure => this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: failure.code, detail: failure.message }),
-      Right: found => this.deliver('table', found)
+    const usedSnapshot = await this.#fetchOnce(target, true)
+    const isBehind = (this.inForce?.version ?? -1) < target.version
+    if (usedSnapshot && isBehind) await this.#fetchOnce(target, false)
+  }
+
+  /** Answers whether a snapshot was used. */
+  async #fetchOnce (target: VersionMark, useSnapshots: boolean): Promise<boolean> {
+    const candidate = await this.#versions.candidate(this.inForce?.version ?? 0, target, useSnapshots)
+    return candidate.caseOf({
+      Left: failure => {
+        this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: failure.code, detail: failure.message })
+        return false
+      },
+      Right: found => {
+        this.deliver('table', found)
+        return found.whole !== undefined
+      }
     })
   }
 
@@ -230,7 +245,7 @@
     this.#parts.log.write('configRefused', { base: req.base, patchId: req.patchId, code: failure.code })
     if (failure.code !== 'configConflict') return failure
     await this.refresh()
-    const changes = await this.#versions.changesSince(req.base)
+    const changes = await this.#versions.changesSince(req.base, this.inForce?.version ?? 0)
     const detail = changes.length === 0 ? failure.message : `${failure.message}; since then: ${changes.join('; ')}`
     return new Failure('configConflict', detail, { errors: changes })
   }
--- a/packages/rosemaryspread/src/config/configTypes.ts
+++ b/packages/rosemaryspread/src/config/configTypes.ts
@@ -4,6 +4,7 @@
 import type { Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ConfigSource } from '@rosemaryspread/decisions/config/configDecider.js'
 import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
@@ -20,6 +21,15 @@
   after (ms: number, fn: () => void): () => void
 }
 
+/**
+ * Waits.
+ * @param timers - where time comes from
+ * @param ms - milliseconds
+ */
+export async function pauseOn (timers: ConfigTimers, ms: number): Promise<void> {
+  await new Promise<void>(resolve => { timers.after(ms, resolve) })
+}
+
 /** What {@link ConfigStore} is made of. */
 export interface ConfigStoreParts {
   readonly table: TableStore
@@ -45,8 +55,8 @@
   call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
 }
 
-/** Told of each version that comes into force, in order. */
-export type ConfigListener = (held: HeldConfig) => void
+/** Told of each version that comes into force, in order, and where it came from. */
+export type ConfigListener = (held: HeldConfig, source: ConfigSource) => void
 
 /** Periods and sizes of the spread. */
 export interface ConfigSpreadSettings {
--- a/packages/rosemaryspread/src/config/configVersions.ts
+++ b/packages/rosemaryspread/src/config/configVersions.ts
@@ -31,13 +31,16 @@
 
   /**
    * What leads from a version to a later one; begins with a snapshot when the way is long.
-   * @param from - the version in force; undefined when there is none
+   * @param after - the version in force, or 0
    * @param target - the version wanted
+   * @param useSnapshots - whether a snapshot may be used; not after one failed to verify
    */
-  async candidate (from: HeldConfig | undefined, target: VersionMark): Promise<Either<Failure, ConfigCandidate>> {
-    const after = from?.version ?? 0
-    const whole = target.version - after > SNAPSHOT_EVERY ? await this.#newestWhole(target.version) : Nothing
-    const usable = whole.filter(found => found.version > after).extract()
+  async candidate (after: number, target: VersionMark, useSnapshots: boolean): Promise<Either<Failure, ConfigCandidate>> {
+    const isFar = target.version - after > SNAPSHOT_EVERY
+    const whole = isFar && useSnapshots ? await this.#newestWhole(target.version) : Nothing
+    const usable = whole
+      .filter(({ version, digest }) => version > after && (version < target.version || digest === target.digest))
+      .extract()
     const rows = await this.reader.rows(usable?.version ?? after, target.version)
     return rows.map(found => usable === undefined ? { rows: found } : { whole: usable, rows: found })
   }
@@ -59,10 +62,10 @@
   /**
    * One line for each version after a base.
    * @param base - the version that a patch was based on
+   * @param current - the version up to which changes are told
    * @returns lines, the newest first; none when the table cannot be read
    */
-  async changesSince (base: number): Promise<readonly string[]> {
-    const current = (await this.reader.current()).map(mark => mark.version).orDefault(0)
+  async changesSince (base: number, current: number): Promise<readonly string[]> {
     const first = Math.max(base, current - MAX_CHANGES)
     const rows = await this.reader.rows(first, current)
     return rows.orDefault([]).reverse().map(describe)
--- /dev/null
+++ b/packages/stand-ins/src/config/configFaults.spec.ts
@@ -0,0 +1,202 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ConfigHolder, type ConfigAction, type ConfigDecider, type ConfigEvent, type ConfigStatus } from '@rosemaryspread/decisions/config/configDecider.js'
+import { firstConfig, type HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { PUSH_METHOD } from 'rosemaryspread/config/configSpread.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+import { ConfigFleet, modelPatch, type FleetVm } from './configFleet.js'
+import { judgeFleet, versionRows, type ToldOutcome } from './configJudge.js'
+
+const SPREAD_MS = 2_000
+
+/** Counter-example: takes into force whatever was delivered last, if it verifies. */
+class SlidingHolder implements ConfigDecider {
+  readonly #seen = new Map<number, HeldConfig>([[0, firstConfig()]])
+  #inner = new ConfigHolder(firstConfig())
+
+  get inForce (): HeldConfig | undefined { return this.#inner.inForce }
+  get status (): ConfigStatus { return this.#inner.status }
+
+  decide (event: ConfigEvent, now: Instant): readonly ConfigAction[] {
+    if (event.kind === 'delivered') {
+      const base = this.#seen.get((event.candidate.rows[0]?.version ?? 1) - 1)
+      if (base !== undefined) this.#inner = new ConfigHolder(base)
+    }
+    const actions = this.#inner.decide(event, now)
+    if (this.inForce !== undefined) this.#seen.set(this.inForce.version, this.inForce)
+    return actions
+  }
+}
+
+const inForceOf = (fleet: ConfigFleet): (number | undefined)[] => fleet.vms.map(vm => vm.store.inForce?.version)
+
+describe('faults while versions spread', () => {
+  interface FaultCase {
+    name: string
+    /** Begins after three patches. */
+    begin: (fleet: ConfigFleet, vm: FleetVm) => void | Promise<void>
+    end: (fleet: ConfigFleet, vm: FleetVm) => void | Promise<void>
+    /** Whether the VM under fault still follows within the spread time. */
+    follows: boolean
+    /** Two polls one after the other, when a peer has to poll first. */
+    withinMs?: number
+  }
+  const cases: readonly FaultCase[] = [
+    { name: 'none', begin: () => {}, end: () => {}, follows: true },
+    { name: 'all pushes lost', begin: fleet => { fleet.isLost = (_from, _to, method) => method === PUSH_METHOD }, end: fleet => { fleet.isLost = () => false }, follows: true },
+    { name: 'all messages between VMs lost', begin: fleet => { fleet.isLost = () => true }, end: fleet => { fleet.isLost = () => false }, follows: true },
+    { name: 'the table slow on one VM', begin: (_, vm) => { vm.extraTableMs = 4_000 }, end: (_, vm) => { vm.extraTableMs = 0 }, follows: true },
+    { name: 'one VM cut off from the table', begin: (_, vm) => { vm.table.cut = true }, end: (_, vm) => { vm.table.cut = false }, follows: true },
+    { name: 'one VM cut off from the table and pushes lost', begin: (fleet, vm) => { vm.table.cut = true; fleet.isLost = (_from, _to, method) => method === PUSH_METHOD }, end: (fleet, vm) => { vm.table.cut = false; fleet.isLost = () => false }, follows: true, withinMs: 2_500 },
+    { name: 'one VM cut off from everything', begin: (fleet, vm) => { vm.table.cut = true; fleet.isLost = (from, to) => from === vm || to === vm }, end: (fleet, vm) => { vm.table.cut = false; fleet.isLost = () => false }, follows: false },
+    { name: 'one VM reads a lagging replica', begin: (fleet, vm) => { vm.table.replica = new MemoryTableStore(fleet.replica.state) }, end: (_, vm) => { vm.table.replica = undefined }, follows: true },
+    { name: 'one VM frozen', begin: (_, vm) => { vm.freeze() }, end: (_, vm) => { vm.thaw() }, follows: false },
+    { name: 'one VM restarted', begin: async (fleet, vm) => { vm.kill(); await fleet.time.until(vm.start()) }, end: () => {}, follows: true },
+    { name: 'one VM restarted while cut off from the table', begin: async (fleet, vm) => { vm.kill(); vm.table.cut = true; await fleet.time.until(vm.start()) }, end: (_, vm) => { vm.table.cut = false }, follows: true }
+  ]
+  for (const { name, begin, end, follows, withinMs = SPREAD_MS } of cases) {
+    it(`${name}: the VM ${follows ? 'follows' : 'stays where it was, then follows'}, and none slides back`, async () => {
+      const fleet = new ConfigFleet({ vms: 6, seed: name })
+      await fleet.start()
+      for (let base = 0; base < 3; base++) await fleet.addModel(fleet.vm(0), base, `m${base}`)
+      await fleet.time.run(SPREAD_MS)
+      const vm = fleet.vm(3)
+      await begin(fleet, vm)
+      for (let base = 3; base < 6; base++) {
+        await fleet.addModel(fleet.vm(base % 3), base, `m${base}`)
+        await fleet.time.run(withinMs)
+      }
+      const others = [6, 6, 6, 6, 6]
+      expect(inForceOf(fleet)).to.deep.equal([...others.slice(0, 3), follows ? 6 : 3, ...others.slice(3)])
+      await end(fleet, vm)
+      await fleet.time.run(SPREAD_MS)
+      expect(inForceOf(fleet)).to.deep.equal([6, ...others])
+      expect(judgeFleet(fleet)).to.deep.equal([])
+    })
+  }
+
+  it('all VMs replaced at once, the table down meanwhile: what was accepted is in force', async () => {
+    const fleet = new ConfigFleet({ vms: 6, seed: 'whole' })
+    await fleet.start()
+    for (let base = 0; base < 5; base++) await fleet.addModel(fleet.vm(base), base, `m${base}`).then(async () => { await fleet.time.run(SPREAD_MS) })
+    for (const vm of fleet.vms) vm.kill()
+    for (const vm of fleet.vms) vm.table.cut = true
+    await fleet.start()
+    expect(inForceOf(fleet)).to.deep.equal([5, 5, 5, 5, 5, 5])
+    for (const vm of fleet.vms) vm.table.cut = false
+    expect((await fleet.addModel(fleet.vm(2), 5, 'm5')).isRight()).to.equal(true)
+    await fleet.time.run(SPREAD_MS)
+    expect(inForceOf(fleet)).to.deep.equal([6, 6, 6, 6, 6, 6])
+    expect(judgeFleet(fleet)).to.deep.equal([])
+  })
+
+  async function frozenFetch (holder?: () => ConfigDecider): Promise<readonly string[]> {
+    const fleet = new ConfigFleet({ vms: 3, seed: 'freeze', ...(holder === undefined ? {} : { holder }) })
+    await fleet.start()
+    const vm = fleet.vm(2)
+    vm.extraTableMs = 700
+    for (let base = 0; base < 4; base++) {
+      await fleet.addModel(fleet.vm(0), base, `m${base}`)
+      await fleet.time.run(450)
+    }
+    vm.freeze()
+    await fleet.addModel(fleet.vm(0), 4, 'm4')
+    await fleet.time.run(20_000)
+    vm.thaw()
+    vm.extraTableMs = 0
+    await fleet.time.run(SPREAD_MS)
+    expect(vm.store.inForce?.version).to.equal(5)
+    return judgeFleet(fleet)
+  }
+  it('a VM frozen while it fetches does not slide back on waking', async () => { expect(await frozenFetch()).to.deep.equal([]) })
+  it('a holder that takes the last answer does, and it is seen', async () => {
+    expect((await frozenFetch(() => new SlidingHolder())).join()).to.include('slid back')
+  })
+})
+
+type Command =
+  | { readonly kind: 'patch', readonly vm: number }
+  | { readonly kind: 'resend', readonly vm: number, readonly which: number }
+  | { readonly kind: 'lose', readonly vm: number, readonly what: 'loseAnswers' | 'loseRequests' }
+  | { readonly kind: 'cut' | 'freeze' | 'restart' | 'lag' | 'heal', readonly vm: number }
+  | { readonly kind: 'wait', readonly ms: number }
+
+/** Operators at several VMs who patch, send again and are disturbed. */
+class OperatorRun {
+  readonly told: ToldOutcome[] = []
+  #sent: { base: number, patchId: string }[] = []
+
+  constructor (readonly fleet: ConfigFleet) {}
+
+  async play (commands: readonly Command[]): Promise<void> {
+    await this.fleet.start()
+    for (const command of commands) await this.#step(command)
+    for (const vm of this.fleet.vms) this.#heal(vm)
+    await this.fleet.time.run(30_000)
+  }
+
+  async #step (command: Command): Promise<void> {
+    const { fleet } = this
+    if (command.kind === 'wait') return await fleet.time.run(command.ms)
+    const vm = fleet.vm(command.vm)
+    switch (command.kind) {
+      case 'patch': return this.#send(vm, { base: vm.store.inForce?.version ?? 0, patchId: `p${this.#sent.length}` })
+      case 'resend': return this.#send(vm, this.#sent[command.which % Math.max(this.#sent.length, 1)])
+      case 'lose': vm.table.primary[command.what]++; break
+      case 'cut': vm.table.cut = true; break
+      case 'freeze': vm.freeze(); break
+      case 'lag': vm.table.replica = new MemoryTableStore(fleet.replica.state); break
+      case 'heal': this.#heal(vm); break
+      case 'restart': vm.kill(); vm.thaw(); vm.start().catch(() => {}); break
+    }
+    await fleet.time.run(1)
+  }
+
+  #send (vm: FleetVm, patch: { base: number, patchId: string } | undefined): void {
+    if (patch === undefined) return
+    this.#sent.push(patch)
+    const { patchId } = patch
+    this.told.push({ patchId, outcome: 'unknown' })
+    const index = this.told.length - 1
+    vm.store.patch(modelPatch(patch.base, patchId)).then(result => {
+      this.told[index] = result.caseOf<ToldOutcome>({
+        Left: failure => ({ patchId, outcome: failure.ran === 'no' ? 'notRun' : 'unknown' }),
+        Right: ({ version }) => ({ patchId, outcome: 'accepted', version })
+      })
+    }, () => {})
+  }
+
+  #heal (vm: FleetVm): void {
+    this.fleet.replica.catchUp()
+    vm.table.cut = false
+    vm.table.replica = undefined
+    Object.assign(vm.table.primary, { loseAnswers: 0, loseRequests: 0 })
+    vm.thaw()
+  }
+}
+
+describe('operators and faults in any order', () => {
+  const vm = fc.integer({ min: 0, max: 3 })
+  const command = fc.oneof(
+    { weight: 5, arbitrary: fc.record({ kind: fc.constant('patch' as const), vm }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('resend' as const), vm, which: fc.nat(20) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('lose' as const), vm, what: fc.constantFrom('loseAnswers' as const, 'loseRequests' as const) }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'freeze' as const, 'restart' as const, 'lag' as const, 'heal' as const), vm }) },
+    { weight: 5, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 1_500 }) }) }
+  )
+
+  it('versions form a chain, each accepted patch is in it once, no VM slides back, all end equal', async () => {
+    let accepted = 0
+    await fc.assert(fc.asyncProperty(fc.array(command, { minLength: 10, maxLength: 60 }), fc.integer(), async (commands, seed) => {
+      const run = new OperatorRun(new ConfigFleet({ vms: 4, seed: String(seed), tableMs: 5 }))
+      await run.play(commands)
+      const newest = versionRows(run.fleet).length
+      accepted += newest
+      run.fleet.stop()
+      expect(judgeFleet(run.fleet, run.told)).to.deep.equal([])
+      expect(inForceOf(run.fleet)).to.deep.equal([newest, newest, newest, newest])
+    }), { seed: 3, numRuns: 80 })
+    expect(accepted).to.be.greaterThan(100)
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/config/configJudge.ts
@@ -0,0 +1,75 @@
+/**
+ * Judges what a run of a {@link ConfigFleet} left behind, from the rows of the table and the
+ * versions that came into force. Each finding is one broken promise.
+ */
+import { firstConfig, replayRows } from '@rosemaryspread/decisions/config/configPatch.js'
+import { CURRENT_TABLE, currentRowSchema, PATCH_TABLE, patchRowSchema, VERSION_TABLE, versionRowSchema, type VersionRow } from '@rosemaryspread/decisions/config/configRows.js'
+import type { ConfigFleet, InForceRecord } from './configFleet.js'
+
+/** What an operator was told of a patch id. */
+export interface ToldOutcome {
+  readonly patchId: string
+  readonly outcome: 'accepted' | 'notRun' | 'unknown'
+  readonly version?: number
+}
+
+/**
+ * All version rows in order.
+ * @param fleet - the fleet after the run
+ */
+export function versionRows (fleet: ConfigFleet): readonly VersionRow[] {
+  return fleet.state.all(VERSION_TABLE).map(row => versionRowSchema.parse(row.value))
+}
+
+/**
+ * Every broken promise of a run; none when all held.
+ * @param fleet - the fleet after the run
+ * @param told - what operators were told; an id may occur several times
+ */
+export function judgeFleet (fleet: ConfigFleet, told: readonly ToldOutcome[] = []): readonly string[] {
+  return [...judgeChain(fleet), ...judgeForce(fleet), ...judgeTold(fleet, told)]
+}
+
+function judgeChain (fleet: ConfigFleet): string[] {
+  const rows = versionRows(fleet)
+  const findings = replayRows(firstConfig(), rows).swap().map(failure => [`the versions are no chain: ${failure.message}`]).orDefault([])
+  const ids = rows.map(row => row.patchId)
+  if (new Set(ids).size < ids.length) findings.push('a patch was accepted twice')
+  const current = fleet.state.all(CURRENT_TABLE)[0]
+  const newest = current === undefined ? 0 : currentRowSchema.parse(current.value).version
+  if (newest !== rows.length) findings.push(`${rows.length} versions but ${newest} is current`)
+  const patches = new Map(fleet.state.all(PATCH_TABLE).map(row => [row.key, patchRowSchema.parse(row.value).version]))
+  for (const row of rows) {
+    if (patches.get(row.patchId) !== row.version) findings.push(`version ${row.version} is not that of patch ${row.patchId}`)
+  }
+  return findings
+}
+
+/**
+ * A VM slides back when its version falls, also over restarts. A fresh process that the table
+ * does not answer is excused for its first version, which is the newest that another source proves.
+ */
+function judgeForce (fleet: ConfigFleet): string[] {
+  const digests = new Map([[0, firstConfig().digest], ...versionRows(fleet).map(row => [row.version, row.digest] as const)])
+  const last = new Map<string, InForceRecord>()
+  return fleet.inForce.flatMap(record => {
+    const before = last.get(record.vm)
+    last.set(record.vm, record)
+    const excused = before?.incarnation !== record.incarnation && record.source !== 'table'
+    const slid = before !== undefined && record.version < before.version && !excused
+    return [
+      ...(slid ? [`${record.vm} slid back from ${before.version} to ${record.version}`] : []),
+      ...(digests.get(record.version) === record.digest ? [] : [`${record.vm} has version ${record.version} that was not accepted`])
+    ]
+  })
+}
+
+function judgeTold (fleet: ConfigFleet, told: readonly ToldOutcome[]): string[] {
+  const versions = new Map(versionRows(fleet).map(row => [row.patchId, row.version]))
+  const open = new Set(told.filter(({ outcome }) => outcome !== 'notRun').map(({ patchId }) => patchId))
+  return told.flatMap(({ patchId, outcome, version }) => {
+    if (outcome === 'accepted' && versions.get(patchId) !== version) return [`${patchId} was accepted as ${version} but is ${versions.get(patchId)}`]
+    if (outcome === 'notRun' && !open.has(patchId) && versions.has(patchId)) return [`${patchId} was refused but took effect`]
+    return []
+  })
+}
--- /dev/null
+++ b/packages/stand-ins/src/config/fleetTable.ts
@@ -0,0 +1,75 @@
+/**
+ * The table as one VM of a {@link ConfigFleet} reaches it: with latency, faults, a replica that
+ * may lag, and answers that wait while the VM is frozen.
+ */
+import { Left, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+import { TableState } from '../table/tableState.js'
+
+/** Bytes and calls. */
+export interface Traffic {
+  messages: number
+  bytes: number
+}
+
+/** A replica that has seen only the first commits of the table. */
+export class LaggingReplica {
+  readonly state: TableState
+  #waiting: Transaction[] = []
+
+  /**
+   * @param primary - an empty table
+   * @param now - the service's clock
+   */
+  constructor (primary: TableState, now: () => number) {
+    this.state = new TableState(now)
+    primary.onCommit(rows => {
+      const writes = rows.map(({ table, key, value }) => ({ table, key, value }))
+      this.#waiting.push({ checks: [], writes })
+    })
+  }
+
+  /** Applies all commits so far. */
+  catchUp (): void {
+    for (const tx of this.#waiting.splice(0)) this.state.transact(tx)
+  }
+}
+
+/** The table of one VM. */
+export class FleetTable implements TableStore {
+  /** Set while reads and scans come from a replica. */
+  replica: TableStore | undefined
+  /** Whether the VM is cut off from the table. */
+  cut = false
+  readonly traffic: Traffic = { messages: 0, bytes: 0 }
+
+  /**
+   * @param primary - the table, with its faults
+   * @param travel - resolves when a message has gone one way, and the VM is not frozen
+   */
+  constructor (readonly primary: MemoryTableStore, private readonly travel: () => Promise<void>) {}
+
+  async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    return await this.#call({ keys }, async () => await (this.replica ?? this.primary).read(keys))
+  }
+
+  async scan (req: ScanRequest): Promise<Either<Failure, ScanAnswer>> {
+    return await this.#call(req, async () => await (this.replica ?? this.primary).scan(req))
+  }
+
+  async transact (tx: Transaction): Promise<Either<Failure, TransactAnswer>> {
+    return await this.#call(tx, async () => await this.primary.transact(tx))
+  }
+
+  async #call<T> (question: unknown, effect: () => Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
+    if (this.cut) return Left(new Failure('platformUnavailable', 'the table cannot be reached'))
+    await this.travel()
+    const answer = await effect()
+    await this.travel()
+    this.traffic.messages++
+    this.traffic.bytes += JSON.stringify(question).length + JSON.stringify(answer.extract()).length
+    return answer
+  }
+}
