Recover what ended holders held, and test budgets under random faults

Cause: a VM that dies holds tokens and may owe bills; neither may be lost, and neither may be counted twice when the VM only slept. Change: a register of holders, and recovery passes that close all ended holders of a domain together once the list or the lapse proves the end, every other holder of the domain confirmed that no transfer is unrecorded, and every declared runner told of its runs. Ruled out: closing holders one by one, because one may have spent what another gave before either recorded it. Proof: seeded cases in virtual time over the real driver (cut, outage, lost and slow answers, death, freeze, replacement, clock step, top-up, drain) audit bills against the engines' records and the table.

--- a/packages/decisions/src/budget/budgetKeys.ts
+++ b/packages/decisions/src/budget/budgetKeys.ts
@@ -9,6 +9,8 @@
   allotments: 'allotments',
   /** Index `<holder>/<budget>` of allotments, so that recovery finds what an ended holder held. */
   holdings: 'holdings',
+  /** Rows `<domain>/<holder>`: every process that may hold tokens. */
+  holders: 'holders',
   segments: 'segments',
   topUps: 'topups',
   transfers: 'transfers'
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -38,6 +38,13 @@
 })
 export type AllotmentRow = z.infer<typeof allotmentRowSchema>
 
+/** Row `holders/<domain>/<holder>`: written once, before the holder takes a transfer. */
+export const holderRowSchema = z.object({ holder: z.string(), domain: z.string() })
+export type HolderRow = z.infer<typeof holderRowSchema>
+
+/** Row `holdings/<holder>/<budget>`: index of the allotments of a holder. */
+export const holdingRowSchema = z.object({ holder: z.string(), budget: z.string() })
+
 /** Row `topups/<operationId>`. */
 export const topUpRowSchema = z.object({
   operationId: z.string(),
--- a/packages/decisions/src/budget/flushPlan.ts
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -61,6 +61,13 @@
   return allotmentOf(rows, budget, holder)?.state === 'closed'
 }
 
+/** The own allotment was closed, or closed and removed, so that nothing can be settled against it. */
+function isLost (rows: RowSet, order: FlushOrder, budget: string, holder: string): boolean {
+  if (allotmentOf(rows, budget, holder) !== undefined) return isClosed(rows, budget, holder)
+  if (order.transfers.some(item => item.budget === budget && item.to === holder)) return false
+  return [...order.bills, ...order.returns].some(item => item.budget === budget && item.tokens > 0)
+}
+
 function lostTransfers (rows: RowSet, order: FlushOrder): readonly string[] {
   return order.transfers
     .filter(item => !isRecorded(rows, item))
@@ -114,7 +121,7 @@
   const { holder, domain } = flusher
   const key = segmentKey(holder, order.seq)
   if (rows.get(segmentRowSchema, budgetTables.segments, key) !== undefined) return Right({ kind: 'done' })
-  const budgets = [...ownBudgets(order)].filter(budget => isClosed(rows, budget, holder))
+  const budgets = [...ownBudgets(order)].filter(budget => isLost(rows, order, budget, holder))
   const lost = lostTransfers(rows, order)
   if (budgets.length > 0 || lost.length > 0) return Right({ kind: 'closed', budgets, lostTransfers: lost })
   const steps = [
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -116,8 +116,8 @@
   /** Stops admitting; resolves when every bill is durable and every free token returned. Ticks have to go on. */
   async drain (): Promise<void> {
     this.dispatch({ kind: 'drain' })
-    if (this.isDrained) return
-    await new Promise<void>(resolve => this.drainWaiters.push(resolve))
+    if (!this.isDrained) await new Promise<void>(resolve => this.drainWaiters.push(resolve))
+    await this.registry.retire()
   }
 
   /**
@@ -264,6 +264,7 @@
 
   private reportClosed (action: Extract<BudgetAction, { kind: 'closed' }>): void {
     this.counts.inDoubtTokens += action.inDoubt
+    this.registry.forget()
     this.parts.log.write('allotmentClosed', { budget: action.budget, inDoubt: action.inDoubt })
   }
 }
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -4,12 +4,12 @@
  * runner told of its runs, and none of them is still running. Otherwise all stays in doubt until
  * the next pass.
  */
-import type { Either } from 'purify-ts'
-import { EitherAsync } from 'purify-ts'
+import { EitherAsync, type Either } from 'purify-ts'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
-import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
+import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder, type RecoveryPlan } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { GoneVms, hasLapsed, mayBeForgotten, type RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import { BudgetRegistry } from './budgetRegistry.js'
@@ -52,6 +52,7 @@
   private readonly gone = new GoneVms()
   private readonly registry: BudgetRegistry
   private readonly runs: RecoveryRuns
+  private readonly absentSince = new Map<string, Instant>()
   private running = false
 
   constructor (private readonly table: BudgetTable, private readonly parts: RecoveryParts, registry: BudgetRegistry) {
@@ -81,6 +82,7 @@
     const members = new Set([this.parts.holder, ...this.parts.peers.members().map(member => member.holder)])
     const ended = holders.filter(item => this.gone.proves(item))
     const rest = holders.filter(item => !this.gone.proves(item))
+    for (const holder of members) this.absentSince.delete(holder)
     return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)) }
   }
 
@@ -91,6 +93,7 @@
     }
     for (const budget of budgets) await this.recoverBudget(view, budget)
     for (const item of view.ended) await this.removeWhenClosed(view, item)
+    for (const item of view.absent) if (this.isLongAbsent(item)) await this.removeWhenClosed(view, item)
   }
 
   private async recoverBudget (view: DomainView, budget: string): Promise<void> {
@@ -101,7 +104,7 @@
       const reason = await this.blocked(view, survey, closing)
       if (reason !== undefined) throwE(reason)
       const owed = await fromPromise(this.owed(view, survey, closing, budget))
-      await fromPromise(this.close({ budget, owed, closing: closing.map(item => ({ holder: item.row.holder, version: item.version })) }, closing))
+      await fromPromise(this.close({ budget, owed, closing: closing.map(item => ({ holder: item.row.holder, version: item.version })) }))
     }).mapLeft(toFailure).run()
     result.ifLeft(failure => this.parts.log.write('budgetFault', { operation: 'recover', budget, code: failure.code, detail: failure.message }))
   }
@@ -115,8 +118,7 @@
 
   /** Why the allotments cannot be closed yet. */
   private async blocked (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): Promise<Failure | undefined> {
-    const closed = new Set(closing.map(item => item.row.holder))
-    const unsure = view.absent.find(item => !closed.has(item.holder))
+    const unsure = this.unsure(view, survey, closing)
     if (unsure !== undefined) return waiting(`${unsure.holder} may hold a transfer and has not lapsed`)
     for (const item of closing) {
       if (mayBeForgotten(this.parts.policy, await this.runs.contactAgeMs(item, survey.now))) {
@@ -127,6 +129,17 @@
     return undefined
   }
 
+  /**
+   * An absent holder that may still spend tokens received from one to be closed. Without an own
+   * row it can only hold received tokens, which lapse no later than their giver.
+   */
+  private unsure (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): RegisteredHolder | undefined {
+    const closed = new Set(closing.map(item => item.row.holder))
+    const open = new Set(survey.allotments.filter(item => item.row.state === 'open').map(item => item.row.holder))
+    const allLapsed = closing.every(item => hasLapsed(this.parts.policy, item.ageMs))
+    return view.absent.find(({ holder }) => !closed.has(holder) && (open.has(holder) || !allLapsed))
+  }
+
   private async isConfirmed (view: DomainView, ended: string): Promise<boolean> {
     for (const { holder } of view.present) {
       const isNone = holder === this.parts.holder
@@ -141,28 +154,40 @@
   private async owed (
     view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[], budget: string
   ): Promise<Either<Failure, readonly OwedBill[]>> {
-    const lapsed = new Set(closing.map(item => item.row.holder))
     const ended = view.ended.map(item => item.holder)
-    const holders = [...new Set([...ended, ...lapsed])]
+    const holders = new Set([...ended, ...view.absent.map(item => item.holder), ...closing.map(item => item.row.holder)])
     const rows = new Map(survey.allotments.map(item => [item.row.holder, item]))
-    return await this.runs.unbilled(budget, holders.map(holder => ({
+    return await this.runs.unbilled(budget, [...holders].map(holder => ({
       holder,
       lastSeq: rows.get(holder)?.row.lastSeq,
       mayCancel: !ended.includes(holder)
     })))
   }
 
-  private async close (order: RecoveryOrder, closing: readonly AgedAllotment[]): Promise<Either<Failure, void>> {
+  private async close (order: RecoveryOrder): Promise<Either<Failure, void>> {
     const id = `recover/${order.budget}/${order.closing.map(item => item.version).join('-')}`
     const done = await this.table.run(id, recoveryKeys(order), rows => planRecovery(rows, order))
-    return done.map(({ plan }) => {
-      if (plan.kind !== 'write') return
-      const holder = closing.map(item => item.row.holder).join(' ')
-      this.parts.log.write('budgetRecovered', { holder, budget: order.budget, billed: plan.billed, returned: plan.returned })
-    })
+    done.ifRight(({ plan }) => this.report(order, plan))
+    return done.map(() => undefined)
+  }
+
+  private report (order: RecoveryOrder, plan: RecoveryPlan): void {
+    if (plan.kind !== 'write') return
+    const holder = order.closing.map(item => item.holder).join(' ')
+    this.parts.log.write('budgetRecovered', { holder, budget: order.budget, billed: plan.billed, returned: plan.returned })
+  }
+
+  /** Whether a holder has been no member for a whole lapse, as seen by this process itself. */
+  private isLongAbsent (item: RegisteredHolder): boolean {
+    const now = this.table.now()
+    const since = this.absentSince.get(item.holder) ?? now
+    this.absentSince.set(item.holder, since)
+    return hasLapsed(this.parts.policy, elapsedMs(since, now))
   }
 
+  /** Nobody may record a transfer with a removed holder, so every other holder must have been asked. */
   private async removeWhenClosed (view: DomainView, item: RegisteredHolder): Promise<void> {
+    if (view.absent.some(other => other !== item && !this.isLongAbsent(other))) return
     const budgets = await this.registry.budgetsOf(item.holder)
     if (budgets.isLeft() || !await this.isConfirmed(view, item.holder)) return
     const found = budgets.orDefault([])
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetChaos.spec.ts
@@ -0,0 +1,28 @@
+/**
+ * No budget is overspent, each run is billed once and nothing is stranded, whatever happens.
+ */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ChaosRun, chaosStep, type Tally } from './budgetChaos.js'
+
+const seed = Number(process.env.CHAOS_SEED ?? 20_261)
+const runs = Number(process.env.CHAOS_RUNS ?? 2000)
+
+/** What the cases have to reach. */
+const reached = [
+  'admitted', 'budgetSpent', 'budgetElsewhere', 'budgetPending', 'budgetDrawn', 'budgetFlushed', 'budgetTransferred',
+  'budgetRecalled', 'budgetReturned', 'budgetRecovered', 'allotmentClosed', 'budgetFault'
+]
+
+describe('budgets under random faults', function () {
+  this.timeout(300_000)
+
+  it('are never overspent, bill each run once and strand nothing', async () => {
+    const tally: Tally = new Map()
+    await fc.assert(fc.asyncProperty(fc.integer({ min: 0, max: 1e9 }), fc.array(chaosStep, { minLength: 3, maxLength: 14 }), async (caseSeed, steps) => {
+      expect(await new ChaosRun(caseSeed, tally).run(steps)).to.deep.equal([])
+    }), { seed, numRuns: runs, endOnFailure: process.env.CHAOS_FAST === '1' })
+    if (process.env.CHAOS_TALLY === '1') console.log(tally)
+    expect([...tally.keys()]).to.include.members(reached)
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetEngines.ts
@@ -0,0 +1,83 @@
+/**
+ * Engines of a budget run: they keep a record of each run, and end it even if its VM died.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { RecoveryRunners } from 'rosemaryspread/budget/budgetRecoveryRuns.js'
+import type { PeerNetwork } from './budgetNetwork.js'
+
+/** A run to be started. */
+export interface EngineRun {
+  readonly requestId: string
+  readonly holder: string
+  readonly budget: string
+  readonly tokens: number
+}
+
+/** Records of all engines, one engine for each failure domain. */
+export class BudgetEngines {
+  private readonly byDomain = new Map<string, Map<string, RunRecord>>()
+
+  constructor (domains: readonly string[], private readonly network: PeerNetwork) {
+    for (const domain of domains) this.byDomain.set(domain, new Map())
+  }
+
+  /** All records. */
+  all (): readonly RunRecord[] {
+    return [...this.byDomain.values()].flatMap(records => [...records.values()])
+  }
+
+  /**
+   * Starts a run.
+   * @param domain - failure domain of the engine
+   * @param run - the run; its tokens are known from the start in virtual time
+   */
+  start (domain: string, run: EngineRun): void {
+    const { requestId, holder, budget, tokens } = run
+    const record: RunRecord = {
+      requestId, holder, budget, digest: '', team: budget, model: 'm', state: 'running', promptTokens: tokens, completionTokens: 0
+    }
+    this.recordsOf(domain).set(requestId, record)
+  }
+
+  /**
+   * Ends a run unless it was cancelled; answers its record.
+   * @param domain - failure domain of the engine
+   * @param requestId - id of the run
+   */
+  end (domain: string, requestId: string): RunRecord | undefined {
+    const record = this.recordsOf(domain).get(requestId)
+    if (record?.state === 'running') this.recordsOf(domain).set(requestId, { ...record, state: 'finished' })
+    return this.recordsOf(domain).get(requestId)
+  }
+
+  /**
+   * The engines as a VM reaches them.
+   * @param from - failure domain of the VM
+   */
+  reachedFrom (from: string): RecoveryRunners {
+    return {
+      declared: () => [...this.byDomain.keys()].map(domain => ({ runner: domain, address: domain })),
+      engines: {
+        listByHolder: async (domain, holder) =>
+          await this.network.call(from, domain, async () => [...this.recordsOf(domain).values()].filter(record => record.holder === holder)),
+        cancel: async (domain, requestId) => (await this.network.call(from, domain, async () => this.cancel(domain, requestId))).chain(found)
+      }
+    }
+  }
+
+  private cancel (domain: string, requestId: string): RunRecord | undefined {
+    const record = this.recordsOf(domain).get(requestId)
+    if (record?.state === 'running') this.recordsOf(domain).set(requestId, { ...record, state: 'cancelled' })
+    return this.recordsOf(domain).get(requestId)
+  }
+
+  private recordsOf (domain: string): Map<string, RunRecord> {
+    return this.byDomain.get(domain) ?? new Map<string, RunRecord>()
+  }
+}
+
+function found (record: RunRecord | undefined): Either<Failure, RunRecord> {
+  return record === undefined ? Left(new Failure('notFound', 'no such run')) : Right(record)
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetNetwork.ts
@@ -0,0 +1,141 @@
+/**
+ * What connects the VMs of a budget run with the table, with each other and with the engines:
+ * latencies, cuts of failure domains, outages and lost answers, all in virtual time.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableState } from '../../table/tableState.js'
+import type { VirtualTime } from './virtualTime.js'
+
+/** Milliseconds, one way. */
+export interface Latencies {
+  readonly betweenDomains: number
+  readonly table: number
+}
+
+/** Milliseconds until a call without an answer is given up. */
+const TIMEOUT_MS = 1_000
+
+/** Faults of the run as they are now. */
+export class NetworkFaults {
+  /** Failure domains cut from the table and from all other domains. */
+  readonly cut = new Set<string>()
+  outage = false
+  /** Part of answers lost after the effect, 0 to 1. */
+  lostAnswers = 0
+  /** Part of requests lost before the effect, 0 to 1. */
+  lostRequests = 0
+  /** Milliseconds added to each table call. */
+  slowMs = 0
+
+  /**
+   * Whether two failure domains reach each other.
+   * @param a - a domain
+   * @param b - another
+   */
+  connects (a: string, b: string): boolean {
+    return a === b || !(this.cut.has(a) || this.cut.has(b))
+  }
+}
+
+/** The table as one VM reaches it. */
+export class RemoteTable implements TableStore {
+  writes = 0
+
+  /**
+   * @param state - the rows
+   * @param domain - failure domain of the VM
+   * @param time - virtual time
+   * @param faults - present faults
+   * @param latencies - one-way times
+   * @param random - numbers from 0 to 1
+   */
+  constructor (
+    private readonly state: TableState,
+    private readonly domain: string,
+    private readonly time: VirtualTime,
+    private readonly faults: NetworkFaults,
+    private readonly latencies: Latencies,
+    private readonly random: () => number
+  ) {}
+
+  async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    return await this.call(() => Right(this.state.read(keys)), false)
+  }
+
+  async scan (req: ScanRequest): Promise<Either<Failure, ScanAnswer>> {
+    return await this.call(() => Right(this.state.scan(req)), false)
+  }
+
+  async transact (tx: Transaction): Promise<Either<Failure, TransactAnswer>> {
+    const sent = structuredClone(tx)
+    return await this.call(() => {
+      this.writes += 1
+      return this.state.transact(sent).mapLeft(() => new Failure('platformConflict', 'a row changed'))
+    }, true)
+  }
+
+  private async call<T> (effect: () => Either<Failure, T>, isWrite: boolean): Promise<Either<Failure, T>> {
+    await this.time.sleep(this.latencies.table + this.faults.slowMs * this.random())
+    if (this.isDown) {
+      await this.time.sleep(this.faults.outage ? this.latencies.table : TIMEOUT_MS)
+      return Left(new Failure('platformUnavailable', 'the table cannot be reached'))
+    }
+    if (this.random() < this.faults.lostRequests) return await this.lost(isWrite)
+    const answer = effect()
+    await this.time.sleep(this.latencies.table)
+    if (this.isDown || this.random() < this.faults.lostAnswers) return await this.lost(isWrite)
+    return answer
+  }
+
+  private get isDown (): boolean {
+    return this.faults.outage || this.faults.cut.has(this.domain)
+  }
+
+  private async lost<T> (isWrite: boolean): Promise<Either<Failure, T>> {
+    await this.time.sleep(TIMEOUT_MS)
+    return Left(isWrite
+      ? new Failure('platformOutcomeUnknown', 'the answer was lost', { ran: 'unknown' })
+      : new Failure('platformUnavailable', 'the answer was lost'))
+  }
+}
+
+/** Calls from one VM to another. */
+export class PeerNetwork {
+  constructor (
+    private readonly time: VirtualTime,
+    private readonly faults: NetworkFaults,
+    private readonly latencies: Latencies,
+    private readonly random: () => number
+  ) {}
+
+  /**
+   * Carries a call and its answer.
+   * @param from - failure domain of the caller
+   * @param to - failure domain of the callee
+   * @param serve - carries the call out; `undefined` when the callee is dead
+   */
+  async call<T> (from: string, to: string, serve: (() => Promise<T>) | undefined): Promise<Either<Failure, T>> {
+    await this.time.sleep(this.latency(from, to))
+    if (serve === undefined || !this.faults.connects(from, to) || this.random() < this.faults.lostRequests) return await this.unreachable()
+    const answer = await Promise.race([serve().then(value => ({ value })), this.time.sleep(TIMEOUT_MS).then(() => undefined)])
+    if (answer === undefined) return Left(unreachable())
+    await this.time.sleep(this.latency(from, to))
+    if (!this.faults.connects(from, to) || this.random() < this.faults.lostAnswers) return await this.unreachable()
+    return Right(structuredClone(answer.value))
+  }
+
+  private latency (from: string, to: string): number {
+    return from === to ? this.latencies.betweenDomains / 2 : this.latencies.betweenDomains
+  }
+
+  private async unreachable<T> (): Promise<Either<Failure, T>> {
+    await this.time.sleep(TIMEOUT_MS)
+    return Left(unreachable())
+  }
+}
+
+function unreachable (): Failure {
+  return new Failure('peerUnreachable', 'the VM cannot be reached', { ran: 'unknown' })
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetWorld.ts
@@ -0,0 +1,200 @@
+/**
+ * A fleet in virtual time around real budget drivers: table, peers, engines and requests. The
+ * measurement and the property test of budgets both run in it.
+ */
+import seedrandom from 'seedrandom'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
+import type { BudgetPeers } from 'rosemaryspread/budget/budgetPeers.js'
+import { TableState } from '../../table/tableState.js'
+import { BudgetEngines } from './budgetEngines.js'
+import { NetworkFaults, PeerNetwork, RemoteTable, type Latencies } from './budgetNetwork.js'
+import { BudgetVm, type Spender, type SpenderParts } from './budgetVm.js'
+import { VirtualTime } from './virtualTime.js'
+
+/** Builds the budgets of one VM. */
+export type SpenderFactory = (parts: SpenderParts) => Spender
+
+/** Shape of a run. */
+export interface WorldShape {
+  readonly seed: string
+  readonly domains: readonly string[]
+  readonly vmsPerDomain: number
+  readonly latencies: Latencies
+  readonly tickMs: number
+  /** Milliseconds that the list of VMs lags. */
+  readonly listLagMs: number
+  /** Milliseconds between two recovery passes. */
+  readonly recoverEveryMs: number
+  readonly spender: SpenderFactory
+}
+
+/** One request. */
+export interface WorldRequest {
+  readonly requestId: string
+  readonly budget: string
+  /** Worst case. */
+  readonly tokens: number
+  /** What it will cost. */
+  readonly used: number
+  readonly runMs: number
+  readonly giveUpAfterMs: number
+}
+
+/** A VM with its budgets. */
+export interface WorldNode {
+  readonly vm: BudgetVm
+  readonly spender: Spender
+  readonly table: RemoteTable
+}
+
+/** What became of a request. */
+export type RequestEnd = { readonly kind: 'admitted' } | { readonly kind: 'refused', readonly failure: Failure }
+
+/** Milliseconds between a reservation and the dispatch of its run. */
+const DISPATCH_MS = 2
+
+/** The fleet. */
+export class BudgetWorld {
+  readonly time = new VirtualTime()
+  readonly faults = new NetworkFaults()
+  readonly state = new TableState(() => this.time.now)
+  readonly nodes: WorldNode[] = []
+  readonly engines: BudgetEngines
+  readonly random: () => number
+  private readonly network: PeerNetwork
+  private readonly gone: Array<{ readonly vm: string, readonly at: number }> = []
+  private readonly replaced = new Set<BudgetVm>()
+  private started = 0
+
+  constructor (readonly shape: WorldShape) {
+    this.random = seedrandom(shape.seed)
+    this.network = new PeerNetwork(this.time, this.faults, shape.latencies, this.random)
+    this.engines = new BudgetEngines(shape.domains, this.network)
+    for (const domain of shape.domains) {
+      for (let index = 0; index < shape.vmsPerDomain; index += 1) this.startVm(domain)
+    }
+    this.tick()
+    this.recover()
+  }
+
+  /** VMs that take requests in a failure domain. */
+  serving (domain: string): readonly WorldNode[] {
+    return this.nodes.filter(node => node.vm.domain === domain && node.vm.isServing)
+  }
+
+  /**
+   * Starts a fresh VM.
+   * @param domain - its failure domain
+   */
+  startVm (domain: string): WorldNode {
+    this.started += 1
+    const name = `vm${this.started}`
+    const vm = new BudgetVm(name, `${name}~1`, domain, this.time)
+    const table = new RemoteTable(this.state, domain, this.time, this.faults, this.shape.latencies, this.random)
+    const spender = this.shape.spender({
+      holder: vm.holder,
+      domain,
+      store: vm.guardStore(table),
+      peers: vm.guardPeers(this.peersOf(vm)),
+      runners: this.engines.reachedFrom(domain),
+      clock: vm.clock
+    })
+    const node = { vm, spender, table }
+    this.nodes.push(node)
+    return node
+  }
+
+  /**
+   * Ends a VM for good; the platform's list says so after its lag.
+   * @param node - the VM
+   */
+  kill (node: WorldNode): void {
+    node.vm.isDead = true
+    this.gone.push({ vm: node.vm.vm, at: this.time.now })
+  }
+
+  /**
+   * Starts another VM in place of one that membership no longer names, though it may wake.
+   * @param node - the VM replaced
+   */
+  replace (node: WorldNode): void {
+    this.replaced.add(node.vm)
+    this.startVm(node.vm.domain)
+  }
+
+  /**
+   * Serves one request at a VM.
+   * @param node - where the caller connected
+   * @param req - the request
+   */
+  async request (node: WorldNode, req: WorldRequest): Promise<RequestEnd> {
+    const { vm, spender } = node
+    const reserved = await spender.reserve(req.budget, req.tokens, req.giveUpAfterMs)
+    if (reserved.isLeft()) return { kind: 'refused', failure: reserved.extract() as Failure }
+    const reservation = reserved.unsafeCoerce()
+    await this.time.sleep(DISPATCH_MS)
+    await vm.take(undefined)
+    const confirmed = spender.confirm(reservation)
+    if (confirmed.isLeft()) {
+      spender.settle(reservation)
+      return { kind: 'refused', failure: confirmed.extract() as Failure }
+    }
+    this.engines.start(vm.domain, { requestId: req.requestId, holder: vm.holder, budget: req.budget, tokens: req.used })
+    this.time.after(req.runMs, () => this.finish(node, req, () => {
+      spender.settle(reservation, { requestId: req.requestId, budget: req.budget, team: req.budget, tokens: req.used, runner: vm.domain })
+    }))
+    return { kind: 'admitted' }
+  }
+
+  /** The platform's list as of its lag. */
+  get list (): { readonly asOf: number, readonly vms: ReadonlyArray<{ readonly vm: string, readonly state: string }> } {
+    const asOf = this.time.now - this.shape.listLagMs
+    return { asOf, vms: this.gone.filter(item => item.at <= asOf).map(item => ({ vm: item.vm, state: 'gone' })) }
+  }
+
+  private finish (node: WorldNode, req: WorldRequest, settle: () => void): void {
+    this.engines.end(node.vm.domain, req.requestId)
+    node.vm.take(undefined).then(settle).catch(err => { throw err })
+  }
+
+  private tick (): void {
+    for (const { vm, spender } of this.nodes) if (vm.isServing) spender.tick()
+    this.time.after(this.shape.tickMs, () => this.tick())
+  }
+
+  private recover (): void {
+    const { list } = this
+    const able = this.nodes.filter(node => node.vm.isServing && !this.faults.cut.has(node.vm.domain))
+    for (const { spender } of able.slice(0, 2)) {
+      if (spender instanceof BudgetDriver) spender.recoverDead(list).catch(err => { throw err })
+    }
+    this.time.after(this.shape.recoverEveryMs, () => this.recover())
+  }
+
+  private peersOf (self: BudgetVm): BudgetPeers {
+    const find = (holder: string): WorldNode | undefined => this.nodes.find(node => node.vm.holder === holder)
+    const call = async <T>(holder: string, serve: (driver: BudgetDriver) => Promise<T>): ReturnType<typeof this.network.call<T>> => {
+      const node = find(holder)
+      const driver = node?.spender
+      const isAlive = node !== undefined && !node.vm.isDead && driver instanceof BudgetDriver
+      return await this.network.call(self.domain, node?.vm.domain ?? self.domain, isAlive
+        ? async () => {
+          await node.vm.take(undefined)
+          return await serve(driver)
+        }
+        : undefined)
+    }
+    return {
+      members: () => {
+        const gone = new Set(this.list.vms.map(item => item.vm))
+        return this.nodes
+          .filter(node => node.vm !== self && !gone.has(node.vm.vm) && !this.replaced.has(node.vm))
+          .map(({ vm }) => ({ holder: vm.holder, domain: vm.domain }))
+      },
+      give: async (holder, ask) => await call(holder, async driver => driver.onGive(ask)),
+      recall: async (holder, ask) => await call(holder, async driver => await driver.onRecall(ask)),
+      confirmNoTransfers: async (holder, ask) => await call(holder, async driver => driver.onConfirm(ask))
+    }
+  }
+}
