Add leases for roles, with fencing, and specs of the membership drivers

Cause: placement and a domain's writer must have one holder at a time, also when a holder is paused beyond its lease and wakes believing that it holds it.

Ruled out: one row for lease and fencing, because each renewal changes its version and every write under the lease would conflict with a renewal under way; the fence is a row of its own, written only when the role changes hands.

--- /dev/null
+++ b/packages/decisions/src/lease/leaseKeeper.spec.ts
@@ -0,0 +1,192 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import { LeaseKeeper } from './leaseKeeper.js'
+import { LeaseWorld, type LeaseNode } from './leaseWorld.fixture.js'
+import { defaultLeaseLimits, type LeaseEvent, type LeaseLimits } from './leaseTypes.js'
+
+const ROLE = 'placement'
+const { durationMs, marginMs, pollMs, renewMs } = defaultLeaseLimits
+
+function worldOf (count: number, limits: LeaseLimits = defaultLeaseLimits): LeaseWorld {
+  return new LeaseWorld(count, name => new LeaseKeeper(ROLE, name, limits))
+}
+
+/** Weaker: trusts the monotonic clock alone. */
+class MonotonicKeeper extends LeaseKeeper {
+  override mayAct (now: Instant): boolean {
+    return super.mayAct({ mono: now.mono, wall: 0 })
+  }
+}
+
+describe('lease of a role', () => {
+  it('is taken by one of several, with fencing 1, and kept', () => {
+    const world = worldOf(3)
+    world.run(20_000)
+    expect(world.acting()).length(1)
+    expect(world.acting()[0]!.keeper.fencing()).equal(1)
+    expect(world.nodes.map(node => node.count('taken')).sort()).deep.equal([0, 0, 1])
+  })
+
+  it('goes to another within seconds of the holder\'s death, with a higher fencing number', () => {
+    const world = worldOf(3)
+    world.run(3_000)
+    world.acting()[0]!.paused = true
+    world.run(durationMs + marginMs + 2 * pollMs)
+    expect(world.acting()).length(1)
+    expect(world.acting()[0]!.keeper.fencing()).equal(2)
+  })
+
+  it('goes to another at once when released, and is released when its write is lost', () => {
+    for (const loseAnswers of [0, 1, 2]) {
+      const world = worldOf(2)
+      world.run(3_000)
+      const [holder] = world.acting() as [LeaseNode]
+      world.loseAnswers = loseAnswers
+      holder.feed({ kind: 'release' })
+      expect(world.acting()).deep.equal([])
+      world.run(3 * pollMs)
+      expect(world.acting().map(node => node.name)).deep.equal(world.nodes.filter(node => node !== holder).map(node => node.name))
+      expect(holder.count('released')).equal(1)
+    }
+  })
+
+  it('a release ends by time when the table is down', () => {
+    const world = worldOf(1)
+    world.run(3_000)
+    world.down = true
+    world.nodes[0]!.feed({ kind: 'release' })
+    world.run(durationMs - 100)
+    expect(world.nodes[0]!.count('released')).equal(0)
+    world.run(200)
+    expect(world.nodes[0]!.count('released')).equal(1)
+  })
+
+  for (const [monoRuns, wallRuns] of [[true, true], [true, false], [false, true]] as const) {
+    it(`a holder frozen beyond the end may not act on waking (monotonic ${monoRuns ? 'runs' : 'stops'}, wall ${wallRuns ? 'runs' : 'stops'})`, () => {
+      const world = worldOf(2)
+      world.run(3_000)
+      const [frozen] = world.acting() as [LeaseNode]
+      const beforeWait = frozen.mayAct()
+      Object.assign(frozen, { paused: true, monoRuns, wallRuns })
+      world.run(20_000)
+      frozen.paused = false
+      expect(beforeWait, 'a check before the wait says nothing (counter-example)').equal(true)
+      expect(frozen.mayAct()).equal(false)
+      expect(world.acting(), 'the other took it').length(1)
+      world.run(3_000)
+      expect(frozen.count('lost')).equal(1)
+      expect(world.acting()).length(1)
+    })
+  }
+
+  it('a lease counted on the monotonic clock alone lets two act (counter-example)', () => {
+    const world = new LeaseWorld(2, name => new MonotonicKeeper(ROLE, name))
+    world.run(3_000)
+    const [frozen] = world.acting() as [LeaseNode]
+    Object.assign(frozen, { paused: true, monoRuns: false })
+    world.run(20_000)
+    frozen.paused = false
+    expect(world.acting()).length(2)
+  })
+
+  it('a wall clock that was set back does not bring a lapsed lease back', () => {
+    const world = worldOf(1)
+    world.run(3_000)
+    const [holder] = world.nodes as [LeaseNode]
+    world.down = true
+    Object.assign(holder, { paused: true, monoRuns: false })
+    world.run(20_000)
+    expect(holder.mayAct()).equal(false)
+    holder.wall -= 20_000
+    expect(holder.mayAct()).equal(false)
+  })
+
+  it('lost answers are read back: taking and renewing go on under one fencing number', () => {
+    const world = worldOf(1)
+    world.loseAnswers = 3
+    world.run(20_000)
+    const [holder] = world.nodes as [LeaseNode]
+    expect(holder.mayAct()).equal(true)
+    expect([holder.keeper.fencing(), holder.count('taken'), holder.count('lost')]).deep.equal([1, 1, 0])
+  })
+
+  it('an outage shorter than the lease does not end it; a longer one does, and the holder takes it up again', () => {
+    for (const [outageMs, lost] of [[durationMs - marginMs - renewMs - 500, 0], [durationMs + 1_000, 1]] as const) {
+      const world = worldOf(1)
+      world.run(3_000)
+      world.down = true
+      world.run(outageMs)
+      world.down = false
+      world.run(1_000)
+      const [holder] = world.nodes as [LeaseNode]
+      expect([holder.mayAct(), holder.count('lost'), holder.keeper.fencing()]).deep.equal([true, lost, 1])
+    }
+  })
+
+  it('a write under the lease fails once another holds it, also before the old holder knows', () => {
+    const world = worldOf(2)
+    world.run(3_000)
+    const [old] = world.acting() as [LeaseNode]
+    const check = old.keeper.leaseCheck(old.now())!
+    expect(world.fits(check)).equal(true)
+    world.run(4 * renewMs)
+    expect(world.fits(check), 'renewals leave it as it is').equal(true)
+    old.paused = true
+    world.run(durationMs + marginMs + 2 * pollMs)
+    expect(world.fits(check)).equal(false)
+    old.paused = false
+    expect(old.keeper.leaseCheck(old.now())).equal(undefined)
+  })
+
+  it('nobody takes a role without being a candidate', () => {
+    const world = worldOf(1)
+    world.nodes[0]!.feed({ kind: 'candidate', wanted: false } satisfies LeaseEvent)
+    world.run(5_000)
+    expect(world.acting()).deep.equal([])
+  })
+
+  describe('never two that may act at once, over random pauses, losses, delays and drifting clocks', () => {
+    const DRIFT = 0.08
+    const drift = fc.constantFrom(1 - DRIFT, 1, 1 + DRIFT)
+    const trouble = fc.record({
+      atMs: fc.nat(60_000),
+      node: fc.nat(2),
+      kind: fc.constantFrom('pause' as const, 'cut' as const, 'wallBack' as const),
+      forMs: fc.integer({ min: 500, max: 12_000 })
+    })
+    const history = fc.record({
+      rates: fc.array(drift, { minLength: 3, maxLength: 3 }),
+      faulty: fc.array(fc.constantFrom('mono' as const, 'wall' as const), { minLength: 3, maxLength: 3 }),
+      tableRate: drift,
+      tape: fc.array(fc.nat(999), { minLength: 40, maxLength: 80 }),
+      troubles: fc.array(trouble, { minLength: 1, maxLength: 12 })
+    })
+
+    function violated (makeKeeper: (name: string) => LeaseKeeper): boolean {
+      const run = fc.check(fc.property(history, ({ rates, faulty, tableRate, tape, troubles }) => {
+        const world = new LeaseWorld(3, makeKeeper)
+        world.disturb(rates, faulty, tableRate, tape)
+        world.play(troubles, 70_000)
+        return world.mostActing <= 1
+      }), { seed: 20_261, numRuns: 300, endOnFailure: true })
+      return run.failed
+    }
+
+    it('holds with the margin', () => {
+      expect(violated(name => new LeaseKeeper(ROLE, name))).equal(false)
+    })
+
+    it('fails without a margin (counter-example)', () => {
+      expect(violated(name => new LeaseKeeper(ROLE, name, { ...defaultLeaseLimits, marginMs: 0 }))).equal(true)
+    })
+
+    it('fails on the monotonic clock alone (counter-example)', () => {
+      expect(violated(name => new MonotonicKeeper(ROLE, name))).equal(true)
+    })
+  })
+
+  it('counts a pause that either clock saw', () => {
+    expect(elapsedMs({ mono: 0, wall: 0 }, { mono: 1, wall: 9 })).equal(9)
+  })
+})
--- /dev/null
+++ b/packages/decisions/src/lease/leaseWorld.fixture.ts
@@ -0,0 +1,198 @@
+/**
+ * Several keepers of one role against one table, in simulated time. Clocks drift, calls are
+ * slow or lost, and processes are paused; all of it by numbers that the test gives.
+ */
+import type { Instant } from '../clock/clockTypes.js'
+import type { LeaseKeeper } from './leaseKeeper.js'
+import { FENCE_TABLE, LEASE_TABLE, type FenceRow, type LeaseAction, type LeaseEvent, type LeaseRow, type LeaseRowCheck, type LeaseWriteOutcome, type ReadLease } from './leaseTypes.js'
+
+const STEP_MS = 50
+/** Draws from here on are delays in milliseconds; smaller ones a tenth of it. */
+const SLOW_FROM = 800
+
+interface Stored {
+  readonly value: LeaseRow | FenceRow
+  readonly version: number
+  readonly updatedAt: number
+}
+
+interface Pending {
+  readonly at: number
+  readonly run: () => void
+}
+
+/** A disturbance of one node. */
+export interface Trouble {
+  readonly atMs: number
+  readonly node: number
+  /** `wallBack` only affects nodes whose wall clock is the faulty one. */
+  readonly kind: 'pause' | 'cut' | 'wallBack'
+  readonly forMs: number
+}
+
+/** One process. */
+export class LeaseNode {
+  paused = false
+  cut = false
+  monoRuns = true
+  wallRuns = true
+  mono = 0
+  wall = 1_000_000
+  rate = 1
+  /** The clock that stops in pauses; a wall clock that does may also be set back. */
+  faulty: 'mono' | 'wall' | undefined
+  readonly actions: LeaseAction[] = []
+  /** Answers that arrived during a pause. */
+  readonly inbox: LeaseEvent[] = []
+
+  constructor (readonly name: string, readonly keeper: LeaseKeeper, private readonly world: LeaseWorld) {}
+
+  now (): Instant {
+    return { mono: this.mono, wall: this.wall }
+  }
+
+  mayAct (): boolean {
+    return this.keeper.mayAct(this.now())
+  }
+
+  count (kind: LeaseAction['kind']): number {
+    return this.actions.filter(action => action.kind === kind).length
+  }
+
+  feed (event: LeaseEvent): void {
+    const actions = this.keeper.handle(event, this.now())
+    this.actions.push(...actions)
+    for (const action of actions) this.world.carryOut(this, action)
+  }
+
+  step (): void {
+    if (!this.paused || this.monoRuns) this.mono += STEP_MS * this.rate
+    if (!this.paused || this.wallRuns) this.wall += STEP_MS * this.rate
+    if (this.paused) return
+    for (const event of this.inbox.splice(0)) this.feed(event)
+    this.feed({ kind: 'tick' })
+  }
+}
+
+/** Nodes, table and time. */
+export class LeaseWorld {
+  readonly nodes: LeaseNode[]
+  down = false
+  /** Answers of writes to lose, after they took effect. */
+  loseAnswers = 0
+  mostActing = 0
+  private time = 0
+  private tableClock = 5_000_000
+  private tableRate = 1
+  private nextVersion = 0
+  private readonly rows = new Map<string, Stored>()
+  private pending: Pending[] = []
+  private tape: readonly number[] = []
+  private tapeAt = 0
+
+  constructor (count: number, makeKeeper: (name: string) => LeaseKeeper) {
+    this.nodes = Array.from({ length: count }, (_, i) => new LeaseNode(`n${i}~1`, makeKeeper(`n${i}~1`), this))
+    for (const node of this.nodes) node.feed({ kind: 'candidate', wanted: true })
+  }
+
+  /** Sets drifting clocks, and numbers of 0 to 999 from which delays and losses follow. */
+  disturb (rates: readonly number[], faulty: readonly ('mono' | 'wall')[], tableRate: number, tape: readonly number[]): void {
+    this.nodes.forEach((node, i) => { Object.assign(node, { rate: rates[i], faulty: faulty[i] }) })
+    this.tableRate = tableRate
+    this.tape = tape
+  }
+
+  acting (): readonly LeaseNode[] {
+    return this.nodes.filter(node => !node.paused && node.mayAct())
+  }
+
+  fits (check: LeaseRowCheck): boolean {
+    return (this.rows.get(check.table)?.version ?? null) === check.version
+  }
+
+  run (ms: number): void {
+    for (const end = this.time + ms; this.time < end;) this.step()
+  }
+
+  play (troubles: readonly Trouble[], totalMs: number): void {
+    const ends = troubles.flatMap(({ atMs, node, kind, forMs }) => [
+      { at: atMs, run: () => this.begin(this.nodes[node]!, kind, forMs) },
+      { at: atMs + forMs, run: () => Object.assign(this.nodes[node]!, { paused: false, cut: false, monoRuns: true, wallRuns: true }) }
+    ])
+    this.pending.push(...ends)
+    this.run(totalMs)
+  }
+
+  carryOut (node: LeaseNode, action: LeaseAction): void {
+    if (action.kind !== 'read' && action.kind !== 'write') return
+    const lostAnswer: LeaseEvent = action.kind === 'read' ? { kind: 'readFailed' } : { kind: 'writeAnswered', outcome: { kind: 'unknown' } }
+    const fate = this.draw()
+    if (fate >= 950 || node.cut) return this.later(2_000, () => node.inbox.push(lostAnswer))
+    this.later(this.delay(), () => {
+      const answer = this.serve(action)
+      const isLost = (fate >= 900 || node.cut || this.takeLoss(answer)) && !this.down
+      this.later(isLost ? 2_000 : this.delay(), () => node.inbox.push(isLost ? lostAnswer : answer))
+    })
+  }
+
+  private begin (node: LeaseNode, kind: Trouble['kind'], ms: number): void {
+    if (kind === 'cut') node.cut = true
+    else if (kind === 'pause') Object.assign(node, { paused: true, monoRuns: node.faulty !== 'mono', wallRuns: node.faulty !== 'wall' })
+    else if (node.faulty === 'wall') node.wall -= ms
+  }
+
+  private step (): void {
+    this.time += STEP_MS
+    this.tableClock += STEP_MS * this.tableRate
+    const due = this.pending.filter(({ at }) => at <= this.time)
+    this.pending = this.pending.filter(({ at }) => at > this.time)
+    for (const { run } of due) run()
+    for (const node of this.nodes) {
+      node.step()
+      this.mostActing = Math.max(this.mostActing, this.acting().length)
+    }
+  }
+
+  private serve (action: Extract<LeaseAction, { kind: 'read' | 'write' }>): LeaseEvent {
+    if (action.kind === 'read') return this.down ? { kind: 'readFailed' } : { kind: 'readAnswered', read: this.read() }
+    return { kind: 'writeAnswered', outcome: this.down ? { kind: 'unavailable' } : this.write(action) }
+  }
+
+  private read (): ReadLease {
+    const lease = this.rows.get(LEASE_TABLE)
+    const fence = this.rows.get(FENCE_TABLE)
+    return {
+      lease: lease === undefined ? null : { row: lease.value as LeaseRow, version: lease.version, ageMs: this.tableClock - lease.updatedAt },
+      fence: fence === undefined ? null : { row: fence.value as FenceRow, version: fence.version }
+    }
+  }
+
+  private write ({ checks, writes }: Extract<LeaseAction, { kind: 'write' }>): LeaseWriteOutcome {
+    if (!checks.every(check => this.fits(check))) return { kind: 'conflict' }
+    this.nextVersion += 1
+    for (const { table, value } of writes) this.rows.set(table, { value, version: this.nextVersion, updatedAt: this.tableClock })
+    return { kind: 'written', version: this.nextVersion }
+  }
+
+  private takeLoss (answer: LeaseEvent): boolean {
+    if (this.loseAnswers === 0 || answer.kind !== 'writeAnswered' || answer.outcome.kind !== 'written') return false
+    this.loseAnswers -= 1
+    return true
+  }
+
+  private delay (): number {
+    if (this.tape.length === 0) return STEP_MS
+    const drawn = this.draw()
+    return drawn < SLOW_FROM ? drawn / 10 : drawn
+  }
+
+  private later (ms: number, run: () => void): void {
+    this.pending.push({ at: this.time + ms, run })
+  }
+
+  private draw (): number {
+    if (this.tape.length === 0) return 0
+    this.tapeAt += 1
+    return this.tape[this.tapeAt % this.tape.length]!
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/membership/leaseDriver.spec.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { defaultLeaseLimits } from '@rosemaryspread/decisions/lease/leaseTypes.js'
+import { LeaseDriver } from './leaseDriver.js'
+import { FixtureTable } from './membershipTable.fixture.js'
+
+const ROLE = 'writer/quito'
+const ROW = { table: 'config', key: 'x' }
+const { durationMs, marginMs, pollMs } = defaultLeaseLimits
+const TICKS_TO_ASK = 4
+
+class ManualClock implements Clock {
+  ms = 1_000
+  now (): { mono: number, wall: number } {
+    return { mono: this.ms, wall: this.ms }
+  }
+}
+
+class Setup {
+  readonly table = new FixtureTable()
+  readonly clock = new ManualClock()
+  readonly events: string[] = []
+  readonly a = this.driver('a~1')
+  readonly b = this.driver('b~1')
+
+  driver (holder: string): LeaseDriver {
+    const log = { write: (event: string) => this.events.push(`${holder} ${event}`) }
+    return new LeaseDriver({ role: ROLE, holder, table: this.table, clock: this.clock, log, isCandidate: () => true })
+  }
+
+  pass (ms: number): void {
+    this.clock.ms += ms
+    this.table.now += ms
+  }
+
+  async tick (driver: LeaseDriver, times = TICKS_TO_ASK): Promise<void> {
+    for (let i = 0; i < times; i += 1) {
+      this.pass(pollMs / TICKS_TO_ASK)
+      await driver.tick()
+    }
+  }
+}
+
+describe('lease driver', () => {
+  it('takes the role, keeps others out, and hands over on release', async () => {
+    const setup = new Setup()
+    const { a, b } = setup
+    await setup.tick(a)
+    await setup.tick(b)
+    expect([a.mayAct(), b.mayAct()]).deep.equal([true, false])
+    expect([a.fencing().extract(), b.fencing().isLeft()]).deep.equal([1, true])
+    await a.release()
+    await a.release()
+    expect(a.mayAct()).equal(false)
+    await setup.tick(b)
+    expect(b.fencing().extract()).equal(2)
+    expect(setup.events).deep.equal(['a~1 leaseTaken', 'b~1 leaseTaken'])
+  })
+
+  it('a write under the lease fails after another took it, though the old holder was asked before', async () => {
+    const setup = new Setup()
+    const { a, b, table } = setup
+    await setup.tick(a)
+    expect((await a.transact({ checks: [], writes: [{ ...ROW, value: 1 }] })).isRight()).equal(true)
+    const check = a.leaseCheck().unsafeCoerce()
+    setup.pass(durationMs + marginMs)
+    await setup.tick(b)
+    expect((await b.transact({ checks: [], writes: [{ ...ROW, value: 2 }] })).isRight()).equal(true)
+    const late = await table.transact({ checks: [check], writes: [{ ...ROW, value: 3 }] })
+    expect(late.isLeft(), 'the late write is fenced').equal(true)
+    const refused = await a.transact({ checks: [], writes: [{ ...ROW, value: 4 }] })
+    expect(refused.swap().unsafeCoerce().code).equal('leaseLost')
+    expect(table.find(ROW)?.value).equal(2)
+  })
+
+  it('an unfenced write of the old holder would go through (counter-example)', async () => {
+    const setup = new Setup()
+    await setup.tick(setup.a)
+    setup.pass(durationMs + marginMs)
+    await setup.tick(setup.b)
+    await setup.table.transact({ checks: [], writes: [{ ...ROW, value: 3 }] })
+    expect(setup.table.find(ROW)?.value).equal(3)
+  })
+
+  it('a taking whose answer was lost is read back', async () => {
+    const setup = new Setup()
+    setup.table.loseAnswers = 1
+    await setup.tick(setup.a)
+    expect(setup.a.mayAct()).equal(true)
+    expect(setup.table.find({ table: 'leases', key: ROLE })?.version).equal(1)
+  })
+
+  it('holds nothing while the table is down, and goes on after', async () => {
+    const setup = new Setup()
+    setup.table.down = true
+    await setup.tick(setup.a)
+    expect(setup.a.mayAct()).equal(false)
+    setup.table.down = false
+    await setup.tick(setup.a)
+    expect(setup.a.mayAct()).equal(true)
+  })
+
+  it('a row that cannot be read is left alone', async () => {
+    const setup = new Setup()
+    await setup.table.transact({ checks: [], writes: [{ table: 'leases', key: ROLE, value: { strange: true } }] })
+    await setup.tick(setup.a, 2 * TICKS_TO_ASK)
+    expect(setup.a.mayAct()).equal(false)
+    expect(setup.table.find({ table: 'leases', key: ROLE })?.value).deep.equal({ strange: true })
+  })
+})
--- /dev/null
+++ b/packages/rosemaryspread/src/membership/leaseDriver.ts
@@ -0,0 +1,184 @@
+/**
+ * Keeps the lease of one role against the table service. Whoever acts in the role asks
+ * `mayAct` after every wait and puts `leaseCheck` into every transaction.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { LeaseKeeper } from '@rosemaryspread/decisions/lease/leaseKeeper.js'
+import { defaultLeaseLimits, FENCE_TABLE, fenceRowSchema, LEASE_TABLE, leaseRowSchema, type LeaseAction, type LeaseEvent, type LeaseLimits, type LeaseWriteOutcome, type ReadLease } from '@rosemaryspread/decisions/lease/leaseTypes.js'
+import type { HolderId } from '@rosemaryspread/decisions/names/nameTypes.js'
+import type { ReadAnswer, Row, RowCheck, TableStore, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+
+/** Milliseconds between two looks at the clock; shorter than any period of the keeper. */
+const TICK_MS = 250
+/** Ticks between two questions whether this process should try to hold the role. */
+const CANDIDATE_EVERY = 4
+
+/** What a {@link LeaseDriver} works with. */
+export interface LeaseDriverOptions {
+  readonly role: string
+  readonly holder: HolderId
+  readonly table: TableStore
+  readonly clock: Clock
+  readonly log: EventLog
+  /** Whether this process should try to hold the role, by what is known of the fleet now. */
+  readonly isCandidate: () => boolean
+  /** Called when the role was taken and when it was lost. */
+  readonly onChange?: (holds: boolean) => void
+  readonly limits?: LeaseLimits
+}
+
+/** One role's lease at work. */
+export class LeaseDriver {
+  private readonly keeper: LeaseKeeper
+  private timer: NodeJS.Timeout | undefined
+  private ticks = 0
+  private resolveReleased: () => void = () => {}
+  private readonly released = new Promise<void>(resolve => { this.resolveReleased = resolve })
+
+  /**
+   * @param options - role and collaborators
+   */
+  constructor (private readonly options: LeaseDriverOptions) {
+    this.keeper = new LeaseKeeper(options.role, options.holder, options.limits ?? defaultLeaseLimits)
+  }
+
+  /** Begins to look for the role. */
+  start (): void {
+    this.timer = setInterval(() => {
+      this.tick().catch((err: unknown) => this.options.log.write('fault', { err }))
+    }, TICK_MS)
+  }
+
+  /** Looks at the clock once; resolves when everything it started has ended. */
+  async tick (): Promise<void> {
+    if (this.ticks % CANDIDATE_EVERY === 0) await this.feed({ kind: 'candidate', wanted: this.options.isCandidate() })
+    this.ticks += 1
+    await this.feed({ kind: 'tick' })
+  }
+
+  /** Ends the work without giving the lease up; it then lapses. */
+  stop (): void {
+    clearInterval(this.timer)
+  }
+
+  /** Whether this process may act in the role now; to be asked anew after every wait. */
+  mayAct (): boolean {
+    return this.keeper.mayAct(this.now())
+  }
+
+  /** Fencing number for orders to outside systems; fails with `leaseLost` when the role is not held. */
+  fencing (): Either<Failure, number> {
+    const fencing = this.keeper.fencing()
+    return fencing !== undefined && this.mayAct() ? Right(fencing) : Left(this.lost())
+  }
+
+  /** The check for a transaction under the lease; fails with `leaseLost` when the role is not held. */
+  leaseCheck (): Either<Failure, RowCheck> {
+    const check = this.keeper.leaseCheck(this.now())
+    return check === undefined ? Left(this.lost()) : Right(check)
+  }
+
+  /**
+   * Runs a transaction under the lease. Failures are those of the table and `leaseLost`; after
+   * a conflict the lease is read again.
+   * @param tx - checks and writes without the lease's own check
+   */
+  async transact (tx: Transaction): ReturnType<TableStore['transact']> {
+    const check = this.leaseCheck()
+    if (check.isLeft()) return check
+    const checks = [...tx.checks, check.extract() as RowCheck]
+    const answer = await this.options.table.transact({ checks, writes: tx.writes })
+    if (answer.isLeft()) this.feed({ kind: 'doubt' }).catch((err: unknown) => this.options.log.write('fault', { err }))
+    return answer
+  }
+
+  /** Gives the role up; resolves when it is free for others or has lapsed. */
+  async release (): Promise<void> {
+    await this.feed({ kind: 'release' })
+    await this.released
+    this.stop()
+  }
+
+  private async feed (event: LeaseEvent): Promise<void> {
+    const actions = this.keeper.handle(event, this.now())
+    for (const action of actions) await this.carryOut(action)
+  }
+
+  private async carryOut (action: LeaseAction): Promise<void> {
+    const { log, role } = this.options
+    switch (action.kind) {
+      case 'read': return await this.feed(await this.read())
+      case 'write': return await this.feed({ kind: 'writeAnswered', outcome: await this.write(action) })
+      case 'taken':
+        log.write('leaseTaken', { role, fencing: action.fencing })
+        return this.options.onChange?.(true)
+      case 'lost':
+        log.write('leaseLost', { role, fencing: action.fencing })
+        return this.options.onChange?.(false)
+      case 'released':
+        return this.resolveReleased()
+    }
+  }
+
+  private async read (): Promise<LeaseEvent> {
+    const { role, table } = this.options
+    const answer = await table.read([{ table: LEASE_TABLE, key: role }, { table: FENCE_TABLE, key: role }])
+    return answer.caseOf<LeaseEvent>({
+      Left: err => {
+        this.fault('read', err)
+        return { kind: 'readFailed' }
+      },
+      Right: value => this.understand(value)
+    })
+  }
+
+  /** Rows that cannot be understood are left alone, as if the table had failed. */
+  private understand (answer: ReadAnswer): LeaseEvent {
+    try {
+      return { kind: 'readAnswered', read: parseLease(answer) }
+    } catch (err) {
+      this.options.log.write('fault', { err, role: this.options.role })
+      return { kind: 'readFailed' }
+    }
+  }
+
+  private async write ({ checks, writes }: Extract<LeaseAction, { kind: 'write' }>): Promise<LeaseWriteOutcome> {
+    const answer = await this.options.table.transact({ checks: [...checks], writes: [...writes] })
+    return answer.caseOf<LeaseWriteOutcome>({
+      Left: err => this.failedWrite(err),
+      Right: ({ version }) => ({ kind: 'written', version })
+    })
+  }
+
+  private failedWrite (err: Failure): LeaseWriteOutcome {
+    if (err.code === 'platformConflict') return { kind: 'conflict' }
+    this.fault('transact', err)
+    return { kind: err.code === 'platformUnavailable' ? 'unavailable' : 'unknown' }
+  }
+
+  private fault (operation: string, err: Failure): void {
+    this.options.log.write('platformFault', { service: 'table', operation, code: err.code })
+  }
+
+  private lost (): Failure {
+    return new Failure('leaseLost', `this process does not hold ${this.options.role}`)
+  }
+
+  private now (): Instant {
+    return this.options.clock.now()
+  }
+}
+
+function parseLease ({ rows: [leaseRow = null, fenceRow = null], now }: ReadAnswer): ReadLease {
+  return {
+    lease: leaseRow === null ? null : { row: leaseRowSchema.parse(leaseRow.value), version: leaseRow.version, ageMs: now - leaseRow.updatedAt },
+    fence: parseFence(fenceRow)
+  }
+}
+
+function parseFence (row: Row | null): ReadLease['fence'] {
+  return row === null ? null : { row: fenceRowSchema.parse(row.value), version: row.version }
+}
