Close the HTTP servers although clients stay silent

Node stops watching its header and request times when a server closes, so one caller that had sent nothing, or half a body, held up a graceful shutdown until it went away by itself.

Ruled out: destroying all connections after the drain, which would cut requests that are still coming in and answers that are being read. Now the body reader keeps its own time, and connections without a request are closed after the time for headers.

The case of the slow caller now also asks that its run is told to stop: it passed without that before.

--- a/packages/callers/src/api/callerCalls.ts
+++ b/packages/callers/src/api/callerCalls.ts
@@ -38,7 +38,7 @@
 export async function receiveCall (exchange: HttpExchange, directory: CallerDirectory): Promise<Either<Failure, ReceivedCall>> {
   const caller = callerOf(exchange, directory)
   if (caller.isLeft()) return Left(caller.extract())
-  const body = await readBody(exchange.req, exchange.limits.bodyBytes)
+  const body = await readBody(exchange.req, exchange.limits)
   return caller.chain((identity) => body.map((bytes) => ({ caller: identity, body: bytes, digest: bodyDigest(bytes) })))
 }
 
--- a/packages/callers/src/api/callerServer.spec.ts
+++ b/packages/callers/src/api/callerServer.spec.ts
@@ -301,6 +301,8 @@
     })
 
     it('cuts a caller that does not read, and stops the run', async () => {
+      let stop = (): void => undefined
+      const stopped = new Promise<void>((resolve) => { stop = resolve })
       const { raw, events } = await rig(async (call, sink) => {
         sink.begin('r', 'm')
         while (!call.gone.aborted) {
@@ -308,12 +310,14 @@
           await new Promise(setImmediate)
         }
         sink.fail(new Failure('callerGone', 'gone'))
+        stop()
       }, { bufferedBytes: 200_000 })
       const socket = raw()
       socket.pause()
       socket.write(post('/v1/chat/completions', JSON.stringify({ ...okBody, stream: true })))
       while (events.length === 0) await new Promise(setImmediate)
       expect(events).to.deep.equal(['requestFailed callerSlow'])
+      await stopped
       let text = ''
       socket.setEncoding('utf8')
       socket.on('data', (data: string) => { text += data }).resume()
@@ -361,12 +365,34 @@
       expect(text).to.match(/^HTTP\/1.1 400 /).and.to.include('"RS-101"')
     })
 
-    it('finishes the open stream on close and takes no new connection', async () => {
+    const stuck: ReadonlyArray<{ title: string, sent: string, answer: RegExp }> = [
+      { title: 'nothing', sent: '', answer: /^$/ },
+      { title: 'half of the headers', sent: 'GET /healthz HTTP/1.1\r\nHost', answer: /^$/ },
+      { title: 'half of the body', sent: post('/v1/chat/completions', '{}').slice(0, -1), answer: /^HTTP\/1.1 400 [^]*Connection: close[^]*"RS-101"/ }
+    ]
+    for (const { title, sent, answer } of stuck) {
+      it(`closes although a caller has sent ${title} and stays`, async () => {
+        const { raw, ask, server } = await rig(finishAtOnce, { headersMs: 100, requestMs: 100 })
+        const socket = raw()
+        const ended = once(socket, 'close')
+        const received: string[] = []
+        socket.setEncoding('utf8').on('data', (data: string) => { received.push(data) }).on('error', () => undefined)
+        await once(socket, 'connect')
+        if (sent !== '') socket.write(sent)
+        await ask({ method: 'GET', path: '/healthz' })
+        while (sent.includes('POST') && server.openRequests() === 0 && received.length === 0) await new Promise(setImmediate)
+        await server.close()
+        await ended
+        expect(received.join('')).to.match(answer)
+      })
+    }
+
+    it('finishes the open stream on close, takes no new connection and ends the kept one', async () => {
       let end = (): void => undefined
       const held = new Promise<void>((resolve) => { end = resolve })
       let started = (): void => undefined
       const running = new Promise<void>((resolve) => { started = resolve })
-      const { ask, server } = await rig(async (call, sink) => {
+      const { raw, ask, server } = await rig(async (call, sink) => {
         sink.begin('r', 'm')
         sink.piece('a las ')
         started()
@@ -374,14 +400,19 @@
         sink.piece('nueve')
         sink.finish('stop', usage)
       })
-      const answer = ask({ body: JSON.stringify({ ...okBody, stream: true }) })
+      const socket = raw()
+      let text = ''
+      socket.setEncoding('utf8').on('data', (data: string) => { text += data })
+      const ended = once(socket, 'close')
+      socket.write(post('/v1/chat/completions', JSON.stringify({ ...okBody, stream: true })))
       await running
       const closed = server.close()
       expect(server.openRequests()).to.equal(1)
       const late = await ask({ body: JSON.stringify(okBody) }).then(() => 'answered', (err: NodeJS.ErrnoException) => err.code)
       expect(late).to.equal('ECONNREFUSED')
       end()
-      expect((await answer).text).to.include('nueve').and.to.include('[DONE]')
+      await ended
+      expect(text).to.include('nueve').and.to.include('[DONE]')
       await closed
       expect(server.openRequests()).to.equal(0)
     })
--- a/packages/http/src/body/bodyReader.ts
+++ b/packages/http/src/body/bodyReader.ts
@@ -1,7 +1,8 @@
 /**
  * Reads the raw bytes of a request body up to a limit. A body over the limit is discarded while
  * it comes in, up to a multiple of the limit, because a client that still sends when its
- * connection closes often never sees the answer.
+ * connection closes often never sees the answer. The time is limited here too, because Node
+ * stops watching its own limit when the server closes.
  */
 import type { IncomingMessage } from 'node:http'
 import { Left, Right, type Either } from 'purify-ts'
@@ -14,16 +15,24 @@
   return new Failure('bodyTooLarge', `the limit is ${maxBytes} bytes`)
 }
 
+/** Limits of reading one body. */
+export interface BodyLimits {
+  readonly bodyBytes: number
+  /** Milliseconds until the body must be whole. */
+  readonly requestMs: number
+}
+
 function declaredBytes (req: IncomingMessage): number {
   return Number(req.headers['content-length'] ?? 0)
 }
 
 /**
- * Reads a whole body. Failures: `bodyTooLarge`, `callerGone`.
+ * Reads a whole body. Failures: `bodyTooLarge`, `callerGone`, `badRequest` when it takes too long.
  * @param req - the request
- * @param maxBytes - limit in bytes
+ * @param limits - how much and how long
  */
-export function readBody (req: IncomingMessage, maxBytes: number): Promise<Either<Failure, Buffer>> {
+export function readBody (req: IncomingMessage, limits: BodyLimits): Promise<Either<Failure, Buffer>> {
+  const maxBytes = limits.bodyBytes
   if (declaredBytes(req) > maxBytes * discardFactor) return Promise.resolve(Left(tooLarge(maxBytes)))
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
@@ -36,7 +45,10 @@
     }
     const onEnd = (): void => settle(bytes > maxBytes ? Left(tooLarge(maxBytes)) : Right(Buffer.concat(chunks)))
     const onGone = (): void => settle(Left(new Failure('callerGone', 'the body did not arrive whole')))
+    const onLate = (): void => settle(Left(new Failure('badRequest', 'the body did not arrive in time')))
+    const timer = setTimeout(onLate, limits.requestMs)
     const settle = (outcome: Either<Failure, Buffer>): void => {
+      clearTimeout(timer)
       req.off('data', onData).off('end', onEnd).off('close', onGone)
       resolve(outcome)
     }
--- a/packages/http/src/server/httpExchange.ts
+++ b/packages/http/src/server/httpExchange.ts
@@ -84,7 +84,7 @@
    */
   refuse (failure: Failure): void {
     if (this.res.headersSent && !this.ended) this.req.socket.destroy()
-    if (failure.code === 'bodyTooLarge' && !this.closed) this.res.setHeader('Connection', 'close')
+    if (!this.req.complete && !this.closed && !this.res.headersSent) this.res.setHeader('Connection', 'close')
     this.sendBytes(failure.entry.status, Buffer.from(problemText(failure)), problemHeaders(failure))
   }
 
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -32,6 +32,7 @@
 export class HttpServer {
   private readonly app: restify.Server
   private readonly open = new Set<HttpExchange>()
+  private readonly sockets = new Set<Socket>()
   private closing = false
 
   /** @param deps - log and limits */
@@ -42,7 +43,7 @@
     this.node.keepAliveTimeout = deps.limits.idleMs
     this.node.maxHeadersCount = deps.limits.headerCount
     this.node.maxConnections = deps.limits.connections
-    this.app.on('connection', (socket: Socket) => socket.setKeepAlive(true, keepAliveProbeMs))
+    this.app.on('connection', (socket: Socket) => this.watch(socket))
     this.app.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.refuseInvalid(err, socket))
     // Restify's own answer is left out by not calling its callback.
     this.app.on('restifyError', (req: IncomingMessage, res: ServerResponse, err: StatusError) => {
@@ -82,12 +83,18 @@
     })
   }
 
-  /** Stops accepting connections; resolves when all open requests are answered. */
+  /**
+   * Stops accepting connections; resolves when all open requests are answered. A connection on
+   * which no request has come is closed after the time for headers; Node would wait for it.
+   */
   close (): Promise<void> {
     this.closing = true
+    const timer = setTimeout(() => this.closeUnused(), this.deps.limits.headersMs)
     return new Promise((resolve) => {
-      this.node.close(() => resolve())
-      this.node.closeIdleConnections()
+      this.node.close(() => {
+        clearTimeout(timer)
+        resolve()
+      })
     })
   }
 
@@ -100,6 +107,19 @@
     return this.app.server as Server
   }
 
+  private watch (socket: Socket): void {
+    socket.setKeepAlive(true, keepAliveProbeMs)
+    this.sockets.add(socket)
+    socket.once('close', () => this.sockets.delete(socket))
+  }
+
+  private closeUnused (): void {
+    const used = new Set([...this.open].map((exchange) => exchange.req.socket))
+    for (const socket of this.sockets) {
+      if (!used.has(socket)) socket.destroy()
+    }
+  }
+
   private exchangeOf (req: IncomingMessage, res: ServerResponse): HttpExchange {
     const exchange = new HttpExchange(req, res, this.deps.limits)
     this.open.add(exchange)
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -120,7 +120,7 @@
   }
 
   private body<S extends z.ZodType> (exchange: HttpExchange, schema: S): EitherAsync<Failure, z.output<S>> {
-    return EitherAsync.fromPromise(() => readBody(exchange.req, exchange.limits.bodyBytes))
+    return EitherAsync.fromPromise(() => readBody(exchange.req, exchange.limits))
       .chain(async (bytes) => jsonBody(schema, exchange.req.headers, bytes).mapLeft(badRequest))
   }
 }
