Measure the cost of an engine stream's event

Cause: the cost of the strict reader per event was not known; at 2,300 events a second for one VM it bounds how many callers a VM can serve.

Ruled out: counting only the client's time by a profiler, as it slows what it counts; server and client share the process, so the same streams are also read by a plain node:http reader that discards them.

--- /dev/null
+++ b/packages/stand-ins/src/measure/streamSource.ts
@@ -0,0 +1,63 @@
+/**
+ * A loopback server of engine streams for `streamBench.ts`: it sends one event for each open
+ * stream every millisecond, so that events mostly arrive one by one as from a real engine.
+ */
+import { createServer, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+const TICK_MS = 1
+const DONE = 'data: [DONE]\n\n'
+
+/** Request id of every stream. */
+export const STREAM_REQUEST_ID = '0123456789abcdef0123456789abcdef'
+
+/** One server; its cost lies in the same process as the readers'. */
+export class StreamSource {
+  private readonly open = new Map<ServerResponse, number>()
+  private readonly server = createServer((req, res) => {
+    req.resume()
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-run-holder': 'bench~0' })
+    this.open.set(res, 0)
+  })
+
+  private timer: NodeJS.Timeout | undefined
+
+  /** @param pieces - pieces of each answer ahead of its last event */
+  constructor (private readonly pieces: number) {}
+
+  /**
+   * Listens on loopback and begins to send.
+   * @returns IPv4:port
+   */
+  async start (): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    this.timer = setInterval(() => this.tick(), TICK_MS)
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  async stop (): Promise<void> {
+    clearInterval(this.timer)
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  private tick (): void {
+    for (const [res, sequence] of this.open) this.send(res, sequence)
+  }
+
+  private send (res: ServerResponse, sequence: number): void {
+    if (sequence < this.pieces) {
+      res.write(eventText(sequence, '{"content":" token"}', 'null', ''))
+      this.open.set(res, sequence + 1)
+      return
+    }
+    const usage = `,"usage":{"prompt_tokens":10,"completion_tokens":${this.pieces}}`
+    res.end(eventText(sequence, '{}', '"stop"', usage) + DONE)
+    this.open.delete(res)
+  }
+}
+
+function eventText (sequence: number, delta: string, finishReason: string, rest: string): string {
+  const choice = `{"index":0,"delta":${delta},"finish_reason":${finishReason}}`
+  return `id: ${sequence}\ndata: {"id":"${STREAM_REQUEST_ID}","model":"asistente-lm","choices":[${choice}]${rest}}\n\n`
+}
