Prove request handling under engine faults, repeats and races

Cause: the promises on whole answers, one bill and true refusals had no tests of their own. Found by the new tests: an unkeyed request whose first runner could not be reached kept its reservation open and was not billed, because that runner was noted as unsealed. Ruled out: dropping the note (a keyed repeat needs it: its run may stand there). Change: the note is taken for keyed requests only; a body that differs is refused also while the first request is in progress on the same VM; the answer begins with its first piece, so a refusal before it keeps its own status.

--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -7,9 +7,14 @@
 import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { holderRowSchema, holdingRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { drawKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
+import { planRetire } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { scanAll } from './budgetSharing.js'
 import type { BudgetTable } from './budgetTable.js'
 
+/** Budgets of a holder removed in one transaction. */
+const MAX_REMOVED = 200
+
 /** Registers this holder and finds the others. */
 export class BudgetRegistry {
   private registering = false
@@ -37,6 +42,23 @@
     this.registered = done.isRight()
   }
 
+  /** This holder was taken for ended and may have been removed; it registers again. */
+  forget (): void {
+    this.registered = false
+  }
+
+  /** Removes this holder and its empty allotments after it drained. */
+  async retire (): Promise<void> {
+    const { holder, domain } = this.self
+    const budgets = await this.budgetsOf(holder)
+    if (budgets.isLeft()) return
+    for (const budget of budgets.orDefault([])) {
+      const done = await this.table.run(`retire/${budget}`, drawKeys(holder, budget), rows => planRetire(rows, budget, holder))
+      if (done.map(({ plan }) => plan.kind).orDefault('kept') === 'kept') return
+    }
+    await this.remove({ holder, domain, registeredAt: 0 }, [])
+  }
+
   /** All registered holders. */
   async all (): Promise<Either<Failure, readonly RegisteredHolder[]>> {
     const scan = await scanAll(this.table.store, budgetTables.holders, '').run()
@@ -69,6 +91,3 @@
     await this.table.store.transact({ checks: [], writes })
   }
 }
-
-/** Budgets of a holder removed in one transaction. */
-const MAX_REMOVED = 200
--- /dev/null
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -0,0 +1,297 @@
+/**
+ * Fakes at the borders of request handling, shared by its specs: engines that misbehave by
+ * script, budgets that keep the bills, routing with a fixed order. It holds no tests.
+ */
+import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import type { AnswerSink, CompletionCall, CompletionUsage } from '@rosemaryspread/callers/completion/completionTypes.js'
+import type { Bill } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { CacheEvents, EngineClient, EngineEvent, EngineRequest, EngineStream, LoadReport, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
+import { MetricsRecorder } from '../metrics/metricsRecorder.js'
+import type { RoutedRunner, RoutingPort } from '../routing/routingPort.js'
+import type { AdmittedCompletion } from './completionAdmission.js'
+import { OpenWork } from './completionDrain.js'
+import { RoutedCompletionService } from './completionService.js'
+import { SystemClock, SystemRandom } from './completionSystem.js'
+import { UnsettledRuns, type RunnerAddress } from './completionUnsettled.js'
+
+/** What an engine does wrong; each fault counts down. */
+export interface EngineScript {
+  /** No connection can be made, from these VMs or from all. */
+  unreachableFrom?: readonly string[] | 'all'
+  /** Streams that break after a number of pieces. */
+  cuts?: number[]
+  /** The answer of the next submit is lost after the run began. */
+  loseSubmit?: boolean
+  /** Piece number that the next stream replaces by another request's piece. */
+  mixAt?: number
+  /** Piece number that the next stream leaves out. */
+  gapAt?: number
+  /** Pieces before the asked one that a resumed stream sends again. */
+  overlap?: number
+  /** Completion tokens reported instead of the true number. */
+  report?: number
+  /** Waits for this before each stream's second piece. */
+  hold?: Promise<void>
+}
+
+interface FakeRun {
+  readonly req: EngineRequest
+  state: RunRecord['state']
+}
+
+/** Number of pieces of every answer. */
+export const PIECES = 4
+
+/** The whole answer to a request id. */
+export function wholeText (requestId: string): string {
+  return Array.from({ length: PIECES }, (_, index) => textOf(requestId, index)).join('')
+}
+
+function textOf (requestId: string, index: number): string {
+  return `${requestId.slice(0, 6)}/${index} `
+}
+
+/** Engines by address, each with its runs and its script. */
+export class FakeEngines {
+  readonly scripts = new Map<string, EngineScript>()
+  readonly runs = new Map<string, Map<string, FakeRun>>()
+
+  at (address: string): Map<string, FakeRun> {
+    const runs = this.runs.get(address) ?? new Map<string, FakeRun>()
+    this.runs.set(address, runs)
+    return runs
+  }
+
+  script (address: string): EngineScript {
+    return this.scripts.get(address) ?? {}
+  }
+
+  /** Runs that began, seals left out, as `address:state`. */
+  began (): string[] {
+    return [...this.runs].flatMap(([address, runs]) =>
+      [...runs.values()].filter(({ state }) => state !== 'sealed').map(({ state }) => `${address}:${state}`))
+  }
+}
+
+/** The engines as one VM reaches them. */
+export class FakeEngineClient implements EngineClient {
+  constructor (protected readonly engines: FakeEngines, private readonly vm: string) {}
+
+  async submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>> {
+    return await this.reach(address, async () => {
+      const runs = this.engines.at(address)
+      const known = runs.get(req.requestId)
+      if (known?.state === 'sealed') return Left(new Failure('runnerRefused', 'sealed'))
+      if (known !== undefined && known.req.digest !== req.digest) return Left(new Failure('keyReused', 'another body'))
+      const run = known ?? { req, state: 'running' as const }
+      runs.set(req.requestId, run)
+      const script = this.engines.script(address)
+      if (script.loseSubmit === true) {
+        script.loseSubmit = false
+        return Left(new Failure('runnerUnreachable', 'lost', { ran: 'unknown' }))
+      }
+      return Right(this.stream(address, run, 0))
+    })
+  }
+
+  async resume (address: string, requestId: string, sequence: number): Promise<Either<Failure, EngineStream>> {
+    return await this.reach(address, async () => {
+      const run = this.engines.at(address).get(requestId)
+      if (run === undefined || run.state === 'sealed') return Left(new Failure('runnerRefused', 'unknown run'))
+      return Right(this.stream(address, run, Math.max(0, sequence - (this.engines.script(address).overlap ?? 0))))
+    })
+  }
+
+  async find (address: string, requestId: string): Promise<Either<Failure, Maybe<RunRecord>>> {
+    return await this.reach(address, async () => Right(this.record(address, requestId)))
+  }
+
+  async listByHolder (): Promise<Either<Failure, readonly RunRecord[]>> {
+    return Right([])
+  }
+
+  async cancel (address: string, requestId: string): Promise<Either<Failure, RunRecord>> {
+    return await this.reach(address, async () => {
+      const run = this.engines.at(address).get(requestId)
+      if (run?.state === 'running') run.state = 'cancelled'
+      return this.record(address, requestId).toEither(new Failure('notFound', 'unknown run'))
+    })
+  }
+
+  async seal (address: string, requestId: string): Promise<Either<Failure, Maybe<RunRecord>>> {
+    return await this.reach(address, async () => {
+      const known = this.record(address, requestId)
+      if (known.isJust()) return Right(known.filter(({ state }) => state !== 'sealed'))
+      const req = { requestId, digest: '', holder: '', team: '', budget: '', model: '', messages: [], maxTokens: 0, priority: 0 }
+      this.engines.at(address).set(requestId, { req, state: 'sealed' })
+      return Right(Nothing)
+    })
+  }
+
+  async load (): Promise<Either<Failure, LoadReport>> {
+    return Left(new Failure('runnerUnreachable', 'no load'))
+  }
+
+  async cacheEvents (): Promise<Either<Failure, CacheEvents>> {
+    return Left(new Failure('runnerUnreachable', 'no events'))
+  }
+
+  async order (): Promise<Either<Failure, void>> {
+    return Right(undefined)
+  }
+
+  protected record (address: string, requestId: string): Maybe<RunRecord> {
+    const run = this.engines.at(address).get(requestId)
+    if (run === undefined) return Nothing
+    const { digest, holder, team, budget, model } = run.req
+    return Just({ requestId, digest, holder, team, budget, model, state: run.state, promptTokens: 5, completionTokens: PIECES })
+  }
+
+  private async reach<T> (address: string, work: () => Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
+    const { unreachableFrom: from } = this.engines.script(address)
+    if (from === 'all' || from?.includes(this.vm) === true) return Left(new Failure('runnerUnreachable', 'no connection'))
+    return await work()
+  }
+
+  private stream (address: string, run: FakeRun, from: number): EngineStream {
+    const script = this.engines.script(address)
+    return { holder: run.req.holder, events: this.events(script, run, from), close: () => {} }
+  }
+
+  private async * events (script: EngineScript, run: FakeRun, from: number): AsyncIterable<EngineEvent> {
+    const { requestId } = run.req
+    const cut = script.cuts?.shift()
+    for (let sequence = from; sequence < PIECES; sequence += 1) {
+      if (cut !== undefined && sequence - from >= cut) throw new Failure('answerCut', 'broken', { ran: 'yes' })
+      if (sequence === 1) await script.hold
+      if (script.gapAt === sequence) continue
+      const mixed = script.mixAt === sequence
+      if (mixed) delete script.mixAt
+      yield { kind: 'piece', piece: { requestId: mixed ? 'of-another' : requestId, sequence, text: mixed ? 'foreign ' : textOf(requestId, sequence) } }
+    }
+    run.state = 'finished'
+    yield { kind: 'end', requestId, end: { finishReason: 'stop', usage: { promptTokens: 5, completionTokens: script.report ?? PIECES } } }
+  }
+}
+
+/** Budgets that admit everything, or refuse by order, and keep the bills of all VMs. */
+export class FakeBudgets implements BudgetPort {
+  readonly bills: Bill[] = []
+  open = 0
+  refuse: Failure | undefined
+  lapsed: Failure | undefined
+
+  async reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>> {
+    if (this.refuse !== undefined) return Left(this.refuse)
+    this.open += 1
+    return Right({ reservationId: `r${Math.random()}`, budget, tokens })
+  }
+
+  confirm (): Either<Failure, void> {
+    return this.lapsed === undefined ? Right(undefined) : Left(this.lapsed)
+  }
+
+  settle (_: Reservation, bill?: Bill): void {
+    this.open -= 1
+    if (bill !== undefined) this.bills.push(bill)
+  }
+}
+
+/** Runners in one order for all requests; those a VM believes to be down are passed over. */
+export class FakeRouting implements RoutingPort {
+  believedDown: string[] = []
+
+  constructor (private readonly runners: readonly RunnerAddress[]) {}
+
+  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<Failure, RoutedRunner> {
+    const usable = this.runners.filter(({ runner }) => !exclude.includes(runner))
+    const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
+    if (choice === undefined) return Left(new Failure('noRunner', 'none', { retryAfterMs: 100 }))
+    return Right({ choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
+  }
+
+  dispatched (): { firstToken: () => void, ended: () => void } {
+    return { firstToken: () => {}, ended: () => {} }
+  }
+
+  retryDelay (): Maybe<number> {
+    return Just(0)
+  }
+
+  inFlight (): number {
+    return 0
+  }
+}
+
+/** What a caller saw. */
+export interface Seen {
+  text: string
+  end: 'whole' | Failure | 'none'
+  ends: number
+  usage?: CompletionUsage
+}
+
+const config = fleetConfigSchema.parse({
+  teams: { desk: { displayName: 'desk', budget: 'b', models: ['m'] } },
+  models: { m: { maxTokens: 8 } }
+})
+const runners = ['r1', 'r2', 'r3'].map(runner => ({ runner, address: runner }))
+
+/** One VM of the spec over shared engines and budgets. */
+export class FakeVm {
+  readonly work = new OpenWork()
+  readonly routing = new FakeRouting(runners)
+  readonly unsettled: UnsettledRuns
+  private readonly service: RoutedCompletionService
+
+  constructor (vm: string, engines: EngineClient, readonly budgets: FakeBudgets) {
+    const holder = `${vm}~1`
+    this.unsettled = new UnsettledRuns(engines, budgets, holder, () => true)
+    this.service = new RoutedCompletionService({
+      holder,
+      clock: new SystemClock(),
+      random: new SystemRandom(),
+      config: { current: () => Just({ version: 1, config }) },
+      work: this.work,
+      budgets,
+      routing: this.routing,
+      engines,
+      unsettled: this.unsettled,
+      log: { write: () => {} },
+      metrics: new MetricsRecorder(),
+      reserveTimeoutMs: 100
+    })
+  }
+
+  /**
+   * Sends one completion.
+   * @param over - key, body text, and how the caller goes away
+   */
+  async ask (over: { key?: string, text?: string, gone?: AbortSignal, timeoutMs?: number, onPiece?: () => void } = {}): Promise<Seen> {
+    const content = over.text ?? 'hola'
+    const call: CompletionCall = {
+      caller: { team: 'desk' },
+      body: { model: 'm', messages: [{ role: 'user', content }], stream: true },
+      digest: content,
+      gone: over.gone ?? new AbortController().signal,
+      ...(over.key === undefined ? {} : { idempotencyKey: over.key }),
+      ...(over.timeoutMs === undefined ? {} : { timeoutMs: over.timeoutMs })
+    }
+    const seen: Seen = { text: '', end: 'none', ends: 0 }
+    const sink: AnswerSink = {
+      begin: () => {},
+      piece: text => {
+        seen.text += text
+        over.onPiece?.()
+      },
+      finish: (_, usage) => Object.assign(seen, { end: 'whole', ends: seen.ends + 1, usage }),
+      fail: failure => Object.assign(seen, { end: failure, ends: seen.ends + 1 })
+    }
+    await this.service.complete(call, sink)
+    await this.work.idle(1_000)
+    return seen
+  }
+}
--- a/packages/rosemaryspread/src/completion/completionLocalRuns.ts
+++ b/packages/rosemaryspread/src/completion/completionLocalRuns.ts
@@ -14,6 +14,7 @@
 
 /** A run being started or going on. */
 interface LocalRun {
+  readonly digest: string
   readonly decided: Promise<RunnerAddress | undefined>
 }
 
@@ -24,19 +25,22 @@
   /**
    * Waits for the turn of a request.
    * @param requestId - id of a keyed request
+   * @param digest - digest of its body
+   * @returns the turn, or that the run in progress has another body
    */
-  async enter (requestId: string): Promise<LocalTurn> {
+  async enter (requestId: string, digest: string): Promise<LocalTurn | 'otherBody'> {
     for (;;) {
       const running = this.runs.get(requestId)
-      if (running === undefined) return this.open(requestId)
+      if (running === undefined) return this.open(requestId, digest)
+      if (running.digest !== digest) return 'otherBody'
       const runningAt = await running.decided
       if (runningAt !== undefined) return { runningAt, started: () => {}, leave: () => {} }
     }
   }
 
-  private open (requestId: string): LocalTurn {
+  private open (requestId: string, digest: string): LocalTurn {
     let decide: (runner: RunnerAddress | undefined) => void = () => {}
-    const run: LocalRun = { decided: new Promise(resolve => { decide = resolve }) }
+    const run: LocalRun = { digest, decided: new Promise(resolve => { decide = resolve }) }
     this.runs.set(requestId, run)
     return {
       started: runner => { decide(runner) },
--- a/packages/rosemaryspread/src/completion/completionRelay.ts
+++ b/packages/rosemaryspread/src/completion/completionRelay.ts
@@ -15,7 +15,9 @@
 
   constructor (
     private readonly sink: AnswerSink,
-    private readonly gone: AbortSignal
+    private readonly gone: AbortSignal,
+    private readonly requestId: string,
+    private readonly model: string
   ) {}
 
   /** Whether the caller has seen a part of the answer. */
@@ -28,19 +30,16 @@
     return this.gone.aborted
   }
 
-  begin (requestId: string, model: string): void {
-    if (this.begun || this.closed) return
-    this.begun = true
-    this.sink.begin(requestId, model)
-  }
-
   piece (text: string): void {
     this.pieces += 1
-    if (!this.closed) this.sink.piece(text)
+    if (this.closed) return
+    this.begin()
+    this.sink.piece(text)
   }
 
   finish (end: AnswerEnd): void {
     if (this.closed) return
+    this.begin()
     this.ended = true
     this.sink.finish(end.finishReason, end.usage)
   }
@@ -51,6 +50,13 @@
     this.sink.fail(failure)
   }
 
+  /** Told with the first piece, so that a refusal before it still has a status of its own. */
+  private begin (): void {
+    if (this.begun) return
+    this.begun = true
+    this.sink.begin(this.requestId, this.model)
+  }
+
   private get closed (): boolean {
     return this.ended || this.callerGone
   }
--- /dev/null
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -0,0 +1,223 @@
+/**
+ * Request handling under faults: every answer whole and its own, every request billed once,
+ * every refusal true. Each promise also stands against a weaker part that breaks it.
+ */
+import { expect } from 'chai'
+import { Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
+import type { EngineRequest, EngineStream, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { FakeBudgets, FakeEngineClient, FakeEngines, FakeVm, PIECES, wholeText, type EngineScript, type Seen } from './completionFakes.spec.js'
+
+const COST = 5 + PIECES
+
+function fleet (Client: typeof FakeEngineClient = FakeEngineClient): { engines: FakeEngines, budgets: FakeBudgets, a: FakeVm, b: FakeVm } {
+  const engines = new FakeEngines()
+  const budgets = new FakeBudgets()
+  const a = new FakeVm('a', new Client(engines, 'a'), budgets)
+  const b = new FakeVm('b', new Client(engines, 'b'), budgets)
+  return { engines, budgets, a, b }
+}
+
+/** The text names the request that it answers, so that a piece of another's would show. */
+function expectWhole (seen: Seen): void {
+  expect(seen.end).to.equal('whole')
+  expect(seen.ends).to.equal(1)
+  expect(seen.text).to.equal(wholeText(seen.text.split('/')[0] ?? ''))
+}
+
+function expectRefused (seen: Seen, code: ResultName, ran: string): void {
+  expect(seen.end).to.be.instanceOf(Failure)
+  expect((seen.end as Failure).code).to.equal(code)
+  expect((seen.end as Failure).ran).to.equal(ran)
+  expect(seen.ends).to.equal(1)
+}
+
+interface OneAsk {
+  readonly name: string
+  readonly scripts: Record<string, EngineScript>
+  readonly refused?: readonly [code: ResultName, ran: string]
+  readonly bills: readonly number[]
+  readonly began: readonly string[]
+}
+
+const oneAsk: readonly OneAsk[] = [
+  { name: 'no fault', scripts: {}, bills: [COST], began: ['r1:finished'] },
+  { name: 'a runner that cannot be connected to', scripts: { r1: { unreachableFrom: 'all' } }, bills: [COST], began: ['r2:finished'] },
+  { name: 'no runner that can be connected to', scripts: { r1: { unreachableFrom: 'all' }, r2: { unreachableFrom: 'all' }, r3: { unreachableFrom: 'all' } }, refused: ['runnerUnreachable', 'no'], bills: [], began: [] },
+  { name: 'a stream broken once', scripts: { r1: { cuts: [2] } }, bills: [COST], began: ['r1:finished'] },
+  { name: 'a resumed stream that overlaps', scripts: { r1: { cuts: [2], overlap: 1 } }, bills: [COST], began: ['r1:finished'] },
+  { name: 'a stream broken for good after pieces', scripts: { r1: { cuts: [2, 0, 0, 0] } }, refused: ['answerCut', 'yes'], bills: [0], began: ['r1:cancelled'] },
+  { name: 'a stream broken for good before any piece', scripts: { r1: { cuts: [0, 0, 0, 0] } }, bills: [COST], began: ['r1:cancelled', 'r2:finished'] },
+  { name: 'the answer of the submit lost', scripts: { r1: { loseSubmit: true } }, bills: [COST], began: ['r1:cancelled', 'r2:finished'] },
+  { name: 'a first piece of another answer', scripts: { r1: { mixAt: 0 } }, bills: [COST], began: ['r1:cancelled', 'r2:finished'] },
+  { name: 'a later piece of another answer', scripts: { r1: { mixAt: 2 } }, refused: ['answerMixed', 'yes'], bills: [0], began: ['r1:cancelled'] },
+  { name: 'a missing piece', scripts: { r1: { gapAt: 2 } }, refused: ['answerMixed', 'yes'], bills: [0], began: ['r1:cancelled'] },
+  { name: 'more usage than the cap', scripts: { r1: { report: 1_000_000 } }, bills: [5 + 8], began: ['r1:finished'] }
+]
+
+describe('one completion', () => {
+  for (const { name, scripts, refused, bills, began } of oneAsk) {
+    it(`under ${name}`, async () => {
+      const { engines, budgets, a } = fleet()
+      Object.entries(scripts).forEach(([address, script]) => engines.scripts.set(address, script))
+      const seen = await a.ask()
+      if (refused === undefined) expectWhole(seen)
+      else expectRefused(seen, ...refused)
+      await a.unsettled.retryAll()
+      expect(budgets.bills.map(({ tokens }) => tokens)).to.deep.equal(bills)
+      expect(engines.began()).to.deep.equal(began)
+      expect(budgets.open, 'reservations left open').to.equal(0)
+    })
+  }
+
+  const refusals = [
+    { name: 'a draining VM', arrange: (vm: FakeVm) => { vm.work.draining = true }, code: 'draining' as const },
+    { name: 'a spent budget', arrange: (vm: FakeVm) => { vm.budgets.refuse = new Failure('budgetSpent', 'spent') }, code: 'budgetSpent' as const },
+    { name: 'an allotment lost while the VM was paused', arrange: (vm: FakeVm) => { vm.budgets.lapsed = new Failure('allotmentClosed', 'lapsed') }, code: 'allotmentClosed' as const }
+  ]
+  for (const { name, arrange, code } of refusals) {
+    it(`is refused by ${name} with nothing dispatched`, async () => {
+      const { engines, budgets, a } = fleet()
+      arrange(a)
+      expectRefused(await a.ask(), code, 'no')
+      expect(engines.began()).to.deep.equal([])
+      expect(budgets.open).to.equal(0)
+    })
+  }
+
+  it('is cancelled and billed for what was generated when its caller leaves', async () => {
+    const { engines, budgets, a } = fleet()
+    const caller = new AbortController()
+    engines.scripts.set('r1', { hold: new Promise(resolve => setImmediate(resolve)) })
+    await a.ask({ gone: caller.signal, onPiece: () => { caller.abort() } })
+    expect(engines.began()).to.deep.equal(['r1:cancelled'])
+    expect(budgets.bills).to.have.length(1)
+  })
+
+  it('ends at its deadline with a final answer', async () => {
+    const { engines, a } = fleet()
+    engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 40)) })
+    expectRefused(await a.ask({ timeoutMs: 10 }), 'deadlineExceeded', 'yes')
+    expect(engines.began()).to.deep.equal(['r1:cancelled'])
+  })
+})
+
+describe('a keyed completion', () => {
+  const id = keyedRequestId('desk', 'k')
+
+  const repeats = [
+    { name: 'the same VM afterwards', at: 'a' as const, believedDown: [] },
+    { name: 'another VM afterwards', at: 'b' as const, believedDown: [] },
+    { name: 'another VM that believes the runner down', at: 'b' as const, believedDown: ['r1'] },
+    { name: 'another VM that believes two runners down', at: 'b' as const, believedDown: ['r1', 'r2'] }
+  ]
+  for (const { name, at, believedDown } of repeats) {
+    it(`is answered whole again, run and billed once, at ${name}`, async () => {
+      const both = fleet()
+      expectWhole(await both.a.ask({ key: 'k' }))
+      both[at].routing.believedDown = believedDown
+      const again = await both[at].ask({ key: 'k' })
+      expectWhole(again)
+      expect(again.text).to.equal(wholeText(id))
+      expect(both.engines.began()).to.deep.equal(['r1:finished'])
+      expect(both.budgets.bills.map(({ tokens }) => tokens)).to.deep.equal([COST])
+    })
+  }
+
+  const races = [
+    { name: 'at one VM', vms: ['a', 'a', 'a'] as const },
+    { name: 'at two VMs', vms: ['a', 'b'] as const },
+    { name: 'at two VMs, several times', vms: ['a', 'b', 'b', 'a'] as const }
+  ]
+  for (const { name, vms } of races) {
+    it(`sent at the same time ${name} runs and is billed once`, async () => {
+      const both = fleet()
+      both.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
+      const all = await Promise.all(vms.map(async vm => await both[vm].ask({ key: 'k' })))
+      all.forEach(seen => { expect(seen.text).to.equal(wholeText(id)) })
+      expect(both.engines.began()).to.deep.equal(['r1:finished'])
+      expect(both.budgets.bills).to.have.length(1)
+      expect(both.budgets.open).to.equal(0)
+    })
+  }
+
+  const otherBodies = [
+    { name: 'afterwards at the same VM', at: 'a' as const, parallel: false },
+    { name: 'afterwards at another VM', at: 'b' as const, parallel: false },
+    { name: 'at the same time at the same VM', at: 'a' as const, parallel: true }
+  ]
+  for (const { name, at, parallel } of otherBodies) {
+    it(`with another body ${name} is an error and nothing is run`, async () => {
+      const both = fleet()
+      both.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
+      const first = both.a.ask({ key: 'k' })
+      if (!parallel) await first
+      expectRefused(await both[at].ask({ key: 'k', text: 'other' }), 'keyReused', 'no')
+      expectWhole(await first)
+      expect(both.engines.began()).to.deep.equal(['r1:finished'])
+    })
+  }
+
+  it('goes on when its caller leaves, and the repeat is answered whole with one bill', async () => {
+    const { engines, budgets, a, b } = fleet()
+    const caller = new AbortController()
+    await a.ask({ key: 'k', gone: caller.signal, onPiece: () => { caller.abort() } })
+    expectWhole(await b.ask({ key: 'k' }))
+    expect(engines.began()).to.deep.equal(['r1:finished'])
+    expect(budgets.bills.map(({ tokens }) => tokens)).to.deep.equal([COST])
+  })
+
+  const cutOff = [
+    { name: 'after the first VM answered', first: true },
+    { name: 'with no run there', first: false }
+  ]
+  for (const { name, first } of cutOff) {
+    it(`is billed once though its first runner cannot be sealed, ${name}`, async () => {
+      const { engines, budgets, a, b } = fleet()
+      if (first) expectWhole(await a.ask({ key: 'k' }))
+      engines.scripts.set('r1', { unreachableFrom: ['b'] })
+      expectWhole(await b.ask({ key: 'k' }))
+      expect(b.unsettled.size, 'held until the first runner can be asked').to.equal(1)
+      engines.scripts.delete('r1')
+      await b.unsettled.retryAll()
+      expect(b.unsettled.size).to.equal(0)
+      expect(budgets.bills.filter(({ requestId }) => requestId === id)).to.have.length(1)
+      expect(budgets.open).to.equal(0)
+    })
+  }
+})
+
+/** Seals nothing and says that it did. */
+class UnsealedClient extends FakeEngineClient {
+  override async seal (): Promise<Either<Failure, Maybe<RunRecord>>> {
+    return Right(Nothing)
+  }
+}
+
+/** Does not say who started a run. */
+class AnonymousClient extends FakeEngineClient {
+  override async submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>> {
+    return (await super.submit(address, req)).map(stream => ({ ...stream, holder: '' }))
+  }
+}
+
+describe('weaker parts break the promises', () => {
+  it('without seals a repeat runs twice and is billed twice', async () => {
+    const { engines, budgets, a, b } = fleet(UnsealedClient)
+    await a.ask({ key: 'k' })
+    b.routing.believedDown = ['r1']
+    await b.ask({ key: 'k' })
+    expect(engines.began()).to.have.length(2)
+    expect(budgets.bills).to.have.length(2)
+  })
+
+  it('without the holder of a run two VMs bill one run', async () => {
+    const { engines, budgets, a, b } = fleet(AnonymousClient)
+    engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
+    await Promise.all([a.ask({ key: 'k' }), b.ask({ key: 'k' })])
+    expect(engines.began()).to.have.length(1)
+    expect(budgets.bills).to.have.length(2)
+  })
+})
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -5,7 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { Left, Right, type Either } from 'purify-ts'
 import type { AnswerSink, CompletionCall, CompletionService } from '@rosemaryspread/callers/completion/completionTypes.js'
-import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { NumberedConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
@@ -73,11 +73,23 @@
   constructor (private readonly deps: CompletionDeps) {}
 
   async complete (call: CompletionCall, sink: AnswerSink): Promise<void> {
+    const now = this.deps.clock.now()
+    const admitted = this.admissible()
+      .chain(config => admitCompletion(call, config.config, this.deps.random.id(), now))
+    if (admitted.isLeft()) {
+      sink.fail(this.refused('-', call.caller.team, admitted.extract()))
+      return
+    }
+    await this.serve(call, admitted.extract() as AdmittedCompletion, sink, now)
+  }
+
+  /** Serves an admitted request; whatever happens, its sink gets exactly one end. */
+  private async serve (call: CompletionCall, admitted: AdmittedCompletion, sink: AnswerSink, now: Instant): Promise<void> {
     const close = this.deps.work.open()
-    const relay = new AnswerRelay(sink, call.gone)
+    const relay = new AnswerRelay(sink, call.gone, admitted.requestId, admitted.model)
     try {
-      const served = await this.serve(call, relay)
-      served.ifLeft(failure => { relay.fail(failure) })
+      const served = await this.serveOpen({ call, admitted, relay, startedAt: now.mono })
+      served.ifLeft(failure => { relay.fail(this.refused(admitted.requestId, admitted.team, failure)) })
     } catch (err) {
       this.deps.log.write('fault', { err: toFailure(err).message })
       relay.fail(toFailure(err))
@@ -86,15 +98,6 @@
     }
   }
 
-  private async serve (call: CompletionCall, relay: AnswerRelay): Promise<Either<Failure, void>> {
-    const now = this.deps.clock.now()
-    const admitted = this.admissible()
-      .chain(config => admitCompletion(call, config.config, this.deps.random.id(), now))
-    if (admitted.isLeft()) return this.refuse('-', call.caller.team, admitted.extract() as Failure)
-    const open = { call, admitted: admitted.extract() as AdmittedCompletion, relay, startedAt: now.mono }
-    return await this.serveOpen(open)
-  }
-
   private admissible (): Either<Failure, NumberedConfig> {
     if (this.deps.work.draining) {
       return Left(new Failure('draining', 'this VM is draining; use another address', { retryAfterMs: DRAINING_RETRY_MS }))
@@ -104,9 +107,10 @@
   }
 
   private async serveOpen (open: OpenCompletion): Promise<Either<Failure, void>> {
-    const { requestId, keyed } = open.admitted
+    const { requestId, keyed, digest } = open.admitted
     if (!keyed) return await this.runAnew(open, () => {})
-    const turn = await this.local.enter(requestId)
+    const turn = await this.local.enter(requestId, digest)
+    if (turn === 'otherBody') return Left(keyReused())
     try {
       return turn.runningAt === undefined
         ? await this.runAnew(open, runner => { turn.started(runner) })
@@ -126,10 +130,11 @@
   }
 
   private async tryRunners (open: OpenCompletion, exclude: string[], attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
+    const unsealed: RunnerAddress[] = []
     let last: Failure | undefined
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const planned = await this.plan(open, exclude)
-      if (planned.isLeft()) return this.refuse(open.admitted.requestId, open.admitted.team, last ?? planned.extract() as Failure)
+      const planned = await this.plan(open, exclude, unsealed)
+      if (planned.isLeft()) return Left(last ?? planned.extract())
       const plan = planned.extract() as PlannedRun | 'again'
       if (plan === 'again') continue
       if (plan.reservation === undefined) return await this.join(open, plan)
@@ -138,16 +143,17 @@
       if (outcome.kind === 'whole') return Right(undefined)
       last = outcome.failure
       exclude.push(plan.at.runner)
+      if (open.admitted.keyed && outcome.kind === 'notStarted' && last.code === 'runnerUnreachable') unsealed.push(plan.at)
       if (!this.repeatable(open, outcome)) break
       const delayMs = this.deps.routing.retryDelay(open.admitted, attempts.length).extractNullable()
       if (delayMs === null) break
       await pause(delayMs)
     }
-    return this.refuse(open.admitted.requestId, open.admitted.team, last ?? new Failure('noRunner', 'no runner took the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+    return Left(last ?? new Failure('noRunner', 'no runner took the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
   /** Chooses a runner; for a keyed request first looks for the run it may have already. */
-  private async plan (open: OpenCompletion, exclude: string[]): Promise<Either<Failure, PlannedRun | 'again'>> {
+  private async plan (open: OpenCompletion, exclude: string[], unsealed: readonly RunnerAddress[]): Promise<Either<Failure, PlannedRun | 'again'>> {
     const { admitted } = open
     const routed = this.deps.routing.route(admitted, exclude)
     if (routed.isLeft()) return Left(routed.extract() as Failure)
@@ -160,11 +166,11 @@
       return Right('again')
     }
     if (found.at !== undefined) {
-      if (found.at.record.digest !== admitted.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body'))
+      if (found.at.record.digest !== admitted.digest) return Left(keyReused())
       return Right({ at: found.at.runner, unsealed: [] })
     }
     const reserved = await this.reserve(open)
-    return reserved.map(reservation => ({ at: choice, unsealed: found.unsealed, reservation }))
+    return reserved.map(reservation => ({ at: choice, unsealed: [...unsealed, ...found.unsealed], reservation }))
   }
 
   private async reserve (open: OpenCompletion): Promise<Either<Failure, Reservation>> {
@@ -177,7 +183,7 @@
   }
 
   private async start (open: OpenCompletion, plan: PlannedRun, reservation: Reservation, onStarted: (runner: RunnerAddress) => void): Promise<AttemptOutcome> {
-    const { admitted, relay } = open
+    const { admitted } = open
     this.deps.log.write('requestAccepted', { request: admitted.requestId, team: admitted.team, model: admitted.model, reserved: reservation.tokens })
     const tracked = this.deps.routing.dispatched(plan.at.runner, admitted)
     const outcome = await runAttempt(this.context(open, plan.at, tracked.firstToken), async () => {
@@ -195,10 +201,7 @@
         maxTokens: admitted.maxTokens,
         priority: 0
       })
-      submitted.ifRight(() => {
-        onStarted(plan.at)
-        relay.begin(admitted.requestId, admitted.model)
-      })
+      submitted.ifRight(() => { onStarted(plan.at) })
       return submitted
     })
     tracked.ended(outcome.kind === 'whole', outcome.kind === 'whole' ? outcome.end.usage.completionTokens : 0)
@@ -208,14 +211,11 @@
 
   /** Streams a run that another request started and pays for. */
   private async join (open: OpenCompletion, plan: PlannedRun): Promise<Either<Failure, void>> {
-    const { admitted, relay } = open
+    const { admitted } = open
     this.deps.log.write('requestJoined', { request: admitted.requestId, runner: plan.at.runner })
-    const outcome = await runAttempt(this.context(open, plan.at, () => {}), async () => {
-      const resumed = await this.deps.engines.resume(plan.at.address, admitted.requestId, 0)
-      resumed.ifRight(() => { relay.begin(admitted.requestId, admitted.model) })
-      return resumed
-    })
-    if (outcome.kind !== 'whole') return this.refuse(admitted.requestId, admitted.team, outcome.failure)
+    const outcome = await runAttempt(this.context(open, plan.at, () => {}), async () =>
+      await this.deps.engines.resume(plan.at.address, admitted.requestId, 0))
+    if (outcome.kind !== 'whole') return Left(outcome.failure)
     this.answered(open, plan.at.runner, outcome)
     return Right(undefined)
   }
@@ -243,7 +243,7 @@
   /** Settles an ended attempt; only the last of a request can be billed. */
   private settle (open: OpenCompletion, attempt: EndedAttempt, isLast: boolean): void {
     const { plan, reservation, outcome } = attempt
-    const startedElsewhere = outcome.kind === 'whole' && outcome.holder !== this.deps.holder
+    const startedElsewhere = outcome.kind === 'whole' && outcome.holder !== '' && outcome.holder !== this.deps.holder
     if (outcome.kind === 'notStarted' || startedElsewhere) {
       this.deps.budgets.settle(reservation)
       return
@@ -270,14 +270,18 @@
     this.deps.log.write('requestAnswered', { request: open.admitted.requestId, runner, tokens: outcome.end.usage.completionTokens, totalMs })
   }
 
-  private refuse (request: string, team: string, failure: Failure): Either<Failure, void> {
+  private refused (request: string, team: string, failure: Failure): Failure {
     const { code, ran, retryAfterMs } = failure
     this.deps.metrics.count(`refusals_${code}`)
     this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request, team, code, ran, retryAfterMs, detail: failure.message })
-    return Left(failure)
+    return failure
   }
 }
 
+function keyReused (): Failure {
+  return new Failure('keyReused', 'the Idempotency-Key was used with another body')
+}
+
 function debtOf (outcome: AttemptOutcome, isLast: boolean): RunDebt {
   if (!isLast) return 'none'
   if (outcome.kind === 'whole') return 'owed'
--- a/packages/rosemaryspread/src/config/configSpread.ts
+++ b/packages/rosemaryspread/src/config/configSpread.ts
@@ -94,13 +94,14 @@
   }
 
   /**
-   * Serves {@link PUSH_METHOD}.
+   * Serves {@link PUSH_METHOD}. A fresh process takes its first version from `load` or a poll, as
+   * the sender of a push may lag behind what an earlier process of this VM had in force.
    * @param params - the version and who tells of it
    */
   async onPush (params: unknown): Promise<unknown> {
     const push = pushSchema.parse(params)
     const held = this.#parts.store.inForce
-    if (held !== undefined && held.version >= push.version) return null
+    if (held === undefined || held.version >= push.version) return null
     this.#later(this.#parts.settings.hedgeMs, () => this.#hedge(push, push.from))
     this.#run(this.#parts.store.hear('peer', { version: push.version, digest: push.digest }))
     return null
--- a/packages/rosemaryspread/src/config/configStore.ts
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -16,6 +16,9 @@
 import { ConfigVersions } from './configVersions.js'
 import { RecentRows } from './recentRows.js'
 
+/** Versions that one call of `history` gives at most. */
+const MAX_HISTORY = 1_000
+
 /** The configuration store of one VM. */
 export class ConfigStore {
   readonly #parts: ConfigStoreParts
@@ -161,7 +164,7 @@
     const current = await this.#reader.current(this.#confirmed)
     if (current.isLeft()) return current
     const newest = current.unsafeCoerce().version
-    const rows = await this.#reader.rows(Math.max(newest - limit, 0), newest)
+    const rows = await this.#reader.rows(Math.max(newest - Math.min(limit, MAX_HISTORY), 0), newest)
     return rows.map(all => all.reverse().map(({ version, patchId, author, at, patch }) => ({ version, patchId, author, at, patch })))
   }
 
