Prove that a call which may not be repeated runs at most once

Cause: claims had no tests; the promise is the one whose breach sends two volunteers. Ruled out: fakes of the table of our own (the table in memory serves). Change: ten faults of table, clock, runner and VM, races, misuse, and two weaker claims (one that goes ahead without an answer, one that expires) that run the call twice as they must.

--- /dev/null
+++ b/packages/stand-ins/src/request/serviceCalls.spec.ts
@@ -0,0 +1,158 @@
+/**
+ * A call that may not be repeated runs at most once, whatever happens to the claim, the VM or
+ * the runner, and what callers are told of it is true.
+ */
+import { expect } from 'chai'
+import { Right, type Either } from 'purify-ts'
+import type { ServiceAnswer } from '@rosemaryspread/callers/completion/completionTypes.js'
+import { failureOf, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import { ClaimStore, type ClaimOutcome, type ClaimRow } from 'rosemaryspread/service/serviceClaim.js'
+import { applicationAddresses, serviceFleet, type ServiceFleet } from './serviceFakes.spec.js'
+
+const PAUSE_MS = 60_000
+
+type Told = 'answered' | 'kept' | readonly [code: ResultName, ran: string]
+
+function told (answer: Either<Failure, ServiceAnswer>): Told {
+  const failure = failureOf(answer)
+  if (failure !== undefined) return [failure.code, failure.ran]
+  return answer.map(({ repeated }) => repeated).extract() === true ? 'kept' : 'answered'
+}
+
+/** The table goes out right after the effect of the next write. */
+function outageAfterWrite (fleet: ServiceFleet): void {
+  fleet.a.table.loseAnswers = 1
+  fleet.a.table.before = async operation => {
+    if (operation === 'read') fleet.a.table.outage = true
+  }
+}
+
+function healTable (fleet: ServiceFleet): void {
+  fleet.a.table.before = async () => {}
+  fleet.a.table.outage = false
+}
+
+/** The VM is paused while it waits for the answer of its claim. */
+function pauseDuringClaim (fleet: ServiceFleet): void {
+  fleet.a.table.before = async operation => {
+    if (operation === 'transact') fleet.a.clock.jumpedMs += PAUSE_MS
+    fleet.a.table.before = async () => {}
+  }
+}
+
+interface FaultCase {
+  readonly name: string
+  readonly arrange: (fleet: ServiceFleet) => void
+  readonly heal?: (fleet: ServiceFleet) => void
+  readonly first: Told
+  /** What a repeat is told at the other VM once all has healed. */
+  readonly repeat: Told
+  readonly executions: number
+}
+
+const allUnreachable = ({ applications }: ServiceFleet): void => {
+  applicationAddresses.forEach(address => applications.faults.set(address, 'unreachable'))
+}
+const healRunners = ({ applications }: ServiceFleet): void => { applications.faults.clear() }
+
+const faults: readonly FaultCase[] = [
+  { name: 'no fault', arrange: () => {}, first: 'answered', repeat: 'kept', executions: 1 },
+  { name: 'the table out of service', arrange: ({ a }) => { a.table.outage = true }, heal: healTable, first: ['notClaimed', 'no'], repeat: 'answered', executions: 1 },
+  { name: 'the answer of the claim lost', arrange: ({ a }) => { a.table.loseAnswers = 1 }, first: 'answered', repeat: 'kept', executions: 1 },
+  { name: 'the claim lost on its way', arrange: ({ a }) => { a.table.loseRequests = 1 }, first: ['notClaimed', 'no'], repeat: 'answered', executions: 1 },
+  { name: 'the answer of the claim lost and the table out of service then', arrange: outageAfterWrite, heal: healTable, first: ['notClaimed', 'no'], repeat: 'answered', executions: 1 },
+  { name: 'a pause between claim and dispatch', arrange: pauseDuringClaim, first: ['notClaimed', 'no'], repeat: 'answered', executions: 1 },
+  { name: 'one runner that cannot be connected to', arrange: ({ applications }) => { applications.faults.set(applicationAddresses[0], 'unreachable') }, first: 'answered', repeat: 'kept', executions: 1 },
+  { name: 'no runner that can be connected to', arrange: allUnreachable, heal: healRunners, first: ['runnerUnreachable', 'no'], repeat: 'answered', executions: 1 },
+  { name: 'a runner that dies during the call', arrange: ({ applications }) => { applications.faults.set(applicationAddresses[0], 'diesDuring') }, heal: healRunners, first: ['runnerUnreachable', 'unknown'], repeat: ['claimOutcomeUnknown', 'unknown'], executions: 1 },
+  { name: 'the answer of the outcome write lost', arrange: ({ a }) => { a.table.before = async () => { if (a.table.calls.transact === 2) a.table.loseAnswers = 1 } }, first: 'answered', repeat: 'kept', executions: 1 }
+]
+
+describe('a call that may not be repeated', () => {
+  for (const { name, arrange, heal, first, repeat, executions } of faults) {
+    it(`under ${name}`, async () => {
+      const fleet = serviceFleet()
+      arrange(fleet)
+      expect(told(await fleet.a.dispatch())).to.deep.equal(first)
+      heal?.(fleet)
+      await fleet.a.work.idle(5_000)
+      expect(told(await fleet.b.dispatch())).to.deep.equal(repeat)
+      expect(fleet.applications.executions).to.have.length(executions)
+    })
+  }
+
+  it('sent to two VMs at the same time runs once, and nobody is told that it did not run', async () => {
+    const { a, b, applications } = serviceFleet()
+    const answers = (await Promise.all([a.dispatch(), b.dispatch(), a.dispatch(), b.dispatch()])).map(told)
+    expect(applications.executions).to.have.length(1)
+    expect(answers.filter(answer => answer === 'answered')).to.have.length(1)
+    answers.filter(answer => typeof answer !== 'string').forEach(([code, ran]) => { expect([code, ran]).to.deep.equal(['claimOutcomeUnknown', 'unknown']) })
+  })
+
+  it('whose VM died after the claim is never run by another, and the repeat is told so', async () => {
+    const { a, b, applications } = serviceFleet()
+    await b.dispatch()
+    const requestId = applications.executions[0] ?? ''
+    const key = { table: 'claims', key: requestId }
+    const [row] = (await a.table.read([key])).unsafeCoerce().rows
+    const claimed = { ...row?.value as ClaimRow, holder: 'dead~1', state: 'claimed' }
+    await a.table.transact({ checks: [], writes: [{ ...key, value: claimed }] })
+    expect(told(await a.dispatch())).to.deep.equal(['claimOutcomeUnknown', 'unknown'])
+    expect(applications.executions).to.have.length(1)
+  })
+
+  const misuses: ReadonlyArray<{ readonly name: string, readonly send: (fleet: ServiceFleet) => Promise<Either<Failure, ServiceAnswer>>, readonly code: ResultName }> = [
+    { name: 'no key', send: async ({ a }) => await a.dispatch(null), code: 'keyRequired' },
+    { name: 'a key used for another body', send: async ({ b }) => await b.dispatch('k', 'to Juan'), code: 'keyReused' }
+  ]
+  for (const { name, send, code } of misuses) {
+    it(`with ${name} is an error and not run`, async () => {
+      const fleet = serviceFleet()
+      await fleet.a.dispatch()
+      expect(told(await send(fleet))).to.deep.equal([code, 'no'])
+      expect(fleet.applications.executions).to.have.length(1)
+    })
+  }
+
+  it('is not confused with one that may be repeated', async () => {
+    const { a, applications } = serviceFleet()
+    applications.faults.set(applicationAddresses[0], 'diesDuring')
+    expect(told(await a.dispatch('k', 'x', '/status'))).to.equal('answered')
+    expect(applications.executions, 'the second runner took it').to.have.length(2)
+  })
+})
+
+/** Goes ahead when the outcome of the claim is not known. */
+class HopefulClaims extends ClaimStore {
+  override async claim (wanted: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
+    const claimed = await super.claim(wanted)
+    return failureOf(claimed) === undefined ? claimed : Right({ kind: 'held', claim: { row: wanted, version: 0 } })
+  }
+}
+
+/** Takes over claims that another VM made and has not finished, as an expiring lock would. */
+class ExpiringClaims extends ClaimStore {
+  override async claim (wanted: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
+    const claimed = await super.claim(wanted)
+    return claimed.map(outcome => outcome.kind === 'found' && outcome.row.state === 'claimed' ? { kind: 'held', claim: { row: wanted, version: 0 } } : outcome)
+  }
+}
+
+describe('weaker claims run a call twice', () => {
+  const weak: ReadonlyArray<{ readonly name: string, readonly claims: (table: TableStore) => ClaimStore, readonly arrange: (fleet: ServiceFleet) => void }> = [
+    { name: 'one that goes ahead without an answer', claims: table => new HopefulClaims(table), arrange: ({ a }) => { a.table.outage = true } },
+    { name: 'one that expires', claims: table => new ExpiringClaims(table), arrange: ({ applications }) => { applications.faults.set(applicationAddresses[0], 'diesDuring') } }
+  ]
+  for (const { name, claims, arrange } of weak) {
+    it(name, async () => {
+      const fleet = serviceFleet(claims)
+      arrange(fleet)
+      await fleet.a.dispatch()
+      healRunners(fleet)
+      await fleet.b.dispatch()
+      expect(fleet.applications.executions).to.have.length(2)
+    })
+  }
+})
