--- a/packages/operators/src/admin/adminServer.spec.ts
+++ b/packages/operators/src/admin/adminServer.spec.ts
@@ -58,7 +58,8 @@
       vms: [
         { vm: 'q1', domain: 'quito-centro', state: 'live', configVersion: 5, lags: false, ageMs: 100 },
         { vm: 'c1', domain: 'cumbaya', state: 'live', configVersion: 3, lags: true, ageMs: 9000 },
-        { vm: 't1', domain: 'tababela', state: 'leaving', configVersion: null, lags: true, ageMs: 50 }
+        { vm: 't1', domain: 'tababela', state: 'leaving', configVersion: null, lags: true, ageMs: 50 },
+        { vm: 't2', domain: 'tababela', state: 'gone', configVersion: 2, lags: false, ageMs: 90_000 }
       ]
     }
   },
--- a/packages/operators/src/admin/configStatus.ts
+++ b/packages/operators/src/admin/configStatus.ts
@@ -10,7 +10,7 @@
   domain: z.string(),
   state: z.string(),
   configVersion: z.number().int().nullable(),
-  /** Whether the VM is behind the newest version. */
+  /** Whether the VM is behind the newest version; never said of one that is gone. */
   lags: z.boolean(),
   /** Milliseconds since the VM was last heard of with this version. */
   ageMs: z.number()
@@ -25,6 +25,9 @@
 })
 export type ConfigStatus = z.infer<typeof configStatusSchema>
 
+/** State of a VM that the platform ended; nothing waits for it. */
+const endedState = 'gone'
+
 /**
  * Compares the VMs with the newest version known.
  * @param inForce - version in force on the VM that answers
@@ -37,6 +40,7 @@
 
 function vmStatus (version: number, vm: VmAnswer): VmStatus {
   const { domain, state, configVersion, ageMs } = vm
-  const lags = configVersion === null || configVersion < version
+  const behind = configVersion === null || configVersion < version
+  const lags = behind && state !== endedState
   return { vm: vm.vm, domain, state, configVersion, lags, ageMs }
 }
--- a/packages/operators/src/admin/fakeAdminService.spec.ts
+++ b/packages/operators/src/admin/fakeAdminService.spec.ts
@@ -9,7 +9,8 @@
 export const fakeVms: readonly VmAnswer[] = [
   { vm: 'q1', domain: 'quito-centro', address: '10.0.0.1:8001', state: 'live', configVersion: 5, ageMs: 100 },
   { vm: 'c1', domain: 'cumbaya', address: '10.0.1.1:8001', state: 'live', configVersion: 3, ageMs: 9000 },
-  { vm: 't1', domain: 'tababela', address: '10.0.2.1:8001', state: 'leaving', configVersion: null, ageMs: 50 }
+  { vm: 't1', domain: 'tababela', address: '10.0.2.1:8001', state: 'leaving', configVersion: null, ageMs: 50 },
+  { vm: 't2', domain: 'tababela', address: '10.0.2.2:8001', state: 'gone', configVersion: 2, ageMs: 90_000 }
 ]
 
 function identity (bearer: string): Either<Failure, OperatorIdentity> {
--- a/packages/operators/src/ctl/ctlProgram.spec.ts
+++ b/packages/operators/src/ctl/ctlProgram.spec.ts
@@ -94,7 +94,9 @@
     { line: 'vm list', env: { RSCTL_KEY: 'x' }, exit: 6, err: /^RS-102 The key is missing or not valid: / },
     { line: topUp, env: { RSCTL_KEY: 'view' }, exit: 6, err: /\nRS-103 / },
     { line: 'budget show nada', exit: 3, err: /^RS-204 There is no such budget: no budget nada$/ },
-    { line: 'budget topup viajes --tokens 0 --author ana', exit: 3, err: /RS-101 [^]*\n {2}tokens: / },
+    { line: 'budget topup viajes --tokens 0 --author ana', exit: 3, err: /\nRS-101 .*: tokens: [^\n]*$/ },
+
+    { line: `${topUp} --operation-id ${'x'.repeat(129)} --tokens 0`.replace(' --tokens 500', ''), exit: 3, err: /\nRS-101 .*: 2 mistakes, see errors\n {2}operationId: .*\n {2}tokens: / },
 
     { line: 'config get', exit: 0, out: /^# version 4\nteams: {}$/ },
     { line: 'config get --version 2 --output json', exit: 0, out: /^{\n {2}"version": 2,/ },
--- a/packages/operators/src/ctl/ctlProgram.ts
+++ b/packages/operators/src/ctl/ctlProgram.ts
@@ -89,6 +89,12 @@
 
 function fail (io: CtlIo, failure: Failure): number {
   io.err(`RS-${failure.entry.number} ${failure.entry.title}: ${failure.message}`)
-  for (const line of failure.errors) io.err(`  ${line}`)
+  for (const line of furtherErrors(failure)) io.err(`  ${line}`)
   return exitCodeOf(failure)
 }
+
+/** The single mistakes, less one that the detail tells already. */
+function furtherErrors ({ errors, message }: Failure): readonly string[] {
+  const [only] = errors
+  return errors.length === 1 && only !== undefined && message.includes(only) ? [] : errors
+}
