--- a/packages/decisions/src/routing/fleetView.ts
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -141,7 +141,7 @@
     if (request?.unqueued !== true) return
     state.latency.sawFirstToken(event.afterMs, request.uncachedTokens)
     this.fleet.sawFirstToken(event.afterMs, request.uncachedTokens)
-    if (state.latency.unitMs.count % SLOW_CHECK_EVERY === 0) this.ejectIfSlow(state, mono)
+    if (state.latency.firstTokenMs.count % SLOW_CHECK_EVERY === 0) this.ejectIfSlow(state, mono)
   }
 
   private ended (state: RunnerState, event: EventOf<'ended'>, mono: number): void {
@@ -174,9 +174,9 @@
     const [model] = state.models
     const peers = this.runnersOf(model ?? '').watched.filter(peer => peer !== state && peer.latency.trusted)
     if (peers.length < MEDIAN_RUNNERS) return
-    const figures = peers.map(peer => peer.latency.unitMs.mean).sort((a, b) => a - b)
+    const figures = peers.map(peer => peer.latency.unitMs(0)).sort((a, b) => a - b)
     const median = figures[Math.floor(figures.length / 2)] ?? Infinity
-    if (state.latency.unitMs.mean <= SLOW_FACTOR * median) return
+    if (state.latency.unitMs(0) <= SLOW_FACTOR * median) return
     state.health.eject('slow first tokens', mono)
     state.latency = new LatencyModel()
   }
--- a/packages/decisions/src/routing/latencyModel.ts
+++ b/packages/decisions/src/routing/latencyModel.ts
@@ -6,7 +6,7 @@
 import { Ewma } from './ewma.js'
 
 /** Fixed cost of a first token, expressed in prompt tokens. */
-const FIRST_TOKEN_OVERHEAD = 64
+const FIRST_TOKEN_OVERHEAD = 200
 
 /** How much slower a token is when all slots are busy than when one is, less 1. */
 const BUSY_SLOWDOWN = 1
@@ -34,27 +34,37 @@
 /** Predicted times in milliseconds. */
 export interface Prediction {
   readonly waitMs: number
+  readonly prefillMs: number
   readonly firstTokenMs: number
   readonly totalMs: number
-  /** Total on the runner when it is idle. */
-  readonly idleMs: number
   /** For how long a typical request holds a slot. */
   readonly slotMs: number
 }
 
 /** Measured speed, of one runner or of the fleet. */
 export class LatencyModel {
-  readonly unitMs = new Ewma()
+  readonly firstTokenMs = new Ewma()
+  readonly promptTokens = new Ewma()
   readonly tokenMs = new Ewma()
   readonly answerTokens = new Ewma()
 
   /** Whether enough was measured to refuse a request by it. */
   get trusted (): boolean {
-    return this.unitMs.count >= TRUSTED_SAMPLES && this.tokenMs.count >= TRUSTED_SAMPLES
+    return this.firstTokenMs.count >= TRUSTED_SAMPLES && this.tokenMs.count >= TRUSTED_SAMPLES
   }
 
   sawFirstToken (afterMs: number, uncachedTokens: number): void {
-    this.unitMs.add(afterMs / (uncachedTokens + FIRST_TOKEN_OVERHEAD))
+    this.firstTokenMs.add(afterMs)
+    this.promptTokens.add(uncachedTokens + FIRST_TOKEN_OVERHEAD)
+  }
+
+  /**
+   * Milliseconds for each computed prompt token. A ratio of means, since the mean of ratios is
+   * dominated by short prompts that waited for a step to end.
+   * @param deviations - mean deviations of the first-token time added for caution
+   */
+  unitMs (deviations: number): number {
+    return this.firstTokenMs.above(deviations) / Math.max(1, this.promptTokens.mean)
   }
 
   /**
@@ -78,8 +88,8 @@
  */
 export function predict (own: LatencyModel, fleet: LatencyModel, work: Work, cautious: boolean): Prediction {
   const deviations = cautious ? CAUTION : 0
-  const unitMs = figure(own.unitMs, fleet.unitMs, deviations, DEFAULT_UNIT_MS)
-  const tokenMs = figure(own.tokenMs, fleet.tokenMs, deviations, DEFAULT_TOKEN_MS)
+  const unitMs = unitFigure(own, fleet, deviations)
+  const tokenMs = tokenFigure(own, fleet, deviations)
   const perTokenMs = tokenMs * slowdown(Math.min(1, (work.load + 1) / work.slots))
   const prefillMs = unitMs * (work.uncachedTokens + FIRST_TOKEN_OVERHEAD)
   const typicalTokens = fleet.answerTokens.count > 0 ? fleet.answerTokens.mean : DEFAULT_TOKENS
@@ -87,15 +97,19 @@
   const waitMs = Math.max(0, work.load + 1 - work.slots) * slotMs / work.slots
   const firstTokenMs = waitMs + prefillMs
   const totalMs = firstTokenMs + work.answerTokens * perTokenMs
-  const idleMs = prefillMs + work.answerTokens * tokenMs * slowdown(1 / work.slots)
-  return { waitMs, firstTokenMs, totalMs, idleMs, slotMs }
+  return { waitMs, prefillMs, firstTokenMs, totalMs, slotMs }
 }
 
 function slowdown (busy: number): number {
   return 1 + BUSY_SLOWDOWN * busy
 }
 
-function figure (own: Ewma, fleet: Ewma, deviations: number, fallback: number): number {
-  if (own.count >= TRUSTED_SAMPLES) return own.above(deviations)
-  return fleet.count > 0 ? fleet.above(deviations) : fallback
+function unitFigure (own: LatencyModel, fleet: LatencyModel, deviations: number): number {
+  if (own.firstTokenMs.count >= TRUSTED_SAMPLES) return own.unitMs(deviations)
+  return fleet.firstTokenMs.count > 0 ? fleet.unitMs(deviations) : DEFAULT_UNIT_MS
+}
+
+function tokenFigure (own: LatencyModel, fleet: LatencyModel, deviations: number): number {
+  if (own.tokenMs.count >= TRUSTED_SAMPLES) return own.tokenMs.above(deviations)
+  return fleet.tokenMs.count > 0 ? fleet.tokenMs.above(deviations) : DEFAULT_TOKEN_MS
 }
--- a/packages/decisions/src/routing/prefixIndex.ts
+++ b/packages/decisions/src/routing/prefixIndex.ts
@@ -41,30 +41,18 @@
   }
 
   /**
-   * Share of a prompt believed to be cached at a runner, 0 to 1.
+   * Share of a prompt believed to be cached, 0 to 1, for each runner that holds any of it.
    * @param hashes - hashes of the prompt's prefixes, longest last
-   * @param runner - the runner
    * @param mono - present time
    */
-  share (hashes: readonly string[], runner: string, mono: number): number {
+  shares (hashes: readonly string[], mono: number): ReadonlyMap<string, number> {
+    const found = new Map<string, number>()
     for (let i = hashes.length - 1; i >= 0; i--) {
-      const holders = this.holdings.get(hashes[i] ?? '')
-      if (holders?.some(item => item.runner === runner && item.until > mono) === true) return (i + 1) / hashes.length
+      for (const { runner, until } of this.holdings.get(hashes[i] ?? '') ?? []) {
+        if (until > mono && !found.has(runner)) found.set(runner, (i + 1) / hashes.length)
+      }
     }
-    return 0
-  }
-
-  /**
-   * Runners believed to hold the longest known prefix.
-   * @param hashes - hashes of the prompt's prefixes, longest last
-   * @param mono - present time
-   */
-  holders (hashes: readonly string[], mono: number): readonly string[] {
-    for (let i = hashes.length - 1; i >= 0; i--) {
-      const live = (this.holdings.get(hashes[i] ?? '') ?? []).filter(item => item.until > mono)
-      if (live.length > 0) return live.map(item => item.runner)
-    }
-    return []
+    return found
   }
 
   private dropOldest (): void {
--- a/packages/decisions/src/routing/routeRefusal.ts
+++ b/packages/decisions/src/routing/routeRefusal.ts
@@ -1,9 +1,9 @@
 /**
  * Refusals of the router, each with the time after which it would likely decide otherwise.
  */
-import type { Instant } from '../clock/clockTypes.js'
 import { Failure, type FailureExtras } from '../codes/failure.js'
 import type { ResultName } from '../codes/resultCodes.js'
+import { predict, type LatencyModel } from './latencyModel.js'
 import type { Judgement } from './runnerState.js'
 import type { RouteDecision, RouteRequest, RunnerView } from './routingTypes.js'
 
@@ -26,33 +26,43 @@
 }
 
 /**
- * No runner has room and is quick enough.
+ * No runner has room.
  * @param req - the request
- * @param now - both clocks
+ * @param fleet - measured speed of all runners
  * @param judged - the runners looked at
  * @param lookIn - for keyed requests, where an earlier run would be
  */
-export function refuseUnfit (req: RouteRequest, now: Instant, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
-  const candidates = judged.map(item => item.state.view.runner)
-  const withRoom = judged.filter(item => item.hasRoom)
-  if (withRoom.length === 0) {
-    const retryMs = Math.min(...judged.map(roomInMs))
-    return refusal(req, 'overloaded', 'all runners are full', retryMs, candidates, lookIn)
-  }
-  const remainingMs = req.deadline.mono - now.mono
-  const quickestMs = Math.min(...withRoom.map(item => item.cautious.totalMs))
-  const neverFits = Math.min(...judged.map(item => item.cautious.idleMs)) > remainingMs
-  const retryMs = neverFits ? RETRY_NEVER_FITS_MS : quickestMs - remainingMs
-  const detail = `predicted ${Math.round(quickestMs)} ms, ${Math.round(remainingMs)} ms left`
-  return refusal(req, 'deadlineOutOfReach', detail, retryMs, candidates, lookIn)
+export function refuseFull (req: RouteRequest, fleet: LatencyModel, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
+  const slots = judged.reduce((sum, item) => sum + item.state.view.slots, 0)
+  const excess = judged.reduce((sum, item) => sum + Math.max(1, item.load + 1 - item.state.view.slots), 0)
+  const work = { uncachedTokens: req.promptTokens, answerTokens: req.maxTokens, load: 0, slots: 1 }
+  const retryMs = predict(fleet, fleet, work, false).slotMs * excess / slots
+  return refusal(req, 'overloaded', 'all runners are full', retryMs, judged, lookIn)
 }
 
-/** Time until the queue of a runner is short enough again. */
-function roomInMs (item: Judgement): number {
-  return item.cautious.slotMs / item.state.view.slots
+/** Cautious predictions for the quickest runner and the time left, in milliseconds. */
+export interface TooLate {
+  readonly presentMs: number
+  readonly idleMs: number
+  readonly remainingMs: number
 }
 
-function refusal (req: RouteRequest, code: ResultName, detail: string, retryMs: number, candidates: readonly string[], lookIn: readonly RunnerView[]): RouteDecision {
+/**
+ * Some runner has room, but none is quick enough.
+ * @param req - the request
+ * @param times - predictions and time left
+ * @param judged - the runners looked at
+ * @param lookIn - for keyed requests, where an earlier run would be
+ */
+export function refuseLate (req: RouteRequest, times: TooLate, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
+  const { presentMs, idleMs, remainingMs } = times
+  const retryMs = idleMs > remainingMs ? RETRY_NEVER_FITS_MS : presentMs - remainingMs
+  const detail = `predicted ${Math.round(presentMs)} ms, ${Math.round(remainingMs)} ms left`
+  return refusal(req, 'deadlineOutOfReach', detail, retryMs, judged, lookIn)
+}
+
+function refusal (req: RouteRequest, code: ResultName, detail: string, retryMs: number, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
+  const candidates = judged.map(item => item.state.view.runner)
   const extras: FailureExtras = { ran: req.keyed ? 'unknown' : 'no', retryAfterMs: Math.ceil(Math.max(RETRY_LEAST_MS, retryMs)) }
   const base = { kind: 'refused', failure: new Failure(code, detail, extras), candidates, reason: `${code}: ${detail}` } as const
   return req.keyed ? { ...base, lookIn } : base
--- a/packages/decisions/src/routing/runnerLoad.ts
+++ b/packages/decisions/src/routing/runnerLoad.ts
@@ -11,6 +11,12 @@
 /** Time constant by which an older report loses weight, in milliseconds. */
 const STALE_TAU_MS = 4_000
 
+/**
+ * Weight of a report that tells of fewer requests of others than believed. Every VM sees a freed
+ * slot at about the same time; believing it only in part keeps them from all filling it.
+ */
+const FREED_GAIN = 0.25
+
 /** Changes of the own count that are remembered, to look up its value at the time of a report. */
 const HISTORY = 64
 
@@ -92,7 +98,9 @@
   reported (total: number, at: number): number | undefined {
     if (at <= this.reportAt) return undefined
     this.reportAt = at
-    this.othersAtReport = Math.max(0, total - this.ownAt(at))
+    const others = Math.max(0, total - this.ownAt(at))
+    const gain = others < this.othersAtReport ? FREED_GAIN : 1
+    this.othersAtReport += gain * (others - this.othersAtReport)
     return this.othersAtReport
   }
 
--- a/packages/decisions/src/routing/runnerRouter.ts
+++ b/packages/decisions/src/routing/runnerRouter.ts
@@ -8,8 +8,9 @@
 import { boundEjections } from './ejectionBound.js'
 import { FleetView } from './fleetView.js'
 import { keyedOrder } from './keyedOrder.js'
-import { refuseNoRunner, refuseUnfit } from './routeRefusal.js'
-import type { Judgement, RunnerState } from './runnerState.js'
+import { predict } from './latencyModel.js'
+import { refuseFull, refuseLate, refuseNoRunner } from './routeRefusal.js'
+import type { Demand, Judgement, RunnerState } from './runnerState.js'
 import type { RouteDecider, RouteDecision, RouteEvent, RouteRequest, RunnerView } from './routingTypes.js'
 
 /** Times the mean load at which a keyed request goes past a runner. */
@@ -18,6 +19,17 @@
 /** Share of busy slots below which a runner is never past the bound. */
 const KEYED_FREE_SHARE = 0.75
 
+/** Share of busy slots up to which a first token surely did not wait for a slot, reports lagging as they do. */
+const UNQUEUED_SHARE = 0.75
+
+/** One request on its way through a decision. */
+interface RouteCase {
+  readonly req: RouteRequest
+  readonly now: Instant
+  readonly usable: readonly RunnerState[]
+  readonly demand: Demand
+}
+
 /** Routes requests of one VM. */
 export class RunnerRouter implements RouteDecider {
   private readonly view: FleetView
@@ -43,75 +55,89 @@
     return this.view.watchedRunners()
   }
 
+  /**
+   * Predicted milliseconds of a request on a busy runner, for the queue before this router.
+   * @param promptTokens - tokens of the prompt
+   * @param answerTokens - tokens of the answer
+   */
+  serviceMs (promptTokens: number, answerTokens: number): number {
+    const { fleet } = this.view
+    const work = { uncachedTokens: promptTokens, answerTokens, load: 0, slots: 1 }
+    return fleet.trusted ? predict(fleet, fleet, work, false).totalMs : 0
+  }
+
   route (req: RouteRequest, now: Instant, random: () => number): RouteDecision {
     const runners = this.view.runnersOf(req.model)
     const pool = req.keyed ? runners.all : runners.watched
     const candidates = pool.filter(state => !state.isLeaving && !req.exclude.includes(state.view.runner))
     const { usable, forced } = boundEjections(candidates, now.mono)
+    const job = this.caseOf(req, now, usable)
     const note = forced > 0 ? `; ${forced} ejected runners used, too many were out` : ''
-    return req.keyed
-      ? this.routeKeyed(req, now, runners.all, usable, note)
-      : this.routePlain(req, now, usable, note, random)
+    return req.keyed ? this.routeKeyed(job, runners.all, note) : this.routePlain(job, note, random)
   }
 
-  private routePlain (req: RouteRequest, now: Instant, usable: readonly RunnerState[], note: string, random: () => number): RouteDecision {
-    if (usable.length === 0) return refuseNoRunner(req, [])
-    const drawn = this.draw(req, now, usable, random).map(state => this.judge(state, req, now))
+  private caseOf (req: RouteRequest, now: Instant, usable: readonly RunnerState[]): RouteCase {
+    const cached = this.view.prefixes.shares(req.prefixHashes, now.mono)
+    const demand = {
+      mono: now.mono,
+      promptTokens: req.promptTokens,
+      cached,
+      boundTokens: req.maxTokens,
+      expectedTokens: Math.min(req.maxTokens, this.view.fleet.answerTokens.mean),
+      remainingMs: req.deadline.mono - now.mono,
+      prior: this.view.prior,
+      ownPerSlot: ownPerSlot(usable)
+    }
+    return { req, now, usable, demand }
+  }
+
+  private routePlain (job: RouteCase, note: string, random: () => number): RouteDecision {
+    const { usable } = job
+    if (usable.length === 0) return refuseNoRunner(job.req, [])
+    const drawn = draw(job, random).map(state => this.judge(state, job))
     const first = best(drawn)
-    if (first !== undefined) return this.routed(req, first, [], drawn, `best of ${drawn.length} drawn from ${usable.length}${note}`)
-    const judged = usable.map(state => this.judge(state, req, now))
+    if (first !== undefined) return this.routed(job, first, [], drawn, `best of ${drawn.length} drawn from ${usable.length}${note}`)
+    const judged = usable.map(state => this.judge(state, job))
     const any = best(judged)
-    if (any !== undefined) return this.routed(req, any, [], judged, `best of all ${judged.length}, the drawn ones would not do${note}`)
-    return refuseUnfit(req, now, judged, [])
+    if (any !== undefined) return this.routed(job, any, [], judged, `best of all ${judged.length}, the drawn ones would not do${note}`)
+    return this.refuse(job, judged, [])
   }
 
-  private routeKeyed (req: RouteRequest, now: Instant, all: readonly RunnerState[], usable: readonly RunnerState[], note: string): RouteDecision {
-    const order = keyedOrder(req.requestId, all, now.wall)
-    const allowed = new Set(usable)
+  private routeKeyed (job: RouteCase, all: readonly RunnerState[], note: string): RouteDecision {
+    const allowed = new Set(job.usable)
     const passed: RunnerState[] = []
     const judged: Judgement[] = []
     let fallback: { judgement: Judgement, passed: number } | undefined
-    for (const state of order) {
+    for (const state of keyedOrder(job.req.requestId, all, job.now.wall)) {
       if (allowed.has(state)) {
-        const judgement = this.judge(state, req, now)
+        const judgement = this.judge(state, job)
         judged.push(judgement)
-        if (judgement.hasRoom && judgement.fits) {
-          if (this.underBound(judgement)) {
-            const reason = `place ${passed.length + 1} in the order of the key${note}`
-            return this.routed(req, judgement, passed, judged, reason)
-          }
-          fallback ??= { judgement, passed: passed.length }
+        if (judgement.fits && this.underBound(judgement)) {
+          return this.routed(job, judgement, passed, judged, `place ${passed.length + 1} in the order of the key${note}`)
         }
+        if (judgement.fits) fallback ??= { judgement, passed: passed.length }
       }
       passed.push(state)
     }
     if (fallback !== undefined) {
       const reason = `place ${fallback.passed + 1} in the order of the key, all over the load bound${note}`
-      return this.routed(req, fallback.judgement, passed.slice(0, fallback.passed), judged, reason)
+      return this.routed(job, fallback.judgement, passed.slice(0, fallback.passed), judged, reason)
     }
     const lookIn = passed.map(state => state.view)
-    return judged.length === 0 ? refuseNoRunner(req, lookIn) : refuseUnfit(req, now, judged, lookIn)
+    return judged.length === 0 ? refuseNoRunner(job.req, lookIn) : this.refuse(job, judged, lookIn)
   }
 
-  private draw (req: RouteRequest, now: Instant, usable: readonly RunnerState[], random: () => number): readonly RunnerState[] {
-    const first = Math.floor(random() * usable.length)
-    const second = (first + 1 + Math.floor(random() * (usable.length - 1))) % usable.length
-    const chosen = new Set([usable[first], usable[second]])
-    const holders = this.view.prefixes.holders(req.prefixHashes, now.mono)
-    if (holders.length > 0) for (const state of usable) if (holders.includes(state.view.runner)) chosen.add(state)
-    return [...chosen].filter(state => state !== undefined)
+  private judge (state: RunnerState, { demand }: RouteCase): Judgement {
+    return state.judge(demand, this.view.fleet)
   }
 
-  private judge (state: RunnerState, req: RouteRequest, now: Instant): Judgement {
-    return state.judge({
-      mono: now.mono,
-      promptTokens: req.promptTokens,
-      cachedShare: this.view.prefixes.share(req.prefixHashes, state.view.runner, now.mono),
-      boundTokens: req.maxTokens,
-      expectedTokens: Math.min(req.maxTokens, this.view.fleet.answerTokens.mean),
-      remainingMs: req.deadline.mono - now.mono,
-      prior: this.view.prior
-    }, this.view.fleet)
+  private refuse ({ req, demand }: RouteCase, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
+    const withRoom = judged.filter(item => item.hasRoom)
+    if (withRoom.length === 0) return refuseFull(req, this.view.fleet, judged, lookIn)
+    const totalMs = (item: Judgement, load: number): number => item.state.cautious(demand, this.view.fleet, load).totalMs
+    const presentMs = Math.min(...withRoom.map(item => totalMs(item, item.load)))
+    const idleMs = Math.min(...judged.map(item => totalMs(item, 0)))
+    return refuseLate(req, { presentMs, idleMs, remainingMs: demand.remainingMs }, judged, lookIn)
   }
 
   private underBound (judgement: Judgement): boolean {
@@ -120,12 +146,12 @@
     return judgement.load + 1 <= slots * share
   }
 
-  private routed (req: RouteRequest, chosen: Judgement, passed: readonly RunnerState[], judged: readonly Judgement[], reason: string): RouteDecision {
+  private routed ({ req }: RouteCase, chosen: Judgement, passed: readonly RunnerState[], judged: readonly Judgement[], reason: string): RouteDecision {
     const { state, load, uncachedTokens } = chosen
     this.view.remember(req.requestId, {
       maxTokens: req.maxTokens,
       uncachedTokens,
-      unqueued: load + 1 <= state.view.slots,
+      unqueued: load + 1 <= state.view.slots * UNQUEUED_SHARE,
       prefixHashes: req.prefixHashes
     })
     return {
@@ -133,17 +159,33 @@
       choice: state.view,
       before: passed.map(item => item.view),
       candidates: judged.map(item => item.state.view.runner),
-      reason: `${reason}; load ${load.toFixed(1)} of ${state.view.slots}, predicted ${Math.round(chosen.expected.totalMs)} ms`
+      reason: `${reason}; load ${load.toFixed(1)} of ${state.view.slots}, cost ${Math.round(chosen.costMs)} ms`
     }
   }
 }
 
+/** Two at random and those believed to hold part of the prompt. */
+function draw ({ usable, demand }: RouteCase, random: () => number): readonly RunnerState[] {
+  const first = Math.floor(random() * usable.length)
+  const second = (first + 1 + Math.floor(random() * (usable.length - 1))) % usable.length
+  return usable.filter((state, i) => i === first || i === second || demand.cached.has(state.view.runner))
+}
+
 /** The quickest by prediction of those that will do. */
 function best (judged: readonly Judgement[]): Judgement | undefined {
   let found: Judgement | undefined
   for (const item of judged) {
-    if (!item.hasRoom || !item.fits) continue
-    if (found === undefined || item.expected.totalMs < found.expected.totalMs) found = item
+    if (item.fits && (found === undefined || item.costMs < found.costMs)) found = item
   }
   return found
 }
+
+function ownPerSlot (usable: readonly RunnerState[]): number {
+  let own = 1
+  let slots = 0
+  for (const state of usable) {
+    own += state.load.count
+    slots += state.view.slots
+  }
+  return own / Math.max(1, slots)
+}
--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -1,40 +1,50 @@
 /**
  * Everything one VM knows of one runner, and the judgement of it for one request.
  */
-import { LatencyModel, predict, type Prediction } from './latencyModel.js'
+import { LatencyModel, predict, type Prediction, type Work } from './latencyModel.js'
 import { hashName } from './rendezvous.js'
 import { RunnerHealth } from './runnerHealth.js'
 import { RunnerLoad } from './runnerLoad.js'
 import type { RunnerView } from './routingTypes.js'
 
 /** Requests that may wait at an engine, as a share of its slots, so that a freed slot finds work. */
-const ENGINE_QUEUE_SHARE = 0.25
+const ENGINE_QUEUE_SHARE = 1 / 16
 
-/** How the request looks to one runner. */
+/** The same for a request whose prompt is believed to be cached there: the wait costs less than the prompt. */
+const CACHED_QUEUE_SHARE = 1 / 4
+
+/** Own requests at one runner: this part of its slots always, else this many times the own mean. */
+const OWN_LEAST_SHARE = 1 / 4
+const OWN_SPREAD = 1.5
+
+/** A request as runners are judged for it. */
 export interface Demand {
   readonly mono: number
   readonly promptTokens: number
-  /** Share of the prompt believed to be cached there, 0 to 1. */
-  readonly cachedShare: number
+  /** Share of the prompt believed to be cached, 0 to 1, by runner. */
+  readonly cached: ReadonlyMap<string, number>
   /** Bound and expectation of the generated tokens. */
   readonly boundTokens: number
   readonly expectedTokens: number
   readonly remainingMs: number
   /** Requests of others for each slot, where no report says better. */
   readonly prior: number
+  /** Own requests for each slot, over all runners that may be used. */
+  readonly ownPerSlot: number
 }
 
 /** One runner judged for one request. */
 export interface Judgement {
   readonly state: RunnerState
+  /** Requests there now, by estimate. */
   readonly load: number
   readonly uncachedTokens: number
   /** Whether one more request is allowed there. */
   readonly hasRoom: boolean
-  /** Whether the cautious prediction is before the deadline. */
+  /** Whether the cautious prediction is before the deadline; false when there is no room. */
   readonly fits: boolean
-  readonly expected: Prediction
-  readonly cautious: Prediction
+  /** Expected time in milliseconds, with what the request costs the others there; infinite when it would not do. */
+  readonly costMs: number
 }
 
 /** One runner. */
@@ -79,35 +89,54 @@
 
   /**
    * Judges the runner for one request.
-   * @param demand - the request as it looks to this runner
+   * @param demand - the request
    * @param fleet - measured speed of all runners
    */
   judge (demand: Demand, fleet: LatencyModel): Judgement {
     const slots = this.slots(demand.mono)
     const load = this.load.estimate(demand.mono, demand.prior * this.view.slots)
-    const uncachedTokens = demand.promptTokens * (1 - demand.cachedShare)
+    const cachedShare = demand.cached.get(this.view.runner) ?? 0
+    const uncachedTokens = demand.promptTokens * (1 - cachedShare)
+    const queueShare = ENGINE_QUEUE_SHARE + (CACHED_QUEUE_SHARE - ENGINE_QUEUE_SHARE) * cachedShare
+    const hasRoom = load + 1 <= slots * (1 + queueShare) && this.load.count < this.ownLimit(slots, demand)
     const work = { uncachedTokens, load, slots }
-    const expected = predict(this.latency, fleet, { ...work, answerTokens: demand.expectedTokens }, false)
+    const fits = hasRoom && this.fits(work, demand, fleet)
+    const costMs = fits ? this.costMs(work, demand, fleet) : Infinity
+    return { state: this, load, uncachedTokens, hasRoom, fits, costMs }
+  }
+
+  /**
+   * Cautious prediction for a request.
+   * @param demand - the request
+   * @param fleet - measured speed of all runners
+   * @param load - requests assumed there
+   */
+  cautious (demand: Demand, fleet: LatencyModel, load: number): Prediction {
+    const uncachedTokens = demand.promptTokens * (1 - (demand.cached.get(this.view.runner) ?? 0))
+    const work = { uncachedTokens, load, slots: this.view.slots, answerTokens: demand.boundTokens }
+    return predict(this.latency, fleet, work, true)
+  }
+
+  private fits (work: Omit<Work, 'answerTokens'>, demand: Demand, fleet: LatencyModel): boolean {
+    if (!fleet.trusted) return demand.remainingMs > 0
     const cautious = predict(this.latency, fleet, { ...work, answerTokens: demand.boundTokens }, true)
-    return {
-      state: this,
-      load,
-      uncachedTokens,
-      hasRoom: load + 1 <= slots * (1 + ENGINE_QUEUE_SHARE),
-      fits: !fleet.trusted || cautious.totalMs <= demand.remainingMs,
-      expected: this.withSilence(expected, demand.mono),
-      cautious
-    }
+    return cautious.totalMs <= demand.remainingMs
+  }
+
+  /** Computing a prompt holds up every request in the batch; a silent runner will keep this request waiting as well. */
+  private costMs (work: Omit<Work, 'answerTokens'>, demand: Demand, fleet: LatencyModel): number {
+    const expected = predict(this.latency, fleet, { ...work, answerTokens: demand.expectedTokens }, false)
+    const silenceMs = Math.max(0, this.load.oldestWaitMs(demand.mono) - expected.firstTokenMs)
+    return expected.totalMs + silenceMs + expected.prefillMs * Math.min(work.load, work.slots)
+  }
+
+  /** All VMs see a free slot late and at once; a bound on the own part keeps each from filling it alone. */
+  private ownLimit (slots: number, demand: Demand): number {
+    return slots * Math.max(OWN_LEAST_SHARE, OWN_SPREAD * demand.ownPerSlot)
   }
 
   /** Slots that may be used now; fewer while the runner comes back from an ejection. */
   private slots (mono: number): number {
     return Math.max(1, this.view.slots * this.health.share(mono, this.load.count))
   }
-
-  /** A runner that has kept a request waiting for its first token longer than predicted will keep the next one too. */
-  private withSilence (expected: Prediction, mono: number): Prediction {
-    const extraMs = Math.max(0, this.load.oldestWaitMs(mono) - expected.firstTokenMs)
-    return { ...expected, firstTokenMs: expected.firstTokenMs + extraMs, totalMs: expected.totalMs + extraMs }
-  }
 }
--- /dev/null
+++ b/packages/stand-ins/src/measure/routingEngine.ts
@@ -0,0 +1,164 @@
+/**
+ * Simulated model engine: continuous batching in steps. A step gives each decoding request one
+ * token and computes a chunk of prompts; it takes longer the larger the batch. Prompt prefixes
+ * stay in a small cache. Requests beyond the slots wait, higher priority first.
+ */
+import type { SimRequest } from './routingWorkload.js'
+
+/** Fixed part of a step, part for each request in the batch, part for each prompt token; in milliseconds. */
+const STEP_MS = 12
+const STEP_REQUEST_MS = 1
+const PROMPT_TOKEN_MS = 0.15
+
+/** Prompt tokens computed in one step at most. */
+const CHUNK_TOKENS = 512
+
+/** Prefixes that fit into the cache. */
+const CACHED_PREFIXES = 16
+
+/** Requests decoded at once. */
+export const ENGINE_SLOTS = 16
+
+/** Where an engine tells what it produced. */
+export interface EngineOutput {
+  token (attempt: Attempt, at: number): void
+  ended (attempt: Attempt, at: number): void
+}
+
+/** One request at one engine. */
+export interface Attempt {
+  readonly req: SimRequest
+  readonly engine: SimEngine
+  readonly startedAt: number
+  promptLeft: number
+  tokens: number
+  lastTokenAt: number
+  firstTokenMs: number
+  open: boolean
+}
+
+/** Change of an engine's prefix cache. */
+export interface CacheChange {
+  readonly at: number
+  readonly kind: 'stored' | 'evicted'
+  readonly prefix: number
+}
+
+/** One simulated engine. */
+export class SimEngine {
+  /** Times slower than usual. */
+  slowness = 1
+  state: 'up' | 'silent' | 'down' = 'up'
+  readonly changes: CacheChange[] = []
+  private readonly cache = new Set<number>()
+  private waiting: Attempt[] = []
+  private batch: Attempt[] = []
+  private stepping = false
+
+  /**
+   * @param name - name of the runner
+   * @param output - told of tokens and ends
+   * @param schedule - runs a function at a time
+   */
+  constructor (
+    readonly name: string,
+    private readonly output: EngineOutput,
+    private readonly schedule: (at: number, run: (at: number) => void) => void
+  ) {}
+
+  get running (): number {
+    return this.batch.length
+  }
+
+  get queued (): number {
+    return this.waiting.length
+  }
+
+  submit (attempt: Attempt, at: number): void {
+    const index = this.waiting.findIndex(other => other.req.priority < attempt.req.priority)
+    this.waiting.splice(index < 0 ? this.waiting.length : index, 0, attempt)
+    this.startStep(at)
+  }
+
+  cancel (attempt: Attempt): void {
+    this.waiting = this.waiting.filter(item => item !== attempt)
+    this.batch = this.batch.filter(item => item !== attempt)
+  }
+
+  /** Forgets all work and the cache, as a restarted process does. */
+  crash (): readonly Attempt[] {
+    const lost = [...this.batch, ...this.waiting]
+    this.batch = []
+    this.waiting = []
+    this.cache.clear()
+    return lost
+  }
+
+  /** Milliseconds that the request would take here from now on, with what is here already and no more. */
+  trueTimeMs (req: SimRequest): number {
+    if (this.state !== 'up' || this.running + this.queued >= ENGINE_SLOTS) return Infinity
+    const stepMs = (STEP_MS + STEP_REQUEST_MS * (this.running + 1)) * this.slowness
+    return this.uncached(req) * PROMPT_TOKEN_MS * this.slowness + req.answerTokens * stepMs
+  }
+
+  private startStep (at: number): void {
+    if (this.stepping || this.state !== 'up') return
+    this.admit(at)
+    if (this.batch.length === 0) return
+    this.stepping = true
+    const promptTokens = this.computePrompts()
+    const stepMs = (STEP_MS + STEP_REQUEST_MS * this.batch.length + PROMPT_TOKEN_MS * promptTokens) * this.slowness
+    this.schedule(at + stepMs, end => this.endStep(end))
+  }
+
+  private endStep (at: number): void {
+    this.stepping = false
+    if (this.state !== 'up') return
+    for (const attempt of this.batch) if (attempt.promptLeft <= 0) this.decode(attempt, at)
+    this.batch = this.batch.filter(attempt => attempt.open)
+    this.startStep(at)
+  }
+
+  private decode (attempt: Attempt, at: number): void {
+    attempt.tokens += 1
+    this.output.token(attempt, at)
+    if (attempt.tokens < attempt.req.answerTokens) return
+    attempt.open = false
+    this.output.ended(attempt, at)
+  }
+
+  private admit (at: number): void {
+    while (this.batch.length < ENGINE_SLOTS) {
+      const attempt = this.waiting.shift()
+      if (attempt === undefined) return
+      attempt.promptLeft = this.uncached(attempt.req)
+      this.keep(attempt.req.prefix, at)
+      this.batch.push(attempt)
+    }
+  }
+
+  private computePrompts (): number {
+    let budget = CHUNK_TOKENS
+    for (const attempt of this.batch) {
+      const tokens = Math.min(budget, Math.max(0, attempt.promptLeft))
+      attempt.promptLeft -= tokens
+      budget -= tokens
+    }
+    return CHUNK_TOKENS - budget
+  }
+
+  private uncached (req: SimRequest): number {
+    return req.promptTokens - (this.cache.has(req.prefix) ? req.prefixTokens : 0)
+  }
+
+  private keep (prefix: number, at: number): void {
+    const known = this.cache.delete(prefix)
+    this.cache.add(prefix)
+    if (!known) this.changes.push({ at, kind: 'stored', prefix })
+    if (this.cache.size <= CACHED_PREFIXES) return
+    const oldest = this.cache.values().next().value
+    if (oldest === undefined) return
+    this.cache.delete(oldest)
+    this.changes.push({ at, kind: 'evicted', prefix: oldest })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/routingEvents.ts
@@ -0,0 +1,59 @@
+/**
+ * Virtual time for simulations: a binary heap of functions by time, then by order of scheduling.
+ */
+
+interface Entry {
+  readonly at: number
+  readonly order: number
+  readonly run: (at: number) => void
+}
+
+/** Runs scheduled functions in order of time. */
+export class VirtualTime {
+  private readonly heap: Entry[] = []
+  private order = 0
+
+  schedule (at: number, run: (at: number) => void): void {
+    const entry = { at, order: this.order++, run }
+    let index = this.heap.push(entry) - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      const above = this.heap[parent]
+      if (above === undefined || !before(entry, above)) break
+      this.heap[index] = above
+      index = parent
+    }
+    this.heap[index] = entry
+  }
+
+  /**
+   * Runs everything up to a time.
+   * @param untilMs - last time to run
+   */
+  run (untilMs: number): void {
+    for (let next = this.heap[0]; next !== undefined && next.at <= untilMs; next = this.heap[0]) {
+      this.removeFirst()
+      next.run(next.at)
+    }
+  }
+
+  private removeFirst (): void {
+    const last = this.heap.pop()
+    if (last === undefined || this.heap.length === 0) return
+    let index = 0
+    while (true) {
+      const left = this.heap[2 * index + 1]
+      const right = this.heap[2 * index + 2]
+      const child = right !== undefined && left !== undefined && before(right, left) ? 2 * index + 2 : 2 * index + 1
+      const below = this.heap[child]
+      if (below === undefined || !before(below, last)) break
+      this.heap[index] = below
+      index = child
+    }
+    this.heap[index] = last
+  }
+}
+
+function before (a: Entry, b: Entry): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order)
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/routingPolicies.ts
@@ -0,0 +1,223 @@
+/**
+ * Routing policies compared in the simulation, one instance for each VM. The product is
+ * {@link FairQueue} before {@link RunnerRouter}; the baselines choose a runner at once and
+ * leave queueing to the engines.
+ */
+import { FairQueue } from '@rosemaryspread/decisions/routing/fairQueue.js'
+import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { QueueItem } from '@rosemaryspread/decisions/routing/queueTypes.js'
+import type { RouteDecision, RouteEvent, RouteRequest, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { SimRequest } from './routingWorkload.js'
+
+/** What a VM does with a request. */
+export type PolicyAnswer =
+  | { readonly kind: 'start', readonly req: SimRequest, readonly runner: string, readonly sealed: number }
+  | { readonly kind: 'refuse', readonly req: SimRequest }
+
+/** Names of the policies. */
+export type PolicyName = 'product' | 'product keyed' | 'round robin' | 'random' | 'least in flight'
+
+/** Routing of one VM. */
+export interface VmPolicy {
+  /** Takes a new request, or one whose attempt failed. */
+  arrive (req: SimRequest, exclude: readonly string[], at: number): readonly PolicyAnswer[]
+  /** Looks at what waits. */
+  tick (at: number): readonly PolicyAnswer[]
+  observe (event: RouteEvent, at: number): void
+  /** An answer ended or failed for good. */
+  done (req: SimRequest, tokens: number, at: number): void
+}
+
+/** What a policy is made from. */
+export interface PolicyParts {
+  readonly vm: string
+  readonly domain: string
+  readonly vms: number
+  readonly runners: readonly RunnerView[]
+  readonly random: () => number
+}
+
+/** Times its even share of the slots that one VM may use: callers are not spread evenly. */
+const CONCURRENCY_HEADROOM = 3
+
+const TEAM_IN_FLIGHT = 64
+const MODEL = 'llm'
+
+/** Prompt tokens covered by one more prefix hash. */
+const HASH_TOKENS = 150
+
+/** Instant of a virtual time. */
+export const instantOf = (at: number): Instant => ({ mono: at, wall: at })
+
+interface Waiting {
+  readonly req: SimRequest
+  readonly exclude: readonly string[]
+  poppedAt: number
+}
+
+class ProductPolicy implements VmPolicy {
+  private readonly router: RunnerRouter
+  private readonly queue: FairQueue<Waiting>
+  private readonly started = new Map<string, QueueItem<Waiting>>()
+
+  constructor (private readonly parts: PolicyParts, private readonly keyed: boolean) {
+    this.router = new RunnerRouter(parts.vm, parts.domain)
+    this.router.observe({ kind: 'configured', model: MODEL, runners: parts.runners }, instantOf(0))
+    const slots = parts.runners.reduce((sum, view) => sum + view.slots, 0)
+    this.queue = new FairQueue(Math.ceil(slots * CONCURRENCY_HEADROOM / parts.vms))
+  }
+
+  arrive (req: SimRequest, exclude: readonly string[], at: number): readonly PolicyAnswer[] {
+    if (this.started.has(req.id)) return this.retry(req, exclude, at)
+    const offered = this.queue.offer(this.itemOf(req, exclude, at), instantOf(at))
+    const refused: readonly PolicyAnswer[] = offered.isLeft() ? [{ kind: 'refuse', req }] : []
+    return [...refused, ...this.tick(at)]
+  }
+
+  tick (at: number): readonly PolicyAnswer[] {
+    const now = instantOf(at)
+    const answers: PolicyAnswer[] = this.queue.expire(now).map(({ item }) => ({ kind: 'refuse', req: item.value.req }))
+    for (let item = this.queue.pop(); item !== undefined; item = this.queue.pop()) {
+      const decision = this.router.route(this.routeRequest(item.value), now, this.parts.random)
+      if (decision.kind === 'refused' && decision.failure.code === 'overloaded') {
+        this.queue.putBack(item)
+        break
+      }
+      answers.push(this.startOrRefuse(item, decision, at))
+    }
+    return answers
+  }
+
+  observe (event: RouteEvent, at: number): void {
+    this.router.observe(event, instantOf(at))
+  }
+
+  done (req: SimRequest, tokens: number, at: number): void {
+    const item = this.started.get(req.id)
+    if (item === undefined) return
+    this.started.delete(req.id)
+    this.queue.done(item, req.promptTokens + tokens, at - item.value.poppedAt)
+  }
+
+  private startOrRefuse (item: QueueItem<Waiting>, decision: RouteDecision, at: number): PolicyAnswer {
+    const { req } = item.value
+    item.value.poppedAt = at
+    if (decision.kind === 'refused') {
+      this.queue.abandoned(item)
+      return { kind: 'refuse', req }
+    }
+    this.started.set(req.id, item)
+    return this.start(req, decision, at)
+  }
+
+  private retry (req: SimRequest, exclude: readonly string[], at: number): readonly PolicyAnswer[] {
+    const decision = this.router.route(this.routeRequest({ req, exclude, poppedAt: at }), instantOf(at), this.parts.random)
+    return decision.kind === 'refused' ? [{ kind: 'refuse', req }] : [this.start(req, decision, at)]
+  }
+
+  /** Tells the dispatch before the next decision, or all that wait would go where the first one went. */
+  private start (req: SimRequest, decision: Extract<RouteDecision, { kind: 'routed' }>, at: number): PolicyAnswer {
+    const { runner } = decision.choice
+    this.observe({ kind: 'dispatched', runner, requestId: req.id, tokens: req.promptTokens + req.maxTokens }, at)
+    return { kind: 'start', req, runner, sealed: decision.before.length }
+  }
+
+  private itemOf (req: SimRequest, exclude: readonly string[], at: number): QueueItem<Waiting> {
+    return {
+      id: req.id,
+      team: req.team,
+      weight: 1,
+      maxInFlight: TEAM_IN_FLIGHT,
+      priority: req.priority,
+      tokens: req.promptTokens + req.maxTokens,
+      serviceMs: this.router.serviceMs(req.promptTokens, req.maxTokens),
+      deadline: instantOf(req.deadline),
+      value: { req, exclude, poppedAt: at }
+    }
+  }
+
+  private routeRequest ({ req, exclude }: Waiting): RouteRequest {
+    return {
+      requestId: req.id,
+      team: req.team,
+      model: MODEL,
+      keyed: this.keyed,
+      promptTokens: req.promptTokens,
+      maxTokens: req.maxTokens,
+      prefixHashes: hashesOf(req),
+      deadline: instantOf(req.deadline),
+      exclude
+    }
+  }
+}
+
+/**
+ * Hashes of a shared prefix, longest last.
+ * @param prefix - number of the prefix
+ * @param tokens - its length
+ */
+export function prefixHashes (prefix: number, tokens: number): readonly string[] {
+  return Array.from({ length: Math.floor(tokens / HASH_TOKENS) }, (_, i) => `p${prefix}.${i}`)
+}
+
+/** Hashes of the shared prefix and of the part that is the request's own. */
+function hashesOf (req: SimRequest): readonly string[] {
+  const own = Array.from({ length: Math.floor((req.promptTokens - req.prefixTokens) / HASH_TOKENS) }, (_, i) => `${req.id}.${i}`)
+  return [...prefixHashes(req.prefix, req.prefixTokens), ...own]
+}
+
+/** Chooses among all runners not tried yet, by a given rule. */
+class PlainPolicy implements VmPolicy {
+  private readonly inFlight = new Map<string, number>()
+
+  constructor (
+    private readonly parts: PolicyParts,
+    private readonly choose: (names: readonly string[], inFlight: (name: string) => number) => string | undefined
+  ) {}
+
+  arrive (req: SimRequest, exclude: readonly string[]): readonly PolicyAnswer[] {
+    const names = this.parts.runners.map(view => view.runner).filter(name => !exclude.includes(name))
+    const runner = this.choose(names, name => this.inFlight.get(name) ?? 0)
+    if (runner === undefined) return [{ kind: 'refuse', req }]
+    this.inFlight.set(runner, (this.inFlight.get(runner) ?? 0) + 1)
+    return [{ kind: 'start', req, runner, sealed: 0 }]
+  }
+
+  tick (): readonly PolicyAnswer[] {
+    return []
+  }
+
+  observe (event: RouteEvent): void {
+    if (event.kind === 'ended') this.inFlight.set(event.runner, (this.inFlight.get(event.runner) ?? 0) - 1)
+  }
+
+  done (): void {}
+}
+
+/**
+ * Makes the policy of one VM.
+ * @param name - which policy
+ * @param parts - what it is made from
+ */
+export function makePolicy (name: PolicyName, parts: PolicyParts): VmPolicy {
+  switch (name) {
+    case 'product': return new ProductPolicy(parts, false)
+    case 'product keyed': return new ProductPolicy(parts, true)
+    case 'random': return new PlainPolicy(parts, names => names[Math.floor(parts.random() * names.length)])
+    case 'round robin': return roundRobin(parts)
+    case 'least in flight': return new PlainPolicy(parts, (names, inFlight) => leastOf(names, inFlight, parts.random))
+  }
+}
+
+function roundRobin (parts: PolicyParts): VmPolicy {
+  let turn = Math.floor(parts.random() * parts.runners.length)
+  return new PlainPolicy(parts, names => names[turn++ % names.length])
+}
+
+/** The name with the fewest in flight; ties are broken at random, or all VMs would begin alike. */
+function leastOf (names: readonly string[], inFlight: (name: string) => number, random: () => number): string | undefined {
+  const least = Math.min(...names.map(inFlight))
+  const tied = names.filter(name => inFlight(name) === least)
+  return tied[Math.floor(random() * tied.length)]
+}
