Recover ended holders in the daemon; look up refused keyed requests; split the completion service

Cause: scenarios that kill a VM showed that nobody ran recovery passes, so a dead VM's finished run was never billed. A keyed request refused for want of a runner was not looked up, though an earlier attempt may have run. Ruled out: one lease for recovery (passes guard themselves by row versions; two candidates are enough and survive a death). Change: candidates of the role recovery pass every 5 s with the VM list as evidence; a refused keyed request joins the run it has, else its refusal says 'no' only when the engines prove it; planning and settlement are modules of their own.

--- a/packages/rosemaryspread/src/completion/completionAdmission.ts
+++ b/packages/rosemaryspread/src/completion/completionAdmission.ts
@@ -43,7 +43,7 @@
  * Checks a completion against the configuration.
  * @param call - what the caller asks
  * @param config - the configuration in force
- * @param freshId - id used when the caller gave no key
+ * @param freshId - id used when the caller gave no key and the call has no id
  * @param now - both clocks
  */
 export function admitCompletion (call: CompletionCall, config: FleetConfig, freshId: string, now: Instant): Either<Failure, AdmittedCompletion> {
@@ -59,7 +59,7 @@
   const asked = call.body.max_completion_tokens ?? call.body.max_tokens ?? modelConfig.maxTokens
   const timeoutMs = Math.min(call.timeoutMs ?? config.limits.requestTimeoutMs, config.limits.requestTimeoutMs)
   return Right({
-    requestId: call.idempotencyKey === undefined ? freshId : keyedRequestId(team, call.idempotencyKey),
+    requestId: call.idempotencyKey === undefined ? call.requestId ?? freshId : keyedRequestId(team, call.idempotencyKey),
     keyed: call.idempotencyKey !== undefined,
     team,
     teamConfig,
--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -10,7 +10,7 @@
 import type { CacheEvents, EngineClient, EngineEvent, EngineRequest, EngineStream, LoadReport, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
-import type { RoutedRunner, RoutingPort } from '../routing/routingPort.js'
+import type { RoutedRunner, RouteRefusal, RoutingPort } from '../routing/routingPort.js'
 import type { AdmittedCompletion } from './completionAdmission.js'
 import { OpenWork } from './completionDrain.js'
 import { RoutedCompletionService } from './completionService.js'
@@ -206,10 +206,10 @@
 
   constructor (private readonly runners: readonly RunnerAddress[]) {}
 
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<Failure, RoutedRunner> {
+  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner> {
     const usable = this.runners.filter(({ runner }) => !exclude.includes(runner))
     const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
-    if (choice === undefined) return Left(new Failure('noRunner', 'none', { retryAfterMs: 100 }))
+    if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { retryAfterMs: 100 }), lookIn: admitted.keyed ? this.runners : [] })
     return Right({ choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
   }
 
--- a/packages/rosemaryspread/src/completion/completionFinder.ts
+++ b/packages/rosemaryspread/src/completion/completionFinder.ts
@@ -7,10 +7,15 @@
 import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { RunnerAddress } from './completionUnsettled.js'
 
+/** A run that an engine knows. */
+export interface KnownRun {
+  readonly runner: RunnerAddress
+  readonly record: RunRecord
+}
+
 /** What was found. */
 export interface FoundRun {
-  /** The runner that has the run, and its record. */
-  readonly at?: { readonly runner: RunnerAddress, readonly record: RunRecord }
+  readonly at?: KnownRun
   /** Runners that could be neither sealed nor asked. */
   readonly unsealed: readonly RunnerAddress[]
   /** Whether the choice was sealed by an earlier decision: the run, if any, is further down the order. */
@@ -43,6 +48,35 @@
   return { at: { runner: choice, record }, unsealed, choiceSealed: false }
 }
 
+/** What a look through the order of a refused request found. */
+export interface LookedUpRun {
+  readonly at?: KnownRun
+  /** Whether it is certain that no earlier attempt was run. */
+  readonly notRun: boolean
+}
+
+/**
+ * Looks for the run of an earlier attempt without starting one. A runner that was passed over
+ * carries a seal, so the first one without any record proves that nothing was run.
+ * @param client - reaches engines
+ * @param requestId - the keyed request
+ * @param order - runners in the order of the request
+ */
+export async function lookForRun (client: EngineClient, requestId: string, order: readonly RunnerAddress[]): Promise<LookedUpRun> {
+  let isCertain = true
+  for (const runner of order) {
+    const found = await client.find(runner.address, requestId)
+    if (found.isLeft()) {
+      isCertain = false
+      continue
+    }
+    const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+    if (record === null) return { notRun: isCertain }
+    if (record.state !== 'sealed') return { at: { runner, record }, notRun: false }
+  }
+  return { notRun: isCertain }
+}
+
 function knownRun (record: Maybe<RunRecord>): RunRecord | undefined {
   const known = record.extractNullable()
   return known === null || known.state === 'sealed' ? undefined : known
--- /dev/null
+++ b/packages/rosemaryspread/src/completion/completionPlanner.ts
@@ -0,0 +1,88 @@
+/**
+ * Plans where a completion runs: joins the run that a keyed request has already, or chooses a
+ * runner, with a reservation for a new run.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EngineClient } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import type { RoutedRunner, RouteRefusal, RoutingPort } from '../routing/routingPort.js'
+import { msUntil, type AdmittedCompletion } from './completionAdmission.js'
+import { findRun, lookForRun, type KnownRun } from './completionFinder.js'
+import type { RunnerAddress } from './completionUnsettled.js'
+
+/** What the planner works with. */
+export interface PlannerDeps {
+  readonly clock: Clock
+  readonly budgets: BudgetPort
+  readonly routing: RoutingPort
+  readonly engines: EngineClient
+  readonly metrics: Metrics
+  readonly reserveTimeoutMs: number
+}
+
+/** A run to be opened at a runner, paid by a reservation; a joined run is paid by who started it. */
+export interface PlannedRun {
+  readonly at: RunnerAddress
+  /** Runners of a keyed request that were passed over and could not be sealed. */
+  readonly unsealed: readonly RunnerAddress[]
+  readonly reservation?: Reservation
+}
+
+/** Runners that a request has tried so far. */
+export interface TriedRunners {
+  readonly exclude: string[]
+  readonly unsealed: RunnerAddress[]
+}
+
+/** Plans completions of one VM. */
+export class CompletionPlanner {
+  constructor (private readonly deps: PlannerDeps) {}
+
+  /**
+   * Plans the next attempt of a request.
+   * @param admitted - the request
+   * @param tried - what it has tried; sealed runners are added
+   */
+  async plan (admitted: AdmittedCompletion, tried: TriedRunners): Promise<Either<Failure, PlannedRun>> {
+    for (;;) {
+      const routed = this.deps.routing.route(admitted, tried.exclude)
+      if (routed.isLeft()) return await this.refusedOrJoined(admitted, routed.extract())
+      const { choice, before } = routed.extract() as RoutedRunner
+      if (!admitted.keyed) return await this.reserveAt(admitted, choice, [])
+      const found = await findRun(this.deps.engines, admitted.requestId, before, choice)
+      if (found.at !== undefined) return joinOf(admitted, found.at)
+      if (!found.choiceSealed) return await this.reserveAt(admitted, choice, [...tried.unsealed, ...found.unsealed])
+      tried.exclude.push(choice.runner)
+    }
+  }
+
+  /** A keyed request without a runner may still be answered by the run of an earlier attempt. */
+  private async refusedOrJoined (admitted: AdmittedCompletion, { failure, lookIn }: RouteRefusal): Promise<Either<Failure, PlannedRun>> {
+    if (lookIn.length === 0) return Left(failure)
+    const found = await lookForRun(this.deps.engines, admitted.requestId, lookIn)
+    if (found.at !== undefined) return joinOf(admitted, found.at)
+    const { code, message, retryAfterMs } = failure
+    const ran = found.notRun ? 'no' : 'unknown'
+    return Left(new Failure(code, message, { ran, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }))
+  }
+
+  private async reserveAt (admitted: AdmittedCompletion, at: RunnerAddress, unsealed: readonly RunnerAddress[]): Promise<Either<Failure, PlannedRun>> {
+    const before = this.deps.clock.now()
+    const waitMs = Math.min(this.deps.reserveTimeoutMs, Math.max(0, msUntil(admitted.deadline, before)))
+    const reserved = await this.deps.budgets.reserve(admitted.budget, admitted.promptTokens + admitted.maxTokens, waitMs)
+    this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before.mono)
+    return reserved.map(reservation => ({ at, unsealed, reservation }))
+  }
+}
+
+/** The failure of a key that was used with another body. */
+export function keyReused (): Failure {
+  return new Failure('keyReused', 'the Idempotency-Key was used with another body')
+}
+
+function joinOf (admitted: AdmittedCompletion, { runner, record }: KnownRun): Either<Failure, PlannedRun> {
+  return record.digest === admitted.digest ? Right({ at: runner, unsealed: [] }) : Left(keyReused())
+}
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -111,6 +111,7 @@
     { name: 'the same VM afterwards', at: 'a' as const, believedDown: [] },
     { name: 'another VM afterwards', at: 'b' as const, believedDown: [] },
     { name: 'another VM that believes the runner down', at: 'b' as const, believedDown: ['r1'] },
+    { name: 'another VM that believes all runners down', at: 'b' as const, believedDown: ['r1', 'r2', 'r3'] },
     { name: 'another VM that believes two runners down', at: 'b' as const, believedDown: ['r1', 'r2'] }
   ]
   for (const { name, at, believedDown } of repeats) {
@@ -126,6 +127,20 @@
     })
   }
 
+  const refusals = [
+    { name: 'no runner is believed up', scripts: {}, ran: 'no' },
+    { name: 'the first runner cannot be asked', scripts: { r1: { unreachableFrom: 'all' as const } }, ran: 'unknown' }
+  ]
+  for (const { name, scripts, ran } of refusals) {
+    it(`that never ran is refused with ran ${ran} when ${name}`, async () => {
+      const { engines, a } = fleet()
+      Object.entries(scripts).forEach(([address, script]) => engines.scripts.set(address, script))
+      a.routing.believedDown = ['r1', 'r2', 'r3']
+      expectRefused(await a.ask({ key: 'k' }), 'noRunner', ran)
+      expect(engines.began()).to.deep.equal([])
+    })
+  }
+
   const races = [
     { name: 'at one VM', vms: ['a', 'a', 'a'] as const },
     { name: 'at two VMs', vms: ['a', 'b'] as const },
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -5,21 +5,18 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { Left, Right, type Either } from 'purify-ts'
 import type { AnswerSink, CompletionCall, CompletionService } from '@rosemaryspread/callers/completion/completionTypes.js'
-import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { NumberedConfig } from '@rosemaryspread/decisions/config/configSchema.js'
-import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { EngineClient } from '@rosemaryspread/runners/engine/engineTypes.js'
-import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
-import type { Metrics } from '../metrics/metricsTypes.js'
-import type { RoutingPort } from '../routing/routingPort.js'
-import { admitCompletion, msUntil, type AdmittedCompletion } from './completionAdmission.js'
+import type { Reservation } from '../budget/budgetPort.js'
+import { admitCompletion, type AdmittedCompletion } from './completionAdmission.js'
 import { runAttempt, type AttemptContext, type AttemptOutcome } from './completionAttempt.js'
-import { findRun, type FoundRun } from './completionFinder.js'
 import { LocalRuns } from './completionLocalRuns.js'
-import type { CurrentConfig, DrainState, RandomSource } from './completionPorts.js'
+import type { CurrentConfig, RandomSource } from './completionPorts.js'
+import { CompletionPlanner, keyReused, type PlannedRun, type PlannerDeps, type TriedRunners } from './completionPlanner.js'
 import { AnswerRelay } from './completionRelay.js'
-import type { RunDebt, RunnerAddress, UnsettledRuns } from './completionUnsettled.js'
+import { CompletionSettlement, type EndedAttempt, type SettlementDeps } from './completionSettlement.js'
+import type { RunnerAddress } from './completionUnsettled.js'
 
 /** Milliseconds after which a caller refused by a draining VM may ask another address. */
 const DRAINING_RETRY_MS = 200
@@ -29,19 +26,9 @@
 const MAX_ATTEMPTS = 4
 
 /** What the service is composed of. */
-export interface CompletionDeps {
-  readonly holder: string
-  readonly clock: Clock
+export interface CompletionDeps extends PlannerDeps, SettlementDeps {
   readonly random: RandomSource
   readonly config: CurrentConfig
-  readonly work: DrainState
-  readonly budgets: BudgetPort
-  readonly routing: RoutingPort
-  readonly engines: EngineClient
-  readonly unsettled: UnsettledRuns
-  readonly log: EventLog
-  readonly metrics: Metrics
-  readonly reserveTimeoutMs: number
 }
 
 /** One request on its way. */
@@ -52,25 +39,16 @@
   readonly startedAt: number
 }
 
-/** A run to be opened at a runner, paid by a reservation; a joined run is paid by who started it. */
-interface PlannedRun {
-  readonly at: RunnerAddress
-  readonly unsealed: readonly RunnerAddress[]
-  readonly reservation?: Reservation
-}
-
-/** An attempt that ended and is to be settled. */
-interface EndedAttempt {
-  readonly plan: PlannedRun
-  readonly reservation: Reservation
-  readonly outcome: AttemptOutcome
-}
-
 /** Serves completions through the deciders, the budgets and the engines. */
 export class RoutedCompletionService implements CompletionService {
   private readonly local = new LocalRuns()
+  private readonly planner: CompletionPlanner
+  private readonly settlement: CompletionSettlement
 
-  constructor (private readonly deps: CompletionDeps) {}
+  constructor (private readonly deps: CompletionDeps) {
+    this.planner = new CompletionPlanner(deps)
+    this.settlement = new CompletionSettlement(deps)
+  }
 
   async complete (call: CompletionCall, sink: AnswerSink): Promise<void> {
     const now = this.deps.clock.now()
@@ -122,28 +100,26 @@
 
   /** Tries runners in turn until the answer is whole, a part of it was sent, or nothing is left to try. */
   private async runAnew (open: OpenCompletion, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
-    const exclude: string[] = []
     const attempts: EndedAttempt[] = []
-    const answered = await this.tryRunners(open, exclude, attempts, onStarted)
-    attempts.forEach((attempt, index) => { this.settle(open, attempt, index === attempts.length - 1) })
+    const answered = await this.tryRunners(open, attempts, onStarted)
+    this.settlement.settleAll(open.admitted, attempts)
     return answered
   }
 
-  private async tryRunners (open: OpenCompletion, exclude: string[], attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
-    const unsealed: RunnerAddress[] = []
+  private async tryRunners (open: OpenCompletion, attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
+    const tried: TriedRunners = { exclude: [], unsealed: [] }
     let last: Failure | undefined
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const planned = await this.plan(open, exclude, unsealed)
+    while (attempts.length < MAX_ATTEMPTS) {
+      const planned = await this.planner.plan(open.admitted, tried)
       if (planned.isLeft()) return Left(last ?? planned.extract())
-      const plan = planned.extract() as PlannedRun | 'again'
-      if (plan === 'again') continue
+      const plan = planned.extract() as PlannedRun
       if (plan.reservation === undefined) return await this.join(open, plan)
       const outcome = await this.start(open, plan, plan.reservation, onStarted)
       attempts.push({ plan, reservation: plan.reservation, outcome })
       if (outcome.kind === 'whole') return Right(undefined)
       last = outcome.failure
-      exclude.push(plan.at.runner)
-      if (open.admitted.keyed && outcome.kind === 'notStarted' && last.code === 'runnerUnreachable') unsealed.push(plan.at)
+      tried.exclude.push(plan.at.runner)
+      if (open.admitted.keyed && outcome.kind === 'notStarted' && last.code === 'runnerUnreachable') tried.unsealed.push(plan.at)
       if (!this.repeatable(open, outcome)) break
       const delayMs = this.deps.routing.retryDelay(open.admitted, attempts.length).extractNullable()
       if (delayMs === null) break
@@ -152,36 +128,6 @@
     return Left(last ?? new Failure('noRunner', 'no runner took the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
-  /** Chooses a runner; for a keyed request first looks for the run it may have already. */
-  private async plan (open: OpenCompletion, exclude: string[], unsealed: readonly RunnerAddress[]): Promise<Either<Failure, PlannedRun | 'again'>> {
-    const { admitted } = open
-    const routed = this.deps.routing.route(admitted, exclude)
-    if (routed.isLeft()) return Left(routed.extract() as Failure)
-    const { choice, before } = routed.extract() as { choice: RunnerAddress, before: readonly RunnerAddress[] }
-    const found: FoundRun = admitted.keyed
-      ? await findRun(this.deps.engines, admitted.requestId, before, choice)
-      : { unsealed: [], choiceSealed: false }
-    if (found.choiceSealed) {
-      exclude.push(choice.runner)
-      return Right('again')
-    }
-    if (found.at !== undefined) {
-      if (found.at.record.digest !== admitted.digest) return Left(keyReused())
-      return Right({ at: found.at.runner, unsealed: [] })
-    }
-    const reserved = await this.reserve(open)
-    return reserved.map(reservation => ({ at: choice, unsealed: [...unsealed, ...found.unsealed], reservation }))
-  }
-
-  private async reserve (open: OpenCompletion): Promise<Either<Failure, Reservation>> {
-    const { admitted } = open
-    const waitMs = Math.min(this.deps.reserveTimeoutMs, Math.max(0, msUntil(admitted.deadline, this.deps.clock.now())))
-    const before = this.deps.clock.now().mono
-    const reserved = await this.deps.budgets.reserve(admitted.budget, admitted.promptTokens + admitted.maxTokens, waitMs)
-    this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before)
-    return reserved
-  }
-
   private async start (open: OpenCompletion, plan: PlannedRun, reservation: Reservation, onStarted: (runner: RunnerAddress) => void): Promise<AttemptOutcome> {
     const { admitted } = open
     this.deps.log.write('requestAccepted', { request: admitted.requestId, team: admitted.team, model: admitted.model, reserved: reservation.tokens })
@@ -240,22 +186,6 @@
     }
   }
 
-  /** Settles an ended attempt; only the last of a request can be billed. */
-  private settle (open: OpenCompletion, attempt: EndedAttempt, isLast: boolean): void {
-    const { plan, reservation, outcome } = attempt
-    const startedElsewhere = outcome.kind === 'whole' && outcome.holder !== '' && outcome.holder !== this.deps.holder
-    if (outcome.kind === 'notStarted' || startedElsewhere) {
-      this.deps.budgets.settle(reservation)
-      return
-    }
-    const usage = outcome.kind === 'whole' ? { usage: outcome.end.usage } : {}
-    const run = { admitted: open.admitted, reservation, ranAt: plan.at, unsealed: plan.unsealed, debt: debtOf(outcome, isLast), ...usage }
-    const close = this.deps.work.open()
-    this.deps.unsettled.add(run)
-      .catch((err: unknown) => { this.deps.log.write('fault', { err: toFailure(err).message }) })
-      .finally(close)
-  }
-
   private repeatable (open: OpenCompletion, outcome: AttemptOutcome): boolean {
     if (outcome.kind === 'whole' || open.relay.started || open.relay.callerGone) return false
     if (outcome.failure.code === 'keyReused' || outcome.failure.code === 'deadlineExceeded') return false
@@ -277,13 +207,3 @@
     return failure
   }
 }
-
-function keyReused (): Failure {
-  return new Failure('keyReused', 'the Idempotency-Key was used with another body')
-}
-
-function debtOf (outcome: AttemptOutcome, isLast: boolean): RunDebt {
-  if (!isLast) return 'none'
-  if (outcome.kind === 'whole') return 'owed'
-  return outcome.kind === 'cut' && outcome.failure.code === 'callerGone' ? 'owed' : 'free'
-}
--- a/packages/rosemaryspread/src/compose/bindBudgets.ts
+++ b/packages/rosemaryspread/src/compose/bindBudgets.ts
@@ -4,6 +4,7 @@
 import type { Container } from 'inversify'
 import { BudgetDriver } from '../budget/budgetDriver.js'
 import { BudgetPeerCalls } from '../budget/budgetPeerCalls.js'
+import type { CurrentConfig } from '../completion/completionPorts.js'
 import { ids } from './serviceIds.js'
 
 /**
@@ -20,7 +21,16 @@
       store: ctx.get(ids.table),
       peers: new BudgetPeerCalls({ client: ctx.get(ids.peerClient), holder, members: () => members.members() }),
       clock: ctx.get(ids.clock),
-      log: ctx.get(ids.log)
+      log: ctx.get(ids.log),
+      runners: {
+        engines: ctx.get(ids.engines),
+        declared: () => declaredRunners(ctx.get(ids.currentConfig))
+      }
     })
   }).inSingletonScope()
 }
+
+function declaredRunners (current: CurrentConfig): ReadonlyArray<{ readonly runner: string, readonly address: string }> {
+  const runners = current.current().extractNullable()?.config.runners ?? {}
+  return Object.entries(runners).map(([runner, { address }]) => ({ runner, address }))
+}
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -11,6 +11,10 @@
 
 /** Milliseconds between two ticks of the budgets. */
 const BUDGET_TICK_MS = 100
+/** Milliseconds between two passes over what ended holders held. */
+const RECOVERY_MS = 5_000
+/** Role whose candidates recover what ended holders held. */
+const RECOVERY_ROLE = 'recovery'
 /** Milliseconds between two tries to settle runs whose cost is not known. */
 const UNSETTLED_RETRY_MS = 1_000
 
@@ -96,9 +100,17 @@
     const unsettled = this.container.get(ids.unsettled)
     this.every(BUDGET_TICK_MS, async () => { budgets.tick() })
     this.every(runners.loadPollMs, async () => { await poller.poll() })
+    this.every(RECOVERY_MS, async () => { await this.recover() })
     this.every(UNSETTLED_RETRY_MS, async () => { await unsettled.retryAll() })
   }
 
+  /** Passes of several VMs do no harm to each other; the table's row versions decide. */
+  private async recover (): Promise<void> {
+    if (!this.container.get(ids.members).isCandidate(RECOVERY_ROLE)) return
+    const list = await this.container.get(ids.vmList).list()
+    await this.container.get(ids.budgets).recoverDead(list.toMaybe().extract())
+  }
+
   private every (ms: number, work: () => Promise<void>): void {
     this.timers.push(setInterval(() => {
       work().catch((err: unknown) => { this.log.write('fault', { err: toFailure(err).message }) })
--- a/packages/rosemaryspread/src/routing/routingPort.ts
+++ b/packages/rosemaryspread/src/routing/routingPort.ts
@@ -12,6 +12,13 @@
   readonly before: readonly RunnerAddress[]
 }
 
+/** Why no runner was chosen. */
+export interface RouteRefusal {
+  readonly failure: Failure
+  /** For a keyed request: where a run of an earlier attempt would be, in this order. */
+  readonly lookIn: readonly RunnerAddress[]
+}
+
 /** One dispatched request, told on as it goes. */
 export interface DispatchedRun {
   firstToken (afterMs: number): void
@@ -25,7 +32,7 @@
    * @param admitted - the request
    * @param exclude - runners tried already
    */
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<Failure, RoutedRunner>
+  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner>
   dispatched (runner: string, admitted: AdmittedCompletion): DispatchedRun
   /**
    * Milliseconds to wait before another attempt; nothing when it is not to be tried.
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -4,7 +4,6 @@
  */
 import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { FleetConfig, RunnerConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
@@ -12,7 +11,7 @@
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import { prefixHashes } from './routingPrefix.js'
-import type { DispatchedRun, RoutedRunner, RoutingPort } from './routingPort.js'
+import type { DispatchedRun, RoutedRunner, RouteRefusal, RoutingPort } from './routingPort.js'
 
 /** What routing is composed of. */
 export interface RoutingDeps {
@@ -41,7 +40,7 @@
     }
   }
 
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<Failure, RoutedRunner> {
+  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner> {
     if (exclude.length === 0) this.deps.retries.attempted(this.deps.clock.now())
     const decision = this.deps.decider.route({
       requestId: admitted.requestId,
@@ -59,7 +58,7 @@
     const request = admitted.requestId
     if (decision.kind === 'refused') {
       this.deps.log.write('routeRefused', { request, model: admitted.model, candidates, reason, code: decision.failure.code })
-      return Left(decision.failure)
+      return Left({ failure: decision.failure, lookIn: decision.lookIn ?? [] })
     }
     this.deps.log.write('routed', { request, model: admitted.model, candidates, choice: decision.choice.runner, reason })
     const before = decision.before.filter(({ runner }) => !exclude.includes(runner))
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -91,7 +91,7 @@
     return Right({
       call,
       service,
-      requestId: idempotencyKey === undefined ? this.deps.random.id() : keyedRequestId(caller.team, idempotencyKey),
+      requestId: idempotencyKey === undefined ? call.requestId ?? this.deps.random.id() : keyedRequestId(caller.team, idempotencyKey),
       startedAt: this.deps.clock.now(),
       timeoutMs: Math.min(call.timeoutMs ?? service.timeoutMs, service.timeoutMs),
       repeatable
