Bound what membership costs one VM, and measure links and heartbeats

Cause: the cost of heartbeats at 360 VMs was an estimate. Measured with a new random VM each period, nearly every message outside the ring needed a connection and a handshake of 377 bytes; and the fallback age for suspicion was shorter than a scan of the table at that size.

Ruled out: a digest of eight entries and a heartbeat to the writer's first candidate every four periods: with holder ids of real length the busiest VM would have come near 3 KB/s.

Change: the random VM is kept for eight periods; digest of six entries; the candidate hears every eighth heartbeat; the fallback age grows with the fleet faster than the scans. HeartbeatPlan and RowQuestions split off MemberTable. `npm run bench -- peers` and `-- membership`.

--- a/packages/decisions/src/membership/memberFleet.fixture.ts
+++ b/packages/decisions/src/membership/memberFleet.fixture.ts
@@ -3,7 +3,7 @@
  * be cut. Time goes on only when a test says so.
  */
 import { MemberTable } from './memberTable.js'
-import type { ListedVm, MemberAction, MemberEvent, MemberRow, MemberState } from './memberTypes.js'
+import type { Heartbeat, ListedVm, MemberAction, MemberEvent, MemberRow, MemberState } from './memberTypes.js'
 
 interface StoredRow {
   readonly row: MemberRow
@@ -61,6 +61,8 @@
   /** The platform's list as it was at a time. */
   list: { readonly asOf: number, readonly vms: readonly ListedVm[] } = { asOf: 0, vms: [] }
   messages = 0
+  /** Told of each message that is sent. */
+  onMessage: (from: FleetVm, to: string, heartbeat: Heartbeat) => void = () => {}
   private nextVersion = 1
   private seed = 7
 
@@ -69,7 +71,7 @@
     return this.seed / 2 ** 32
   }
 
-  add (domain: string, number: number, incarnation = 1): FleetVm {
+  add (domain: string, number: number, incarnation: number | string = 1): FleetVm {
     const vm = `${domain}-${number}`
     const port = 7000 + this.vms.length
     const address = `127.0.0.1:${port}`
@@ -117,6 +119,7 @@
 
   private deliver (from: FleetVm, address: string, action: Extract<MemberAction, { kind: 'beat' }>): void {
     this.messages += 1
+    this.onMessage(from, address, action.heartbeat)
     const to = this.vms.find(vm => vm.row.peers === address)
     if (to === undefined || !to.active) return
     if (this.cuts.has(`${from.row.domain}|${to.row.domain}`) || this.cuts.has(`${to.row.domain}|${from.row.domain}`)) return
--- a/packages/decisions/src/membership/memberTable.ts
+++ b/packages/decisions/src/membership/memberTable.ts
@@ -5,25 +5,21 @@
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { vmOf, type HolderId } from '../names/nameTypes.js'
-import { heartbeatSources, heartbeatTargets, roleCandidates, type RingMember } from './memberRing.js'
+import { HeartbeatPlan } from './heartbeatPlan.js'
+import { heartbeatSources, type RingMember } from './memberRing.js'
 import { earlier, MemberRecord } from './memberRecord.js'
-import { MEMBER_ROLES } from './memberRoles.js'
 import { defaultMemberLimits, type Heartbeat, type MemberAction, type MemberDecider, type MemberEvent, type MemberLimits, type MemberNews, type MemberRow, type MemberState, type MemberView, type ReadMember } from './memberTypes.js'
 import { OwnRow } from './ownRow.js'
+import { RowQuestions } from './rowQuestions.js'
 import { RumorQueue } from './rumorQueue.js'
 
-/** Rows asked for at once when news name unknown holders. */
-const MAX_ASKED_ROWS = 50
-/** Milliseconds before the row of a VM is asked for again. */
-const ASK_ROW_AGAIN_MS = 5_000
-
 /** Membership as one VM sees it. */
 export class MemberTable implements MemberDecider {
   private readonly records = new Map<string, MemberRecord>()
   private readonly lastStates = new Map<string, MemberState>()
-  private readonly askedRows = new Map<string, Instant>()
-  private readonly unknown = new Set<string>()
+  private readonly questions = new RowQuestions()
   private readonly rumors: RumorQueue
+  private readonly plan: HeartbeatPlan
   private readonly ownRow: OwnRow
   private self: MemberRow
   private openRequests = 0
@@ -38,9 +34,10 @@
    * @param random - uniform in [0, 1), for the choice of VMs to tell
    * @param limits - periods and bounds
    */
-  constructor (self: MemberRow, private readonly random: () => number, private readonly limits: MemberLimits = defaultMemberLimits) {
+  constructor (self: MemberRow, random: () => number, private readonly limits: MemberLimits = defaultMemberLimits) {
     this.self = self
     this.rumors = new RumorQueue(limits.rumorTimes)
+    this.plan = new HeartbeatPlan(this.rumors, random, limits)
     this.ownRow = new OwnRow(self.holder, limits.renewMs)
   }
 
@@ -109,21 +106,12 @@
     if (vm === this.self.vm) return
     const record = this.records.get(vm)
     if (record?.holder === news.holder) record.hear(news, now)
-    else this.unknown.add(vm)
+    else this.questions.need(vm)
   }
 
   private askRows (now: Instant): readonly MemberAction[] {
-    const due = [...this.unknown].filter(vm => {
-      const askedAt = this.askedRows.get(vm)
-      return askedAt === undefined || elapsedMs(askedAt, now) >= ASK_ROW_AGAIN_MS
-    })
-    const vms = due.slice(0, MAX_ASKED_ROWS)
-    if (vms.length === 0) return []
-    for (const vm of vms) {
-      this.unknown.delete(vm)
-      this.askedRows.set(vm, now)
-    }
-    return [{ kind: 'readRows', vms }]
+    const vms = this.questions.due(now)
+    return vms.length === 0 ? [] : [{ kind: 'readRows', vms }]
   }
 
   private readRows (rows: readonly ReadMember[], whole: boolean, askedAt: Instant, now: Instant): readonly MemberAction[] {
@@ -139,7 +127,7 @@
       if (holder !== this.self.holder && this.ownRow.registered) this.ownRow.unsure()
       return
     }
-    this.askedRows.delete(vm)
+    this.questions.answered(vm)
     const record = this.records.get(vm)
     if (record === undefined) this.records.set(vm, new MemberRecord(read, askedAt))
     else record.readRow(read, askedAt)
@@ -178,39 +166,14 @@
 
   private heartbeats (now: Instant): readonly MemberAction[] {
     this.beat += 1
-    const members = this.ringMembers(now)
-    const targets = new Set<MemberRecord>(heartbeatTargets(this.self, members, this.limits))
-    const writer = this.beat % this.limits.writerEvery === 0 ? this.writerCandidate(now) : undefined
-    if (writer !== undefined) targets.add(writer)
-    const rumors = this.rumors.takeRumors(this.limits.rumors)
-    const others = members.filter(record => !targets.has(record))
-    const stranger = others[Math.floor(this.random() * others.length)]
-    const silent = [...this.records.values()].filter(record => this.isSilent(record, now))
-    return [
-      ...this.beatTo([...targets].filter(record => !silent.includes(record)), rumors, false, now),
-      ...this.beatTo(silent, [], true, now),
-      ...this.beatTo(stranger === undefined ? [] : [stranger], [...rumors, ...this.nextDigest()], false, now)
-    ]
-  }
-
-  private nextDigest (): readonly string[] {
-    return this.rumors.takeDigest([...this.records.keys()], this.limits.digest)
-  }
-
-  /** A watched VM that should be asked for a sign of life. */
-  private isSilent (record: MemberRecord, now: Instant): boolean {
-    const silenceMs = record.silenceMs(now)
-    return silenceMs > this.limits.askAfterMs && silenceMs < this.limits.forgetAfterMs && this.stateOf(record, now) !== 'gone'
-  }
-
-  private writerCandidate (now: Instant): MemberRecord | undefined {
-    const [best] = roleCandidates(MEMBER_ROLES.writer(this.self.domain), this.liveOfDomain(now), 1)
-    return best === undefined ? undefined : this.records.get(best)
-  }
-
-  private liveOfDomain (now: Instant): readonly string[] {
-    const others = [...this.records.values()].filter(record => record.domain === this.self.domain && this.stateOf(record, now) === 'live')
-    return [this.self.vm, ...others.map(record => record.vm)]
+    const planned = this.plan.next({
+      self: this.self,
+      states: new Map([...this.records.values()].map(record => [record, this.stateOf(record, now)])),
+      participants: this.ringMembers(now),
+      beat: this.beat,
+      silenceMs: record => record.silenceMs(now)
+    })
+    return planned.flatMap(({ to, about, ask }) => this.beatTo(to, about, ask, now))
   }
 
   private answerTo (from: HolderId, now: Instant): readonly MemberAction[] {
--- a/packages/decisions/src/membership/memberTypes.ts
+++ b/packages/decisions/src/membership/memberTypes.ts
@@ -123,7 +123,7 @@
   readonly askAfterMs: number
   /** A watched VM that is silent for so long is suspected. */
   readonly suspectAfterMs: number
-  /** Any VM of which nothing was heard in any way for so long is suspected; grows with the fleet. */
+  /** Any VM of which nothing was heard in any way for so long is suspected; grows with the fleet, more than the scans. */
   readonly staleAfterMs: number
   /** A VM silent for so long gets no heartbeats. */
   readonly forgetAfterMs: number
@@ -144,6 +144,8 @@
   readonly ringFanout: number
   /** Periods between two heartbeats to the domain's first candidate for the writer's role. */
   readonly writerEvery: number
+  /** Periods for which one random VM outside these gets heartbeats too. */
+  readonly strangerPeriods: number
   /** Entries passed on with a heartbeat to a neighbour, and with the one to a random VM. */
   readonly rumors: number
   readonly digest: number
@@ -164,12 +166,13 @@
   listMs: 5_000,
   scanMsPerMember: 2_000,
   listMsPerMember: 250,
-  staleMsPerMember: 500,
+  staleMsPerMember: 2_500,
   meshMembers: 8,
   ringFanout: 4,
-  writerEvery: 4,
+  writerEvery: 8,
+  strangerPeriods: 8,
   rumors: 2,
-  digest: 8,
+  digest: 6,
   rumorTimes: 8
 }
 
--- a/packages/stand-ins/src/measure/measureRegistry.ts
+++ b/packages/stand-ins/src/measure/measureRegistry.ts
@@ -1,10 +1,19 @@
 /**
  * The list of measurements. A new one adds its import and its line here.
  */
+import { configMeasure, configSizeMeasure, configTrafficMeasure, configWireMeasure } from './configMeasure.js'
 import type { Measurement } from './measureTypes.js'
+import { membershipBench } from './membershipBench.js'
+import { peersBench } from './peersBench.js'
 import { streamBench } from './streamBench.js'
 
 /** All measurements by group and name. */
 export const measurements: readonly Measurement[] = [
+  configMeasure,
+  configTrafficMeasure,
+  configWireMeasure,
+  configSizeMeasure,
+  membershipBench,
+  peersBench,
   streamBench
 ]
--- /dev/null
+++ b/packages/stand-ins/src/measure/peersBench.ts
@@ -0,0 +1,145 @@
+/**
+ * `npm run bench -- peers`: processor time and bytes of heartbeats between VMs over loopback.
+ * Both ends run in this process, so the time is that of sender and receiver together. The
+ * links are open before the count begins; the handshake is counted apart.
+ */
+import { connect, type Socket } from 'node:net'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Heartbeat } from '@rosemaryspread/decisions/membership/memberTypes.js'
+import { parseAddress } from '@rosemaryspread/peers/link/address.js'
+import { JsonRpcPeerClient } from '@rosemaryspread/peers/link/peerClient.js'
+import { JsonRpcPeerServer } from '@rosemaryspread/peers/link/peerServer.js'
+import type { Measurement, MeasureRow } from './measureTypes.js'
+
+const KEY = 'key of the bench, never used elsewhere'
+const PEERS = [2, 8, 32]
+/** Heartbeats to each peer in a second. */
+const RATES = [1, 10, 100]
+const PERIODS_MS = 3_000
+const TIMEOUT_MS = 10_000
+const MS_PER_SECOND = 1_000
+
+type Kind = 'notification' | 'call'
+
+/** One sender and its receivers. */
+interface Links {
+  readonly client: JsonRpcPeerClient
+  readonly servers: readonly JsonRpcPeerServer[]
+  readonly sockets: readonly Socket[]
+  readonly received: () => number
+}
+
+/** Cost of links between VMs, measured. */
+export const peersBench: Measurement = {
+  group: 'bench',
+  name: 'peers',
+  title: 'processor time and bytes of a heartbeat between VMs, by peers and rate',
+  run: async () => {
+    const rows: MeasureRow[] = []
+    for (const kind of ['notification', 'call'] as const) {
+      for (const peers of PEERS) {
+        for (const rate of RATES) rows.push(await measureLinks(kind, peers, rate))
+      }
+    }
+    return rows
+  }
+}
+
+async function measureLinks (kind: Kind, peers: number, rate: number): Promise<MeasureRow> {
+  const links = await openLinks(peers)
+  const handshakeBytes = bytesOf(links.sockets)
+  await sendRound(links, kind, 0)
+  await sendRound(links, kind, 1)
+  const idle = await costOf(async () => { await wait(PERIODS_MS) })
+  const bytesBefore = bytesOf(links.sockets)
+  const receivedBefore = links.received()
+  const busy = await costOf(async () => { await sendAtRate(links, kind, rate) })
+  const messages = links.received() - receivedBefore
+  const bytes = bytesOf(links.sockets) - bytesBefore
+  await closeLinks(links)
+  return {
+    kind,
+    peers,
+    per_peer_per_s: rate,
+    messages,
+    both_ends_us_per_message: rounded(busy.cpuUs / messages),
+    idle_us_per_s: rounded(idle.cpuUs / (idle.ms / MS_PER_SECOND)),
+    bytes_per_message: rounded(bytes / messages),
+    handshake_and_first_call_bytes: rounded(handshakeBytes / peers)
+  }
+}
+
+async function openLinks (peers: number): Promise<Links> {
+  const clock: Clock = { now: () => ({ mono: performance.now(), wall: Date.now() }) }
+  const log = { write: () => {} }
+  let received = 0
+  const servers: JsonRpcPeerServer[] = []
+  for (let i = 0; i < peers; i++) {
+    const server = new JsonRpcPeerServer({ holder: `quito-centro-${i}~0123456789ab`, keys: [KEY] }, log)
+    server.register('beat', async () => { received++ })
+    server.register('open', async () => null)
+    await server.listen('127.0.0.1:0')
+    servers.push(server)
+  }
+  const sockets: Socket[] = []
+  const dial = (address: string): Socket => {
+    const socket = connect(parseAddress(address))
+    sockets.push(socket)
+    return socket
+  }
+  const client = new JsonRpcPeerClient({ identity: { holder: 'quito-centro-a~0123456789ab', keys: [KEY] }, clock, random: Math.random, dial })
+  await Promise.all(servers.map(server => client.call(server.address, 'open', null, TIMEOUT_MS)))
+  return { client, servers, sockets, received: () => received }
+}
+
+async function closeLinks ({ client, servers }: Links): Promise<void> {
+  client.close()
+  for (const server of servers) await server.close()
+}
+
+async function sendAtRate (links: Links, kind: Kind, rate: number): Promise<void> {
+  const rounds = Math.round(PERIODS_MS / MS_PER_SECOND * rate)
+  for (let round = 0; round < rounds; round++) {
+    const next = wait(PERIODS_MS / rounds)
+    await sendRound(links, kind, round + 2)
+    await next
+  }
+}
+
+/** One heartbeat to each peer; resolves when all have arrived. */
+async function sendRound (links: Links, kind: Kind, round: number): Promise<void> {
+  const target = links.received() + links.servers.length
+  const heartbeat = heartbeatOf(round)
+  if (kind === 'call') {
+    await Promise.all(links.servers.map(server => links.client.call(server.address, 'beat', heartbeat, TIMEOUT_MS)))
+    return
+  }
+  for (const server of links.servers) links.client.notify(server.address, 'beat', heartbeat)
+  while (links.received() < target) await wait(1)
+}
+
+/** A heartbeat as it is in a steady fleet: nothing to pass on. */
+function heartbeatOf (beat: number): Heartbeat {
+  const self = { holder: 'quito-centro-a~0123456789ab', beat: 100_000 + beat, state: 'live', config: 1_234, open: 7, age: 0 } as const
+  return { self, news: [], ask: false }
+}
+
+async function costOf (work: () => Promise<void>): Promise<{ readonly cpuUs: number, readonly ms: number }> {
+  const startedAt = performance.now()
+  const before = process.cpuUsage()
+  await work()
+  const used = process.cpuUsage(before)
+  return { cpuUs: used.user + used.system, ms: performance.now() - startedAt }
+}
+
+function bytesOf (sockets: readonly Socket[]): number {
+  return sockets.reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0)
+}
+
+function rounded (value: number): number {
+  return Math.round(value * 10) / 10
+}
+
+async function wait (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
