Answer requests that offer an upgrade, and refuse without cutting the body

Restify listens for `upgrade` and answers nothing, so a client that offers HTTP/2 in clear text with each request, as some libraries do by default, waited for ever. Without the listener Node serves the request.

A refusal given before the body came closed the connection, and a sender may then never see the answer. Such a body is now discarded and the connection kept; only one given up half-read ends it.

Both cases fail (they time out) with the old code.

--- a/packages/callers/src/api/callerServer.spec.ts
+++ b/packages/callers/src/api/callerServer.spec.ts
@@ -118,6 +118,8 @@
     const table: ReadonlyArray<{ title: string, ask: Ask, status: number, name: string, errors?: string[] }> = [
       { title: 'no key', ask: { headers: { authorization: '' } }, status: 401, name: 'unauthorized' },
       { title: 'a wrong key', ask: { headers: { authorization: 'Bearer bad' } }, status: 401, name: 'unauthorized' },
+      { title: 'a large body without a key', ask: { headers: { authorization: '' }, body: 'x'.repeat(3_000_000) }, status: 401, name: 'unauthorized' },
+      { title: 'a large body on an unknown path', ask: { path: '/v2', body: 'x'.repeat(3_000_000) }, status: 404, name: 'notFound' },
       { title: 'an unknown path', ask: { path: '/v2' }, status: 404, name: 'notFound' },
       { title: 'a path with broken encoding', ask: { path: '/v1/%zz', method: 'GET' }, status: 404, name: 'notFound' },
       { title: 'a service without a path', ask: { path: '/v1/services/jobs' }, status: 404, name: 'notFound' },
@@ -185,6 +187,18 @@
       })
     }
 
+    const offers: ReadonlyArray<Record<string, string>> = [
+      { connection: 'Upgrade, HTTP2-Settings', upgrade: 'h2c', 'http2-settings': 'AAMAAABk' },
+      { expect: '100-continue' }
+    ]
+    for (const headers of offers) {
+      it(`a whole completion although the caller sent ${JSON.stringify(headers)}`, async () => {
+        const { ask } = await rig()
+        const reply = await ask({ body: JSON.stringify(okBody), headers })
+        expect([reply.status, reply.text.includes('a las nueve')]).to.deep.equal([200, true])
+      })
+    }
+
     it('/metrics 200', async () => {
       const { ask } = await rig()
       const reply = await ask({ method: 'GET', path: '/metrics' })
@@ -365,6 +379,18 @@
       expect(text).to.match(/^HTTP\/1.1 400 /).and.to.include('"RS-101"')
     })
 
+    it('refuses before the body came and takes the next request on the same connection', async () => {
+      const { raw } = await rig()
+      const socket = raw()
+      const received: string[] = []
+      socket.setEncoding('utf8').on('data', (data: string) => { received.push(data) })
+      socket.write('POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n12345')
+      while (!received.join('').includes('"RS-102"')) await once(socket, 'data')
+      socket.write('67890GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n')
+      while (!received.join('').includes('{"live":true}')) await once(socket, 'data')
+      socket.destroy()
+    })
+
     const stuck: ReadonlyArray<{ title: string, sent: string, answer: RegExp }> = [
       { title: 'nothing', sent: '', answer: /^$/ },
       { title: 'half of the headers', sent: 'GET /healthz HTTP/1.1\r\nHost', answer: /^$/ },
--- a/packages/http/src/server/httpExchange.ts
+++ b/packages/http/src/server/httpExchange.ts
@@ -84,10 +84,15 @@
    */
   refuse (failure: Failure): void {
     if (this.res.headersSent && !this.ended) this.req.socket.destroy()
-    if (!this.req.complete && !this.closed && !this.res.headersSent) this.res.setHeader('Connection', 'close')
+    if (this.leavesBody(failure) && !this.closed && !this.res.headersSent) this.res.setHeader('Connection', 'close')
     this.sendBytes(failure.entry.status, Buffer.from(problemText(failure)), problemHeaders(failure))
   }
 
+  /** Whether a body was given up half-read. One that nobody began to read is discarded by Node, so that its sender sees the answer. */
+  private leavesBody (failure: Failure): boolean {
+    return !this.req.complete && (this.req.readableDidRead || failure.code === 'bodyTooLarge')
+  }
+
   /**
    * Answers with whole bytes.
    * @param status - HTTP status
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -43,6 +43,8 @@
     this.node.keepAliveTimeout = deps.limits.idleMs
     this.node.maxHeadersCount = deps.limits.headerCount
     this.node.maxConnections = deps.limits.connections
+    // Restify would take the connection of a request with `Upgrade` and never answer it; without it Node serves the request.
+    this.node.removeAllListeners('upgrade')
     this.app.on('connection', (socket: Socket) => this.watch(socket))
     this.app.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.refuseInvalid(err, socket))
     // Restify's own answer is left out by not calling its callback.
