--- a/packages/rosemaryspread/src/budget/budgetAsking.ts
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -7,7 +7,8 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { allotmentKey, budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { allotmentRowSchema, transferSchema, type BudgetAction, type BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 import { surveyBudget, type AgedAllotment } from './budgetSharing.js'
 import type { BudgetPeers, GiveAnswer, GiveAsk } from './budgetPeers.js'
@@ -65,13 +66,28 @@
     this.repeating = true
     const present = new Set(this.domainMembers())
     for (const item of [...this.open.values()].slice(0, REPEATS_PER_TICK)) {
-      // The recovery of an ended holder accounts for what it gave.
       if (present.has(item.giver)) await this.ask(item)
-      else this.open.delete(item.ask.transferId)
+      if (this.open.has(item.ask.transferId)) await this.askTable(item)
     }
     this.repeating = false
   }
 
+  /** The giver may have recorded the transfer; once its allotment is closed it never will. */
+  private async askTable (item: OpenAsk): Promise<void> {
+    const { transferId, budget } = item.ask
+    const askedAt = this.parts.clock.now()
+    const read = await this.parts.store.read([
+      { table: budgetTables.transfers, key: transferId },
+      { table: budgetTables.allotments, key: allotmentKey(budget, item.giver) }
+    ])
+    if (read.isLeft()) return
+    const [recorded, allotment] = read.unsafeCoerce().rows
+    const isOpen = allotment !== null && allotment !== undefined && allotmentRowSchema.parse(allotment.value).state === 'open'
+    if ((recorded === null || recorded === undefined) && isOpen) return
+    if (!this.open.delete(transferId) || recorded === null || recorded === undefined) return
+    this.parts.dispatch({ kind: 'giveAnswered', transferId, transfer: transferSchema.parse(recorded.value), askedAt })
+  }
+
   /** Whether every ask has its answer. */
   get isIdle (): boolean {
     return this.open.size === 0
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -110,7 +110,7 @@
   tick (): void {
     this.dispatch({ kind: 'tick' })
     this.run(this.asking.repeatOpen())
-    if (!this.registry.isRegistered) this.run(this.registry.register())
+    this.run(this.registry.register())
   }
 
   /** Stops admitting; resolves when every bill is durable and every free token returned. Ticks have to go on. */
--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -3,8 +3,9 @@
  * Recovery reads it, because membership alone may have missed a process.
  */
 import { Right, type Either } from 'purify-ts'
+import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { budgetTables, holderKey, holdingKey, allotmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { holderRowSchema, holdingRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import { drawKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
@@ -12,6 +13,8 @@
 import { scanAll } from './budgetSharing.js'
 import type { BudgetTable } from './budgetTable.js'
 
+/** Milliseconds between two looks whether the own row is still there. */
+const CHECK_MS = 300_000
 /** Budgets of a holder removed in one transaction. */
 const MAX_REMOVED = 200
 
@@ -19,6 +22,7 @@
 export class BudgetRegistry {
   private registering = false
   private registered = false
+  private registeredAt: Instant | undefined
 
   constructor (private readonly table: BudgetTable, private readonly self: { readonly holder: string, readonly domain: string }) {}
 
@@ -27,19 +31,26 @@
     return this.registered
   }
 
-  /** Registers this holder unless it is done or under way. */
+  /** Registers this holder, or looks whether its row is still there, unless that is done or under way. */
   async register (): Promise<void> {
-    if (this.registered || this.registering) return
+    if (this.registering || (this.registered && !this.isCheckDue)) return
     this.registering = true
     const { holder, domain } = this.self
-    const key = `${domain}/${holder}`
+    const key = holderKey(domain, holder)
     const done = await this.table.run('register', [{ table: budgetTables.holders, key }], rows => {
       if (rows.version(budgetTables.holders, key) !== null) return Right({ kind: 'done' })
       rows.set(budgetTables.holders, key, { holder, domain })
       return Right({ kind: 'write' })
     })
     this.registering = false
-    this.registered = done.isRight()
+    done.ifRight(({ sentAt }) => {
+      this.registered = true
+      this.registeredAt = sentAt
+    })
+  }
+
+  private get isCheckDue (): boolean {
+    return this.registeredAt === undefined || elapsedMs(this.registeredAt, this.table.now()) > CHECK_MS
   }
 
   /** This holder was taken for ended and may have been removed; it registers again. */
@@ -83,10 +94,10 @@
     const { holder, domain } = item
     const writes = [
       ...budgets.slice(0, MAX_REMOVED).flatMap(budget => [
-        { table: budgetTables.holdings, key: `${holder}/${budget}`, value: null },
-        { table: budgetTables.allotments, key: `${budget}/${holder}`, value: null }
+        { table: budgetTables.holdings, key: holdingKey(holder, budget), value: null },
+        { table: budgetTables.allotments, key: allotmentKey(budget, holder), value: null }
       ]),
-      ...(budgets.length > MAX_REMOVED ? [] : [{ table: budgetTables.holders, key: `${domain}/${holder}`, value: null }])
+      ...(budgets.length > MAX_REMOVED ? [] : [{ table: budgetTables.holders, key: holderKey(domain, holder), value: null }])
     ]
     await this.table.store.transact({ checks: [], writes })
   }
--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -203,19 +203,21 @@
 /** Runners in one order for all requests; those a VM believes to be down are passed over. */
 export class FakeRouting implements RoutingPort {
   believedDown: string[] = []
+  /** Runs counted at runners and not ended. */
+  open = 0
 
   constructor (private readonly runners: readonly RunnerAddress[]) {}
 
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner> {
+  async route (admitted: AdmittedCompletion, exclude: readonly string[]): Promise<Either<RouteRefusal, RoutedRunner>> {
     const usable = this.runners.filter(({ runner }) => !exclude.includes(runner))
     const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
     if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { retryAfterMs: 100 }), lookIn: admitted.keyed ? this.runners : [] })
-    return Right({ choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
+    this.open += 1
+    const run = { firstToken: () => {}, ended: () => { this.open -= 1 } }
+    return Right({ run, choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
   }
 
-  dispatched (): { firstToken: () => void, ended: () => void } {
-    return { firstToken: () => {}, ended: () => {} }
-  }
+  finish (): void {}
 
   retryDelay (): Maybe<number> {
     return Just(0)
--- a/packages/rosemaryspread/src/completion/completionPlanner.ts
+++ b/packages/rosemaryspread/src/completion/completionPlanner.ts
@@ -8,7 +8,7 @@
 import type { EngineClient } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
-import type { RoutedRunner, RouteRefusal, RoutingPort } from '../routing/routingPort.js'
+import type { DispatchedRun, RoutedRunner, RouteRefusal, RoutingPort } from '../routing/routingPort.js'
 import { msUntil, type AdmittedCompletion } from './completionAdmission.js'
 import { findRun, lookForRun, type KnownRun } from './completionFinder.js'
 import type { RunnerAddress } from './completionUnsettled.js'
@@ -28,7 +28,14 @@
   readonly at: RunnerAddress
   /** Runners of a keyed request that were passed over and could not be sealed. */
   readonly unsealed: readonly RunnerAddress[]
-  readonly reservation?: Reservation
+  /** Absent when the run is joined. */
+  readonly paid?: PaidRun
+}
+
+/** What a new run is paid from, and its count at the runner. */
+export interface PaidRun {
+  readonly reservation: Reservation
+  readonly run: DispatchedRun
 }
 
 /** Runners that a request has tried so far. */
@@ -45,18 +52,29 @@
    * Plans the next attempt of a request.
    * @param admitted - the request
    * @param tried - what it has tried; sealed runners are added
+   * @param gone - aborted when the caller goes away
    */
-  async plan (admitted: AdmittedCompletion, tried: TriedRunners): Promise<Either<Failure, PlannedRun>> {
+  async plan (admitted: AdmittedCompletion, tried: TriedRunners, gone: AbortSignal): Promise<Either<Failure, PlannedRun>> {
     for (;;) {
-      const routed = this.deps.routing.route(admitted, tried.exclude)
+      const routed = await this.deps.routing.route(admitted, tried.exclude, gone)
       if (routed.isLeft()) return await this.refusedOrJoined(admitted, routed.extract())
-      const { choice, before } = routed.extract() as RoutedRunner
-      if (!admitted.keyed) return await this.reserveAt(admitted, choice, [])
-      const found = await findRun(this.deps.engines, admitted.requestId, before, choice)
-      if (found.at !== undefined) return joinOf(admitted, found.at)
-      if (!found.choiceSealed) return await this.reserveAt(admitted, choice, [...tried.unsealed, ...found.unsealed])
-      tried.exclude.push(choice.runner)
+      const planned = await this.planAt(admitted, routed.extract() as RoutedRunner, tried)
+      if (planned !== 'sealed') return planned
+    }
+  }
+
+  /** Plans at the runner chosen, unless an earlier decision sealed it. */
+  private async planAt (admitted: AdmittedCompletion, routed: RoutedRunner, tried: TriedRunners): Promise<Either<Failure, PlannedRun> | 'sealed'> {
+    const { choice, before, run } = routed
+    if (!admitted.keyed) return await this.reserveAt(admitted, routed, [])
+    const found = await findRun(this.deps.engines, admitted.requestId, before, choice)
+    if (found.at === undefined && !found.choiceSealed) {
+      return await this.reserveAt(admitted, routed, [...tried.unsealed, ...found.unsealed])
     }
+    run.ended(true, 0)
+    if (found.at !== undefined) return joinOf(admitted, found.at)
+    tried.exclude.push(choice.runner)
+    return 'sealed'
   }
 
   /** A keyed request without a runner may still be answered by the run of an earlier attempt. */
@@ -69,12 +87,14 @@
     return Left(new Failure(code, message, { ran, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }))
   }
 
-  private async reserveAt (admitted: AdmittedCompletion, at: RunnerAddress, unsealed: readonly RunnerAddress[]): Promise<Either<Failure, PlannedRun>> {
+  private async reserveAt (admitted: AdmittedCompletion, { choice, run }: RoutedRunner, unsealed: readonly RunnerAddress[]): Promise<Either<Failure, PlannedRun>> {
     const before = this.deps.clock.now()
     const waitMs = Math.min(this.deps.reserveTimeoutMs, Math.max(0, msUntil(admitted.deadline, before)))
     const reserved = await this.deps.budgets.reserve(admitted.budget, admitted.promptTokens + admitted.maxTokens, waitMs)
     this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before.mono)
-    return reserved.map(reservation => ({ at, unsealed, reservation }))
+    return reserved
+      .ifLeft(() => { run.ended(true, 0) })
+      .map(reservation => ({ at: choice, unsealed, paid: { reservation, run } }))
   }
 }
 
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -69,6 +69,7 @@
       expect(budgets.bills.map(({ tokens }) => tokens)).to.deep.equal(bills)
       expect(engines.began()).to.deep.equal(began)
       expect(budgets.open, 'reservations left open').to.equal(0)
+      expect(a.routing.open, 'runs left counted').to.equal(0)
     })
   }
 
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -8,12 +8,11 @@
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { NumberedConfig } from '@rosemaryspread/decisions/config/configSchema.js'
-import type { Reservation } from '../budget/budgetPort.js'
 import { admitCompletion, type AdmittedCompletion } from './completionAdmission.js'
 import { runAttempt, type AttemptContext, type AttemptOutcome } from './completionAttempt.js'
 import { LocalRuns } from './completionLocalRuns.js'
 import type { CurrentConfig, RandomSource } from './completionPorts.js'
-import { CompletionPlanner, keyReused, type PlannedRun, type PlannerDeps, type TriedRunners } from './completionPlanner.js'
+import { CompletionPlanner, keyReused, type PaidRun, type PlannedRun, type PlannerDeps, type TriedRunners } from './completionPlanner.js'
 import { AnswerRelay } from './completionRelay.js'
 import { CompletionSettlement, type EndedAttempt, type SettlementDeps } from './completionSettlement.js'
 import type { RunnerAddress } from './completionUnsettled.js'
@@ -101,21 +100,24 @@
   /** Tries runners in turn until the answer is whole, a part of it was sent, or nothing is left to try. */
   private async runAnew (open: OpenCompletion, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     const attempts: EndedAttempt[] = []
-    const answered = await this.tryRunners(open, attempts, onStarted)
-    this.settlement.settleAll(open.admitted, attempts)
-    return answered
+    try {
+      return await this.tryRunners(open, attempts, onStarted)
+    } finally {
+      this.settlement.settleAll(open.admitted, attempts)
+      this.deps.routing.finish(open.admitted, usedTokens(open, attempts))
+    }
   }
 
   private async tryRunners (open: OpenCompletion, attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     const tried: TriedRunners = { exclude: [], unsealed: [] }
     let last: Failure | undefined
     while (attempts.length < MAX_ATTEMPTS) {
-      const planned = await this.planner.plan(open.admitted, tried)
+      const planned = await this.planner.plan(open.admitted, tried, open.call.gone)
       if (planned.isLeft()) return Left(last ?? planned.extract())
       const plan = planned.extract() as PlannedRun
-      if (plan.reservation === undefined) return await this.join(open, plan)
-      const outcome = await this.start(open, plan, plan.reservation, onStarted)
-      attempts.push({ plan, reservation: plan.reservation, outcome })
+      if (plan.paid === undefined) return await this.join(open, plan)
+      const outcome = await this.start(open, plan, plan.paid, onStarted)
+      attempts.push({ plan, reservation: plan.paid.reservation, outcome })
       if (outcome.kind === 'whole') return Right(undefined)
       last = outcome.failure
       tried.exclude.push(plan.at.runner)
@@ -128,11 +130,10 @@
     return Left(last ?? new Failure('noRunner', 'no runner took the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
-  private async start (open: OpenCompletion, plan: PlannedRun, reservation: Reservation, onStarted: (runner: RunnerAddress) => void): Promise<AttemptOutcome> {
+  private async start (open: OpenCompletion, plan: PlannedRun, { reservation, run }: PaidRun, onStarted: (runner: RunnerAddress) => void): Promise<AttemptOutcome> {
     const { admitted } = open
     this.deps.log.write('requestAccepted', { request: admitted.requestId, team: admitted.team, model: admitted.model, reserved: reservation.tokens })
-    const tracked = this.deps.routing.dispatched(plan.at.runner, admitted)
-    const outcome = await runAttempt(this.context(open, plan.at, tracked.firstToken), async () => {
+    const outcome = await runAttempt(this.context(open, plan.at, run.firstToken), async () => {
       const confirmed = this.deps.budgets.confirm(reservation)
       if (confirmed.isLeft()) return confirmed
       const submitted = await this.deps.engines.submit(plan.at.address, {
@@ -150,7 +151,7 @@
       submitted.ifRight(() => { onStarted(plan.at) })
       return submitted
     })
-    tracked.ended(outcome.kind === 'whole', outcome.kind === 'whole' ? outcome.end.usage.completionTokens : 0)
+    run.ended(!isRunnersFault(outcome), generatedTokens(outcome, open.relay))
     if (outcome.kind === 'whole') this.answered(open, plan.at.runner, outcome)
     return outcome
   }
@@ -207,3 +208,19 @@
     return failure
   }
 }
+
+/** Whether the runner failed; a caller who leaves, and a VM that may not spend, are not its fault. */
+function isRunnersFault (outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'whole') return false
+  return outcome.failure.code !== 'callerGone' && outcome.failure.code !== 'allotmentClosed'
+}
+
+function generatedTokens (outcome: AttemptOutcome, relay: AnswerRelay): number {
+  return outcome.kind === 'whole' ? outcome.end.usage.completionTokens : relay.pieces
+}
+
+/** Tokens that the attempts of a request used, for fairness between teams; 0 when nothing ran. */
+function usedTokens (open: OpenCompletion, attempts: readonly EndedAttempt[]): number {
+  const ran = attempts.filter(({ outcome }) => outcome.kind !== 'notStarted')
+  return ran.reduce((sum, { outcome }) => sum + open.admitted.promptTokens + generatedTokens(outcome, open.relay), 0)
+}
--- a/packages/rosemaryspread/src/compose/bindServing.ts
+++ b/packages/rosemaryspread/src/compose/bindServing.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from '@rosemaryspread/callers/api/callerServer.js'
 import { RetryBudget } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
 import { httpLimitsSchema } from '@rosemaryspread/http/server/httpLimits.js'
 import { AdminServer } from '@rosemaryspread/operators/admin/adminServer.js'
 import { FleetAdminService } from '../admin/adminService.js'
@@ -35,9 +36,9 @@
 function bindRouting (container: Container): void {
   container.bind(ids.retries).toConstantValue(new RetryBudget())
   container.bind(ids.router).toResolvedValue(({ vm, domain }) => new RunnerRouter(vm, domain), [ids.identity]).inSingletonScope()
-  container.bind(ids.routing).toResolvedValue((decider, retries, clock, random, log) =>
-    new RoutingService({ decider, retries, clock, random, log }),
-  [ids.router, ids.retries, ids.clock, ids.random, ids.log]).inSingletonScope()
+  container.bind(ids.routing).toResolvedValue((decider, retries, clock, random, log, members) =>
+    new RoutingService({ decider, retries, clock, random, log, vms: () => members.members().filter(isUp).length }),
+  [ids.router, ids.retries, ids.clock, ids.random, ids.log, ids.members]).inSingletonScope()
   container.bind(ids.poller).toResolvedValue((decider, engines, clock, log) =>
     new RunnerPoller({ decider, engines, clock, log, watched: () => decider.watched() }),
   [ids.router, ids.engines, ids.clock, ids.log]).inSingletonScope()
@@ -145,3 +146,7 @@
     limits: httpLimitsSchema.parse({ bodyBytes: ctx.get(ids.settings).maxBodyBytes })
   })).inSingletonScope()
 }
+
+function isUp ({ state }: MemberView): boolean {
+  return state === 'live'
+}
--- a/packages/rosemaryspread/src/compose/composeVm.ts
+++ b/packages/rosemaryspread/src/compose/composeVm.ts
@@ -7,6 +7,7 @@
 import { bindBase } from './bindBase.js'
 import { bindBudgets } from './bindBudgets.js'
 import { bindConfig } from './bindConfig.js'
+import { bindPlacement } from './bindPlacement.js'
 import { bindServing } from './bindServing.js'
 import { ids } from './serviceIds.js'
 import { VmProcess } from './vmProcess.js'
@@ -21,6 +22,7 @@
   bindBase(container, settings)
   bindConfig(container)
   bindBudgets(container)
+  bindPlacement(container)
   bindServing(container)
   let replaced: (by: string) => void = () => {}
   container.bind(ids.onReplaced).toConstantValue(by => { replaced(by) })
--- a/packages/rosemaryspread/src/compose/serviceIds.ts
+++ b/packages/rosemaryspread/src/compose/serviceIds.ts
@@ -25,8 +25,10 @@
 import type { ConfigSpread } from '../config/configSpread.js'
 import type { ConfigStore } from '../config/configStore.js'
 import type { KeyDirectory } from '../directory/keyDirectory.js'
+import type { LeaseDriver } from '../membership/leaseDriver.js'
 import type { MemberDriver } from '../membership/memberDriver.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
+import type { PlacementDriver } from '../placement/placementDriver.js'
 import type { RunnerPoller } from '../routing/routingPoller.js'
 import type { RoutingService } from '../routing/routingService.js'
 import type { ClaimedServiceCalls } from '../service/serviceCalls.js'
@@ -68,6 +70,8 @@
   retries: id<RetryDecider>('RetryDecider'),
   routing: id<RoutingService>('RoutingService'),
   poller: id<RunnerPoller>('RunnerPoller'),
+  placementLease: id<LeaseDriver>('PlacementLease'),
+  placement: id<PlacementDriver>('PlacementDriver'),
   completions: id<CompletionService>('CompletionService'),
   serviceCalls: id<ClaimedServiceCalls>('ServiceCalls'),
   services: id<ApplicationService>('ApplicationService'),
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -11,10 +11,14 @@
 
 /** Milliseconds between two ticks of the budgets. */
 const BUDGET_TICK_MS = 100
+/** Milliseconds between two looks at the requests that wait for a runner. */
+const QUEUE_TICK_MS = 50
 /** Milliseconds between two passes over what ended holders held. */
 const RECOVERY_MS = 5_000
 /** Role whose candidates recover what ended holders held. */
 const RECOVERY_ROLE = 'recovery'
+/** Milliseconds between two rounds of placement. */
+const PLACEMENT_TICK_MS = 1_000
 /** Milliseconds between two tries to settle runs whose cost is not known. */
 const UNSETTLED_RETRY_MS = 1_000
 
@@ -45,6 +49,7 @@
     await this.container.get(ids.configStore).load()
     this.container.get(ids.configSpread).start()
     await this.container.get(ids.members).start()
+    this.container.get(ids.placementLease).start()
     return Right(undefined)
   }
 
@@ -55,9 +60,11 @@
     work.draining = true
     this.log.write('draining', { open: work.openCount() })
     await this.container.get(ids.members).announceLeaving()
+    const released = this.within(this.container.get(ids.placementLease).release(), drainTimeoutMs)
     const idle = await work.idle(drainTimeoutMs)
     await this.container.get(ids.callerServer).close()
     const settled = await this.within(this.container.get(ids.budgets).drain(), drainTimeoutMs)
+    await released
     await this.stop()
     this.log.write('stopped', { open: work.openCount(), interrupted: work.openCount(), settled })
     return idle && settled
@@ -97,10 +104,13 @@
     const { runners } = this.container.get(ids.settings)
     const budgets = this.container.get(ids.budgets)
     const poller = this.container.get(ids.poller)
+    const routing = this.container.get(ids.routing)
     const unsettled = this.container.get(ids.unsettled)
     this.every(BUDGET_TICK_MS, async () => { budgets.tick() })
     this.every(runners.loadPollMs, async () => { await poller.poll() })
+    this.every(QUEUE_TICK_MS, async () => { routing.pump() })
     this.every(RECOVERY_MS, async () => { await this.recover() })
+    this.every(PLACEMENT_TICK_MS, async () => { await this.container.get(ids.placement).tick() })
     this.every(UNSETTLED_RETRY_MS, async () => { await unsettled.retryAll() })
   }
 
@@ -126,6 +136,7 @@
   private async stop (): Promise<void> {
     this.timers.forEach(timer => { clearInterval(timer) })
     this.container.get(ids.configSpread).stop()
+    this.container.get(ids.placementLease).stop()
     this.container.get(ids.members).stop()
     await this.container.get(ids.adminServer).close()
     this.container.get(ids.peerClient).close()
--- a/packages/rosemaryspread/src/config/configReader.ts
+++ b/packages/rosemaryspread/src/config/configReader.ts
@@ -48,6 +48,17 @@
     return answer.chain(({ rows }) => this.markOf(rows[0] ?? null))
   }
 
+  /**
+   * The current version together with the version row that follows one, if there is any yet. One
+   * call is then enough for a VM that is one version behind.
+   * @param version - the version in force
+   */
+  async poll (version: number): Promise<Either<Failure, { readonly mark: VersionMark, readonly rows: readonly VersionRow[] }>> {
+    const answer = await this.table.read([currentKey, { table: VERSION_TABLE, key: versionKey(version + 1) }])
+    return answer.chain(({ rows: [current, next] }) => this.markOf(current ?? null)
+      .chain(mark => parseAll(next == null ? [] : [next]).map(rows => ({ mark, rows }))))
+  }
+
   /**
    * The version that a row `config/current` names.
    * @param row - the row; version 0 when there is none
--- a/packages/rosemaryspread/src/config/configSpread.ts
+++ b/packages/rosemaryspread/src/config/configSpread.ts
@@ -6,7 +6,7 @@
  */
 import type { Either } from 'purify-ts'
 import { z } from 'zod'
-import { toFailure, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { versionMarkSchema, versionRowSchema, wholeConfigSchema, type VersionMark } from '@rosemaryspread/decisions/config/configRows.js'
 import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
@@ -52,6 +52,12 @@
   return Math.max(pollMs, vms * SECOND_MS / FLEET_POLLS_PER_SECOND)
 }
 
+function parseParams<T> (schema: z.ZodType<T>, params: unknown): T {
+  const result = schema.safeParse(params)
+  if (result.success) return result.data
+  throw new Failure('badRequest', result.error.message)
+}
+
 /** Spreads the configuration on one VM. */
 export class ConfigSpread {
   readonly #parts: ConfigSpreadParts
@@ -99,7 +105,7 @@
    * @param params - the version and who tells of it
    */
   async onPush (params: unknown): Promise<unknown> {
-    const push = pushSchema.parse(params)
+    const push = parseParams(pushSchema, params)
     const held = this.#parts.store.inForce
     if (held === undefined || held.version >= push.version) return null
     this.#later(this.#parts.settings.hedgeMs, () => this.#hedge(push, push.from))
@@ -112,7 +118,7 @@
    * @param params - the version of the peer
    */
   async onFetch (params: unknown): Promise<unknown> {
-    const { after } = fetchSchema.parse(params)
+    const { after } = parseParams(fetchSchema, params)
     return this.#parts.store.candidateAfter(after) ?? null
   }
 
--- a/packages/rosemaryspread/src/config/configStore.ts
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -9,6 +9,7 @@
 import { firstConfig, type HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import type { VersionMark } from '@rosemaryspread/decisions/config/configRows.js'
 import type { ConfigAnswer, HistoryEntry, PatchAnswer, PatchRequest } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { ConfigFetcher } from './configFetcher.js'
 import { ConfigPatcher, type AcceptedPatch } from './configPatcher.js'
 import { ConfirmedTable, ConfigReader } from './configReader.js'
 import { ConfigSnapshots } from './configSnapshots.js'
@@ -26,9 +27,9 @@
   readonly #reader: ConfigReader
   readonly #versions: ConfigVersions
   readonly #holder: ConfigDecider
+  readonly #fetcher: ConfigFetcher
   readonly #recent = new RecentRows()
   readonly #listeners: ConfigListener[] = []
-  #fetching: Promise<void> | undefined
   /** Snapshots and version objects. */
   readonly snapshots: ConfigSnapshots
 
@@ -44,6 +45,10 @@
     this.snapshots = new ConfigSnapshots(parts.objects)
     this.#versions = new ConfigVersions(this.#reader, this.snapshots, origin)
     this.#holder = holder ?? new ConfigHolder(origin)
+    this.#fetcher = new ConfigFetcher(this.#versions, this.snapshots, parts.log, {
+      version: () => this.inForce?.version,
+      deliver: (source, candidate) => this.deliver(source, candidate)
+    })
   }
 
   /** The version in force; undefined until the first one is. */
@@ -72,7 +77,7 @@
   async load (): Promise<Either<Failure, HeldConfig>> {
     const outcome = await this.refresh()
     outcome.ifLeft(({ code }) => this.#parts.log.write('configUnreachable', { version: undefined, code }))
-    if (this.inForce === undefined) await this.#loadSnapshot()
+    if (this.inForce === undefined) await this.#fetcher.loadSnapshot()
     const held = this.inForce
     if (held !== undefined) return Right(held)
     return Left(new Failure('configNotLoaded', outcome.swap().map(failure => failure.message).orDefault('no version could be verified')))
@@ -85,9 +90,15 @@
    * @returns the failure of the read; the version in force stays
    */
   async refresh (): Promise<Either<Failure, VersionMark>> {
-    const mark = await this.#reader.current(this.inForce === undefined ? this.#confirmed : this.#parts.table)
-    if (mark.isRight()) await this.hear('table', mark.unsafeCoerce())
-    return mark
+    const held = this.inForce
+    const found = held === undefined
+      ? (await this.#reader.current(this.#confirmed)).map(mark => ({ mark, rows: [] }))
+      : await this.#reader.poll(held.version)
+    if (found.isLeft()) return found
+    const { mark, rows } = found.unsafeCoerce()
+    if (rows.length > 0) this.deliver('table', { rows })
+    await this.hear('table', mark)
+    return Right(mark)
   }
 
   /**
@@ -97,7 +108,7 @@
    */
   async hear (source: ConfigSource, mark: VersionMark): Promise<void> {
     for (const action of this.#decide({ kind: 'heard', source, mark })) {
-      if (action.kind === 'fetch') await this.#fetch(action.target)
+      if (action.kind === 'fetch') await this.#fetcher.fetch(action.target)
     }
   }
 
@@ -133,7 +144,8 @@
    * `platformUnavailable` when nothing was written, `platformOutcomeUnknown` when that is open
    */
   async patch (req: PatchRequest): Promise<Either<Failure, PatchAnswer>> {
-    await this.refresh()
+    const isBehind = (this.inForce?.version ?? -1) < req.base
+    if (isBehind) await this.refresh()
     const patcher = new ConfigPatcher(this.#confirmed, this.#reader, this.#parts, () => this.inForce, req)
     const outcome = req.dryRun ? await patcher.check() : await patcher.accept()
     if (outcome.isLeft()) return Left(await this.#refused(req, outcome.extract() as Failure))
@@ -172,7 +184,7 @@
     const actions = this.#holder.decide(event, this.#parts.clock.now())
     for (const action of actions) {
       if (action.kind === 'apply') this.#apply(action.source, action.held)
-      if (action.kind === 'reject') this.#logUnverified(action.source, action.version, action.detail)
+      if (action.kind === 'reject') this.#logUnverified(action)
     }
     return actions
   }
@@ -188,47 +200,8 @@
     }
   }
 
-  #logUnverified (source: ConfigSource, rejected: number, detail: string): void {
-    this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: 'configInvalid', source, rejected, detail })
-  }
-
-  /** One fetch from the table at a time; who comes meanwhile waits for it and then looks again. */
-  async #fetch (target: VersionMark): Promise<void> {
-    while (this.#fetching !== undefined) await this.#fetching
-    if (this.inForce !== undefined && this.inForce.version >= target.version) return
-    this.#fetching = this.#fetchNow(target).finally(() => { this.#fetching = undefined })
-    await this.#fetching
-  }
-
-  async #fetchNow (target: VersionMark): Promise<void> {
-    const usedSnapshot = await this.#fetchOnce(target, true)
-    const isBehind = (this.inForce?.version ?? -1) < target.version
-    if (usedSnapshot && isBehind) await this.#fetchOnce(target, false)
-  }
-
-  /** Answers whether a snapshot was used. */
-  async #fetchOnce (target: VersionMark, useSnapshots: boolean): Promise<boolean> {
-    const candidate = await this.#versions.candidate(this.inForce?.version ?? 0, target, useSnapshots)
-    return candidate.caseOf({
-      Left: failure => {
-        this.#parts.log.write('configUnreachable', { version: this.inForce?.version, code: failure.code, detail: failure.message })
-        return false
-      },
-      Right: found => {
-        this.deliver('table', found)
-        return found.whole !== undefined
-      }
-    })
-  }
-
-  async #loadSnapshot (): Promise<void> {
-    const newest = await this.snapshots.newest()
-    const candidate = newest.toMaybe().chain(found => found).extractNullable()
-    if (candidate === null) return
-    this.deliver('snapshot', candidate)
-    if (this.inForce !== undefined) return
-    if (candidate.whole !== undefined) this.deliver('snapshot', { whole: candidate.whole, rows: [] })
-    for (const row of candidate.rows) this.deliver('snapshot', { rows: [row] })
+  #logUnverified ({ source, version, detail }: Extract<ConfigAction, { kind: 'reject' }>): void {
+    this.#parts.log.write('configUnverified', { source, version, detail })
   }
 
   #applyAccepted (req: PatchRequest, { version, repeated, made }: AcceptedPatch): void {
--- a/packages/rosemaryspread/src/membership/memberRows.ts
+++ b/packages/rosemaryspread/src/membership/memberRows.ts
@@ -71,6 +71,17 @@
     })
   }
 
+  /**
+   * Deletes the row of a VM on condition of its version; a failure is left to a later attempt.
+   * @param vm - name of the VM
+   * @param version - version of the row as last known
+   */
+  async drop (vm: string, version: number): Promise<void> {
+    const key = { table: MEMBER_TABLE, key: vm }
+    const answer = await this.table.transact({ checks: [{ ...key, version }], writes: [{ ...key, value: null }] })
+    answer.ifLeft(err => this.failedWrite(err))
+  }
+
   private failedWrite (err: Failure): OwnWriteOutcome {
     if (err.code === 'platformConflict') return { kind: 'conflict' }
     this.fault('transact', err)
--- /dev/null
+++ b/packages/rosemaryspread/src/placement/placementDriver.spec.ts
@@ -0,0 +1,116 @@
+import { expect } from 'chai'
+import { Just, Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import { PlacementPlanner } from '@rosemaryspread/decisions/placement/placementPlanner.js'
+import type { EngineOrder, LoadReport } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { outcomeOf, PlacementDriver, type PlacementLease } from './placementDriver.js'
+
+const config = fleetConfigSchema.parse({
+  models: { m: { version: '2' } },
+  runners: { r1: { address: '127.0.0.1:1', domain: 'a', models: ['m'] }, r2: { address: '127.0.0.1:2', domain: 'b', models: ['m'], state: 'leaving' } }
+})
+
+class Setup {
+  ms = 1_000
+  fencing: number | undefined = 3
+  /** Called while a report is on its way. */
+  onLoad: () => void = () => {}
+  readonly orders: EngineOrder[] = []
+  readonly events: string[] = []
+  private readonly engines = {
+    load: async (): Promise<Either<Failure, LoadReport>> => {
+      this.onLoad()
+      return Right({ asOf: this.ms, running: 0, waiting: 0, slots: 1, models: [], leaving: false })
+    },
+    order: async (_: string, order: EngineOrder): Promise<Either<Failure, void>> => {
+      this.orders.push(order)
+      return Right(undefined)
+    }
+  }
+
+  driver (lease: PlacementLease = this.lease): PlacementDriver {
+    return new PlacementDriver({
+      planner: new PlacementPlanner(),
+      lease,
+      engines: this.engines,
+      config: { current: () => Just({ version: 1, config }) },
+      clock: { now: () => ({ mono: this.ms, wall: this.ms }) },
+      log: { write: event => { this.events.push(event) } }
+    })
+  }
+
+  get lease (): PlacementLease {
+    return {
+      mayAct: () => this.fencing !== undefined,
+      fencing: () => this.fencing === undefined ? Left(new Failure('leaseLost', '')) : Right(this.fencing)
+    }
+  }
+
+  async tick (driver: PlacementDriver, times = 3): Promise<void> {
+    for (let i = 0; i < times; i += 1) {
+      this.ms += 1_000
+      await driver.tick()
+      await driver.idle()
+    }
+  }
+
+  get kinds (): readonly string[] {
+    return this.orders.map(({ kind, fencing }) => `${kind} ${fencing}`)
+  }
+}
+
+describe('placement driver', () => {
+  it('tells its fencing number, then orders what is missing, each with a log line', async () => {
+    const setup = new Setup()
+    await setup.tick(setup.driver())
+    expect(setup.kinds).to.deep.equal(['role 3', 'load 3'])
+    expect(setup.events).to.deep.equal(['placed', 'placed'])
+  })
+
+  it('does nothing without the lease', async () => {
+    const setup = new Setup()
+    setup.fencing = undefined
+    await setup.tick(setup.driver())
+    expect(setup.kinds).to.deep.equal([])
+  })
+
+  it('sends no order when the lease ended while it waited for reports', async () => {
+    const setup = new Setup()
+    setup.onLoad = () => { setup.fencing = undefined }
+    await setup.tick(setup.driver())
+    expect(setup.kinds).to.deep.equal([])
+  })
+
+  it('sends one in that case if the lease is not asked after the wait (counter-example)', async () => {
+    const setup = new Setup()
+    setup.onLoad = () => { setup.fencing = undefined }
+    await setup.tick(setup.driver({ ...setup.lease, mayAct: () => true, fencing: () => Right(3) }))
+    expect(setup.kinds).to.include('load 3')
+  })
+
+  it('begins anew under another number', async () => {
+    const setup = new Setup()
+    const driver = setup.driver()
+    await setup.tick(driver)
+    setup.fencing = 5
+    await setup.tick(driver)
+    expect(setup.kinds).to.deep.equal(['role 3', 'load 3', 'role 5', 'load 5'])
+    expect(new Set(setup.orders.map(({ orderId }) => orderId)).size).to.equal(4)
+  })
+
+  const outcomes: ReadonlyArray<readonly [string, Either<Failure, void>, object]> = [
+    ['done', Right(undefined), { kind: 'done' }],
+    ['old fencing number', Left(new Failure('leaseLost', '')), { kind: 'oldFencing' }],
+    ['no connection', Left(new Failure('runnerUnreachable', '', { ran: 'no' })), { kind: 'notSent' }],
+    ['lost answer', Left(new Failure('runnerUnreachable', '', { ran: 'unknown' })), { kind: 'unknown' }],
+    ['weight store over its rate', Left(new Failure('runnerRefused', 'status 429', { retryAfterMs: 7_000 })), { kind: 'refused', retryAfterMs: 7_000 }],
+    ['no such weights', Left(new Failure('runnerRefused', 'status 404')), { kind: 'refused' }],
+    ['fault of the engine', Left(new Failure('runnerRefused', 'status 500', { ran: 'unknown' })), { kind: 'unknown' }]
+  ]
+  for (const [name, answer, outcome] of outcomes) {
+    it(`understands: ${name}`, () => {
+      expect(outcomeOf(answer)).to.deep.equal(outcome)
+    })
+  }
+})
--- a/packages/rosemaryspread/src/routing/routingPort.ts
+++ b/packages/rosemaryspread/src/routing/routingPort.ts
@@ -10,6 +10,8 @@
 export interface RoutedRunner {
   readonly choice: RunnerAddress
   readonly before: readonly RunnerAddress[]
+  /** Counted at the runner already; has to be ended also when nothing is dispatched. */
+  readonly run: DispatchedRun
 }
 
 /** Why no runner was chosen. */
@@ -28,12 +30,19 @@
 /** Routing as request handling uses it. */
 export interface RoutingPort {
   /**
-   * Chooses a runner and writes the decision's log line.
+   * Chooses a runner and writes the decision's log line. A first attempt waits for its turn;
+   * a further one is routed or refused at once.
    * @param admitted - the request
    * @param exclude - runners tried already
+   * @param gone - aborted when the caller goes away
    */
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner>
-  dispatched (runner: string, admitted: AdmittedCompletion): DispatchedRun
+  route (admitted: AdmittedCompletion, exclude: readonly string[], gone: AbortSignal): Promise<Either<RouteRefusal, RoutedRunner>>
+  /**
+   * Tells that a request ended, so that another may have its turn.
+   * @param admitted - the request
+   * @param usedTokens - tokens it used; 0 when nothing ran
+   */
+  finish (admitted: AdmittedCompletion, usedTokens: number): void
   /**
    * Milliseconds to wait before another attempt; nothing when it is not to be tried.
    * @param admitted - the request; completions may be repeated
--- /dev/null
+++ b/packages/rosemaryspread/src/routing/routingQueue.spec.ts
@@ -0,0 +1,148 @@
+/**
+ * Requests without room wait, are served in turn, and are refused at once when waiting is in vain.
+ */
+import { expect } from 'chai'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import type { AdmittedCompletion } from '../completion/completionAdmission.js'
+import { RouteQueues, type RouteTry } from './routingQueue.js'
+
+const FREE: RouteTry = { kind: 'routed', routed: { choice: { runner: 'r', address: 'r' }, before: [], run: { firstToken: () => {}, ended: () => {} } } }
+const FULL: RouteTry = { kind: 'full', refusal: { failure: new Failure('overloaded', 'full'), lookIn: [] } }
+const NONE: RouteTry = { kind: 'refused', refusal: { failure: new Failure('noRunner', 'none'), lookIn: [] } }
+
+/** A queue before one model whose runner answers as told. */
+class QueueUnderTest {
+  now: Instant = { mono: 0, wall: 0 }
+  runner: RouteTry = FREE
+  readonly ended: string[] = []
+  readonly queues = new RouteQueues({
+    clock: { now: () => this.now },
+    tryRoute: () => this.runner,
+    serviceMs: () => 100,
+    slotsOf: () => 64,
+    vms: () => 1
+  })
+
+  request (id: string, over: { team?: string, keyed?: boolean, deadlineMs?: number, maxInFlight?: number } = {}): AdmittedCompletion {
+    return {
+      requestId: id,
+      keyed: over.keyed ?? false,
+      team: over.team ?? 't',
+      teamConfig: { displayName: '', keyHashes: [], budget: 'b', models: [], services: [], weight: 1, maxInFlight: over.maxInFlight ?? 64 },
+      budget: 'b',
+      model: 'm',
+      digest: '',
+      messages: [],
+      promptTokens: 10,
+      maxTokens: 10,
+      deadline: { mono: over.deadlineMs ?? 10_000, wall: over.deadlineMs ?? 10_000 }
+    }
+  }
+
+  ask (admitted: AdmittedCompletion, gone = new AbortController().signal): void {
+    this.queues.route(admitted, gone)
+      .then(routed => {
+        const failure = failureOf(routed as never)
+        this.ended.push(failure === undefined ? `${admitted.requestId} routed` : describeRefusal(admitted.requestId, routed.extract() as never))
+      })
+      .catch(() => {})
+  }
+
+  /** Lets what was decided reach those who wait. */
+  async settle (): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve))
+  }
+}
+
+function describeRefusal (id: string, { failure }: { failure: Failure }): string {
+  return `${id} ${failure.code} ${failure.ran}`
+}
+
+interface QueueCase {
+  readonly name: string
+  readonly act: (test: QueueUnderTest) => void
+  readonly ended: readonly string[]
+}
+
+const cases: readonly QueueCase[] = [
+  { name: 'routes at once while there is room', act: test => { test.ask(test.request('a')) }, ended: ['a routed'] },
+  { name: 'refuses at once when no runner may be used', act: test => { test.runner = NONE; test.ask(test.request('a')) }, ended: ['a noRunner no'] },
+  {
+    name: 'keeps requests while all is full, and routes them when there is room',
+    act: test => {
+      test.runner = FULL
+      test.ask(test.request('a'))
+      test.ask(test.request('b'))
+      test.runner = FREE
+      test.queues.pumpAll()
+    },
+    ended: ['a routed', 'b routed']
+  },
+  {
+    name: 'refuses a waiting request as soon as its deadline is out of reach, not at its deadline',
+    act: test => {
+      test.runner = FULL
+      test.ask(test.request('a', { deadlineMs: 1_000 }))
+      test.now = { mono: 950, wall: 950 }
+      test.queues.pumpAll()
+    },
+    ended: ['a deadlineOutOfReach no']
+  },
+  {
+    name: 'says of a keyed request that an earlier attempt may have run',
+    act: test => {
+      test.runner = FULL
+      test.ask(test.request('a', { deadlineMs: 1_000, keyed: true }))
+      test.now = { mono: 950, wall: 950 }
+      test.queues.pumpAll()
+    },
+    ended: ['a deadlineOutOfReach unknown']
+  },
+  {
+    name: 'refuses a team beyond its limit and no other',
+    act: test => {
+      test.runner = FULL
+      test.ask(test.request('a', { team: 'greedy', maxInFlight: 1 }))
+      test.ask(test.request('b', { team: 'greedy', maxInFlight: 1 }))
+      test.ask(test.request('c', { team: 'other', maxInFlight: 1 }))
+      test.runner = FREE
+      test.queues.pumpAll()
+    },
+    ended: ['b queueFull no', 'a routed', 'c routed']
+  },
+  {
+    name: 'lets go of a request whose caller left',
+    act: test => {
+      test.runner = FULL
+      const caller = new AbortController()
+      test.ask(test.request('a'), caller.signal)
+      caller.abort()
+    },
+    ended: ['a callerGone no']
+  }
+]
+
+describe('requests that wait for a runner', () => {
+  for (const { name, act, ended } of cases) {
+    it(name, async () => {
+      const test = new QueueUnderTest()
+      act(test)
+      await test.settle()
+      expect(test.ended).to.have.members(ended)
+      expect(test.queues.waiting).to.equal(0)
+    })
+  }
+
+  it('gives the turn of an ended request to the next', async () => {
+    const test = new QueueUnderTest()
+    const all = Array.from({ length: 200 }, (_, index) => test.request(`r${index}`, { maxInFlight: 500 }))
+    all.forEach(admitted => { test.ask(admitted) })
+    await test.settle()
+    const atOnce = test.ended.length
+    expect(test.queues.waiting).to.equal(all.length - atOnce)
+    all.slice(0, 50).forEach(admitted => { test.queues.finish(admitted, 20) })
+    await test.settle()
+    expect(test.ended).to.have.length(Math.min(all.length, atOnce + 50))
+  })
+})
--- /dev/null
+++ b/packages/rosemaryspread/src/routing/routingQueue.ts
@@ -0,0 +1,157 @@
+/**
+ * Requests that wait for room at a runner: one fair queue for each model. A request whose turn
+ * has come is routed in the same step, so that the next decision already counts it.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { FairQueue } from '@rosemaryspread/decisions/routing/fairQueue.js'
+import type { QueueItem } from '@rosemaryspread/decisions/routing/queueTypes.js'
+import type { AdmittedCompletion } from '../completion/completionAdmission.js'
+import type { RoutedRunner, RouteRefusal } from './routingPort.js'
+
+/** Times its even share of the slots that one VM may use: callers are not spread evenly. */
+const CONCURRENCY_HEADROOM = 3
+
+/** How a try to route ended; `full` means that the request should wait. */
+export type RouteTry =
+  | { readonly kind: 'routed', readonly routed: RoutedRunner }
+  | { readonly kind: 'refused' | 'full', readonly refusal: RouteRefusal }
+
+/** What the queues work with. */
+export interface RouteQueuesParts {
+  readonly clock: Clock
+  /** Routes a request now. */
+  readonly tryRoute: (admitted: AdmittedCompletion) => RouteTry
+  /** Predicted milliseconds from start to end of a request. */
+  readonly serviceMs: (admitted: AdmittedCompletion) => number
+  /** Slots of all runners of a model. */
+  readonly slotsOf: (model: string) => number
+  /** VMs that share the runners, this one included. */
+  readonly vms: () => number
+}
+
+type Routed = Either<RouteRefusal, RoutedRunner>
+
+interface Waiting {
+  readonly admitted: AdmittedCompletion
+  readonly resolve: (routed: Routed) => void
+  startedAt: number
+}
+
+/** Queues of one VM. */
+export class RouteQueues {
+  private readonly queues = new Map<string, FairQueue<Waiting>>()
+  private readonly started = new Map<string, QueueItem<Waiting>>()
+
+  constructor (private readonly parts: RouteQueuesParts) {}
+
+  /** Requests that wait now, over all models. */
+  get waiting (): number {
+    return [...this.queues.values()].reduce((sum, queue) => sum + queue.waiting, 0)
+  }
+
+  /**
+   * Waits until a request is routed or refused.
+   * @param admitted - the request
+   * @param gone - aborted when its caller goes away
+   */
+  async route (admitted: AdmittedCompletion, gone: AbortSignal): Promise<Routed> {
+    const queue = this.queueOf(admitted.model)
+    return await new Promise(resolve => {
+      const item = this.itemOf(admitted, resolve)
+      const offered = queue.offer(item, this.parts.clock.now())
+      if (offered.isLeft()) {
+        resolve(Left(refusalOf(admitted, offered.extract())))
+        return
+      }
+      gone.addEventListener('abort', () => { this.withdraw(queue, item) }, { once: true })
+      this.pump(admitted.model)
+    })
+  }
+
+  /** Looks at everything that waits; to be called several times a second. */
+  pumpAll (): void {
+    for (const model of this.queues.keys()) this.pump(model)
+  }
+
+  /**
+   * Tells that a routed request ended.
+   * @param admitted - the request
+   * @param usedTokens - tokens it used; 0 when nothing ran
+   */
+  finish (admitted: AdmittedCompletion, usedTokens: number): void {
+    const item = this.started.get(admitted.requestId)
+    if (item?.value.admitted !== admitted) return
+    this.started.delete(admitted.requestId)
+    const queue = this.queueOf(admitted.model)
+    if (usedTokens === 0) queue.abandoned(item)
+    else queue.done(item, usedTokens, this.parts.clock.now().mono - item.value.startedAt)
+    this.pump(admitted.model)
+  }
+
+  private pump (model: string): void {
+    const queue = this.queueOf(model)
+    const now = this.parts.clock.now()
+    for (const { item, failure } of queue.expire(now)) {
+      item.value.resolve(Left(refusalOf(item.value.admitted, failure)))
+    }
+    for (let item = queue.pop(); item !== undefined; item = queue.pop()) {
+      const tried = this.parts.tryRoute(item.value.admitted)
+      if (tried.kind === 'full') {
+        queue.putBack(item)
+        return
+      }
+      this.conclude(queue, item, tried)
+    }
+  }
+
+  private conclude (queue: FairQueue<Waiting>, item: QueueItem<Waiting>, tried: RouteTry): void {
+    if (tried.kind !== 'routed') {
+      queue.abandoned(item)
+      item.value.resolve(Left(tried.refusal))
+      return
+    }
+    item.value.startedAt = this.parts.clock.now().mono
+    this.started.set(item.id, item)
+    item.value.resolve(Right(tried.routed))
+  }
+
+  private withdraw (queue: FairQueue<Waiting>, item: QueueItem<Waiting>): void {
+    if (!queue.remove(item.id)) return
+    item.value.resolve(Left(refusalOf(item.value.admitted, new Failure('callerGone', 'the caller left while the request waited'))))
+  }
+
+  private queueOf (model: string): FairQueue<Waiting> {
+    const concurrency = Math.ceil(this.parts.slotsOf(model) * CONCURRENCY_HEADROOM / Math.max(1, this.parts.vms()))
+    const known = this.queues.get(model)
+    if (known !== undefined) {
+      known.setConcurrency(concurrency)
+      return known
+    }
+    const queue = new FairQueue<Waiting>(Math.max(1, concurrency))
+    this.queues.set(model, queue)
+    return queue
+  }
+
+  private itemOf (admitted: AdmittedCompletion, resolve: Waiting['resolve']): QueueItem<Waiting> {
+    const { requestId, team, teamConfig, promptTokens, maxTokens, deadline } = admitted
+    return {
+      id: requestId,
+      team,
+      weight: teamConfig.weight,
+      maxInFlight: teamConfig.maxInFlight,
+      priority: 0,
+      tokens: promptTokens + maxTokens,
+      serviceMs: this.parts.serviceMs(admitted),
+      deadline,
+      value: { admitted, resolve, startedAt: 0 }
+    }
+  }
+}
+
+/** A request that never left the queue was not run; an earlier attempt of a keyed one may have been. */
+function refusalOf (admitted: AdmittedCompletion, { code, message, retryAfterMs }: Failure): RouteRefusal {
+  const ran = admitted.keyed ? 'unknown' : 'no'
+  return { failure: new Failure(code, message, { ran, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), lookIn: [] }
+}
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -7,15 +7,19 @@
 import type { FleetConfig, RunnerConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
-import type { RouteDecider, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import type { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { RouteDecider, RouteDecision, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import type { RandomSource } from '../completion/completionPorts.js'
+import { RouteQueues, type RouteTry } from './routingQueue.js'
 import { prefixHashes } from './routingPrefix.js'
 import type { DispatchedRun, RoutedRunner, RouteRefusal, RoutingPort } from './routingPort.js'
 
 /** What routing is composed of. */
 export interface RoutingDeps {
-  readonly decider: RouteDecider
+  readonly decider: RouteDecider & Pick<RunnerRouter, 'serviceMs'>
+  /** VMs that share the runners, this one included. */
+  readonly vms: () => number
   readonly retries: RetryDecider
   readonly clock: Clock
   readonly random: RandomSource
@@ -24,7 +28,18 @@
 
 /** Routing of one VM. */
 export class RoutingService implements RoutingPort {
-  constructor (private readonly deps: RoutingDeps) {}
+  private readonly queues: RouteQueues
+  private slots: ReadonlyMap<string, number> = new Map()
+
+  constructor (private readonly deps: RoutingDeps) {
+    this.queues = new RouteQueues({
+      clock: deps.clock,
+      tryRoute: admitted => this.tryRoute(admitted, []),
+      serviceMs: ({ promptTokens, maxTokens }) => deps.decider.serviceMs(promptTokens, maxTokens, deps.clock.now()),
+      slotsOf: model => this.slots.get(model) ?? 0,
+      vms: deps.vms
+    })
+  }
 
   /**
    * Takes a configuration that came into force.
@@ -32,17 +47,51 @@
    */
   configure (config: FleetConfig): void {
     const now = this.deps.clock.now()
-    for (const model of Object.keys(config.models)) {
-      this.deps.decider.observe({ kind: 'configured', model, runners: runnersOf(config, model) }, now)
-    }
+    const byModel = new Map(Object.keys(config.models).map(model => [model, runnersOf(config, model)]))
+    for (const [model, runners] of byModel) this.deps.decider.observe({ kind: 'configured', model, runners }, now)
+    this.slots = new Map([...byModel].map(([model, runners]) => [model, runners.reduce((sum, { slots }) => sum + slots, 0)]))
     for (const [runner, { state }] of Object.entries(config.runners)) {
       if (state === 'leaving') this.deps.decider.observe({ kind: 'leaving', runner }, now)
     }
   }
 
-  route (admitted: AdmittedCompletion, exclude: readonly string[]): Either<RouteRefusal, RoutedRunner> {
-    if (exclude.length === 0) this.deps.retries.attempted(this.deps.clock.now())
-    const decision = this.deps.decider.route({
+  async route (admitted: AdmittedCompletion, exclude: readonly string[], gone: AbortSignal): Promise<Either<RouteRefusal, RoutedRunner>> {
+    if (exclude.length === 0) {
+      this.deps.retries.attempted(this.deps.clock.now())
+      return await this.queues.route(admitted, gone)
+    }
+    const tried = this.tryRoute(admitted, exclude)
+    if (tried.kind === 'routed') return Right(tried.routed)
+    if (tried.kind === 'full') this.logRefusal(admitted, tried.refusal)
+    return Left(tried.refusal)
+  }
+
+  finish (admitted: AdmittedCompletion, usedTokens: number): void {
+    this.queues.finish(admitted, usedTokens)
+  }
+
+  /** Looks at the requests that wait; to be called several times a second. */
+  pump (): void {
+    this.queues.pumpAll()
+  }
+
+  /** Routes now; a refusal for want of room is left to the caller, who may wait. */
+  private tryRoute (admitted: AdmittedCompletion, exclude: readonly string[]): RouteTry {
+    const decision = this.decide(admitted, exclude)
+    if (decision.kind === 'refused') {
+      const refusal = { failure: decision.failure, lookIn: decision.lookIn ?? [] }
+      if (decision.failure.code === 'overloaded') return { kind: 'full', refusal }
+      this.logRefusal(admitted, refusal)
+      return { kind: 'refused', refusal }
+    }
+    const { choice, candidates, reason } = decision
+    this.deps.log.write('routed', { request: admitted.requestId, model: admitted.model, candidates, choice: choice.runner, reason })
+    const before = decision.before.filter(({ runner }) => !exclude.includes(runner))
+    return { kind: 'routed', routed: { choice, before, run: this.dispatched(choice.runner, admitted) } }
+  }
+
+  private decide (admitted: AdmittedCompletion, exclude: readonly string[]): RouteDecision {
+    return this.deps.decider.route({
       requestId: admitted.requestId,
       team: admitted.team,
       model: admitted.model,
@@ -54,18 +103,14 @@
       deadline: admitted.deadline,
       exclude
     }, this.deps.clock.now(), () => this.deps.random.next())
-    const { candidates, reason } = decision
-    const request = admitted.requestId
-    if (decision.kind === 'refused') {
-      this.deps.log.write('routeRefused', { request, model: admitted.model, candidates, reason, code: decision.failure.code })
-      return Left({ failure: decision.failure, lookIn: decision.lookIn ?? [] })
-    }
-    this.deps.log.write('routed', { request, model: admitted.model, candidates, choice: decision.choice.runner, reason })
-    const before = decision.before.filter(({ runner }) => !exclude.includes(runner))
-    return Right({ choice: decision.choice, before })
   }
 
-  dispatched (runner: string, admitted: AdmittedCompletion): DispatchedRun {
+  private logRefusal (admitted: AdmittedCompletion, { failure }: RouteRefusal): void {
+    const { code, message, retryAfterMs } = failure
+    this.deps.log.write('routeRefused', { request: admitted.requestId, model: admitted.model, code, reason: message, retryAfterMs })
+  }
+
+  private dispatched (runner: string, admitted: AdmittedCompletion): DispatchedRun {
     const { requestId } = admitted
     const startedAt = this.deps.clock.now()
     const tokens = admitted.promptTokens + admitted.maxTokens
