--- a/packages/callers/src/completion/completionTypes.ts
+++ b/packages/callers/src/completion/completionTypes.ts
@@ -36,6 +36,8 @@
   readonly idempotencyKey?: string
   /** Milliseconds the caller is ready to wait; the configured timeout when absent. */
   readonly timeoutMs?: number
+  /** Budget that pays: the team's, or a part of it named `budget:part`; the team's when absent. */
+  readonly budget?: string
   /** Aborted when the caller goes away. */
   readonly gone: AbortSignal
 }
--- a/packages/http/src/input/callHeaders.ts
+++ b/packages/http/src/input/callHeaders.ts
@@ -1,6 +1,6 @@
 /**
- * The headers by which a caller marks a call as the same as an earlier one and says how long it
- * is ready to wait.
+ * The headers by which a caller marks a call as the same as an earlier one, says how long it is
+ * ready to wait, and names the budget that pays.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { z } from 'zod'
@@ -18,6 +18,9 @@
     .regex(/^[0-9]{1,7}$/, timeoutRule)
     .transform(Number)
     .refine((ms) => ms >= 1 && ms <= maxTimeoutMs, timeoutRule)
+    .optional(),
+  'header X-Budget': z.string()
+    .regex(/^[a-z0-9][a-z0-9._-]{0,62}(:[a-z0-9][a-z0-9._-]{0,62})?$/, 'use the budget of the team, or that and a part: budget:part')
     .optional()
 })
 
@@ -26,6 +29,8 @@
   readonly idempotencyKey?: string
   /** Milliseconds. */
   readonly timeoutMs?: number
+  /** The team's budget or a part of it, `budget:part`. */
+  readonly budget?: string
 }
 
 /**
@@ -35,14 +40,17 @@
 export function callHeaders (headers: IncomingHttpHeaders): Checked<CallHeaders> {
   const raw = {
     'header Idempotency-Key': headers['idempotency-key'],
-    'header X-Timeout-Ms': headers['x-timeout-ms']
+    'header X-Timeout-Ms': headers['x-timeout-ms'],
+    'header X-Budget': headers['x-budget']
   }
   return checkBy(callHeadersSchema, raw, 'headers').map((values) => {
     const key = values['header Idempotency-Key']
     const timeoutMs = values['header X-Timeout-Ms']
+    const budget = values['header X-Budget']
     return {
       ...(key === undefined ? {} : { idempotencyKey: key }),
-      ...(timeoutMs === undefined ? {} : { timeoutMs })
+      ...(timeoutMs === undefined ? {} : { timeoutMs }),
+      ...(budget === undefined ? {} : { budget })
     }
   })
 }
--- a/packages/rosemaryspread/src/cli/serveMain.ts
+++ b/packages/rosemaryspread/src/cli/serveMain.ts
@@ -9,7 +9,6 @@
 import { failureOf, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Settings } from '../settings/settingsSchema.js'
 import { loadSettings } from '../settings/settingsLoader.js'
-import { composeVm } from '../compose/composeVm.js'
 import { exitCodes } from './exitCodes.js'
 
 const packageFile = new URL('../../package.json', import.meta.url)
@@ -40,6 +39,7 @@
 
 async function serve (file: string): Promise<void> {
   const settings = await settingsOrExit(file)
+  const { composeVm } = await import('../compose/composeVm.js')
   const vm = composeVm(settings)
   const started = await vm.start()
   started.ifLeft(failure => {
--- a/packages/rosemaryspread/src/completion/completionAdmission.ts
+++ b/packages/rosemaryspread/src/completion/completionAdmission.ts
@@ -56,6 +56,8 @@
   if (adapter !== undefined && !modelConfig.adapters.includes(adapter)) {
     return Left(new Failure('unknownModel', `model ${model} has no adapter ${adapter}`))
   }
+  const budget = payingBudget(teamConfig.budget, call.budget)
+  if (budget === undefined) return Left(new Failure('forbidden', `team ${team} may not draw on budget ${call.budget}`))
   const asked = call.body.max_completion_tokens ?? call.body.max_tokens ?? modelConfig.maxTokens
   const timeoutMs = Math.min(call.timeoutMs ?? config.limits.requestTimeoutMs, config.limits.requestTimeoutMs)
   return Right({
@@ -63,7 +65,7 @@
     keyed: call.idempotencyKey !== undefined,
     team,
     teamConfig,
-    budget: teamConfig.budget,
+    budget,
     model,
     ...(adapter === undefined ? {} : { adapter }),
     digest: call.digest,
@@ -74,6 +76,12 @@
   })
 }
 
+/** A team draws on its own budget and the parts of it; `:` cannot stand in the id of a budget. */
+function payingBudget (own: string, named: string | undefined): string | undefined {
+  if (named === undefined || named === own) return own
+  return named.startsWith(`${own}:`) ? named : undefined
+}
+
 /**
  * Milliseconds left until a deadline; the monotonic clock decides.
  * @param deadline - the deadline
