Measure how soon a configuration version is in force, and what it costs

Cause: the promise "in force on every VM within seconds" had no figures, and random runs found one more fault: a fresh process that heard of an older version by a push while it loaded began with that one, below what its earlier process had.

Ruled out: all peers told by the accepting VM, deterministic fan-out; eight random peers and the poll suffice at 360 VMs.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -42,11 +42,13 @@
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
   runnerState: { number: 4003, level: 'warn', title: 'A runner changed state; fields: runner, state, reason' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
+  placementFault: { number: 4005, level: 'warn', title: 'An order of placement failed or its outcome is not known; fields: runner, order, code, detail' },
 
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
   configRefused: { number: 5003, level: 'info', title: 'A patch was refused; fields: base, patchId, code' },
   configUnreachable: { number: 5004, level: 'warn', title: 'The configuration could not be read; the version in force stays; fields: version, code' },
+  configUnverified: { number: 5005, level: 'error', title: 'A source gave a version that does not verify, or another content for the version in force; fields: source, version, detail' },
 
   platformFault: { number: 6001, level: 'warn', title: 'A platform call failed; fields: service, operation, code' },
   peerFault: { number: 6002, level: 'warn', title: 'A peer call failed; fields: peer, method, code' },
--- a/packages/stand-ins/src/config/configFaults.spec.ts
+++ b/packages/stand-ins/src/config/configFaults.spec.ts
@@ -91,6 +91,21 @@
     expect(judgeFleet(fleet)).to.deep.equal([])
   })
 
+  it('a fresh process that hears of an older version while it loads begins with the newest', async () => {
+    const fleet = new ConfigFleet({ vms: 2, seed: 'fresh' })
+    await fleet.start()
+    for (let base = 0; base < 3; base++) await fleet.addModel(fleet.vm(0), base, `m${base}`)
+    await fleet.time.run(SPREAD_MS)
+    const vm = fleet.vm(1)
+    vm.kill()
+    vm.extraTableMs = 300
+    vm.start().catch(() => {})
+    await vm.spread.onPush({ version: 1, digest: versionRows(fleet)[0]!.digest, from: 'vm1' })
+    await fleet.time.run(SPREAD_MS)
+    expect(vm.store.inForce?.version).to.equal(3)
+    expect(judgeFleet(fleet)).to.deep.equal([])
+  })
+
   async function frozenFetch (holder?: () => ConfigDecider): Promise<readonly string[]> {
     const fleet = new ConfigFleet({ vms: 3, seed: 'freeze', ...(holder === undefined ? {} : { holder }) })
     await fleet.start()
--- a/packages/stand-ins/src/config/virtualTime.ts
+++ b/packages/stand-ins/src/config/virtualTime.ts
@@ -8,18 +8,16 @@
 /** A clock and its timers. */
 export class VirtualTime implements Clock {
   #now = 0
-  #order = 0
-  #due: { at: number, order: number, fn: () => void }[] = []
+  #due: { at: number, fn: () => void }[] = []
 
   now (): Instant {
     return { mono: this.#now, wall: this.#now }
   }
 
   after (ms: number, fn: () => void): () => void {
-    const timer = { at: this.#now + Math.max(ms, 0), order: this.#order++, fn }
-    const index = this.#due.findIndex(other => other.at > timer.at)
-    this.#due.splice(index < 0 ? this.#due.length : index, 0, timer)
-    return () => { this.#due = this.#due.filter(other => other !== timer) }
+    const timer = { at: this.#now + Math.max(ms, 0), fn }
+    this.#due.splice(this.#firstAfter(timer.at), 0, timer)
+    return () => { timer.fn = () => {} }
   }
 
   /**
@@ -62,4 +60,16 @@
     }
     return await work
   }
+
+  /** Index of the first timer that is due later. */
+  #firstAfter (at: number): number {
+    let low = 0
+    let high = this.#due.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if ((this.#due[middle]?.at ?? 0) <= at) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
 }
--- /dev/null
+++ b/packages/stand-ins/src/measure/config/spreadTimes.ts
@@ -0,0 +1,153 @@
+/**
+ * Time from the acceptance of a version until it is in force on every VM of a fleet, under
+ * faults. In virtual time: latencies and faults are given, the code is the product's.
+ */
+import { VERSION_TABLE } from '@rosemaryspread/decisions/config/configRows.js'
+import { PUSH_METHOD } from 'rosemaryspread/config/configSpread.js'
+import { ConfigFleet, modelPatch, type FleetVm } from '../../config/configFleet.js'
+import { judgeFleet } from '../../config/configJudge.js'
+import type { MeasureRow } from '../measureTypes.js'
+
+const VMS = 6
+const PATCHES = 250
+/** Patches come at random, this far apart at least and at most. */
+const MIN_GAP_MS = 2_500
+const MAX_GAP_MS = 6_000
+/** Milliseconds that a restarted VM needs before its process runs. */
+const BOOT_MS = 1_000
+
+/** An operator whose VM ended waits no longer than this. */
+const GIVE_UP_MS = 20_000
+
+/** A fault and how it meets each patch. */
+interface SpreadCase {
+  readonly name: string
+  begin? (fleet: ConfigFleet): void
+  /** Called just before each patch. */
+  beforePatch? (fleet: ConfigFleet, acceptor: FleetVm): void
+  /** Called as soon as the version is accepted, before its acceptor does anything more. */
+  onAccept? (fleet: ConfigFleet, acceptor: FleetVm): void
+}
+
+function restartLater (fleet: ConfigFleet, vm: FleetVm, delayMs: number): void {
+  fleet.time.after(delayMs, () => {
+    vm.kill()
+    fleet.time.after(BOOT_MS, () => { vm.start().catch(() => {}) })
+  })
+}
+
+const slowTable = (ms: number) => (fleet: ConfigFleet): void => {
+  for (const vm of fleet.vms) vm.extraTableMs = ms
+}
+const losePushes = (fleet: ConfigFleet): void => { fleet.isLost = (_from, _to, method) => method === PUSH_METHOD }
+
+const cases: readonly SpreadCase[] = [
+  { name: 'no fault' },
+  { name: 'half of the pushes lost', begin: fleet => { fleet.isLost = (_from, _to, method) => method === PUSH_METHOD && fleet.random() < 0.5 } },
+  { name: 'all pushes lost (polls alone)', begin: losePushes },
+  { name: 'all messages between VMs lost', begin: fleet => { fleet.isLost = () => true } },
+  { name: 'table slow, 0.5 s a call', begin: slowTable(250) },
+  { name: 'table slow, 4 s a call', begin: slowTable(2_000) },
+  { name: 'table slow, 0.5 s a call, all pushes lost', begin: fleet => { slowTable(250)(fleet); losePushes(fleet) } },
+  { name: 'one VM cut off from the table', begin: fleet => { fleet.vm(5).table.cut = true } },
+  {
+    name: 'one other VM restarts around each patch, 1 s to boot',
+    beforePatch: (fleet, acceptor) => restartLater(fleet, otherThan(fleet, acceptor), fleet.random() * 200)
+  },
+  { name: 'the accepting VM restarts as it accepts, 1 s to boot', onAccept: (fleet, acceptor) => restartLater(fleet, acceptor, 0) }
+]
+
+function otherThan (fleet: ConfigFleet, acceptor: FleetVm): FleetVm {
+  const index = Math.floor(fleet.random() * (VMS - 1))
+  const vm = fleet.vm(index)
+  return vm === acceptor ? fleet.vm(VMS - 1) : vm
+}
+
+/**
+ * The value below which a share of values lies.
+ * @param sorted - values in rising order
+ * @param share - 0 to 1
+ */
+export function quantile (sorted: readonly number[], share: number): number {
+  const index = Math.min(Math.ceil(sorted.length * share), sorted.length) - 1
+  return sorted[Math.max(index, 0)] ?? Number.NaN
+}
+
+/** One case on one fleet. */
+class SpreadRun {
+  readonly #fleet: ConfigFleet
+  readonly #acceptedAt = new Map<number, number>()
+  readonly #answerMs: number[] = []
+  #acceptor: FleetVm | undefined
+
+  constructor (private readonly spreadCase: SpreadCase, seed: string) {
+    this.#fleet = new ConfigFleet({ vms: VMS, seed: `${seed}/${spreadCase.name}` })
+    this.#fleet.state.onCommit(rows => {
+      if (!rows.some(row => row.table === VERSION_TABLE)) return
+      this.#acceptedAt.set(this.#acceptedAt.size + 1, this.#fleet.time.now().mono)
+      if (this.#acceptor !== undefined) this.spreadCase.onAccept?.(this.#fleet, this.#acceptor)
+    })
+  }
+
+  async run (): Promise<MeasureRow> {
+    const fleet = this.#fleet
+    await fleet.start()
+    this.spreadCase.begin?.(fleet)
+    await fleet.time.run(MAX_GAP_MS)
+    for (let patch = 0; patch < PATCHES; patch++) {
+      await this.#patch(patch)
+      await fleet.time.run(MIN_GAP_MS + fleet.random() * (MAX_GAP_MS - MIN_GAP_MS))
+    }
+    await fleet.time.run(2 * MAX_GAP_MS)
+    fleet.stop()
+    return this.#row()
+  }
+
+  async #patch (patch: number): Promise<void> {
+    const fleet = this.#fleet
+    const acceptor = fleet.vm(Math.floor(fleet.random() * (VMS - 1)))
+    this.#acceptor = acceptor
+    this.spreadCase.beforePatch?.(fleet, acceptor)
+    const from = fleet.time.now().mono
+    const base = Math.max(0, ...fleet.vms.map(vm => vm.store.inForce?.version ?? 0))
+    const answered = acceptor.store.patch(modelPatch(base, `m${patch}`)).then(result => {
+      if (result.isRight()) this.#answerMs.push(fleet.time.now().mono - from)
+    })
+    await fleet.time.until(Promise.race([answered, fleet.time.sleep(GIVE_UP_MS)]))
+  }
+
+  #row (): MeasureRow {
+    const versions = [...this.#acceptedAt.keys()]
+    const times = versions.map(version => this.#spreadMs(version)).sort((one, other) => one - other)
+    const answers = this.#answerMs.sort((one, other) => one - other)
+    return {
+      fault: this.spreadCase.name,
+      accepted: versions.length,
+      p50Ms: Math.round(quantile(times, 0.5)),
+      p99Ms: Math.round(quantile(times, 0.99)),
+      maxMs: Math.round(quantile(times, 1)),
+      answerP50Ms: answers.length === 0 ? '-' : Math.round(quantile(answers, 0.5)),
+      promisesBroken: judgeFleet(this.#fleet).length
+    }
+  }
+
+  /** Milliseconds until the slowest VM had this version or a higher one. */
+  #spreadMs (version: number): number {
+    const from = this.#acceptedAt.get(version) ?? 0
+    const arrivals = this.#fleet.vms.map(({ name }) => {
+      const first = this.#fleet.inForce.find(record => record.vm === name && record.version >= version)
+      return (first?.at ?? Infinity) - from
+    })
+    return Math.max(...arrivals)
+  }
+}
+
+/**
+ * Runs all cases.
+ * @param seed - of all random decisions
+ */
+export async function measureSpreadTimes (seed: string): Promise<readonly MeasureRow[]> {
+  const rows: MeasureRow[] = []
+  for (const spreadCase of cases) rows.push(await new SpreadRun(spreadCase, seed).run())
+  return rows
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/config/trafficCounts.ts
@@ -0,0 +1,92 @@
+/**
+ * Messages and bytes that the configuration costs each VM, idle and for each change, by the
+ * number of VMs. In virtual time; bytes are those of the JSON texts, without HTTP or TCP heads.
+ */
+import { ConfigFleet, type FleetVm } from '../../config/configFleet.js'
+import type { Traffic } from '../../config/fleetTable.js'
+import type { MeasureRow } from '../measureTypes.js'
+import { quantile } from './spreadTimes.js'
+
+const SIZES = [6, 60, 360]
+const IDLE_MS = 60_000
+const CHANGES = 20
+const CHANGE_MS = 6_000
+const SECOND_MS = 1_000
+
+interface Counts {
+  readonly table: Traffic
+  readonly peers: Traffic
+}
+
+function total (vms: readonly FleetVm[], of: (vm: FleetVm) => Traffic): Traffic {
+  const sum = { messages: 0, bytes: 0 }
+  for (const vm of vms) {
+    sum.messages += of(vm).messages
+    sum.bytes += of(vm).bytes
+  }
+  return sum
+}
+
+function countsOf (fleet: ConfigFleet): Counts {
+  return { table: total(fleet.vms, vm => vm.table.traffic), peers: total(fleet.vms, vm => vm.peerTraffic) }
+}
+
+/** Messages or bytes of one VM in a time, beyond what it sends when idle. */
+function perChange (before: Counts, after: Counts, idle: Counts, name: keyof Counts, what: keyof Traffic, vms: number): number {
+  const idlePart = idle[name][what] * (CHANGES * CHANGE_MS) / IDLE_MS
+  return (after[name][what] - before[name][what] - idlePart) / vms / CHANGES
+}
+
+async function measureSize (vms: number, seed: string): Promise<MeasureRow> {
+  const fleet = new ConfigFleet({ vms, seed: `${seed}/${vms}` })
+  await fleet.start()
+  await fleet.addModel(fleet.vm(0), 0, 'first')
+  await fleet.time.run(IDLE_MS)
+  const start = countsOf(fleet)
+  await fleet.time.run(IDLE_MS)
+  const quiet = countsOf(fleet)
+  const idle: Counts = {
+    table: { messages: quiet.table.messages - start.table.messages, bytes: quiet.table.bytes - start.table.bytes },
+    peers: { messages: quiet.peers.messages - start.peers.messages, bytes: quiet.peers.bytes - start.peers.bytes }
+  }
+  const times: number[] = []
+  for (let change = 1; change <= CHANGES; change++) times.push(await changeOnce(fleet, change))
+  const after = countsOf(fleet)
+  fleet.stop()
+  times.sort((one, other) => one - other)
+  const seconds = IDLE_MS / SECOND_MS
+  const each = (name: keyof Counts, what: keyof Traffic): number => Number(perChange(quiet, after, idle, name, what, vms).toFixed(1))
+  return {
+    vms,
+    idleTableCallsPerVmS: Number((idle.table.messages / vms / seconds).toFixed(2)),
+    idleTableBytesPerVmS: Math.round(idle.table.bytes / vms / seconds),
+    idlePeerMessagesPerVmS: Number((idle.peers.messages / vms / seconds).toFixed(2)),
+    changeTableCallsPerVm: each('table', 'messages'),
+    changeTableBytesPerVm: each('table', 'bytes'),
+    changePeerMessagesPerVm: each('peers', 'messages'),
+    changePeerBytesPerVm: each('peers', 'bytes'),
+    inForceP50Ms: Math.round(quantile(times, 0.5)),
+    inForceMaxMs: Math.round(quantile(times, 1))
+  }
+}
+
+/** Milliseconds from the answer to the operator until all VMs have the version. */
+async function changeOnce (fleet: ConfigFleet, change: number): Promise<number> {
+  const acceptor = fleet.vm(Math.floor(fleet.random() * fleet.vms.length))
+  const from = fleet.time.now().mono
+  await fleet.addModel(acceptor, change, `m${change}`)
+  const answered = fleet.time.now().mono
+  await fleet.time.run(CHANGE_MS - (answered - from))
+  const arrivals = fleet.inForce.filter(record => record.version === change + 1).map(record => record.at)
+  return arrivals.length < fleet.vms.length ? Infinity : Math.max(...arrivals) - answered
+}
+
+/**
+ * Runs all sizes.
+ * @param seed - of all random decisions
+ */
+export async function measureTraffic (seed: string): Promise<readonly MeasureRow[]> {
+  const rows: MeasureRow[] = []
+  for (const vms of SIZES) rows.push(await measureSize(vms, seed))
+  return rows
+}
