--- a/packages/decisions/src/budget/budgetGiving.ts
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -10,9 +10,6 @@
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
-/** Least lease with which tokens are given. */
-const LEAST_LEASE_MS = 60_000
-
 /** A transfer that was given. */
 interface GivenTransfer {
   readonly transfer: Transfer
@@ -47,7 +44,7 @@
     if (this.isFenced(event.to, now) || !event.sameDomain || event.to === this.holder) return undefined
     const earlier = this.given.get(event.transferId)
     if (earlier !== undefined) return this.withLease(earlier.transfer, entry, now)
-    if (entry === undefined || entry.leaseLeftMs(now) < LEAST_LEASE_MS) return undefined
+    if (entry === undefined || entry.leaseLeftMs(now) < this.policy.requestTimeoutMs) return undefined
     const tokens = giveTokens(entry.giveable, event.wanted, event.atLeast ?? 0)
     if (tokens <= 0) return undefined
     const transfer = { transferId: event.transferId, budget: event.budget, from: this.holder, to: event.to, tokens }
--- a/packages/decisions/src/budget/budgetKeys.ts
+++ b/packages/decisions/src/budget/budgetKeys.ts
@@ -25,6 +25,15 @@
   return `${holder}/${budget}`
 }
 
+/**
+ * Key of the register row of a holder.
+ * @param domain - its failure domain
+ * @param holder - holder id
+ */
+export function holderKey (domain: string, holder: HolderId): string {
+  return `${domain}/${holder}`
+}
+
 const SEQ_DIGITS = 12
 
 /**
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
-import { allotmentKey, budgetTables, holdingKey } from './budgetKeys.js'
+import { allotmentKey, budgetTables, holderKey, holdingKey } from './budgetKeys.js'
 import { grantTokens } from './budgetPolicy.js'
 import { applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
 import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type TopUpRow } from './budgetTypes.js'
@@ -28,7 +28,10 @@
   readonly atLeast: number
   /** Smallest useful amount; `atLeast` when absent. */
   readonly least?: number
+  /** Opens a row that was closed, or removed after it was closed. */
   readonly reopen?: boolean
+  /** Whether the holder counts on a row it wrote before. */
+  readonly expectsRow?: boolean
 }
 
 /** What a draw comes to. */
@@ -76,13 +79,16 @@
 }
 
 /**
- * Puts an allotment row into a row set, with its index row when it is new.
+ * Puts an allotment row into a row set. With a new one go its index row and the register row of
+ * its holder, so that recovery always finds it.
  * @param rows - the row set
  * @param row - new value
  */
 export function putAllotment (rows: RowSet, row: AllotmentRow): void {
   if (rows.version(budgetTables.allotments, allotmentKey(row.budget, row.holder)) === null) {
-    rows.set(budgetTables.holdings, holdingKey(row.holder, row.budget), { holder: row.holder, budget: row.budget })
+    const { holder, domain, budget } = row
+    rows.set(budgetTables.holdings, holdingKey(holder, budget), { holder, budget })
+    rows.set(budgetTables.holders, holderKey(domain, holder), { holder, domain })
   }
   rows.set(budgetTables.allotments, allotmentKey(row.budget, row.holder), row)
 }
@@ -112,7 +118,8 @@
   if (budget === undefined) return Right({ kind: 'unknownBudget' })
   const found = allotmentOf(rows, order.budget, drawer.holder)
   const fresh = emptyAllotment(order.budget, drawer.holder, drawer.domain)
-  if (found?.state === 'closed' && order.reopen !== true) return Right({ kind: 'closed' })
+  const isGone = found === undefined ? order.expectsRow === true : found.state === 'closed'
+  if (isGone && order.reopen !== true) return Right({ kind: 'closed' })
   const allotment = found?.state === 'closed' ? { ...fresh, lastSeq: found.lastSeq } : found ?? fresh
   const left = unallotted(budget)
   if (allotment.lastDraw?.drawId === order.drawId) return Right({ kind: 'done', tokens: allotment.lastDraw.tokens, left })
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -201,7 +201,7 @@
     entry.draw = { drawId, inFlight: true }
     const { budget, need: atLeast, reopen } = entry
     const tokens = Math.max(atLeast, this.missing(entry, now))
-    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen }]
+    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined }]
   }
 
   private drawAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -125,7 +125,7 @@
   | { readonly kind: 'admit', readonly reservationId: string }
   | { readonly kind: 'refuse', readonly reservationId: string, readonly failure: Failure }
   /** Allot up to `tokens` more, `atLeast` if possible; less than `least` is of no use. */
-  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean }
+  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean, readonly expectsRow?: boolean }
   /** One transaction: the segment row if absent, settlement of every bill, tokens given back (0 only renews the row), transfers recorded. */
   | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[] }
   /** Ask the holders of the own domain for a transfer. */
--- a/packages/decisions/src/budget/flushPlan.ts
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -64,8 +64,7 @@
 /** The own allotment was closed, or closed and removed, so that nothing can be settled against it. */
 function isLost (rows: RowSet, order: FlushOrder, budget: string, holder: string): boolean {
   if (allotmentOf(rows, budget, holder) !== undefined) return isClosed(rows, budget, holder)
-  if (order.transfers.some(item => item.budget === budget && item.to === holder)) return false
-  return [...order.bills, ...order.returns].some(item => item.budget === budget && item.tokens > 0)
+  return !order.transfers.some(item => item.budget === budget && item.to === holder && !isRecorded(rows, item))
 }
 
 function lostTransfers (rows: RowSet, order: FlushOrder): readonly string[] {
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetBaselines.ts
@@ -0,0 +1,169 @@
+/**
+ * Simpler ways to keep budgets, for comparison.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { budgetRowSchema, type Bill, type BudgetRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Reservation } from 'rosemaryspread/budget/budgetPort.js'
+import { BudgetTable } from 'rosemaryspread/budget/budgetTable.js'
+import type { Spender, SpenderParts } from './budgetVm.js'
+
+/** Milliseconds between two reads or writes of totals. */
+const SYNC_MS = 1_000
+
+function keyOf (budget: string): { readonly table: string, readonly key: string } {
+  return { table: budgetTables.budgets, key: budget }
+}
+
+/** Common parts: ids, and no lease to lose. */
+abstract class BaselineSpender implements Spender {
+  protected readonly table: BudgetTable
+  private reservations = 0
+
+  constructor (protected readonly parts: SpenderParts) {
+    this.table = new BudgetTable(parts.store, parts.clock)
+  }
+
+  abstract reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>>
+  abstract settle (reservation: Reservation, bill?: Bill): void
+  abstract tick (): void
+
+  confirm (): Either<Failure, void> {
+    return Right(undefined)
+  }
+
+  protected reservation (budget: string, tokens: number): Reservation {
+    this.reservations += 1
+    return { reservationId: `${this.parts.holder}.${this.reservations}`, budget, tokens }
+  }
+}
+
+/** Every reservation and every settlement is a transaction on the budget row. */
+export class WritePerRequest extends BaselineSpender {
+  private unsettled: Array<{ readonly reservation: Reservation, readonly tokens: number }> = []
+
+  async reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>> {
+    const reservation = this.reservation(budget, tokens)
+    const done = await this.change(reservation, row => ({ ...row, allotted: row.allotted + tokens }))
+    return done.map(() => reservation)
+  }
+
+  settle (reservation: Reservation, bill?: Bill): void {
+    this.unsettled.push({ reservation, tokens: bill?.tokens ?? 0 })
+  }
+
+  tick (): void {
+    const batch = this.unsettled
+    this.unsettled = []
+    for (const item of batch) {
+      const { reservation, tokens } = item
+      this.change(reservation, row => ({ ...row, allotted: row.allotted - reservation.tokens, spent: row.spent + tokens }))
+        .then(done => { if (done.isLeft()) this.unsettled.push(item) })
+        .catch(err => { throw err })
+    }
+  }
+
+  private async change (reservation: Reservation, next: (row: BudgetRow) => BudgetRow): Promise<Either<Failure, unknown>> {
+    const { budget, reservationId } = reservation
+    return await this.table.run(reservationId, [keyOf(budget)], rows => {
+      const row = rows.get(budgetRowSchema, budgetTables.budgets, budget)
+      if (row === undefined) return Left(new Failure('budgetUnknown', budget))
+      const after = next(row)
+      if (after.spent + after.allotted > after.paid) return Left(new Failure('budgetSpent', budget))
+      rows.set(budgetTables.budgets, budget, after)
+      return Right({ kind: 'write' })
+    })
+  }
+}
+
+/** What a VM spent of one budget by its own count. */
+interface LocalCount {
+  paid: number
+  spentByAll: number
+  reserved: number
+  spent: number
+  unreported: number
+}
+
+/** Counts on its own and exchanges totals with the table once a second. */
+abstract class LocalSpender extends BaselineSpender {
+  private readonly counts = new Map<string, LocalCount>()
+  private syncedAt = -SYNC_MS
+
+  async reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>> {
+    const count = this.countOf(budget)
+    if (this.spendable(count) < tokens) return Left(new Failure('budgetSpent', budget))
+    count.reserved += tokens
+    return Right(this.reservation(budget, tokens))
+  }
+
+  settle (reservation: Reservation, bill?: Bill): void {
+    const count = this.countOf(reservation.budget)
+    count.reserved -= reservation.tokens
+    count.spent += bill?.tokens ?? 0
+    count.unreported += bill?.tokens ?? 0
+  }
+
+  tick (): void {
+    const now = this.parts.clock.now().mono
+    if (now - this.syncedAt < SYNC_MS) return
+    this.syncedAt = now
+    this.sync().catch(err => { throw err })
+  }
+
+  protected abstract spendable (count: LocalCount): number
+
+  private countOf (budget: string): LocalCount {
+    const count = this.counts.get(budget) ?? { paid: 0, spentByAll: 0, reserved: 0, spent: 0, unreported: 0 }
+    this.counts.set(budget, count)
+    return count
+  }
+
+  private async sync (): Promise<void> {
+    const scan = await this.parts.store.scan({ table: budgetTables.budgets, prefix: '', limit: 1000 })
+    for (const { value } of scan.map(answer => answer.rows).orDefault([])) {
+      const row = budgetRowSchema.parse(value)
+      Object.assign(this.countOf(row.budget), { paid: row.paid, spentByAll: row.spent })
+    }
+    await this.report()
+  }
+
+  private async report (): Promise<void> {
+    const dirty = [...this.counts].filter(([, count]) => count.unreported > 0)
+    if (dirty.length === 0) return
+    const reported = dirty.map(([budget, count]) => ({ budget, tokens: count.unreported }))
+    const done = await this.table.run('report', dirty.map(([budget]) => keyOf(budget)), rows => {
+      for (const { budget, tokens } of reported) {
+        const row = rows.get(budgetRowSchema, budgetTables.budgets, budget)
+        if (row !== undefined) rows.set(budgetTables.budgets, budget, { ...row, spent: row.spent + tokens })
+      }
+      return Right({ kind: 'write' })
+    })
+    if (done.isRight()) for (const { budget, tokens } of reported) this.countOf(budget).unreported -= tokens
+  }
+}
+
+/** Each VM of the first ones may spend an equal part of what is paid. */
+export class EvenSplit extends LocalSpender {
+  /**
+   * @param parts - parts of the VM
+   * @param vms - number of parts; a VM started later has none
+   */
+  constructor (parts: SpenderParts, private readonly vms: number) {
+    super(parts)
+  }
+
+  protected spendable (count: LocalCount): number {
+    const index = Number(/\d+/.exec(this.parts.holder)?.[0])
+    const part = index <= this.vms ? Math.floor(count.paid / this.vms) : 0
+    return part - count.reserved - count.spent
+  }
+}
+
+/** Each VM admits by the last total it read: common in gateways, and it overspends. */
+export class SharedTotal extends LocalSpender {
+  protected spendable (count: LocalCount): number {
+    return count.paid - count.spentByAll - count.unreported - count.reserved
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetWorkload.ts
@@ -0,0 +1,89 @@
+/**
+ * Demand of one deployment for the budget measurement: the same requests for every policy.
+ */
+import seedrandom from 'seedrandom'
+import type { WorldRequest } from './budgetWorld.js'
+
+/** A deployment as the brief describes it. */
+export interface Deployment {
+  readonly name: string
+  readonly domains: readonly string[]
+  /** Milliseconds between failure domains, one way. */
+  readonly latencyMs: number
+  readonly requestsPerSecond: number
+}
+
+/** Both deployments; latencies are our reading of "very short" and "about half of ours". */
+export const deployments: readonly Deployment[] = [
+  { name: 'Manos al Andén', domains: ['quito-centro', 'cumbaya', 'tababela'], latencyMs: 2, requestsPerSecond: 0.6 },
+  { name: 'Tường Sạch', domains: ['thu-duc', 'tan-binh', 'binh-thanh'], latencyMs: 1, requestsPerSecond: 0.4 }
+]
+
+/** A request with its time and place. */
+export interface ArrivingRequest extends WorldRequest {
+  readonly at: number
+  readonly domain: string
+}
+
+/** Share of each of ten teams, a few of them large. */
+const teamShares = [30, 20, 15, 10, 8, 6, 4, 3, 2, 2]
+/** Part of the demand that a budget covers; half of the budgets run out shortly before the end. */
+const coverage = [0.95, 1.5]
+
+const LEAST_TOKENS = 300
+const MOST_TOKENS = 2100
+const LEAST_USED = 0.2
+const MOST_USED = 0.9
+const LEAST_RUN_MS = 1_000
+const MOST_RUN_MS = 15_000
+const GIVE_UP_MS = 5_000
+
+/** Requests and budgets of one run. */
+export interface Workload {
+  readonly requests: readonly ArrivingRequest[]
+  /** Paid tokens by budget. */
+  readonly paid: ReadonlyMap<string, number>
+}
+
+/**
+ * Draws the requests of a run.
+ * @param deployment - the deployment
+ * @param isSkewed - whether the first failure domain gets three of five requests
+ * @param endMs - length of the run
+ * @param seed - seed of all draws
+ */
+export function drawWorkload (deployment: Deployment, isSkewed: boolean, endMs: number, seed: string): Workload {
+  const random = seedrandom(`${seed}/${deployment.name}/${String(isSkewed)}`)
+  const between = (low: number, high: number): number => low + (high - low) * random()
+  const requests: ArrivingRequest[] = []
+  for (let at = 0; at < endMs; at += -Math.log(1 - random()) * 1000 / deployment.requestsPerSecond) {
+    const tokens = Math.round(between(LEAST_TOKENS, MOST_TOKENS))
+    requests.push({
+      at,
+      requestId: `r${requests.length}`,
+      budget: `team${pick(teamShares, random())}`,
+      domain: deployment.domains[pick(isSkewed ? [3, 1, 1] : [1, 1, 1], random())] ?? '',
+      tokens,
+      used: Math.floor(tokens * between(LEAST_USED, MOST_USED)),
+      runMs: between(LEAST_RUN_MS, MOST_RUN_MS),
+      giveUpAfterMs: GIVE_UP_MS
+    })
+  }
+  return { requests, paid: paidFor(requests) }
+}
+
+function pick (shares: readonly number[], at: number): number {
+  const total = shares.reduce((sum, share) => sum + share, 0)
+  let left = at * total
+  const index = shares.findIndex(share => {
+    left -= share
+    return left < 0
+  })
+  return Math.max(0, index)
+}
+
+function paidFor (requests: readonly ArrivingRequest[]): ReadonlyMap<string, number> {
+  const used = new Map<string, number>()
+  for (const req of requests) used.set(req.budget, (used.get(req.budget) ?? 0) + req.used)
+  return new Map([...used].sort().map(([budget, tokens], index) => [budget, Math.ceil(tokens * (coverage[index % coverage.length] ?? 1))]))
+}
--- a/packages/stand-ins/src/measure/measureRegistry.ts
+++ b/packages/stand-ins/src/measure/measureRegistry.ts
@@ -5,6 +5,7 @@
 import type { Measurement } from './measureTypes.js'
 import { membershipBench } from './membershipBench.js'
 import { peersBench } from './peersBench.js'
+import { budgetMeasure } from './budget/budgetMeasure.js'
 import { streamBench } from './streamBench.js'
 
 /** All measurements by group and name. */
@@ -15,5 +16,6 @@
   configSizeMeasure,
   membershipBench,
   peersBench,
+  budgetMeasure,
   streamBench
 ]
