--- a/packages/stand-ins/src/config/configFaults.spec.ts
+++ b/packages/stand-ins/src/config/configFaults.spec.ts
@@ -91,6 +91,37 @@
     expect(judgeFleet(fleet)).to.deep.equal([])
   })
 
+  it('a fresh process without table and object store begins with the version of a peer', async () => {
+    const fleet = new ConfigFleet({ vms: 2, seed: 'peer' })
+    await fleet.start()
+    for (let base = 0; base < 3; base++) await fleet.addModel(fleet.vm(0), base, `m${base}`)
+    const vm = fleet.vm(1)
+    vm.kill()
+    vm.table.cut = true
+    fleet.objects.outage = true
+    await fleet.time.until(vm.start())
+    expect(vm.store.inForce).to.equal(undefined)
+    await fleet.time.run(SPREAD_MS)
+    expect(vm.log).to.include('configApplied {"version":3,"source":"peer"}')
+  })
+
+  it('what the object store missed is written at the next check', async () => {
+    const fleet = new ConfigFleet({ vms: 2, seed: 'repair' })
+    await fleet.start()
+    fleet.objects.outage = true
+    for (let base = 0; base < 3; base++) await fleet.addModel(fleet.vm(0), base, `m${base}`)
+    fleet.objects.outage = false
+    const vm = fleet.vm(1)
+    vm.kill()
+    vm.table.cut = true
+    await fleet.time.until(vm.start())
+    expect(vm.store.inForce).to.equal(undefined)
+    vm.kill()
+    await fleet.time.run(80_000)
+    await fleet.time.until(vm.start())
+    expect(vm.log).to.include('configApplied {"version":3,"source":"snapshot"}')
+  })
+
   it('a fresh process that hears of an older version while it loads begins with the newest', async () => {
     const fleet = new ConfigFleet({ vms: 2, seed: 'fresh' })
     await fleet.start()
