Prove the promises by scenarios over separate processes, with counter-examples

Cause: each promise has to hold under each failure that matters, and each proof must be able to fail. Ruled out: test switches in the product binary.

--- a/packages/stand-ins/src/scenario/language/scenarioSchema.ts
+++ b/packages/stand-ins/src/scenario/language/scenarioSchema.ts
@@ -149,6 +149,8 @@
   sameAs: name.optional(),
   /** Every VM that is up has this version, or the highest accepted one, in force. */
   inForce: z.union([z.number().int(), z.literal('latest')]).optional(),
+  /** The highest version accepted so far. */
+  accepted: z.number().int().optional(),
   /** The process of the VM ended by itself. */
   stopped: name.optional(),
   /** A VM wrote this log event. */
@@ -197,6 +199,8 @@
   readonly title: string
   /** Names of the rules that the scenario is about. */
   readonly promises: readonly string[]
+  /** Weaker parts by name, and the rule that breaks with each. */
+  readonly counterExamples: Readonly<Record<string, string>>
   readonly fleet: FleetHead
   readonly steps: readonly Step[]
 }
--- a/packages/stand-ins/src/scenario/steps/operatorSteps.ts
+++ b/packages/stand-ins/src/scenario/steps/operatorSteps.ts
@@ -20,6 +20,7 @@
     if (base === undefined) throw new Error(`VM ${step.vm} names no version to patch`)
     const call = { base, patchId: step.id, patch: step.ops }
     await this.insist(`patch ${step.id}`, step, async () => await this.fleet.operator.patch(url, call))
+    for (const runner of step.ops.flatMap(leavingRunner)) this.fleet.note({ kind: 'runnerLeaving', at: Date.now(), runner })
   }
 
   /** @param step - a top-up */
@@ -51,3 +52,9 @@
 function isFinal ({ status }: OperatorOutcome): boolean {
   return status >= 400 && status < 500
 }
+
+/** The runner that an operation sets to leaving. */
+function leavingRunner (op: Readonly<Record<string, unknown>>): readonly string[] {
+  const runner = /\/runners\/([^/]+)\/state$/.exec(String(op['path']))?.[1]
+  return runner === undefined || op['value'] !== 'leaving' ? [] : [runner]
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/weak/weakEngines.ts
@@ -0,0 +1,44 @@
+/**
+ * Weaker handling of engines: streams that end early, and runs that another VM started.
+ */
+import { Nothing, Right, type Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EngineClient, EngineEvent, EngineStream } from '@rosemaryspread/runners/engine/engineTypes.js'
+
+const NO_USAGE = { promptTokens: 0, completionTokens: 0 }
+
+/**
+ * Takes a stream that was cut for one that ended.
+ * @param engines - the product's client
+ */
+export function cutIsWhole (engines: EngineClient): Partial<EngineClient> {
+  return {
+    submit: async (address, req) => withEvents(await engines.submit(address, req), events => untilCut(events, req.requestId))
+  }
+}
+
+async function * untilCut (events: AsyncIterable<EngineEvent>, requestId: string): AsyncIterable<EngineEvent> {
+  try {
+    for await (const event of events) yield event
+  } catch {}
+  yield { kind: 'end', requestId, end: { finishReason: 'stop', usage: NO_USAGE } }
+}
+
+/**
+ * Takes every run for one that this VM started.
+ * @param engines - the product's client
+ */
+export function allRunsAreOurs (engines: EngineClient): Partial<EngineClient> {
+  return {
+    find: async () => Right(Nothing),
+    submit: async (address, req) => (await engines.submit(address, req)).map(stream => ({
+      holder: req.holder,
+      events: stream.events,
+      close: () => { stream.close() }
+    }))
+  }
+}
+
+function withEvents (opened: Either<Failure, EngineStream>, change: (events: AsyncIterable<EngineEvent>) => AsyncIterable<EngineEvent>): Either<Failure, EngineStream> {
+  return opened.map(stream => ({ holder: stream.holder, events: change(stream.events), close: () => { stream.close() } }))
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenario/weak/weaknesses.ts
@@ -0,0 +1,96 @@
+/**
+ * The weaker parts by name. Each removes one protection of the product; docs/PROOFS.md names the
+ * promise that breaks without it and the scenario that shows it. None is part of the product.
+ */
+import { Left, Right } from 'purify-ts'
+import type { Container } from 'inversify'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ConfigDecider } from '@rosemaryspread/decisions/config/configDecider.js'
+import { CURRENT_TABLE, PATCH_TABLE, VERSION_TABLE } from '@rosemaryspread/decisions/config/configRows.js'
+import type { FleetConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Reservation } from 'rosemaryspread/budget/budgetPort.js'
+import { ids } from 'rosemaryspread/compose/serviceIds.js'
+import { ConfigStore } from 'rosemaryspread/config/configStore.js'
+import { ForgetfulConfigHolder, StuckConfigHolder } from './weakConfig.js'
+import { allRunsAreOurs, cutIsWhole } from './weakEngines.js'
+import { weaken } from './weaken.js'
+
+/** Changes the container of one VM. */
+export type Weakness = (container: Container) => void
+
+/** Writes to some tables without their checks. */
+function uncheckedTables (tables: readonly string[]): Weakness {
+  return container => weaken(container, ids.table, (table): Partial<TableStore> => ({
+    transact: async tx => await table.transact({ ...tx, checks: tx.checks.filter(check => !tables.includes(check.table)) })
+  }))
+}
+
+/** Admits what the budget refuses. */
+function admitsAll (container: Container): void {
+  weaken(container, ids.budgets, budgets => {
+    const invented = new Set<string>()
+    return {
+      reserve: async (budget, tokens, giveUpAfterMs) => {
+        const reserved = await budgets.reserve(budget, tokens, giveUpAfterMs)
+        if (reserved.isRight()) return reserved
+        const reservation: Reservation = { reservationId: `invented${invented.size}`, budget, tokens }
+        invented.add(reservation.reservationId)
+        return Right(reservation)
+      },
+      confirm: reservation => invented.has(reservation.reservationId) ? Right(undefined) : budgets.confirm(reservation),
+      settle: (reservation, bill) => { if (!invented.has(reservation.reservationId)) budgets.settle(reservation, bill) }
+    }
+  })
+}
+
+/** Says that a call was not run when its answer was lost. */
+function lostIsNotRun (container: Container): void {
+  weaken(container, ids.applications, applications => ({
+    call: async (address, call) => (await applications.call(address, call))
+      .chainLeft(({ code, message }) => Left(new Failure(code, message, { ran: 'no' })))
+  }))
+}
+
+/** Goes on using runners that the configuration says are leaving. */
+function ignoresLeaving (container: Container): void {
+  weaken(container, ids.routing, routing => ({ configure: config => { routing.configure(allActive(config)) } }))
+}
+
+function allActive (config: FleetConfig): FleetConfig {
+  const runners = Object.entries(config.runners).map(([name, runner]) => [name, { ...runner, state: 'active' as const }] as const)
+  return { ...config, runners: Object.fromEntries(runners) }
+}
+
+/** Decides differently which version is in force. */
+function versionsBy (container: Container, decider: ConfigDecider): void {
+  const parts = {
+    table: container.get(ids.table),
+    objects: container.get(ids.objects),
+    clock: container.get(ids.clock),
+    log: container.get(ids.log),
+    random: () => container.get(ids.random).next(),
+    timers: {
+      after: (ms: number, fn: () => void) => {
+        const timer = setTimeout(fn, ms)
+        return () => { clearTimeout(timer) }
+      }
+    }
+  }
+  container.rebind(ids.configStore).toConstantValue(new ConfigStore(parts, decider))
+}
+
+/** Weaker parts by name; `abruptStop` is carried out by the entry point. */
+export const weaknesses: Readonly<Record<string, Weakness>> = {
+  uncheckedClaims: uncheckedTables(['claims']),
+  uncheckedVersions: uncheckedTables([CURRENT_TABLE, VERSION_TABLE, PATCH_TABLE]),
+  admitsAll,
+  lostIsNotRun,
+  ignoresLeaving,
+  forgetsVersion: container => versionsBy(container, new ForgetfulConfigHolder()),
+  stuckVersion: container => versionsBy(container, new StuckConfigHolder()),
+  cutIsWhole: container => weaken(container, ids.engines, cutIsWhole),
+  allRunsAreOurs: container => weaken(container, ids.engines, allRunsAreOurs),
+  noRecovery: container => weaken(container, ids.budgets, () => ({ recoverDead: async () => {} })),
+  abruptStop: () => {}
+}
