--- a/packages/decisions/src/lease/leaseTypes.ts
+++ b/packages/decisions/src/lease/leaseTypes.ts
@@ -93,7 +93,7 @@
   readonly retryMs: number
 }
 
-/** Limits of the daemon: a new holder within eight seconds of a holder's death. */
+/** Limits of the daemon: a new holder within nine seconds of a holder's death. */
 export const defaultLeaseLimits: LeaseLimits = {
   durationMs: 6_000,
   marginMs: 1_000,
--- a/packages/peers/src/link/peerServer.ts
+++ b/packages/peers/src/link/peerServer.ts
@@ -32,6 +32,7 @@
     this.context = { holder: identity.holder, keys: new KeyRing(identity.keys), limits, rpc: this.rpc }
     this.server = createServer(socket => this.accept(socket))
     this.server.maxConnections = limits.connections
+    this.server.on('error', err => log.write('fault', { err }))
     this.register(PROBE_METHOD, async () => null)
   }
 
