Stamp since when a runner serves a model when a patch is accepted

Cause: all VMs order the runners of a keyed request by its id; a runner added by a patch would take first place for some ids, and a repeat would run there again and be billed twice. Ruled out: each VM noting when it first saw a runner (a restarted VM would order otherwise); operators filling the time in (they would forget). Change: accepting a patch sets servesSince for each new pair of runner and model, by the table's time, in the document that all VMs replay; entries that stay are shared between versions.

--- a/packages/decisions/src/config/configDecider.spec.ts
+++ b/packages/decisions/src/config/configDecider.spec.ts
@@ -10,7 +10,7 @@
 const rows: VersionRow[] = []
 const versions: HeldConfig[] = [origin]
 for (let version = 1; version <= LAST; version++) {
-  const { patch, delta, next } = preparePatch(versions.at(-1)!, [{ op: 'add', path: `/models/m${version}`, value: {} }]).unsafeCoerce()
+  const { patch, delta, next } = preparePatch(versions.at(-1)!, [{ op: 'add', path: `/models/m${version}`, value: {} }], 0).unsafeCoerce()
   versions.push(next)
   rows.push({ version, digest: next.digest, patchId: `p${version}`, author: 'a', at: 1, patch: [...patch], delta: [...delta] })
 }
--- a/packages/decisions/src/config/configPatch.spec.ts
+++ b/packages/decisions/src/config/configPatch.spec.ts
@@ -11,7 +11,7 @@
 const team = (extra: object = {}): object => ({ displayName: 'T', budget: 'b', ...extra })
 const runner = (address: string, extra: object = {}): object => ({ address, domain: 'd1', ...extra })
 
-const prepare = (base: HeldConfig, ops: Ops): PreparedPatch => preparePatch(base, ops).unsafeCoerce()
+const prepare = (base: HeldConfig, ops: Ops): PreparedPatch => preparePatch(base, ops, 0).unsafeCoerce()
 const base = prepare(firstConfig(), [
   add('/models/m1', {}),
   add('/services/s1', { runners: { a1: runner('10.0.0.9:80') } }),
@@ -51,7 +51,7 @@
   ]
   for (const { name, ops, code, errors } of refused) {
     it(`refuses: ${name}`, () => {
-      const failure = preparePatch(base, ops).swap().unsafeCoerce()
+      const failure = preparePatch(base, ops, 0).swap().unsafeCoerce()
       expect(failure.code).to.equal(code)
       expect(failure.errors).to.have.length(errors.length)
       for (const [index, start] of errors.entries()) expect(failure.errors[index]).to.match(new RegExp('^' + start.replace(/[/.~]/g, '\\$&')))
--- a/packages/decisions/src/config/configPatch.ts
+++ b/packages/decisions/src/config/configPatch.ts
@@ -7,6 +7,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
 import type { FleetConfig } from './configSchema.js'
+import { stampServing } from './configServing.js'
 import { checkConfig, readConfig } from './configCheck.js'
 import { documentDigest, isObject } from './configDigest.js'
 import { firstDocument, MAX_PATCH_BYTES, operationSchema, type ConfigDocument, type PatchOperation, type VersionRow } from './configRows.js'
@@ -42,14 +43,15 @@
  * configuration with all defaults filled in.
  * @param base - the version that the patch names
  * @param operations - RFC 6902 operations as received
+ * @param at - wall milliseconds of the patch
  * @returns `patchInvalid` when an operation cannot be applied, `bodyTooLarge`, or `configInvalid`
  */
-export function preparePatch (base: HeldConfig, operations: readonly unknown[]): Either<Failure, PreparedPatch> {
+export function preparePatch (base: HeldConfig, operations: readonly unknown[], at: number): Either<Failure, PreparedPatch> {
   return readOperations(operations)
     .chain(patch => withinBytes('patch', patch))
     .chain(patch => applyOperations(base.config, patch)
       .chain(patched => checkConfig(patched))
-      .chain(config => prepared(base, patch, config)))
+      .chain(config => prepared(base, patch, stampServing(base.config, config, at))))
 }
 
 function prepared (base: HeldConfig, patch: readonly PatchOperation[], config: FleetConfig): Either<Failure, PreparedPatch> {
--- a/packages/decisions/src/config/configSchema.ts
+++ b/packages/decisions/src/config/configSchema.ts
@@ -30,8 +30,8 @@
   adapters: z.array(id).default([]),
   /** Upper bound of tokens for one answer, used when the caller gives none. */
   maxTokens: count.max(1_000_000).default(1024),
-  /** Copies wanted, spread over failure domains. */
-  copies: count.max(1000).default(1)
+  /** Copies wanted, spread over failure domains; one on every runner that names the model when absent. */
+  copies: count.max(1000).optional()
 })
 export type ModelConfig = z.infer<typeof modelSchema>
 
@@ -40,11 +40,15 @@
   address,
   domain: id,
   models: z.array(id).default([]),
+  /** Wall milliseconds since which it serves each model; set by the system when a patch is accepted. */
+  servesSince: z.record(id, z.number().int().nonnegative()).default({}),
   /** Requests that the engine decodes at once. */
   slots: count.max(4096).default(16),
   state: z.enum(['active', 'leaving']).default('active'),
   /** Whether the engine refuses orders with an old fencing number. */
-  checksFencing: z.boolean().default(true)
+  checksFencing: z.boolean().default(true),
+  /** Role that placement orders; the engine keeps its own when absent. */
+  role: z.enum(['prefill', 'decode', 'both']).optional()
 })
 export type RunnerConfig = z.infer<typeof runnerSchema>
 
@@ -77,7 +81,9 @@
   leavingGraceMs: count.max(60_000).default(3_000),
   addressKeepMs: count.max(600_000).default(10_000),
   /** How long an allotment may be spent after its last contact with the table. */
-  allotmentLapseMs: count.max(86_400_000).default(7_200_000)
+  allotmentLapseMs: count.max(86_400_000).default(7_200_000),
+  /** Whether runners are ordered to load and unload models; else each keeps what it has. */
+  placement: z.boolean().default(false)
 })
 
 /** The whole configuration. */
--- a/packages/rosemaryspread/src/config/configPatcher.ts
+++ b/packages/rosemaryspread/src/config/configPatcher.ts
@@ -75,7 +75,7 @@
     const read = await this.table.read(this.#keys())
     return read.chain(answer => this.#isApplied(answer.rows[1] ?? null)
       ? this.#accepted({ how: 'before', read: answer })
-      : this.#prepare(answer).map(({ next }) => ({ version: next.version, repeated: false })))
+      : this.#prepare(answer, answer.now).map(({ next }) => ({ version: next.version, repeated: false })))
   }
 
   #keys (): readonly RowKey[] {
@@ -87,10 +87,10 @@
   }
 
   #transaction (read: ReadAnswer): Either<Failure, Transaction> {
-    return this.#prepare(read).map(({ patch, delta, next }) => {
+    const at = this.#at ??= read.now
+    return this.#prepare(read, at).map(({ patch, delta, next }) => {
       const { patchId, author } = this.req
-      this.#at ??= read.now
-      const row: VersionRow = { version: next.version, digest: next.digest, patchId, author, at: this.#at, patch: [...patch], delta: [...delta] }
+      const row: VersionRow = { version: next.version, digest: next.digest, patchId, author, at, patch: [...patch], delta: [...delta] }
       this.#made = { held: next, row }
       const [current, patchKey] = this.#keys() as [RowKey, RowKey]
       const versionRow = { table: VERSION_TABLE, key: versionKey(next.version) }
@@ -105,11 +105,11 @@
     })
   }
 
-  #prepare (read: ReadAnswer): Either<Failure, PreparedPatch> {
+  #prepare (read: ReadAnswer, at: number): Either<Failure, PreparedPatch> {
     if (read.rows[1] != null) return Left(new Failure('patchIdReused', `patch id '${this.req.patchId}' belongs to another patch`))
     return this.reader.markOf(read.rows[0] ?? null)
       .chain(mark => this.#base(mark))
-      .chain(base => preparePatch(base, this.req.patch))
+      .chain(base => preparePatch(base, this.req.patch, at))
   }
 
   #base (mark: VersionMark): Either<Failure, HeldConfig> {
--- a/packages/stand-ins/src/measure/config/sizeCost.ts
+++ b/packages/stand-ins/src/measure/config/sizeCost.ts
@@ -23,7 +23,7 @@
 }
 
 function accept (held: HeldConfig, operations: readonly unknown[]): HeldConfig {
-  return preparePatch(held, operations).unsafeCoerce().next
+  return preparePatch(held, operations, 0).unsafeCoerce().next
 }
 
 function configOf (teams: number): HeldConfig {
@@ -58,7 +58,7 @@
   let copy = base
   for (let patch = 0; patch < PATCHES; patch++) {
     const operations = [{ op: 'replace', path: `/teams/team-${patch % teams}/weight`, value: patch + 2 }]
-    const { next, delta } = timed(prepare, () => preparePatch(held, operations)).unsafeCoerce()
+    const { next, delta } = timed(prepare, () => preparePatch(held, operations, 0)).unsafeCoerce()
     const row: VersionRow = { version: next.version, digest: next.digest, patchId: 'p', author: 'a', at: 0, patch: [], delta: structuredClone([...delta]) }
     copy = timed(replay, () => replayRows(copy, [row])).unsafeCoerce()
     held = next
