Place models on runners under a lease, with a planner that is proved under faults

Cause: runners kept whatever they had; a new version, a dead runner or a lost domain needed an operator at each engine. Ruled out: orders derived from the content alone (an engine carries an id out once, so a copy that was undone could not be ordered again); trusting the fencing number alone (an engine that got no order from the new holder still obeys the old one: the new holder first tells every engine its number by an order that changes nothing); two versions side by side on one engine (its load replaces); demand windows (no measurement asks for them yet).

--- /dev/null
+++ b/packages/decisions/src/placement/fencePass.ts
@@ -0,0 +1,81 @@
+/**
+ * What a new holder does before it gives its first order. It tells every engine its fencing
+ * number by an order that changes nothing, so that a late order of an earlier holder is refused
+ * also by engines that get no other; and where engines ignore the number, it waits until the
+ * earlier lease has ended by any clock.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import type { RunnerConfig } from '../config/configSchema.js'
+import type { PlacementAction, PlacementLimits, PlacementOutcome } from './placementTypes.js'
+
+const FINAL_OUTCOMES: readonly PlacementOutcome['kind'][] = ['done', 'oldFencing', 'refused']
+
+/** One term of a holder. */
+export class FencePass {
+  /** Roles told, by runner. */
+  private readonly told = new Map<string, string>()
+  private readonly sent = new Map<string, { readonly action: PlacementAction, readonly at: Instant, answered: boolean }>()
+  private isOver = false
+
+  /**
+   * @param fencing - the holder's number
+   * @param since - when the lease was taken
+   * @param limits - times
+   */
+  constructor (readonly fencing: number, private readonly since: Instant, private readonly limits: PlacementLimits) {}
+
+  /**
+   * Orders that tell runners the number and, where one is declared, their role.
+   * @param runners - runners that answer
+   * @param now - both clocks
+   * @param idOf - makes the id of a new order for a runner
+   */
+  next (runners: readonly (readonly [string, RunnerConfig])[], now: Instant, idOf: (runner: string) => string): readonly PlacementAction[] {
+    return runners.filter(([runner, cfg]) => this.isDue(runner, cfg, now)).map(([runner, cfg]) => {
+      const found = this.sent.get(runner)?.action
+      const action = found !== undefined && found.order.role === cfg.role ? found : this.actionOf(runner, cfg, idOf(runner))
+      this.sent.set(runner, { action, at: now, answered: false })
+      return action
+    })
+  }
+
+  /**
+   * Takes an outcome.
+   * @returns whether the order was one of this pass
+   */
+  answered (orderId: string, outcome: PlacementOutcome): boolean {
+    for (const [runner, entry] of this.sent) {
+      if (entry.action.order.orderId !== orderId) continue
+      entry.answered = true
+      if (FINAL_OUTCOMES.includes(outcome.kind)) this.told.set(runner, entry.action.order.role ?? '')
+      return true
+    }
+    return false
+  }
+
+  /**
+   * Whether orders may be given; stays so for the rest of the term.
+   * @param runners - runners that answer
+   * @param now - both clocks
+   */
+  isDone (runners: readonly (readonly [string, RunnerConfig])[], now: Instant): boolean {
+    if (this.isOver) return true
+    const passedMs = elapsedMs(this.since, now)
+    const isWaiting = runners.some(([, { checksFencing }]) => !checksFencing) && passedMs < this.limits.takeoverMs
+    const allTold = runners.every(([runner, { checksFencing }]) => !checksFencing || this.told.has(runner))
+    this.isOver = !isWaiting && (allTold || passedMs >= this.limits.fencingMs)
+    return this.isOver
+  }
+
+  private isDue (runner: string, { checksFencing, role }: RunnerConfig, now: Instant): boolean {
+    if (!checksFencing && (role === undefined || elapsedMs(this.since, now) < this.limits.takeoverMs)) return false
+    if (this.told.get(runner) === (role ?? '')) return false
+    const found = this.sent.get(runner)
+    return found === undefined || (found.answered && elapsedMs(found.at, now) >= this.limits.retryMs)
+  }
+
+  private actionOf (runner: string, { address, role }: RunnerConfig, orderId: string): PlacementAction {
+    const order = { orderId, fencing: this.fencing, kind: 'role', model: '', version: '', ...(role === undefined ? {} : { role }) } as const
+    return { kind: 'order', runner, address, order, reason: role === undefined ? 'tells the fencing number' : `role ${role} is declared` }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/placement/placementChaos.spec.ts
@@ -0,0 +1,101 @@
+/**
+ * Placement under random patches, deaths, cuts, lost answers and pauses of the holder: no unload
+ * does harm, all heals to the declared state, and the number of orders stays bounded.
+ */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { PlacementPlanner } from '@rosemaryspread/decisions/placement/placementPlanner.js'
+import type { PlacementDecider } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import { NaivePlanner } from '../measure/placement/naivePlanner.js'
+import { PlacementWorld } from './placementWorld.js'
+
+const MINUTE = 60_000
+const HEAL_MS = 20 * MINUTE
+const RUNNERS = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2']
+const MODELS = ['m', 'n']
+/** Decisions that one disturbance may cause, and those of the start and the end. */
+const ORDERS_EACH = 12
+
+const runner = fc.constantFrom(...RUNNERS)
+const model = fc.constantFrom(...MODELS)
+const step = fc.oneof(
+  fc.record({ kind: fc.constant('version' as const), model, value: fc.integer({ min: 1, max: 3 }) }),
+  fc.record({ kind: fc.constant('copies' as const), model, value: fc.integer({ min: 1, max: 4 }) }),
+  fc.record({ kind: fc.constant('adapters' as const), model, value: fc.integer({ min: 0, max: 2 }) }),
+  fc.record({ kind: fc.constantFrom('die' as const, 'revive' as const, 'cut' as const, 'heal' as const, 'leave' as const, 'stay' as const, 'forbid' as const, 'allow' as const), runner }),
+  fc.record({ kind: fc.constantFrom('freeze' as const, 'thaw' as const), holder: fc.integer({ min: 0, max: 1 }) }),
+  fc.record({ kind: fc.constant('lose' as const), runner, value: fc.integer({ min: 1, max: 3 }) })
+)
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
+
+function worldOf (planner: () => PlacementDecider, ignoring: readonly string[]): PlacementWorld {
+  const runners = RUNNERS.map((name, index) =>
+    [name, { address: `127.0.0.1:${7000 + index}`, domain: name.slice(0, 1), models: MODELS, checksFencing: !ignoring.includes(name) }])
+  const config = { models: { m: { copies: 3 }, n: { copies: 2 } }, runners: Object.fromEntries(runners) }
+  const engines = { a1: { models: ['m', 'n'] }, b1: { models: ['m'] }, c2: { models: ['n'] } }
+  return new PlacementWorld({ config, engines, planners: [planner(), planner()] })
+}
+
+function apply (world: PlacementWorld, item: Step): void {
+  switch (item.kind) {
+    case 'version': return world.patch(config => { config.models[item.model]!.version = String(item.value) })
+    case 'copies': return world.patch(config => { config.models[item.model]!.copies = item.value })
+    case 'adapters': return world.patch(config => { config.models[item.model]!.adapters = ['x', 'y'].slice(0, item.value) })
+    case 'forbid': return world.patch(config => { config.runners[item.runner]!.models = ['n'] })
+    case 'allow': return world.patch(config => { config.runners[item.runner]!.models = MODELS })
+    case 'die': return world.engine(item.runner).die(world.now)
+    case 'freeze': case 'thaw': return setFrozen(world, item.holder, item.kind === 'freeze')
+    default: return disturb(world, item)
+  }
+}
+
+function setFrozen (world: PlacementWorld, holder: number, isFrozen: boolean): void {
+  world.holders[holder]!.isFrozen = isFrozen
+}
+
+function disturb (world: PlacementWorld, item: Extract<Step, { runner: string }>): void {
+  const engine = world.engine(item.runner)
+  if (item.kind === 'lose') engine.loseAnswers += item.value
+  if (item.kind === 'revive') engine.isDown = false
+  if (item.kind === 'cut') Object.assign(engine, { isCut: true, goneAt: world.now })
+  if (item.kind === 'heal') engine.isCut = false
+  if (item.kind === 'leave' || item.kind === 'stay') engine.isLeaving = item.kind === 'leave'
+}
+
+/** Mistakes of one run. */
+function play (planner: () => PlacementDecider, ignoring: readonly string[], steps: ReadonlyArray<readonly [Step, number]>): readonly string[] {
+  const world = worldOf(planner, ignoring)
+  for (const [item, pauseMs] of steps) {
+    apply(world, item)
+    world.run(pauseMs)
+  }
+  for (const holder of world.holders) holder.isFrozen = false
+  for (const engine of world.engines.values()) Object.assign(engine, { isDown: false, isCut: false, isLeaving: false, loseAnswers: 0 })
+  const isHealed = world.runUntilPlaced(HEAL_MS) < HEAL_MS
+  const decided = new Set(world.sent.filter(({ kind }) => kind !== 'role').map(({ orderId }) => orderId)).size
+  return [
+    ...world.harmful,
+    ...isHealed ? [] : ['the declared state was not reached'],
+    ...decided > (steps.length + 2) * ORDERS_EACH ? [`${decided} orders`] : []
+  ]
+}
+
+const ignoring = fc.subarray(RUNNERS, { maxLength: 2 })
+const script = fc.array(fc.tuple(step, fc.integer({ min: 100, max: MINUTE })), { minLength: 1, maxLength: 12 })
+const settings = { seed: Number(process.env.CHAOS_SEED ?? 20_262), numRuns: Number(process.env.CHAOS_RUNS ?? 150) }
+
+describe('placement under random faults', function () {
+  this.timeout(300_000)
+
+  it('does no harm, reaches what is declared, and orders no more than a bound', () => {
+    fc.assert(fc.property(ignoring, script, (names, steps) => {
+      expect(play(() => new PlacementPlanner(), names, steps)).to.deep.equal([])
+    }), settings)
+  })
+
+  it('a planner that orders everything at once does harm (counter-example)', () => {
+    expect(() => fc.assert(fc.property(ignoring, script, (names, steps) => {
+      expect(play(() => new NaivePlanner(), names, steps)).to.deep.equal([])
+    }), { ...settings, endOnFailure: true })).to.throw()
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/placement/placementWorld.ts
@@ -0,0 +1,186 @@
+/**
+ * Engines, a weight store, a lease and VMs that may hold it, in virtual time: what placement
+ * meets, with every fault on order. Counts orders and the time with fewer copies than declared.
+ */
+import { fleetConfigSchema, type FleetConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { PlacementDecider, PlacementOrder } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import { TokenBucket } from '../weights/tokenBucket.js'
+import { SimulatedEngine, type SimulatedEngineOptions } from './simulatedEngine.js'
+import { SimulatedHolder, type SimulatedHolderOptions } from './simulatedHolder.js'
+
+export const STEP_MS = 100
+/** The lease by its holder's count, and by that of others. */
+const LEASE_MS = { holder: 5_000, others: 7_000 }
+/** For how long what was declared or alive still counts in the judgement of an unload. */
+const JUDGE_MS = 40_000
+
+/** What a world is made of. */
+export interface PlacementWorldOptions {
+  readonly config: unknown
+  /** Each engine's settings; what is missing is taken from the configuration. */
+  readonly engines?: Readonly<Record<string, Partial<SimulatedEngineOptions>>>
+  readonly planners: readonly PlacementDecider[]
+  readonly holder?: SimulatedHolderOptions
+  readonly weightsPerMinute?: number
+  readonly weightsBurst?: number
+}
+
+/** The world. */
+export class PlacementWorld {
+  now = 0
+  readonly engines = new Map<string, SimulatedEngine>()
+  readonly holders: readonly SimulatedHolder[]
+  config: FleetConfig
+  /** Orders other than those that only tell the fencing number. */
+  orders = 0
+  fenceOrders = 0
+  weightRefusals = 0
+  /** Milliseconds with fewer serving copies than declared, over all models. */
+  shortMs = 0
+  /** Milliseconds without any serving copy of a declared model, over all models. */
+  absentMs = 0
+  /** Unloads that left fewer copies than declared. */
+  readonly harmful: string[] = []
+  /** Orders by runner and kind, for tests. */
+  readonly sent: PlacementOrder[] = []
+  private fencing = 0
+  private lease: { holder: SimulatedHolder, renewedAt: number } | undefined
+  private pending: { readonly at: number, readonly run: () => void }[] = []
+  private configs: { readonly until: number, readonly config: FleetConfig }[] = []
+
+  /** @param options - engines, configuration and planners */
+  constructor (options: PlacementWorldOptions) {
+    this.config = fleetConfigSchema.parse(options.config)
+    const weights = new TokenBucket(options.weightsPerMinute ?? 30, options.weightsBurst ?? 4)
+    for (const [runner, cfg] of Object.entries(this.config.runners)) {
+      const settings = { domain: cfg.domain, models: [], checksFencing: cfg.checksFencing, loadMs: 20_000, lagMs: 2_000, ...options.engines?.[runner] }
+      this.engines.set(runner, new SimulatedEngine(settings, weights, order => { this.judgeUnload(runner, order) }))
+    }
+    this.holders = options.planners.map(planner => new SimulatedHolder(this, planner, options.holder ?? { checksLease: true }))
+  }
+
+  /** Runs something later. */
+  after (ms: number, run: () => void): void {
+    this.pending.push({ at: this.now + ms, run })
+  }
+
+  /** Brings a configuration into force; VMs see it at their next round. */
+  patch (change: (config: FleetConfig) => void): void {
+    this.configs.push({ until: this.now, config: this.config })
+    const next = structuredClone(this.config)
+    change(next)
+    this.config = fleetConfigSchema.parse(next)
+  }
+
+  run (ms: number): void {
+    for (const end = this.now + ms; this.now < end;) this.step()
+  }
+
+  /**
+   * Runs until the declared state is reached.
+   * @returns milliseconds that it took, or the limit when it was not reached
+   */
+  runUntilPlaced (limitMs: number): number {
+    const start = this.now
+    while (!this.isPlaced() && this.now - start < limitMs) this.step()
+    return this.now - start
+  }
+
+  engine (runner: string): SimulatedEngine {
+    const engine = this.engines.get(runner)
+    if (engine === undefined) throw new Error(`there is no engine ${runner}`)
+    return engine
+  }
+
+  noteOrder (order: PlacementOrder): void {
+    if (order.kind === 'role') this.fenceOrders += 1
+    else this.orders += 1
+    this.sent.push(order)
+  }
+
+  /** Copies that serve now; of the declared version only, if asked. */
+  serving (model: string, isDeclared = false): number {
+    const version = isDeclared ? this.config.models[model]?.version : undefined
+    return this.placesOf(model).filter(([, engine]) => !engine.isCut && engine.serves(model, version)).length
+  }
+
+  /** Copies that can be had: declared, and no more than there are runners for them. */
+  declared (model: string, config = this.config): number {
+    const found = config.models[model]
+    return found === undefined ? 0 : Math.min(found.copies ?? Infinity, this.placesOf(model, config).filter(([, engine]) => engine.isReachable).length)
+  }
+
+  /** Whether each model has the declared copies, in their version, and none above. */
+  isPlaced (): boolean {
+    return Object.keys(this.config.models).every(model => {
+      const { version = '', adapters = [] } = this.config.models[model] ?? {}
+      const places = this.placesOf(model).filter(([, engine]) => engine.isReachable)
+      const good = places.filter(([, engine]) => engine.serves(model, version) && adapters.every(adapter => engine.models.serves(model, adapter)))
+      const holding = [...this.engines].filter(([, engine]) => engine.isReachable && !engine.isLeaving && engine.holds(model))
+      return good.length === this.declared(model) && holding.length === good.length
+    })
+  }
+
+  /** Failure domains with a copy of a model, one name for each copy. */
+  domainsOf (model: string): readonly string[] {
+    return this.placesOf(model).filter(([, engine]) => engine.isReachable && engine.serves(model)).map(([, engine]) => engine.options.domain).sort()
+  }
+
+  private placesOf (model: string, config = this.config): ReadonlyArray<readonly [string, SimulatedEngine]> {
+    return [...this.engines].filter(([runner, engine]) => {
+      const cfg = config.runners[runner]
+      return cfg?.state === 'active' && cfg.models.includes(model) && !engine.isLeaving
+    })
+  }
+
+  private step (): void {
+    this.now += STEP_MS
+    const due = this.pending.filter(({ at }) => at <= this.now)
+    this.pending = this.pending.filter(({ at }) => at > this.now)
+    for (const { run } of due) run()
+    for (const engine of this.engines.values()) engine.advance(this.now)
+    this.keepLease()
+    for (const holder of this.holders) holder.step()
+    this.count()
+  }
+
+  private keepLease (): void {
+    const { lease } = this
+    if (lease !== undefined && !lease.holder.isFrozen && lease.holder.fencing === this.fencing && this.now < lease.holder.validUntil) {
+      lease.renewedAt = this.now
+      lease.holder.validUntil = this.now + LEASE_MS.holder
+    }
+    if (lease !== undefined && this.now - lease.renewedAt < LEASE_MS.others) return
+    const next = this.holders.find(holder => !holder.isFrozen && holder !== lease?.holder) ?? this.holders.find(holder => !holder.isFrozen)
+    if (next !== undefined) this.give(next)
+  }
+
+  private give (holder: SimulatedHolder): void {
+    this.fencing += 1
+    this.lease = { holder, renewedAt: this.now }
+    holder.fencing = this.fencing
+    holder.validUntil = this.now + LEASE_MS.holder
+    holder.feed({ kind: 'taken', fencing: this.fencing })
+  }
+
+  private count (): void {
+    for (const model of Object.keys(this.config.models)) {
+      const serving = this.serving(model)
+      if (serving < (this.config.models[model]?.copies ?? this.declared(model))) this.shortMs += STEP_MS
+      if (serving === 0) this.absentMs += STEP_MS
+    }
+  }
+
+  /** An unload may leave no fewer copies than declared, by any configuration or runner of the last while. */
+  private judgeUnload (runner: string, { model, fencing, orderId }: PlacementOrder): void {
+    if (fencing < this.fencing && !this.engine(runner).options.checksFencing) return
+    const known = [this.config, ...this.configs.filter(({ until }) => until > this.now - JUDGE_MS).map(({ config }) => config)]
+    const least = Math.min(...known.map(config => this.declared(model, config)))
+    const left = [...this.engines].filter(([name, engine]) => {
+      const isGoneLong = !engine.isReachable && engine.goneAt < this.now - JUDGE_MS
+      return name !== runner && !isGoneLong && (engine.holds(model) || !engine.isReachable)
+    })
+    const isPlace = known.some(config => config.runners[runner]?.models.includes(model))
+    if (isPlace && left.length < least) this.harmful.push(`${this.now}: ${orderId} left ${left.length} of ${least}`)
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/placement/simulatedEngine.ts
@@ -0,0 +1,113 @@
+/**
+ * An engine in virtual time, for placement only: loading takes a while, during which the model
+ * does not serve, reports lag, and it may be down, cut off or leaving.
+ */
+import type { PlacementOrder, PlacementOutcome } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import type { LoadReport } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { LaggingValue } from '../control/laggingValue.js'
+import { EngineModels } from '../engine/engineModels.js'
+import type { TokenBucket } from '../weights/tokenBucket.js'
+
+const MS_PER_SECOND = 1_000
+
+/** Settings of a simulated engine. */
+export interface SimulatedEngineOptions {
+  readonly domain: string
+  readonly models: readonly string[]
+  readonly checksFencing: boolean
+  readonly loadMs: number
+  readonly lagMs: number
+}
+
+/** One engine. */
+export class SimulatedEngine {
+  isDown = false
+  isCut = false
+  isLeaving = false
+  /** Answers of orders to lose, after they took effect. */
+  loseAnswers = 0
+  /** Since when it is down or cut off. */
+  goneAt = 0
+  models: EngineModels
+  private readonly loading = new Map<string, { readonly order: PlacementOrder, readonly endsAt: number }>()
+  private seen: LaggingValue<LoadReport['models']>
+
+  /**
+   * @param options - settings
+   * @param weights - rate of the weight store
+   * @param onUnload - called before a model is unloaded
+   */
+  constructor (readonly options: SimulatedEngineOptions, private readonly weights: TokenBucket, private readonly onUnload: (order: PlacementOrder) => void) {
+    this.models = new EngineModels(options.models, options.checksFencing)
+    this.seen = new LaggingValue(this.models.report, 0, options.lagMs)
+  }
+
+  get isReachable (): boolean {
+    return !this.isDown && !this.isCut
+  }
+
+  /** Whether some version of the model is there. */
+  holds (model: string): boolean {
+    return this.models.serves(model)
+  }
+
+  /** Whether a version of the model serves now; one that is being replaced does not. */
+  serves (model: string, version?: string): boolean {
+    const isLoading = [...this.loading.values()].some(({ order }) => order.kind === 'load' && order.model === model)
+    const isThere = this.models.report.some(item => item.model === model && (version === undefined || item.version === version))
+    return !this.isDown && isThere && !isLoading
+  }
+
+  /** Ends the process; it comes back with nothing loaded. */
+  die (now: number): void {
+    this.isDown = true
+    this.goneAt = now
+    this.loading.clear()
+    this.models = new EngineModels([], this.options.checksFencing)
+    this.seen = new LaggingValue(this.models.report, now, this.options.lagMs)
+  }
+
+  /** Loads that end by now take effect. */
+  advance (now: number): void {
+    for (const [id, { order, endsAt }] of this.loading) {
+      if (endsAt > now) continue
+      this.loading.delete(id)
+      this.models.obey(order)
+      this.seen.set(this.models.report, now)
+    }
+  }
+
+  /** The models as reported, some time ago. */
+  report (now: number): LoadReport['models'] {
+    return this.seen.seen(now).value
+  }
+
+  /**
+   * Takes an order. A load is answered only when it has ended, so its answer here is `unknown`.
+   * @param order - the order
+   * @param now - virtual milliseconds
+   */
+  take (order: PlacementOrder, now: number): PlacementOutcome {
+    const outcome = this.obey(order, now)
+    if (outcome.kind !== 'done' || this.loseAnswers === 0) return outcome
+    this.loseAnswers -= 1
+    return { kind: 'unknown' }
+  }
+
+  private obey (order: PlacementOrder, now: number): PlacementOutcome {
+    if (this.loading.has(order.orderId)) return { kind: 'unknown' }
+    if (this.models.needsWeights(order)) return this.load(order, now)
+    if (order.kind === 'unload' && this.models.report.some(({ model, version }) => model === order.model && version === order.version)) this.onUnload(order)
+    const outcome = this.models.obey(order)
+    this.seen.set(this.models.report, now)
+    if (outcome === 'oldFencing') return { kind: 'oldFencing' }
+    return { kind: outcome === 'done' ? 'done' : 'refused' }
+  }
+
+  private load (order: PlacementOrder, now: number): PlacementOutcome {
+    const waitMs = this.weights.take(now)
+    if (waitMs > 0) return { kind: 'refused', retryAfterMs: Math.ceil(waitMs / MS_PER_SECOND) * MS_PER_SECOND }
+    this.loading.set(order.orderId, { order, endsAt: now + this.options.loadMs })
+    return { kind: 'unknown' }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/placement/simulatedHolder.ts
@@ -0,0 +1,98 @@
+/**
+ * One VM that may hold the lease of placement, in virtual time. It polls reports and sends
+ * orders only while it may act by its own count of the lease, and may be paused with orders on
+ * the wire.
+ */
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { FleetConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { PlacementAction, PlacementDecider, PlacementEvent } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import type { PlacementWorld } from './placementWorld.js'
+
+/** Milliseconds between two ticks. */
+const TICK_MS = 1_000
+/** Milliseconds of a call in one direction. */
+const WIRE_MS = 5
+/** Milliseconds until a call without an answer is given up. */
+const CALL_MS = 2_000
+
+/** How a holder counts its lease. */
+export interface SimulatedHolderOptions {
+  /** Whether it asks before each order if it may still act; a weak one only asks when it takes the lease. */
+  readonly checksLease: boolean
+}
+
+/** One VM. */
+export class SimulatedHolder {
+  isFrozen = false
+  /** Fencing number of the lease that it believes to hold. */
+  fencing: number | undefined
+  validUntil = 0
+  private nextTickAt = 0
+  private known: FleetConfig | undefined
+
+  constructor (private readonly world: PlacementWorld, readonly planner: PlacementDecider, private readonly options: SimulatedHolderOptions) {}
+
+  mayAct (): boolean {
+    if (this.isFrozen || this.fencing === undefined) return false
+    return !this.options.checksLease || this.world.now < this.validUntil
+  }
+
+  feed (event: PlacementEvent): void {
+    const { now } = this.world
+    const at: Instant = { mono: now, wall: now }
+    for (const action of this.planner.handle(event, at)) this.send(action)
+  }
+
+  step (): void {
+    if (this.isFrozen || this.world.now < this.nextTickAt) return
+    this.nextTickAt = this.world.now + TICK_MS
+    this.followConfig()
+    if (this.fencing !== undefined && !this.mayAct()) {
+      this.fencing = undefined
+      this.feed({ kind: 'lost' })
+    }
+    if (!this.mayAct()) return
+    for (const runner of this.world.engines.keys()) this.poll(runner)
+    this.feed({ kind: 'tick' })
+  }
+
+  private followConfig (): void {
+    const { config } = this.world
+    if (config === this.known) return
+    this.known = config
+    this.feed({ kind: 'configured', config })
+  }
+
+  private poll (runner: string): void {
+    const { world } = this
+    const engine = world.engines.get(runner)
+    if (engine === undefined || !engine.isReachable) return
+    const models = engine.report(world.now)
+    const leaving = engine.isLeaving
+    world.after(WIRE_MS * 2, () => { this.whenAwake(() => { this.feed({ kind: 'reported', runner, models, leaving }) }) })
+  }
+
+  private send ({ runner, order }: PlacementAction): void {
+    const { world } = this
+    if (!this.mayAct()) return
+    world.noteOrder(order)
+    const engine = world.engines.get(runner)
+    const answer = (outcome: Extract<PlacementEvent, { kind: 'answered' }>['outcome'], ms: number): void =>
+      world.after(ms, () => { this.whenAwake(() => { this.feed({ kind: 'answered', orderId: order.orderId, outcome }) }) })
+    if (engine === undefined || !engine.isReachable) return answer({ kind: 'notSent' }, WIRE_MS)
+    world.after(WIRE_MS, () => {
+      // What a paused machine had on the wire goes out when it wakes.
+      this.whenAwake(() => {
+        if (engine.isDown) return answer({ kind: 'unknown' }, CALL_MS)
+        const outcome = engine.take(order, world.now)
+        if (outcome.kind === 'refused' && outcome.retryAfterMs !== undefined) world.weightRefusals += 1
+        answer(outcome, outcome.kind === 'unknown' ? CALL_MS : WIRE_MS)
+      })
+    })
+  }
+
+  private whenAwake (run: () => void): void {
+    if (!this.isFrozen) return run()
+    this.world.after(TICK_MS / 10, () => { this.whenAwake(run) })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/placement/weakPlanners.spec.ts
@@ -0,0 +1,104 @@
+/**
+ * Planners that are weaker than the product's in one respect each, for tests that must be able
+ * to fail.
+ */
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { PlacementPlanner } from '@rosemaryspread/decisions/placement/placementPlanner.js'
+import type { LoadedModel, PlacementAction, PlacementDecider, PlacementEvent, PlacementLimits } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import { defaultPlacementLimits } from '@rosemaryspread/decisions/placement/placementTypes.js'
+
+/** Changes what goes in and out of the product's planner. */
+abstract class WeakPlanner implements PlacementDecider {
+  protected readonly inner: PlacementDecider
+
+  constructor (limits: Partial<PlacementLimits> = {}) {
+    this.inner = new PlacementPlanner({ ...defaultPlacementLimits, ...limits })
+  }
+
+  abstract handle (event: PlacementEvent, now: Instant): readonly PlacementAction[]
+}
+
+/** Gives the same order the same id for ever. */
+export class ContentIds extends WeakPlanner {
+  private readonly own = new Map<string, string>()
+
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    const told = event.kind === 'answered' ? { ...event, orderId: this.own.get(event.orderId) ?? event.orderId } : event
+    return this.inner.handle(told, now).map(action => {
+      const orderId = action.order.orderId.replace(/^(placement\/\d+\/[^/]+)\/\d+/, '$1')
+      this.own.set(orderId, action.order.orderId)
+      return { ...action, order: { ...action.order, orderId } }
+    })
+  }
+}
+
+/** Takes an order that was once seen to be carried out for lasting, and reads nothing back after. */
+export class NoReadBack extends WeakPlanner {
+  private readonly believed = new Map<string, readonly LoadedModel[]>()
+  private readonly ordered = new Map<string, string>()
+
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    const actions = this.inner.handle(event.kind === 'reported' ? this.believe(event) : event, now)
+    for (const { runner, order } of actions) if (order.kind === 'load') this.ordered.set(runner, order.version)
+    return actions
+  }
+
+  private believe (event: Extract<PlacementEvent, { kind: 'reported' }>): PlacementEvent {
+    const { runner, models } = event
+    if (models.some(({ version }) => version === this.ordered.get(runner))) {
+      this.ordered.delete(runner)
+      this.believed.set(runner, models)
+    }
+    return { ...event, models: this.believed.get(runner) ?? models }
+  }
+}
+
+/** Tells engines no fencing number before it acts. */
+export class NoFencePass extends WeakPlanner {
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    const actions = this.inner.handle(event, now)
+    const fences = actions.filter(({ order }) => order.kind === 'role')
+    const more = fences.flatMap(({ order }) => this.inner.handle({ kind: 'answered', orderId: order.orderId, outcome: { kind: 'done' } }, now))
+    return [...actions, ...more].filter(({ order }) => order.kind !== 'role')
+  }
+}
+
+/** Forgets an order whose answer was lost, and decides anew. */
+export class ForgetfulPlanner extends WeakPlanner {
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    const isLost = event.kind === 'answered' && event.outcome.kind === 'unknown'
+    return this.inner.handle(isLost ? { ...event, outcome: { kind: 'refused', retryAfterMs: 0 } } : event, now)
+  }
+}
+
+/** Comes back at once when the weight store is over its rate. */
+export class ImpatientPlanner extends WeakPlanner {
+  constructor () {
+    super({ weightsPerMinute: 6_000, weightsBurst: 100, refusedMs: 0 })
+  }
+
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    const isLimited = event.kind === 'answered' && event.outcome.kind === 'refused'
+    return this.inner.handle(isLimited ? { ...event, outcome: { kind: 'refused' } } : event, now)
+  }
+}
+
+/** Believes whatever it saw last, without any waiting. */
+export class HastyPlanner extends WeakPlanner {
+  constructor () {
+    super({ downAfterMs: 2_500, steadyMs: 0, surplusMs: 0 })
+  }
+
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    return this.inner.handle(event, now)
+  }
+}
+
+/** Never hears that a runner leaves. */
+export class DeafPlanner extends WeakPlanner {
+  handle (event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    if (event.kind !== 'configured') return this.inner.handle(event.kind === 'reported' ? { ...event, leaving: false } : event, now)
+    const runners = Object.fromEntries(Object.entries(event.config.runners).map(([runner, cfg]) => [runner, { ...cfg, state: 'active' as const }]))
+    return this.inner.handle({ kind: 'configured', config: { ...event.config, runners } }, now)
+  }
+}
