Keep goodput and refusals right under overload, stale reports and a slow runner

Changes: a window for each VM scaled by own part of the reported total; fleet figures clip outliers and expire; full but quick runners mean wait, not refuse.

--- a/packages/decisions/src/routing/fairQueue.ts
+++ b/packages/decisions/src/routing/fairQueue.ts
@@ -16,7 +16,7 @@
 const DEFAULT_CAPACITY = 1_024
 
 /** Part of an item's slack that it may be predicted to wait; the rest covers errors of the prediction. */
-const WAIT_SHARE = 0.7
+const WAIT_SHARE = 0.9
 
 /** Tokens by which one level of priority may go ahead of other teams. */
 const HEAD_START = 4_000
--- a/packages/decisions/src/routing/fleetView.ts
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -19,6 +19,9 @@
 /** First tokens of a runner between two comparisons with the median. */
 const SLOW_CHECK_EVERY = 8
 
+/** One slow runner must not make the whole fleet look slow: its samples count up to this many times the mean. */
+const FLEET_CLIP_FACTOR = 1.5
+
 /** Runners needed for a median to mean something. */
 const MEDIAN_RUNNERS = 3
 
@@ -41,7 +44,7 @@
 /** State of all runners. */
 export class FleetView {
   readonly prefixes = new PrefixIndex()
-  readonly fleet = new LatencyModel()
+  readonly fleet = new LatencyModel(FLEET_CLIP_FACTOR)
   private readonly runners = new Map<string, RunnerState>()
   private readonly models = new Map<string, ModelRunners>()
   private readonly routed = new Map<string, RoutedWork>()
@@ -151,8 +154,8 @@
     if (event.ok && request?.firstTokenMs !== undefined) {
       const busy = Math.min(1, state.load.estimate(mono, this.prior * state.view.slots) / state.view.slots)
       const decodeMs = event.totalMs - request.firstTokenMs
-      state.latency.sawAnswer(decodeMs, event.tokens, busy)
-      this.fleet.sawAnswer(decodeMs, event.tokens, busy)
+      state.latency.sawAnswer(decodeMs, event.tokens, busy, mono)
+      this.fleet.sawAnswer(decodeMs, event.tokens, busy, mono)
     }
     this.dropUnused(state)
   }
@@ -172,7 +175,7 @@
 
   private ejectIfSlow (state: RunnerState, mono: number): void {
     const [model] = state.models
-    const peers = this.runnersOf(model ?? '').watched.filter(peer => peer !== state && peer.latency.trusted)
+    const peers = this.runnersOf(model ?? '').watched.filter(peer => peer !== state && peer.latency.isTrusted(mono))
     if (peers.length < MEDIAN_RUNNERS) return
     const figures = peers.map(peer => peer.latency.unitMs(0)).sort((a, b) => a - b)
     const median = figures[Math.floor(figures.length / 2)] ?? Infinity
--- a/packages/decisions/src/routing/latencyModel.ts
+++ b/packages/decisions/src/routing/latencyModel.ts
@@ -14,6 +14,12 @@
 /** Samples below which a measured figure is not trusted. */
 const TRUSTED_SAMPLES = 5
 
+/** Times the expectation beyond which a first token rather waited in a queue; more is not learnt at once. */
+const QUEUED_FACTOR = 1.5
+
+/** Milliseconds after which figures without new samples are no ground for a refusal: else refusals would preserve them. */
+const STALE_MS = 10_000
+
 /** Mean deviations added for a cautious prediction. */
 const CAUTION = 2
 
@@ -41,20 +47,31 @@
   readonly slotMs: number
 }
 
-/** Measured speed, of one runner or of the fleet. */
+/** Measured speed, of one runner or of the fleet. Times are monotonic milliseconds. */
 export class LatencyModel {
   readonly firstTokenMs = new Ewma()
   readonly promptTokens = new Ewma()
-  readonly tokenMs = new Ewma()
+  readonly tokenMs: Ewma
   readonly answerTokens = new Ewma()
+  private answeredAt = -Infinity
+
+  /** @param clipFactor - times the mean for which one sample counts at most */
+  constructor (clipFactor?: number) {
+    this.tokenMs = new Ewma(clipFactor)
+  }
 
-  /** Whether enough was measured to refuse a request by it. */
-  get trusted (): boolean {
-    return this.firstTokenMs.count >= TRUSTED_SAMPLES && this.tokenMs.count >= TRUSTED_SAMPLES
+  /**
+   * Whether enough was measured, and lately, to refuse a request by it.
+   * @param mono - present time
+   */
+  isTrusted (mono: number): boolean {
+    return this.tokenMs.count >= TRUSTED_SAMPLES && mono - this.answeredAt <= STALE_MS
   }
 
   sawFirstToken (afterMs: number, uncachedTokens: number): void {
-    this.firstTokenMs.add(afterMs)
+    const expectedMs = this.unitMs(0) * (uncachedTokens + FIRST_TOKEN_OVERHEAD)
+    const queuedMs = this.firstTokenMs.count < TRUSTED_SAMPLES ? Infinity : QUEUED_FACTOR * expectedMs
+    this.firstTokenMs.add(Math.min(afterMs, queuedMs))
     this.promptTokens.add(uncachedTokens + FIRST_TOKEN_OVERHEAD)
   }
 
@@ -72,8 +89,10 @@
    * @param decodeMs - from the first token to the end
    * @param tokens - tokens generated
    * @param busy - share of slots that was busy, 0 to 1
+   * @param mono - present time
    */
-  sawAnswer (decodeMs: number, tokens: number, busy: number): void {
+  sawAnswer (decodeMs: number, tokens: number, busy: number, mono: number): void {
+    this.answeredAt = mono
     this.answerTokens.add(tokens)
     if (tokens > 1) this.tokenMs.add(decodeMs / (tokens - 1) / slowdown(busy))
   }
--- a/packages/decisions/src/routing/prefixIndex.ts
+++ b/packages/decisions/src/routing/prefixIndex.ts
@@ -8,7 +8,7 @@
 export const PREFIX_LIMIT = 16_384
 
 /** Milliseconds for which an entry is believed. */
-export const PREFIX_KEEP_MS = 120_000
+export const PREFIX_KEEP_MS = 30_000
 
 /** Runners remembered for one prefix at most. */
 const RUNNERS_PER_PREFIX = 4
--- a/packages/decisions/src/routing/routeRefusal.ts
+++ b/packages/decisions/src/routing/routeRefusal.ts
@@ -26,7 +26,7 @@
 }
 
 /**
- * No runner has room.
+ * No runner that is quick enough has room.
  * @param req - the request
  * @param fleet - measured speed of all runners
  * @param judged - the runners looked at
@@ -37,7 +37,7 @@
   const excess = judged.reduce((sum, item) => sum + Math.max(1, item.load + 1 - item.state.view.slots), 0)
   const work = { uncachedTokens: req.promptTokens, answerTokens: req.maxTokens, load: 0, slots: 1 }
   const retryMs = predict(fleet, fleet, work, false).slotMs * excess / slots
-  return refusal(req, 'overloaded', 'all runners are full', retryMs, judged, lookIn)
+  return refusal(req, 'overloaded', 'all runners that are quick enough are full', retryMs, judged, lookIn)
 }
 
 /** Cautious predictions for the quickest runner and the time left, in milliseconds. */
@@ -48,7 +48,7 @@
 }
 
 /**
- * Some runner has room, but none is quick enough.
+ * None is quick enough, with room or without.
  * @param req - the request
  * @param times - predictions and time left
  * @param judged - the runners looked at
--- a/packages/decisions/src/routing/runnerLoad.ts
+++ b/packages/decisions/src/routing/runnerLoad.ts
@@ -50,6 +50,8 @@
   private tokenSum = 0
   private reportAt = -Infinity
   private othersAtReport = 0
+  private ownAtReport = 0
+  private totalAtReport = 0
 
   get count (): number {
     return this.open.size
@@ -60,8 +62,9 @@
     return this.tokenSum
   }
 
-  get reportedAt (): number {
-    return this.reportAt
+  /** What the last report said of all, and the own requests at that time; undefined before the first report. */
+  get lastReport (): { readonly total: number, readonly own: number } | undefined {
+    return this.reportAt === -Infinity ? undefined : { total: this.totalAtReport, own: this.ownAtReport }
   }
 
   dispatched (requestId: string, request: OpenRequest): void {
@@ -98,7 +101,9 @@
   reported (total: number, at: number): number | undefined {
     if (at <= this.reportAt) return undefined
     this.reportAt = at
-    const others = Math.max(0, total - this.ownAt(at))
+    this.totalAtReport = total
+    this.ownAtReport = this.ownAt(at)
+    const others = Math.max(0, total - this.ownAtReport)
     const gain = others < this.othersAtReport ? FREED_GAIN : 1
     this.othersAtReport += gain * (others - this.othersAtReport)
     return this.othersAtReport
@@ -124,6 +129,22 @@
     return oldest.done === true ? 0 : Math.max(0, mono - oldest.value)
   }
 
+  /**
+   * Requests at the runner that are sure enough to call it full: own ones, and others' as far as the report is fresh.
+   * @param mono - present time
+   */
+  known (mono: number): number {
+    return this.open.size + this.reportWeight(mono) * this.othersAtReport
+  }
+
+  /**
+   * Whether the last report is recent enough to tell that a slot is free.
+   * @param mono - present time
+   */
+  isFresh (mono: number): boolean {
+    return mono - this.reportAt <= FRESH_MS + STALE_TAU_MS / 2
+  }
+
   private reportWeight (mono: number): number {
     const age = mono - this.reportAt
     return age <= FRESH_MS ? 1 : Math.exp((FRESH_MS - age) / STALE_TAU_MS)
--- a/packages/decisions/src/routing/runnerRouter.ts
+++ b/packages/decisions/src/routing/runnerRouter.ts
@@ -9,8 +9,9 @@
 import { FleetView } from './fleetView.js'
 import { keyedOrder } from './keyedOrder.js'
 import { predict } from './latencyModel.js'
+import { ownWindow } from './ownWindow.js'
 import { refuseFull, refuseLate, refuseNoRunner } from './routeRefusal.js'
-import type { Demand, Judgement, RunnerState } from './runnerState.js'
+import { ENGINE_QUEUE_SHARE, type Demand, type Judgement, type RunnerState } from './runnerState.js'
 import type { RouteDecider, RouteDecision, RouteEvent, RouteRequest, RunnerView } from './routingTypes.js'
 
 /** Times the mean load at which a keyed request goes past a runner. */
@@ -28,6 +29,8 @@
   readonly now: Instant
   readonly usable: readonly RunnerState[]
   readonly demand: Demand
+  /** Requests for each slot, own and others', over the usable runners. */
+  readonly meanPerSlot: number
 }
 
 /** Routes requests of one VM. */
@@ -56,14 +59,16 @@
   }
 
   /**
-   * Predicted milliseconds of a request on a busy runner, for the queue before this router.
+   * Cautious prediction for a request on a busy runner, for the queue before this router, in milliseconds.
    * @param promptTokens - tokens of the prompt
    * @param answerTokens - tokens of the answer
+   * @param now - both clocks
+   * @returns 0 while too little was measured
    */
-  serviceMs (promptTokens: number, answerTokens: number): number {
+  serviceMs (promptTokens: number, answerTokens: number, now: Instant): number {
     const { fleet } = this.view
     const work = { uncachedTokens: promptTokens, answerTokens, load: 0, slots: 1 }
-    return fleet.trusted ? predict(fleet, fleet, work, false).totalMs : 0
+    return fleet.isTrusted(now.mono) ? predict(fleet, fleet, work, true).totalMs : 0
   }
 
   route (req: RouteRequest, now: Instant, random: () => number): RouteDecision {
@@ -78,6 +83,9 @@
 
   private caseOf (req: RouteRequest, now: Instant, usable: readonly RunnerState[]): RouteCase {
     const cached = this.view.prefixes.shares(req.prefixHashes, now.mono)
+    const slots = Math.max(1, slotsOf(usable))
+    const own = usable.reduce((sum, state) => sum + state.load.count, 0)
+    const window = ownWindow(usable, ENGINE_QUEUE_SHARE)
     const demand = {
       mono: now.mono,
       promptTokens: req.promptTokens,
@@ -86,9 +94,9 @@
       expectedTokens: Math.min(req.maxTokens, this.view.fleet.answerTokens.mean),
       remainingMs: req.deadline.mono - now.mono,
       prior: this.view.prior,
-      ownPerSlot: ownPerSlot(usable)
+      windowPerSlot: own < window ? window / slots : 0
     }
-    return { req, now, usable, demand }
+    return { req, now, usable, demand, meanPerSlot: own / slots + this.view.prior }
   }
 
   private routePlain (job: RouteCase, note: string, random: () => number): RouteDecision {
@@ -112,7 +120,7 @@
       if (allowed.has(state)) {
         const judgement = this.judge(state, job)
         judged.push(judgement)
-        if (judgement.fits && this.underBound(judgement)) {
+        if (judgement.fits && isUnderBound(judgement, job.meanPerSlot)) {
           return this.routed(job, judgement, passed, judged, `place ${passed.length + 1} in the order of the key${note}`)
         }
         if (judgement.fits) fallback ??= { judgement, passed: passed.length }
@@ -131,27 +139,22 @@
     return state.judge(demand, this.view.fleet)
   }
 
+  /** Refuses as overloaded if a runner that is full now would be quick enough, so that the request may wait for it. */
   private refuse ({ req, demand }: RouteCase, judged: readonly Judgement[], lookIn: readonly RunnerView[]): RouteDecision {
-    const withRoom = judged.filter(item => item.hasRoom)
-    if (withRoom.length === 0) return refuseFull(req, this.view.fleet, judged, lookIn)
     const totalMs = (item: Judgement, load: number): number => item.state.cautious(demand, this.view.fleet, load).totalMs
-    const presentMs = Math.min(...withRoom.map(item => totalMs(item, item.load)))
+    const presentMs = Math.min(...judged.map(item => totalMs(item, item.load)))
+    const isWorthWaiting = !judged.some(item => item.hasRoom) || presentMs <= demand.remainingMs
+    if (isWorthWaiting) return refuseFull(req, this.view.fleet, judged, lookIn)
     const idleMs = Math.min(...judged.map(item => totalMs(item, 0)))
     return refuseLate(req, { presentMs, idleMs, remainingMs: demand.remainingMs }, judged, lookIn)
   }
 
-  private underBound (judgement: Judgement): boolean {
-    const { slots } = judgement.state.view
-    const share = Math.max(KEYED_FREE_SHARE, KEYED_LOAD_FACTOR * this.view.prior)
-    return judgement.load + 1 <= slots * share
-  }
-
-  private routed ({ req }: RouteCase, chosen: Judgement, passed: readonly RunnerState[], judged: readonly Judgement[], reason: string): RouteDecision {
+  private routed ({ req, now }: RouteCase, chosen: Judgement, passed: readonly RunnerState[], judged: readonly Judgement[], reason: string): RouteDecision {
     const { state, load, uncachedTokens } = chosen
     this.view.remember(req.requestId, {
       maxTokens: req.maxTokens,
       uncachedTokens,
-      unqueued: load + 1 <= state.view.slots * UNQUEUED_SHARE,
+      unqueued: state.load.isFresh(now.mono) && load + 1 <= state.view.slots * UNQUEUED_SHARE,
       prefixHashes: req.prefixHashes
     })
     return {
@@ -180,12 +183,12 @@
   return found
 }
 
-function ownPerSlot (usable: readonly RunnerState[]): number {
-  let own = 1
-  let slots = 0
-  for (const state of usable) {
-    own += state.load.count
-    slots += state.view.slots
-  }
-  return own / Math.max(1, slots)
+function slotsOf (states: readonly RunnerState[]): number {
+  return states.reduce((sum, state) => sum + state.view.slots, 0)
+}
+
+/** Whether a keyed request may stay at a runner instead of going past it. */
+function isUnderBound (judgement: Judgement, meanPerSlot: number): boolean {
+  const share = Math.max(KEYED_FREE_SHARE, KEYED_LOAD_FACTOR * meanPerSlot)
+  return judgement.load + 1 <= judgement.state.view.slots * share
 }
--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -8,14 +8,13 @@
 import type { RunnerView } from './routingTypes.js'
 
 /** Requests that may wait at an engine, as a share of its slots, so that a freed slot finds work. */
-const ENGINE_QUEUE_SHARE = 1 / 16
+export const ENGINE_QUEUE_SHARE = 1 / 16
 
 /** The same for a request whose prompt is believed to be cached there: the wait costs less than the prompt. */
 const CACHED_QUEUE_SHARE = 1 / 4
 
-/** Own requests at one runner: this part of its slots always, else this many times the own mean. */
-const OWN_LEAST_SHARE = 1 / 4
-const OWN_SPREAD = 1.5
+/** Times its even part of the window that one runner may get of this VM's requests. */
+const OWN_SPREAD = 1.25
 
 /** A request as runners are judged for it. */
 export interface Demand {
@@ -29,8 +28,8 @@
   readonly remainingMs: number
   /** Requests of others for each slot, where no report says better. */
   readonly prior: number
-  /** Own requests for each slot, over all runners that may be used. */
-  readonly ownPerSlot: number
+  /** Own requests that one slot may get, from the window of this VM; 0 when the window is full. */
+  readonly windowPerSlot: number
 }
 
 /** One runner judged for one request. */
@@ -98,7 +97,7 @@
     const cachedShare = demand.cached.get(this.view.runner) ?? 0
     const uncachedTokens = demand.promptTokens * (1 - cachedShare)
     const queueShare = ENGINE_QUEUE_SHARE + (CACHED_QUEUE_SHARE - ENGINE_QUEUE_SHARE) * cachedShare
-    const hasRoom = load + 1 <= slots * (1 + queueShare) && this.load.count < this.ownLimit(slots, demand)
+    const hasRoom = this.load.known(demand.mono) + 1 <= slots * (1 + queueShare) && this.load.count < this.ownLimit(slots, demand)
     const work = { uncachedTokens, load, slots }
     const fits = hasRoom && this.fits(work, demand, fleet)
     const costMs = fits ? this.costMs(work, demand, fleet) : Infinity
@@ -118,7 +117,7 @@
   }
 
   private fits (work: Omit<Work, 'answerTokens'>, demand: Demand, fleet: LatencyModel): boolean {
-    if (!fleet.trusted) return demand.remainingMs > 0
+    if (!fleet.isTrusted(demand.mono)) return demand.remainingMs > 0
     const cautious = predict(this.latency, fleet, { ...work, answerTokens: demand.boundTokens }, true)
     return cautious.totalMs <= demand.remainingMs
   }
@@ -132,7 +131,7 @@
 
   /** All VMs see a free slot late and at once; a bound on the own part keeps each from filling it alone. */
   private ownLimit (slots: number, demand: Demand): number {
-    return slots * Math.max(OWN_LEAST_SHARE, OWN_SPREAD * demand.ownPerSlot)
+    return demand.windowPerSlot === 0 ? 0 : Math.max(1, slots * OWN_SPREAD * demand.windowPerSlot)
   }
 
   /** Slots that may be used now; fewer while the runner comes back from an ejection. */
