Bill a keyed request once after a reset submit; answer callers while a stop begins

Cause: two faults found by the soak. A submit that was reset (outcome unknown) did not count its runner as unsealed, so another VM's run there was billed beside the retry's. A VM that began to drain with nothing open closed at once, and a request on its way lost its connection unanswered. Ruled out: retrying at the same runner only (it may be gone for hours); a longer drain (the connection was refused service, not time). Change: a runner that could not be reached counts as unsealed whatever the outcome; another holder's run there means no bill, an own one is told by the ids billed lately. A stopping VM lingers (drainLingerMs, 1 s), refuses as draining, and asks for the connection to be closed.

--- a/packages/callers/src/api/callerServer.spec.ts
+++ b/packages/callers/src/api/callerServer.spec.ts
@@ -413,6 +413,18 @@
       })
     }
 
+    it('answers what comes while it lingers, and asks the caller to leave', async () => {
+      const { raw, server } = await rig()
+      const socket = raw()
+      let text = ''
+      socket.setEncoding('utf8').on('data', (data: string) => { text += data })
+      const ended = once(socket, 'close')
+      server.linger()
+      socket.write(post('/v1/chat/completions', JSON.stringify(okBody)))
+      await ended
+      expect(text).to.match(/^HTTP\/1.1 200 [^]*Connection: close/)
+    })
+
     it('finishes the open stream on close, takes no new connection and ends the kept one', async () => {
       let end = (): void => undefined
       const held = new Promise<void>((resolve) => { end = resolve })
--- a/packages/callers/src/api/callerServer.ts
+++ b/packages/callers/src/api/callerServer.ts
@@ -55,6 +55,11 @@
     return this.http.listen(address)
   }
 
+  /** Goes on answering, and asks callers with each answer to use another address. */
+  linger (): void {
+    this.http.linger()
+  }
+
   /** Stops accepting connections; resolves when all open requests are answered. */
   close (): Promise<void> {
     return this.http.close()
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -33,6 +33,7 @@
   private readonly app: restify.Server
   private readonly open = new Set<HttpExchange>()
   private readonly sockets = new Set<Socket>()
+  private lingering = false
   private closing = false
 
   /** @param deps - log and limits */
@@ -85,6 +86,14 @@
     })
   }
 
+  /**
+   * Goes on serving, and asks clients with each answer to close their connection and use another
+   * server: a request that is on its way when a stop begins still gets an answer.
+   */
+  linger (): void {
+    this.lingering = true
+  }
+
   /**
    * Stops accepting connections; resolves when all open requests are answered. A connection on
    * which no request has come is closed after the time for headers; Node would wait for it.
@@ -125,7 +134,7 @@
   private exchangeOf (req: IncomingMessage, res: ServerResponse): HttpExchange {
     const exchange = new HttpExchange(req, res, this.deps.limits)
     this.open.add(exchange)
-    if (this.closing) res.setHeader('Connection', 'close')
+    if (this.closing || this.lingering) res.setHeader('Connection', 'close')
     res.once('close', () => {
       this.open.delete(exchange)
       if (this.closing) setImmediate(() => this.node.closeIdleConnections())
--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -23,6 +23,8 @@
   unreachableFrom?: readonly string[] | 'all'
   /** Streams that break after a number of pieces. */
   cuts?: number[]
+  /** The next submit is lost on its way: no run begins, and the VM cannot tell. */
+  resetSubmit?: boolean
   /** The answer of the next submit is lost after the run began. */
   loseSubmit?: boolean
   /** Piece number that the next stream replaces by another request's piece. */
@@ -84,6 +86,10 @@
     return await this.reach(address, async () => {
       const runs = this.engines.at(address)
       const known = runs.get(req.requestId)
+      if (this.engines.script(address).resetSubmit === true) {
+        this.engines.scripts.set(address, { unreachableFrom: [this.vm] })
+        return Left(new Failure('runnerUnreachable', 'reset', { ran: 'unknown' }))
+      }
       if (known?.state === 'sealed') return Left(new Failure('runnerRefused', 'sealed'))
       if (known !== undefined && known.req.digest !== req.digest) return Left(new Failure('keyReused', 'another body'))
       const run = known ?? { req, state: 'running' as const }
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -12,7 +12,7 @@
 
 const COST = 5 + PIECES
 
-function fleet (Client: typeof FakeEngineClient = FakeEngineClient): { engines: FakeEngines, budgets: FakeBudgets, a: FakeVm, b: FakeVm } {
+function fleetOf (Client: typeof FakeEngineClient = FakeEngineClient): { engines: FakeEngines, budgets: FakeBudgets, a: FakeVm, b: FakeVm } {
   const engines = new FakeEngines()
   const budgets = new FakeBudgets()
   const a = new FakeVm('a', new Client(engines, 'a'), budgets)
@@ -60,7 +60,7 @@
 describe('one completion', () => {
   for (const { name, scripts, refused, bills, began } of oneAsk) {
     it(`under ${name}`, async () => {
-      const { engines, budgets, a } = fleet()
+      const { engines, budgets, a } = fleetOf()
       Object.entries(scripts).forEach(([address, script]) => engines.scripts.set(address, script))
       const seen = await a.ask()
       if (refused === undefined) expectWhole(seen)
@@ -80,7 +80,7 @@
   ]
   for (const { name, arrange, code } of refusals) {
     it(`is refused by ${name} with nothing dispatched`, async () => {
-      const { engines, budgets, a } = fleet()
+      const { engines, budgets, a } = fleetOf()
       arrange(a)
       expectRefused(await a.ask(), code, 'no')
       expect(engines.began()).to.deep.equal([])
@@ -89,7 +89,7 @@
   }
 
   it('is cancelled and billed for what was generated when its caller leaves', async () => {
-    const { engines, budgets, a } = fleet()
+    const { engines, budgets, a } = fleetOf()
     const caller = new AbortController()
     engines.scripts.set('r1', { hold: new Promise(resolve => setImmediate(resolve)) })
     await a.ask({ gone: caller.signal, onPiece: () => { caller.abort() } })
@@ -98,7 +98,7 @@
   })
 
   it('ends at its deadline with a final answer', async () => {
-    const { engines, a } = fleet()
+    const { engines, a } = fleetOf()
     engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 40)) })
     expectRefused(await a.ask({ timeoutMs: 10 }), 'deadlineExceeded', 'yes')
     expect(engines.began()).to.deep.equal(['r1:cancelled'])
@@ -117,7 +117,7 @@
   ]
   for (const { name, at, believedDown } of repeats) {
     it(`is answered whole again, run and billed once, at ${name}`, async () => {
-      const both = fleet()
+      const both = fleetOf()
       expectWhole(await both.a.ask({ key: 'k' }))
       both[at].routing.believedDown = believedDown
       const again = await both[at].ask({ key: 'k' })
@@ -134,7 +134,7 @@
   ]
   for (const { name, scripts, ran } of refusals) {
     it(`that never ran is refused with ran ${ran} when ${name}`, async () => {
-      const { engines, a } = fleet()
+      const { engines, a } = fleetOf()
       Object.entries(scripts).forEach(([address, script]) => engines.scripts.set(address, script))
       a.routing.believedDown = ['r1', 'r2', 'r3']
       expectRefused(await a.ask({ key: 'k' }), 'noRunner', ran)
@@ -149,7 +149,7 @@
   ]
   for (const { name, vms } of races) {
     it(`sent at the same time ${name} runs and is billed once`, async () => {
-      const both = fleet()
+      const both = fleetOf()
       both.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
       const all = await Promise.all(vms.map(async vm => await both[vm].ask({ key: 'k' })))
       all.forEach(seen => { expect(seen.text).to.equal(wholeText(id)) })
@@ -166,7 +166,7 @@
   ]
   for (const { name, at, parallel } of otherBodies) {
     it(`with another body ${name} is an error and nothing is run`, async () => {
-      const both = fleet()
+      const both = fleetOf()
       both.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
       const first = both.a.ask({ key: 'k' })
       if (!parallel) await first
@@ -177,7 +177,7 @@
   }
 
   it('goes on when its caller leaves, and the repeat is answered whole with one bill', async () => {
-    const { engines, budgets, a, b } = fleet()
+    const { engines, budgets, a, b } = fleetOf()
     const caller = new AbortController()
     await a.ask({ key: 'k', gone: caller.signal, onPiece: () => { caller.abort() } })
     expectWhole(await b.ask({ key: 'k' }))
@@ -191,7 +191,7 @@
   ]
   for (const { name, first } of cutOff) {
     it(`is billed once though its first runner cannot be sealed, ${name}`, async () => {
-      const { engines, budgets, a, b } = fleet()
+      const { engines, budgets, a, b } = fleetOf()
       if (first) expectWhole(await a.ask({ key: 'k' }))
       engines.scripts.set('r1', { unreachableFrom: ['b'] })
       expectWhole(await b.ask({ key: 'k' }))
@@ -205,6 +205,38 @@
   }
 })
 
+describe('a keyed completion whose runners come back', () => {
+  const twice: ReadonlyArray<{ readonly name: string, readonly run: (fleet: ReturnType<typeof fleetOf>) => Promise<void> }> = [
+    {
+      name: 'after its first submit was reset and another VM ran it there',
+      run: async ({ engines, a, b }) => {
+        engines.scripts.set('r1', { resetSubmit: true })
+        expectWhole(await a.ask({ key: 'k' }))
+        expectWhole(await b.ask({ key: 'k' }))
+      }
+    },
+    {
+      name: 'after the same VM ran it twice',
+      run: async ({ engines, a }) => {
+        expectWhole(await a.ask({ key: 'k' }))
+        engines.scripts.set('r1', { unreachableFrom: ['a'] })
+        expectWhole(await a.ask({ key: 'k' }))
+      }
+    }
+  ]
+  for (const { name, run } of twice) {
+    it(`is billed once ${name}`, async () => {
+      const both = fleetOf()
+      await run(both)
+      both.engines.scripts.clear()
+      await both.a.unsettled.retryAll()
+      await both.b.unsettled.retryAll()
+      expect(both.budgets.bills).to.have.length(1)
+      expect(both.budgets.open).to.equal(0)
+    })
+  }
+})
+
 /** Seals nothing and says that it did. */
 class UnsealedClient extends FakeEngineClient {
   override async seal (): Promise<Either<Failure, Maybe<RunRecord>>> {
@@ -221,7 +253,7 @@
 
 describe('weaker parts break the promises', () => {
   it('without seals a repeat runs twice and is billed twice', async () => {
-    const { engines, budgets, a, b } = fleet(UnsealedClient)
+    const { engines, budgets, a, b } = fleetOf(UnsealedClient)
     await a.ask({ key: 'k' })
     b.routing.believedDown = ['r1']
     await b.ask({ key: 'k' })
@@ -230,7 +262,7 @@
   })
 
   it('without the holder of a run two VMs bill one run', async () => {
-    const { engines, budgets, a, b } = fleet(AnonymousClient)
+    const { engines, budgets, a, b } = fleetOf(AnonymousClient)
     engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 10)) })
     await Promise.all([a.ask({ key: 'k' }), b.ask({ key: 'k' })])
     expect(engines.began()).to.have.length(1)
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -121,7 +121,7 @@
       if (outcome.kind === 'whole') return Right(undefined)
       last = outcome.failure
       tried.exclude.push(plan.at.runner)
-      if (open.admitted.keyed && outcome.kind === 'notStarted' && last.code === 'runnerUnreachable') tried.unsealed.push(plan.at)
+      if (open.admitted.keyed && last.code === 'runnerUnreachable') tried.unsealed.push(plan.at)
       if (!this.repeatable(open, outcome)) break
       const delayMs = this.deps.routing.retryDelay(open.admitted, attempts.length).extractNullable()
       if (delayMs === null) break
--- a/packages/rosemaryspread/src/completion/completionUnsettled.ts
+++ b/packages/rosemaryspread/src/completion/completionUnsettled.ts
@@ -10,6 +10,7 @@
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
 import type { AdmittedCompletion } from './completionAdmission.js'
 import { billOf, freeBill } from './completionBill.js'
+import { BilledRequests } from './completionBilled.js'
 
 /** A runner as far as settlement needs it. */
 export interface RunnerAddress {
@@ -44,6 +45,7 @@
 /** Keeps unsettled runs and settles them as the runners answer. */
 export class UnsettledRuns {
   private readonly runs = new Map<string, UnsettledRun>()
+  private readonly billed = new BilledRequests()
 
   constructor (
     private readonly client: EngineClient,
@@ -73,7 +75,9 @@
   private async trySettle (run: UnsettledRun): Promise<void> {
     const settlement = await this.settlementOf(run)
     if (settlement.kind === 'later' || !this.runs.delete(run.reservation.reservationId)) return
-    this.budgets.settle(run.reservation, settlement.bill)
+    const { bill } = settlement
+    if (bill !== undefined && this.billed.isFirst(bill.requestId)) this.budgets.settle(run.reservation, bill)
+    else this.budgets.settle(run.reservation)
   }
 
   private async settlementOf (run: UnsettledRun): Promise<Settlement> {
@@ -83,14 +87,17 @@
     return await this.askRunner(run)
   }
 
-  /** Undefined when every earlier runner is sealed or no longer declared. */
+  /**
+   * Undefined when every earlier runner is sealed, no longer declared, or ran the request for this
+   * holder, whose own record of bills decides then.
+   */
   private async sealEarlier (run: UnsettledRun): Promise<Settlement | undefined> {
     for (const { runner, address } of run.unsealed) {
       if (!this.isDeclared(runner)) continue
       const sealed = await this.client.seal(address, run.admitted.requestId)
       if (sealed.isLeft()) return LATER
       const record = (sealed.extract() as Maybe<RunRecord>).extractNullable()
-      if (record !== null && record.state !== 'sealed') return NO_BILL
+      if (record !== null && record.state !== 'sealed' && record.holder !== this.holder) return NO_BILL
     }
     return undefined
   }
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -1,6 +1,7 @@
 /**
  * One running VM: starts its parts in order, keeps their timers, and drains it gracefully.
  */
+import { setTimeout as pause } from 'node:timers/promises'
 import type { Container } from 'inversify'
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
@@ -56,10 +57,11 @@
   /** Takes no new work, finishes what is open, and hands everything back. Resolves to false when the time ran out. */
   async drain (): Promise<boolean> {
     const work = this.container.get(ids.work)
-    const { drainTimeoutMs } = this.container.get(ids.settings)
+    const { drainTimeoutMs, drainLingerMs } = this.container.get(ids.settings)
     work.draining = true
     this.log.write('draining', { open: work.openCount() })
-    await this.container.get(ids.members).announceLeaving()
+    this.container.get(ids.callerServer).linger()
+    await Promise.all([this.container.get(ids.members).announceLeaving(), pause(drainLingerMs)])
     const released = this.within(this.container.get(ids.placementLease).release(), drainTimeoutMs)
     const idle = await work.idle(drainTimeoutMs)
     await this.container.get(ids.callerServer).close()
--- a/packages/rosemaryspread/src/settings/settingsSchema.ts
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -41,6 +41,8 @@
     reserveTimeoutMs: milliseconds.max(60_000).default(3_000)
   }).prefault({}),
   config: z.strictObject({ pollMs: milliseconds.max(10_000).default(1_000) }).prefault({}),
+  /** How long a stopping VM goes on answering callers who do not know yet, with refusals. */
+  drainLingerMs: milliseconds.max(60_000).default(1_000),
   drainTimeoutMs: milliseconds.max(3_600_000).default(120_000),
   maxBodyBytes: z.number().int().positive().max(64 * 1024 * 1024).default(4 * 1024 * 1024),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
