--- a/packages/decisions/src/routing/fairQueue.ts
+++ b/packages/decisions/src/routing/fairQueue.ts
@@ -18,7 +18,7 @@
 /** Part of an item's slack that it may be predicted to wait; the rest covers errors of the prediction. */
 const WAIT_SHARE = 0.9
 
-/** Tokens by which one level of priority may go ahead of other teams. */
+/** Virtual time, in tokens at weight 1, by which one level of priority may go ahead of other teams. */
 const HEAD_START = 4_000
 
 /** Shortest time to come back, in milliseconds. */
@@ -223,7 +223,7 @@
 
 /** Virtual time by which an item goes before its team's turn. */
 function headStart<T> (item: QueueItem<T>): number {
-  return item.priority * HEAD_START / item.weight
+  return item.priority * HEAD_START
 }
 
 /** How many items of a team start before a tag. */
--- a/packages/decisions/src/routing/fleetView.ts
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -161,7 +161,7 @@
   }
 
   private loadReported (state: RunnerState, event: EventOf<'loadReported'>, mono: number): void {
-    const at = mono - event.reportAgeMs
+    const at = mono - Math.max(0, event.reportAgeMs)
     const others = state.load.reported(event.running + event.waiting, at)
     if (others === undefined) return
     this.othersPerSlot.add(others / state.view.slots)
--- a/packages/decisions/src/routing/runnerRouter.ts
+++ b/packages/decisions/src/routing/runnerRouter.ts
@@ -167,11 +167,13 @@
   }
 }
 
-/** Two at random and those believed to hold part of the prompt. */
+/** Two at random, in random order as ties go to the first, and those believed to hold part of the prompt. */
 function draw ({ usable, demand }: RouteCase, random: () => number): readonly RunnerState[] {
   const first = Math.floor(random() * usable.length)
   const second = (first + 1 + Math.floor(random() * (usable.length - 1))) % usable.length
-  return usable.filter((state, i) => i === first || i === second || demand.cached.has(state.view.runner))
+  const drawn = new Set([usable[first], usable[second]])
+  if (demand.cached.size > 0) for (const state of usable) if (demand.cached.has(state.view.runner)) drawn.add(state)
+  return [...drawn].filter(state => state !== undefined)
 }
 
 /** The quickest by prediction of those that will do. */
--- a/packages/stand-ins/src/measure/routingMeasure.ts
+++ b/packages/stand-ins/src/measure/routingMeasure.ts
@@ -17,7 +17,10 @@
 const PLATEAU_LOAD = 1.2
 
 const faults: readonly RoutingFault[] = ['none', 'stale reports', 'slow runner', 'dying runner', 'cache events lost', 'burst']
-const policies: readonly PolicyName[] = ['product', 'product keyed', 'round robin', 'random', 'least in flight']
+const policies: readonly PolicyName[] = ['product', 'round robin', 'random', 'least in flight']
+
+/** The fault with which the product is also run as if every request were keyed. */
+const KEYED_FAULT: RoutingFault = 'none'
 
 interface Run {
   readonly fault: RoutingFault
@@ -35,7 +38,8 @@
 }
 
 function runsOf (fault: RoutingFault, options: MeasureOptions): readonly Run[] {
-  return LOADS.flatMap(load => policies.map(policy => ({ fault, load, policy, statistics: simulate(policy, fault, load, options) })))
+  const compared: readonly PolicyName[] = fault === KEYED_FAULT ? [...policies, 'product keyed'] : policies
+  return LOADS.flatMap(load => compared.map(policy => ({ fault, load, policy, statistics: simulate(policy, fault, load, options) })))
 }
 
 function simulate (policy: PolicyName, fault: RoutingFault, load: number, options: MeasureOptions): RoutingStatistics {
