Test budgets fault by fault, each against a weaker way that fails

Cause: a fault test that cannot fail proves nothing. Change: a table of faults in which a deliberately weaker driver breaks a promise that the product keeps under the same steps; tables for rows, transactions and the ledger; bills wait up to 5 s for company, because engines keep the record of a run for two hours; the measurement runs in a few threads.

--- /dev/null
+++ b/packages/decisions/src/budget/budgetLedger.spec.ts
@@ -0,0 +1,152 @@
+/**
+ * The ledger of one holder, event by event.
+ */
+import { expect } from 'chai'
+import { BudgetLedger } from './budgetLedger.js'
+import { defaultBudgetPolicy, usableMs } from './budgetPolicy.js'
+import type { BudgetAction, BudgetEvent, DrawOutcome } from './budgetTypes.js'
+
+const policy = { ...defaultBudgetPolicy, flushMs: 100 }
+
+/** A ledger with its clocks. */
+class Bench {
+  readonly ledger = new BudgetLedger('vm1~a', policy)
+  mono = 0
+  wall = 0
+
+  send (event: BudgetEvent): readonly BudgetAction[] {
+    return this.ledger.handle(event, { mono: this.mono, wall: this.wall })
+  }
+
+  reserve (reservationId: string, tokens: number): readonly BudgetAction[] {
+    return this.send({ kind: 'reserve', reservationId, budget: 'b', tokens, giveUpAfterMs: 1000 })
+  }
+
+  answer (actions: readonly BudgetAction[], outcome: DrawOutcome): readonly BudgetAction[] {
+    const draw = actions.find(action => action.kind === 'draw')
+    return this.send({ kind: 'drawAnswered', drawId: draw?.drawId ?? '', outcome })
+  }
+
+  grant (actions: readonly BudgetAction[], tokens: number): readonly BudgetAction[] {
+    return this.answer(actions, { kind: 'granted', tokens, left: 0, sentAt: { mono: this.mono, wall: this.wall } })
+  }
+
+  settle (reservationId: string, tokens: number): readonly BudgetAction[] {
+    return this.send({ kind: 'settle', reservationId, bill: { requestId: reservationId, budget: 'b', team: 't', tokens, runner: 'r' } })
+  }
+
+  pass (ms: number): readonly BudgetAction[] {
+    this.mono += ms
+    this.wall += ms
+    return this.send({ kind: 'tick' })
+  }
+}
+
+function kinds (actions: readonly BudgetAction[]): readonly string[] {
+  return actions.map(action => action.kind === 'refuse' ? action.failure.code : action.kind)
+}
+
+describe('budget ledger', () => {
+  it('admits from what it holds without asking anyone', () => {
+    const bench = new Bench()
+    expect(kinds(bench.grant(bench.reserve('r1', 100), 10_000))).to.deep.equal(['admit'])
+    expect(kinds(bench.reserve('r2', 100))).to.deep.equal(['admit'])
+  })
+
+  const refusals: ReadonlyArray<{ title: string, outcome: DrawOutcome, code: string }> = [
+    { title: 'the budget is spent', outcome: { kind: 'short', left: 20, elsewhere: 50, sentAt: { mono: 0, wall: 0 } }, code: 'budgetSpent' },
+    { title: 'the budget is unknown', outcome: { kind: 'unknownBudget' }, code: 'budgetUnknown' }
+  ]
+  for (const { title, outcome, code } of refusals) {
+    it(`refuses at once when ${title}`, () => {
+      const bench = new Bench()
+      expect(kinds(bench.answer(bench.reserve('r1', 100), outcome))).to.include(code)
+    })
+  }
+
+  it('asks the domain, then everyone, and draws again before it gives up', () => {
+    const bench = new Bench()
+    const short: DrawOutcome = { kind: 'short', left: 0, elsewhere: 500, sentAt: { mono: 0, wall: 0 } }
+    const asked = bench.answer(bench.reserve('r1', 100), short)
+    expect(kinds(asked)).to.deep.equal(['askGive'])
+    const give = asked.find(action => action.kind === 'askGive')
+    const recalled = bench.send({ kind: 'giveAnswered', transferId: give?.transferId ?? '' })
+    expect(kinds(recalled)).to.deep.equal(['recall'])
+    const recall = recalled.find(action => action.kind === 'recall')
+    const redraw = bench.send({ kind: 'recallAnswered', recallId: recall?.recallId ?? '', returned: 0, unreachable: 500 })
+    expect(kinds(redraw)).to.deep.equal(['draw'])
+    bench.answer(redraw, short)
+    expect(kinds(bench.pass(1000))).to.include('budgetElsewhere')
+  })
+
+  const pauses: ReadonlyArray<{ title: string, mono: number, wall: number, admits: boolean }> = [
+    { title: 'shortly before the lapse', mono: usableMs(policy) - 1, wall: usableMs(policy) - 1, admits: true },
+    { title: 'past the lapse by the monotonic clock', mono: usableMs(policy), wall: 0, admits: false },
+    { title: 'past the lapse by the wall clock', mono: 0, wall: usableMs(policy), admits: false },
+    { title: 'with the wall clock set back', mono: 10, wall: -1e9, admits: true }
+  ]
+  for (const { title, mono, wall, admits } of pauses) {
+    it(`${admits ? 'admits' : 'does not admit'} ${title}`, () => {
+      const bench = new Bench()
+      bench.grant(bench.reserve('r1', 100), 100_000)
+      bench.mono += mono
+      bench.wall += wall
+      expect(kinds(bench.reserve('r2', 100)).includes('admit')).to.equal(admits)
+      expect(bench.ledger.isValid('r1', { mono: bench.mono, wall: bench.wall })).to.equal(admits)
+    })
+  }
+
+  it('sends a flush again unchanged until its outcome is known, and bills that came later in the next one', () => {
+    const bench = new Bench()
+    bench.grant(bench.reserve('r1', 100), 1000)
+    bench.reserve('r2', 100)
+    bench.settle('r1', 50)
+    const first = bench.pass(100).find(action => action.kind === 'flush')
+    bench.send({ kind: 'flushAnswered', seq: 1, outcome: { kind: 'unavailable' } })
+    bench.settle('r2', 60)
+    const again = bench.pass(policy.retryMs).find(action => action.kind === 'flush')
+    expect(again).to.deep.equal(first)
+    bench.send({ kind: 'flushAnswered', seq: 1, outcome: { kind: 'durable', sentAt: { mono: 0, wall: 0 } } })
+    const next = bench.pass(100).find(action => action.kind === 'flush')
+    expect(next).to.deep.include({ seq: 2, bills: [{ requestId: 'r2', budget: 'b', team: 't', tokens: 60, runner: 'r' }] })
+  })
+
+  it('gives a transfer once for each id, and only what the table knows as its own', () => {
+    const bench = new Bench()
+    bench.grant(bench.reserve('r1', 100), 1000)
+    const ask: BudgetEvent = { kind: 'giveAsked', transferId: 't1', budget: 'b', to: 'vm2~a', wanted: 300, atLeast: 300, sameDomain: true }
+    expect(bench.send(ask)).to.deep.equal(bench.send(ask))
+    expect(bench.ledger.view('b')).to.include({ held: 700 })
+    bench.send({ kind: 'giveAnswered', transferId: 't2', askedAt: { mono: 0, wall: 0 }, transfer: { transferId: 't2', budget: 'b', from: 'vm3~a', to: 'vm1~a', tokens: 500, validForMs: 1e6 } })
+    const [given] = bench.send({ ...ask, transferId: 't3', wanted: 5000, atLeast: 5000 })
+    expect(given).to.nested.include({ 'transfer.tokens': 600 })
+  })
+
+  it('stops spending a closed allotment and reports what is in doubt', () => {
+    const bench = new Bench()
+    bench.grant(bench.reserve('r1', 100), 1000)
+    bench.reserve('r2', 70)
+    bench.settle('r1', 50)
+    bench.pass(100)
+    const actions = bench.send({ kind: 'flushAnswered', seq: 1, outcome: { kind: 'closed', budgets: ['b'] } })
+    expect(actions[0]).to.deep.equal({ kind: 'closed', budget: 'b', inDoubt: 120 })
+    expect(bench.ledger.view('b')).to.include({ held: 0, reserved: 0, unsettled: 0 })
+    expect(bench.settle('r2', 10)).to.deep.equal([])
+  })
+
+  it('draining, refuses and returns all that is free', () => {
+    const bench = new Bench()
+    bench.grant(bench.reserve('r1', 100), 1000)
+    const flush = bench.send({ kind: 'drain' }).find(action => action.kind === 'flush')
+    expect(flush?.returns).to.deep.equal([{ budget: 'b', tokens: 900 }])
+    expect(kinds(bench.reserve('r2', 1))).to.deep.equal(['draining'])
+  })
+
+  it('renews an idle allotment well before it lapses', () => {
+    const bench = new Bench()
+    bench.settle('r1', 0)
+    bench.grant(bench.reserve('r1', 100), 1000)
+    bench.send({ kind: 'settle', reservationId: 'r1' })
+    expect(kinds(bench.pass(policy.lapseMs / 4 + 1))).to.include('flush')
+  })
+})
--- /dev/null
+++ b/packages/decisions/src/budget/budgetPlans.spec.ts
@@ -0,0 +1,88 @@
+/**
+ * Transactions of draws and top-ups when they are repeated or race.
+ */
+import { expect } from 'chai'
+import { Right, type Either } from 'purify-ts'
+import type { Failure } from '../codes/failure.js'
+import { budgetOf, drawKeys, planDraw, planTopUp, putBudget, topUpKeys, type DrawOrder } from './budgetPlans.js'
+import { applyTopUp } from './budgetRows.js'
+import { RowSet, type PlanKey, type PlanRow } from './rowSet.js'
+
+/** The least table: rows, versions, and transactions that check them. */
+class Rows {
+  private readonly rows = new Map<string, PlanRow>()
+  private version = 0
+
+  run<P extends { readonly kind: string }> (keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>): Either<Failure, P> {
+    const set = new RowSet(keys, keys.map(({ table, key }) => this.rows.get(`${table}/${key}`) ?? null))
+    return plan(set).ifRight(({ kind }) => {
+      this.version += 1
+      if (kind !== 'write') return
+      for (const { table, key, value } of set.writes()) this.rows.set(`${table}/${key}`, { table, key, value, version: this.version, updatedAt: 0 })
+    })
+  }
+
+  topUp (operationId: string, tokens: number): string {
+    const done = this.run(topUpKeys(operationId, 'b'), rows => planTopUp(rows, { operationId, budget: 'b', tokens, author: 'ana' }))
+    return done.caseOf({ Left: failure => failure.code, Right: plan => plan.kind })
+  }
+
+  draw (order: Partial<DrawOrder>, holder = 'vm1~a'): unknown {
+    const whole = { drawId: 'd1', budget: 'b', tokens: 600, atLeast: 0, ...order }
+    const drawer = { holder, domain: 'd', holders: 2, shareDivisor: 1 }
+    return this.run(drawKeys(holder, whole.budget), rows => planDraw(rows, whole, drawer)).extract()
+  }
+
+  get paid (): number | undefined {
+    let paid: number | undefined
+    this.run(topUpKeys('', 'b'), rows => {
+      paid = budgetOf(rows, 'b')?.paid
+      return Right({ kind: 'done' })
+    })
+    return paid
+  }
+
+  /** Counter-example: a top-up without an operation id. */
+  topUpBlindly (tokens: number): void {
+    this.run(topUpKeys('', 'b'), rows => applyTopUp(budgetOf(rows, 'b'), 'b', tokens).map(row => {
+      putBudget(rows, row)
+      return { kind: 'write' }
+    }))
+  }
+}
+
+describe('budget transactions', () => {
+  it('count a repeated top-up once, where a top-up without an id counts twice', () => {
+    const rows = new Rows()
+    expect([rows.topUp('a', 10), rows.topUp('a', 10), rows.topUp('a', 11)]).to.deep.equal(['write', 'done', 'topUpConflict'])
+    expect(rows.paid).to.equal(10)
+    const blind = new Rows()
+    blind.topUpBlindly(10)
+    blind.topUpBlindly(10)
+    expect(blind.paid).to.equal(20)
+  })
+
+  const draws: ReadonlyArray<{ title: string, order: Partial<DrawOrder>, holder?: string, expected: object }> = [
+    { title: 'grant a share of what is left ahead of need', order: {}, expected: { kind: 'write', tokens: 500, left: 500 } },
+    { title: 'grant what is needed now beyond the share', order: { atLeast: 700 }, expected: { kind: 'write', tokens: 700, left: 300 } },
+    { title: 'grant all that is left when that serves some', order: { atLeast: 1200, least: 900 }, expected: { kind: 'write', tokens: 1000, left: 0 } },
+    { title: 'grant nothing when it serves nobody', order: { atLeast: 1200 }, expected: { kind: 'short', left: 1000 } },
+    { title: 'grant no crumbs ahead of need', order: { tokens: 10_000 }, expected: { kind: 'short', left: 1000 } },
+    { title: 'know no other budget', order: { budget: 'x' }, expected: { kind: 'unknownBudget' } },
+    { title: 'notice that the row they counted on is gone', order: { expectsRow: true }, expected: { kind: 'closed' } }
+  ]
+  for (const { title, order, expected } of draws) {
+    it(`of draws ${title}`, () => {
+      const rows = new Rows()
+      rows.topUp('a', 1000)
+      expect(rows.draw(order)).to.deep.equal(expected)
+    })
+  }
+
+  it('count a repeated draw once', () => {
+    const rows = new Rows()
+    rows.topUp('a', 1000)
+    expect(rows.draw({ atLeast: 300, tokens: 300 })).to.include({ kind: 'write', tokens: 300 })
+    expect(rows.draw({ atLeast: 900, tokens: 900 })).to.include({ kind: 'done', tokens: 300, left: 700 })
+  })
+})
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -52,7 +52,7 @@
   lowWater: 0.9,
   excessFactor: 2,
   idleReturnMs: 6 * HOUR,
-  flushMs: 2 * SECOND,
+  flushMs: 5 * SECOND,
   retryMs: SECOND,
   retryMaxMs: 15 * SECOND,
   roundMs: 500,
--- a/packages/stand-ins/src/measure/budget/budgetBaselines.ts
+++ b/packages/stand-ins/src/measure/budget/budgetBaselines.ts
@@ -10,7 +10,7 @@
 import type { Spender, SpenderParts } from './budgetVm.js'
 
 /** Milliseconds between two reads or writes of totals. */
-const SYNC_MS = 1_000
+const SYNC_MS = 5_000
 
 function keyOf (budget: string): { readonly table: string, readonly key: string } {
   return { table: budgetTables.budgets, key: budget }
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetFaults.spec.ts
@@ -0,0 +1,143 @@
+/**
+ * Each fault with a weaker way to keep budgets that breaks a promise under it, to show that the
+ * test can fail; the product keeps all promises under the same steps.
+ */
+import { expect } from 'chai'
+import { Left, Right } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
+import type { GiveAnswer, GiveAsk } from 'rosemaryspread/budget/budgetPeers.js'
+import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import { ChaosRun, productDriver, type ChaosStep, type DriverFactory, type Tally } from './budgetChaos.js'
+import type { SpenderParts } from './budgetVm.js'
+
+/** Changes the parts from which the product is built. */
+function weaker (change: (parts: SpenderParts) => Partial<SpenderParts>): DriverFactory {
+  return (parts, policy, log) => productDriver({ ...parts, ...change(parts) }, policy, log)
+}
+
+/** A table seen without something that the product relies on. */
+function seen (store: TableStore, see: (row: Row) => Row | null): TableStore {
+  return {
+    scan: async req => await store.scan(req),
+    read: async keys => (await store.read(keys)).map(answer => ({ ...answer, rows: answer.rows.map(row => row === null ? null : see(row)) })),
+    transact: async tx => await store.transact({ ...tx, checks: tx.checks.filter(check => check.table !== budgetTables.segments) })
+  }
+}
+
+/** Forgets the draw that took effect. */
+const drawsAnew = weaker(parts => ({
+  store: seen(parts.store, row => row.table === budgetTables.allotments ? { ...row, value: { ...row.value as object, lastDraw: undefined } } : row)
+}))
+
+/** Forgets the flush that took effect. */
+const settlesAnew = weaker(parts => ({ store: seen(parts.store, row => row.table === budgetTables.segments ? null : row) }))
+
+/** Counts its lease on the monotonic clock alone, which some hypervisors stop. */
+const oneClock = weaker(parts => ({ clock: { now: () => ({ mono: parts.clock.now().mono, wall: 0 }) } }))
+
+/** Takes back all that a dead holder held without asking the runners. */
+const asksNoRunner = weaker(parts => ({ runners: { ...parts.runners, declared: () => [] } }))
+
+/** The product while no runner can be asked for two minutes. */
+const runnersSilent = weaker(({ runners, clock }) => ({
+  runners: {
+    ...runners,
+    engines: {
+      ...runners.engines,
+      listByHolder: async (address, holder) => clock.now().mono < 120_000
+        ? Left(new Failure('runnerUnreachable', 'no answer'))
+        : await runners.engines.listByHolder(address, holder)
+    }
+  }
+}))
+
+/** The same, but it takes a runner that cannot be asked for one without runs. */
+const trustsSilence = weaker(parts => ({
+  runners: { ...parts.runners, engines: { ...parts.runners.engines, listByHolder: async () => Right([]) } }
+}))
+
+/** Closes a dead holder without asking for transfers that are not recorded. */
+const asksNoPeer = weaker(({ peers }) => ({
+  peers: { members: () => peers.members(), give: async (holder, ask) => await peers.give(holder, ask), recall: async (holder, ask) => await peers.recall(holder, ask), confirmNoTransfers: async () => Right({ none: true }) }
+}))
+
+/** Answers an ask before it subtracts. */
+class GivesFirst extends BudgetDriver {
+  override onGive (ask: GiveAsk): GiveAnswer {
+    const { transferId, budget, to, atLeast: tokens } = ask
+    return { transfer: { transferId, budget, to, tokens, from: to === 'vm1~1' ? 'vm2~1' : 'vm1~1', validForMs: 40_000 } }
+  }
+}
+const givesFirst: DriverFactory = (parts, policy, log) => new GivesFirst({ ...parts, policy, log })
+
+const burst = (at: number, which: number, count: number, tokens: number): ChaosStep => ({ kind: 'burst', at, which, count, tokens })
+
+const cases: ReadonlyArray<{ title: string, steps: readonly ChaosStep[], strong?: DriverFactory, weak: DriverFactory, breaks: RegExp }> = [
+  {
+    title: 'answers of draws are lost',
+    steps: [{ kind: 'lose', at: 1, lasts: 60, which: 0 }, burst(2, 0, 8, 500), burst(12, 1, 8, 500), burst(30, 2, 8, 400)],
+    weak: drawsAnew,
+    breaks: /stranded/
+  },
+  {
+    title: 'answers of flushes are lost',
+    steps: [{ kind: 'lose', at: 8, lasts: 60, which: 0 }, burst(2, 0, 8, 500), burst(12, 1, 8, 500), burst(30, 2, 8, 400)],
+    weak: settlesAnew,
+    breaks: /billed|stranded/
+  },
+  {
+    title: 'a holder wakes past its lapse on a machine that stops the monotonic clock',
+    steps: [burst(2, 2, 4, 900), { kind: 'replace', at: 16, lasts: 90, which: 2, stopsMono: true }, burst(107, 2, 4, 100), burst(107, 3, 4, 100), burst(107, 4, 4, 100)],
+    weak: oneClock,
+    breaks: /not billed/
+  },
+  {
+    title: 'a holder dies with unbilled runs',
+    steps: [burst(2, 0, 8, 900), { kind: 'kill', at: 5, which: 0 }],
+    weak: asksNoRunner,
+    breaks: /not billed/
+  },
+  {
+    title: 'a holder dies and no runner answers for two minutes',
+    steps: [burst(2, 0, 8, 900), { kind: 'kill', at: 5, which: 0 }],
+    strong: runnersSilent,
+    weak: trustsSilence,
+    breaks: /not billed/
+  },
+  {
+    title: 'a giver dies while the receiver sleeps with the transfer unrecorded',
+    steps: [
+      burst(2, 0, 1, 2000), { kind: 'outage', at: 20, lasts: 12, which: 0 }, burst(21, 4, 1, 3), burst(22, 1, 4, 200), burst(21, 6, 8, 150),
+      burst(21, 2, 4, 150), burst(21, 0, 8, 150), { kind: 'kill', at: 30, which: 0 }, { kind: 'freeze', at: 31, lasts: 40, which: 1, stopsMono: false }
+    ],
+    weak: asksNoPeer,
+    breaks: /not billed/
+  },
+  {
+    title: 'transfers while the table is down',
+    steps: [burst(2, 0, 4, 900), { kind: 'outage', at: 20, lasts: 30, which: 0 }, burst(21, 0, 12, 300), burst(23, 4, 12, 300), burst(25, 0, 12, 300)],
+    weak: givesFirst,
+    breaks: /not billed/
+  }
+]
+
+describe('budget faults', () => {
+  for (const { title, steps, strong, weak, breaks } of cases) {
+    it(`${title}: the product keeps its promises, the weaker way does not`, async () => {
+      expect(await new ChaosRun(1, new Map(), strong).run(steps)).to.deep.equal([])
+      const mistakes = await new ChaosRun(1, new Map(), weak).run(steps)
+      expect(mistakes.join('; ')).to.match(breaks)
+    })
+  }
+
+  it('serves from tokens recalled from another domain, where a holder that asks nobody refuses', async () => {
+    const steps = [burst(2, 2, 4, 1900), burst(20, 0, 1, 3000)]
+    const alone = weaker(({ peers }) => ({ peers: { ...peers, members: () => [] } }))
+    const [withPeers, withoutPeers]: readonly Tally[] = [new Map(), new Map()]
+    await new ChaosRun(1, withPeers as Tally).run(steps)
+    await new ChaosRun(1, withoutPeers as Tally, alone).run(steps)
+    expect([withPeers?.get('admitted'), withoutPeers?.get('admitted')]).to.deep.equal([5, 4])
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetTrialThread.ts
@@ -0,0 +1,15 @@
+/**
+ * Thread that runs its part of the trials of a budget measurement.
+ */
+import { parentPort, workerData } from 'node:worker_threads'
+import type { TrialOrder, TrialResult } from './budgetMeasure.js'
+import { runTrial, trialsOf } from './budgetTrial.js'
+
+const { seed, first, step } = workerData as TrialOrder
+const trials = trialsOf(seed)
+const results: TrialResult[] = []
+for (let index = first; index < trials.length; index += step) {
+  const trial = trials[index]
+  if (trial !== undefined) results.push({ index, row: await runTrial(trial) })
+}
+parentPort?.postMessage(results)
