Let the driver tests name their own flush time

Cause: the default rose from 1 s to 5 s, and the tests looked after 3 s. Change: the bench of the tests sets flushMs; no assertion changed.

--- a/packages/stand-ins/src/budget/budgetDriver.spec.ts
+++ b/packages/stand-ins/src/budget/budgetDriver.spec.ts
@@ -5,12 +5,14 @@
 import { Right } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { LogEventName } from '@rosemaryspread/decisions/events/logEvents.js'
+import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
 import type { BudgetPeers } from 'rosemaryspread/budget/budgetPeers.js'
 import type { Reservation } from 'rosemaryspread/budget/budgetPort.js'
 import { MemoryTableStore } from '../table/memoryTableStore.js'
 
 const TICK_MS = 200
+const policy = { ...defaultBudgetPolicy, flushMs: 1000 }
 
 const noPeers: BudgetPeers = {
   members: () => [],
@@ -29,6 +31,7 @@
     domain: 'quito-centro',
     store: this.store,
     peers: noPeers,
+    policy,
     clock: { now: () => ({ mono: this.mono, wall: this.mono }) },
     log: { write: event => this.events.push(event) }
   })
