Measure slopes of what each role spends, up to the target

Cause: the users ask for a page with state, messages, processor time and memory of each role at the target, worked out from measured slopes.

Change: `npm run bench -- capacity` runs one probe after another, each in a fresh process, on the product's own classes or on a real VM process beside stand-ins; fits a line through three sizes or more and prints slope, error and the value at the target. The registry also names the measurements of placement and routing, whose files are in the tree.

Ruled out: one process for all probes, as the heap of one would show in the next; a full mesh of 360 processes, as counts in virtual time tell the same.

--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity/configProbe.ts
@@ -0,0 +1,192 @@
+/**
+ * Configuration: heap and load time by teams, what a change writes to the object store and what
+ * a new VM reads, by teams; traffic by VMs as `measure -- config-traffic` counts it.
+ */
+import type { ConfigDocument, PatchOperation } from '@rosemaryspread/decisions/config/configRows.js'
+import { firstConfig, holdDocument, preparePatch, type HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
+import { ConfigStore } from 'rosemaryspread/config/configStore.js'
+import { KeyDirectory } from 'rosemaryspread/directory/keyDirectory.js'
+import { MemoryObjects } from '../../config/memoryObjects.js'
+import { MemoryTableStore } from '../../table/memoryTableStore.js'
+import { TableState } from '../../table/tableState.js'
+import { measureTraffic } from '../config/trafficCounts.js'
+import { measureWire } from '../config/wireCost.js'
+import { CountingTable } from './countingTable.js'
+import { perVm, target } from './capacityTarget.js'
+import { pointOf, type CapacityProbe, type ProbePoint, type ProbeSeries } from './probeTypes.js'
+import { heapOf, medianOf, processorUs } from './processMeter.js'
+
+const TEAMS = [900, 2_700, 8_100]
+const RUNNERS = 600
+const BATCH = 200
+const CHANGES = 128
+const LOADS = 3
+const US_PER_MS = 1_000
+const log = { write: () => {} }
+const systemTimers = {
+  after: (ms: number, fn: () => void) => {
+    const timer = setTimeout(fn, ms)
+    return () => { clearTimeout(timer) }
+  }
+}
+
+const series = (role: string, quantity: string, unit: string): ProbeSeries => ({ role, driver: 'teams', quantity, unit, at: target.teams })
+
+function teamOf (index: number): object {
+  const hash = (part: number): string => (index * 2 + part).toString(16).padStart(64, '0')
+  return { displayName: `Team number ${index}`, budget: `budget-${index}`, models: [`model-${index % target.models}`], services: [], keyHashes: [hash(0), hash(1)] }
+}
+
+function add (path: string, value: object): PatchOperation {
+  return { op: 'add', path, value: value as never }
+}
+
+/** Patches that make a configuration of so many teams with the target's runners and models. */
+function patchesFor (teams: number): readonly (readonly PatchOperation[])[] {
+  const models = Array.from({ length: target.models }, (_, index) => add(`/models/model-${index}`, {}))
+  const runners = Array.from({ length: RUNNERS }, (_, index) => add(`/runners/runner-${index}`, {
+    address: `10.1.${index >> 8}.${index & 255}:8000`, domain: `domain-${index % 6}`, models: [`model-${index % target.models}`]
+  }))
+  const all = [models, ...chunks(runners)]
+  return [...all, ...chunks(Array.from({ length: teams }, (_, index) => add(`/teams/team-${index}`, teamOf(index))))]
+}
+
+function chunks<T> (items: readonly T[]): readonly (readonly T[])[] {
+  return Array.from({ length: Math.ceil(items.length / BATCH) }, (_, index) => items.slice(index * BATCH, (index + 1) * BATCH))
+}
+
+function textOf (teams: number): { readonly digest: string, readonly version: number, readonly text: string } {
+  let held: HeldConfig = firstConfig()
+  for (const patch of patchesFor(teams)) held = preparePatch(held, patch, 0).unsafeCoerce().next
+  return { digest: held.digest, version: held.version, text: JSON.stringify(held.document) }
+}
+
+async function heapPoints (teams: number): Promise<readonly ProbePoint[]> {
+  const { digest, version, text } = textOf(teams)
+  const load = (): HeldConfig => holdDocument({ version, digest, document: JSON.parse(text) as ConfigDocument }).unsafeCoerce()
+  const { kept, bytes } = heapOf(load)
+  const keys = heapOf(() => {
+    const directory = new KeyDirectory()
+    directory.replace(Object.entries(kept.config.teams).map(([team, { keyHashes }]) => [team, keyHashes]))
+    return directory
+  })
+  const times: number[] = []
+  for (let index = 0; index < LOADS; index++) times.push(await processorUs(() => { load() }))
+  return [
+    pointOf(series('entry VM', 'heap of the configuration in force', 'bytes'), teams, bytes),
+    pointOf(series('entry VM', 'heap of KeyDirectory', 'bytes'), teams, keys.bytes),
+    pointOf(series('entry VM', 'processor time to load the configuration at start', 'ms'), teams, medianOf(times) / US_PER_MS)
+  ]
+}
+
+/** Objects that count what is read and written. */
+class CountingObjects extends MemoryObjects {
+  gets = 0
+  puts = 0
+  bytes = 0
+
+  override async get (name: string): ReturnType<MemoryObjects['get']> {
+    this.gets++
+    const found = await super.get(name)
+    this.bytes += found.map(item => item.map(body => body.length).orDefault(0)).orDefault(0)
+    return found
+  }
+
+  override async put (name: string, body: Buffer): ReturnType<MemoryObjects['put']> {
+    this.puts++
+    this.bytes += body.length
+    return await super.put(name, body)
+  }
+}
+
+function storeOver (state: TableState, objects: MemoryObjects): { readonly store: ConfigStore, readonly table: CountingTable } {
+  const table = new CountingTable(new MemoryTableStore(state))
+  const clock = { now: () => ({ mono: performance.now(), wall: Date.now() }) }
+  return { table, store: new ConfigStore({ table, objects, clock, log, timers: systemTimers, random: () => 0.5 }) }
+}
+
+async function objectPoints (teams: number): Promise<readonly ProbePoint[]> {
+  const state = new TableState()
+  const objects = new CountingObjects()
+  const { store } = storeOver(state, objects)
+  await store.load()
+  const accept = async (patchId: string, patch: readonly PatchOperation[]): Promise<void> => {
+    const base = store.inForce?.version ?? 0
+    const answer = await store.patch({ base, patchId, author: 'bench', dryRun: false, patch: [...patch] })
+    answer.unsafeCoerce()
+  }
+  for (const [index, patch] of patchesFor(teams).entries()) await accept(`first-${index}`, patch)
+  await settle()
+  const before = { puts: objects.puts, bytes: objects.bytes }
+  for (let index = 0; index < CHANGES; index++) {
+    await accept(`change-${index}`, [{ op: 'replace', path: `/teams/team-${index % teams}/weight`, value: index + 2 }])
+    await settle()
+  }
+  const puts = (objects.puts - before.puts) / CHANGES
+  const bytes = (objects.bytes - before.bytes) / CHANGES
+  const fresh = new CountingObjects()
+  for (const [name, body] of objects.objects) fresh.objects.set(name, body)
+  const started = storeOver(state, fresh)
+  await started.store.load()
+  return [
+    pointOf(series('object store', 'objects written for each change', ''), teams, puts),
+    pointOf(series('object store', 'bytes read and written for each change', 'bytes'), teams, bytes),
+    pointOf(series('object store', 'objects read by a VM that starts', ''), teams, fresh.gets),
+    pointOf(series('object store', 'bytes read by a VM that starts', 'bytes'), teams, fresh.bytes),
+    pointOf(series('table service', 'rows read for the configuration by a VM that starts', ''), teams, started.table.counts.rowsRead)
+  ]
+}
+
+/** Lets objects be written that nobody waits for. */
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < 8; turn++) await new Promise(resolve => setImmediate(resolve))
+}
+
+/** Memory and load time by teams. */
+export const teamProbe: CapacityProbe = {
+  name: 'teams',
+  timed: true,
+  run: async () => {
+    await heapPoints(BATCH)
+    const points: ProbePoint[] = []
+    for (const teams of TEAMS) points.push(...await heapPoints(teams))
+    return points
+  }
+}
+
+/** The object store by teams. */
+export const objectProbe: CapacityProbe = {
+  name: 'objects',
+  timed: false,
+  run: async () => {
+    const points: ProbePoint[] = []
+    for (const teams of TEAMS) points.push(...await objectPoints(teams))
+    return points
+  }
+}
+
+/** Traffic of the configuration by VMs. */
+export const configTrafficProbe: CapacityProbe = {
+  name: 'config-traffic',
+  timed: true,
+  run: async seed => {
+    const rows = await measureTraffic(seed)
+    const [poll, push] = await measureWire()
+    const vm = (quantity: string, unit: string): ProbeSeries => ({ role: 'entry VM', driver: 'VMs', quantity, unit, at: target.vms })
+    const fleet = (quantity: string, unit: string): ProbeSeries => ({ role: 'table service', driver: 'VMs, whole fleet', quantity, unit, at: target.vms })
+    return rows.flatMap(row => {
+      const vms = Number(row.vms)
+      const polls = Number(row.idleTableCallsPerVmS)
+      const pushes = Number(row.changePeerMessagesPerVm) / 2 * perVm.changesPerSecond
+      const bytes = polls * Number(poll?.bytesBothWays) + pushes * Number(push?.bytesBothWays)
+      const us = (polls * Number(poll?.processorMsBothEnds) + pushes * Number(push?.processorMsBothEnds)) * US_PER_MS
+      return [
+        pointOf(vm('bytes of configuration polls and pushes', 'bytes/s'), vms, bytes),
+        pointOf(vm('processor time of polls and pushes, both ends', 'us/s'), vms, us),
+        pointOf(vm('time until a change is in force everywhere, largest', 'ms'), vms, Number(row.inForceMaxMs)),
+        pointOf(fleet('configuration reads when idle', '1/s'), vms, polls * vms),
+        pointOf(fleet('configuration reads for changes', '1/s'), vms, Number(row.changeTableCallsPerVm) * vms * perVm.changesPerSecond)
+      ]
+    })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity/ledgerProbe.ts
@@ -0,0 +1,184 @@
+/**
+ * Budgets of one VM: heap by budgets drawn on, time of a tick, and what they cost the table in a
+ * virtual hour, with idle budgets and with requests.
+ */
+import { setImmediate } from 'node:timers/promises'
+import seedrandom from 'seedrandom'
+import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
+import { TableState } from '../../table/tableState.js'
+import { MemoryTableStore } from '../../table/memoryTableStore.js'
+import { CountingTable } from './countingTable.js'
+import { perVm, target } from './capacityTarget.js'
+import { pointOf, type CapacityProbe, type ProbePoint, type ProbeSeries } from './probeTypes.js'
+import { heapOf, usPerCall } from './processMeter.js'
+
+const HEAP_SIZES = [2_000, 8_000, 32_000]
+const IDLE_SIZES = [200, 800, 3_200]
+/** Parts of the target's load of one VM, with as many parts of its budgets. */
+const REQUEST_PARTS = [1 / 4, 1 / 2, 1]
+const TICKS = 2_000
+const ROUNDS = 3
+const WORST_CASE = 1_024
+const BILLED = 224
+const PAID = 1_000_000_000
+const LEVEL_MS = 1_600_000
+const IDLE_MS = 3_000_000
+const REQUEST_MS = 4_000_000
+const REQUEST_TICK_MS = 500
+const SECOND_MS = 1_000
+/** 788 budgets for each request a second, as 8,100 teams that call every VM. */
+const REQUEST_DRIVER = 'requests/s, one VM, 788 budgets each'
+const log = { write: () => {} }
+
+const series = (quantity: string, unit: string): ProbeSeries => ({ role: 'entry VM', driver: 'budgets drawn on', quantity, unit, at: target.teams })
+const tableSeries = (driver: string, quantity: string, at: number): ProbeSeries => ({ role: 'table service', driver, quantity, unit: '1/s', at })
+
+/** A ledger that drew on so many budgets and billed one request of each. */
+function ledgerWith (budgets: number): { readonly ledger: BudgetLedger, readonly now: Instant } {
+  const ledger = new BudgetLedger('quito-centro-a~0123456789ab')
+  let mono = 0
+  const feed = (event: BudgetEvent): void => {
+    const now = { mono, wall: mono }
+    for (const action of ledger.handle(event, now)) answer(action, now, feed)
+  }
+  for (let index = 0; index < budgets; index++) {
+    mono += 1
+    const budget = `budget-${index}`
+    feed({ kind: 'reserve', reservationId: `r${index}`, budget, tokens: WORST_CASE })
+    feed({ kind: 'settle', reservationId: `r${index}`, bill: billOf(`req-${index}`, budget) })
+  }
+  mono += SECOND_MS * SECOND_MS
+  for (let index = 0; index < budgets; index++) feed({ kind: 'tick' })
+  return { ledger, now: { mono, wall: mono } }
+}
+
+function billOf (requestId: string, budget: string): { requestId: string, budget: string, team: string, tokens: number, runner: string } {
+  return { requestId, budget, team: budget, tokens: BILLED, runner: 'runner-1' }
+}
+
+function answer (action: BudgetAction, sentAt: Instant, feed: (event: BudgetEvent) => void): void {
+  if (action.kind === 'draw') feed({ kind: 'drawAnswered', drawId: action.drawId, outcome: { kind: 'granted', tokens: action.tokens, left: PAID, sentAt } })
+  if (action.kind === 'flush') feed({ kind: 'flushAnswered', seq: action.seq, outcome: { kind: 'durable', sentAt } })
+}
+
+/** Heap of a ledger and time of its tick. */
+export const ledgerProbe: CapacityProbe = {
+  name: 'ledger',
+  timed: true,
+  run: async () => {
+    const points: ProbePoint[] = []
+    for (const size of HEAP_SIZES) {
+      const { kept, bytes } = heapOf(() => ledgerWith(size))
+      points.push(pointOf(series('heap of BudgetLedger', 'bytes'), size, bytes))
+      const us = await usPerCall(TICKS, ROUNDS, () => kept.ledger.handle({ kind: 'tick' }, kept.now))
+      points.push(pointOf(series('processor time of 10 ticks a second', 'us/s'), size, us * 10))
+    }
+    return points
+  }
+}
+
+/** One VM's budgets over a table, in virtual time. */
+class LedgerRun {
+  readonly table: CountingTable
+  private mono = 0
+  private readonly driver: BudgetDriver
+  private requests = 0
+
+  constructor (budgets: number) {
+    const state = new TableState(() => this.mono)
+    for (let index = 0; index < budgets; index++) {
+      const value = { budget: `budget-${index}`, paid: PAID, spent: 0, allotted: 0 }
+      state.transact({ checks: [], writes: [{ table: budgetTables.budgets, key: value.budget, value }] })
+    }
+    this.table = new CountingTable(new MemoryTableStore(state))
+    this.driver = new BudgetDriver({
+      holder: 'quito-centro-a~0123456789ab',
+      domain: 'quito-centro',
+      store: this.table,
+      peers: { members: () => [], give: unused, recall: unused, confirmNoTransfers: unused },
+      clock: { now: () => ({ mono: this.mono, wall: this.mono }) },
+      log
+    })
+  }
+
+  /** Lets time pass. */
+  async run (ms: number, tickMs: number, work: () => Promise<void> = async () => {}): Promise<void> {
+    for (const end = this.mono + ms; this.mono < end;) {
+      this.mono += tickMs
+      await work()
+      this.driver.tick()
+      await setImmediate()
+    }
+  }
+
+  /** Reserves and settles one request. */
+  async request (budget: number): Promise<void> {
+    this.requests += 1
+    const name = `budget-${budget}`
+    const reserved = await this.driver.reserve(name, WORST_CASE, SECOND_MS)
+    this.driver.settle(reserved.unsafeCoerce(), billOf(`req-${this.requests}`, name))
+  }
+
+  /** Requests of a rate, each for one of some budgets. */
+  async load (ratePerS: number, budgets: number, random: () => number): Promise<void> {
+    let due = 0
+    await this.run(REQUEST_MS, REQUEST_TICK_MS, async () => {
+      for (due += ratePerS * REQUEST_TICK_MS / SECOND_MS; due >= 1; due -= 1) await this.request(Math.floor(random() * budgets))
+    })
+  }
+}
+
+async function unused (): Promise<never> {
+  throw new Error('there are no other VMs')
+}
+
+async function idlePoints (size: number): Promise<readonly ProbePoint[]> {
+  const run = new LedgerRun(size)
+  let next = 0
+  const perTick = Math.ceil(size * SECOND_MS / LEVEL_MS)
+  await run.run(LEVEL_MS, SECOND_MS, async () => {
+    for (let count = 0; count < perTick && next < size; count++) await run.request(next++)
+  })
+  run.table.reset()
+  await run.run(IDLE_MS, SECOND_MS)
+  return tablePoints(run, 'budgets held idle, one VM', size, target.teams, IDLE_MS)
+}
+
+async function requestPoints (part: number, seed: string): Promise<readonly ProbePoint[]> {
+  const random = seedrandom(seed)
+  const rate = perVm.requestsPerSecond * part
+  const budgets = Math.round(target.teams * part)
+  const run = new LedgerRun(budgets)
+  await run.load(rate, budgets, random)
+  run.table.reset()
+  await run.load(rate, budgets, random)
+  const bytes = { role: 'entry VM', driver: REQUEST_DRIVER, quantity: 'bytes of budget calls, JSON texts', unit: 'bytes/s', at: perVm.requestsPerSecond }
+  const perSecond = run.table.counts.bytes * SECOND_MS / REQUEST_MS
+  return [...tablePoints(run, REQUEST_DRIVER, rate, perVm.requestsPerSecond, REQUEST_MS), pointOf(bytes, rate, perSecond)]
+}
+
+function tablePoints (run: LedgerRun, driver: string, size: number, at: number, ms: number): readonly ProbePoint[] {
+  const { reads, writes, rowsWritten } = run.table.counts
+  const perSecond = (count: number): number => count * SECOND_MS / ms
+  return [
+    pointOf(tableSeries(driver, 'budget reads', at), size, perSecond(reads)),
+    pointOf(tableSeries(driver, 'budget transactions', at), size, perSecond(writes)),
+    pointOf(tableSeries(driver, 'budget rows written', at), size, perSecond(rowsWritten))
+  ]
+}
+
+/** What budgets cost the table. */
+export const budgetTableProbe: CapacityProbe = {
+  name: 'budget-table',
+  timed: false,
+  run: async seed => {
+    const points: ProbePoint[] = []
+    for (const size of IDLE_SIZES) points.push(...await idlePoints(size))
+    for (const part of REQUEST_PARTS) points.push(...await requestPoints(part, seed))
+    return points
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity/processMeter.ts
@@ -0,0 +1,104 @@
+/**
+ * Memory and processor time of this process and of others that this one started.
+ */
+import { readFile } from 'node:fs/promises'
+
+const TICK_MS = 10
+const PAGE_BYTES = 4_096
+const UTIME_FIELD = 11
+const STIME_FIELD = 12
+const BYTES_PER_MB = 1024 * 1024
+const US_PER_MS = 1_000
+
+/** Bytes of the heap after everything unused was freed; needs `--expose-gc`. */
+export function settledHeap (): number {
+  for (let pass = 0; pass < 4; pass++) globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
+
+/**
+ * Heap bytes that something keeps.
+ * @param build - makes it
+ */
+export function heapOf<T> (build: () => T): { readonly kept: T, readonly bytes: number } {
+  const before = settledHeap()
+  const kept = build()
+  return { kept, bytes: settledHeap() - before }
+}
+
+/**
+ * Middle one of several values.
+ * @param values - at least one
+ */
+export function medianOf (values: readonly number[]): number {
+  const sorted = [...values].sort((one, other) => one - other)
+  return sorted[Math.floor(sorted.length / 2)] ?? NaN
+}
+
+/**
+ * Processor microseconds that this process spends on some work.
+ * @param work - the work
+ */
+export async function processorUs (work: () => Promise<void> | void): Promise<number> {
+  const before = process.cpuUsage()
+  await work()
+  const used = process.cpuUsage(before)
+  return used.user + used.system
+}
+
+/** Another process, by its id. */
+export class OtherProcess {
+  constructor (readonly pid: number) {}
+
+  /** Processor milliseconds of all its threads, in user and system mode. */
+  async processorMs (): Promise<number> {
+    const stat = await readFile(`/proc/${this.pid}/stat`, 'utf8')
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+    return (Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD])) * TICK_MS
+  }
+
+  async residentMb (): Promise<number> {
+    const [, resident = '0'] = (await readFile(`/proc/${this.pid}/statm`, 'utf8')).split(' ')
+    return Number(resident) * PAGE_BYTES / BYTES_PER_MB
+  }
+}
+
+/**
+ * The child of this process whose command line has a text.
+ * @param text - part of the command line
+ */
+export async function childWith (text: string): Promise<OtherProcess> {
+  const children = await readFile(`/proc/${process.pid}/task/${process.pid}/children`, 'utf8')
+  for (const pid of children.trim().split(' ')) {
+    const command = await readFile(`/proc/${pid}/cmdline`, 'utf8').catch(() => '')
+    if (command.includes(text)) return new OtherProcess(Number(pid))
+  }
+  throw new Error(`no child process has '${text}' in its command line`)
+}
+
+/**
+ * Microseconds for one of many calls in this process, median of several rounds.
+ * @param calls - calls in a round
+ * @param rounds - rounds counted, after one that is not
+ * @param work - one call
+ */
+export async function usPerCall (calls: number, rounds: number, work: (index: number) => Promise<unknown> | unknown): Promise<number> {
+  const all: number[] = []
+  for (let round = 0; round <= rounds; round++) {
+    const us = await processorUs(async () => {
+      for (let index = 0; index < calls; index++) await work(index)
+    })
+    if (round > 0) all.push(us / calls)
+  }
+  return medianOf(all)
+}
+
+/**
+ * Resolves later.
+ * @param ms - milliseconds
+ */
+export async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+export { US_PER_MS }
--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity/routerProbe.ts
@@ -0,0 +1,98 @@
+/**
+ * Routing and placement by runners: heap, runners watched, time of a decision, time of a round
+ * of placement.
+ */
+import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { RouteRequest, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import { PlacementPlanner } from '@rosemaryspread/decisions/placement/placementPlanner.js'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import { target } from './capacityTarget.js'
+import { pointOf, type CapacityProbe, type ProbePoint, type ProbeSeries } from './probeTypes.js'
+import { heapOf, usPerCall } from './processMeter.js'
+
+const SIZES = [60, 180, 600]
+const DOMAINS = 6
+const SLOTS = 16
+const CALLS = 2_000
+const ROUNDS = 5
+const PLACEMENT_CALLS = 20
+const SECOND_MS = 1_000
+const now = { mono: 1_000_000, wall: 1_000_000 }
+
+const series = (role: string, quantity: string, unit: string): ProbeSeries => ({ role, driver: 'runners', quantity, unit, at: target.runners })
+
+function viewsOf (runners: number, model: number, models: number): readonly RunnerView[] {
+  const own = Array.from({ length: runners }, (_, index) => index).filter(index => index % models === model)
+  return own.map(index => ({ runner: `runner-${index}`, address: `10.1.${index >> 8}.${index & 255}:8000`, domain: `domain-${index % DOMAINS}`, slots: SLOTS, leaving: false, addedAt: 0 }))
+}
+
+function routerWith (runners: number, models: number): RunnerRouter {
+  const router = new RunnerRouter('domain-0-a', 'domain-0')
+  for (let model = 0; model < models; model++) {
+    const views = viewsOf(runners, model, models)
+    router.observe({ kind: 'configured', model: `model-${model}`, runners: views }, now)
+    for (const { runner } of views) router.observe({ kind: 'loadReported', runner, running: 4, waiting: 0, reportAgeMs: 100, leaving: false }, now)
+  }
+  return router
+}
+
+function requestOf (index: number, keyed: boolean): RouteRequest {
+  const requestId = `request-${index}`
+  return { requestId, team: 'team-1', model: 'model-0', keyed, promptTokens: 200, maxTokens: 400, prefixHashes: ['a'.repeat(16)], deadline: { mono: now.mono + 60_000, wall: now.wall + 60_000 }, exclude: [] }
+}
+
+async function routingPoints (runners: number): Promise<readonly ProbePoint[]> {
+  const { kept: router, bytes } = heapOf(() => routerWith(runners, target.models))
+  const single = routerWith(runners, 1)
+  const random = (): number => Math.random()
+  const plain = await usPerCall(CALLS, ROUNDS, index => single.route(requestOf(index, false), now, random))
+  const keyed = await usPerCall(CALLS / 10, ROUNDS, index => single.route(requestOf(index, true), now, random))
+  return [
+    pointOf(series('entry VM', 'heap of RunnerRouter, 27 models', 'bytes'), runners, bytes),
+    pointOf(series('entry VM', 'runners watched by one VM, 27 models', ''), runners, router.watched().length),
+    pointOf(series('entry VM', 'runners watched by one VM, 1 model', ''), runners, single.watched().length),
+    pointOf(series('entry VM', 'time of a decision, one model, plain', 'us'), runners, plain),
+    pointOf(series('entry VM', 'time of a decision, one model, keyed', 'us'), runners, keyed)
+  ]
+}
+
+async function placementPoints (runners: number): Promise<readonly ProbePoint[]> {
+  const models = Object.fromEntries(Array.from({ length: target.models }, (_, index) => [`model-${index}`, { version: '1' }]))
+  const named = Object.fromEntries(Array.from({ length: target.models }, (_, model) => viewsOf(runners, model, target.models)
+    .map(({ runner, address, domain }) => [runner, { address, domain, models: [`model-${model}`] }] as const)).flat())
+  const config = fleetConfigSchema.parse({ models, runners: named })
+  const planner = new PlacementPlanner()
+  const at = { mono: now.mono, wall: now.wall }
+  planner.handle({ kind: 'configured', config }, at)
+  planner.handle({ kind: 'taken', fencing: 1 }, at)
+  const round = (): void => {
+    at.mono += SECOND_MS
+    at.wall += SECOND_MS
+    for (const [runner, { models: loaded }] of Object.entries(config.runners)) {
+      planner.handle({ kind: 'reported', runner, models: loaded.map(model => ({ model, version: '1', adapters: [] })), leaving: false }, at)
+    }
+    for (const { order } of planner.handle({ kind: 'tick' }, at)) planner.handle({ kind: 'answered', orderId: order.orderId, outcome: { kind: 'done' } }, at)
+  }
+  const us = await usPerCall(PLACEMENT_CALLS, ROUNDS, round)
+  const { bytes } = heapOf(() => {
+    const other = new PlacementPlanner()
+    other.handle({ kind: 'configured', config }, at)
+    return other
+  })
+  return [
+    pointOf(series('placement', 'processor time of PlacementPlanner, one round a second', 'us/s'), runners, us),
+    pointOf(series('placement', 'heap of PlacementPlanner', 'bytes'), runners, bytes)
+  ]
+}
+
+/** Routing and placement without sockets. */
+export const routerProbe: CapacityProbe = {
+  name: 'router',
+  timed: true,
+  run: async () => {
+    const points: ProbePoint[] = []
+    for (const size of SIZES) points.push(...await routingPoints(size))
+    for (const size of SIZES) points.push(...await placementPoints(size))
+    return points
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity/vmProbe.ts
@@ -0,0 +1,275 @@
+/**
+ * A real VM process beside stand-ins, all on loopback: what it costs idle, by the number of VMs;
+ * by requests and by tokens relayed; by open streams; by runners watched. Processor time and
+ * resident memory are those of the VM's own process.
+ */
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { mkdtemp } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import got from 'got'
+import { bodyDigest } from '@rosemaryspread/decisions/request/requestIdentity.js'
+import { TestCaller } from '../../scenario/callers/testCaller.js'
+import type { RequestSpec } from '../../scenario/callers/callerTypes.js'
+import { Fleet } from '../../scenario/fleet/fleet.js'
+import { teamKey } from '../../scenario/fleet/fleetConfig.js'
+import { fleetSchema, type FleetHead } from '../../scenario/language/scenarioSchema.js'
+import { perVm, target } from './capacityTarget.js'
+import { pointOf, type CapacityProbe, type ProbePoint, type ProbeSeries } from './probeTypes.js'
+import { childWith, pause, type OtherProcess } from './processMeter.js'
+
+const DOMAINS = ['quito-centro', 'cumbaya', 'tababela']
+const TEAMS = 8
+const MODEL = 'asistente-lm'
+const BUDGET = 1_000_000_000
+const SETTLE_MS = 4_000
+const IDLE_MS = 5_000
+const IDLE_SIZES = [1, 3, 6]
+const LOAD_MS = 4_000
+const REQUESTS = [40, 120, 240]
+const TOKENS = [10, 60, 240]
+const TOKEN_REQUESTS = 120
+const STREAMS = [60, 180, 360]
+const STREAM_TOKENS = 240
+const SLOW_MS_PER_TOKEN = 2_000
+const WATCHED = [24, 96, 192]
+const SECOND_MS = 1_000
+
+interface TableCountsOfStandIn {
+  readonly reads: number
+  readonly scans: number
+  readonly transactions: number
+  readonly conflicts: number
+  readonly rowsWritten: number
+}
+
+const series = (role: string, driver: string, quantity: string, unit: string, at: number): ProbeSeries => ({ role, driver, quantity, unit, at })
+
+function headOf (vms: number, msPerToken: number): FleetHead {
+  const teams = Object.fromEntries(Array.from({ length: TEAMS }, (_, index) => [`team-${index}`, { budget: `budget-${index}`, models: [MODEL] }]))
+  return fleetSchema.parse({
+    vms: Object.fromEntries(Array.from({ length: vms }, (_, index) => [`vm${index}`, DOMAINS[index % DOMAINS.length]])),
+    engines: Object.fromEntries(DOMAINS.map((domain, index) => [`engine${index}`, { domain, models: [MODEL], slots: 256, msPerToken }])),
+    teams,
+    budgets: Object.fromEntries(Array.from({ length: TEAMS }, (_, index) => [`budget-${index}`, BUDGET]))
+  })
+}
+
+/** A running fleet with the meter of its first VM. */
+class MeasuredFleet {
+  private constructor (readonly fleet: Fleet, readonly vm: OtherProcess) {}
+
+  static async start (vms: number, msPerToken: number): Promise<MeasuredFleet> {
+    const folder = await mkdtemp(join(tmpdir(), 'rosemaryspread-capacity-'))
+    const fleet = await Fleet.start({ head: headOf(vms, msPerToken), folder, links: false, weakness: undefined })
+    const vm = await childWith(`${folder}/vm0.yaml`)
+    await pause(SETTLE_MS)
+    return new MeasuredFleet(fleet, vm)
+  }
+
+  async tableCounts (): Promise<TableCountsOfStandIn> {
+    const { ports } = this.fleet.standIn('table')
+    const { counts } = await got.get(`http://127.0.0.1:${ports.control}/control/state`).json<{ counts: TableCountsOfStandIn }>()
+    return counts
+  }
+
+  /** Processor milliseconds of the VM and seconds of a time. */
+  async cost (work: () => Promise<void>): Promise<{ readonly cpuMs: number, readonly seconds: number }> {
+    const startedAt = performance.now()
+    const before = await this.vm.processorMs()
+    await work()
+    return { cpuMs: await this.vm.processorMs() - before, seconds: (performance.now() - startedAt) / SECOND_MS }
+  }
+
+  /** Processor milliseconds a second while nobody calls. */
+  async idleMsPerS (): Promise<number> {
+    const { cpuMs, seconds } = await this.cost(async () => { await pause(IDLE_MS) })
+    return cpuMs / seconds
+  }
+
+  async end (): Promise<void> {
+    await this.fleet.end()
+  }
+}
+
+function specOf (index: number, tokens: number): RequestSpec {
+  const team = `team-${index % TEAMS}`
+  const body = JSON.stringify({ model: MODEL, messages: [{ role: 'user', content: `Necesito asistencia en la terminal, viaje ${index}` }], max_tokens: tokens, stream: true })
+  return { team, teamKey: teamKey(team), path: '/v1/chat/completions', body, digest: bodyDigest(body), repeatable: true, idempotencyKey: undefined, requestId: undefined, timeoutMs: undefined, streamed: true }
+}
+
+/** Sends requests evenly over a time and waits for their ends; answers the tokens that came. */
+async function sendEvenly (measured: MeasuredFleet, requests: number, tokens: number): Promise<number> {
+  const caller = new TestCaller()
+  const url = measured.fleet.vm('vm0').callersUrl
+  const asks: Promise<unknown>[] = []
+  const from = performance.now()
+  for (let index = 0; index < requests; index++) {
+    await pause(Math.max(0, from + index * LOAD_MS / requests - performance.now()))
+    asks.push(caller.ask(specOf(index, tokens), 'vm0', url))
+  }
+  await Promise.all(asks)
+  await pause(Math.max(0, from + LOAD_MS + SECOND_MS - performance.now()))
+  const refused = caller.asks.filter(ask => ask.outcome?.kind !== 'answered').length
+  if (refused > 0) throw new Error(`${refused} of ${requests} requests were not answered`)
+  return caller.asks.reduce((sum, ask) => sum + ask.pieces, 0)
+}
+
+/** An idle VM by the size of its fleet. */
+export const idleVmProbe: CapacityProbe = {
+  name: 'vm-idle',
+  timed: true,
+  run: async () => {
+    const points: ProbePoint[] = []
+    for (const vms of IDLE_SIZES) {
+      const measured = await MeasuredFleet.start(vms, 2)
+      const before = await measured.tableCounts()
+      const { cpuMs, seconds } = await measured.cost(async () => { await pause(IDLE_MS) })
+      const after = await measured.tableCounts()
+      const entry = (quantity: string, unit: string): ProbeSeries => series('entry VM', 'VMs, real processes, 3 engines', quantity, unit, target.vms)
+      points.push(
+        pointOf(entry('processor time idle', 'ms/s'), vms, cpuMs / seconds),
+        pointOf(entry('resident memory idle', 'MB'), vms, await measured.vm.residentMb()),
+        pointOf(series('table service', 'VMs, real processes', 'reads and scans idle', '1/s', target.vms), vms, (after.reads + after.scans - before.reads - before.scans) / seconds),
+        pointOf(series('table service', 'VMs, real processes', 'transactions idle', '1/s', target.vms), vms, (after.transactions - before.transactions) / seconds)
+      )
+      await measured.end()
+    }
+    return points
+  }
+}
+
+/** The data path of one VM. */
+export const loadedVmProbe: CapacityProbe = {
+  name: 'vm-load',
+  timed: true,
+  run: async () => {
+    const measured = await MeasuredFleet.start(1, 5)
+    await sendEvenly(measured, TOKEN_REQUESTS, 20)
+    const idle = await measured.idleMsPerS()
+    const points: ProbePoint[] = []
+    for (const requests of REQUESTS) points.push(...await requestPoints(measured, requests, idle))
+    for (const tokens of TOKENS) {
+      let relayed = 0
+      const { cpuMs, seconds } = await measured.cost(async () => { relayed = await sendEvenly(measured, TOKEN_REQUESTS, tokens) })
+      points.push(pointOf(series('entry VM', 'tokens relayed, 120 requests', 'processor time of a real VM', 'ms', perVm.tokensPerSecond), relayed, cpuMs - idle * seconds))
+    }
+    await measured.end()
+    return points
+  }
+}
+
+async function requestPoints (measured: MeasuredFleet, requests: number, idle: number): Promise<readonly ProbePoint[]> {
+  const before = await measured.tableCounts()
+  const { cpuMs, seconds } = await measured.cost(async () => { await sendEvenly(measured, requests, 1) })
+  const after = await measured.tableCounts()
+  const rate = requests / seconds
+  const table = (quantity: string): ProbeSeries => series('table service', 'requests/s, one real VM', quantity, '1/s', perVm.requestsPerSecond)
+  return [
+    pointOf(series('entry VM', 'requests of one token', 'processor time of a real VM', 'ms', perVm.requestsPerSecond), requests, cpuMs - idle * seconds),
+    pointOf(table('reads and scans'), rate, (after.reads + after.scans - before.reads - before.scans) / seconds),
+    pointOf(table('transactions'), rate, (after.transactions + after.conflicts - before.transactions - before.conflicts) / seconds),
+    pointOf(table('rows written'), rate, (after.rowsWritten - before.rowsWritten) / seconds)
+  ]
+}
+
+/** Memory by open streams. */
+export const streamsProbe: CapacityProbe = {
+  name: 'vm-streams',
+  timed: true,
+  run: async () => {
+    const measured = await MeasuredFleet.start(1, SLOW_MS_PER_TOKEN)
+    const caller = new TestCaller()
+    const points: ProbePoint[] = []
+    for (const streams of STREAMS) {
+      while (caller.asks.length < streams) {
+        caller.ask(specOf(caller.asks.length, STREAM_TOKENS), 'vm0', measured.fleet.vm('vm0').callersUrl).catch(() => {})
+        await pause(5)
+      }
+      await pause(SETTLE_MS)
+      const open = caller.asks.filter(ask => ask.outcome === undefined && ask.pieces > 0).length
+      points.push(pointOf(series('entry VM', 'open streams', 'resident memory of a real VM', 'MB', perVm.openStreams), open, await measured.vm.residentMb()))
+    }
+    await measured.end()
+    return points
+  }
+}
+
+/** Servers that answer as an idle engine does, and count bytes and calls. */
+class IdleRunners {
+  calls = 0
+  private readonly servers: Server[] = []
+  private readonly sockets = new Set<Socket>()
+  private closedBytes = 0
+
+  get bytes (): number {
+    return [...this.sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, this.closedBytes)
+  }
+
+  async add (): Promise<string> {
+    const server = createServer((req, res) => { this.serve(req.url ?? '', res) })
+    server.on('connection', socket => {
+      this.sockets.add(socket)
+      socket.on('close', () => {
+        this.closedBytes += socket.bytesRead + socket.bytesWritten
+        this.sockets.delete(socket)
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    this.servers.push(server)
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  close (): void {
+    for (const server of this.servers) server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private serve (url: string, res: ServerResponse): void {
+    this.calls += 1
+    const body = url.startsWith('/load')
+      ? { asOf: Date.now(), running: 0, waiting: 0, slots: 16, models: [{ model: MODEL, version: '1', adapters: [] }], leaving: false }
+      : { next: 0, events: [] }
+    res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+  }
+}
+
+/** Load polls by the number of runners watched. */
+export const pollProbe: CapacityProbe = {
+  name: 'vm-polls',
+  timed: true,
+  run: async () => {
+    const measured = await MeasuredFleet.start(1, 2)
+    const runners = new IdleRunners()
+    const points: ProbePoint[] = []
+    const vm = measured.fleet.vm('vm0')
+    for (const [round, size] of WATCHED.entries()) {
+      const first = WATCHED[round - 1] ?? 0
+      const patch = [{ op: 'add', path: `/models/many-${round}`, value: {} }]
+      for (let index = first; index < size; index++) {
+        if ((index - first) % 24 === 0) patch.push({ op: 'add', path: `/models/m${index}`, value: {} })
+        const model = `m${index - (index - first) % 24}`
+        patch.push({ op: 'add', path: `/runners/idle-${index}`, value: { address: await runners.add(), domain: DOMAINS[index % 3], models: [model] } })
+      }
+      const outcome = await measured.fleet.operator.patch(vm.operatorsUrl, { base: round + 1, patchId: `runners-${round}`, patch })
+      if (outcome.status !== 200) throw new Error(`the patch ended with ${outcome.status} ${outcome.name ?? ''}`)
+      await pause(SETTLE_MS)
+      points.push(...await pollPoints(measured, runners, size))
+    }
+    await measured.end()
+    runners.close()
+    return points
+  }
+}
+
+async function pollPoints (measured: MeasuredFleet, runners: IdleRunners, size: number): Promise<readonly ProbePoint[]> {
+  const of = (quantity: string, unit: string): ProbeSeries => series('entry VM', 'runners watched', quantity, unit, target.runners)
+  const before = { calls: runners.calls, bytes: runners.bytes }
+  const { cpuMs, seconds } = await measured.cost(async () => { await pause(IDLE_MS) })
+  return [
+    pointOf(of('processor time of a real VM', 'ms/s'), size, cpuMs / seconds),
+    pointOf(of('calls to runners', '1/s'), size, (runners.calls - before.calls) / seconds),
+    pointOf(of('bytes of calls to runners', 'bytes/s'), size, (runners.bytes - before.bytes) / seconds)
+  ]
+}
--- a/packages/stand-ins/src/measure/measureRegistry.ts
+++ b/packages/stand-ins/src/measure/measureRegistry.ts
@@ -1,15 +1,20 @@
 /**
  * The list of measurements. A new one adds its import and its line here.
  */
+import { capacityBench } from './capacityBench.js'
 import { configMeasure, configSizeMeasure, configTrafficMeasure, configWireMeasure } from './configMeasure.js'
 import type { Measurement } from './measureTypes.js'
 import { membershipBench } from './membershipBench.js'
 import { peersBench } from './peersBench.js'
 import { budgetMeasure } from './budget/budgetMeasure.js'
+import { placementMeasure } from './placement/placementMeasure.js'
+import { routingBench } from './routingBench.js'
+import { routingMeasurement } from './routingMeasure.js'
 import { streamBench } from './streamBench.js'
 
 /** All measurements by group and name. */
 export const measurements: readonly Measurement[] = [
+  capacityBench,
   configMeasure,
   configTrafficMeasure,
   configWireMeasure,
@@ -17,5 +22,8 @@
   membershipBench,
   peersBench,
   budgetMeasure,
+  placementMeasure,
+  routingMeasurement,
+  routingBench,
   streamBench
 ]
