--- a/packages/decisions/src/placement/fencePass.ts
+++ b/packages/decisions/src/placement/fencePass.ts
@@ -8,13 +8,23 @@
 import type { RunnerConfig } from '../config/configSchema.js'
 import type { PlacementAction, PlacementLimits, PlacementOutcome } from './placementTypes.js'
 
+/** Tries to tell one runner; an engine that does not understand the order is left alone then. */
+const MOST_TRIES = 5
 const FINAL_OUTCOMES: readonly PlacementOutcome['kind'][] = ['done', 'oldFencing', 'refused']
 
+/** The order that tells one runner. */
+interface SentFence {
+  readonly action: PlacementAction
+  readonly at: Instant
+  readonly tries: number
+  isAnswered: boolean
+}
+
 /** One term of a holder. */
 export class FencePass {
   /** Roles told, by runner. */
   private readonly told = new Map<string, string>()
-  private readonly sent = new Map<string, { readonly action: PlacementAction, readonly at: Instant, answered: boolean }>()
+  private readonly sent = new Map<string, SentFence>()
   private isOver = false
 
   /**
@@ -31,11 +41,14 @@
    * @param idOf - makes the id of a new order for a runner
    */
   next (runners: readonly (readonly [string, RunnerConfig])[], now: Instant, idOf: (runner: string) => string): readonly PlacementAction[] {
-    return runners.filter(([runner, cfg]) => this.isDue(runner, cfg, now)).map(([runner, cfg]) => {
-      const found = this.sent.get(runner)?.action
-      const action = found !== undefined && found.order.role === cfg.role ? found : this.actionOf(runner, cfg, idOf(runner))
-      this.sent.set(runner, { action, at: now, answered: false })
-      return action
+    const open = [...this.sent.values()].filter(({ isAnswered }) => !isAnswered).length
+    const due = runners.filter(([runner, cfg]) => this.isDue(runner, cfg, now))
+    return due.slice(0, Math.max(0, this.limits.maxOutstanding - open)).map(([runner, cfg]) => {
+      const found = this.sent.get(runner)
+      if (found?.action.order.role !== cfg.role) this.sent.delete(runner)
+      const entry = this.sent.get(runner) ?? { action: this.actionOf(runner, cfg, idOf(runner)), at: now, tries: 0, isAnswered: false }
+      this.sent.set(runner, { ...entry, at: now, tries: entry.tries + 1, isAnswered: false })
+      return entry.action
     })
   }
 
@@ -46,7 +59,7 @@
   answered (orderId: string, outcome: PlacementOutcome): boolean {
     for (const [runner, entry] of this.sent) {
       if (entry.action.order.orderId !== orderId) continue
-      entry.answered = true
+      entry.isAnswered = true
       if (FINAL_OUTCOMES.includes(outcome.kind)) this.told.set(runner, entry.action.order.role ?? '')
       return true
     }
@@ -71,7 +84,8 @@
     if (!checksFencing && (role === undefined || elapsedMs(this.since, now) < this.limits.takeoverMs)) return false
     if (this.told.get(runner) === (role ?? '')) return false
     const found = this.sent.get(runner)
-    return found === undefined || (found.answered && elapsedMs(found.at, now) >= this.limits.retryMs)
+    if (found === undefined || found.action.order.role !== role) return true
+    return found.isAnswered && found.tries < MOST_TRIES && elapsedMs(found.at, now) >= this.limits.retryMs
   }
 
   private actionOf (runner: string, { address, role }: RunnerConfig, orderId: string): PlacementAction {
--- a/packages/decisions/src/placement/modelPlan.ts
+++ b/packages/decisions/src/placement/modelPlan.ts
@@ -45,7 +45,7 @@
 
   /**
    * @param target - what is declared
-   * @param runners - all runners of the configuration
+   * @param runners - the runners that declare, hold or await the model
    * @param limits - how many may be swapped at once
    */
   constructor (private readonly target: ModelTarget, runners: readonly PlacementRunner[], private readonly limits: PlacementLimits) {
@@ -151,8 +151,7 @@
   private reasonAgainst (copy: Copy): string | undefined {
     if (this.target.version === undefined) return 'the configuration does not name the model'
     if (!copy.allowed.includes(this.target.model)) return 'the runner does not declare the model'
-    const isAllThere = this.wanted === this.target.copies
-    return copy.state === 'stale' && copy.isSteady && isAllThere ? `version ${this.target.version} has taken its place` : undefined
+    return copy.state === 'stale' && copy.isSteady && this.wanted === this.target.copies ? `version ${this.target.version} has taken its place` : undefined
   }
 
   private unload (copy: Copy, reason: string, isSurplus: boolean): void {
--- a/packages/decisions/src/placement/placementPlanner.ts
+++ b/packages/decisions/src/placement/placementPlanner.ts
@@ -128,9 +128,9 @@
 
   private wishes (config: FleetConfig, now: Instant): readonly PlacementWish[] {
     const runners = Object.entries(config.runners).map(([runner, cfg]) => this.viewOf(runner, cfg, now))
-    const wishes = targetsOf(config, runners).flatMap(target => {
-      const found = new ModelPlan(target, runners, this.limits).next()
-      return this.withoutYoungSurplus(target.model, found, now)
+    const wishes = [...runnersByModel(config, runners)].flatMap(([model, concerned]) => {
+      const found = new ModelPlan(targetOf(config, model), concerned, this.limits).next()
+      return this.withoutYoungSurplus(model, found, now)
     })
     return wishes.sort((a, b) => KIND_ORDER.indexOf(a.kind) - KIND_ORDER.indexOf(b.kind) || a.serving - b.serving)
   }
@@ -187,11 +187,22 @@
   }
 }
 
-/** Declared models, and models that are loaded without being declared. */
-function targetsOf (config: FleetConfig, runners: readonly PlacementRunner[]): readonly ModelTarget[] {
-  const names = new Set([...Object.keys(config.models), ...runners.flatMap(({ loaded }) => loaded.map(({ model }) => model))])
-  return [...names].sort().map(model => {
-    const declared = config.models[model]
-    return { model, version: declared?.version, adapters: declared?.adapters ?? [], copies: declared?.copies }
-  })
+/** The runners that declare, hold or await each model, so that a plan looks at no others. */
+function runnersByModel (config: FleetConfig, runners: readonly PlacementRunner[]): ReadonlyMap<string, readonly PlacementRunner[]> {
+  const found = new Map<string, PlacementRunner[]>(Object.keys(config.models).sort().map(model => [model, []]))
+  for (const runner of runners) {
+    const models = new Set([...runner.allowed, ...runner.loaded.map(({ model }) => model)])
+    if (runner.awaited !== undefined) models.add(runner.awaited.model)
+    for (const model of models) {
+      const concerned = found.get(model)
+      if (concerned === undefined) found.set(model, [runner])
+      else concerned.push(runner)
+    }
+  }
+  return found
+}
+
+function targetOf (config: FleetConfig, model: string): ModelTarget {
+  const declared = config.models[model]
+  return { model, version: declared?.version, adapters: declared?.adapters ?? [], copies: declared?.copies }
 }
--- a/packages/rosemaryspread/src/placement/placementDriver.spec.ts
+++ b/packages/rosemaryspread/src/placement/placementDriver.spec.ts
@@ -16,6 +16,8 @@
   fencing: number | undefined = 3
   /** Called while a report is on its way. */
   onLoad: () => void = () => {}
+  /** Called while an order is on its way. */
+  onOrder: () => void = () => {}
   readonly orders: EngineOrder[] = []
   readonly events: string[] = []
   private readonly engines = {
@@ -25,6 +27,7 @@
     },
     order: async (_: string, order: EngineOrder): Promise<Either<Failure, void>> => {
       this.orders.push(order)
+      this.onOrder()
       return Right(undefined)
     }
   }
@@ -89,6 +92,19 @@
     expect(setup.kinds).to.include('load 3')
   })
 
+  it('goes on after the lease could not be shown for a moment, under the same number', async () => {
+    const setup = new Setup()
+    let isShown = true
+    const driver = setup.driver({ mayAct: () => isShown, fencing: () => Right(3) })
+    setup.onOrder = () => { isShown = false }
+    await setup.tick(driver, 1)
+    expect(setup.kinds).to.deep.equal(['role 3'])
+    setup.onOrder = () => {}
+    isShown = true
+    await setup.tick(driver, 5)
+    expect(setup.kinds).to.deep.equal(['role 3', 'load 3'])
+  })
+
   it('begins anew under another number', async () => {
     const setup = new Setup()
     const driver = setup.driver()
--- a/packages/rosemaryspread/src/placement/placementDriver.ts
+++ b/packages/rosemaryspread/src/placement/placementDriver.ts
@@ -14,6 +14,8 @@
 
 /** Reports that are asked for at once. */
 const REPORTS_AT_ONCE = 16
+/** Reports asked for in one round; 600 runners are asked every five rounds, 120 in each. */
+const REPORTS_A_ROUND = 120
 
 /** The part of the lease that placement needs. */
 export interface PlacementLease {
@@ -38,6 +40,7 @@
   private fencing: number | undefined
   private config: FleetConfig | undefined
   private isPolling = false
+  private nextReport = 0
   private readonly open = new Set<Promise<void>>()
 
   /** @param deps - the planner and what it works on */
@@ -79,15 +82,24 @@
   private async poll (): Promise<void> {
     if (this.isPolling) return
     this.isPolling = true
-    const runners = Object.entries(this.config?.runners ?? {}).filter(([, { state }]) => state === 'active')
+    const runners = this.nextRunners()
     const worker = async (): Promise<void> => {
       for (let next = runners.shift(); next !== undefined && this.holds(); next = runners.shift()) {
-        await this.ask(next[0], next[1].address)
+        await this.ask(...next)
       }
     }
     await Promise.all(Array.from({ length: REPORTS_AT_ONCE }, worker)).finally(() => { this.isPolling = false })
   }
 
+  /** The runners whose turn it is, as names with addresses. */
+  private nextRunners (): Array<readonly [string, string]> {
+    const active = Object.entries(this.config?.runners ?? {}).filter(([, { state }]) => state === 'active')
+    const size = Math.min(active.length, REPORTS_A_ROUND)
+    const first = this.nextReport % Math.max(active.length, 1)
+    this.nextReport = first + size
+    return [...active.slice(first), ...active.slice(0, first)].slice(0, size).map(([runner, { address }]) => [runner, address])
+  }
+
   private async ask (runner: string, address: string): Promise<void> {
     const report = await this.deps.engines.load(address)
     report.ifRight(({ models, leaving }) => { this.feed({ kind: 'reported', runner, models, leaving }) })
@@ -106,11 +118,15 @@
 
   private async send ({ runner, address, order, reason }: PlacementAction): Promise<void> {
     const { log, engines } = this.deps
-    if (order.fencing !== this.fencing || !this.deps.lease.mayAct()) return
+    if (order.fencing !== this.fencing || !this.deps.lease.mayAct()) return this.answer(order.orderId, { kind: 'notSent' })
     log.write('placed', { runner, order, reason })
     const answer = await engines.order(address, order)
     answer.ifLeft(failure => { log.write('placementFault', { runner, order: order.orderId, code: failure.code, detail: failure.message }) })
-    this.feed({ kind: 'answered', orderId: order.orderId, outcome: outcomeOf(answer) })
+    this.answer(order.orderId, outcomeOf(answer))
+  }
+
+  private answer (orderId: string, outcome: PlacementOutcome): void {
+    this.feed({ kind: 'answered', orderId, outcome })
   }
 }
 
