--- a/packages/stand-ins/src/engine/engineRoutes.ts
+++ b/packages/stand-ins/src/engine/engineRoutes.ts
@@ -110,7 +110,7 @@
       const { status, retryAfterSeconds } = await this.weights.take(order.model, order.version)
       if (status !== 200) return { status, headers: { 'retry-after': String(retryAfterSeconds) }, body: { error: 'no weights', reason: 'weights' } }
     }
-    const outcome = this.state.obey(order, Date.now())
+    const outcome = this.state.obey(order, Date.now(), req.header('x-vm'))
     if (outcome === 'oldFencing') return { status: 412, body: { error: 'the fencing number is old' } }
     if (outcome === 'notLoaded') return { status: 404, body: { error: 'the model is not loaded' } }
     return { status: 200, body: { done: true }, effect: true }
--- a/packages/stand-ins/src/engine/engineState.ts
+++ b/packages/stand-ins/src/engine/engineState.ts
@@ -166,10 +166,14 @@
    * Carries out an order.
    * @param order - the order, its weights at hand
    * @param now - wall milliseconds
+   * @param vm - the VM that gave it
    */
-  obey (order: EngineOrder, now: number): OrderOutcome {
+  obey (order: EngineOrder, now: number, vm = ''): OrderOutcome {
     this.advance(now)
+    const known = this.models.orders.length
     const outcome = this.models.obey(order)
+    const isNew = this.models.orders.length > known
+    if (isNew && outcome === 'done') this.noteOrder(order, now, vm)
     this.noteLoad(now)
     return outcome
   }
@@ -205,6 +209,10 @@
     return { name: this.options.name, running, waiting, leaving: this.leaving, submitted: this.submitted, cache: this.cache.size, ...this.models.state as object, runs: this.list() }
   }
 
+  private noteOrder ({ fencing }: EngineOrder, at: number, holder: string): void {
+    this.history.add({ kind: 'leaseWrite', at, role: `orders at ${this.options.name}`, holder, fencing })
+  }
+
   private finish (run: EngineRun, at: number): void {
     run.overreport = this.overreportNext
     this.overreportNext = 0
