Let operators lower a budget

The body of a top-up takes negative tokens now, and budget lower sends them under an operation id like a top-up. A flag on topup was ruled out, as a mistyped minus sign would then lower a budget.

--- a/packages/operators/src/admin/adminServer.spec.ts
+++ b/packages/operators/src/admin/adminServer.spec.ts
@@ -68,6 +68,10 @@
   { title: 'a top-up', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: topUp, status: 200, answer: { ...budget, paid: 1500 } },
   { title: 'a top-up by a viewer', key: 'view', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: topUp, status: 403, answer: 'forbidden' },
   { title: 'a top-up of a half token', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: { ...topUp, tokens: 0.5 }, status: 400, answer: 'badRequest', errors: ['tokens: '] },
+  { title: 'a top-up of nothing', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: { ...topUp, tokens: 0 }, status: 400, answer: 'badRequest', errors: ['tokens: '] },
+  { title: 'a lowering', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: { ...topUp, tokens: -400 }, status: 200, answer: { ...budget, paid: 600 } },
+  { title: 'a lowering by a viewer', key: 'view', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: { ...topUp, tokens: -400 }, status: 403, answer: 'forbidden' },
+  { title: 'a lowering below what is committed', method: 'POST', path: '/admin/v1/budgets/viajes/topups', body: { ...topUp, tokens: -501 }, status: 409, answer: 'budgetBelowCommitted' },
   { title: 'the VMs', path: '/admin/v1/vms', status: 200, answer: { vms: fakeVms } },
   { title: 'a service that throws', path: '/admin/v1/runners', status: 500, answer: 'internal' },
   { title: 'the addresses', path: '/admin/v1/addresses', status: 200, answer: { addresses: ['http://127.0.0.1:8001'], keepMs: 10000 } }
--- a/packages/operators/src/admin/adminTypes.ts
+++ b/packages/operators/src/admin/adminTypes.ts
@@ -35,10 +35,13 @@
 })
 export type HistoryEntry = z.infer<typeof historyEntrySchema>
 
+const MAX_TOP_UP_TOKENS = 1_000_000_000_000
+
 /** Body of `POST /admin/v1/budgets/:budget/topups`. */
 export const topUpRequestSchema = z.strictObject({
   operationId: z.string().min(1).max(128),
-  tokens: z.number().int().positive().max(1_000_000_000_000),
+  /** Tokens added; a negative number lowers the budget. */
+  tokens: z.number().int().min(-MAX_TOP_UP_TOKENS).max(MAX_TOP_UP_TOKENS).refine(tokens => tokens !== 0, 'use a number other than 0'),
   author: z.string().min(1).max(128)
 })
 export type TopUpRequest = z.infer<typeof topUpRequestSchema>
--- a/packages/operators/src/admin/fakeAdminService.spec.ts
+++ b/packages/operators/src/admin/fakeAdminService.spec.ts
@@ -44,6 +44,7 @@
     },
     history: async () => Right([]),
     topUp: async (name, { operationId, tokens }) => {
+      if (budget.paid + tokens < budget.spent + budget.allotted) return Left(new Failure('budgetBelowCommitted', 'too low'))
       fake.topUps.set(operationId, tokens)
       const added = [...fake.topUps.values()].reduce((sum, amount) => sum + amount, 0)
       return Right({ ...budget, budget: name, paid: budget.paid + added })
--- a/packages/operators/src/ctl/budgetCommands.ts
+++ b/packages/operators/src/ctl/budgetCommands.ts
@@ -5,7 +5,7 @@
 import type { CtlAction, CtlOutput } from './ctlTypes.js'
 import { ageText, textTable } from './textTable.js'
 
-/** Arguments of `budget topup`. */
+/** Arguments of `budget topup` and `budget lower`. */
 export interface TopUpArgs {
   readonly budget: string
   readonly tokens: number
@@ -32,6 +32,14 @@
   }
 }
 
+/**
+ * `budget lower`: a top-up of less than nothing, refused below what is spent and allotted.
+ * @param args - arguments of the command
+ */
+export function lowerBudget (args: TopUpArgs): CtlAction {
+  return topUpBudget({ ...args, tokens: -args.tokens })
+}
+
 /**
  * `budget show`
  * @param budget - budget id
--- a/packages/operators/src/ctl/ctlArguments.ts
+++ b/packages/operators/src/ctl/ctlArguments.ts
@@ -3,7 +3,7 @@
  * command itself runs later, so that whatever goes wrong here is a usage error.
  */
 import yargs, { type Argv } from 'yargs'
-import { showBudget, topUpBudget } from './budgetCommands.js'
+import { lowerBudget, showBudget, topUpBudget, type TopUpArgs } from './budgetCommands.js'
 import { getConfig, patchConfig, showHistory, showStatus } from './configCommands.js'
 import type { CtlAction, CtlIo } from './ctlTypes.js'
 import { listAddresses, listRunners, listVms } from './fleetCommands.js'
@@ -142,20 +142,25 @@
     .demandCommand(1, 'name a command')
 }
 
+function topUpOptions (args: Argv, verb: string) {
+  return args
+    .positional('budget', { type: 'string', demandOption: true })
+    .options({
+      tokens: neededWhole('tokens', `tokens to ${verb}`),
+      author: neededText('author', 'who does it'),
+      'operation-id': text('operation-id', 'id of this change; repeat a broken-off command with the same id (default: random)')
+    })
+}
+
+function topUpArgs (argv: { budget: string, tokens: number, author: string, 'operation-id': string | undefined }): TopUpArgs {
+  const { budget, tokens, author } = argv
+  return { budget, tokens, author, operationId: argv['operation-id'] }
+}
+
 function budgetCommands (args: Argv, choose: Choose): Argv {
   return args
-    .command('topup <budget>', 'add paid tokens', (sub) => sub
-      .positional('budget', { type: 'string', demandOption: true })
-      .options({
-        tokens: neededWhole('tokens', 'tokens to add'),
-        author: neededText('author', 'who adds them'),
-        'operation-id': text('operation-id', 'id of this top-up; repeat a broken-off command with the same id (default: random)')
-      }), (argv) => choose(topUpBudget({
-      budget: argv.budget,
-      tokens: argv.tokens,
-      operationId: argv['operation-id'],
-      author: argv.author
-    })))
+    .command('topup <budget>', 'add paid tokens', (sub) => topUpOptions(sub, 'add'), (argv) => choose(topUpBudget(topUpArgs(argv))))
+    .command('lower <budget>', 'take back tokens that are neither spent nor allotted', (sub) => topUpOptions(sub, 'take back'), (argv) => choose(lowerBudget(topUpArgs(argv))))
     .command('show <budget>', 'what is paid, spent and held', (sub) => sub
       .positional('budget', { type: 'string', demandOption: true }), (argv) => choose(showBudget(argv.budget)))
     .demandCommand(1, 'name a command')
--- a/packages/operators/src/ctl/ctlProgram.spec.ts
+++ b/packages/operators/src/ctl/ctlProgram.spec.ts
@@ -94,6 +94,9 @@
     { line: 'vm list', env: { RSCTL_KEY: 'x' }, exit: 6, err: /^RS-102 The key is missing or not valid: / },
     { line: topUp, env: { RSCTL_KEY: 'view' }, exit: 6, err: /\nRS-103 / },
     { line: 'budget show nada', exit: 3, err: /^RS-204 There is no such budget: no budget nada$/ },
+    { line: 'budget lower viajes --tokens 5000 --author ana', exit: 3, err: /^operation id: id-1\nRS-205 / },
+    { line: 'budget lower viajes --tokens -5 --author ana', exit: 2, err: /^RS-702 .*--tokens/ },
+    { line: 'budget lower viajes --tokens 0 --author ana', exit: 3, err: /\nRS-101 .*: tokens: [^\n]*$/ },
     { line: 'budget topup viajes --tokens 0 --author ana', exit: 3, err: /\nRS-101 .*: tokens: [^\n]*$/ },
 
     { line: `${topUp} --operation-id ${'x'.repeat(129)} --tokens 0`.replace(' --tokens 500', ''), exit: 3, err: /\nRS-101 .*: 2 mistakes, see errors\n {2}operationId: .*\n {2}tokens: / },
@@ -108,6 +111,7 @@
     { line: 'team list', exit: 0, out: /^TEAM +NAME/ },
     { line: 'budget show viajes', exit: 0, out: /viajes +1000 +200 +300 +0 +500$/ },
     { line: topUp, exit: 0, out: /viajes +1500 /, err: /^operation id: id-1$/ },
+    { line: 'budget lower viajes --tokens 400 --author ana', exit: 0, out: /viajes +600 /, err: /^operation id: id-1$/ },
     { line: 'runner list', exit: 0, out: /^RUNNER / },
     { line: 'vm list', exit: 0, out: /^VM +DOMAIN[^]*\nq1 +quito-centro +10\.0\.0\.1:8001 +live +5 +0\.1 s/ },
     { line: 'vm list --output json', exit: 0, out: /"vm": "q1"/ },
