Close the gaps that random faults found in recovery and transfers

A holder whose row was closed went on to ask for transfers, which could not be recorded. A transfer recorded by a giver after the recovery had read the rows, and before it was asked to confirm, left a row without a register entry. Removing an ended holder deleted a row that had been opened again. A repeated ask could give tokens that nobody awaited any more. Draws of small budgets wait for two of the largest requests; a tick visits 32 entries in place of 100.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -36,6 +36,13 @@
   readonly operationId?: string
 }
 
+/** A draw whose outcome is open; kept under one id until the table says what became of it. */
+export interface OpenDraw {
+  readonly drawId: string
+  readonly inFlight: boolean
+  readonly since: Instant
+}
+
 /** One budget at one holder. All amounts in tokens, all plain numbers of time monotonic milliseconds. */
 export class BudgetEntry {
   /** Durable tokens of this holder, with those received from other holders, less those settled or given. */
@@ -61,7 +68,7 @@
   renewedAt: Instant | undefined
   /** Set when the allotment was closed and the next draw has to open it again. */
   reopen = false
-  draw: { readonly drawId: string, readonly inFlight: boolean } | undefined
+  draw: OpenDraw | undefined
   round: Round | undefined
   shortage: Shortage | undefined
   /** Tokens held by holders that the last recall could not reach. */
@@ -117,10 +124,21 @@
     for (const item of this.received.values()) {
       if (elapsedMs(item.askedAt, now) >= item.validForMs) return false
     }
-    if (this.touchedAt === undefined) return this.received.size > 0
+    if (this.touchedAt === undefined) return this.received.size > 0 && !this.reopen
     return this.leaseLeftMs(now) > 0
   }
 
+  /**
+   * Whether a transfer may be asked for: not while the own row may be closed, because a transfer
+   * to a closed row cannot be recorded.
+   * @param now - both clocks
+   */
+  mayAsk (now: Instant): boolean {
+    if (this.reopen) return false
+    if (this.touchedAt !== undefined) return this.leaseLeftMs(now) > 0
+    return this.draw === undefined || elapsedMs(this.draw.since, now) < usableMs(this.policy)
+  }
+
   /**
    * Allotment to aim at.
    * @param now - both clocks
--- a/packages/decisions/src/budget/budgetGiving.ts
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -10,9 +10,10 @@
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
-/** A transfer that was given. */
+/** An ask that was answered. */
 interface GivenTransfer {
-  readonly transfer: Transfer
+  /** Absent when the ask was answered with nothing for good. */
+  readonly transfer: Transfer | undefined
   readonly at: Instant
 }
 
@@ -43,7 +44,12 @@
   give (event: EventOf<'giveAsked'>, entry: BudgetEntry | undefined, now: Instant): Transfer | undefined {
     if (this.isFenced(event.to, now) || !event.sameDomain || event.to === this.holder) return undefined
     const earlier = this.given.get(event.transferId)
-    if (earlier !== undefined) return this.withLease(earlier.transfer, entry, now)
+    if (earlier !== undefined) return earlier.transfer === undefined ? undefined : this.withLease(earlier.transfer, entry, now)
+    if (event.isRepeat === true) {
+      // The first ask may still arrive, when its sender can no longer use the tokens.
+      this.given.set(event.transferId, { transfer: undefined, at: now })
+      return undefined
+    }
     if (entry === undefined || entry.leaseLeftMs(now) < this.policy.requestTimeoutMs) return undefined
     const tokens = giveTokens(entry.giveable, event.wanted, event.atLeast ?? 0)
     if (tokens <= 0) return undefined
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -228,6 +228,7 @@
     if (entry === undefined) {
       entry = new BudgetEntry(budget, this.policy)
       entry.isWanted = !this.draining
+      entry.reopen = this.upkeep.hadRow(budget)
       this.entries.set(budget, entry)
     }
     return entry
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -56,7 +56,7 @@
   retryMs: SECOND,
   retryMaxMs: 15 * SECOND,
   roundMs: 500,
-  roundMaxMs: 8 * SECOND,
+  roundMaxMs: 2 * SECOND,
   patienceMs: 2 * SECOND,
   recallKeepMs: 20 * SECOND,
   lapseMs: 100 * MINUTE,
@@ -72,6 +72,10 @@
 
 /** Requests of the largest size seen that the least allotment covers. */
 const LARGEST_COVERED = 4
+/** Part of the allotment that is used at most before the next refill. */
+const MOST_USED_PART = 0.25
+/** Requests of the largest size seen that are used before the next refill. */
+const LARGEST_USED = 2
 
 /**
  * Milliseconds after a contact during which a holder may reserve.
@@ -99,6 +103,18 @@
   return Math.ceil(Math.max(ratePerMs * policy.horizonMs, policy.minTokens, largest * LARGEST_COVERED))
 }
 
+/**
+ * Free tokens below which the allotment is refilled: a small part of it was used, and enough for
+ * several requests, so that a small allotment does not cost a draw for each of them.
+ * @param policy - the policy
+ * @param level - free tokens right after the last draw, or the target if that is less
+ * @param largest - largest reservation seen
+ */
+export function lowWaterMark (policy: BudgetPolicy, level: number, largest: number): number {
+  const used = Math.min(Math.max(level * (1 - policy.lowWater), largest * LARGEST_USED), level * MOST_USED_PART)
+  return level - used
+}
+
 /**
  * Tokens that the table grants.
  * @param wanted - amount wanted
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -6,7 +6,7 @@
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { Failure } from '../codes/failure.js'
 import type { BudgetEntry, RoundStage, Shortage, WaitingRequest } from './budgetEntry.js'
-import type { BudgetPolicy } from './budgetPolicy.js'
+import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
 
 /** Pause before the next draw ahead of need once nothing was left. */
@@ -49,7 +49,7 @@
    */
   drawn (entry: BudgetEntry, outcome: DrawOutcome, now: Instant): void {
     const drawId = entry.draw?.drawId ?? ''
-    entry.draw = outcome.kind === 'unavailable' ? { drawId, inFlight: false } : undefined
+    entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -64,7 +64,7 @@
   endStage (entry: BudgetEntry, operationId: string, now: Instant): void {
     const round = entry.round
     if (round === undefined || round.operationId !== operationId) return
-    const stage = this.stageAfter(entry, round.stage)
+    const stage = this.stageAfter(entry, round.stage, now)
     if (stage !== undefined && entry.need > 0) {
       entry.round = { stage }
       return
@@ -78,7 +78,8 @@
    * @param now - both clocks
    */
   isLow (entry: BudgetEntry, now: Instant): boolean {
-    return entry.isWanted && entry.free < Math.min(entry.target(now), entry.level) * this.policy.lowWater
+    if (!entry.isWanted) return false
+    return entry.free < lowWaterMark(this.policy, Math.min(entry.target(now), entry.level), entry.largest)
   }
 
   private endRound (entry: BudgetEntry, now: Instant): void {
@@ -87,8 +88,8 @@
     entry.nextRoundAt = now.mono + entry.roundPauseMs
   }
 
-  private stageAfter (entry: BudgetEntry, stage: RoundStage): RoundStage | undefined {
-    const next = nextStage[stage]
+  private stageAfter (entry: BudgetEntry, stage: RoundStage, now: Instant): RoundStage | undefined {
+    const next = stage === 'draw' && !entry.mayAsk(now) ? 'recall' : nextStage[stage]
     const reachable = entry.shortage === undefined || entry.shortage.kind === 'short'
     return next === 'recall' && !reachable ? undefined : next
   }
@@ -197,8 +198,8 @@
 
   private startDraw (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     if (entry.draw?.inFlight === true) return []
-    const drawId = entry.draw?.drawId ?? this.nextId('draw')
-    entry.draw = { drawId, inFlight: true }
+    const { drawId, since } = entry.draw ?? { drawId: this.nextId('draw'), since: now }
+    entry.draw = { drawId, inFlight: true, since }
     const { budget, need: atLeast, reopen } = entry
     const tokens = Math.max(atLeast, this.missing(entry, now))
     return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined }]
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -96,7 +96,7 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'drawAnswered', readonly drawId: string, readonly outcome: DrawOutcome }
   | { readonly kind: 'flushAnswered', readonly seq: number, readonly outcome: FlushOutcome }
-  | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly atLeast?: number, readonly sameDomain: boolean }
+  | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly atLeast?: number, readonly sameDomain: boolean, readonly isRepeat?: boolean }
   | { readonly kind: 'giveAnswered', readonly transferId: string, readonly transfer?: Transfer, readonly askedAt?: Instant }
   | { readonly kind: 'recallAsked', readonly budget: string, readonly wanted: number, readonly atLeast?: number }
   | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number, readonly unreachable?: number }
--- a/packages/decisions/src/budget/budgetUpkeep.ts
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -9,11 +9,13 @@
 import type { FlushQueue } from './flushQueue.js'
 
 /** Entries visited in one tick. */
-const VISITS_PER_TICK = 100
+const VISITS_PER_TICK = 32
 
 /** Visits all entries in turn. */
 export class BudgetUpkeep {
   private cursor: Iterator<BudgetEntry> | undefined
+  /** Forgotten budgets whose row in the table may have been closed since. */
+  private readonly former = new Set<string>()
 
   constructor (
     private readonly policy: BudgetPolicy,
@@ -42,6 +44,14 @@
     return visited
   }
 
+  /**
+   * Whether this holder had a row of a budget before it forgot the budget.
+   * @param budget - budget id
+   */
+  hadRow (budget: string): boolean {
+    return this.former.has(budget)
+  }
+
   /**
    * Renews the lease of an allotment.
    * @param entry - the budget
@@ -78,7 +88,7 @@
 
   private look (entry: BudgetEntry, now: Instant, draining: boolean): void {
     if (entry.isEmpty && !this.isRecent(entry, now)) {
-      this.entries.delete(entry.budget)
+      this.forget(entry)
       return
     }
     if (draining) this.returnFree(entry, 0, now)
@@ -87,6 +97,11 @@
     if (entry.held > 0 && this.renewIsDue(entry, now)) this.renew(entry, now)
   }
 
+  private forget (entry: BudgetEntry): void {
+    this.entries.delete(entry.budget)
+    if (entry.touchedAt !== undefined || entry.reopen) this.former.add(entry.budget)
+  }
+
   private isRecent (entry: BudgetEntry, now: Instant): boolean {
     return now.mono - entry.lastAskedAt < this.policy.idleReturnMs
   }
--- a/packages/rosemaryspread/src/budget/budgetAsking.ts
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -66,7 +66,7 @@
     this.repeating = true
     const present = new Set(this.domainMembers())
     for (const item of [...this.open.values()].slice(0, REPEATS_PER_TICK)) {
-      if (present.has(item.giver)) await this.ask(item)
+      if (present.has(item.giver)) await this.ask({ giver: item.giver, ask: { ...item.ask, isRepeat: true } })
       if (this.open.has(item.ask.transferId)) await this.askTable(item)
     }
     this.repeating = false
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -158,9 +158,9 @@
    * @param ask - the ask
    */
   onGive (ask: GiveAsk): GiveAnswer {
-    const { transferId, budget, to, wanted, atLeast } = ask
+    const { transferId, budget, to, wanted, atLeast, isRepeat } = ask
     const sameDomain = ask.domain === this.parts.domain
-    const actions = this.dispatch({ kind: 'giveAsked', transferId, budget, to, wanted, atLeast, sameDomain })
+    const actions = this.dispatch({ kind: 'giveAsked', transferId, budget, to, wanted, atLeast, sameDomain, isRepeat })
     const given = actions.find(action => action.kind === 'give')
     return given?.transfer === undefined ? {} : { transfer: given.transfer }
   }
--- a/packages/rosemaryspread/src/budget/budgetPeers.ts
+++ b/packages/rosemaryspread/src/budget/budgetPeers.ts
@@ -16,7 +16,9 @@
   to: z.string(),
   domain: z.string(),
   wanted: amount,
-  atLeast: amount
+  atLeast: amount,
+  /** Asks only what became of an earlier ask; nothing new is given. */
+  isRepeat: z.boolean().optional()
 })
 export type GiveAsk = z.infer<typeof giveAskSchema>
 
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -10,9 +10,9 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder, type RecoveryPlan } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
-import { GoneVms, hasLapsed, mayBeForgotten, type RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { GoneVms, hasLapsed, mayBeForgotten } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { BudgetPeers } from './budgetPeers.js'
-import { BudgetRegistry } from './budgetRegistry.js'
+import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import { RecoveryRuns, type RecoveryRunners } from './budgetRecoveryRuns.js'
 import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSharing.js'
 import type { BudgetTable } from './budgetTable.js'
@@ -37,10 +37,10 @@
 /** Holders of one failure domain as a pass sees them. */
 interface DomainView {
   /** Ended by the platform's word. */
-  readonly ended: readonly RegisteredHolder[]
+  readonly ended: readonly HolderAtVersion[]
   /** Neither ended nor a member: they may have lapsed. */
-  readonly absent: readonly RegisteredHolder[]
-  readonly present: readonly RegisteredHolder[]
+  readonly absent: readonly HolderAtVersion[]
+  readonly present: readonly HolderAtVersion[]
 }
 
 function waiting (detail: string): Failure {
@@ -78,7 +78,7 @@
     }
   }
 
-  private viewOf (holders: readonly RegisteredHolder[]): DomainView {
+  private viewOf (holders: readonly HolderAtVersion[]): DomainView {
     const members = new Set([this.parts.holder, ...this.parts.peers.members().map(member => member.holder)])
     const ended = holders.filter(item => this.gone.proves(item))
     const rest = holders.filter(item => !this.gone.proves(item))
@@ -98,9 +98,14 @@
 
   private async recoverBudget (view: DomainView, budget: string): Promise<void> {
     const result = await EitherAsync<Failure, void>(async ({ fromPromise, throwE }) => {
+      const before = await fromPromise(surveyBudget(this.table.store, budget))
+      if (this.closing(view, before).length === 0) return
+      // Rows are read after the confirmations: a transfer may be recorded just before its holder confirms.
+      const confirmed = await this.confirmedOf(view)
       const survey = await fromPromise(surveyBudget(this.table.store, budget))
       const closing = this.closing(view, survey)
-      if (closing.length === 0) return
+      const open = closing.find(item => !confirmed.has(item.row.holder))
+      if (open !== undefined) throwE(waiting(`transfers with ${open.row.holder} may be unrecorded`))
       const reason = await this.blocked(view, survey, closing)
       if (reason !== undefined) throwE(reason)
       const owed = await fromPromise(this.owed(view, survey, closing, budget))
@@ -124,7 +129,6 @@
       if (mayBeForgotten(this.parts.policy, await this.runs.contactAgeMs(item, survey.now))) {
         return waiting(`runners may have forgotten runs of ${item.row.holder}; an operator has to decide`)
       }
-      if (!await this.isConfirmed(view, item.row.holder)) return waiting(`transfers with ${item.row.holder} may be unrecorded`)
     }
     return undefined
   }
@@ -133,13 +137,23 @@
    * An absent holder that may still spend tokens received from one to be closed. Without an own
    * row it can only hold received tokens, which lapse no later than their giver.
    */
-  private unsure (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): RegisteredHolder | undefined {
+  private unsure (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): HolderAtVersion | undefined {
     const closed = new Set(closing.map(item => item.row.holder))
     const open = new Set(survey.allotments.filter(item => item.row.state === 'open').map(item => item.row.holder))
     const allLapsed = closing.every(item => hasLapsed(this.parts.policy, item.ageMs))
     return view.absent.find(({ holder }) => !closed.has(holder) && (open.has(holder) || !allLapsed))
   }
 
+  /** Ended and absent holders with which no other holder has an unrecorded transfer; empty unless it holds for all. */
+  private async confirmedOf (view: DomainView): Promise<ReadonlySet<string>> {
+    const confirmed = new Set<string>()
+    for (const { holder } of [...view.ended, ...view.absent]) {
+      if (!await this.isConfirmed(view, holder)) return new Set()
+      confirmed.add(holder)
+    }
+    return confirmed
+  }
+
   private async isConfirmed (view: DomainView, ended: string): Promise<boolean> {
     for (const { holder } of view.present) {
       const isNone = holder === this.parts.holder
@@ -178,7 +192,7 @@
   }
 
   /** Whether a holder has been no member for a whole lapse, as seen by this process itself. */
-  private isLongAbsent (item: RegisteredHolder): boolean {
+  private isLongAbsent (item: HolderAtVersion): boolean {
     const now = this.table.now()
     const since = this.absentSince.get(item.holder) ?? now
     this.absentSince.set(item.holder, since)
@@ -186,16 +200,18 @@
   }
 
   /** Nobody may record a transfer with a removed holder, so every other holder must have been asked. */
-  private async removeWhenClosed (view: DomainView, item: RegisteredHolder): Promise<void> {
+  private async removeWhenClosed (view: DomainView, item: HolderAtVersion): Promise<void> {
     if (view.absent.some(other => other !== item && !this.isLongAbsent(other))) return
+    if (!await this.isConfirmed(view, item.holder)) return
     const budgets = await this.registry.budgetsOf(item.holder)
-    if (budgets.isLeft() || !await this.isConfirmed(view, item.holder)) return
-    const found = budgets.orDefault([])
-    for (const budget of found) {
+    if (budgets.isLeft()) return
+    const closed: ClosedAllotment[] = []
+    for (const budget of budgets.orDefault([])) {
       const survey = await surveyBudget(this.table.store, budget)
       const row = survey.map(value => value.allotments.find(other => other.row.holder === item.holder)).orDefault(undefined)
       if (survey.isLeft() || row?.row.state === 'open') return
+      closed.push({ budget, version: row?.version ?? null })
     }
-    await this.registry.remove(item, found)
+    await this.registry.remove(item, closed)
   }
 }
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -53,11 +53,14 @@
    */
   async unbilled (budget: string, owners: readonly RunOwner[]): Promise<Either<Failure, readonly OwedBill[]>> {
     const owed: OwedBill[] = []
+    const declared = this.runners.declared()
+    // Without a configuration nobody knows whom to ask, so nothing is proved.
+    if (declared.length === 0) return Left(new Failure('budgetPending', 'no runner is declared'))
     for (const owner of owners) {
       const billed = await this.billedIds(owner)
       if (billed.isLeft()) return Left(billed.extract() as Failure)
       const seen = new Set(billed.unsafeCoerce())
-      for (const { runner, address } of this.runners.declared()) {
+      for (const { runner, address } of declared) {
         const records = await this.ended(address, owner, budget)
         if (records.isLeft()) return Left(records.extract() as Failure)
         for (const record of records.unsafeCoerce()) {
--- /dev/null
+++ b/packages/stand-ins/src/measure/budget/budgetBench.ts
@@ -0,0 +1,108 @@
+/**
+ * `npm run bench -- budgets`: processor time of a reservation with its settlement, and memory of a
+ * budget drawn on, by the number of budgets that one holder draws on.
+ */
+import seedrandom from 'seedrandom'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
+import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Measurement, MeasureRow } from '../measureTypes.js'
+
+const sizes = [1_000, 10_000, 100_000]
+const REQUESTS = 50_000
+const TICKS = 2_000
+/** Requests a second of one VM at the target's size. */
+const REQUESTS_PER_SECOND = 10.3
+const TICK_MS = 100
+const TOKENS = 1_500
+const USED = 700
+const MICROS_PER_MS = 1_000
+
+/** A ledger whose draws and flushes succeed at once. */
+class LedgerBench {
+  readonly ledger = new BudgetLedger('vm1~1', defaultBudgetPolicy)
+  flushes = 0
+  draws = 0
+  mono = 0
+
+  send (event: BudgetEvent): void {
+    const now = { mono: this.mono, wall: this.mono }
+    for (const action of this.ledger.handle(event, now)) this.answer(action)
+  }
+
+  request (id: string, budget: string): void {
+    this.send({ kind: 'reserve', reservationId: id, budget, tokens: TOKENS })
+    this.send({ kind: 'settle', reservationId: id, bill: { requestId: id, budget, team: budget, tokens: USED, runner: 'r' } })
+  }
+
+  private answer (action: BudgetAction): void {
+    const sentAt = { mono: this.mono, wall: this.mono }
+    if (action.kind === 'draw') {
+      this.draws += 1
+      this.send({ kind: 'drawAnswered', drawId: action.drawId, outcome: { kind: 'granted', tokens: action.tokens, left: 1e9, sentAt } })
+    }
+    if (action.kind === 'flush') {
+      this.flushes += 1
+      this.send({ kind: 'flushAnswered', seq: action.seq, outcome: { kind: 'durable', sentAt } })
+    }
+  }
+}
+
+function heapBytes (): number {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  collect()
+  return process.memoryUsage().heapUsed
+}
+
+function measureSize (size: number, seed: string): MeasureRow {
+  const random = seedrandom(seed)
+  const before = heapBytes()
+  const bench = new LedgerBench()
+  for (let index = 0; index < size; index += 1) bench.request(`first${index}`, `budget-${index}`)
+  for (let tick = 0; !bench.ledger.views().every(view => view.unsettled === 0); tick += 1) {
+    bench.mono += defaultBudgetPolicy.flushMs
+    bench.send({ kind: 'tick' })
+  }
+  const bytes = (heapBytes() - before) / size
+  const { flushes, draws } = bench
+  const requestMs = timeRequests(bench, size, random)
+  const writes = bench.flushes - flushes + bench.draws - draws
+  return {
+    budgets_drawn_on: size,
+    bytes_per_budget: Math.round(bytes),
+    microseconds_per_request: Number((requestMs * MICROS_PER_MS / REQUESTS).toFixed(1)),
+    microseconds_per_tick: Number((timeTicks(bench) * MICROS_PER_MS / TICKS).toFixed(1)),
+    table_writes_per_request: Number((writes / REQUESTS).toFixed(3))
+  }
+}
+
+/** Requests arrive at the target's rate in virtual time; ticks between them are part of the cost. */
+function timeRequests (bench: LedgerBench, size: number, random: () => number): number {
+  const started = performance.now()
+  let due = 0
+  for (let index = 0; index < REQUESTS; index += 1) {
+    bench.request(`r${index}`, `budget-${Math.floor(size * random() ** 2)}`)
+    for (due += 1000 / REQUESTS_PER_SECOND; due >= TICK_MS; due -= TICK_MS) {
+      bench.mono += TICK_MS
+      bench.send({ kind: 'tick' })
+    }
+  }
+  return performance.now() - started
+}
+
+function timeTicks (bench: LedgerBench): number {
+  const started = performance.now()
+  for (let index = 0; index < TICKS; index += 1) bench.send({ kind: 'tick' })
+  return performance.now() - started
+}
+
+/** The bench. */
+export const budgetBench: Measurement = {
+  group: 'bench',
+  name: 'budgets',
+  title: 'time of a reservation and memory of a budget drawn on, by the number of budgets',
+  run: async ({ seed }): Promise<readonly MeasureRow[]> => sizes.map(size => measureSize(size, seed))
+}
--- a/packages/stand-ins/src/measure/measureRegistry.ts
+++ b/packages/stand-ins/src/measure/measureRegistry.ts
@@ -6,6 +6,7 @@
 import type { Measurement } from './measureTypes.js'
 import { membershipBench } from './membershipBench.js'
 import { peersBench } from './peersBench.js'
+import { budgetBench } from './budget/budgetBench.js'
 import { budgetMeasure } from './budget/budgetMeasure.js'
 import { placementMeasure } from './placement/placementMeasure.js'
 import { routingBench } from './routingBench.js'
@@ -21,6 +22,7 @@
   configSizeMeasure,
   membershipBench,
   peersBench,
+  budgetBench,
   budgetMeasure,
   placementMeasure,
   routingMeasurement,
