Keep the writer of a line in lines about other VMs

Each log line carries vm, domain and holder of the process that wrote it. The field is peer now. The fields that the catalogue names for budgetDrawn and requestAnswered are those that are written.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -21,7 +21,7 @@
   clockJumped: { number: 1004, level: 'warn', title: 'A clock jumped: the process was paused or the clock was set; fields: jumpMs' },
   fault: { number: 1099, level: 'error', title: 'An unexpected fault of the program; fields: err' },
 
-  budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, held' },
+  budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left' },
   budgetFlushed: { number: 2002, level: 'info', title: 'Bills were made durable; fields: seq, bills, tokens' },
   budgetTransferred: { number: 2003, level: 'info', title: 'Tokens moved between VMs of a domain; fields: budget, tokens, from, to' },
   budgetRecalled: { number: 2004, level: 'info', title: 'Other holders were asked to return tokens; fields: budget, tokens' },
@@ -31,7 +31,7 @@
   allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
-  requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, tokens, firstTokenMs, totalMs' },
+  requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, runner, tokens, totalMs' },
   requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
   requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran' },
   requestJoined: { number: 3005, level: 'info', title: 'A repeat joined the run of an earlier request; fields: request, runner' },
@@ -54,7 +54,7 @@
   peerFault: { number: 6002, level: 'warn', title: 'A peer call failed; fields: peer, method, code' },
   leaseTaken: { number: 6003, level: 'info', title: 'A lease was taken; fields: role, fencing' },
   leaseLost: { number: 6004, level: 'warn', title: 'A lease was lost; fields: role, fencing' },
-  peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: vm, state, evidence' }
+  peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: peer, state, evidence' }
 } as const satisfies Record<string, LogEvent>
 
 /** Name of a log event. */
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -77,7 +77,7 @@
    * @param by - its holder id
    */
   replacedBy (by: string): void {
-    this.log.write('peerSeen', { vm: this.container.get(ids.identity).vm, state: 'replaced', evidence: by })
+    this.log.write('peerSeen', { peer: this.container.get(ids.identity).vm, state: 'replaced', evidence: by })
     this.drain()
       .then(() => process.exit(0))
       .catch(() => process.exit(1))
--- a/packages/rosemaryspread/src/membership/memberDriver.spec.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.spec.ts
@@ -11,13 +11,18 @@
 const KEEP_MS = 9_000
 const WAIT_TRIES = 400
 
+interface Line {
+  readonly event: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
 /** One VM of the spec, with real links over loopback and ticks by hand. */
 class SpecVm {
   replacedBy: string | undefined
   readonly seenVersions: number[] = []
   configVersion = 1
 
-  private constructor (readonly row: MemberRow, readonly driver: (vm: SpecVm) => MemberDriver, private readonly closers: readonly (() => unknown)[]) {
+  private constructor (readonly row: MemberRow, readonly driver: (vm: SpecVm) => MemberDriver, private readonly closers: readonly (() => unknown)[], readonly lines: readonly Line[]) {
     this.member = driver(this)
   }
 
@@ -25,7 +30,8 @@
 
   static async start (world: SpecWorld, vm: string, domain: string, incarnation = 1): Promise<SpecVm> {
     const holder = `${vm}~${incarnation}`
-    const log = { write: () => {} }
+    const lines: Line[] = []
+    const log = { write: (event: string, fields: Line['fields']) => { lines.push({ event, fields }) } }
     const identity = { holder, keys: [KEY] }
     const clock = { now: () => ({ mono: world.ms, wall: world.ms }) }
     const server = new JsonRpcPeerServer(identity, log)
@@ -44,7 +50,7 @@
       status: () => ({ configVersion: spec.configVersion, openRequests: 0 }),
       onReplaced: by => { spec.replacedBy = by },
       onConfigVersion: version => { spec.seenVersions.push(version) }
-    }), [() => client.close(), () => server.close()])
+    }), [() => client.close(), () => server.close()], lines)
     world.vms.push(made)
     await made.member.start()
     made.member.stop()
@@ -104,6 +110,7 @@
     await world.tick(a, b)
     for (let i = 0; i < 4; i += 1) await world.tick(a)
     expect(a.stateOf(b)).equal('suspected')
+    expect(a.lines.at(-1)).deep.equal({ event: 'peerSeen', fields: { peer: 'b', state: 'suspected', evidence: 'silence' } })
     world.listed = [{ vm: 'b', domain: 'quito', address: 'b:1', state: 'gone' }]
     for (let i = 0; i < 6; i += 1) await world.tick(a)
     expect(a.stateOf(b)).equal('gone')
--- a/packages/rosemaryspread/src/membership/memberDriver.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.ts
@@ -161,7 +161,7 @@
       case 'readOwn': return await this.feed(await this.rows.readOwn(self.vm))
       case 'writeOwn': return await this.feed({ kind: 'ownWritten', outcome: await this.rows.writeOwn(action.row, action.version) })
       case 'dropRow': return await this.rows.drop(action.vm, action.version)
-      case 'changed': return log.write('peerSeen', { vm: action.vm, state: action.state, evidence: action.evidence })
+      case 'changed': return log.write('peerSeen', { peer: action.vm, state: action.state, evidence: action.evidence })
       case 'jumped': return log.write('clockJumped', { jumpMs: action.jumpMs })
       case 'replaced': return this.options.onReplaced(action.by)
     }
