--- a/packages/stand-ins/src/scenario/weak/weaknesses.ts
+++ b/packages/stand-ins/src/scenario/weak/weaknesses.ts
@@ -80,6 +80,20 @@
   container.rebind(ids.configStore).toConstantValue(new ConfigStore(parts, decider))
 }
 
+/** Goes on acting in a role under the number it once had. */
+function staleLease (container: Container): void {
+  weaken(container, ids.placementLease, lease => {
+    let last: number | undefined
+    return {
+      mayAct: () => last !== undefined,
+      fencing: () => {
+        const held = lease.fencing().ifRight(fencing => { last ??= fencing })
+        return last === undefined ? held : Right(last)
+      }
+    }
+  })
+}
+
 /** Weaker parts by name; `abruptStop` is carried out by the entry point. */
 export const weaknesses: Readonly<Record<string, Weakness>> = {
   uncheckedClaims: uncheckedTables(['claims']),
@@ -87,6 +101,7 @@
   admitsAll,
   lostIsNotRun,
   ignoresLeaving,
+  staleLease,
   forgetsVersion: container => versionsBy(container, new ForgetfulConfigHolder()),
   stuckVersion: container => versionsBy(container, new StuckConfigHolder()),
   cutIsWhole: container => weaken(container, ids.engines, cutIsWhole),
