--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -18,6 +18,17 @@
 /** Budgets of a holder removed in one transaction. */
 const MAX_REMOVED = 200
 
+/** A register row as scanned. */
+export interface HolderAtVersion extends RegisteredHolder {
+  readonly version: number
+}
+
+/** A closed allotment at the version at which it was seen closed; `null` when the row is gone already. */
+export interface ClosedAllotment {
+  readonly budget: string
+  readonly version: number | null
+}
+
 /** Registers this holder and finds the others. */
 export class BudgetRegistry {
   private registering = false
@@ -61,19 +72,23 @@
   /** Removes this holder and its empty allotments after it drained. */
   async retire (): Promise<void> {
     const { holder, domain } = this.self
+    const own = { table: budgetTables.holders, key: holderKey(domain, holder) }
+    const before = await this.table.store.read([own])
     const budgets = await this.budgetsOf(holder)
-    if (budgets.isLeft()) return
+    if (before.isLeft() || budgets.isLeft()) return
     for (const budget of budgets.orDefault([])) {
       const done = await this.table.run(`retire/${budget}`, drawKeys(holder, budget), rows => planRetire(rows, budget, holder))
       if (done.map(({ plan }) => plan.kind).orDefault('kept') === 'kept') return
     }
-    await this.remove({ holder, domain, registeredAt: 0 }, [])
+    // Whoever gives this holder a new allotment row writes its register row again, and then it stays.
+    const version = before.unsafeCoerce().rows[0]?.version ?? null
+    await this.table.store.transact({ checks: [{ ...own, version }], writes: [{ ...own, value: null }] })
   }
 
   /** All registered holders. */
-  async all (): Promise<Either<Failure, readonly RegisteredHolder[]>> {
+  async all (): Promise<Either<Failure, readonly HolderAtVersion[]>> {
     const scan = await scanAll(this.table.store, budgetTables.holders, '').run()
-    return scan.map(({ rows }) => rows.map(row => ({ ...holderRowSchema.parse(row.value), registeredAt: row.updatedAt })))
+    return scan.map(({ rows }) => rows.map(row => ({ ...holderRowSchema.parse(row.value), registeredAt: row.updatedAt, version: row.version })))
   }
 
   /**
@@ -86,19 +101,23 @@
   }
 
   /**
-   * Forgets an ended holder whose allotments are all closed.
-   * @param item - the holder
-   * @param budgets - its budgets
+   * Forgets an ended holder whose allotments are all closed, unless any of its rows changed since.
+   * @param item - the holder as scanned
+   * @param closed - its closed allotments
    */
-  async remove (item: RegisteredHolder, budgets: readonly string[]): Promise<void> {
-    const { holder, domain } = item
-    const writes = [
-      ...budgets.slice(0, MAX_REMOVED).flatMap(budget => [
-        { table: budgetTables.holdings, key: holdingKey(holder, budget), value: null },
-        { table: budgetTables.allotments, key: allotmentKey(budget, holder), value: null }
-      ]),
-      ...(budgets.length > MAX_REMOVED ? [] : [{ table: budgetTables.holders, key: holderKey(domain, holder), value: null }])
+  async remove (item: HolderAtVersion, closed: readonly ClosedAllotment[]): Promise<void> {
+    const { holder, domain, version } = item
+    const part = closed.slice(0, MAX_REMOVED)
+    const own = { table: budgetTables.holders, key: holderKey(domain, holder) }
+    const allotments = part.map(({ budget, version }) => ({ table: budgetTables.allotments, key: allotmentKey(budget, holder), version }))
+    const removed = [
+      ...allotments.map(({ table, key }) => ({ table, key })),
+      ...part.map(({ budget }) => ({ table: budgetTables.holdings, key: holdingKey(holder, budget) })),
+      ...(part.length < closed.length ? [] : [own])
     ]
-    await this.table.store.transact({ checks: [], writes })
+    await this.table.store.transact({
+      checks: [{ ...own, version }, ...allotments.filter(row => row.version !== null)],
+      writes: removed.map(row => ({ ...row, value: null }))
+    })
   }
 }
