--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -68,6 +68,7 @@
     if (list !== undefined) this.gone.note(list.asOf, list.vms)
     if (this.running) return
     this.running = true
+    this.runs.beginPass()
     try {
       const holders = (await this.registry.all()).orDefault([])
       for (const domain of new Set(holders.map(item => item.domain))) {
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -1,7 +1,7 @@
 /**
  * Finds what ended holders still owe: runs that the runners know and no segment has billed.
  */
-import { Left, Right, type Either } from 'purify-ts'
+import { Either, Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { budgetTables, segmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { RUN_RETENTION_MS } from '@rosemaryspread/decisions/budget/recoveryRules.js'
@@ -26,13 +26,30 @@
   readonly mayCancel: boolean
 }
 
+/** Runners asked at once. */
+const ASKED_AT_ONCE = 16
 /** Segments read at first, going back from the last one. */
 const FIRST_STEP = 256
 
+/** A run and the runner that told of it. */
+interface FoundRun {
+  readonly runner: string
+  readonly address: string
+  readonly record: RunRecord
+}
+
 /** Looks for unbilled runs. */
 export class RecoveryRuns {
+  /** Runs of holders that certainly ended, listed once in a pass for all their budgets. */
+  private readonly listed = new Map<string, Either<Failure, readonly FoundRun[]>>()
+
   constructor (private readonly store: TableStore, private readonly runners: RecoveryRunners) {}
 
+  /** Forgets what the pass before listed. */
+  beginPass (): void {
+    this.listed.clear()
+  }
+
   /**
    * Milliseconds since a holder itself wrote to the table.
    * @param item - its allotment
@@ -53,34 +70,52 @@
    */
   async unbilled (budget: string, owners: readonly RunOwner[]): Promise<Either<Failure, readonly OwedBill[]>> {
     const owed: OwedBill[] = []
-    const declared = this.runners.declared()
-    // Without a configuration nobody knows whom to ask, so nothing is proved.
-    if (declared.length === 0) return Left(new Failure('budgetPending', 'no runner is declared'))
     for (const owner of owners) {
+      const runs = (await this.runsOf(owner)).chain(found => endedRuns(found, owner, budget))
+      if (runs.isLeft()) {
+        await this.cancelRunning(owner, budget)
+        return Left(runs.extract() as Failure)
+      }
       const billed = await this.billedIds(owner)
       if (billed.isLeft()) return Left(billed.extract() as Failure)
       const seen = new Set(billed.unsafeCoerce())
-      for (const { runner, address } of declared) {
-        const records = await this.ended(address, owner, budget)
-        if (records.isLeft()) return Left(records.extract() as Failure)
-        for (const record of records.unsafeCoerce()) {
-          if (seen.has(record.requestId)) continue
-          seen.add(record.requestId)
-          owed.push({ holder: owner.holder, bill: billOf(record, runner) })
-        }
+      for (const { runner, record } of runs.unsafeCoerce()) {
+        if (seen.has(record.requestId)) continue
+        seen.add(record.requestId)
+        owed.push({ holder: owner.holder, bill: billOf(record, runner) })
       }
     }
     return Right(owed)
   }
 
-  private async ended (address: string, owner: RunOwner, budget: string): Promise<Either<Failure, readonly RunRecord[]>> {
-    const list = await this.runners.engines.listByHolder(address, owner.holder)
-    if (list.isLeft()) return list
-    const records = list.unsafeCoerce().filter(record => record.budget === budget && record.state !== 'sealed')
-    const running = records.filter(record => record.state === 'running')
-    if (running.length === 0) return Right(records)
-    if (owner.mayCancel) await Promise.all(running.map(async record => await this.runners.engines.cancel(address, record.requestId)))
-    return Left(new Failure('budgetPending', `${running.length} runs of ${owner.holder} have not ended`))
+  /** All runs of a holder; one that may still wake is listed anew each time. */
+  private async runsOf (owner: RunOwner): Promise<Either<Failure, readonly FoundRun[]>> {
+    const known = owner.mayCancel ? undefined : this.listed.get(owner.holder)
+    const runs = known ?? await this.list(owner.holder)
+    this.listed.set(owner.holder, runs)
+    return runs
+  }
+
+  private async list (holder: string): Promise<Either<Failure, readonly FoundRun[]>> {
+    const declared = this.runners.declared()
+    // Without a configuration nobody knows whom to ask, so nothing is proved.
+    if (declared.length === 0) return Left(new Failure('budgetPending', 'no runner is declared'))
+    const found: FoundRun[] = []
+    for (let from = 0; from < declared.length; from += ASKED_AT_ONCE) {
+      const answers = await Promise.all(declared.slice(from, from + ASKED_AT_ONCE).map(async ({ runner, address }) =>
+        (await this.runners.engines.listByHolder(address, holder)).map(records => records.map(record => ({ runner, address, record })))))
+      const runs = Either.sequence(answers)
+      if (runs.isLeft()) return Left(runs.extract() as Failure)
+      found.push(...runs.unsafeCoerce().flat())
+    }
+    return Right(found)
+  }
+
+  private async cancelRunning (owner: RunOwner, budget: string): Promise<void> {
+    if (!owner.mayCancel) return
+    const runs = this.listed.get(owner.holder)?.orDefault([]) ?? []
+    const running = runs.filter(({ record }) => record.budget === budget && record.state === 'running')
+    await Promise.all(running.map(async ({ address, record }) => await this.runners.engines.cancel(address, record.requestId)))
   }
 
   /** Ids billed by segments that are not older than the oldest run a runner may remember. */
@@ -102,6 +137,12 @@
   return oldest !== undefined && now - oldest.updatedAt > RUN_RETENTION_MS * 2
 }
 
+function endedRuns (found: readonly FoundRun[], owner: RunOwner, budget: string): Either<Failure, readonly FoundRun[]> {
+  const runs = found.filter(({ record }) => record.budget === budget && record.state !== 'sealed')
+  const running = runs.filter(({ record }) => record.state === 'running').length
+  return running === 0 ? Right(runs) : Left(new Failure('budgetPending', `${running} runs of ${owner.holder} have not ended`))
+}
+
 function billOf (record: RunRecord, runner: string): OwedBill['bill'] {
   const { requestId, budget, team, promptTokens, completionTokens } = record
   return { requestId, budget, team, tokens: promptTokens + completionTokens, runner }
