Bound the load calls of a VM, and take the load that engines tell with an answer

Ruled out: a longer period alone (the calls still grow with the runners); sharing reports by gossip (its bytes are nearly used up). Conclusion: the cost of load reports no longer grows with the runners.

--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -219,7 +219,7 @@
     const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
     if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { retryAfterMs: 100 }), lookIn: admitted.keyed ? this.runners : [] })
     this.open += 1
-    const run = { firstToken: () => {}, ended: () => { this.open -= 1 } }
+    const run = { opened: () => {}, firstToken: () => {}, ended: () => { this.open -= 1 } }
     return Right({ run, choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
   }
 
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -148,7 +148,10 @@
         maxTokens: admitted.maxTokens,
         priority: 0
       })
-      submitted.ifRight(() => { onStarted(plan.at) })
+      submitted.ifRight(({ load }) => {
+        run.opened(load)
+        onStarted(plan.at)
+      })
       return submitted
     })
     run.ended(!isRunnersFault(outcome), generatedTokens(outcome, open.relay))
--- a/packages/rosemaryspread/src/compose/bindServing.ts
+++ b/packages/rosemaryspread/src/compose/bindServing.ts
@@ -3,6 +3,7 @@
  */
 import type { Container } from 'inversify'
 import { CallerServer } from '@rosemaryspread/callers/api/callerServer.js'
+import { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import { RetryBudget } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
 import type { MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
@@ -36,12 +37,13 @@
 function bindRouting (container: Container): void {
   container.bind(ids.retries).toConstantValue(new RetryBudget())
   container.bind(ids.router).toResolvedValue(({ vm, domain }) => new RunnerRouter(vm, domain), [ids.identity]).inSingletonScope()
-  container.bind(ids.routing).toResolvedValue((decider, retries, clock, random, log, members) =>
-    new RoutingService({ decider, retries, clock, random, log, vms: () => members.members().filter(isUp).length }),
-  [ids.router, ids.retries, ids.clock, ids.random, ids.log, ids.members]).inSingletonScope()
-  container.bind(ids.poller).toResolvedValue((decider, engines, clock, log) =>
-    new RunnerPoller({ decider, engines, clock, log, watched: () => decider.watched() }),
-  [ids.router, ids.engines, ids.clock, ids.log]).inSingletonScope()
+  container.bind(ids.routing).toResolvedValue((decider, retries, polls, clock, random, log, members) =>
+    new RoutingService({ decider, retries, polls, clock, random, log, vms: () => members.members().filter(isUp).length }),
+  [ids.router, ids.retries, ids.polls, ids.clock, ids.random, ids.log, ids.members]).inSingletonScope()
+  container.bind(ids.polls).toResolvedValue(({ runners }) => new PollSchedule(runners.loadPollMs), [ids.settings]).inSingletonScope()
+  container.bind(ids.poller).toResolvedValue((decider, schedule, engines, clock, log, members) =>
+    new RunnerPoller({ decider, schedule, engines, clock, log, watched: () => decider.watched(), vms: () => members.members().length }),
+  [ids.router, ids.polls, ids.engines, ids.clock, ids.log, ids.members]).inSingletonScope()
 }
 
 function bindCompletions (container: Container): void {
--- a/packages/rosemaryspread/src/compose/serviceIds.ts
+++ b/packages/rosemaryspread/src/compose/serviceIds.ts
@@ -8,6 +8,7 @@
 import type { ApplicationService, CallerDirectory, CompletionService } from '@rosemaryspread/callers/completion/completionTypes.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import type { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
 import type { AdminService } from '@rosemaryspread/operators/admin/adminTypes.js'
@@ -68,6 +69,7 @@
 
   router: id<RunnerRouter>('RunnerRouter'),
   retries: id<RetryDecider>('RetryDecider'),
+  polls: id<PollSchedule>('PollSchedule'),
   routing: id<RoutingService>('RoutingService'),
   poller: id<RunnerPoller>('RunnerPoller'),
   placementLease: id<LeaseDriver>('PlacementLease'),
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -14,6 +14,8 @@
 const BUDGET_TICK_MS = 100
 /** Milliseconds between two looks at the requests that wait for a runner. */
 const QUEUE_TICK_MS = 50
+/** Milliseconds between two looks at the schedule of load calls. */
+const POLL_TICK_MS = 250
 /** Milliseconds between two passes over what ended holders held. */
 const RECOVERY_MS = 5_000
 /** Role whose candidates recover what ended holders held. */
@@ -103,13 +105,12 @@
   }
 
   private startTimers (): void {
-    const { runners } = this.container.get(ids.settings)
     const budgets = this.container.get(ids.budgets)
     const poller = this.container.get(ids.poller)
     const routing = this.container.get(ids.routing)
     const unsettled = this.container.get(ids.unsettled)
     this.every(BUDGET_TICK_MS, async () => { budgets.tick() })
-    this.every(runners.loadPollMs, async () => { await poller.poll() })
+    this.every(POLL_TICK_MS, async () => { await poller.poll() })
     this.every(QUEUE_TICK_MS, async () => { routing.pump() })
     this.every(RECOVERY_MS, async () => { await this.recover() })
     this.every(PLACEMENT_TICK_MS, async () => { await this.container.get(ids.placement).tick() })
--- a/packages/rosemaryspread/src/routing/routingPoller.ts
+++ b/packages/rosemaryspread/src/routing/routingPoller.ts
@@ -1,45 +1,51 @@
 /**
- * Asks the runners for their load reports and cache events, and tells the decider.
+ * Asks runners for their load reports and, where this VM sends requests, for their cache events,
+ * and tells the decider. The schedule bounds the calls.
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RouteDecider, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
 import type { EngineClient, LoadReport } from '@rosemaryspread/runners/engine/engineTypes.js'
 
 /** What the poller is composed of. */
 export interface PollerDeps {
   readonly decider: RouteDecider
-  readonly engines: EngineClient
+  readonly schedule: PollSchedule
+  readonly engines: Pick<EngineClient, 'load' | 'cacheEvents'>
   /** The runners whose reports this VM asks for. */
   readonly watched: () => readonly RunnerView[]
+  /** VMs of the fleet. */
+  readonly vms: () => number
   readonly clock: Clock
   readonly log: EventLog
 }
 
-/** Polls every watched runner once a round. */
+/** Asks watched runners as the schedule says. */
 export class RunnerPoller {
   private readonly nextCacheEvent = new Map<string, number>()
   private readonly leaving = new Set<string>()
-  private busy = false
 
   constructor (private readonly deps: PollerDeps) {}
 
-  /** Asks all runners once; a round that is still open is not doubled. */
+  /** Asks the runners that are due; to be called several times a second. */
   async poll (): Promise<void> {
-    if (this.busy) return
-    this.busy = true
-    try {
-      await Promise.all(this.deps.watched().map(async ({ runner, address }) => { await this.pollRunner(runner, address) }))
-    } finally {
-      this.busy = false
-    }
+    const watched = new Map(this.deps.watched().map(view => [view.runner, view.address]))
+    const due = this.deps.schedule.due([...watched.keys()], this.deps.vms(), this.deps.clock.now().mono)
+    await Promise.all(due.map(async ({ runner, isUsed }) => {
+      const address = watched.get(runner) ?? ''
+      await this.askLoad(runner, address)
+      if (isUsed) await this.askCache(runner, address)
+    }))
   }
 
-  private async pollRunner (runner: string, address: string): Promise<void> {
+  private async askLoad (runner: string, address: string): Promise<void> {
     const load = await this.deps.engines.load(address)
     load.ifRight(report => { this.tellLoad(runner, report) })
-    const after = this.nextCacheEvent.get(runner) ?? 0
-    const cache = await this.deps.engines.cacheEvents(address, after)
+  }
+
+  private async askCache (runner: string, address: string): Promise<void> {
+    const cache = await this.deps.engines.cacheEvents(address, this.nextCacheEvent.get(runner) ?? 0)
     cache.ifRight(({ next, events }) => {
       this.nextCacheEvent.set(runner, next)
       const hashes = (kind: string): string[] => events.filter(event => event.kind === kind).map(({ prefixHash }) => prefixHash)
--- a/packages/rosemaryspread/src/routing/routingPort.ts
+++ b/packages/rosemaryspread/src/routing/routingPort.ts
@@ -3,6 +3,7 @@
  */
 import type { Either, Maybe } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { StreamLoad } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import type { RunnerAddress } from '../completion/completionUnsettled.js'
 
@@ -23,6 +24,8 @@
 
 /** One dispatched request, told on as it goes. */
 export interface DispatchedRun {
+  /** The stream was opened; `load` is what the engine said of itself with it. */
+  opened (load: StreamLoad | undefined): void
   firstToken (afterMs: number): void
   ended (ok: boolean, tokens: number): void
 }
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -6,9 +6,11 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { FleetConfig, RunnerConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import type { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
 import type { RouteDecider, RouteDecision, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import type { StreamLoad } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import { RouteQueues, type RouteTry } from './routingQueue.js'
@@ -21,6 +23,7 @@
   /** VMs that share the runners, this one included. */
   readonly vms: () => number
   readonly retries: RetryDecider
+  readonly polls: PollSchedule
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: EventLog
@@ -110,9 +113,11 @@
   private dispatched (runner: string, admitted: AdmittedCompletion): DispatchedRun {
     const { requestId } = admitted
     const startedAt = this.deps.clock.now()
+    this.deps.polls.use(runner)
     const tokens = admitted.promptTokens + admitted.maxTokens
     this.deps.decider.observe({ kind: 'dispatched', runner, requestId, tokens }, startedAt)
     return {
+      opened: load => { this.tellLoad(runner, load) },
       firstToken: () => {
         const now = this.deps.clock.now()
         this.deps.decider.observe({ kind: 'firstToken', runner, requestId, afterMs: now.mono - startedAt.mono }, now)
@@ -130,6 +135,12 @@
     return decision.retry ? Just(decision.delayMs) : Nothing
   }
 
+  /** An engine that tells its load with an answer saves a call. */
+  private tellLoad (runner: string, load: StreamLoad | undefined): void {
+    if (load === undefined) return
+    this.deps.decider.observe({ kind: 'loadReported', runner, ...load, reportAgeMs: 0, leaving: false }, this.deps.clock.now())
+  }
+
   inFlight (runner: string): number {
     return this.deps.decider.inFlight(runner)
   }
--- a/packages/runners/src/engine/engineTypes.ts
+++ b/packages/runners/src/engine/engineTypes.ts
@@ -100,10 +100,18 @@
 })
 export type EngineOrder = z.infer<typeof engineOrderSchema>
 
+/** Load that an engine tells with an answer, in its header `x-engine-load`. */
+export interface StreamLoad {
+  readonly running: number
+  readonly waiting: number
+}
+
 /** A stream in progress. */
 export interface EngineStream {
   /** Holder that started the run, by the engine's header `x-run-holder`; another's when the submit joined a run. */
   readonly holder: string
+  /** Absent when the engine does not tell it. */
+  readonly load?: StreamLoad
   readonly events: AsyncIterable<EngineEvent>
   /** Closes the connection without cancelling the run. */
   close (): void
--- a/packages/runners/src/engine/httpEngineClient.spec.ts
+++ b/packages/runners/src/engine/httpEngineClient.spec.ts
@@ -111,6 +111,25 @@
     expect(code((await testClient().submit(await closedAddress(), REQUEST)).extract())).to.equal('runnerUnreachable no')
   })
 
+  const loads: ReadonlyArray<{ readonly header: string | undefined, readonly load: object | undefined }> = [
+    { header: 'running=3;waiting=12', load: { running: 3, waiting: 12 } },
+    { header: undefined, load: undefined },
+    { header: 'running=-1;waiting=0', load: undefined },
+    { header: 'busy', load: undefined }
+  ]
+  for (const { header, load } of loads) {
+    it(`reads the load told as ${header}`, async () => {
+      const engine = await startTestServer(res => {
+        res.writeHead(200, { 'content-type': 'text/event-stream', ...(header === undefined ? {} : { 'x-engine-load': header }) })
+        res.end(last(0) + DONE)
+      })
+      const stream = (await testClient().submit(engine.address, REQUEST)).unsafeCoerce()
+      expect(stream.load).to.deep.equal(load)
+      expect(await drain(stream)).to.equal(' stop 2')
+      await engine.close()
+    })
+  }
+
   it('reads text whose characters are split between packets, and reuses the connection', async () => {
     const bytes = Buffer.from(piece(0, 'Tường Sạch ñ 🌿') + last(1) + DONE)
     const engine = await startTestServer(res => {
--- a/packages/runners/src/engine/httpEngineClient.ts
+++ b/packages/runners/src/engine/httpEngineClient.ts
@@ -11,7 +11,7 @@
 import { HttpEngineStream, type StreamLimits, type StreamSubject } from './httpEngineStream.js'
 import {
   cacheEventsSchema, loadReportSchema, runRecordSchema,
-  type CacheEvents, type EngineClient, type EngineOrder, type EngineRequest, type EngineStream, type LoadReport, type RunRecord
+  type CacheEvents, type EngineClient, type EngineOrder, type EngineRequest, type EngineStream, type LoadReport, type RunRecord, type StreamLoad
 } from './engineTypes.js'
 
 const EVENT_STREAM = 'text/event-stream'
@@ -31,6 +31,14 @@
 
 type Refusal = (status: number, headers: HttpAnswer['headers']) => Failure
 
+const LOAD_HEADER = /^running=(\d{1,6});waiting=(\d{1,6})$/
+
+/** The load in a header; a header of another form is left aside. */
+function readLoad (header: string | string[] | undefined): StreamLoad | undefined {
+  const match = typeof header === 'string' ? LOAD_HEADER.exec(header) : null
+  return match === null ? undefined : { running: Number(match[1]), waiting: Number(match[2]) }
+}
+
 /** Waits for the status and headers of a streamed answer. */
 function responseOf (req: Request): Promise<Response> {
   return new Promise((resolve, reject) => {
@@ -147,7 +155,7 @@
   }
 
   private async open (
-    call: HttpCall, subject: Omit<StreamSubject, 'holder'>, refused: Refusal
+    call: HttpCall, subject: Omit<StreamSubject, 'holder' | 'load'>, refused: Refusal
   ): Promise<Either<Failure, EngineStream>> {
     const req = this.transport.stream(call)
     try {
@@ -167,9 +175,10 @@
     return contentType.startsWith(EVENT_STREAM) ? undefined : answerUnfit(`content type '${contentType}'`)
   }
 
-  private toStream (req: Request, res: Response, subject: Omit<StreamSubject, 'holder'>): EngineStream {
+  private toStream (req: Request, res: Response, subject: Omit<StreamSubject, 'holder' | 'load'>): EngineStream {
     const holder = res.headers['x-run-holder']
-    return new HttpEngineStream(req, { ...subject, holder: typeof holder === 'string' ? holder : '' }, this.settings)
+    const load = readLoad(res.headers['x-engine-load'])
+    return new HttpEngineStream(req, { ...subject, holder: typeof holder === 'string' ? holder : '', ...(load === undefined ? {} : { load }) }, this.settings)
   }
 
   private async call (address: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Either<Failure, HttpAnswer>> {
--- a/packages/runners/src/engine/httpEngineStream.ts
+++ b/packages/runners/src/engine/httpEngineStream.ts
@@ -6,7 +6,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { EngineEventCheck } from './engineEvents.js'
 import { EventReader, type EventBatch } from './eventReader.js'
-import type { EngineEvent, EngineStream } from './engineTypes.js'
+import type { EngineEvent, EngineStream, StreamLoad } from './engineTypes.js'
 
 /** Limits of a stream, in milliseconds. */
 export interface StreamLimits {
@@ -23,17 +23,20 @@
   readonly from: number
   /** Holder that started the run. */
   readonly holder: string
+  readonly load?: StreamLoad
 }
 
 /** One stream. The events can be iterated once. */
 export class HttpEngineStream implements EngineStream {
   readonly holder: string
+  readonly load?: StreamLoad
   readonly events: AsyncIterable<EngineEvent>
   private readonly check: EngineEventCheck
   private readonly reader: EventReader
 
   constructor (private readonly req: Request, subject: StreamSubject, private readonly limits: StreamLimits) {
     this.holder = subject.holder
+    if (subject.load !== undefined) this.load = subject.load
     this.check = new EngineEventCheck(subject.requestId, subject.from)
     this.reader = new EventReader(req)
     this.events = this.read()
--- a/packages/stand-ins/src/engine/engineRoutes.ts
+++ b/packages/stand-ins/src/engine/engineRoutes.ts
@@ -78,7 +78,7 @@
   }
 
   private follow (run: EngineRun, from: number, effect: boolean): HttpAnswer {
-    return { open: res => new EngineStream(run, res, this.faults).open(from), effect }
+    return { open: res => new EngineStream(run, res, this.faults, this.state.loadHeader()).open(from), effect }
   }
 
   private find (req: HttpRequest): HttpAnswer {
--- a/packages/stand-ins/src/engine/engineState.ts
+++ b/packages/stand-ins/src/engine/engineState.ts
@@ -238,6 +238,12 @@
     this.history.add({ kind: 'ended', at: Math.floor(at), requestId, runner: this.options.name, state, text: run.text, tokens: run.tokens, ...reported })
   }
 
+  /** The load as told with an answer. */
+  loadHeader (): string {
+    const { running, waiting } = this.loadNow()
+    return `running=${running};waiting=${waiting}`
+  }
+
   private loadNow (): Load {
     const { running, waiting } = this.batch
     return { running: running.size, waiting: waiting.length, slots: this.options.slots, models: this.models.report, leaving: this.leaving }
--- a/packages/stand-ins/src/engine/engineStream.ts
+++ b/packages/stand-ins/src/engine/engineStream.ts
@@ -17,8 +17,9 @@
    * @param run - the run to follow
    * @param res - response to write
    * @param faults - faults to show
+   * @param load - load told with the answer
    */
-  constructor (private readonly run: EngineRun, private readonly res: ServerResponse, private readonly faults: StreamFaults) {
+  constructor (private readonly run: EngineRun, private readonly res: ServerResponse, private readonly faults: StreamFaults, private readonly load: string) {
     this.head = headOf(run.req.requestId, run.req.model)
   }
 
@@ -28,7 +29,7 @@
    */
   open (from: number): void {
     const holder = this.run.req.holder
-    this.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-run-holder': holder })
+    this.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-run-holder': holder, 'x-engine-load': this.load })
     this.res.flushHeaders()
     for (let index = from; index < this.run.generated; index++) this.piece(index)
     if (this.run.state !== 'running') {
