Ask the table again before refusing from an old answer

Ruled out: waiting out the pause between rounds (up to 8 s of false refusals); telling all members of each top-up (those cut off would still refuse). Change: a shortage judges a request only if the table said so after the request came or within the last second; else the table is asked again, which is a read while it is short. Conclusion: after a top-up a VM serves within a second.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -40,6 +40,8 @@
 export interface OpenDraw {
   readonly drawId: string
   readonly inFlight: boolean
+  /** Whether requests wait for it, so that it must not wait for company. */
+  readonly isUrgent: boolean
   readonly since: Instant
 }
 
@@ -71,6 +73,8 @@
   draw: OpenDraw | undefined
   round: Round | undefined
   shortage: Shortage | undefined
+  /** When the shortage was learned. */
+  shortageAt = 0
   /** Tokens held by holders that the last recall could not reach. */
   unreachable = 0
   nextDrawAt = 0
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -11,6 +11,8 @@
 
 /** Pause before the next draw ahead of need once nothing was left. */
 const EMPTY_TABLE_PAUSE_MS = 30_000
+/** Age of the table's answer after which a new request has it asked again. */
+const LOOK_AGAIN_MS = 1_000
 /** Advice to callers when the budget is spent. */
 const SPENT_RETRY_MS = 30_000
 /** Advice to callers when tokens are held elsewhere. */
@@ -64,6 +66,10 @@
   endStage (entry: BudgetEntry, operationId: string, now: Instant): void {
     const round = entry.round
     if (round === undefined || round.operationId !== operationId) return
+    if (now.mono < entry.nextRoundAt) {
+      entry.round = undefined
+      return
+    }
     const stage = this.stageAfter(entry, round.stage, now)
     if (stage !== undefined && entry.need > 0) {
       entry.round = { stage }
@@ -110,6 +116,7 @@
       return
     }
     entry.shortage = this.shortageOf(outcome)
+    entry.shortageAt = now.mono
     const { retryMs, retryMaxMs } = this.policy
     entry.drawPauseMs = outcome.kind === 'unavailable'
       ? Math.min(retryMaxMs, Math.max(retryMs, entry.drawPauseMs * 2))
@@ -149,7 +156,7 @@
   }
 
   private verdict (entry: BudgetEntry, item: WaitingRequest, now: Instant): Failure | undefined {
-    const shortage = entry.shortage
+    const shortage = this.currentShortage(entry, item, now)
     if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `there is no budget ${entry.budget}`)
     if (shortage?.kind === 'short' && this.cannotComeBack(entry, shortage.unspent, item.tokens)) {
       return new Failure('budgetSpent', `fewer than ${item.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
@@ -160,6 +167,18 @@
     return waitedMs >= patienceMs ? this.timedOut(entry, now) : undefined
   }
 
+  /** What the table said after the request came, or a moment before; a top-up may have come since an older answer. */
+  private currentShortage (entry: BudgetEntry, item: WaitingRequest, now: Instant): Shortage | undefined {
+    const isCurrent = entry.shortageAt >= item.since.mono || !this.mayLookAgain(entry, now)
+    return isCurrent ? entry.shortage : undefined
+  }
+
+  /** Whether the table should be asked again though no new round may begin: that is a read, without a write while it is short. */
+  private mayLookAgain (entry: BudgetEntry, now: Instant): boolean {
+    const answered = entry.shortage?.kind === 'short' || entry.shortage?.kind === 'unknownBudget'
+    return answered && now.mono - entry.shortageAt >= LOOK_AGAIN_MS
+  }
+
   private cannotComeBack (entry: BudgetEntry, unspent: number, tokens: number): boolean {
     return unspent - (entry.unsettled - entry.flushing) < tokens
   }
@@ -175,7 +194,7 @@
   private advance (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     if (entry.round !== undefined) return this.runStage(entry, now)
     if (entry.waiting.length === 0) return this.drawAhead(entry, now)
-    if (now.mono < entry.nextRoundAt) return []
+    if (now.mono < entry.nextRoundAt && !this.mayLookAgain(entry, now)) return []
     entry.round = { stage: 'draw' }
     return this.runStage(entry, now)
   }
@@ -197,10 +216,12 @@
   }
 
   private startDraw (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
-    if (entry.draw?.inFlight === true) return []
-    const { drawId, since } = entry.draw ?? { drawId: this.nextId('draw'), since: now }
-    entry.draw = { drawId, inFlight: true, since }
     const { budget, need: atLeast, reopen } = entry
+    const isUrgent = atLeast > 0
+    // A draw that went out ahead of need is told again, under its id, when requests begin to wait for it.
+    if (entry.draw?.inFlight === true && (entry.draw.isUrgent || !isUrgent)) return []
+    const { drawId, since } = entry.draw ?? { drawId: this.nextId('draw'), since: now }
+    entry.draw = { drawId, inFlight: true, isUrgent, since }
     const tokens = Math.max(atLeast, this.missing(entry, now))
     return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined }]
   }
