Judge versions only on VMs that run and reach the table; run one round of a seed again

Cause: after a heal the scenario runner noted VMs as reachable that were not started, so the soak said that a version was late on them (rounds 23-2, 23-6, 23-8). Ruled out: easing the rule; the records were wrong, not the rule. Conclusion: round 23-5 stays open: recovery bills a keyed request that another VM ran and billed.

--- a/packages/stand-ins/src/scenario/fleet/fleet.ts
+++ b/packages/stand-ins/src/scenario/fleet/fleet.ts
@@ -41,7 +41,10 @@
   private readonly listed = new Map<string, 'live' | 'leaving' | 'gone'>()
 
   private constructor (private readonly options: FleetOptions) {
-    this.network = new Network(this.links, this.standIns, name => this.namesIn(name), record => this.note(record))
+    this.network = new Network(this.links, this.standIns, name => this.namesIn(name), {
+      lost: vm => { if (this.vm(vm).up) this.note({ kind: 'vmDown', at: Date.now(), vm, cause: 'cut' }) },
+      regained: vm => { this.noteUp(vm) }
+    })
   }
 
   /**
@@ -83,7 +86,7 @@
   async startVm (name: string): Promise<void> {
     await this.launch(name)
     await this.vm(name).ready()
-    this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+    this.noteUp(name)
   }
 
   /** @param name - a VM to end without warning */
@@ -115,7 +118,7 @@
   thawVm (name: string): void {
     this.vm(name).signal('SIGCONT')
     this.vm(name).frozen = false
-    this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+    this.noteUp(name)
   }
 
   /**
@@ -233,10 +236,15 @@
     await Promise.all(started.map(async name => {
       await this.vm(name).ready()
       await waitFor(`the configuration at VM ${name}`, START_LIMIT_MS, () => this.vm(name).versionInForce > 0)
-      this.note({ kind: 'vmUp', at: Date.now(), vm: name })
+      this.noteUp(name)
     }))
   }
 
+  /** Notes a VM that runs and reaches the table. */
+  private noteUp (vm: string): void {
+    if (this.vm(vm).up && !this.network.isCutOff(vm)) this.note({ kind: 'vmUp', at: Date.now(), vm })
+  }
+
   private async insist (what: string, call: () => Promise<{ readonly status: number, readonly name: string | undefined }>): Promise<void> {
     let last = ''
     await waitFor(what, START_LIMIT_MS, async () => {
--- a/packages/stand-ins/src/scenario/fleet/network.ts
+++ b/packages/stand-ins/src/scenario/fleet/network.ts
@@ -2,13 +2,15 @@
  * Cuts between VMs and whatever they talk to: other VMs over fake links, the platform and the
  * runners at the control ports of their stand-ins.
  */
-import type { RecordOf } from '../../history/historyTypes.js'
 import type { CutStep } from '../language/scenarioSchema.js'
 import type { FakeLink, LinkState } from './fakeLink.js'
 import type { StandInProcess } from './standInProcess.js'
 
-/** Records of VMs that came out of reach of the table or back. */
-export type ReachRecord = RecordOf<'vmDown'> | RecordOf<'vmUp'>
+/** Told which VMs lost their way to the table or have it back. */
+export interface ReachObserver {
+  lost (vm: string): void
+  regained (vm: string): void
+}
 
 /** The network of one fleet. */
 export class Network {
@@ -18,13 +20,13 @@
    * @param links - link in front of each VM; empty when the scenario makes no cuts
    * @param standIns - all stand-ins by name
    * @param namesIn - the names that a name of a VM, stand-in or failure domain means
-   * @param note - takes records
+   * @param observer - told who reaches the table
    */
   constructor (
     private readonly links: ReadonlyMap<string, FakeLink>,
     private readonly standIns: ReadonlyMap<string, StandInProcess>,
     private readonly namesIn: (name: string) => readonly string[],
-    private readonly note: (record: ReachRecord) => void
+    private readonly observer: ReachObserver
   ) {}
 
   /** @param step - which sides to part, and how */
@@ -35,10 +37,19 @@
   }
 
   async healAll (): Promise<void> {
-    for (const vm of this.cutFrom.get('table') ?? []) this.note({ kind: 'vmUp', at: Date.now(), vm })
+    const cutOff = [...this.cutFrom.get('table') ?? []]
     this.cutFrom.clear()
     for (const link of this.links.values()) for (const vm of this.links.keys()) link.set(vm, 'open')
     await this.send()
+    for (const vm of cutOff) this.observer.regained(vm)
+  }
+
+  /**
+   * Whether a VM cannot reach the table.
+   * @param vm - the VM
+   */
+  isCutOff (vm: string): boolean {
+    return this.cutFrom.get('table')?.has(vm) === true
   }
 
   private cutPair (a: string, b: string, state: LinkState): void {
@@ -52,7 +63,7 @@
     if (!this.standIns.has(standIn) || !this.links.has(vm)) return
     const vms = this.cutFrom.get(standIn) ?? new Set()
     this.cutFrom.set(standIn, vms.add(vm))
-    if (standIn === 'table') this.note({ kind: 'vmDown', at: Date.now(), vm, cause: 'cut' })
+    if (standIn === 'table') this.observer.lost(vm)
   }
 
   private async send (): Promise<void> {
--- a/packages/stand-ins/src/scenario/scenarioMain.ts
+++ b/packages/stand-ins/src/scenario/scenarioMain.ts
@@ -83,10 +83,11 @@
     .option('soak', { type: 'boolean', default: false, describe: 'random scenarios from a seed' })
     .option('seed', { type: 'string', default: '1', describe: 'seed of the soak' })
     .option('minutes', { type: 'number', default: 1, describe: 'length of the soak' })
+    .option('round', { type: 'number', describe: 'run only this round of the seed again' })
     .strictOptions()
     .parse()
   const folder = args.keep ?? await mkdtemp(join(tmpdir(), 'scenarios-'))
-  if (args.soak) process.exit(await soak({ seed: args.seed, minutes: args.minutes, folder }) ? 0 : EXIT_FAILED)
+  if (args.soak) process.exit(await soak({ seed: args.seed, minutes: args.minutes, folder, round: args.round }) ? 0 : EXIT_FAILED)
   const paths = args._.length > 0 ? args._.map(String) : [DEFAULT_FOLDER]
   const files = (await Promise.all(paths.map(filesOf))).flat()
   const scenarios = await Promise.all(files.map(readScenario))
--- a/packages/stand-ins/src/scenario/soak/soak.ts
+++ b/packages/stand-ins/src/scenario/soak/soak.ts
@@ -13,6 +13,8 @@
   readonly seed: string
   readonly minutes: number
   readonly folder: string
+  /** Run only this round of the seed again. */
+  readonly round?: number | undefined
 }
 
 /**
@@ -20,12 +22,14 @@
  * @param options - seed, length and place
  * @returns whether all promises held
  */
-export async function soak ({ seed, minutes, folder }: SoakOptions): Promise<boolean> {
-  const end = Date.now() + minutes * MS_PER_MINUTE
+export async function soak ({ seed, minutes, folder, round: only }: SoakOptions): Promise<boolean> {
+  const first = only ?? 0
+  const end = only === undefined ? Date.now() + minutes * MS_PER_MINUTE : Date.now()
   const broken: string[] = []
   let rounds = 0
-  while (Date.now() < end) {
-    const round = `${seed}-${rounds++}`
+  do {
+    const round = `${seed}-${first + rounds}`
+    rounds++
     const verdict = await runScenario(randomScenario(round), { folder: join(folder, round) })
     console.log(`${verdict.passed ? 'ok    ' : 'FAILED'} round ${round} (${verdict.ms} ms, ${verdict.records} records)`)
     if (verdict.passed) await rm(verdict.folder, { recursive: true })
@@ -33,7 +37,7 @@
       broken.push(round)
       console.log(`${verdict.report}\nhistory: ${verdict.folder}`)
     }
-  }
+  } while (Date.now() < end)
   console.log(`soak: seed ${seed}, ${rounds} rounds, ${broken.length} with broken promises${broken.length === 0 ? '' : `: ${broken.join(' ')}`}`)
   return broken.length === 0
 }
