Carry draws ahead of need for many budgets in one transaction

Cause: a draw for each budget is about one transaction for every third request at the target (docs/CAPACITY.md), more than the table takes. Change: draws ahead of need wait up to the flush time and go out together, 100 at most; a draw for which a request begins to wait goes out at once under its id; a broken row fails only its own budget. Ruled out: draws inside the flush, because a conflict on a busy budget row would then hold up bills.

--- a/packages/decisions/src/budget/budgetKeys.ts
+++ b/packages/decisions/src/budget/budgetKeys.ts
@@ -11,6 +11,8 @@
   holdings: 'holdings',
   /** Rows `<domain>/<holder>`: every process that may hold tokens. */
   holders: 'holders',
+  /** Rows `<holder>`: where the process listens, so that its successor there proves its end. */
+  places: 'places',
   segments: 'segments',
   topUps: 'topups',
   transfers: 'transfers'
--- a/packages/decisions/src/budget/recoveryRules.ts
+++ b/packages/decisions/src/budget/recoveryRules.ts
@@ -1,6 +1,7 @@
 /**
- * When a holder counts as ended. Only two things prove it: the platform's list says that it ended
- * the VM after this holder had registered, or its allotment lapsed, so that it may not spend.
+ * When a holder counts as ended. Only three things prove it: the platform's list says that it ended
+ * the VM after this holder had registered, a later process listens in its place, or its allotment
+ * lapsed, so that it may not spend.
  */
 import { vmOf } from '../names/nameTypes.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
@@ -60,3 +61,24 @@
 export function mayBeForgotten (policy: BudgetPolicy, contactAgeMs: number): boolean {
   return contactAgeMs > RUN_RETENTION_MS - policy.marginMs
 }
+
+/** Where a holder listens, and since when. */
+export interface PlacedHolder {
+  readonly holder: string
+  readonly place: string
+  /** Table milliseconds at which it was listening there. */
+  readonly since: number
+}
+
+/**
+ * Whether a later process of the same VM listens in the place of a holder. Two processes cannot
+ * listen on one address of one system, not even when one of them is paused.
+ * @param holder - the holder
+ * @param placed - all holders with their places
+ */
+export function isSucceeded (holder: string, placed: readonly PlacedHolder[]): boolean {
+  const own = placed.find(item => item.holder === holder)
+  if (own === undefined) return false
+  return placed.some(other => other.holder !== holder && vmOf(other.holder) === vmOf(holder) &&
+    other.place === own.place && other.since > own.since)
+}
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -1,12 +1,13 @@
 /**
  * Draws: moves tokens from a budget into the allotment of this holder.
  */
-import type { Either } from 'purify-ts'
+import { Either } from 'purify-ts'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetAction, DrawOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { drawKeys, planDraw, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
-import type { BudgetTable, Committed } from './budgetTable.js'
+import type { BudgetTable } from './budgetTable.js'
 import { surveyBudget } from './budgetSharing.js'
 
 /** Who draws; `holders` is asked each time. */
@@ -17,7 +18,8 @@
   holders (): number
 }
 
-type DrawAction = Extract<BudgetAction, { kind: 'draw' }>
+/** A draw as the ledger wants it. */
+export type DrawAction = Extract<BudgetAction, { kind: 'draw' }>
 
 /** Carries out draws. */
 export class BudgetDrawing {
@@ -28,20 +30,30 @@
   ) {}
 
   /**
-   * Draws.
-   * @param action - what the ledger wants
+   * Draws for several budgets in one transaction.
+   * @param actions - what the ledger wants, of different budgets
    */
-  async draw (action: DrawAction): Promise<DrawOutcome> {
+  async draw (actions: readonly DrawAction[]): Promise<readonly DrawOutcome[]> {
     const { holder, domain, shareDivisor } = this.self
     const drawer = { holder, domain, shareDivisor, holders: this.self.holders() }
-    const keys = drawKeys(holder, action.budget)
-    const done = await this.table.run(action.drawId, keys, rows => planDraw(rows, action, drawer))
-    return await this.outcome(action, done)
+    const keys = actions.flatMap(action => drawKeys(holder, action.budget))
+    const ids = actions.map(action => action.drawId)
+    const done = await this.table.run(ids, keys, rows =>
+      Either.sequence(actions.map(action => planDraw(rows, action, drawer))).map(batchOf))
+    if (done.isLeft()) return await this.allFailed(actions, done.extract() as Failure)
+    const { plan, sentAt } = done.unsafeCoerce()
+    return await Promise.all(plan.plans.map(async (item, index) => await this.outcome(actions[index], item, sentAt)))
   }
 
-  private async outcome (action: DrawAction, done: Either<Failure, Committed<DrawPlan>>): Promise<DrawOutcome> {
-    if (done.isLeft()) return this.failed(action, done.extract() as Failure)
-    const { plan, sentAt } = done.unsafeCoerce()
+  /** A broken row fails only the draw of its own budget. */
+  private async allFailed (actions: readonly DrawAction[], failure: Failure): Promise<readonly DrawOutcome[]> {
+    if (failure.code !== 'internal' || actions.length === 1) return actions.map(action => this.failed(action, failure))
+    const outcomes = await Promise.all(actions.map(async action => await this.draw([action])))
+    return outcomes.flat()
+  }
+
+  private async outcome (action: DrawAction | undefined, plan: DrawPlan, sentAt: Instant): Promise<DrawOutcome> {
+    if (action === undefined) return { kind: 'unavailable' }
     if (plan.kind === 'closed' || plan.kind === 'unknownBudget') return { kind: plan.kind }
     if (plan.kind === 'short') return await this.short(action, plan.left)
     const { tokens, left } = plan
@@ -67,3 +79,13 @@
     return { kind: 'unavailable' }
   }
 }
+
+/** Plans of one transaction; it is written if any of them writes. */
+interface DrawBatch {
+  readonly kind: 'write' | 'done'
+  readonly plans: readonly DrawPlan[]
+}
+
+function batchOf (plans: readonly DrawPlan[]): DrawBatch {
+  return { kind: plans.some(plan => plan.kind === 'write') ? 'write' : 'done', plans }
+}
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -13,7 +13,8 @@
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
 import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 import { BudgetAsking } from './budgetAsking.js'
-import { BudgetDrawing } from './budgetDrawing.js'
+import { BudgetDrawing, type DrawAction } from './budgetDrawing.js'
+import { DrawQueue } from './drawQueue.js'
 import { BudgetFlushing } from './budgetFlushing.js'
 import type { BudgetPeers, ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
@@ -28,6 +29,8 @@
 export interface BudgetDriverParts {
   readonly holder: string
   readonly domain: string
+  /** Name of the addresses on which this process listens. */
+  readonly place?: string | undefined
   readonly store: TableStore
   readonly peers: BudgetPeers
   readonly clock: Clock
@@ -58,6 +61,7 @@
   private readonly ledger: BudgetLedger
   private readonly table: BudgetTable
   private readonly drawing: BudgetDrawing
+  private readonly draws: DrawQueue
   private readonly flushing: BudgetFlushing
   private readonly asking: BudgetAsking
   private readonly topUps: BudgetTopUps
@@ -78,8 +82,9 @@
     this.table = new BudgetTable(store, clock)
     const { shareDivisor } = this.policy
     this.drawing = new BudgetDrawing(this.table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1 }, log)
+    this.draws = new DrawQueue(this.policy.flushMs)
     this.flushing = new BudgetFlushing(this.table, { holder, domain }, log)
-    this.registry = new BudgetRegistry(this.table, { holder, domain })
+    this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place })
     const isRegistered = (): boolean => this.registry.isRegistered
     this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, isRegistered, dispatch: event => this.dispatch(event) })
     this.recovery = this.recoveryOf(parts)
@@ -109,6 +114,7 @@
   /** Moves time on; to be called every 100 to 200 ms. */
   tick (): void {
     this.dispatch({ kind: 'tick' })
+    this.run(this.performDraws(this.draws.due(this.parts.clock.now())))
     this.run(this.asking.repeatOpen())
     this.run(this.registry.register())
   }
@@ -224,7 +230,7 @@
     switch (action.kind) {
       case 'admit': this.answer(action.reservationId); break
       case 'refuse': this.answer(action.reservationId, action.failure); break
-      case 'draw': this.run(this.performDraw(action)); break
+      case 'draw': this.run(this.performDraws(this.draws.add(action, this.parts.clock.now()))); break
       case 'flush': this.run(this.performFlush(action)); break
       case 'askGive': this.run(this.asking.askGive(action)); break
       case 'recall': this.run(this.asking.recall(action)); break
@@ -247,9 +253,13 @@
     item.resolve(failure === undefined ? Right(item.reservation) : Left(failure))
   }
 
-  private async performDraw (action: Extract<BudgetAction, { kind: 'draw' }>): Promise<void> {
-    const outcome = await this.drawing.draw(action)
-    this.dispatch({ kind: 'drawAnswered', drawId: action.drawId, outcome })
+  private async performDraws (actions: readonly DrawAction[]): Promise<void> {
+    if (actions.length === 0) return
+    const outcomes = await this.drawing.draw(actions)
+    this.draws.done(actions)
+    actions.forEach(({ drawId }, index) => {
+      this.dispatch({ kind: 'drawAnswered', drawId, outcome: outcomes[index] ?? { kind: 'unavailable' } })
+    })
   }
 
   private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -10,7 +10,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder, type RecoveryPlan } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
-import { GoneVms, hasLapsed, mayBeForgotten } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { GoneVms, hasLapsed, isSucceeded, mayBeForgotten, type PlacedHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import { RecoveryRuns, type RecoveryRunners } from './budgetRecoveryRuns.js'
@@ -71,18 +71,20 @@
     this.runs.beginPass()
     try {
       const holders = (await this.registry.all()).orDefault([])
+      const placed = (await this.registry.places()).orDefault([])
       for (const domain of new Set(holders.map(item => item.domain))) {
-        await this.recoverDomain(this.viewOf(holders.filter(item => item.domain === domain)))
+        await this.recoverDomain(this.viewOf(holders.filter(item => item.domain === domain), placed))
       }
     } finally {
       this.running = false
     }
   }
 
-  private viewOf (holders: readonly HolderAtVersion[]): DomainView {
+  private viewOf (holders: readonly HolderAtVersion[], placed: readonly PlacedHolder[]): DomainView {
     const members = new Set([this.parts.holder, ...this.parts.peers.members().map(member => member.holder)])
-    const ended = holders.filter(item => this.gone.proves(item))
-    const rest = holders.filter(item => !this.gone.proves(item))
+    const isEnded = (item: HolderAtVersion): boolean => this.gone.proves(item) || isSucceeded(item.holder, placed)
+    const ended = holders.filter(isEnded)
+    const rest = holders.filter(item => !isEnded(item))
     for (const holder of members) this.absentSince.delete(holder)
     return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)) }
   }
@@ -188,8 +190,8 @@
 
   private report (order: RecoveryOrder, plan: RecoveryPlan): void {
     if (plan.kind !== 'write') return
-    const holder = order.closing.map(item => item.holder).join(' ')
-    this.parts.log.write('budgetRecovered', { holder, budget: order.budget, billed: plan.billed, returned: plan.returned })
+    const ended = order.closing.map(item => item.holder).join(' ')
+    this.parts.log.write('budgetRecovered', { ended, budget: order.budget, billed: plan.billed, returned: plan.returned })
   }
 
   /** Whether a holder has been no member for a whole lapse, as seen by this process itself. */
--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -6,8 +6,9 @@
 import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { budgetTables, holderKey, holdingKey, allotmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
-import { holderRowSchema, holdingRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
-import type { RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { holderRowSchema, holdingRowSchema, placeRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { RowSet } from '@rosemaryspread/decisions/budget/rowSet.js'
+import type { PlacedHolder, RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import { drawKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import { planRetire } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { scanAll } from './budgetSharing.js'
@@ -29,13 +30,21 @@
   readonly version: number | null
 }
 
+/** Who registers. */
+export interface HolderSelf {
+  readonly holder: string
+  readonly domain: string
+  /** Name of the addresses it listens on; without it its successor proves nothing. */
+  readonly place?: string | undefined
+}
+
 /** Registers this holder and finds the others. */
 export class BudgetRegistry {
   private registering = false
   private registered = false
   private registeredAt: Instant | undefined
 
-  constructor (private readonly table: BudgetTable, private readonly self: { readonly holder: string, readonly domain: string }) {}
+  constructor (private readonly table: BudgetTable, private readonly self: HolderSelf) {}
 
   /** Whether the row of this holder is durable; before, it must not take transfers. */
   get isRegistered (): boolean {
@@ -48,9 +57,11 @@
     this.registering = true
     const { holder, domain } = this.self
     const key = holderKey(domain, holder)
-    const done = await this.table.run('register', [{ table: budgetTables.holders, key }], rows => {
-      if (rows.version(budgetTables.holders, key) !== null) return Right({ kind: 'done' })
+    const keys = [{ table: budgetTables.holders, key }, { table: budgetTables.places, key: holder }]
+    const done = await this.table.run('register', keys, rows => {
+      if (rows.version(budgetTables.holders, key) !== null && this.isPlaced(rows)) return Right({ kind: 'done' })
       rows.set(budgetTables.holders, key, { holder, domain })
+      if (!this.isPlaced(rows)) rows.set(budgetTables.places, holder, { holder, place: this.self.place })
       return Right({ kind: 'write' })
     })
     this.registering = false
@@ -60,6 +71,10 @@
     })
   }
 
+  private isPlaced (rows: RowSet): boolean {
+    return this.self.place === undefined || rows.version(budgetTables.places, this.self.holder) !== null
+  }
+
   private get isCheckDue (): boolean {
     return this.registeredAt === undefined || elapsedMs(this.registeredAt, this.table.now()) > CHECK_MS
   }
@@ -82,7 +97,7 @@
     }
     // Whoever gives this holder a new allotment row writes its register row again, and then it stays.
     const version = before.unsafeCoerce().rows[0]?.version ?? null
-    await this.table.store.transact({ checks: [{ ...own, version }], writes: [{ ...own, value: null }] })
+    await this.table.store.transact({ checks: [{ ...own, version }], writes: [{ ...own, value: null }, { table: budgetTables.places, key: holder, value: null }] })
   }
 
   /** All registered holders. */
@@ -91,6 +106,12 @@
     return scan.map(({ rows }) => rows.map(row => ({ ...holderRowSchema.parse(row.value), registeredAt: row.updatedAt, version: row.version })))
   }
 
+  /** All holders that told where they listen. */
+  async places (): Promise<Either<Failure, readonly PlacedHolder[]>> {
+    const scan = await scanAll(this.table.store, budgetTables.places, '').run()
+    return scan.map(({ rows }) => rows.map(row => ({ ...placeRowSchema.parse(row.value), since: row.updatedAt })))
+  }
+
   /**
    * Budgets of which a holder has an allotment row.
    * @param holder - holder id
@@ -113,7 +134,7 @@
     const removed = [
       ...allotments.map(({ table, key }) => ({ table, key })),
       ...part.map(({ budget }) => ({ table: budgetTables.holdings, key: holdingKey(holder, budget) })),
-      ...(part.length < closed.length ? [] : [own])
+      ...(part.length < closed.length ? [] : [own, { table: budgetTables.places, key: holder }])
     ]
     await this.table.store.transact({
       checks: [{ ...own, version }, ...allotments.filter(row => row.version !== null)],
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -35,13 +35,14 @@
 
   /**
    * Reads rows, plans on them and writes the result. A plan of another kind than `write` ends it without a write.
-   * @param operationId - id under which a later run finds its effect
+   * @param operationIds - ids under which a later run finds its effects
    * @param keys - rows to read
    * @param plan - changes the row set or says why not
    */
   async run<P extends Planned> (
-    operationId: string, keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>
+    operationIds: string | readonly string[], keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>
   ): Promise<Either<Failure, Committed<P>>> {
+    const ids = typeof operationIds === 'string' ? [operationIds] : operationIds
     const startedAt = this.clock.now()
     for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
       const read = await this.store.read(keys)
@@ -50,16 +51,16 @@
       const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
       if (planned.isLeft()) return Left(planned.extract() as Failure)
       const value = planned.unsafeCoerce()
-      if (value.kind !== 'write') return Right(this.resolved(operationId, value, startedAt))
+      if (value.kind !== 'write') return Right({ plan: value, sentAt: this.resolved(ids, startedAt) })
       const sentAt = this.clock.now()
       const written = await this.write(rows)
       if (written.isRight()) {
-        this.firstSent.delete(operationId)
-        return Right({ plan: value, sentAt })
+        // In a batch some may have taken effect before, so the lease counts from the first of them.
+        return Right({ plan: value, sentAt: this.resolved(ids, sentAt) })
       }
       const failure = written.extract() as Failure
       if (failure.code === 'platformUnavailable') return Left(failure)
-      if (failure.code !== 'platformConflict') this.noteUnknown(operationId, startedAt)
+      if (failure.code !== 'platformConflict') this.noteUnknown(ids, startedAt)
     }
     return Left(new Failure('platformUnavailable', 'the transaction conflicted too often'))
   }
@@ -78,14 +79,18 @@
   }
 
   /** An effect found later was sent no later than the first try with an unknown outcome. */
-  private resolved<P> (operationId: string, plan: P, startedAt: Instant): Committed<P> {
-    const sentAt = this.firstSent.get(operationId) ?? startedAt
-    this.firstSent.delete(operationId)
-    return { plan, sentAt }
+  private resolved (ids: readonly string[], startedAt: Instant): Instant {
+    let first = startedAt
+    for (const id of ids) {
+      const sentAt = this.firstSent.get(id) ?? startedAt
+      if (sentAt.mono < first.mono) first = sentAt
+      this.firstSent.delete(id)
+    }
+    return first
   }
 
-  private noteUnknown (operationId: string, startedAt: Instant): void {
-    if (!this.firstSent.has(operationId)) this.firstSent.set(operationId, startedAt)
+  private noteUnknown (ids: readonly string[], startedAt: Instant): void {
+    for (const id of ids) if (!this.firstSent.has(id)) this.firstSent.set(id, startedAt)
   }
 
   private async write (rows: RowSet): Promise<Either<Failure, unknown>> {
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/drawQueue.ts
@@ -0,0 +1,62 @@
+/**
+ * Draws ahead of need wait a short time for company, so that one transaction carries those of
+ * many budgets. A draw for which requests wait goes out at once.
+ */
+import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { DrawAction } from './budgetDrawing.js'
+
+/** Draws of one transaction; each reads two rows and writes up to four. */
+const MAX_DRAWS = 100
+
+/** Queue of draws of one holder. */
+export class DrawQueue {
+  private readonly waiting = new Map<string, DrawAction>()
+  private readonly inFlight = new Set<string>()
+  private oldest: Instant | undefined
+
+  /**
+   * @param waitMs - longest time a draw ahead of need waits
+   */
+  constructor (private readonly waitMs: number) {}
+
+  /**
+   * Takes a draw; answers what has to go out at once.
+   * @param action - the draw; one told again replaces the one that waits
+   * @param now - both clocks
+   */
+  add (action: DrawAction, now: Instant): readonly DrawAction[] {
+    if (this.inFlight.has(action.drawId)) return []
+    if (action.atLeast > 0) {
+      this.waiting.delete(action.drawId)
+      return this.send([action])
+    }
+    this.waiting.set(action.drawId, action)
+    this.oldest ??= now
+    return []
+  }
+
+  /**
+   * Draws that waited long enough, with their company.
+   * @param now - both clocks
+   */
+  due (now: Instant): readonly DrawAction[] {
+    if (this.oldest === undefined || elapsedMs(this.oldest, now) < this.waitMs) return []
+    const batch = [...this.waiting.values()].slice(0, MAX_DRAWS)
+    for (const action of batch) this.waiting.delete(action.drawId)
+    if (this.waiting.size === 0) this.oldest = undefined
+    return this.send(batch)
+  }
+
+  /**
+   * Notes that the outcome of draws is known.
+   * @param actions - the draws
+   */
+  done (actions: readonly DrawAction[]): void {
+    for (const action of actions) this.inFlight.delete(action.drawId)
+  }
+
+  private send (actions: readonly DrawAction[]): readonly DrawAction[] {
+    for (const action of actions) this.inFlight.add(action.drawId)
+    return actions
+  }
+}
--- a/packages/stand-ins/src/budget/budgetDriver.spec.ts
+++ b/packages/stand-ins/src/budget/budgetDriver.spec.ts
@@ -140,6 +140,31 @@
     }
   }
 
+  for (const brokenRow of [false, true]) {
+    it(`refills many budgets in one transaction${brokenRow ? ', and the others when one row is broken' : ''}`, async () => {
+      const bench = new Bench()
+      const budgets = ['b0', 'b1', 'b2', 'b3', 'b4']
+      const held = (): number => bench.driver.views().reduce((sum, view) => sum + view.held, 0)
+      for (const budget of budgets) await bench.driver.topUp({ operationId: budget, budget, tokens: 1e6, author: 'ana' })
+      for (const budget of budgets) {
+        const run = await bench.reserve(2000, budget)
+        if ('reservationId' in run) bench.driver.settle(run, { requestId: budget, budget, team: 't', tokens: 2000, runner: 'r' })
+      }
+      await bench.pass(3000)
+      const before = held()
+      const draws: number[] = []
+      bench.store.state.onCommit(rows => { draws.push(rows.filter(row => row.table === 'budgets').length) })
+      if (brokenRow) bench.store.state.transact({ checks: [], writes: [{ table: 'budgets', key: 'b0', value: { budget: 'b0', paid: 'x' } }] })
+      const runs = await Promise.all(budgets.map(async budget => (await bench.driver.reserve(budget, 2000, 5000)).extract()))
+      runs.forEach((run, index) => {
+        if ('reservationId' in run) bench.driver.settle(run, { requestId: `s${index}`, budget: budgets[index] ?? '', team: 't', tokens: 2000, runner: 'r' })
+      })
+      await bench.pass(4000)
+      if (brokenRow) expect(bench.driver.views().filter(view => view.held < 8000).map(view => view.budget)).to.deep.equal(['b0'])
+      else expect([draws.filter(count => count > 0), held() >= before]).to.deep.equal([[5], true])
+    })
+  }
+
   it('keeps every bill through an outage and lost answers', async () => {
     const bench = new Bench()
     await bench.topUp(10_000)
--- a/packages/stand-ins/src/measure/budget/budgetBench.ts
+++ b/packages/stand-ins/src/measure/budget/budgetBench.ts
@@ -8,6 +8,8 @@
 import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { DrawAction } from 'rosemaryspread/budget/budgetDrawing.js'
+import { DrawQueue } from 'rosemaryspread/budget/drawQueue.js'
 import type { Measurement, MeasureRow } from '../measureTypes.js'
 
 const sizes = [1_000, 10_000, 100_000]
@@ -23,15 +25,21 @@
 /** A ledger whose draws and flushes succeed at once. */
 class LedgerBench {
   readonly ledger = new BudgetLedger('vm1~1', defaultBudgetPolicy)
-  flushes = 0
-  draws = 0
+  /** Transactions of draws and flushes. */
+  writes = 0
   mono = 0
+  private readonly draws = new DrawQueue(defaultBudgetPolicy.flushMs)
 
   send (event: BudgetEvent): void {
     const now = { mono: this.mono, wall: this.mono }
     for (const action of this.ledger.handle(event, now)) this.answer(action)
   }
 
+  tick (): void {
+    this.send({ kind: 'tick' })
+    this.grant(this.draws.due({ mono: this.mono, wall: this.mono }))
+  }
+
   request (id: string, budget: string): void {
     this.send({ kind: 'reserve', reservationId: id, budget, tokens: TOKENS })
     this.send({ kind: 'settle', reservationId: id, bill: { requestId: id, budget, team: budget, tokens: USED, runner: 'r' } })
@@ -39,15 +47,23 @@
 
   private answer (action: BudgetAction): void {
     const sentAt = { mono: this.mono, wall: this.mono }
-    if (action.kind === 'draw') {
-      this.draws += 1
-      this.send({ kind: 'drawAnswered', drawId: action.drawId, outcome: { kind: 'granted', tokens: action.tokens, left: 1e9, sentAt } })
-    }
+    if (action.kind === 'draw') this.grant(this.draws.add(action, sentAt))
     if (action.kind === 'flush') {
-      this.flushes += 1
+      this.writes += 1
       this.send({ kind: 'flushAnswered', seq: action.seq, outcome: { kind: 'durable', sentAt } })
     }
   }
+
+  /** One transaction. */
+  private grant (draws: readonly DrawAction[]): void {
+    if (draws.length === 0) return
+    this.writes += 1
+    this.draws.done(draws)
+    const sentAt = { mono: this.mono, wall: this.mono }
+    for (const { drawId, tokens } of draws) {
+      this.send({ kind: 'drawAnswered', drawId, outcome: { kind: 'granted', tokens, left: 1e9, sentAt } })
+    }
+  }
 }
 
 function heapBytes (): number {
@@ -64,12 +80,12 @@
   for (let index = 0; index < size; index += 1) bench.request(`first${index}`, `budget-${index}`)
   for (let tick = 0; !bench.ledger.views().every(view => view.unsettled === 0); tick += 1) {
     bench.mono += defaultBudgetPolicy.flushMs
-    bench.send({ kind: 'tick' })
+    bench.tick()
   }
   const bytes = (heapBytes() - before) / size
-  const { flushes, draws } = bench
+  const { writes: writesBefore } = bench
   const requestMs = timeRequests(bench, size, random)
-  const writes = bench.flushes - flushes + bench.draws - draws
+  const writes = bench.writes - writesBefore
   return {
     budgets_drawn_on: size,
     bytes_per_budget: Math.round(bytes),
@@ -87,7 +103,7 @@
     bench.request(`r${index}`, `budget-${Math.floor(size * random() ** 2)}`)
     for (due += 1000 / REQUESTS_PER_SECOND; due >= TICK_MS; due -= TICK_MS) {
       bench.mono += TICK_MS
-      bench.send({ kind: 'tick' })
+      bench.tick()
     }
   }
   return performance.now() - started
@@ -95,7 +111,7 @@
 
 function timeTicks (bench: LedgerBench): number {
   const started = performance.now()
-  for (let index = 0; index < TICKS; index += 1) bench.send({ kind: 'tick' })
+  for (let index = 0; index < TICKS; index += 1) bench.tick()
   return performance.now() - started
 }
 
