Recover the holdings of a VM that is started again in its place; settings that do what they say

Cause: a VM that was killed and started again under its name stays on the platform's list, so its dead process held its tokens until the lapse: 8,203 tokens were seen in doubt for six minutes. Three settings were read by nobody (flushMs and two limits), and retryAfterMs could be a fraction. Ruled out: the new registration alone as proof (a paused process may wake elsewhere). Change: each process writes where it listens (boot, network namespace, address); a later process of the same VM in the same place proves the end of the earlier, since both cannot listen there. flushMs reaches the ledger, the two limits are gone, times to come back are whole. Conclusion: a crash and restart, the common case, strands nothing.

--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -32,7 +32,7 @@
     this.name = 'Failure'
     this.code = code
     this.ran = extras.ran ?? 'no'
-    this.retryAfterMs = extras.retryAfterMs
+    this.retryAfterMs = extras.retryAfterMs === undefined ? undefined : Math.ceil(extras.retryAfterMs)
     this.errors = extras.errors ?? []
   }
 
--- a/packages/decisions/src/config/configPatch.spec.ts
+++ b/packages/decisions/src/config/configPatch.spec.ts
@@ -40,7 +40,7 @@
     { name: 'section of wrong kind', ops: [add('/teams', [])], code: 'configInvalid', errors: ['/teams: expected an object'] },
     { name: 'bad id', ops: [add('/teams/Big~1Team', team())], code: 'configInvalid', errors: ['/teams/Big~1Team: use 1 to 63'] },
     { name: 'two bad members', ops: [add('/teams/t1/weight', -1), add('/teams/t2', { displayName: 'x', budget: 7 })], code: 'configInvalid', errors: ['/teams/t1/weight:', '/teams/t2/budget:'] },
-    { name: 'bad limit', ops: [add('/limits/leavingGraceMs', 0)], code: 'configInvalid', errors: ['/limits/leavingGraceMs:'] },
+    { name: 'bad limit', ops: [add('/limits/addressKeepMs', 0)], code: 'configInvalid', errors: ['/limits/addressKeepMs:'] },
     { name: 'unknown model of a team', ops: [add('/teams/t2', team({ models: ['m1', 'm9'] }))], code: 'configInvalid', errors: ['/teams/t2/models/1: there is no'] },
     { name: 'unknown service of a team', ops: [add('/teams/t2', team({ services: ['s9'] }))], code: 'configInvalid', errors: ['/teams/t2/services/0: there is no'] },
     { name: 'model in use removed', ops: [{ op: 'remove', path: '/models/m1' }], code: 'configInvalid', errors: ['/teams/t1/models/0:', '/runners/r1/models/0:'] },
--- a/packages/decisions/src/config/configSchema.ts
+++ b/packages/decisions/src/config/configSchema.ts
@@ -78,10 +78,7 @@
 /** Limits that hold on every VM. */
 export const limitsSchema = z.strictObject({
   requestTimeoutMs: count.max(3_600_000).default(60_000),
-  leavingGraceMs: count.max(60_000).default(3_000),
   addressKeepMs: count.max(600_000).default(10_000),
-  /** How long an allotment may be spent after its last contact with the table. */
-  allotmentLapseMs: count.max(86_400_000).default(7_200_000),
   /** Whether runners are ordered to load and unload models; else each keeps what it has. */
   placement: z.boolean().default(false)
 })
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -26,7 +26,7 @@
   budgetTransferred: { number: 2003, level: 'info', title: 'Tokens moved between VMs of a domain; fields: budget, tokens, from, to' },
   budgetRecalled: { number: 2004, level: 'info', title: 'Other holders were asked to return tokens; fields: budget, tokens' },
   budgetReturned: { number: 2005, level: 'info', title: 'Unspent tokens went back to the table; fields: budget, tokens' },
-  budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: holder, billed, returned' },
+  budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: ended, billed, returned' },
   budgetFault: { number: 2007, level: 'warn', title: 'A budget operation failed and will be tried again; fields: operation, code' },
   allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
 
--- a/packages/rosemaryspread/src/compose/bindBudgets.ts
+++ b/packages/rosemaryspread/src/compose/bindBudgets.ts
@@ -2,6 +2,7 @@
  * Bindings of budgets: the driver over the table service and the other VMs.
  */
 import type { Container } from 'inversify'
+import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import { BudgetDriver } from '../budget/budgetDriver.js'
 import { BudgetPeerCalls } from '../budget/budgetPeerCalls.js'
 import type { CurrentConfig } from '../completion/completionPorts.js'
@@ -13,11 +14,14 @@
  */
 export function bindBudgets (container: Container): void {
   container.bind(ids.budgets).toDynamicValue(ctx => {
-    const { holder, domain } = ctx.get(ids.identity)
+    const { holder, domain, place } = ctx.get(ids.identity)
+    const { flushMs } = ctx.get(ids.settings).budgets
     const members = ctx.get(ids.members)
     return new BudgetDriver({
       holder,
       domain,
+      place,
+      policy: { ...defaultBudgetPolicy, flushMs },
       store: ctx.get(ids.table),
       peers: new BudgetPeerCalls({ client: ctx.get(ids.peerClient), holder, members: () => members.members() }),
       clock: ctx.get(ids.clock),
--- a/packages/rosemaryspread/src/compose/bindConfig.ts
+++ b/packages/rosemaryspread/src/compose/bindConfig.ts
@@ -30,7 +30,7 @@
   }), [ids.configStore]).inSingletonScope()
 
   container.bind(ids.members).toDynamicValue(ctx => {
-    const identity = ctx.get(ids.identity)
+    const { place: _, ...identity } = ctx.get(ids.identity)
     const store = ctx.get(ids.configStore)
     const work = ctx.get(ids.work)
     const random = ctx.get(ids.random)
--- a/packages/rosemaryspread/src/membership/memberDriver.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.ts
@@ -162,7 +162,7 @@
       case 'writeOwn': return await this.feed({ kind: 'ownWritten', outcome: await this.rows.writeOwn(action.row, action.version) })
       case 'dropRow': return await this.rows.drop(action.vm, action.version)
       case 'changed': return log.write('peerSeen', { peer: action.vm, state: action.state, evidence: action.evidence })
-      case 'jumped': return log.write('clockJumped', { jumpMs: action.jumpMs })
+      case 'jumped': return log.write('clockJumped', { jumpMs: Math.round(action.jumpMs) })
       case 'replaced': return this.options.onReplaced(action.by)
     }
   }
--- a/packages/rosemaryspread/src/settings/settingsSchema.ts
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -3,6 +3,7 @@
  * the source of the types, of the defaults and of the checks; docs/SETTINGS.md describes each.
  */
 import { z } from 'zod'
+import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
 const ipPort = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use IPv4:port, such as 10.0.0.4:7000')
 const baseUrl = z.url({ protocol: /^https?$/, error: 'use an http or https URL' })
@@ -37,7 +38,7 @@
     loadPollMs: milliseconds.max(60_000).default(500)
   }).prefault({}),
   budgets: z.strictObject({
-    flushMs: milliseconds.max(60_000).default(200),
+    flushMs: milliseconds.max(60_000).default(defaultBudgetPolicy.flushMs),
     reserveTimeoutMs: milliseconds.max(60_000).default(3_000)
   }).prefault({}),
   config: z.strictObject({ pollMs: milliseconds.max(10_000).default(1_000) }).prefault({}),
