Lower what an idle VM costs: fewer polls, versions by heartbeat, members counted once a second

Cause: an idle VM with three runners took 43.5 ms of processor time a second, against the limit of 13 for control. A profile shows calls by got (1 to 2 ms each) and their garbage; by the code, members were walked for each request and 20 times a second for each model. Ruled out: the deciders' ticks as the cause (each under 0.5 ms/s in the profile); a thinner HTTP client (the house style names got).

--- a/packages/decisions/src/routing/pollSchedule.ts
+++ b/packages/decisions/src/routing/pollSchedule.ts
@@ -5,10 +5,10 @@
  */
 
 /** Load calls that the whole fleet makes in a second, as long as each VM may make the least. */
-const FLEET_CALLS_PER_SECOND = 24
+const FLEET_CALLS_PER_SECOND = 12
 /** Bounds of the calls of one VM in a second. */
-const MOST_CALLS_PER_SECOND = 4
-const LEAST_CALLS_PER_SECOND = 0.5
+const MOST_CALLS_PER_SECOND = 2
+const LEAST_CALLS_PER_SECOND = 0.25
 /** Times by which the age of a report counts more for a runner in use. */
 const USED_WEIGHT = 8
 const SECOND_MS = 1_000
--- a/packages/rosemaryspread/src/compose/bindConfig.ts
+++ b/packages/rosemaryspread/src/compose/bindConfig.ts
@@ -4,8 +4,10 @@
 import { Maybe } from 'purify-ts'
 import type { Container } from 'inversify'
 import { ConfigSpread } from '../config/configSpread.js'
+import { VersionHints } from '../config/configHints.js'
 import { ConfigStore } from '../config/configStore.js'
 import { defaultSpread, type ConfigTimers } from '../config/configTypes.js'
+import { FleetSize } from '../membership/fleetSize.js'
 import { MemberDriver } from '../membership/memberDriver.js'
 import { ids } from './serviceIds.js'
 
@@ -44,10 +46,17 @@
       log: ctx.get(ids.log),
       random: () => random.next(),
       status: () => ({ configVersion: store.inForce?.version ?? null, openRequests: work.openCount() }),
-      onReplaced: ctx.get(ids.onReplaced)
+      onReplaced: ctx.get(ids.onReplaced),
+      onConfigVersion: version => { ctx.get(ids.versionHints).heard(version) }
     })
   }).inSingletonScope()
 
+  container.bind(ids.versionHints).toResolvedValue((store, clock) =>
+    new VersionHints(clock, () => store.inForce?.version), [ids.configStore, ids.clock]).inSingletonScope()
+
+  container.bind(ids.fleetSize).toResolvedValue((clock, members) =>
+    new FleetSize(clock, () => members.members()), [ids.clock, ids.members]).inSingletonScope()
+
   container.bind(ids.configSpread).toDynamicValue(ctx => {
     const settings = ctx.get(ids.settings)
     const { vm, peers } = ctx.get(ids.identity)
--- a/packages/rosemaryspread/src/compose/bindServing.ts
+++ b/packages/rosemaryspread/src/compose/bindServing.ts
@@ -6,7 +6,6 @@
 import { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import { RetryBudget } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
-import type { MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
 import { httpLimitsSchema } from '@rosemaryspread/http/server/httpLimits.js'
 import { AdminServer } from '@rosemaryspread/operators/admin/adminServer.js'
 import { FleetAdminService } from '../admin/adminService.js'
@@ -37,13 +36,13 @@
 function bindRouting (container: Container): void {
   container.bind(ids.retries).toConstantValue(new RetryBudget())
   container.bind(ids.router).toResolvedValue(({ vm, domain }) => new RunnerRouter(vm, domain), [ids.identity]).inSingletonScope()
-  container.bind(ids.routing).toResolvedValue((decider, retries, polls, clock, random, log, members) =>
-    new RoutingService({ decider, retries, polls, clock, random, log, vms: () => members.members().filter(isUp).length }),
-  [ids.router, ids.retries, ids.polls, ids.clock, ids.random, ids.log, ids.members]).inSingletonScope()
+  container.bind(ids.routing).toResolvedValue((decider, retries, polls, clock, random, log, fleet) =>
+    new RoutingService({ decider, retries, polls, clock, random, log, vms: () => fleet.live() }),
+  [ids.router, ids.retries, ids.polls, ids.clock, ids.random, ids.log, ids.fleetSize]).inSingletonScope()
   container.bind(ids.polls).toResolvedValue(({ runners }) => new PollSchedule(runners.loadPollMs), [ids.settings]).inSingletonScope()
-  container.bind(ids.poller).toResolvedValue((decider, schedule, engines, clock, log, members) =>
-    new RunnerPoller({ decider, schedule, engines, clock, log, watched: () => decider.watched(), vms: () => members.members().length }),
-  [ids.router, ids.polls, ids.engines, ids.clock, ids.log, ids.members]).inSingletonScope()
+  container.bind(ids.poller).toResolvedValue((decider, schedule, engines, clock, fleet) =>
+    new RunnerPoller({ decider, schedule, engines, clock, watched: () => decider.watched(), vms: () => fleet.live() }),
+  [ids.router, ids.polls, ids.engines, ids.clock, ids.fleetSize]).inSingletonScope()
 }
 
 function bindCompletions (container: Container): void {
@@ -128,7 +127,7 @@
       bootstrapKeys: ctx.get(ids.bootstrapKeys),
       vms: () => memberAnswers(members.members()),
       addresses: () => members.addresses(0).addresses,
-      inFlight: runner => routing.inFlight(runner),
+      runnerStates: () => routing.states(),
       serviceInFlight: runner => calls.inFlight(runner)
     })
   }).inSingletonScope()
@@ -148,7 +147,3 @@
     limits: httpLimitsSchema.parse({ bodyBytes: ctx.get(ids.settings).maxBodyBytes })
   })).inSingletonScope()
 }
-
-function isUp ({ state }: MemberView): boolean {
-  return state === 'live'
-}
--- a/packages/rosemaryspread/src/compose/serviceIds.ts
+++ b/packages/rosemaryspread/src/compose/serviceIds.ts
@@ -23,10 +23,12 @@
 import type { OpenWork } from '../completion/completionDrain.js'
 import type { CurrentConfig, RandomSource } from '../completion/completionPorts.js'
 import type { UnsettledRuns } from '../completion/completionUnsettled.js'
+import type { VersionHints } from '../config/configHints.js'
 import type { ConfigSpread } from '../config/configSpread.js'
 import type { ConfigStore } from '../config/configStore.js'
 import type { KeyDirectory } from '../directory/keyDirectory.js'
 import type { LeaseDriver } from '../membership/leaseDriver.js'
+import type { FleetSize } from '../membership/fleetSize.js'
 import type { MemberDriver } from '../membership/memberDriver.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import type { PlacementDriver } from '../placement/placementDriver.js'
@@ -59,8 +61,10 @@
   applications: id<ApplicationClient>('ApplicationClient'),
 
   members: id<MemberDriver>('MemberDriver'),
+  fleetSize: id<FleetSize>('FleetSize'),
   /** Called when another process runs under this VM's name. */
   onReplaced: id<(by: string) => void>('OnReplaced'),
+  versionHints: id<VersionHints>('VersionHints'),
   configStore: id<ConfigStore>('ConfigStore'),
   configSpread: id<ConfigSpread>('ConfigSpread'),
   currentConfig: id<CurrentConfig>('CurrentConfig'),
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -50,7 +50,9 @@
     this.log.write('started', { ...identity })
     this.startTimers()
     await this.container.get(ids.configStore).load()
-    this.container.get(ids.configSpread).start()
+    const spread = this.container.get(ids.configSpread)
+    this.container.get(ids.versionHints).onHint(() => { this.inBackground(spread.poll()) })
+    spread.start()
     await this.container.get(ids.members).start()
     this.container.get(ids.placementLease).start()
     return Right(undefined)
@@ -125,9 +127,11 @@
   }
 
   private every (ms: number, work: () => Promise<void>): void {
-    this.timers.push(setInterval(() => {
-      work().catch((err: unknown) => { this.log.write('fault', { err: toFailure(err).message }) })
-    }, ms))
+    this.timers.push(setInterval(() => { this.inBackground(work()) }, ms))
+  }
+
+  private inBackground (work: Promise<void>): void {
+    work.catch((err: unknown) => { this.log.write('fault', { err: toFailure(err).message }) })
   }
 
   private async within (work: Promise<void>, ms: number): Promise<boolean> {
--- /dev/null
+++ b/packages/rosemaryspread/src/config/configHints.spec.ts
@@ -0,0 +1,30 @@
+/**
+ * Versions that heartbeats name.
+ */
+import { expect } from 'chai'
+import { VersionHints } from './configHints.js'
+
+const cases = [
+  { name: 'a higher version', inForce: 3, heard: [{ at: 0, version: 4 }], asks: 1 },
+  { name: 'the first version', inForce: undefined, heard: [{ at: 0, version: 0 }], asks: 1 },
+  { name: 'the version in force', inForce: 3, heard: [{ at: 0, version: 3 }], asks: 0 },
+  { name: 'an older version', inForce: 3, heard: [{ at: 0, version: 2 }], asks: 0 },
+  { name: 'many heartbeats at once', inForce: 3, heard: [0, 1, 2, 3].map(at => ({ at, version: 4 })), asks: 1 },
+  { name: 'a higher version that stays out of reach', inForce: 3, heard: [0, 1_000, 2_000].map(at => ({ at, version: 4 })), asks: 3 }
+]
+
+describe('versions heard of in heartbeats', () => {
+  for (const { name, inForce, heard, asks } of cases) {
+    it(`has the table asked ${asks} times for ${name}`, () => {
+      let mono = 0
+      let asked = 0
+      const hints = new VersionHints({ now: () => ({ mono, wall: mono }) }, () => inForce)
+      hints.onHint(() => { asked += 1 })
+      heard.forEach(({ at, version }) => {
+        mono = at
+        hints.heard(version)
+      })
+      expect(asked).to.equal(asks)
+    })
+  }
+})
--- /dev/null
+++ b/packages/rosemaryspread/src/membership/fleetSize.spec.ts
@@ -0,0 +1,35 @@
+/**
+ * The size of the fleet as requests see it.
+ */
+import { expect } from 'chai'
+import type { MemberState, MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
+import { FleetSize } from './fleetSize.js'
+
+const member = (state: MemberState): MemberView => ({
+  vm: 'v', holder: 'v~1', domain: 'd', region: 'r', callers: '', operators: '', peers: '', state, configVersion: 1, capacity: 1, openRequests: 0, ageMs: 0
+})
+
+const cases: ReadonlyArray<{ readonly name: string, readonly states: readonly MemberState[], readonly size: number }> = [
+  { name: 'nobody known yet', states: [], size: 1 },
+  { name: 'live ones', states: ['live', 'live', 'live'], size: 3 },
+  { name: 'those that take no work left out', states: ['live', 'leaving', 'suspected', 'gone', 'live'], size: 2 }
+]
+
+describe('the size of the fleet', () => {
+  for (const { name, states, size } of cases) {
+    it(`counts ${name}`, () => {
+      expect(new FleetSize({ now: () => ({ mono: 0, wall: 0 }) }, () => states.map(member)).live()).to.equal(size)
+    })
+  }
+
+  it('walks the members once a second however often it is asked', () => {
+    let mono = 0
+    let walks = 0
+    const size = new FleetSize({ now: () => ({ mono, wall: mono }) }, () => {
+      walks += 1
+      return [member('live')]
+    })
+    for (; mono < 3_000; mono += 10) size.live()
+    expect(walks).to.equal(3)
+  })
+})
