Show dead, ejected and leaving runners; log failed attempts and the id of every refusal

Cause: runner list showed the configured state only, so a dead runner stood there as active, and no line told of an ejection or of an attempt that failed and was repeated elsewhere. Refusals before admission, and all of calls to services, were logged with request "-" though the caller reads an X-Request-Id.

Change: RunnerRouter.states tells how a VM stands to each runner (active, leaving, ejected, notLoaded), why, and how old the load report is; the admin API and runner list show it. RoutingService.pump compares the states and writes runnerState on a change; the poller's own line on leaving, which would stand twice, is gone. attemptFailed (4006) is written for each attempt that did not end whole, for completions and for calls to services. A request is not counted in the retry budget any more after its last possible attempt; before, it was, and waited once more before it was refused.

Ruled out: to call a runner active as soon as its ejection has run out. No one has heard from it then, and a dead one would change its state with every probe; it stays ejected until it has answered a probe.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -40,9 +40,10 @@
 
   routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, candidates, choice, reason' },
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
-  runnerState: { number: 4003, level: 'warn', title: 'A runner changed state; fields: runner, state, reason' },
+  runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, ejected or notLoaded; fields: runner, state, reason' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
   placementFault: { number: 4005, level: 'warn', title: 'An order of placement failed or its outcome is not known; fields: runner, order, code, detail' },
+  attemptFailed: { number: 4006, level: 'warn', title: 'An attempt at a runner did not end whole; fields: request, runner, code, ran, retried (another runner is tried if one is left), detail' },
 
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
--- a/packages/decisions/src/routing/fleetView.ts
+++ b/packages/decisions/src/routing/fleetView.ts
@@ -71,6 +71,10 @@
     return [...states].map(state => state.view)
   }
 
+  all (): readonly RunnerState[] {
+    return [...this.runners.values()]
+  }
+
   find (runner: string): RunnerState | undefined {
     return this.runners.get(runner)
   }
--- a/packages/decisions/src/routing/routingTypes.ts
+++ b/packages/decisions/src/routing/routingTypes.ts
@@ -17,6 +17,20 @@
   readonly addedAt?: number
 }
 
+/**
+ * How one VM stands to a runner: `leaving` gets no new work, `ejected` gets none but a probe, `notLoaded` says itself
+ * that it has loaded none of its models.
+ */
+export interface RunnerStanding {
+  readonly runner: string
+  readonly state: 'active' | 'leaving' | 'ejected' | 'notLoaded'
+  readonly reason: string
+  /** Requests of this VM there. */
+  readonly inFlight: number
+  /** Milliseconds since its last load report held; absent before the first, and for runners that this VM does not ask. */
+  readonly reportAgeMs?: number
+}
+
 /** A request to be routed. */
 export interface RouteRequest {
   readonly requestId: string
--- a/packages/decisions/src/routing/runnerHealth.ts
+++ b/packages/decisions/src/routing/runnerHealth.ts
@@ -75,6 +75,11 @@
     this.reasonText = reason
   }
 
+  /** Whether it was ejected and has not answered a probe since. */
+  get isOut (): boolean {
+    return this.probing
+  }
+
   isEjected (mono: number): boolean {
     return mono < this.ejectedUntil
   }
--- a/packages/decisions/src/routing/runnerLoad.ts
+++ b/packages/decisions/src/routing/runnerLoad.ts
@@ -67,6 +67,14 @@
     return this.reportAt === -Infinity ? undefined : { total: this.totalAtReport, own: this.ownAtReport }
   }
 
+  /**
+   * Milliseconds since what the last report tells held; undefined before the first report.
+   * @param mono - present time
+   */
+  reportAgeMs (mono: number): number | undefined {
+    return this.reportAt === -Infinity ? undefined : Math.max(0, mono - this.reportAt)
+  }
+
   dispatched (requestId: string, request: OpenRequest): void {
     this.ended(requestId, request.atMono)
     this.open.set(requestId, request)
--- a/packages/decisions/src/routing/runnerRouter.spec.ts
+++ b/packages/decisions/src/routing/runnerRouter.spec.ts
@@ -103,6 +103,47 @@
   }
 })
 
+describe('RunnerRouter.states', () => {
+  const failures = (count: number): readonly RouteEvent[] => Array.from({ length: count }, (_, i) =>
+    ({ kind: 'ended', runner: 'r0', requestId: `q${i}`, ok: false, tokens: 0, totalMs: 1 }))
+  const loaded = (...models: string[]): RouteEvent => ({ ...report('r0', 0), models } as RouteEvent)
+  const probe: RouteEvent = { kind: 'firstToken', runner: 'r0', requestId: 'p', afterMs: 10 }
+  const configured = (leaving: boolean): RouteEvent => ({ kind: 'configured', model: MODEL, runners: views.map(view => ({ ...view, leaving })) })
+  const healthyState = { state: 'active', reason: 'healthy' }
+  const ejected = { state: 'ejected', reason: 'consecutive failures' }
+  const cases: ReadonlyArray<{ readonly name: string, readonly events: readonly RouteEvent[], readonly then?: RouteEvent, readonly state: object }> = [
+    { name: 'a runner just configured', events: [], state: healthyState },
+    { name: 'two failures', events: failures(2), state: healthyState },
+    { name: 'three failures, though the ejection has run out', events: failures(3), state: ejected },
+    { name: 'the answer to a probe', events: failures(3), then: probe, state: healthyState },
+    { name: 'a failed probe', events: failures(3), then: failures(1)[0] as RouteEvent, state: { state: 'ejected', reason: 'probe failed' } },
+    { name: 'a report without its model', events: [loaded('other')], state: { state: 'notLoaded', reason: `not loaded: ${MODEL}` } },
+    { name: 'a report with its model', events: [loaded()], then: { ...loaded(MODEL), reportAgeMs: -1 } as RouteEvent, state: healthyState },
+    { name: 'a report of leaving, ejected too', events: [...failures(3), report('r0', 0, 0, true)], state: { state: 'leaving', reason: 'the runner says so' } },
+    { name: 'leaving by configuration', events: [configured(true)], state: { state: 'leaving', reason: 'the configuration says so' } },
+    { name: 'brought back by configuration', events: [configured(true)], then: configured(false), state: healthyState }
+  ]
+  for (const { name, events, then, state } of cases) {
+    it(`after ${name}`, () => {
+      const router = productRouter(views)
+      events.forEach(event => { router.observe(event, at(1)) })
+      if (then !== undefined) router.observe(then, at(60_000))
+      const standing = router.states(at(60_001)).find(({ runner }) => runner === 'r0')
+      expect({ state: standing?.state, reason: standing?.reason }).to.deep.equal(state)
+    })
+  }
+
+  it('tell the own requests and the age of the report, and nothing of a report that never came', () => {
+    const router = productRouter(runners(2))
+    router.observe(report('r0', 3, 200), at(1_000))
+    router.observe({ kind: 'dispatched', runner: 'r0', requestId: 'q', tokens: 10 }, at(1_100))
+    expect(router.states(at(1_500))).to.deep.equal([
+      { runner: 'r0', ...healthyState, inFlight: 1, reportAgeMs: 700 },
+      { runner: 'r1', ...healthyState, inFlight: 0 }
+    ])
+  })
+})
+
 describe('RunnerRouter and leaving runners', () => {
   const cases: readonly { readonly source: string, readonly event: RouteEvent, readonly weakSees: boolean }[] = [
     { source: 'the configuration', event: { kind: 'configured', model: MODEL, runners: views.map(view => ({ ...view, leaving: view.runner === 'r0' })) }, weakSees: false },
--- a/packages/decisions/src/routing/runnerRouter.ts
+++ b/packages/decisions/src/routing/runnerRouter.ts
@@ -12,7 +12,7 @@
 import { ownWindow } from './ownWindow.js'
 import { refuseFull, refuseLate, refuseNoRunner } from './routeRefusal.js'
 import { ENGINE_QUEUE_SHARE, type Demand, type Judgement, type RunnerState } from './runnerState.js'
-import type { RouteDecider, RouteDecision, RouteEvent, RouteRequest, RunnerView } from './routingTypes.js'
+import type { RouteDecider, RouteDecision, RouteEvent, RouteRequest, RunnerStanding, RunnerView } from './routingTypes.js'
 
 /** Times the mean load at which a keyed request goes past a runner. */
 const KEYED_LOAD_FACTOR = 1.25
@@ -53,6 +53,14 @@
     return this.view.find(runner)?.load.count ?? 0
   }
 
+  /**
+   * How this VM stands to each runner, for people; it changes nothing.
+   * @param now - both clocks
+   */
+  states (now: Instant): readonly RunnerStanding[] {
+    return this.view.all().map(state => state.standing(now.mono))
+  }
+
   /** Runners whose load reports and cache events this VM should ask for. */
   watched (): readonly RunnerView[] {
     return this.view.watchedRunners()
--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -5,7 +5,7 @@
 import { hashName } from './rendezvous.js'
 import { RunnerHealth } from './runnerHealth.js'
 import { RunnerLoad } from './runnerLoad.js'
-import type { RunnerView } from './routingTypes.js'
+import type { RunnerStanding, RunnerView } from './routingTypes.js'
 
 /** Requests that may wait at an engine, as a share of its slots, so that a freed slot finds work. */
 export const ENGINE_QUEUE_SHARE = 1 / 32
@@ -68,6 +68,30 @@
     return this.leavingByConfig || this.leavingByReport || this.leavingByRunnerAt !== undefined
   }
 
+  /**
+   * State of the runner for people; it changes nothing.
+   * @param mono - present time
+   */
+  standing (mono: number): RunnerStanding {
+    const reportAgeMs = this.load.reportAgeMs(mono)
+    return {
+      runner: this.view.runner,
+      ...this.stateAndReason(),
+      inFlight: this.load.count,
+      ...(reportAgeMs === undefined ? {} : { reportAgeMs })
+    }
+  }
+
+  private stateAndReason (): Pick<RunnerStanding, 'state' | 'reason'> {
+    if (this.leavingByConfig) return { state: 'leaving', reason: 'the configuration says so' }
+    if (this.isLeaving) return { state: 'leaving', reason: 'the runner says so' }
+    if (this.health.isOut) return { state: 'ejected', reason: this.health.reason }
+    const missing = [...this.models.keys()].filter(model => this.lacks(model))
+    if (missing.length === 0) return { state: 'active', reason: 'healthy' }
+    const reason = `not loaded: ${missing.join(', ')}`
+    return { state: missing.length === this.models.size ? 'notLoaded' : 'active', reason }
+  }
+
   configured (view: RunnerView): void {
     this.view = view
     if (view.leaving !== undefined) this.leavingByConfig = view.leaving
--- a/packages/operators/src/admin/adminTypes.ts
+++ b/packages/operators/src/admin/adminTypes.ts
@@ -74,8 +74,13 @@
   kind: z.enum(['model', 'application']),
   domain: z.string(),
   address: z.string(),
+  /** As the VM that answers sees it: active, leaving, ejected or notLoaded. */
   state: z.string(),
-  inFlight: z.number().int()
+  /** Why the state is so; absent when the VM has no view of its own. */
+  reason: z.string().optional(),
+  inFlight: z.number().int(),
+  /** Milliseconds since the last load report held; absent when the VM has none. */
+  reportAgeMs: z.number().optional()
 })
 export type RunnerAnswer = z.infer<typeof runnerAnswerSchema>
 
--- a/packages/operators/src/ctl/fleetCommands.ts
+++ b/packages/operators/src/ctl/fleetCommands.ts
@@ -24,9 +24,9 @@
 export const listRunners: CtlAction = async ({ client }) => {
   const answer = await client.get('/admin/v1/runners', runnersSchema)
   return answer.map(({ runners }) => {
-    const rows = runners.map(({ runner, kind, domain, address, state, inFlight }) =>
-      [runner, kind, domain, address, state, inFlight])
-    return { value: runners, text: textTable(['RUNNER', 'KIND', 'DOMAIN', 'ADDRESS', 'STATE', 'IN FLIGHT'], rows) }
+    const rows = runners.map(({ runner, kind, domain, address, state, reason, inFlight, reportAgeMs }) =>
+      [runner, kind, domain, address, state, inFlight, reportAgeMs === undefined ? null : ageText(reportAgeMs), reason ?? null])
+    return { value: runners, text: textTable(['RUNNER', 'KIND', 'DOMAIN', 'ADDRESS', 'STATE', 'IN FLIGHT', 'REPORT AGE', 'REASON'], rows) }
   })
 }
 
--- /dev/null
+++ b/packages/rosemaryspread/src/admin/adminService.spec.ts
@@ -0,0 +1,32 @@
+/**
+ * What operators are shown of runners: the view of the VM that answers, else the configured state.
+ */
+import { expect } from 'chai'
+import { Just } from 'purify-ts'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { RunnerStanding } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import { FleetAdminService, type AdminDeps } from './adminService.js'
+
+const place = { address: '10.0.0.1:1', domain: 'd1' }
+const config = fleetConfigSchema.parse({
+  models: { m: { maxTokens: 8 } },
+  runners: { r1: { ...place, models: ['m'], state: 'leaving' } },
+  services: { bookings: { runners: { app1: place } } }
+})
+
+describe('FleetAdminService.runners', () => {
+  const ejected: RunnerStanding = { runner: 'r1', state: 'ejected', reason: 'consecutive failures', inFlight: 2, reportAgeMs: 900 }
+  const cases: ReadonlyArray<{ readonly name: string, readonly standings: readonly RunnerStanding[], readonly shown: object }> = [
+    { name: 'the state that this VM sees', standings: [ejected], shown: { ...ejected, kind: 'model', ...place } },
+    { name: 'the configured state of a runner that the router does not know', standings: [], shown: { runner: 'r1', state: 'leaving', inFlight: 0, kind: 'model', ...place } },
+    { name: 'no runner that is not configured', standings: [{ ...ejected, runner: 'old' }], shown: { runner: 'r1', state: 'leaving', inFlight: 0, kind: 'model', ...place } }
+  ]
+  for (const { name, standings, shown } of cases) {
+    it(`shows ${name}`, async () => {
+      const current = { current: () => Just({ version: 1, config }) }
+      const deps = { current, runnerStates: () => standings, serviceInFlight: () => 3 } as unknown as AdminDeps
+      const runners = (await new FleetAdminService(deps).runners()).extract()
+      expect(runners).to.deep.equal([shown, { runner: 'app1', state: 'active', inFlight: 3, kind: 'application', ...place }])
+    })
+  }
+})
--- a/packages/rosemaryspread/src/admin/adminService.ts
+++ b/packages/rosemaryspread/src/admin/adminService.ts
@@ -4,6 +4,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { AdminService, BudgetAnswer, ConfigAnswer, HistoryEntry, OperatorIdentity, PatchAnswer, PatchRequest, RunnerAnswer, TopUpRequest, VmAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { RunnerStanding } from '@rosemaryspread/decisions/routing/routingTypes.js'
 import type { CurrentConfig } from '../completion/completionPorts.js'
 import type { KeyDirectory } from '../directory/keyDirectory.js'
 import type { BudgetReader } from '../directory/callerDirectory.js'
@@ -33,7 +34,8 @@
   readonly bootstrapKeys: KeyDirectory
   readonly vms: () => Promise<Either<Failure, readonly VmAnswer[]>>
   readonly addresses: () => readonly string[]
-  readonly inFlight: (runner: string) => number
+  /** Model runners as this VM sees them. */
+  readonly runnerStates: () => readonly RunnerStanding[]
   readonly serviceInFlight: (runner: string) => number
 }
 
@@ -77,10 +79,12 @@
     return await this.deps.vms()
   }
 
+  /** Model runners have the state that this VM sees, or the configured one when the router does not know them. */
   async runners (): Promise<Either<Failure, readonly RunnerAnswer[]>> {
     const config = this.deps.current.current().extractNullable()?.config
+    const seen = new Map(this.deps.runnerStates().map(standing => [standing.runner, standing]))
     const models = Object.entries(config?.runners ?? {}).map(([runner, { address, domain, state }]) =>
-      ({ runner, kind: 'model' as const, domain, address, state, inFlight: this.deps.inFlight(runner) }))
+      ({ runner, kind: 'model' as const, domain, address, state, inFlight: 0, ...seen.get(runner) }))
     const applications = Object.values(config?.services ?? {}).flatMap(service =>
       Object.entries(service.runners).map(([runner, { address, domain, state }]) =>
         ({ runner, kind: 'application' as const, domain, address, state, inFlight: this.deps.serviceInFlight(runner) })))
--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -253,6 +253,8 @@
   readonly work = new OpenWork()
   readonly routing = new FakeRouting(runners)
   readonly unsettled: UnsettledRuns
+  /** Log lines, each with its event. */
+  readonly lines: Array<Readonly<Record<string, unknown>>> = []
   private readonly service: RoutedCompletionService
 
   constructor (vm: string, engines: EngineClient, readonly budgets: FakeBudgets) {
@@ -268,7 +270,7 @@
       routing: this.routing,
       engines,
       unsettled: this.unsettled,
-      log: { write: () => {} },
+      log: { write: (event, fields) => { this.lines.push({ event, ...fields }) } },
       metrics: new MetricsRecorder(),
       reserveTimeoutMs: 100
     })
@@ -278,7 +280,7 @@
    * Sends one completion.
    * @param over - key, body text, and how the caller goes away
    */
-  async ask (over: { key?: string, text?: string, gone?: AbortSignal, timeoutMs?: number, onPiece?: () => void } = {}): Promise<Seen> {
+  async ask (over: { key?: string, text?: string, gone?: AbortSignal, timeoutMs?: number, requestId?: string, onPiece?: () => void } = {}): Promise<Seen> {
     const content = over.text ?? 'hola'
     const call: CompletionCall = {
       caller: { team: 'desk' },
@@ -286,6 +288,7 @@
       digest: content,
       gone: over.gone ?? new AbortController().signal,
       ...(over.key === undefined ? {} : { idempotencyKey: over.key }),
+      ...(over.requestId === undefined ? {} : { requestId: over.requestId }),
       ...(over.timeoutMs === undefined ? {} : { timeoutMs: over.timeoutMs })
     }
     const seen: Seen = { text: '', end: 'none', ends: 0 }
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -105,6 +105,34 @@
   })
 })
 
+describe('log lines of one completion', () => {
+  const id = 'f00d'
+  const failed = (runner: string, code: ResultName, ran: string, retried: boolean): object => ({ request: id, runner, code, ran, retried })
+  const down = { unreachableFrom: 'all' as const }
+  const attempts: ReadonlyArray<{ readonly name: string, readonly scripts: Record<string, EngineScript>, readonly lines: readonly object[] }> = [
+    { name: 'no fault', scripts: {}, lines: [] },
+    { name: 'a runner that cannot be connected to', scripts: { r1: down }, lines: [failed('r1', 'runnerUnreachable', 'no', true)] },
+    { name: 'a stream broken for good before any piece', scripts: { r1: { cuts: [0, 0, 0, 0] } }, lines: [failed('r1', 'answerCut', 'yes', true)] },
+    { name: 'a stream broken for good after pieces', scripts: { r1: { cuts: [2, 0, 0, 0] } }, lines: [failed('r1', 'answerCut', 'yes', false)] }
+  ]
+  for (const { name, scripts, lines } of attempts) {
+    it(`name each failed attempt under ${name}`, async () => {
+      const { engines, a } = fleetOf()
+      Object.entries(scripts).forEach(([address, script]) => engines.scripts.set(address, script))
+      await a.ask({ requestId: id })
+      const seen = a.lines.filter(({ event }) => event === 'attemptFailed')
+      expect(seen.map(({ request, runner, code, ran, retried }) => ({ request, runner, code, ran, retried }))).to.deep.equal(lines)
+    })
+  }
+
+  it('name the id that the caller reads when refused before admission', async () => {
+    const { a } = fleetOf()
+    a.work.draining = true
+    await a.ask({ requestId: id })
+    expect(a.lines.map(({ event, request }) => ({ event, request }))).to.deep.equal([{ event: 'requestRefused', request: id }])
+  })
+})
+
 describe('a keyed completion', () => {
   const id = keyedRequestId('desk', 'k')
 
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -54,7 +54,7 @@
     const admitted = this.admissible()
       .chain(config => admitCompletion(call, config.config, this.deps.random.id(), now))
     if (admitted.isLeft()) {
-      sink.fail(this.refused('-', call.caller.team, admitted.extract()))
+      sink.fail(this.refused(call.requestId ?? '-', call.caller.team, admitted.extract()))
       return
     }
     await this.serve(call, admitted.extract() as AdmittedCompletion, sink, now)
@@ -122,8 +122,8 @@
       last = outcome.failure
       tried.exclude.push(plan.at.runner)
       if (open.admitted.keyed && last.code === 'runnerUnreachable') tried.unsealed.push(plan.at)
-      if (!this.repeatable(open, outcome)) break
-      const delayMs = this.deps.routing.retryDelay(open.admitted, attempts.length).extractNullable()
+      const delayMs = this.delayBeforeNext(open, last, attempts.length)
+      this.attemptFailed(open, plan.at.runner, last, delayMs !== null)
       if (delayMs === null) break
       await pause(delayMs)
     }
@@ -165,7 +165,10 @@
     this.deps.log.write('requestJoined', { request: admitted.requestId, runner: plan.at.runner })
     const outcome = await runAttempt(this.context(open, plan.at, () => {}), async () =>
       await this.deps.engines.resume(plan.at.address, admitted.requestId, 0))
-    if (outcome.kind !== 'whole') return Left(outcome.failure)
+    if (outcome.kind !== 'whole') {
+      this.attemptFailed(open, plan.at.runner, outcome.failure, false)
+      return Left(outcome.failure)
+    }
     this.answered(open, plan.at.runner, outcome)
     return Right(undefined)
   }
@@ -190,10 +193,19 @@
     }
   }
 
-  private repeatable (open: OpenCompletion, outcome: AttemptOutcome): boolean {
-    if (outcome.kind === 'whole' || open.relay.started || open.relay.callerGone) return false
-    if (outcome.failure.code === 'keyReused' || outcome.failure.code === 'deadlineExceeded') return false
-    return true
+  /** Milliseconds until another runner is tried; null when none is. */
+  private delayBeforeNext (open: OpenCompletion, failure: Failure, attempts: number): number | null {
+    if (attempts >= MAX_ATTEMPTS || !this.repeatable(open, failure)) return null
+    return this.deps.routing.retryDelay(open.admitted, attempts).extractNullable()
+  }
+
+  private repeatable ({ relay }: OpenCompletion, { code }: Failure): boolean {
+    if (relay.started || relay.callerGone) return false
+    return code !== 'keyReused' && code !== 'deadlineExceeded'
+  }
+
+  private attemptFailed ({ admitted }: OpenCompletion, runner: string, { code, ran, message }: Failure, retried: boolean): void {
+    this.deps.log.write('attemptFailed', { request: admitted.requestId, runner, code, ran, retried, detail: message })
   }
 
   private answered (open: OpenCompletion, runner: string, outcome: AttemptOutcome & { readonly kind: 'whole' }): void {
--- a/packages/rosemaryspread/src/routing/routingPoller.ts
+++ b/packages/rosemaryspread/src/routing/routingPoller.ts
@@ -3,7 +3,6 @@
  * and tells the decider. The schedule bounds the calls.
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RouteDecider, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
 import type { EngineClient, LoadReport } from '@rosemaryspread/runners/engine/engineTypes.js'
@@ -18,13 +17,11 @@
   /** VMs of the fleet. */
   readonly vms: () => number
   readonly clock: Clock
-  readonly log: EventLog
 }
 
 /** Asks watched runners as the schedule says. */
 export class RunnerPoller {
   private readonly nextCacheEvent = new Map<string, number>()
-  private readonly leaving = new Set<string>()
 
   constructor (private readonly deps: PollerDeps) {}
 
@@ -60,13 +57,5 @@
     const models = report.models.map(({ model }) => model)
     const reportAgeMs = Math.max(0, now.wall - report.asOf)
     this.deps.decider.observe({ kind: 'loadReported', runner, running, waiting, reportAgeMs, leaving, models }, now)
-    this.noteLeaving(runner, leaving)
-  }
-
-  private noteLeaving (runner: string, leaving: boolean): void {
-    if (leaving === this.leaving.has(runner)) return
-    if (leaving) this.leaving.add(runner)
-    else this.leaving.delete(runner)
-    this.deps.log.write('runnerState', { runner, state: leaving ? 'leaving' : 'active', reason: 'the runner says so' })
   }
 }
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -9,17 +9,18 @@
 import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import type { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
-import type { RouteDecider, RouteDecision, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
+import type { RouteDecider, RouteDecision, RunnerStanding, RunnerView } from '@rosemaryspread/decisions/routing/routingTypes.js'
 import type { StreamLoad } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import { RouteQueues, type RouteTry } from './routingQueue.js'
 import { prefixHashes } from './routingPrefix.js'
 import type { DispatchedRun, RoutedRunner, RouteRefusal, RoutingPort } from './routingPort.js'
+import { RunnerStateLog } from './runnerStateLog.js'
 
 /** What routing is composed of. */
 export interface RoutingDeps {
-  readonly decider: RouteDecider & Pick<RunnerRouter, 'serviceMs'>
+  readonly decider: RouteDecider & Pick<RunnerRouter, 'serviceMs' | 'states'>
   /** VMs that share the runners, this one included. */
   readonly vms: () => number
   readonly retries: RetryDecider
@@ -32,9 +33,11 @@
 /** Routing of one VM. */
 export class RoutingService implements RoutingPort {
   private readonly queues: RouteQueues
+  private readonly stateLog: RunnerStateLog
   private slots: ReadonlyMap<string, number> = new Map()
 
   constructor (private readonly deps: RoutingDeps) {
+    this.stateLog = new RunnerStateLog(deps.log)
     this.queues = new RouteQueues({
       clock: deps.clock,
       tryRoute: admitted => this.tryRoute(admitted, []),
@@ -70,9 +73,10 @@
     this.queues.finish(admitted, usedTokens)
   }
 
-  /** Looks at the requests that wait; to be called several times a second. */
+  /** Looks at the requests that wait and at the state of the runners; to be called several times a second. */
   pump (): void {
     this.queues.pumpAll()
+    this.stateLog.check(this.states())
   }
 
   /** Routes now; a refusal for want of room is left to the caller, who may wait. */
@@ -141,6 +145,11 @@
     this.deps.decider.observe({ kind: 'loadReported', runner, ...load, reportAgeMs: 0, leaving: false }, this.deps.clock.now())
   }
 
+  /** How this VM stands to each model runner. */
+  states (): readonly RunnerStanding[] {
+    return this.deps.decider.states(this.deps.clock.now())
+  }
+
   inFlight (runner: string): number {
     return this.deps.decider.inFlight(runner)
   }
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -61,7 +61,8 @@
       const answer = checked.isLeft()
         ? Left(checked.extract() as Failure)
         : await this.serve(checked.extract() as CheckedCall)
-      return answer.ifLeft(failure => { this.refused(call, failure) })
+      const requestId = checked.map(known => known.requestId).orDefault(call.requestId ?? '-')
+      return answer.ifLeft(failure => { this.refused(requestId, call.caller.team, failure) })
     } finally {
       close()
     }
@@ -152,9 +153,13 @@
       if (leftMs <= 0) return Left(last ?? new Failure('deadlineExceeded', 'the deadline passed before the call was dispatched'))
       const answer = await this.callRunner(checked, chosen.extract() as ServiceChoice, leftMs)
       if (answer.isRight()) return answer.map(({ status, contentType, body }) => ({ status, contentType, body, requestId: checked.requestId, repeated: false }))
-      last = worse(last, answer.extract() as Failure)
-      if (last.ran !== 'no' && !checked.repeatable) return Left(last)
-      exclude.push((chosen.extract() as ServiceChoice).runner)
+      const failure = answer.extract() as Failure
+      last = worse(last, failure)
+      const { runner } = chosen.extract() as ServiceChoice
+      const retried = last.ran === 'no' || checked.repeatable
+      this.attemptFailed(checked.requestId, runner, failure, retried)
+      if (!retried) return Left(last)
+      exclude.push(runner)
     }
   }
 
@@ -177,10 +182,14 @@
     }
   }
 
-  private refused (call: ServiceCall, failure: Failure): void {
+  private attemptFailed (request: string, runner: string, { code, ran, message }: Failure, retried: boolean): void {
+    this.deps.log.write('attemptFailed', { request, runner, code, ran, retried, detail: message })
+  }
+
+  private refused (request: string, team: string, failure: Failure): void {
     const { code, ran, retryAfterMs } = failure
     this.deps.metrics.count(`refusals_${code}`)
-    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: '-', team: call.caller.team, code, ran, retryAfterMs, detail: failure.message })
+    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request, team, code, ran, retryAfterMs, detail: failure.message })
   }
 }
 
--- a/packages/stand-ins/src/request/serviceCalls.spec.ts
+++ b/packages/stand-ins/src/request/serviceCalls.spec.ts
@@ -7,6 +7,7 @@
 import type { ServiceAnswer } from '@rosemaryspread/callers/completion/completionTypes.js'
 import { failureOf, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
+import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
 import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 import { ClaimStore, type ClaimOutcome, type ClaimRow } from 'rosemaryspread/service/serviceClaim.js'
 import { applicationAddresses, serviceFleet, type ServiceFleet } from './serviceFakes.spec.js'
@@ -70,6 +71,28 @@
   { name: 'the answer of the outcome write lost', arrange: ({ a }) => { a.table.before = async () => { if (a.table.calls.transact === 2) a.table.loseAnswers = 1 } }, first: 'answered', repeat: 'kept', executions: 1 }
 ]
 
+describe('log lines of a call', () => {
+  const id = 'f00d'
+  const keyed = keyedRequestId('desk', 'k')
+  const attempt = (runner: string, ran: string, retried: boolean): object => ({ event: 'attemptFailed', request: keyed, runner, ran, retried })
+  const cases: ReadonlyArray<{ readonly name: string, readonly arrange: (fleet: ServiceFleet) => void, readonly key: string | null, readonly lines: readonly object[] }> = [
+    { name: 'refused for want of a key', arrange: () => {}, key: null, lines: [{ event: 'requestRefused', request: id, ran: 'no' }] },
+    { name: 'refused by a draining VM', arrange: ({ a }) => { a.work.draining = true }, key: null, lines: [{ event: 'requestRefused', request: id, ran: 'no' }] },
+    { name: 'that no runner takes', arrange: allUnreachable, key: 'k', lines: [attempt('app1', 'no', true), attempt('app2', 'no', true), { event: 'requestRefused', request: keyed, ran: 'no' }] },
+    { name: 'whose runner dies', arrange: ({ applications }) => { applications.faults.set(applicationAddresses[0], 'diesDuring') }, key: 'k', lines: [attempt('app1', 'unknown', false), { event: 'requestFailed', request: keyed, ran: 'unknown' }] }
+  ]
+  for (const { name, arrange, key, lines } of cases) {
+    it(`${name} carry the id that the caller reads`, async () => {
+      const fleet = serviceFleet()
+      arrange(fleet)
+      await fleet.a.dispatch(key, 'to Rosa', '/dispatch', id)
+      const failed = fleet.a.lines.filter(({ event }) => ['attemptFailed', 'requestRefused', 'requestFailed'].includes(String(event)))
+      const shown = failed.map(({ event, request, runner, ran, retried }) => event === 'attemptFailed' ? { event, request, runner, ran, retried } : { event, request, ran })
+      expect(shown).to.deep.equal(lines)
+    })
+  }
+})
+
 describe('a call that may not be repeated', () => {
   for (const { name, arrange, heal, first, repeat, executions } of faults) {
     it(`under ${name}`, async () => {
--- a/packages/stand-ins/src/request/serviceFakes.spec.ts
+++ b/packages/stand-ins/src/request/serviceFakes.spec.ts
@@ -7,6 +7,7 @@
 import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 import type { ApplicationAnswer, ApplicationCall, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import { OpenWork } from 'rosemaryspread/completion/completionDrain.js'
@@ -62,12 +63,14 @@
   readonly clock = new JumpingClock()
   readonly work = new OpenWork()
   readonly table: MemoryTableStore
+  /** Log lines, each with its event. */
+  readonly lines: Array<Readonly<Record<string, unknown>>> = []
   private readonly service: ClaimedServiceCalls
 
   constructor (vm: string, state: TableState, applications: ApplicationClient, claimsOver: (table: TableStore) => ClaimStore = table => new ClaimStore(table)) {
     this.table = new MemoryTableStore(state)
     const claims = claimsOver(this.table)
-    const log = { write: () => {} }
+    const log: EventLog = { write: (event, fields) => { this.lines.push({ event, ...fields }) } }
     this.service = new ClaimedServiceCalls({
       holder: `${vm}~1`,
       domain: 'd1',
@@ -83,7 +86,7 @@
     })
   }
 
-  async dispatch (key: string | null = 'k', body = 'to Rosa', path = '/dispatch'): Promise<Either<Failure, ServiceAnswer>> {
+  async dispatch (key: string | null = 'k', body = 'to Rosa', path = '/dispatch', requestId?: string): Promise<Either<Failure, ServiceAnswer>> {
     return await this.service.call({
       caller: { team: 'desk' },
       service: 'bookings',
@@ -92,6 +95,7 @@
       body: Buffer.from(body),
       digest: body,
       gone: new AbortController().signal,
+      ...(requestId === undefined ? {} : { requestId }),
       ...(key === null ? {} : { idempotencyKey: key })
     })
   }
