Have recovery bill a request once that two holders ran

Ruled out: looking through the segments of all holders (thousands of rows for each run). Change: before recovery bills a run, it asks the runners that come earlier in the order of the key; a run of another holder there pays, the rule by which the living settle. A runner that does not answer leaves it in doubt. Conclusion: the living and the dead settle by one rule.

--- a/packages/decisions/src/routing/keyedOrder.ts
+++ b/packages/decisions/src/routing/keyedOrder.ts
@@ -34,10 +34,24 @@
   }
 }
 
+/**
+ * Place of one runner in the order of a request; the higher comes first.
+ * @param requestId - the request
+ * @param runner - id of the runner
+ * @param addedAt - wall milliseconds since which it serves the model, when known
+ * @param wall - present wall time in milliseconds
+ */
+export function keyedRank (requestId: string, runner: string, addedAt: number | undefined, wall: number): number {
+  return rankOf(hashName(requestId), hashName(runner), addedAt, wall)
+}
+
 function weightOf (key: number, state: RunnerState, model: string, wall: number): number {
-  const addedAt = state.models.get(model)
+  return rankOf(key, state.nameHash, state.models.get(model), wall)
+}
+
+function rankOf (key: number, nameHash: number, addedAt: number | undefined, wall: number): number {
   const recent = addedAt !== undefined && wall - addedAt < RECORD_KEEP_MS
-  return pairWeight(key, state.nameHash) - (recent ? RECENT_PENALTY : 0)
+  return pairWeight(key, nameHash) - (recent ? RECENT_PENALTY : 0)
 }
 
 function indexOfBest (states: readonly RunnerState[], weights: readonly number[]): number {
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/billArchive.ts
@@ -0,0 +1,105 @@
+/**
+ * Moves old segments from the table to the object store. A block is deleted only after the object
+ * store has answered that it has it whole, and in one transaction that checks every row. So a
+ * fault leaves the block in the table, in the object or in both, and the next pass does it again
+ * with the same name and bytes. Passes of several VMs do no harm to each other.
+ */
+import { Right, type Either } from 'purify-ts'
+import { isArchivable, nextBlock, BLOCK_SEGMENTS, type BillBlock, type SegmentAtVersion } from '@rosemaryspread/decisions/budget/billBlocks.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+
+/** Steps of one pass: a holder looked at, or a block archived. */
+const STEPS_A_PASS = 600
+
+/** What the archive works on. */
+export interface ArchiveParts {
+  readonly store: TableStore
+  readonly objects: Pick<ObjectStore, 'put'>
+  readonly log: EventLog
+}
+
+/** The archive of bills as one VM keeps it. */
+export class BillArchive {
+  /** Where the next pass goes on; undefined at the start of the table. */
+  private after: string | undefined
+  private isRunning = false
+
+  /**
+   * @param parts - the stores
+   * @param steps - steps of one pass
+   */
+  constructor (private readonly parts: ArchiveParts, private readonly steps: number = STEPS_A_PASS) {}
+
+  /** One pass, to the end of the table at most; passes do not overlap. A failure ends it. */
+  async pass (): Promise<void> {
+    if (this.isRunning) return
+    this.isRunning = true
+    try {
+      for (let step = 0; step < this.steps; step++) {
+        const going = await this.step()
+        going.ifLeft(failure => { this.report(failure) })
+        if (!going.orDefault(false)) return
+      }
+    } finally {
+      this.isRunning = false
+    }
+  }
+
+  /** Archives one block, or goes on to the next holder. Answers whether there is more to do. */
+  private async step (): Promise<Either<Failure, boolean>> {
+    const after = this.after === undefined ? {} : { after: this.after }
+    const scan = await this.parts.store.scan({ table: budgetTables.segments, prefix: '', limit: 1, ...after })
+    return await scan.caseOf<Promise<Either<Failure, boolean>>>({
+      Left: async () => scan.map(() => false),
+      Right: async ({ rows, now }) => {
+        const oldest = rows[0]
+        if (oldest === undefined) return this.beginAgain()
+        return isArchivable(oldest, now) ? await this.archiveOf(oldest) : this.skip(oldest)
+      }
+    })
+  }
+
+  private async archiveOf (oldest: Row): Promise<Either<Failure, boolean>> {
+    const prefix = `${holderOf(oldest)}/`
+    const scan = await this.parts.store.scan({ table: budgetTables.segments, prefix, limit: BLOCK_SEGMENTS + 1 })
+    const found = scan.map(({ rows, now }) => nextBlock(rows, now))
+    const block = found.toMaybe().chain(value => value).extract()
+    if (block === undefined) return found.chain(() => this.skip(oldest))
+    return await this.archive(block)
+  }
+
+  private async archive (block: BillBlock): Promise<Either<Failure, boolean>> {
+    const put = await this.parts.objects.put(block.name, Buffer.from(block.content))
+    if (put.isLeft()) return put.map(() => false)
+    const done = await this.parts.store.transact({
+      checks: block.segments.map(({ key, version }) => ({ table: budgetTables.segments, key, version })),
+      writes: block.segments.map(({ key }) => ({ table: budgetTables.segments, key, value: null }))
+    })
+    done.ifRight(() => { this.parts.log.write('billsArchived', { object: block.name, segments: block.segments.length }) })
+    // A conflict: another VM was faster. What is left is looked at anew.
+    return done.map(() => true).chainLeft(failure => failure.code === 'platformConflict' ? Right(true) : done.map(() => true))
+  }
+
+  private skip (segment: SegmentAtVersion): Either<Failure, boolean> {
+    // '0' is the character after '/': behind all keys of this holder, before those of any other.
+    this.after = `${holderOf(segment)}0`
+    return Right(true)
+  }
+
+  private beginAgain (): Either<Failure, boolean> {
+    this.after = undefined
+    return Right(false)
+  }
+
+  private report (failure: Failure): void {
+    this.parts.log.write('budgetFault', { operation: 'archive', code: failure.code, detail: failure.message })
+  }
+}
+
+function holderOf ({ key }: SegmentAtVersion): string {
+  return key.split('/', 1)[0] ?? key
+}
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -178,7 +178,7 @@
       holder,
       lastSeq: rows.get(holder)?.row.lastSeq,
       mayCancel: !ended.includes(holder)
-    })))
+    })), survey.now)
   }
 
   private async close (order: RecoveryOrder): Promise<Either<Failure, void>> {
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -4,17 +4,27 @@
 import { Either, Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { budgetTables, segmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { SEGMENT_ARCHIVE_MS } from '@rosemaryspread/decisions/budget/billBlocks.js'
 import { RUN_RETENTION_MS } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { OwedBill } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { segmentRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { RunPayers } from './budgetRunPayers.js'
 import { scanAll, type AgedAllotment } from './budgetSharing.js'
 
 /** Every declared model runner, and how to ask it. */
 export interface RecoveryRunners {
-  readonly engines: Pick<EngineClient, 'listByHolder' | 'cancel'>
-  declared (): ReadonlyArray<{ readonly runner: string, readonly address: string }>
+  readonly engines: Pick<EngineClient, 'listByHolder' | 'find' | 'cancel'>
+  declared (): readonly DeclaredRunner[]
+}
+
+/** A declared runner. */
+export interface DeclaredRunner {
+  readonly runner: string
+  readonly address: string
+  /** Wall milliseconds since which it serves each of its models. */
+  readonly servesSince: Readonly<Record<string, number>>
 }
 
 /** An ended holder whose runs are looked for. */
@@ -43,7 +53,11 @@
   /** Runs of holders that certainly ended, listed once in a pass for all their budgets. */
   private readonly listed = new Map<string, Either<Failure, readonly FoundRun[]>>()
 
-  constructor (private readonly store: TableStore, private readonly runners: RecoveryRunners) {}
+  private readonly payers: RunPayers
+
+  constructor (private readonly store: TableStore, private readonly runners: RecoveryRunners) {
+    this.payers = new RunPayers(runners)
+  }
 
   /** Forgets what the pass before listed. */
   beginPass (): void {
@@ -60,15 +74,17 @@
     if (lastSeq === undefined) return item.ageMs
     const read = await this.store.read([{ table: budgetTables.segments, key: segmentKey(holder, lastSeq) }])
     const row = read.map(answer => answer.rows[0] ?? null).orDefault(null)
-    return row === null ? item.ageMs : Math.max(item.ageMs, now - row.updatedAt)
+    // A segment that is not there any more was archived, so it is older than that; one that cannot be read may be.
+    return Math.max(item.ageMs, row === null ? SEGMENT_ARCHIVE_MS : now - row.updatedAt)
   }
 
   /**
    * Runs of ended holders for one budget that are not billed. Fails while a runner cannot be asked or a run has not ended.
    * @param budget - budget id
    * @param owners - ended holders
+   * @param wall - present wall time of the table service in milliseconds
    */
-  async unbilled (budget: string, owners: readonly RunOwner[]): Promise<Either<Failure, readonly OwedBill[]>> {
+  async unbilled (budget: string, owners: readonly RunOwner[], wall: number): Promise<Either<Failure, readonly OwedBill[]>> {
     const owed: OwedBill[] = []
     for (const owner of owners) {
       const runs = (await this.runsOf(owner)).chain(found => endedRuns(found, owner, budget))
@@ -82,7 +98,9 @@
       for (const { runner, record } of runs.unsafeCoerce()) {
         if (seen.has(record.requestId)) continue
         seen.add(record.requestId)
-        owed.push({ holder: owner.holder, bill: billOf(record, runner) })
+        const isPaid = await this.payers.isPaidElsewhere(record, runner, wall)
+        if (isPaid.isLeft()) return Left(isPaid.extract() as Failure)
+        if (!isPaid.unsafeCoerce()) owed.push({ holder: owner.holder, bill: billOf(record, runner) })
       }
     }
     return Right(owed)
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetRunPayers.ts
@@ -0,0 +1,39 @@
+/**
+ * Who pays for a request that two holders ran, because the first runner in the order of its key
+ * could not be reached by the second. The run that is earlier in the order is billed, by its own
+ * holder; the living settle by the same rule.
+ */
+import { Either, type Maybe } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { keyedRank } from '@rosemaryspread/decisions/routing/keyedOrder.js'
+import type { RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { DeclaredRunner, RecoveryRunners } from './budgetRecoveryRuns.js'
+
+/** Looks for runs that pay in place of another. */
+export class RunPayers {
+  constructor (private readonly runners: RecoveryRunners) {}
+
+  /**
+   * Whether another holder ran the same request at an earlier runner.
+   * @param record - a run of an ended holder
+   * @param ranAt - its runner
+   * @param wall - present wall time in milliseconds
+   * @returns fails while an earlier runner cannot be asked
+   */
+  async isPaidElsewhere (record: RunRecord, ranAt: string, wall: number): Promise<Either<Failure, boolean>> {
+    const earlier = this.earlierRunners(record, ranAt, wall)
+    const found = await Promise.all(earlier.map(async ({ address }) => await this.runners.engines.find(address, record.requestId)))
+    return Either.sequence(found).map(all => all.some(run => isOfAnother(run, record.holder)))
+  }
+
+  private earlierRunners (record: RunRecord, ranAt: string, wall: number): readonly DeclaredRunner[] {
+    const serving = this.runners.declared().filter(({ servesSince }) => record.model in servesSince)
+    const rank = ({ runner, servesSince }: DeclaredRunner): number => keyedRank(record.requestId, runner, servesSince[record.model], wall)
+    const own = serving.find(({ runner }) => runner === ranAt)
+    return own === undefined ? serving : serving.filter(other => rank(other) > rank(own))
+  }
+}
+
+function isOfAnother (run: Maybe<RunRecord>, holder: string): boolean {
+  return run.map(found => found.state !== 'sealed' && found.holder !== holder).orDefault(false)
+}
--- a/packages/rosemaryspread/src/compose/bindBudgets.ts
+++ b/packages/rosemaryspread/src/compose/bindBudgets.ts
@@ -3,8 +3,10 @@
  */
 import type { Container } from 'inversify'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import { BillArchive } from '../budget/billArchive.js'
 import { BudgetDriver } from '../budget/budgetDriver.js'
 import { BudgetPeerCalls } from '../budget/budgetPeerCalls.js'
+import type { DeclaredRunner } from '../budget/budgetRecoveryRuns.js'
 import type { CurrentConfig } from '../completion/completionPorts.js'
 import { ids } from './serviceIds.js'
 
@@ -32,9 +34,14 @@
       }
     })
   }).inSingletonScope()
+  container.bind(ids.billArchive).toDynamicValue(ctx => new BillArchive({
+    store: ctx.get(ids.table),
+    objects: ctx.get(ids.objects),
+    log: ctx.get(ids.log)
+  })).inSingletonScope()
 }
 
-function declaredRunners (current: CurrentConfig): ReadonlyArray<{ readonly runner: string, readonly address: string }> {
+function declaredRunners (current: CurrentConfig): readonly DeclaredRunner[] {
   const runners = current.current().extractNullable()?.config.runners ?? {}
-  return Object.entries(runners).map(([runner, { address }]) => ({ runner, address }))
+  return Object.entries(runners).map(([runner, { address, servesSince }]) => ({ runner, address, servesSince }))
 }
--- /dev/null
+++ b/packages/stand-ins/src/budget/recoveryRuns.spec.ts
@@ -0,0 +1,60 @@
+/**
+ * Recovery bills a run of an ended holder once, also when another holder ran the same request.
+ */
+import { expect } from 'chai'
+import { Just, Left, Nothing, Right } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { keyedRank } from '@rosemaryspread/decisions/routing/keyedOrder.js'
+import type { RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { RecoveryRuns, type RecoveryRunners } from 'rosemaryspread/budget/budgetRecoveryRuns.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+
+const ID = 'request-1'
+const ENDED = 'a~1'
+const [first, second] = ['r1', 'r2'].sort((a, b) => keyedRank(ID, b, 0, 0) - keyedRank(ID, a, 0, 0)) as [string, string]
+
+function runBy (holder: string, state: RunRecord['state'] = 'finished'): RunRecord {
+  return { requestId: ID, digest: 'd', holder, team: 't', budget: 'b', model: 'm', state, promptTokens: 1, completionTokens: 2 }
+}
+
+interface RunCase {
+  readonly name: string
+  readonly runs: Readonly<Record<string, RunRecord>>
+  /** Runner that lists its runs and cannot be asked for one. */
+  readonly mute?: string
+  readonly billed: number | 'pending'
+}
+
+const cases: readonly RunCase[] = [
+  { name: 'the only run', runs: { [second]: runBy(ENDED) }, billed: 1 },
+  { name: 'a run whose earlier runner is sealed', runs: { [first]: runBy('', 'sealed'), [second]: runBy(ENDED) }, billed: 1 },
+  { name: 'a run that another holder had at an earlier runner', runs: { [first]: runBy('b~1'), [second]: runBy(ENDED) }, billed: 0 },
+  { name: 'a run that another holder had at a later runner', runs: { [first]: runBy(ENDED), [second]: runBy('b~1') }, billed: 1 },
+  { name: 'two runs of the ended holder', runs: { [first]: runBy(ENDED), [second]: runBy(ENDED) }, billed: 1 },
+  { name: 'a run whose earlier runner does not answer', runs: { [second]: runBy(ENDED) }, mute: first, billed: 'pending' }
+]
+
+function runnersOf ({ runs, mute }: RunCase): RecoveryRunners {
+  return {
+    declared: () => [first, second].map(runner => ({ runner, address: runner, servesSince: { m: 0 } })),
+    engines: {
+      listByHolder: async (address, holder) => Right([runs[address]].filter(run => run?.holder === holder) as RunRecord[]),
+      find: async address => {
+        if (address === mute) return Left(new Failure('runnerUnreachable', 'no answer'))
+        const run = runs[address]
+        return Right(run === undefined ? Nothing : Just(run))
+      },
+      cancel: async () => Left(new Failure('notFound', 'none'))
+    }
+  }
+}
+
+describe('recovery of runs', () => {
+  for (const test of cases) {
+    it(`bills ${test.billed} for ${test.name}`, async () => {
+      const runs = new RecoveryRuns(new MemoryTableStore(), runnersOf(test))
+      const owed = await runs.unbilled('b', [{ holder: ENDED, lastSeq: undefined, mayCancel: false }], 1_000)
+      expect(owed.caseOf<number | 'pending'>({ Left: () => 'pending', Right: bills => bills.length })).to.equal(test.billed)
+    })
+  }
+})
--- a/packages/stand-ins/src/measure/budget/budgetEngines.ts
+++ b/packages/stand-ins/src/measure/budget/budgetEngines.ts
@@ -1,7 +1,7 @@
 /**
  * Engines of a budget run: they keep a record of each run, and end it even if its VM died.
  */
-import { Left, Right, type Either } from 'purify-ts'
+import { Left, Maybe, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { RecoveryRunners } from 'rosemaryspread/budget/budgetRecoveryRuns.js'
@@ -58,10 +58,12 @@
    */
   reachedFrom (from: string): RecoveryRunners {
     return {
-      declared: () => [...this.byDomain.keys()].map(domain => ({ runner: domain, address: domain })),
+      declared: () => [...this.byDomain.keys()].map(domain => ({ runner: domain, address: domain, servesSince: {} })),
       engines: {
         listByHolder: async (domain, holder) =>
           await this.network.call(from, domain, async () => [...this.recordsOf(domain).values()].filter(record => record.holder === holder)),
+        find: async (domain, requestId) =>
+          await this.network.call(from, domain, async () => Maybe.fromNullable(this.recordsOf(domain).get(requestId))),
         cancel: async (domain, requestId) => (await this.network.call(from, domain, async () => this.cancel(domain, requestId))).chain(found)
       }
     }
--- a/packages/stand-ins/src/measure/capacity/recoveryProbe.ts
+++ b/packages/stand-ins/src/measure/capacity/recoveryProbe.ts
@@ -3,7 +3,7 @@
  * held and by the runners that are declared. The runners answer that they know of no run.
  */
 import { setImmediate } from 'node:timers/promises'
-import { Left, Right, type Either } from 'purify-ts'
+import { Left, Nothing, Right, type Either } from 'purify-ts'
 import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
@@ -56,9 +56,10 @@
         runnerCalls++
         return Right([])
       },
+      find: async () => Right(Nothing),
       cancel: async () => Left(new Failure('notFound', 'no such run'))
     },
-    declared: () => Array.from({ length: runners }, (_, index) => ({ runner: `runner-${index}`, address: `10.1.0.${index}:8000` }))
+    declared: () => Array.from({ length: runners }, (_, index) => ({ runner: `runner-${index}`, address: `10.1.0.${index}:8000`, servesSince: {} }))
   }
   const table = new CountingTable(new MemoryTableStore(state))
   const other = new BudgetDriver({ holder: 'quito-centro-b~0123456789ab', domain: DOMAIN, store: table, peers, clock, log, runners: known })
