Order the addresses of a caller by its team

Ruled out: binding a team to one VM (it would be refused when the VM is cut off); a hop to the team's VM (a call between VMs for each request). Change: a caller that asks for addresses with its key gets the VMs of each domain in a weighted rendezvous order of the team, the same at every VM; a VM far busier than the rest goes behind. Conclusion: few VMs draw on each budget, as far as callers use the order; not yet measured at the table.

--- a/packages/callers/src/api/callerServer.ts
+++ b/packages/callers/src/api/callerServer.ts
@@ -4,6 +4,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { bearerKey } from '@rosemaryspread/http/auth/bearerKey.js'
 import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
 import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
 import { HttpServer } from '@rosemaryspread/http/server/httpServer.js'
@@ -82,7 +83,8 @@
   }
 
   private async addresses (exchange: HttpExchange): Promise<Either<Failure, void>> {
-    const answer = this.directory.addresses()
+    const caller = bearerKey(exchange.req.headers).chain((key) => this.directory.authenticate(key))
+    const answer = this.directory.addresses(caller.toMaybe().extract())
     const maxAge = Math.floor(answer.keepMs / msPerSecond)
     exchange.sendJson(200, answer, { 'Cache-Control': `max-age=${maxAge}` })
     return Right(undefined)
--- a/packages/callers/src/completion/completionTypes.ts
+++ b/packages/callers/src/completion/completionTypes.ts
@@ -115,7 +115,8 @@
   /** The team whose key hash fits; compared in constant time. */
   authenticate (bearer: string): Either<Failure, CallerIdentity>
   models (caller: CallerIdentity): readonly string[]
-  addresses (): AddressAnswer
+  /** @param caller - the team, when the caller gave a valid key */
+  addresses (caller?: CallerIdentity): AddressAnswer
   usage (caller: CallerIdentity): Promise<Either<Failure, UsageAnswer>>
   /** Whether the VM takes new work: a configuration is in force and it does not drain. */
   ready (): Either<Failure, void>
--- a/packages/rosemaryspread/src/compose/bindServing.ts
+++ b/packages/rosemaryspread/src/compose/bindServing.ts
@@ -107,7 +107,7 @@
       keys: ctx.get(ids.teamKeys),
       budgets: ctx.get(ids.budgets),
       metrics: ctx.get(ids.metrics),
-      addresses: () => members.addresses(0).addresses
+      addresses: team => members.addresses(0, team).addresses
     })
   }).inSingletonScope()
 
--- a/packages/rosemaryspread/src/compose/serviceIds.ts
+++ b/packages/rosemaryspread/src/compose/serviceIds.ts
@@ -19,6 +19,7 @@
 import type { VmList } from '@rosemaryspread/platform/vmList/vmListTypes.js'
 import type { ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import type { EngineClient } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { BillArchive } from '../budget/billArchive.js'
 import type { BudgetDriver } from '../budget/budgetDriver.js'
 import type { OpenWork } from '../completion/completionDrain.js'
 import type { CurrentConfig, RandomSource } from '../completion/completionPorts.js'
@@ -69,6 +70,7 @@
   configSpread: id<ConfigSpread>('ConfigSpread'),
   currentConfig: id<CurrentConfig>('CurrentConfig'),
   budgets: id<BudgetDriver>('BudgetDriver'),
+  billArchive: id<BillArchive>('BillArchive'),
   unsettled: id<UnsettledRuns>('UnsettledRuns'),
 
   router: id<RunnerRouter>('RunnerRouter'),
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -18,7 +18,9 @@
 const POLL_TICK_MS = 250
 /** Milliseconds between two passes over what ended holders held. */
 const RECOVERY_MS = 5_000
-/** Role whose candidates recover what ended holders held. */
+/** Milliseconds between two passes that archive old bills. */
+const ARCHIVE_MS = 300_000
+/** Role whose candidates recover what ended holders held, and archive old bills. */
 const RECOVERY_ROLE = 'recovery'
 /** Milliseconds between two rounds of placement. */
 const PLACEMENT_TICK_MS = 1_000
@@ -115,6 +117,7 @@
     this.every(POLL_TICK_MS, async () => { await poller.poll() })
     this.every(QUEUE_TICK_MS, async () => { routing.pump() })
     this.every(RECOVERY_MS, async () => { await this.recover() })
+    this.every(ARCHIVE_MS, async () => { await this.archiveBills() })
     this.every(PLACEMENT_TICK_MS, async () => { await this.container.get(ids.placement).tick() })
     this.every(UNSETTLED_RETRY_MS, async () => { await unsettled.retryAll() })
   }
@@ -126,6 +129,11 @@
     await this.container.get(ids.budgets).recoverDead(list.toMaybe().extract())
   }
 
+  private async archiveBills (): Promise<void> {
+    if (!this.container.get(ids.members).isCandidate(RECOVERY_ROLE)) return
+    await this.container.get(ids.billArchive).pass()
+  }
+
   private every (ms: number, work: () => Promise<void>): void {
     this.timers.push(setInterval(() => { this.inBackground(work()) }, ms))
   }
--- a/packages/rosemaryspread/src/directory/callerDirectory.ts
+++ b/packages/rosemaryspread/src/directory/callerDirectory.ts
@@ -26,8 +26,8 @@
   readonly keys: KeyDirectory
   readonly budgets: BudgetReader
   readonly metrics: Metrics
-  /** Callers' addresses in the order to try, without scheme. */
-  readonly addresses: () => readonly string[]
+  /** Callers' addresses in the order to try, without scheme; in a team's own order when it is known. */
+  readonly addresses: (team?: string) => readonly string[]
 }
 
 /** Answers callers from the configuration in force. */
@@ -44,11 +44,11 @@
     return this.config()?.teams[caller.team]?.models ?? []
   }
 
-  addresses (): AddressAnswer {
+  addresses (caller?: CallerIdentity): AddressAnswer {
     const current = this.deps.config.current().extractNullable()
     return {
       version: current?.version ?? 0,
-      addresses: this.deps.addresses().map(address => `http://${address}`),
+      addresses: this.deps.addresses(caller?.team).map(address => `http://${address}`),
       keepMs: current?.config.limits.addressKeepMs ?? NOT_READY_RETRY_MS
     }
   }
--- a/packages/rosemaryspread/src/membership/memberDriver.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.ts
@@ -104,9 +104,10 @@
   /**
    * Addresses for callers, as IPv4:port.
    * @param keepMs - how long they may be kept, from the configuration
+   * @param team - the caller's team, when it is known
    */
-  addresses (keepMs: number): CallerAddresses {
-    return addressesFor(this.options.self, this.members(), keepMs, this.options.random)
+  addresses (keepMs: number, team?: string): CallerAddresses {
+    return addressesFor(this.options.self, this.members(), keepMs, this.options.random, team)
   }
 
   /**
