--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -29,6 +29,7 @@
   budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: ended, billed, returned' },
   budgetFault: { number: 2007, level: 'warn', title: 'A budget operation failed and will be tried again; fields: operation, code' },
   allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
+  billsArchived: { number: 2009, level: 'info', title: 'Old bills went from the table to the object store; fields: object, segments' },
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
   requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, runner, tokens, totalMs' },
--- a/packages/stand-ins/src/budget/billArchive.spec.ts
+++ b/packages/stand-ins/src/budget/billArchive.spec.ts
@@ -27,10 +27,13 @@
   private readonly seen = new Map<string, string>()
 
   constructor () {
-    this.state.onCommit(rows => rows.forEach(row => {
-      if (row.value !== null) this.seen.set(row.key, JSON.stringify(row.value))
-      else if (!this.archived().has(`${row.key} ${this.seen.get(row.key)}`)) this.lost.push(row.key)
-    }))
+    this.state.onCommit(rows => {
+      const archived = rows.some(row => row.value === null) ? this.archived() : new Set()
+      for (const { key, value } of rows) {
+        if (value !== null) this.seen.set(key, JSON.stringify(value))
+        else if (!archived.has(`${key} ${this.seen.get(key)}`)) this.lost.push(key)
+      }
+    })
     for (const holder of OLD) for (let seq = 1; seq <= LAST_SEQ; seq++) this.bill(segmentKey(holder, seq), holder, seq)
     this.bill(recoveredSegmentKey('vm-b~02', 'mesa', 7), 'vm-b~02', 0)
     this.now += SEGMENT_ARCHIVE_MS + 1
