Split the budget driver: open reservations and actions get modules of their own

Ruled out: a general map of waiters; each of the two has its own rule for when it is answered. Behaviour is the same, no test was touched.

--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -0,0 +1,127 @@
+/**
+ * Carries out what the ledger decides: draws, flushes, asks to peers and answers to requests.
+ * How each of them ended goes back to the ledger as an event.
+ */
+import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { BudgetAsking } from './budgetAsking.js'
+import { BudgetDrawing, type DrawAction } from './budgetDrawing.js'
+import type { BudgetDriverParts } from './budgetDriverTypes.js'
+import { BudgetFlushing } from './budgetFlushing.js'
+import type { BudgetRegistry } from './budgetRegistry.js'
+import type { BudgetTable } from './budgetTable.js'
+import { DrawQueue } from './drawQueue.js'
+import type { OpenReservations } from './openReservations.js'
+
+/** What the actions reach. */
+export interface BudgetActionTargets {
+  readonly table: BudgetTable
+  readonly registry: BudgetRegistry
+  readonly reservations: OpenReservations
+  /** Hands an event to the ledger. */
+  readonly dispatch: (event: BudgetEvent) => void
+}
+
+/** Actions of one holder. */
+export class BudgetActions {
+  private readonly drawing: BudgetDrawing
+  private readonly draws: DrawQueue
+  private readonly flushing: BudgetFlushing
+  private readonly asking: BudgetAsking
+  /** Peers that wait until tokens of a budget are back in the table. */
+  private readonly returnWaiters = new Map<string, Array<() => void>>()
+  private inDoubt = 0
+
+  /**
+   * @param parts - what the driver is built from
+   * @param targets - what the actions reach
+   */
+  constructor (private readonly parts: BudgetDriverParts, private readonly targets: BudgetActionTargets) {
+    const { holder, domain, store, peers, clock, log } = parts
+    const { table, registry, dispatch } = targets
+    const { shareDivisor, flushMs } = parts.policy ?? defaultBudgetPolicy
+    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1 }, log)
+    this.draws = new DrawQueue(flushMs)
+    this.flushing = new BudgetFlushing(table, { holder, domain }, log)
+    const isRegistered = (): boolean => registry.isRegistered
+    this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, isRegistered, dispatch })
+  }
+
+  /** Whether no ask to a peer is open. */
+  get isIdle (): boolean {
+    return this.asking.isIdle
+  }
+
+  /** Tokens in doubt when allotments closed, summed up since the start. */
+  get inDoubtTokens (): number {
+    return this.inDoubt
+  }
+
+  /** Sends the draws that are due, repeats open asks and keeps this holder registered. */
+  tick (): void {
+    this.run(this.performDraws(this.draws.due(this.parts.clock.now())))
+    this.run(this.asking.repeatOpen())
+    this.run(this.targets.registry.register())
+  }
+
+  /**
+   * Begins to carry out an action; a failure is logged.
+   * @param action - the action
+   */
+  perform (action: BudgetAction): void {
+    const { reservations } = this.targets
+    switch (action.kind) {
+      case 'admit': reservations.answer(action.reservationId); break
+      case 'refuse': reservations.answer(action.reservationId, action.failure); break
+      case 'draw': this.run(this.performDraws(this.draws.add(action, this.parts.clock.now()))); break
+      case 'flush': this.run(this.performFlush(action)); break
+      case 'askGive': this.run(this.asking.askGive(action)); break
+      case 'recall': this.run(this.asking.recall(action)); break
+      case 'closed': this.reportClosed(action); break
+      case 'give':
+      case 'returning': break
+    }
+  }
+
+  /**
+   * Resolves when returned tokens of a budget are in the table.
+   * @param budget - budget id
+   */
+  async returned (budget: string): Promise<void> {
+    await new Promise<void>(resolve => {
+      const list = this.returnWaiters.get(budget) ?? []
+      list.push(resolve)
+      this.returnWaiters.set(budget, list)
+    })
+  }
+
+  private run (work: Promise<void>): void {
+    work.catch((err: unknown) => this.parts.log.write('fault', { err: toFailure(err).message }))
+  }
+
+  private async performDraws (actions: readonly DrawAction[]): Promise<void> {
+    if (actions.length === 0) return
+    const outcomes = await this.drawing.draw(actions)
+    this.draws.done(actions)
+    actions.forEach(({ drawId }, index) => {
+      this.targets.dispatch({ kind: 'drawAnswered', drawId, outcome: outcomes[index] ?? { kind: 'unavailable' } })
+    })
+  }
+
+  private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
+    const outcome = await this.flushing.flush(action)
+    this.targets.dispatch({ kind: 'flushAnswered', seq: action.seq, outcome })
+    if (outcome.kind === 'unavailable') return
+    for (const item of action.returns) {
+      for (const resolve of this.returnWaiters.get(item.budget) ?? []) resolve()
+      this.returnWaiters.delete(item.budget)
+    }
+  }
+
+  private reportClosed (action: Extract<BudgetAction, { kind: 'closed' }>): void {
+    this.inDoubt += action.inDoubt
+    this.targets.registry.forget()
+    this.parts.log.write('allotmentClosed', { budget: action.budget, inDoubt: action.inDoubt })
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -0,0 +1,31 @@
+/** What the budget driver is built from, and what it counts. */
+import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { BudgetPeers } from './budgetPeers.js'
+import type { RecoveryRunners } from './budgetRecoveryRuns.js'
+
+/** What the driver is built from. */
+export interface BudgetDriverParts {
+  readonly holder: string
+  readonly domain: string
+  /** Name of the addresses on which this process listens. */
+  readonly place?: string | undefined
+  readonly store: TableStore
+  readonly peers: BudgetPeers
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly policy?: BudgetPolicy
+  /** Runners to ask on recovery; without them nothing is recovered. */
+  readonly runners?: RecoveryRunners
+}
+
+/** Counters for metrics. */
+export interface BudgetCounters {
+  reserved: number
+  refused: number
+  tableWrites: number
+  tableConflicts: number
+  inDoubtTokens: number
+}
