--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -78,7 +78,7 @@
       runner: this.view.runner,
       ...this.stateAndReason(),
       inFlight: this.load.count,
-      ...(reportAgeMs === undefined ? {} : { reportAgeMs })
+      ...(reportAgeMs === undefined ? {} : { reportAgeMs: Math.round(reportAgeMs) })
     }
   }
 
