Bound the report calls of placement, whatever the number of runners

Ruled out: only a longer round, as 15 s of silence then take live runners for dead (counter-example in the spec); turns by position in the list, which skip a runner when another is removed.

Change: 12 runners are asked each second, those first that were not asked for longest, and at most 4 out of turn (after an order, after a missed answer). A runner that hangs does not hold up the next round. Down, surplus and fencing times grow by the round less one second.

Figures: calls a round counted in virtual time: 12 at 12, 120 and 600 runners, 16 with 200 of 600 hanging; a live runner is heard of every 50 s at 600.

Conclusion: calls are bounded; detection at many runners is slower, and a new holder's first orders come up to a round later. The plan itself still runs each second.

--- a/packages/decisions/src/placement/fencePass.ts
+++ b/packages/decisions/src/placement/fencePass.ts
@@ -7,6 +7,7 @@
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import type { RunnerConfig } from '../config/configSchema.js'
 import type { PlacementAction, PlacementLimits, PlacementOutcome } from './placementTypes.js'
+import { ReportPace } from './reportPace.js'
 
 /** Tries to tell one runner; an engine that does not understand the order is left alone then. */
 const MOST_TRIES = 5
@@ -31,8 +32,11 @@
    * @param fencing - the holder's number
    * @param since - when the lease was taken
    * @param limits - times
+   * @param pace - how often runners are asked; one that has not answered yet cannot be told
    */
-  constructor (readonly fencing: number, private readonly since: Instant, private readonly limits: PlacementLimits) {}
+  constructor (
+    readonly fencing: number, private readonly since: Instant, private readonly limits: PlacementLimits, private readonly pace: ReportPace = new ReportPace()
+  ) {}
 
   /**
    * Orders that tell runners the number and, where one is declared, their role.
@@ -76,7 +80,7 @@
     const passedMs = elapsedMs(this.since, now)
     const isWaiting = runners.some(([, { checksFencing }]) => !checksFencing) && passedMs < this.limits.takeoverMs
     const allTold = runners.every(([runner, { checksFencing }]) => !checksFencing || this.told.has(runner))
-    this.isOver = !isWaiting && (allTold || passedMs >= this.limits.fencingMs)
+    this.isOver = !isWaiting && (allTold || passedMs >= this.limits.fencingMs + this.pace.stretchMs(now))
     return this.isOver
   }
 
--- a/packages/decisions/src/placement/placementPlanner.ts
+++ b/packages/decisions/src/placement/placementPlanner.ts
@@ -10,6 +10,7 @@
 import { ModelPlan, type PlacementWish } from './modelPlan.js'
 import { OrderBook } from './orderBook.js'
 import { defaultPlacementLimits, type LoadedModel, type PlacementAction, type PlacementDecider, type PlacementEvent, type PlacementLimits, type PlacementOutcome } from './placementTypes.js'
+import { ReportPace } from './reportPace.js'
 import { RunnerRecord } from './runnerRecord.js'
 import type { ModelTarget, PlacementRunner } from './runnerView.js'
 import { WeightPace } from './weightPace.js'
@@ -30,6 +31,7 @@
   private readonly surplusSince = new Map<string, Instant>()
   private readonly book: OrderBook
   private readonly pace: WeightPace
+  private readonly reports = new ReportPace()
 
   /** @param limits - times and bounds */
   constructor (private readonly limits: PlacementLimits = defaultPlacementLimits) {
@@ -51,20 +53,21 @@
 
   private configure (config: FleetConfig, now: Instant): readonly PlacementAction[] {
     this.config = config
+    this.reports.configure(Object.values(config.runners).filter(({ state }) => state === 'active').length, now)
     for (const runner of this.records.keys()) {
       if (config.runners[runner] !== undefined) continue
       this.records.delete(runner)
       this.book.drop(runner)
     }
     for (const runner of Object.keys(config.runners)) {
-      if (!this.records.has(runner)) this.records.set(runner, new RunnerRecord(now, this.limits))
+      if (!this.records.has(runner)) this.records.set(runner, new RunnerRecord(now, this.limits, this.reports))
     }
     this.book.keepOnly(({ kind, model, version }) => kind === 'unload' || config.models[model]?.version === version)
     return []
   }
 
   private take (fencing: number, now: Instant): readonly PlacementAction[] {
-    this.pass = new FencePass(fencing, now, this.limits)
+    this.pass = new FencePass(fencing, now, this.limits, this.reports)
     this.doubtedAt = undefined
     this.book.clear()
     this.listenAnew(now)
@@ -157,7 +160,7 @@
     if (!wishes.some(({ isSurplus }) => isSurplus)) this.surplusSince.delete(model)
     else if (!this.surplusSince.has(model)) this.surplusSince.set(model, now)
     const since = this.surplusSince.get(model)
-    const isOld = since !== undefined && elapsedMs(since, now) >= this.limits.surplusMs
+    const isOld = since !== undefined && elapsedMs(since, now) >= this.limits.surplusMs + this.reports.stretchMs(now)
     return wishes.filter(({ isSurplus }) => !isSurplus || isOld)
   }
 
--- a/packages/decisions/src/placement/runnerRecord.ts
+++ b/packages/decisions/src/placement/runnerRecord.ts
@@ -5,6 +5,7 @@
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import type { LoadedModel, PlacementLimits } from './placementTypes.js'
+import { ReportPace } from './reportPace.js'
 
 /** Whether a runner answers; `unknown` until it has or its time is up. */
 export type RunnerPresence = 'unknown' | 'up' | 'down'
@@ -22,8 +23,9 @@
   /**
    * @param since - when the planner began to listen for it
    * @param limits - times
+   * @param pace - how often runners are asked
    */
-  constructor (since: Instant, private readonly limits: PlacementLimits) {
+  constructor (since: Instant, private readonly limits: PlacementLimits, private readonly pace: ReportPace = new ReportPace()) {
     this.heardAt = since
   }
 
@@ -57,7 +59,7 @@
    * @param now - both clocks
    */
   look (now: Instant): RunnerPresence {
-    if (this.presence !== 'down' && elapsedMs(this.heardAt, now) >= this.limits.downAfterMs) {
+    if (this.presence !== 'down' && elapsedMs(this.heardAt, now) >= this.limits.downAfterMs + this.pace.stretchMs(now)) {
       this.presence = 'down'
       this.downs += 1
     }
--- a/packages/rosemaryspread/src/placement/placementDriver.ts
+++ b/packages/rosemaryspread/src/placement/placementDriver.ts
@@ -1,5 +1,5 @@
 /**
- * Carries out placement while this VM holds its lease: asks all runners for their reports, feeds
+ * Carries out placement while this VM holds its lease: asks runners for their reports, each in its turn, feeds
  * the planner and sends its orders. Whether the lease is held is asked anew right before each
  * order, as every wait before may have been long.
  */
@@ -11,11 +11,7 @@
 import type { PlacementAction, PlacementDecider, PlacementEvent, PlacementOutcome } from '@rosemaryspread/decisions/placement/placementTypes.js'
 import type { EngineClient } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { CurrentConfig } from '../completion/completionPorts.js'
-
-/** Reports that are asked for at once. */
-const REPORTS_AT_ONCE = 16
-/** Reports asked for in one round; 600 runners are asked every five rounds, 120 in each. */
-const REPORTS_A_ROUND = 120
+import { ReportTurns } from './reportTurns.js'
 
 /** The part of the lease that placement needs. */
 export interface PlacementLease {
@@ -39,8 +35,7 @@
 export class PlacementDriver {
   private fencing: number | undefined
   private config: FleetConfig | undefined
-  private isPolling = false
-  private nextReport = 0
+  private readonly turns = new ReportTurns()
   private readonly open = new Set<Promise<void>>()
 
   /** @param deps - the planner and what it works on */
@@ -79,30 +74,24 @@
     return this.fencing !== undefined && this.deps.lease.mayAct()
   }
 
+  /** Asks those whose turn it is; a runner that does not answer holds up no other round. */
   private async poll (): Promise<void> {
-    if (this.isPolling) return
-    this.isPolling = true
-    const runners = this.nextRunners()
-    const worker = async (): Promise<void> => {
-      for (let next = runners.shift(); next !== undefined && this.holds(); next = runners.shift()) {
-        await this.ask(...next)
-      }
-    }
-    await Promise.all(Array.from({ length: REPORTS_AT_ONCE }, worker)).finally(() => { this.isPolling = false })
-  }
-
-  /** The runners whose turn it is, as names with addresses. */
-  private nextRunners (): Array<readonly [string, string]> {
-    const active = Object.entries(this.config?.runners ?? {}).filter(([, { state }]) => state === 'active')
-    const size = Math.min(active.length, REPORTS_A_ROUND)
-    const first = this.nextReport % Math.max(active.length, 1)
-    this.nextReport = first + size
-    return [...active.slice(first), ...active.slice(0, first)].slice(0, size).map(([runner, { address }]) => [runner, address])
+    if (!this.holds()) return
+    const runners = this.config?.runners ?? {}
+    const active = Object.keys(runners).filter(runner => runners[runner]?.state === 'active')
+    const chosen = this.turns.next(active, this.deps.clock.now().mono)
+    await Promise.all(chosen.map(async runner => { await this.ask(runner, runners[runner]?.address ?? '') }))
   }
 
   private async ask (runner: string, address: string): Promise<void> {
-    const report = await this.deps.engines.load(address)
-    report.ifRight(({ models, leaving }) => { this.feed({ kind: 'reported', runner, models, leaving }) })
+    let isAnswered = false
+    try {
+      const report = await this.deps.engines.load(address)
+      isAnswered = report.isRight()
+      report.ifRight(({ models, leaving }) => { this.feed({ kind: 'reported', runner, models, leaving }) })
+    } finally {
+      this.turns.ended(runner, isAnswered)
+    }
   }
 
   private feed (event: PlacementEvent): void {
@@ -121,6 +110,7 @@
     if (order.fencing !== this.fencing || !this.deps.lease.mayAct()) return this.answer(order.orderId, { kind: 'notSent' })
     log.write('placed', { runner, order, reason })
     const answer = await engines.order(address, order)
+    if (order.kind !== 'role') this.turns.ordered(runner, this.deps.clock.now().mono)
     answer.ifLeft(failure => { log.write('placementFault', { runner, order: order.orderId, code: failure.code, detail: failure.message }) })
     this.answer(order.orderId, outcomeOf(answer))
   }
--- /dev/null
+++ b/packages/rosemaryspread/src/placement/placementReports.spec.ts
@@ -0,0 +1,133 @@
+import { setImmediate } from 'node:timers/promises'
+import { expect } from 'chai'
+import { Just, Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import { PlacementPlanner } from '@rosemaryspread/decisions/placement/placementPlanner.js'
+import { defaultPlacementLimits, type PlacementDecider } from '@rosemaryspread/decisions/placement/placementTypes.js'
+import { ReportPace } from '@rosemaryspread/decisions/placement/reportPace.js'
+import type { EngineOrder, LoadReport } from '@rosemaryspread/runners/engine/engineTypes.js'
+import { PlacementDriver } from './placementDriver.js'
+
+const HANG_MS = 3_000
+const MODELS = 12
+
+/** Copies of each model; half the runners are spare. */
+function copiesOf (runners: number): number {
+  return Math.ceil(runners / MODELS / 2)
+}
+
+function configOf (runners: number): unknown {
+  const ids = Array.from({ length: runners }, (_, index) => index)
+  return {
+    models: Object.fromEntries(ids.slice(0, MODELS).map(model => [`m${model}`, { version: '1', copies: copiesOf(runners) }])),
+    runners: Object.fromEntries(ids.map(index => [`r${index}`, { address: `10.0.0.1:${index + 1}`, domain: index % 2 === 0 ? 'a' : 'b', models: [`m${index % MODELS}`] }]))
+  }
+}
+
+/** Runners in virtual time, one tick a second; those that are dead hang until the call is given up. */
+class Fleet {
+  ms = 0
+  callsOfTick = 0
+  mostCalls = 0
+  /** Longest time between two reports of a runner that is alive. */
+  longestGapMs = 0
+  readonly dead = new Set<string>()
+  readonly loads: string[] = []
+  private readonly loaded = new Map<string, string>()
+  private readonly heard = new Map<string, number>()
+  private hanging: Array<{ readonly at: number, readonly end: () => void }> = []
+  private readonly driver: PlacementDriver
+
+  constructor (runners: number, planner: PlacementDecider) {
+    const config = fleetConfigSchema.parse(configOf(runners))
+    Object.values(config.runners).slice(0, copiesOf(runners) * MODELS).forEach(({ address, models }) => { this.loaded.set(address, models[0]!) })
+    this.driver = new PlacementDriver({
+      planner,
+      lease: { mayAct: () => true, fencing: () => Right(1) },
+      engines: { load: async address => await this.load(address), order: async (address, order) => this.order(address, order) },
+      config: { current: () => Just({ version: 1, config }) },
+      clock: { now: () => ({ mono: this.ms, wall: this.ms }) },
+      log: { write: () => {} }
+    })
+  }
+
+  async run (ticks: number, isDone: () => boolean = () => false): Promise<void> {
+    for (let tick = 0; tick < ticks && !isDone(); tick++) {
+      this.ms += 1_000
+      this.callsOfTick = 0
+      this.hanging.filter(({ at }) => at <= this.ms).forEach(({ end }) => { end() })
+      this.hanging = this.hanging.filter(({ at }) => at > this.ms)
+      this.driver.tick().catch((err: unknown) => { throw err })
+      await setImmediate()
+      this.mostCalls = Math.max(this.mostCalls, this.callsOfTick)
+    }
+  }
+
+  private async load (address: string): Promise<Either<Failure, LoadReport>> {
+    this.callsOfTick += 1
+    if (this.dead.has(address)) {
+      await new Promise<void>(resolve => { this.hanging.push({ at: this.ms + HANG_MS, end: resolve }) })
+      return Left(new Failure('runnerUnreachable', 'timeout', { ran: 'unknown' }))
+    }
+    this.longestGapMs = Math.max(this.longestGapMs, this.ms - (this.heard.get(address) ?? 0))
+    this.heard.set(address, this.ms)
+    const model = this.loaded.get(address)
+    return Right({ asOf: this.ms, running: 0, waiting: 0, slots: 1, models: model === undefined ? [] : [{ model, version: '1', adapters: [] }], leaving: false })
+  }
+
+  private order (address: string, { kind, model }: EngineOrder): Either<Failure, void> {
+    if (kind === 'load') {
+      this.loads.push(model ?? '')
+      this.loaded.set(address, model ?? '')
+    }
+    return Right(undefined)
+  }
+}
+
+describe('reports of placement', () => {
+  const cases = [
+    { runners: 12, dead: 0, calls: 12, gapMs: 1_000 },
+    { runners: 12, dead: 4, calls: 12, gapMs: 1_000 },
+    { runners: 120, dead: 0, calls: 12, gapMs: 10_000 },
+    { runners: 600, dead: 0, calls: 12, gapMs: 50_000 },
+    { runners: 600, dead: 200, calls: 16, gapMs: 50_000 }
+  ]
+  for (const { runners, dead, calls, gapMs } of cases) {
+    it(`${runners} runners, ${dead} of them dead: a bounded number of calls a round, and each in its turn`, async () => {
+      const fleet = new Fleet(runners, { handle: () => [] })
+      for (let index = 0; index < dead; index++) fleet.dead.add(`10.0.0.1:${3 * index + 1}`)
+      await fleet.run(3 * Math.ceil(runners / 12) + 20)
+      expect(fleet.mostCalls).to.equal(calls)
+      expect(fleet.longestGapMs).to.equal(gapMs)
+    })
+  }
+
+  /** Loads ordered while all live, and until the copy of a dead runner is replaced. */
+  async function replaced (planner: PlacementDecider): Promise<object> {
+    const fleet = new Fleet(240, planner)
+    await fleet.run(45)
+    const before = fleet.loads.length
+    const diedAt = fleet.ms
+    fleet.dead.add('10.0.0.1:1')
+    await fleet.run(60, () => fleet.loads.length > before)
+    return { before, loads: fleet.loads.slice(before), inTime: fleet.ms - diedAt <= 35_000 }
+  }
+
+  it('a runner that dies is replaced within 15 s and a round, and one that waits for its turn is not', async () => {
+    expect(await replaced(new PlacementPlanner())).to.deep.equal({ before: 0, loads: ['m0'], inTime: true })
+  })
+
+  it('a planner that counts silence as if all were asked each second takes live runners for dead (counter-example)', async () => {
+    const weak = new PlacementPlanner({ ...defaultPlacementLimits, downAfterMs: defaultPlacementLimits.downAfterMs - 19_000 })
+    expect(await replaced(weak)).to.not.have.property('before', 0)
+  })
+
+  it('keeps the longer time until what was heard before has been heard anew', () => {
+    const pace = new ReportPace()
+    const at = (ms: number): { mono: number, wall: number } => ({ mono: ms, wall: ms })
+    pace.configure(600, at(0))
+    pace.configure(12, at(1_000))
+    expect([1_000, 50_999, 51_000].map(ms => pace.stretchMs(at(ms)))).to.deep.equal([49_000, 49_000, 0])
+  })
+})
