Split the lease keeper: calls to the table and row rules get modules of their own

Change: leaseCalls.ts builds reads and writes, paces them and remembers unanswered writes; leaseRules.ts says whose a lease is and whether it is free. Behaviour is the same, no test was touched. Ran: tsc, eslint, 244 specs of packages/decisions (fast-check runs of the lease among them), 40 of the lease driver and stand-ins/placement, 9 of stand-ins/measure/budget: all pass.

--- a/packages/decisions/src/lease/leaseKeeper.ts
+++ b/packages/decisions/src/lease/leaseKeeper.ts
@@ -8,48 +8,38 @@
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import type { HolderId } from '../names/nameTypes.js'
-import { defaultLeaseLimits, FENCE_TABLE, LEASE_TABLE, type FenceRow, type LeaseAction, type LeaseDecider, type LeaseEvent, type LeaseLimits, type LeaseRow, type LeaseRowCheck, type LeaseRowWrite, type LeaseWriteOutcome, type ReadLease } from './leaseTypes.js'
+import { LeaseCalls, versionsOf, type LeaseAttempt, type LeaseVersions } from './leaseCalls.js'
+import { isFree, isHeldBy } from './leaseRules.js'
+import { defaultLeaseLimits, FENCE_TABLE, type LeaseAction, type LeaseDecider, type LeaseEvent, type LeaseLimits, type LeaseRow, type LeaseRowCheck, type LeaseWriteOutcome, type ReadLease } from './leaseTypes.js'
 
 interface HeldLease {
   readonly fencing: number
-  readonly leaseVersion: number
-  readonly fenceVersion: number
+  readonly versions: LeaseVersions
   /** Just before the write that the lease rests on was sent. */
   readonly validFrom: Instant
 }
 
-/** A write whose end is not known yet. */
-interface Attempt {
-  readonly row: LeaseRow
-  readonly fenceVersion: number | null
-  readonly startedAt: Instant
-}
-
 /** Keeper of one role's lease. */
 export class LeaseKeeper implements LeaseDecider {
+  private readonly calls: LeaseCalls
   private held: HeldLease | undefined
   private wanted = false
   private releasingSince: Instant | undefined
   private done = false
   /** A lapse once seen stays, though a clock be set back later. */
   private lapsed = false
-  private busy = false
   private wantsRead = false
-  private lastCallAt: Instant | undefined
-  private lastFailed = false
   /** Highest version of the lease row seen; a replica that shows a lower one lags. */
   private seenVersion = 0
-  private renewal = 0
-  private attempt: Attempt | undefined
-  /** Writes without an answer, by the number of the renewal. */
-  private readonly unresolved = new Map<number, Instant>()
 
   /**
    * @param role - name of the role
    * @param self - holder id of this process
    * @param limits - duration, margin and periods
    */
-  constructor (private readonly role: string, private readonly self: HolderId, private readonly limits: LeaseLimits = defaultLeaseLimits) {}
+  constructor (private readonly role: string, private readonly self: HolderId, private readonly limits: LeaseLimits = defaultLeaseLimits) {
+    this.calls = new LeaseCalls(role, self, limits)
+  }
 
   handle (event: LeaseEvent, now: Instant): readonly LeaseAction[] {
     switch (event.kind) {
@@ -75,7 +65,7 @@
 
   leaseCheck (now: Instant): LeaseRowCheck | undefined {
     if (this.held === undefined || !this.mayAct(now)) return undefined
-    return { table: FENCE_TABLE, key: this.role, version: this.held.fenceVersion }
+    return { table: FENCE_TABLE, key: this.role, version: this.held.versions.fence }
   }
 
   holder (): HolderId {
@@ -106,25 +96,19 @@
 
   private noticeLapse (now: Instant): readonly LeaseAction[] {
     if (this.held === undefined || this.releasingSince !== undefined || this.mayAct(now)) return []
-    const { fencing } = this.held
-    this.held = undefined
     this.wantsRead = true
-    return [{ kind: 'lost', fencing }]
+    return this.forget()
   }
 
   private nextCall (now: Instant): readonly LeaseAction[] {
     if (this.done) return []
     if (this.hasGivenUp(now)) return this.finish()
-    if (this.busy || (this.lastFailed && !this.isPast(this.limits.retryMs, now))) return []
+    if (this.calls.mustWait(now)) return []
     const isInvolved = this.wanted || this.releasingSince !== undefined || this.held !== undefined
-    if (this.wantsRead && isInvolved) return this.read(now)
+    if (this.wantsRead && isInvolved) return this.calls.read(now)
     if (this.releasingSince !== undefined) return this.nextRelease(now)
     if (this.held !== undefined) return elapsedMs(this.held.validFrom, now) >= this.limits.renewMs ? this.renew(this.held, now) : []
-    return this.wanted && this.isPast(this.limits.pollMs, now) ? this.read(now) : []
-  }
-
-  private isPast (periodMs: number, now: Instant): boolean {
-    return this.lastCallAt === undefined || elapsedMs(this.lastCallAt, now) >= periodMs
+    return this.wanted && this.calls.isPast(this.limits.pollMs, now) ? this.calls.read(now) : []
   }
 
   /** Whether a release took so long that the lease ended by itself. */
@@ -134,8 +118,7 @@
 
   private nextRelease (now: Instant): readonly LeaseAction[] {
     if (this.held === undefined) return this.finish()
-    const row = this.rowOf(this.held.fencing, true)
-    return this.write(row, this.held.leaseVersion, this.held.fenceVersion, [], now)
+    return this.calls.renew(this.held.fencing, true, this.held.versions, now)
   }
 
   private finish (): readonly LeaseAction[] {
@@ -145,67 +128,29 @@
   }
 
   private renew (held: HeldLease, now: Instant): readonly LeaseAction[] {
-    return this.write(this.rowOf(held.fencing, false), held.leaseVersion, held.fenceVersion, [], now)
-  }
-
-  private take (read: ReadLease, fencing: number, now: Instant): readonly LeaseAction[] {
-    const fence: LeaseRowWrite = { table: FENCE_TABLE, key: this.role, value: { role: this.role, holder: this.self, fencing } }
-    return this.write(this.rowOf(fencing, false), read.lease?.version ?? null, read.fence?.version ?? null, [fence], now)
-  }
-
-  private rowOf (fencing: number, released: boolean): LeaseRow {
-    this.renewal += 1
-    return { role: this.role, holder: this.self, fencing, durationMs: this.limits.durationMs, renewal: this.renewal, released }
-  }
-
-  private read (now: Instant): readonly LeaseAction[] {
-    this.busy = true
-    this.lastCallAt = now
-    return [{ kind: 'read' }]
-  }
-
-  private write (row: LeaseRow, version: number | null, fenceVersion: number | null, more: readonly LeaseRowWrite[], now: Instant): readonly LeaseAction[] {
-    this.busy = true
-    this.lastCallAt = now
-    // A write that replaces the fence row gives it a version that is not known yet.
-    this.attempt = { row, fenceVersion: more.length === 0 ? fenceVersion : null, startedAt: now }
-    this.forgetOldWrites(now)
-    this.unresolved.set(row.renewal, now)
-    const checks = [
-      { table: LEASE_TABLE, key: this.role, version },
-      { table: FENCE_TABLE, key: this.role, version: fenceVersion }
-    ]
-    return [{ kind: 'write', checks, writes: [{ table: LEASE_TABLE, key: this.role, value: row }, ...more] }]
+    return this.calls.renew(held.fencing, false, held.versions, now)
   }
 
   private failed (): readonly LeaseAction[] {
-    this.busy = false
-    this.lastFailed = true
+    this.calls.readFailed()
     return []
   }
 
   private writeAnswered (outcome: LeaseWriteOutcome, now: Instant): readonly LeaseAction[] {
-    const attempt = this.attempt
-    this.busy = false
-    this.attempt = undefined
-    this.lastFailed = outcome.kind === 'unavailable' || outcome.kind === 'conflict'
+    const attempt = this.calls.writeDone(outcome)
     if (attempt === undefined) return []
     if (outcome.kind === 'written') return this.written(attempt, outcome.version, now)
-    if (outcome.kind === 'unavailable') {
-      this.unresolved.delete(attempt.row.renewal)
-      return []
-    }
+    if (outcome.kind === 'unavailable') return []
     this.wantsRead = true
     return this.next(now)
   }
 
-  private written (attempt: Attempt, version: number, now: Instant): readonly LeaseAction[] {
+  private written (attempt: LeaseAttempt, version: number, now: Instant): readonly LeaseAction[] {
     this.seenVersion = version
     if (attempt.row.released) return this.finish()
     return this.hold({
       fencing: attempt.row.fencing,
-      leaseVersion: version,
-      fenceVersion: attempt.fenceVersion ?? version,
+      versions: { lease: version, fence: attempt.fenceVersion ?? version },
       validFrom: attempt.startedAt
     }, now)
   }
@@ -214,7 +159,7 @@
     const isNew = this.held === undefined
     this.held = held
     this.lapsed = false
-    this.unresolved.clear()
+    this.calls.forgetUnresolved()
     if (this.releasingSince !== undefined || !isNew) return this.next(now)
     if (this.mayAct(now)) return [{ kind: 'taken', fencing: held.fencing }, ...this.next(now)]
     // The answer came after the lease had ended; it may be renewed if nobody took it since.
@@ -226,49 +171,32 @@
   private readAnswered (read: ReadLease, now: Instant): readonly LeaseAction[] {
     if (read.lease !== null && read.lease.version < this.seenVersion) return this.failed()
     this.seenVersion = read.lease?.version ?? this.seenVersion
-    this.busy = false
-    this.lastFailed = false
+    this.calls.readDone()
     this.wantsRead = false
     const { lease, fence } = read
-    if (lease !== null && fence !== null && this.isOwn(lease.row, fence.row)) {
-      return this.adopt(lease.row, lease.version, fence.version, now)
+    if (lease !== null && fence !== null && isHeldBy(lease.row, fence.row, this.self)) {
+      return this.adopt(lease.row, { lease: lease.version, fence: fence.version }, now)
     }
     if (this.releasingSince !== undefined) return this.finish()
     const lost = this.forget()
-    if (!this.wanted || !this.isFree(read)) return lost
-    return [...lost, ...this.take(read, (lease?.row.fencing ?? 0) + 1, now)]
-  }
-
-  private isOwn (lease: LeaseRow, fence: FenceRow): boolean {
-    return lease.holder === this.self && !lease.released && fence.holder === this.self && fence.fencing === lease.fencing
+    if (!this.wanted || !isFree(read, this.limits.marginMs)) return lost
+    return [...lost, ...this.calls.take((lease?.row.fencing ?? 0) + 1, versionsOf(read), now)]
   }
 
   /** The rows name this process: by a write that is known, or by one too old to count on. */
-  private adopt (row: LeaseRow, leaseVersion: number, fenceVersion: number, now: Instant): readonly LeaseAction[] {
-    const startedAt = this.unresolved.get(row.renewal)
-    const held = { fencing: row.fencing, leaseVersion, fenceVersion, validFrom: startedAt ?? now }
+  private adopt (row: LeaseRow, versions: LeaseVersions, now: Instant): readonly LeaseAction[] {
+    const startedAt = this.calls.sentAt(row.renewal)
+    const held = { fencing: row.fencing, versions, validFrom: startedAt ?? now }
     if (startedAt !== undefined || this.releasingSince !== undefined) return this.hold(held, now)
     if (this.held === undefined) return this.renew(held, now)
     this.held = { ...held, validFrom: this.held.validFrom }
     return this.next(now)
   }
 
-  /** Writes so old that a lease resting on them would have ended need not be known. */
-  private forgetOldWrites (now: Instant): void {
-    for (const [renewal, startedAt] of this.unresolved) {
-      if (elapsedMs(startedAt, now) >= this.limits.durationMs) this.unresolved.delete(renewal)
-    }
-  }
-
   private forget (): readonly LeaseAction[] {
     if (this.held === undefined) return []
     const { fencing } = this.held
     this.held = undefined
     return [{ kind: 'lost', fencing }]
   }
-
-  private isFree (read: ReadLease): boolean {
-    if (read.lease === null || read.lease.row.released) return true
-    return read.lease.ageMs > read.lease.row.durationMs + this.limits.marginMs
-  }
 }
