Split the fair queue: a team's part and refusals get modules of their own

Change: teamQueue.ts holds what one team has in the queue and whose turn is next, queueRefusal.ts says why a request is not taken. The predicted wait is now also computed for a request that is refused for another reason, as before. Behaviour is the same, no test was touched.

--- a/packages/decisions/src/routing/fairQueue.ts
+++ b/packages/decisions/src/routing/fairQueue.ts
@@ -1,38 +1,22 @@
 /**
  * Bounded queue with weighted fairness between teams by virtual time (start-time fair queuing):
  * a team's turn comes when its tag is the lowest; each start moves its tag on by the tokens
- * divided by its weight. A team that was idle starts at the present virtual time, so it neither
- * saves up credit nor pays for the past. Priority orders requests inside a team; against other
- * teams it is only a bounded head start, charged like any service, so that a team which calls
+ * divided by its weight. A team that was idle starts at the present virtual time, or at its own
+ * tag if that is later: idle time earns no credit. Priority orders requests inside a team; against
+ * other teams it is only a bounded head start, charged like any service, so that a team which calls
  * everything urgent gains no share.
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { Instant } from '../clock/clockTypes.js'
-import { Failure } from '../codes/failure.js'
+import type { Failure } from '../codes/failure.js'
 import { Ewma } from './ewma.js'
+import { isLate, outOfReach, refusalOf, type QueueState } from './queueRefusal.js'
 import type { ExpiredItem, QueueItem, RequestQueue } from './queueTypes.js'
+import { headStart, insert, nextTeam, startsUpTo, type TeamQueue } from './teamQueue.js'
 
 /** Items that wait at most, over all teams. */
 const DEFAULT_CAPACITY = 1_024
 
-/** Part of an item's slack that it may be predicted to wait; the rest covers errors of the prediction. */
-const WAIT_SHARE = 0.9
-
-/** Virtual time, in tokens at weight 1, by which one level of priority may go ahead of other teams. */
-const HEAD_START = 4_000
-
-/** Shortest time to come back, in milliseconds. */
-const RETRY_LEAST_MS = 250
-
-interface TeamQueue<T> {
-  weight: number
-  /** Virtual time at which its next item starts. */
-  tag: number
-  running: number
-  /** By priority, then by arrival. */
-  readonly items: QueueItem<T>[]
-}
-
 /** Fair queue of one VM for one model. */
 export class FairQueue<T> implements RequestQueue<T> {
   private readonly teams = new Map<string, TeamQueue<T>>()
@@ -61,8 +45,7 @@
 
   offer (item: QueueItem<T>, now: Instant): Either<Failure, void> {
     const team = this.teamOf(item)
-    const waitMs = this.waitMs(team, item)
-    const failure = this.refusal(team, item, waitMs, now)
+    const failure = refusalOf(item, this.stateFor(team, item), now)
     if (failure !== undefined) {
       this.dropIdle(item.team, team)
       return Left(failure)
@@ -75,7 +58,7 @@
 
   pop (): QueueItem<T> | undefined {
     if (this.runningCount >= this.concurrency) return undefined
-    const team = this.nextTeam()
+    const team = nextTeam(this.teams.values())
     const item = team?.items.shift()
     if (team === undefined || item === undefined) return undefined
     this.virtualTime = Math.max(this.virtualTime, team.tag)
@@ -132,18 +115,14 @@
     this.dropIdle(item.team, team)
   }
 
-  private refusal (team: TeamQueue<T>, item: QueueItem<T>, waitMs: number, now: Instant): Failure | undefined {
-    const turnMs = this.turnMs(team)
-    if (team.items.length + team.running >= item.maxInFlight) {
-      return new Failure('queueFull', `team ${item.team} has ${item.maxInFlight} requests in progress`, extras(turnMs))
-    }
-    if (this.waitingCount >= this.capacity) {
-      return new Failure('overloaded', `${this.capacity} requests wait`, extras(turnMs))
+  private stateFor (team: TeamQueue<T>, item: QueueItem<T>): QueueState {
+    return {
+      teamInFlight: team.items.length + team.running,
+      waiting: this.waitingCount,
+      capacity: this.capacity,
+      waitMs: this.waitMs(team, item),
+      turnMs: this.turnMs(team)
     }
-    const slackMs = item.deadline.mono - now.mono - item.serviceMs
-    if (slackMs < 0) return outOfReach('the time left is shorter than the request takes', -slackMs)
-    if (waitMs <= slackMs * WAIT_SHARE) return undefined
-    return outOfReach(`predicted wait ${Math.round(waitMs)} ms`, waitMs - slackMs * WAIT_SHARE)
   }
 
   /** Predicted wait: everything that would start before it, at the present pace. */
@@ -176,18 +155,6 @@
     return serviceMs / Math.max(1, atOnce)
   }
 
-  private nextTeam (): TeamQueue<T> | undefined {
-    let next: TeamQueue<T> | undefined
-    let lowest = Infinity
-    for (const team of this.teams.values()) {
-      const [head] = team.items
-      if (head === undefined || team.tag - headStart(head) >= lowest) continue
-      lowest = team.tag - headStart(head)
-      next = team
-    }
-    return next
-  }
-
   private teamOf (item: QueueItem<T>): TeamQueue<T> {
     const known = this.teams.get(item.team)
     if (known !== undefined) {
@@ -210,42 +177,8 @@
     team.items.splice(0, team.items.length, ...rest)
   }
 
-  /** Forgets a team that has nothing here and owes nothing. */
+  /** Forgets a team that has no items and whose tag is not ahead of the virtual time. */
   private dropIdle (name: string, team: TeamQueue<T>): void {
     if (team.items.length === 0 && team.running === 0 && team.tag <= this.virtualTime) this.teams.delete(name)
   }
 }
-
-function insert<T> (items: QueueItem<T>[], item: QueueItem<T>): void {
-  const index = items.findIndex(other => other.priority < item.priority)
-  items.splice(index < 0 ? items.length : index, 0, item)
-}
-
-/** Virtual time by which an item goes before its team's turn. */
-function headStart<T> (item: QueueItem<T>): number {
-  return item.priority * HEAD_START
-}
-
-/** How many items of a team start before a tag. */
-function startsUpTo<T> (team: TeamQueue<T>, tag: number): number {
-  let next = team.tag
-  let count = 0
-  for (const item of team.items) {
-    if (next - headStart(item) >= tag) break
-    next += item.tokens / item.weight
-    count += 1
-  }
-  return count
-}
-
-function isLate<T> (item: QueueItem<T>, now: Instant): boolean {
-  return now.mono + item.serviceMs > item.deadline.mono
-}
-
-function outOfReach (detail: string, retryMs: number): Failure {
-  return new Failure('deadlineOutOfReach', detail, extras(retryMs))
-}
-
-function extras (retryMs: number): { ran: 'no', retryAfterMs: number } {
-  return { ran: 'no', retryAfterMs: Math.ceil(Math.max(RETRY_LEAST_MS, retryMs)) }
-}
