Remove MAX_LAPSE_MS, which nothing used

Cause: the constant was exported but read nowhere; the reason for its value stands now at lapseMs, the setting with that value.

--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -59,14 +59,12 @@
   roundMaxMs: 2 * SECOND,
   patienceMs: 2 * SECOND,
   recallKeepMs: 20 * SECOND,
+  // Leaves time to recover before engines forget their runs, which is after two hours.
   lapseMs: 100 * MINUTE,
   marginMs: MINUTE,
   requestTimeoutMs: MINUTE
 }
 
-/** Longest lapse that leaves time to recover before engines forget their runs (two hours). */
-export const MAX_LAPSE_MS = 100 * MINUTE
-
 /** Part of the lapse after which an idle allotment is renewed. */
 const RENEW_PART = 0.25
 
