--- /dev/null
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -0,0 +1,63 @@
+/**
+ * When requests that wait for tokens are refused: the budget is unknown, its tokens cannot come
+ * back, or the time of the request is over.
+ */
+import { elapsedMs, type Instant } from '../clock/clockTypes.js'
+import { Failure } from '../codes/failure.js'
+import type { BudgetEntry, Shortage, WaitingRequest } from './budgetEntry.js'
+
+/** Age of the table's answer after which a new request has it asked again. */
+const LOOK_AGAIN_MS = 1_000
+/** Advice to callers when the budget is spent. */
+const SPENT_RETRY_MS = 30_000
+/** Advice to callers when tokens are held elsewhere. */
+const ELSEWHERE_RETRY_MS = 5_000
+/** Least advice to callers when the table cannot be reached. */
+const PENDING_RETRY_MS = 1_000
+
+/**
+ * Why a waiting request is refused now; absent while it goes on waiting.
+ * @param entry - the budget
+ * @param item - the request
+ * @param patienceMs - milliseconds that it waits at most while tokens cannot be reached
+ * @param now - both clocks
+ */
+export function refusalOf (entry: BudgetEntry, item: WaitingRequest, patienceMs: number, now: Instant): Failure | undefined {
+  const shortage = currentShortage(entry, item, now)
+  if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `there is no budget ${entry.budget}`)
+  if (shortage?.kind === 'short' && cannotComeBack(entry, shortage.unspent, item.tokens)) {
+    return new Failure('budgetSpent', `fewer than ${item.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
+  }
+  const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0)
+  const limitMs = isCutOff && entry.round === undefined ? Math.min(patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
+  return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, now) : undefined
+}
+
+/**
+ * Whether the table should be asked again though no new round may begin: that is a read, without
+ * a write while it is short.
+ * @param entry - the budget
+ * @param now - both clocks
+ */
+export function mayLookAgain (entry: BudgetEntry, now: Instant): boolean {
+  const answered = entry.shortage?.kind === 'short' || entry.shortage?.kind === 'unknownBudget'
+  return answered && now.mono - entry.shortageAt >= LOOK_AGAIN_MS
+}
+
+/** What the table said after the request came, or a moment before; a top-up may have come since an older answer. */
+function currentShortage (entry: BudgetEntry, item: WaitingRequest, now: Instant): Shortage | undefined {
+  const isCurrent = entry.shortageAt >= item.since.mono || !mayLookAgain(entry, now)
+  return isCurrent ? entry.shortage : undefined
+}
+
+function cannotComeBack (entry: BudgetEntry, unspent: number, tokens: number): boolean {
+  return unspent - (entry.unsettled - entry.flushing) < tokens
+}
+
+function timedOut (entry: BudgetEntry, now: Instant): Failure {
+  if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
+    return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: ELSEWHERE_RETRY_MS })
+  }
+  const retryAfterMs = Math.max(PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
+  return new Failure('budgetPending', `tokens of ${entry.budget} could not be had in time`, { retryAfterMs })
+}
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -1,24 +1,16 @@
 /**
  * How a holder gets tokens: a draw ahead of need, or, when requests wait, a round of draw from the
- * table, transfer within the failure domain, recall from everywhere and a second draw. What still
- * waits is refused only when the tokens cannot come back, or when its time is over.
+ * table, transfer within the failure domain, recall from everywhere and a second draw. When a
+ * waiting request is refused is decided in budgetRefusal.
  */
-import { elapsedMs, type Instant } from '../clock/clockTypes.js'
-import { Failure } from '../codes/failure.js'
-import type { BudgetEntry, RoundStage, Shortage, WaitingRequest } from './budgetEntry.js'
+import type { Instant } from '../clock/clockTypes.js'
+import type { BudgetEntry, RoundStage, Shortage } from './budgetEntry.js'
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
+import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
 
 /** Pause before the next draw ahead of need once nothing was left. */
 const EMPTY_TABLE_PAUSE_MS = 30_000
-/** Age of the table's answer after which a new request has it asked again. */
-const LOOK_AGAIN_MS = 1_000
-/** Advice to callers when the budget is spent. */
-const SPENT_RETRY_MS = 30_000
-/** Advice to callers when tokens are held elsewhere. */
-const ELSEWHERE_RETRY_MS = 5_000
-/** Least advice to callers when the table cannot be reached. */
-const PENDING_RETRY_MS = 1_000
 
 const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
 
@@ -147,7 +139,7 @@
   private refuse (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
-      const failure = this.verdict(entry, item, now)
+      const failure = refusalOf(entry, item, this.policy.patienceMs, now)
       if (failure === undefined) return true
       actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
       return false
@@ -155,46 +147,10 @@
     return actions
   }
 
-  private verdict (entry: BudgetEntry, item: WaitingRequest, now: Instant): Failure | undefined {
-    const shortage = this.currentShortage(entry, item, now)
-    if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `there is no budget ${entry.budget}`)
-    if (shortage?.kind === 'short' && this.cannotComeBack(entry, shortage.unspent, item.tokens)) {
-      return new Failure('budgetSpent', `fewer than ${item.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
-    }
-    const waitedMs = elapsedMs(item.since, now)
-    const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0)
-    const patienceMs = isCutOff && entry.round === undefined ? Math.min(this.policy.patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
-    return waitedMs >= patienceMs ? this.timedOut(entry, now) : undefined
-  }
-
-  /** What the table said after the request came, or a moment before; a top-up may have come since an older answer. */
-  private currentShortage (entry: BudgetEntry, item: WaitingRequest, now: Instant): Shortage | undefined {
-    const isCurrent = entry.shortageAt >= item.since.mono || !this.mayLookAgain(entry, now)
-    return isCurrent ? entry.shortage : undefined
-  }
-
-  /** Whether the table should be asked again though no new round may begin: that is a read, without a write while it is short. */
-  private mayLookAgain (entry: BudgetEntry, now: Instant): boolean {
-    const answered = entry.shortage?.kind === 'short' || entry.shortage?.kind === 'unknownBudget'
-    return answered && now.mono - entry.shortageAt >= LOOK_AGAIN_MS
-  }
-
-  private cannotComeBack (entry: BudgetEntry, unspent: number, tokens: number): boolean {
-    return unspent - (entry.unsettled - entry.flushing) < tokens
-  }
-
-  private timedOut (entry: BudgetEntry, now: Instant): Failure {
-    if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
-      return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: ELSEWHERE_RETRY_MS })
-    }
-    const retryAfterMs = Math.max(PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
-    return new Failure('budgetPending', `tokens of ${entry.budget} could not be had in time`, { retryAfterMs })
-  }
-
   private advance (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     if (entry.round !== undefined) return this.runStage(entry, now)
     if (entry.waiting.length === 0) return this.drawAhead(entry, now)
-    if (now.mono < entry.nextRoundAt && !this.mayLookAgain(entry, now)) return []
+    if (now.mono < entry.nextRoundAt && !mayLookAgain(entry, now)) return []
     entry.round = { stage: 'draw' }
     return this.runStage(entry, now)
   }
