Drop casts of results whose side is known in completion and service

Cause: a dozen `extract() as T` told the compiler what purify-ts can say itself; a cast would hide a change of the type. Change: after isLeft() the failure needs no cast, a value known to be right comes by unsafeCoerce(), and where both are needed failureOf() asks first.

--- a/packages/rosemaryspread/src/completion/completionAttempt.ts
+++ b/packages/rosemaryspread/src/completion/completionAttempt.ts
@@ -44,8 +44,8 @@
  */
 export async function runAttempt (context: AttemptContext, open: () => Promise<Either<Failure, EngineStream>>): Promise<AttemptOutcome> {
   const opened = await open()
-  if (opened.isLeft()) return failedToOpen(opened.extract() as Failure)
-  return await new StreamReader(context).read(opened.extract() as EngineStream)
+  if (opened.isLeft()) return failedToOpen(opened.extract())
+  return await new StreamReader(context).read(opened.unsafeCoerce())
 }
 
 function failedToOpen (failure: Failure): AttemptOutcome {
@@ -85,7 +85,7 @@
       this.resumes += 1
       const resumed = await this.context.client.resume(this.context.address, this.context.requestId, this.next)
       if (resumed.isLeft()) return ended
-      stream = resumed.extract() as EngineStream
+      stream = resumed.unsafeCoerce()
     }
   }
 
--- a/packages/rosemaryspread/src/completion/completionFinder.ts
+++ b/packages/rosemaryspread/src/completion/completionFinder.ts
@@ -37,12 +37,12 @@
       unsealed.push(runner)
       continue
     }
-    const record = knownRun(sealed.extract() as Maybe<RunRecord>)
+    const record = knownRun(sealed.unsafeCoerce())
     if (record !== undefined) return { at: { runner, record }, unsealed, choiceSealed: false }
   }
   const found = await client.find(choice.address, requestId)
   if (found.isLeft()) return { unsealed, choiceSealed: false }
-  const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+  const record = found.unsafeCoerce().extractNullable()
   if (record === null) return { unsealed, choiceSealed: false }
   if (record.state === 'sealed') return { unsealed, choiceSealed: true }
   return { at: { runner: choice, record }, unsealed, choiceSealed: false }
@@ -70,7 +70,7 @@
       isCertain = false
       continue
     }
-    const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+    const record = found.unsafeCoerce().extractNullable()
     if (record === null) return { notRun: isCertain }
     if (record.state !== 'sealed') return { at: { runner, record }, notRun: false }
   }
--- a/packages/rosemaryspread/src/completion/completionPlanner.ts
+++ b/packages/rosemaryspread/src/completion/completionPlanner.ts
@@ -58,7 +58,7 @@
     for (;;) {
       const routed = await this.deps.routing.route(admitted, tried.exclude, gone)
       if (routed.isLeft()) return await this.refusedOrJoined(admitted, routed.extract())
-      const planned = await this.planAt(admitted, routed.extract() as RoutedRunner, tried)
+      const planned = await this.planAt(admitted, routed.unsafeCoerce(), tried)
       if (planned !== 'sealed') return planned
     }
   }
--- a/packages/rosemaryspread/src/completion/completionUnsettled.ts
+++ b/packages/rosemaryspread/src/completion/completionUnsettled.ts
@@ -6,7 +6,6 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Bill } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { EngineClient, RunRecord, Usage } from '@rosemaryspread/runners/engine/engineTypes.js'
-import type { Maybe } from 'purify-ts'
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
 import type { AdmittedCompletion } from './completionAdmission.js'
 import { billOf, freeBill } from './completionBill.js'
@@ -96,7 +95,7 @@
       if (!this.isDeclared(runner)) continue
       const sealed = await this.client.seal(address, run.admitted.requestId)
       if (sealed.isLeft()) return LATER
-      const record = (sealed.extract() as Maybe<RunRecord>).extractNullable()
+      const record = sealed.unsafeCoerce().extractNullable()
       if (record !== null && record.state !== 'sealed' && record.holder !== this.holder) return NO_BILL
     }
     return undefined
@@ -106,7 +105,7 @@
     const { requestId, keyed } = run.admitted
     const found = await this.client.find(run.ranAt.address, requestId)
     if (found.isLeft()) return this.isDeclared(run.ranAt.runner) ? LATER : NO_BILL
-    const record = (found.extract() as Maybe<RunRecord>).extractNullable()
+    const record = found.unsafeCoerce().extractNullable()
     if (record === null || record.holder !== this.holder) return NO_BILL
     if (record.state !== 'running') return this.settleRecord(run, record)
     if (keyed) return LATER
--- a/packages/rosemaryspread/src/service/serviceBackground.ts
+++ b/packages/rosemaryspread/src/service/serviceBackground.ts
@@ -35,7 +35,7 @@
     this.repeat(async () => {
       const claimed = await this.claims.find(row)
       if (claimed.isLeft()) return false
-      const held = claimed.extract() as HeldClaim | undefined
+      const held = claimed.unsafeCoerce()
       if (held !== undefined) this.abandon(held)
       return true
     })
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -5,7 +5,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { ApplicationService, ServiceAnswer, ServiceCall } from '@rosemaryspread/callers/completion/completionTypes.js'
 import { elapsedMs, type Clock, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
 import type { FleetConfig, ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { bodyDigest, keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
@@ -59,8 +59,8 @@
     try {
       const checked = this.check(call)
       const answer = checked.isLeft()
-        ? Left(checked.extract() as Failure)
-        : await this.serve(checked.extract() as CheckedCall)
+        ? Left(checked.extract())
+        : await this.serve(checked.unsafeCoerce())
       const requestId = checked.map(known => known.requestId).orDefault(call.requestId ?? '-')
       return answer.ifLeft(failure => { this.refused(requestId, call.caller.team, failure) })
     } finally {
@@ -116,8 +116,8 @@
     }
     const sentAt = this.deps.clock.now()
     const claimed = await this.deps.claims.claim(row)
-    if (claimed.isLeft()) return this.claimFailed(row, claimed.extract() as Failure)
-    const outcome = claimed.extract() as { kind: 'held', claim: HeldClaim } | { kind: 'found', row: ClaimRow }
+    if (claimed.isLeft()) return this.claimFailed(row, claimed.extract())
+    const outcome = claimed.unsafeCoerce()
     if (outcome.kind === 'found') return repeatOf(outcome.row)
     this.deps.log.write('callClaimed', { request: requestId, service: call.service })
     return await this.dispatchClaimed(checked, outcome.claim, sentAt)
@@ -147,15 +147,15 @@
     const exclude: string[] = []
     let last: Failure | undefined
     for (;;) {
-      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude)
-      if (chosen.isLeft()) return Left(last ?? chosen.extract() as Failure)
+      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude, this.deps.clock.now().mono)
+      if (chosen.isLeft()) return Left(last ?? chosen.extract())
       const leftMs = checked.timeoutMs - elapsedMs(checked.startedAt, this.deps.clock.now())
       if (leftMs <= 0) return Left(last ?? new Failure('deadlineExceeded', 'the deadline passed before the call was dispatched'))
-      const answer = await this.callRunner(checked, chosen.extract() as ServiceChoice, leftMs)
-      if (answer.isRight()) return answer.map(({ status, contentType, body }) => ({ status, contentType, body, requestId: checked.requestId, repeated: false }))
-      const failure = answer.extract() as Failure
+      const answer = await this.callRunner(checked, chosen.unsafeCoerce(), leftMs)
+      const failure = failureOf(answer)
+      if (failure === undefined) return answer.map(({ status, contentType, body }) => ({ status, contentType, body, requestId: checked.requestId, repeated: false }))
       last = worse(last, failure)
-      const { runner } = chosen.extract() as ServiceChoice
+      const { runner } = chosen.unsafeCoerce()
       const retried = last.ran === 'no' || checked.repeatable
       this.attemptFailed(checked.requestId, runner, failure, retried)
       if (!retried) return Left(last)
@@ -168,7 +168,7 @@
     this.deps.log.write('routed', { request: requestId, service: call.service, candidates: choice.candidates, choice: choice.runner, reason: 'fewest open calls' })
     this.load.add(choice.runner, 1)
     try {
-      return await this.deps.runners.call(choice.address, {
+      const answer = await this.deps.runners.call(choice.address, {
         requestId,
         method: call.method,
         path: call.path,
@@ -176,6 +176,8 @@
         body: call.body,
         timeoutMs
       })
+      this.load.ended(choice.runner, answer.isRight(), this.deps.clock.now().mono)
+      return answer
     } finally {
       this.load.add(choice.runner, -1)
       this.deps.metrics.record('service_call_ms', elapsedMs(checked.startedAt, this.deps.clock.now()))
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -53,7 +53,7 @@
     if (failureOf(first)?.code !== 'platformConflict') return first.map(version => held(wanted, version))
     const found = await this.read(wanted.requestId)
     if (found.isLeft()) return Left(notClaimed('the claim could not be read'))
-    const row = found.extract() as Row | undefined
+    const row = found.unsafeCoerce()
     if (row === undefined) return Left(notClaimed('the claim changed while it was read'))
     return await this.takeOver(wanted, row)
   }
@@ -105,8 +105,8 @@
   private async write (row: ClaimRow, expected: number | null): Promise<Either<Failure, number>> {
     const key = { table: CLAIMS_TABLE, key: row.requestId }
     const answer = await this.table.transact({ checks: [{ ...key, version: expected }], writes: [{ ...key, value: row }] })
-    if (answer.isRight()) return answer.map(({ version }) => version)
-    const failure = answer.extract() as Failure
+    const failure = failureOf(answer)
+    if (failure === undefined) return answer.map(({ version }) => version)
     if (failure.code === 'platformConflict') return Left(failure)
     if (failure.code !== 'platformOutcomeUnknown') return Left(notClaimed(failure.message))
     return await this.readBack(row)
