Eject application runners that cannot be reached

Cause: a dead application runner had the fewest open calls, so it was tried first by every call. Ruled out: a health check of its own by polls (one more cost for each VM). Change: the circuit breaker of model runners serves here too: three calls in a row that do not reach the runner eject it, single probes bring it back; with no other runner it is used all the same. Conclusion: calls go past a dead runner after three tries.

--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -147,7 +147,7 @@
     const exclude: string[] = []
     let last: Failure | undefined
     for (;;) {
-      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude)
+      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude, this.deps.clock.now().mono)
       if (chosen.isLeft()) return Left(last ?? chosen.extract())
       const leftMs = checked.timeoutMs - elapsedMs(checked.startedAt, this.deps.clock.now())
       if (leftMs <= 0) return Left(last ?? new Failure('deadlineExceeded', 'the deadline passed before the call was dispatched'))
@@ -168,7 +168,7 @@
     this.deps.log.write('routed', { request: requestId, service: call.service, candidates: choice.candidates, choice: choice.runner, reason: 'fewest open calls' })
     this.load.add(choice.runner, 1)
     try {
-      return await this.deps.runners.call(choice.address, {
+      const answer = await this.deps.runners.call(choice.address, {
         requestId,
         method: call.method,
         path: call.path,
@@ -176,6 +176,8 @@
         body: call.body,
         timeoutMs
       })
+      this.load.ended(choice.runner, answer.isRight(), this.deps.clock.now().mono)
+      return answer
     } finally {
       this.load.add(choice.runner, -1)
       this.deps.metrics.record('service_call_ms', elapsedMs(checked.startedAt, this.deps.clock.now()))
--- /dev/null
+++ b/packages/rosemaryspread/src/service/serviceRoute.spec.ts
@@ -0,0 +1,67 @@
+/**
+ * The choice of application runners, and which calls may be repeated.
+ */
+import { expect } from 'chai'
+import { serviceSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import { failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import { chooseServiceRunner, isRepeatable, ServiceLoad, type ServiceChoice } from './serviceRoute.js'
+
+const service = serviceSchema.parse({
+  runners: {
+    a: { address: '10.0.0.1:1', domain: 'd1', maxInFlight: 2 },
+    b: { address: '10.0.0.2:1', domain: 'd2', maxInFlight: 2 },
+    c: { address: '10.0.0.3:1', domain: 'd1', state: 'leaving' }
+  },
+  notRepeatable: ['/dispatch', '/crews/*']
+})
+
+interface ChoiceCase {
+  readonly name: string
+  readonly open?: Readonly<Record<string, number>>
+  readonly failed?: readonly string[]
+  readonly exclude?: readonly string[]
+  readonly atMs?: number
+  readonly expected: string
+}
+
+const choices: readonly ChoiceCase[] = [
+  { name: 'the own failure domain among equals', expected: 'a' },
+  { name: 'the fewest open calls', open: { a: 1 }, expected: 'b' },
+  { name: 'no runner that was tried', exclude: ['a'], expected: 'b' },
+  { name: 'no full runner', open: { a: 2, b: 1 }, expected: 'b' },
+  { name: 'a refusal when all are full', open: { a: 2, b: 2 }, expected: 'overloaded' },
+  { name: 'a refusal when only a leaving one is left', exclude: ['a', 'b'], expected: 'noRunner' },
+  { name: 'no runner that failed several times in a row', failed: ['a'], expected: 'b' },
+  { name: 'an ejected runner when there is no other', failed: ['a', 'b'], expected: 'a' },
+  { name: 'an ejected runner again after a while, as a probe', failed: ['a'], atMs: 3_000, expected: 'a' },
+  { name: 'no second call to a runner that is probed', failed: ['a'], open: { a: 1, b: 1 }, atMs: 3_000, expected: 'b' }
+]
+
+describe('the choice of an application runner', () => {
+  for (const { name, open, failed, exclude, atMs, expected } of choices) {
+    it(`is ${name}`, () => {
+      const load = new ServiceLoad()
+      failed?.forEach(runner => { for (let i = 0; i < 3; i += 1) load.ended(runner, false, 0) })
+      Object.entries(open ?? {}).forEach(([runner, count]) => { for (let i = 0; i < count; i += 1) load.add(runner, 1) })
+      const chosen = chooseServiceRunner(service, 'd1', load, exclude ?? [], atMs ?? 0)
+      expect(failureOf(chosen)?.code ?? (chosen.extract() as ServiceChoice).runner).to.equal(expected)
+    })
+  }
+})
+
+const calls: ReadonlyArray<readonly [method: string, path: string, repeatable: boolean]> = [
+  ['GET', '/dispatch', true],
+  ['POST', '/dispatch', false],
+  ['POST', '/dispatch?again=1', false],
+  ['POST', '/dispatches', true],
+  ['POST', '/crews/7', false],
+  ['POST', '/status', true]
+]
+
+describe('calls that may be repeated', () => {
+  for (const [method, path, repeatable] of calls) {
+    it(`${method} ${path}: ${repeatable}`, () => {
+      expect(isRepeatable(service, method, path)).to.equal(repeatable)
+    })
+  }
+})
--- a/packages/rosemaryspread/src/service/serviceRoute.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.ts
@@ -1,9 +1,10 @@
 /**
  * Chooses application runners: the fewest open calls by this VM's own count, the own failure
- * domain first among equals; leaving and full runners get nothing.
+ * domain first among equals; leaving, full and ejected runners get nothing.
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { RunnerHealth } from '@rosemaryspread/decisions/routing/runnerHealth.js'
 import type { ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 
 /** Milliseconds to come back after when every runner is full. */
@@ -18,9 +19,10 @@
   readonly candidates: readonly string[]
 }
 
-/** Counts open calls for each application runner. */
+/** Open calls and health of each application runner, as this VM sees them. */
 export class ServiceLoad {
   private readonly open = new Map<string, number>()
+  private readonly health = new Map<string, RunnerHealth>()
 
   of (runner: string): number {
     return this.open.get(runner) ?? 0
@@ -29,6 +31,29 @@
   add (runner: string, by: 1 | -1): void {
     this.open.set(runner, this.of(runner) + by)
   }
+
+  /**
+   * Notes how a call ended; a runner that cannot be reached several times in a row is ejected.
+   * @param runner - id of the runner
+   * @param reached - whether it answered, whatever the status
+   * @param mono - monotonic milliseconds
+   */
+  ended (runner: string, reached: boolean, mono: number): void {
+    const health = this.health.get(runner) ?? new RunnerHealth()
+    this.health.set(runner, health)
+    if (reached) health.succeeded(mono)
+    else health.failed(mono)
+  }
+
+  /**
+   * Whether a call may go to a runner; one that was ejected gets single probes at first.
+   * @param runner - id of the runner
+   * @param mono - monotonic milliseconds
+   */
+  isUsable (runner: string, mono: number): boolean {
+    const health = this.health.get(runner)
+    return health === undefined || health.share(mono, this.of(runner)) > 0
+  }
 }
 
 /**
@@ -37,18 +62,20 @@
  * @param domain - failure domain of this VM
  * @param load - open calls
  * @param exclude - runners tried already
+ * @param mono - monotonic milliseconds
  */
-export function chooseServiceRunner (service: ServiceConfig, domain: string, load: ServiceLoad, exclude: readonly string[]): Either<Failure, ServiceChoice> {
+export function chooseServiceRunner (service: ServiceConfig, domain: string, load: ServiceLoad, exclude: readonly string[], mono: number): Either<Failure, ServiceChoice> {
   const active = Object.entries(service.runners)
     .filter(([runner, { state }]) => state === 'active' && !exclude.includes(runner))
   if (active.length === 0) return Left(new Failure('noRunner', 'no application runner is left to try', { retryAfterMs: NONE_RETRY_MS }))
   const free = active.filter(([runner, { maxInFlight }]) => load.of(runner) < maxInFlight)
   if (free.length === 0) return Left(new Failure('overloaded', 'every application runner is full', { retryAfterMs: FULL_RETRY_MS }))
   const distance = (other: string): number => other === domain ? 0 : 1
-  const [best] = free.sort(([a, left], [b, right]) =>
+  const usable = free.filter(([runner]) => load.isUsable(runner, mono))
+  const [best] = (usable.length > 0 ? usable : free).sort(([a, left], [b, right]) =>
     load.of(a) - load.of(b) || distance(left.domain) - distance(right.domain) || a.localeCompare(b))
   const [runner, { address }] = best as NonNullable<typeof best>
-  return Right({ runner, address, candidates: free.map(([name]) => name) })
+  return Right({ runner, address, candidates: (usable.length > 0 ? usable : free).map(([name]) => name) })
 }
 
 /**
