Drop casts of results whose side is known in the budget shell

Cause: a dozen `extract() as Failure` told the compiler what purify-ts says itself after isLeft(). Change: the casts are gone; the write of a transaction asks failureOf() first. Behaviour is the same, no test was touched.

--- a/packages/rosemaryspread/src/budget/budgetAsking.ts
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -114,7 +114,7 @@
     this.open.set(item.ask.transferId, item)
     const answer: Either<Failure, GiveAnswer> = await this.parts.peers.give(item.giver, item.ask)
     if (answer.isLeft()) {
-      const failure = answer.extract() as Failure
+      const failure = answer.extract()
       if (failure.ran === 'no') this.open.delete(item.ask.transferId)
       this.parts.log.write('budgetFault', { operation: 'give', budget: item.ask.budget, peer: item.giver, code: failure.code })
       return 0
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -40,7 +40,7 @@
     const ids = actions.map(action => action.drawId)
     const done = await this.table.run(ids, keys, rows =>
       Either.sequence(actions.map(action => planDraw(rows, action, drawer))).map(batchOf))
-    if (done.isLeft()) return await this.allFailed(actions, done.extract() as Failure)
+    if (done.isLeft()) return await this.allFailed(actions, done.extract())
     const { plan, sentAt } = done.unsafeCoerce()
     return await Promise.all(plan.plans.map(async (item, index) => await this.outcome(actions[index], item, sentAt)))
   }
@@ -66,7 +66,7 @@
     const sentAt = this.table.now()
     if (action.atLeast === 0) return { kind: 'short', left, elsewhere: Infinity, sentAt }
     const survey = await surveyBudget(this.table.store, action.budget)
-    if (survey.isLeft()) return this.failed(action, survey.extract() as Failure)
+    if (survey.isLeft()) return this.failed(action, survey.extract())
     const { budget, allotments } = survey.unsafeCoerce()
     if (budget === undefined) return { kind: 'unknownBudget' }
     const settled = allotments.reduce((sum, item) => sum + item.row.settled, 0)
--- a/packages/rosemaryspread/src/budget/budgetFlushing.ts
+++ b/packages/rosemaryspread/src/budget/budgetFlushing.ts
@@ -24,7 +24,7 @@
   async flush (action: FlushAction): Promise<FlushOutcome> {
     const keys = flushKeys(action, this.self)
     const done = await this.table.run(`flush${action.seq}`, keys, rows => planFlush(rows, action, this.self))
-    if (done.isLeft()) return this.failed(action, done.extract() as Failure)
+    if (done.isLeft()) return this.failed(action, done.extract())
     const { plan, sentAt } = done.unsafeCoerce()
     if (plan.kind === 'closed') return plan
     this.report(action)
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -90,16 +90,16 @@
       const runs = (await this.runsOf(owner)).chain(found => endedRuns(found, owner, budget))
       if (runs.isLeft()) {
         await this.cancelRunning(owner, budget)
-        return Left(runs.extract() as Failure)
+        return Left(runs.extract())
       }
       const billed = await this.billedIds(owner)
-      if (billed.isLeft()) return Left(billed.extract() as Failure)
+      if (billed.isLeft()) return Left(billed.extract())
       const seen = new Set(billed.unsafeCoerce())
       for (const { runner, record } of runs.unsafeCoerce()) {
         if (seen.has(record.requestId)) continue
         seen.add(record.requestId)
         const isPaid = await this.payers.isPaidElsewhere(record, runner, wall)
-        if (isPaid.isLeft()) return Left(isPaid.extract() as Failure)
+        if (isPaid.isLeft()) return Left(isPaid.extract())
         if (!isPaid.unsafeCoerce()) owed.push({ holder: owner.holder, bill: billOf(record, runner) })
       }
     }
@@ -123,7 +123,7 @@
       const answers = await Promise.all(declared.slice(from, from + ASKED_AT_ONCE).map(async ({ runner, address }) =>
         (await this.runners.engines.listByHolder(address, holder)).map(records => records.map(record => ({ runner, address, record })))))
       const runs = Either.sequence(answers)
-      if (runs.isLeft()) return Left(runs.extract() as Failure)
+      if (runs.isLeft()) return Left(runs.extract())
       found.push(...runs.unsafeCoerce().flat())
     }
     return Right(found)
@@ -142,7 +142,7 @@
     for (;;) {
       const from = Math.max(0, (owner.lastSeq ?? 0) - step)
       const scan = await scanAll(this.store, budgetTables.segments, `${owner.holder}/`, segmentKey(owner.holder, from)).run()
-      if (scan.isLeft()) return Left(scan.extract() as Failure)
+      if (scan.isLeft()) return Left(scan.extract())
       const { rows, now } = scan.unsafeCoerce()
       if (from === 0 || isOldEnough(rows, now)) return Right(rows.flatMap(row => segmentRowSchema.parse(row.value).bills.map(bill => bill.requestId)))
       step *= 2
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -4,7 +4,7 @@
  */
 import { Either, Left, Right } from 'purify-ts'
 import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { RowSet, type PlanKey } from '@rosemaryspread/decisions/budget/rowSet.js'
 import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 
@@ -46,19 +46,19 @@
     const startedAt = this.clock.now()
     for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
       const read = await this.store.read(keys)
-      if (read.isLeft()) return Left(read.extract() as Failure)
+      if (read.isLeft()) return Left(read.extract())
       const rows = new RowSet(keys, read.unsafeCoerce().rows)
       const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
-      if (planned.isLeft()) return Left(planned.extract() as Failure)
+      if (planned.isLeft()) return Left(planned.extract())
       const value = planned.unsafeCoerce()
       if (value.kind !== 'write') return Right({ plan: value, sentAt: this.resolved(ids, startedAt) })
       const sentAt = this.clock.now()
       const written = await this.write(rows)
-      if (written.isRight()) {
+      const failure = failureOf(written)
+      if (failure === undefined) {
         // In a batch some may have taken effect before, so the lease counts from the first of them.
         return Right({ plan: value, sentAt: this.resolved(ids, sentAt) })
       }
-      const failure = written.extract() as Failure
       if (failure.code === 'platformUnavailable') return Left(failure)
       if (failure.code !== 'platformConflict') this.noteUnknown(ids, startedAt)
     }
--- a/packages/rosemaryspread/src/budget/budgetTopUps.ts
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -24,7 +24,7 @@
   async topUp (topUp: TopUpRow): Promise<Either<Failure, BudgetAnswer>> {
     const keys = topUpKeys(topUp.operationId, topUp.budget)
     const done = await this.table.run(topUp.operationId, keys, rows => planTopUp(rows, topUp))
-    if (done.isLeft()) return Left(this.honest(done.extract() as Failure, topUp.operationId))
+    if (done.isLeft()) return Left(this.honest(done.extract(), topUp.operationId))
     return await this.show(topUp.budget)
   }
 
