Have one virtual time for the budget and the configuration runs

Cause: measure/budget and config each had a virtualTime.ts with the same job: one kept its timers in a heap, the other in a sorted array. Ruled out: the sorted array, as the budget runs hold many timers. The capacity probe that reads the time (hotBudgetProbe) was compiled, not run.

--- a/packages/stand-ins/src/config/configFleet.ts
+++ b/packages/stand-ins/src/config/configFleet.ts
@@ -14,7 +14,7 @@
 import { TableState } from '../table/tableState.js'
 import { FleetTable, LaggingReplica, type Traffic } from './fleetTable.js'
 import { MemoryObjects } from './memoryObjects.js'
-import { VirtualTime } from './virtualTime.js'
+import { VirtualTime } from '../time/virtualTime.js'
 
 /** How a fleet is made. */
 export interface FleetOptions {
--- a/packages/stand-ins/src/measure/budget/budgetNetwork.ts
+++ b/packages/stand-ins/src/measure/budget/budgetNetwork.ts
@@ -6,7 +6,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
 import type { TableState } from '../../table/tableState.js'
-import type { VirtualTime } from './virtualTime.js'
+import type { VirtualTime } from '../../time/virtualTime.js'
 
 /** Milliseconds, one way. */
 export interface Latencies {
--- a/packages/stand-ins/src/measure/budget/budgetVm.ts
+++ b/packages/stand-ins/src/measure/budget/budgetVm.ts
@@ -9,7 +9,7 @@
 import type { BudgetPeers, ConfirmAsk, GiveAsk, RecallAsk } from 'rosemaryspread/budget/budgetPeers.js'
 import type { BudgetPort } from 'rosemaryspread/budget/budgetPort.js'
 import type { RecoveryRunners } from 'rosemaryspread/budget/budgetRecoveryRuns.js'
-import type { VirtualTime } from './virtualTime.js'
+import type { VirtualTime } from '../../time/virtualTime.js'
 
 /** Budgets of a VM, by the product or by a baseline. */
 export interface Spender extends BudgetPort {
@@ -35,7 +35,7 @@
   private frozen: { readonly at: number, readonly stopsMono: boolean } | undefined
   private queue: Array<() => void> = []
   readonly clock: Clock = {
-    now: () => ({ mono: this.time.now + this.monoOffset, wall: this.time.now + this.wallOffset })
+    now: () => ({ mono: this.time.mono + this.monoOffset, wall: this.time.mono + this.wallOffset })
   }
 
   constructor (readonly vm: string, readonly holder: string, readonly domain: string, private readonly time: VirtualTime) {}
@@ -51,14 +51,14 @@
    */
   freeze (ms: number, stopsMono: boolean): void {
     if (this.frozen !== undefined) return
-    this.frozen = { at: this.time.now, stopsMono }
+    this.frozen = { at: this.time.mono, stopsMono }
     this.time.after(ms, () => this.wake())
   }
 
   /** Lets a frozen VM go on. */
   wake (): void {
     if (this.frozen === undefined) return
-    if (this.frozen.stopsMono) this.monoOffset -= this.time.now - this.frozen.at
+    if (this.frozen.stopsMono) this.monoOffset -= this.time.mono - this.frozen.at
     this.frozen = undefined
     const { queue } = this
     this.queue = []
--- a/packages/stand-ins/src/measure/budget/budgetWorld.ts
+++ b/packages/stand-ins/src/measure/budget/budgetWorld.ts
@@ -10,7 +10,7 @@
 import { BudgetEngines } from './budgetEngines.js'
 import { NetworkFaults, PeerNetwork, RemoteTable, type Latencies } from './budgetNetwork.js'
 import { BudgetVm, type Spender, type SpenderParts } from './budgetVm.js'
-import { VirtualTime } from './virtualTime.js'
+import { VirtualTime } from '../../time/virtualTime.js'
 
 /** Builds the budgets of one VM. */
 export type SpenderFactory = (parts: SpenderParts) => Spender
@@ -58,7 +58,7 @@
 export class BudgetWorld {
   readonly time = new VirtualTime()
   readonly faults = new NetworkFaults()
-  readonly state = new TableState(() => this.time.now)
+  readonly state = new TableState(() => this.time.mono)
   readonly nodes: WorldNode[] = []
   readonly engines: BudgetEngines
   readonly random: () => number
@@ -111,7 +111,7 @@
    */
   kill (node: WorldNode): void {
     node.vm.isDead = true
-    this.gone.push({ vm: node.vm.vm, at: this.time.now })
+    this.gone.push({ vm: node.vm.vm, at: this.time.mono })
   }
 
   /**
@@ -149,7 +149,7 @@
 
   /** The platform's list as of its lag. */
   get list (): { readonly asOf: number, readonly vms: ReadonlyArray<{ readonly vm: string, readonly state: string }> } {
-    const asOf = this.time.now - this.shape.listLagMs
+    const asOf = this.time.mono - this.shape.listLagMs
     return { asOf, vms: this.gone.filter(item => item.at <= asOf).map(item => ({ vm: item.vm, state: 'gone' })) }
   }
 
--- a/packages/stand-ins/src/measure/capacity/hotBudgetProbe.ts
+++ b/packages/stand-ins/src/measure/capacity/hotBudgetProbe.ts
@@ -71,7 +71,7 @@
   /** Counts of a time. */
   async during (ms: number): Promise<Counts> {
     const before = this.counts
-    await this.world.time.runUntil(this.world.time.now + ms)
+    await this.world.time.runUntil(this.world.time.mono + ms)
     const after = this.counts
     return { committed: after.committed - before.committed, conflicts: after.conflicts - before.conflicts, gaveUp: after.gaveUp - before.gaveUp }
   }
