Refuse a taken HTTP address with exit code 4 in place of an uncaught error

Cause: `rosemaryspread serve` with the address of callers or operators in use ended with a stack trace and exit code 1; SETTINGS.md promises 4. Restify passes the server's error on to itself and throws where nobody listens there, before the rejected listen is seen. The peers' address was right already.

Ruled out: a general listener for errors on the server, which would hide later ones.

--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -77,9 +77,10 @@
   listen (address: string): Promise<string> {
     const [host, port] = address.split(':')
     return new Promise((resolve, reject) => {
-      this.node.once('error', reject)
+      // Restify passes the errors of its server on and throws where nobody listens to them.
+      this.app.once('error', reject)
       this.app.listen(Number(port), host, () => {
-        this.node.off('error', reject)
+        this.app.off('error', reject)
         const bound = this.node.address() as AddressInfo
         resolve(`${bound.address}:${bound.port}`)
       })
