--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -11,8 +11,10 @@
 import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
 import { isAmount } from './budgetRows.js'
 import { BudgetSettlement } from './budgetSettlement.js'
+import { BudgetStep } from './budgetStep.js'
 import { BudgetSupply } from './budgetSupply.js'
 import type { BudgetAction, BudgetDecider, BudgetEvent, BudgetView, DrawOutcome, Transfer } from './budgetTypes.js'
+import { EntrySet } from './entrySet.js'
 import { FlushQueue } from './flushQueue.js'
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
@@ -24,14 +26,13 @@
 
 /** Budgets of one holder; entries exist only for budgets drawn on. */
 export class BudgetLedger implements BudgetDecider {
-  private readonly entries = new Map<string, BudgetEntry>()
-  /** Entries to be looked at on the next tick. */
-  private readonly attention = new Set<BudgetEntry>()
+  private readonly entries = new EntrySet()
   private readonly queue: FlushQueue
   private readonly supply: BudgetSupply
   private readonly giving: BudgetGiving
   private readonly upkeep: BudgetUpkeep
   private readonly settlement: BudgetSettlement
+  private readonly steps: BudgetStep
   private draining = false
 
   /**
@@ -42,8 +43,9 @@
     this.queue = new FlushQueue(policy)
     this.supply = new BudgetSupply(holder, policy)
     this.giving = new BudgetGiving(holder, policy, this.queue)
-    this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries)
-    this.settlement = new BudgetSettlement(this.entries, this.queue)
+    this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries.all)
+    this.settlement = new BudgetSettlement(this.entries.all, this.queue)
+    this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, upkeep: this.upkeep, settlement: this.settlement })
   }
 
   handle (event: BudgetEvent, now: Instant): readonly BudgetAction[] {
@@ -55,7 +57,7 @@
   }
 
   views (): readonly BudgetView[] {
-    return [...this.entries.values()].map(entry => entry.view())
+    return [...this.entries.all.values()].map(entry => entry.view())
   }
 
   /**
@@ -63,12 +65,12 @@
    * @param budget - budget id
    */
   view (budget: string): BudgetView | undefined {
-    return this.entries.get(budget)?.view()
+    return this.entries.all.get(budget)?.view()
   }
 
   /** Whether everything owed is durable and nothing is held any more. */
   get isSettled (): boolean {
-    return this.queue.isEmpty && [...this.entries.values()].every(entry => entry.isEmpty)
+    return this.queue.isEmpty && this.entries.holdNothing
   }
 
   /**
@@ -78,7 +80,7 @@
    */
   isValid (reservationId: string, now: Instant): boolean {
     const budget = this.settlement.budgetOf(reservationId)
-    return budget !== undefined && this.entries.get(budget)?.isUsable(now) === true
+    return budget !== undefined && this.entries.all.get(budget)?.isUsable(now) === true
   }
 
   /**
@@ -116,120 +118,105 @@
     entry.isWanted = true
     entry.largest = Math.max(entry.largest, tokens)
     entry.waiting.push({ reservationId, tokens, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
-    return this.pump(entry, now)
+    return this.step(entry, now)
   }
 
   private settle (event: EventOf<'settle'>, now: Instant): readonly BudgetAction[] {
     const entry = this.settlement.settle(event, now)
-    return entry === undefined ? [] : this.pump(entry, now)
+    return entry === undefined ? [] : this.step(entry, now)
   }
 
   private withdraw (event: EventOf<'withdraw'>, now: Instant): readonly BudgetAction[] {
-    for (const entry of this.attention) {
+    for (const entry of this.entries.watched) {
       entry.waiting = entry.waiting.filter(item => item.reservationId !== event.reservationId)
     }
     return this.settle({ kind: 'settle', reservationId: event.reservationId }, now)
   }
 
   private tick (now: Instant): readonly BudgetAction[] {
-    const actions = [...this.attention].flatMap(entry => this.pump(entry, now))
-    for (const entry of this.upkeep.visit(now, this.draining)) this.attention.add(entry)
+    const actions = [...this.entries.watched].flatMap(entry => this.step(entry, now))
+    for (const entry of this.upkeep.visit(now, this.draining)) this.entries.watch(entry)
     return actions
   }
 
   private drawAnswered (event: EventOf<'drawAnswered'>, now: Instant): readonly BudgetAction[] {
-    const entry = [...this.attention].find(item => item.draw?.drawId === event.drawId)
+    const entry = this.entries.withDraw(event.drawId)
     if (entry === undefined) return []
     const isClosed = event.outcome.kind === 'closed'
     // An open flush of this budget has to fail first: a reopened row would take its bills a second time.
     const outcome = isClosed && this.settlement.isFlushing(entry.budget) ? UNAVAILABLE : event.outcome
     const closed = outcome.kind === 'closed' ? this.settlement.close(entry) : []
     this.supply.drawn(entry, outcome, now)
-    return [...closed, ...this.pump(entry, now)]
+    return [...closed, ...this.step(entry, now)]
   }
 
   private flushAnswered (event: EventOf<'flushAnswered'>, now: Instant): readonly BudgetAction[] {
     const { changed, actions } = this.settlement.flushed(event, now)
-    return [...actions, ...changed.flatMap(entry => this.pump(entry, now))]
+    return [...actions, ...changed.flatMap(entry => this.step(entry, now))]
   }
 
   private giveAsked (event: EventOf<'giveAsked'>, now: Instant): readonly BudgetAction[] {
-    const entry = this.entries.get(event.budget)
+    const entry = this.entries.all.get(event.budget)
     const transfer = this.giving.give(event, this.draining ? undefined : entry, now)
-    if (entry !== undefined) this.attention.add(entry)
+    if (entry !== undefined) this.entries.watch(entry)
     return [{ kind: 'give', transferId: event.transferId, transfer }]
   }
 
   private giveAnswered (event: EventOf<'giveAnswered'>, now: Instant): readonly BudgetAction[] {
     if (event.transfer !== undefined) return this.receive(event.transfer, event.askedAt ?? now, now)
-    const entry = [...this.attention].find(item => item.round?.operationId === event.transferId)
+    const entry = this.entries.withOperation(event.transferId)
     if (entry === undefined) return []
     this.supply.endStage(entry, event.transferId, now)
-    return this.pump(entry, now)
+    return this.step(entry, now)
   }
 
   private receive (transfer: Transfer, askedAt: Instant, now: Instant): readonly BudgetAction[] {
     const entry = this.entryOf(transfer.budget)
     if (!this.giving.receive(transfer, entry, askedAt, now)) return []
-    return this.pump(entry, now)
+    return this.step(entry, now)
   }
 
   private recallAsked (event: EventOf<'recallAsked'>, now: Instant): readonly BudgetAction[] {
-    const entry = this.entries.get(event.budget)
+    const entry = this.entries.all.get(event.budget)
     const tokens = entry === undefined ? 0 : this.giving.returnOnRecall(event, entry, now)
     return [{ kind: 'returning', budget: event.budget, tokens }]
   }
 
   private recallAnswered (event: EventOf<'recallAnswered'>, now: Instant): readonly BudgetAction[] {
-    const entry = [...this.attention].find(item => item.round?.operationId === event.recallId)
+    const entry = this.entries.withOperation(event.recallId)
     if (entry === undefined) return []
     entry.unreachable = event.unreachable ?? 0
     this.supply.endStage(entry, event.recallId, now)
-    return this.pump(entry, now)
+    return this.step(entry, now)
   }
 
   private drain (now: Instant): readonly BudgetAction[] {
     this.draining = true
     const actions: BudgetAction[] = []
-    for (const entry of this.entries.values()) {
+    for (const entry of this.entries.all.values()) {
       for (const item of entry.waiting) {
         const failure = new Failure('draining', 'this VM is draining', { retryAfterMs: 0 })
         actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
       }
       entry.waiting = []
       entry.isWanted = false
-      this.attention.add(entry)
+      this.entries.watch(entry)
     }
     this.upkeep.returnAll(now)
     return actions
   }
 
-  private pump (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
-    const before = entry.waiting
-    if (before.length > 0 && entry.held > 0 && !entry.isUsable(now)) this.upkeep.renew(entry, now)
-    const actions = this.supply.pump(entry, now)
-    for (const action of actions) {
-      if (action.kind !== 'admit') continue
-      const tokens = before.find(item => item.reservationId === action.reservationId)?.tokens ?? 0
-      this.settlement.open(action.reservationId, entry.budget, tokens)
-    }
-    if (this.draining) this.upkeep.returnFree(entry, 0, now)
-    if (this.needsAttention(entry, now)) this.attention.add(entry)
-    else this.attention.delete(entry)
-    return actions
-  }
-
-  private needsAttention (entry: BudgetEntry, now: Instant): boolean {
-    return entry.waiting.length > 0 || entry.draw !== undefined || entry.round !== undefined || this.supply.isLow(entry, now)
+  private step (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    return this.steps.take(entry, this.draining, now)
   }
 
   private entryOf (budget: string): BudgetEntry {
-    let entry = this.entries.get(budget)
+    let entry = this.entries.all.get(budget)
     if (entry === undefined) {
       entry = new BudgetEntry(budget, this.policy)
       entry.isWanted = !this.draining
       entry.reopen = this.upkeep.hadRow(budget)
-      this.entries.set(budget, entry)
+      this.entries.all.set(budget, entry)
     }
     return entry
   }
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -29,7 +29,7 @@
    * @param entry - the budget
    * @param now - both clocks
    */
-  pump (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+  serve (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const admitted = this.admit(entry, now)
     const refused = this.refuse(entry, now)
     return [...admitted, ...refused, ...this.advance(entry, now)]
