Name the periodic work of the request queues tick(), as everywhere else

Cause: `pump` and `pumpAll` are slang, and the budget driver and the placement call the same thing `tick`. Change: RouteQueues.tick and RoutingService.tick; the step for one model is startWaiting. In routingQueue.spec.ts only the four calls of the method have the new name. Ran: tsc, eslint, 454 specs of packages/decisions, packages/rosemaryspread, stand-ins/budget, stand-ins/request and stand-ins/measure: all pass.

--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -115,7 +115,7 @@
     const unsettled = this.container.get(ids.unsettled)
     this.every(BUDGET_TICK_MS, async () => { budgets.tick() })
     this.every(POLL_TICK_MS, async () => { await poller.poll() })
-    this.every(QUEUE_TICK_MS, async () => { routing.pump() })
+    this.every(QUEUE_TICK_MS, async () => { routing.tick() })
     this.every(RECOVERY_MS, async () => { await this.recover() })
     this.every(ARCHIVE_MS, async () => { await this.archiveBills() })
     this.every(PLACEMENT_TICK_MS, async () => { await this.container.get(ids.placement).tick() })
--- a/packages/rosemaryspread/src/routing/routingQueue.spec.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.spec.ts
@@ -75,7 +75,7 @@
       test.ask(test.request('a'))
       test.ask(test.request('b'))
       test.runner = FREE
-      test.queues.pumpAll()
+      test.queues.tick()
     },
     ended: ['a routed', 'b routed']
   },
@@ -85,7 +85,7 @@
       test.runner = FULL
       test.ask(test.request('a', { deadlineMs: 1_000 }))
       test.now = { mono: 950, wall: 950 }
-      test.queues.pumpAll()
+      test.queues.tick()
     },
     ended: ['a deadlineOutOfReach no']
   },
@@ -95,7 +95,7 @@
       test.runner = FULL
       test.ask(test.request('a', { deadlineMs: 1_000, keyed: true }))
       test.now = { mono: 950, wall: 950 }
-      test.queues.pumpAll()
+      test.queues.tick()
     },
     ended: ['a deadlineOutOfReach unknown']
   },
@@ -107,7 +107,7 @@
       test.ask(test.request('b', { team: 'greedy', maxInFlight: 1 }))
       test.ask(test.request('c', { team: 'other', maxInFlight: 1 }))
       test.runner = FREE
-      test.queues.pumpAll()
+      test.queues.tick()
     },
     ended: ['b queueFull no', 'a routed', 'c routed']
   },
--- a/packages/rosemaryspread/src/routing/routingQueue.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.ts
@@ -66,13 +66,13 @@
         return
       }
       gone.addEventListener('abort', () => { this.withdraw(queue, item) }, { once: true })
-      this.pump(admitted.model)
+      this.startWaiting(admitted.model)
     })
   }
 
   /** Looks at everything that waits; to be called several times a second. */
-  pumpAll (): void {
-    for (const model of this.queues.keys()) this.pump(model)
+  tick (): void {
+    for (const model of this.queues.keys()) this.startWaiting(model)
   }
 
   /**
@@ -87,10 +87,10 @@
     const queue = this.queueOf(admitted.model)
     if (usedTokens === 0) queue.abandoned(item)
     else queue.done(item, usedTokens, this.parts.clock.now().mono - item.value.startedAt)
-    this.pump(admitted.model)
+    this.startWaiting(admitted.model)
   }
 
-  private pump (model: string): void {
+  private startWaiting (model: string): void {
     const queue = this.queueOf(model)
     const now = this.parts.clock.now()
     for (const { item, failure } of queue.expire(now)) {
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -74,8 +74,8 @@
   }
 
   /** Looks at the requests that wait and at the state of the runners; to be called several times a second. */
-  pump (): void {
-    this.queues.pumpAll()
+  tick (): void {
+    this.queues.tick()
     this.stateLog.check(this.states())
   }
 
