Name IPv4 addresses and ports that cannot exist as mistakes in settings

Cause: check-config said "no mistakes" of 999.1.1.1:39111 and 127.0.0.1:99999; serve then could not listen. Ruled out: the same for runners' addresses in the configuration, whose schema may not get narrower.

--- a/packages/rosemaryspread/src/settings/settingsLoader.spec.ts
+++ b/packages/rosemaryspread/src/settings/settingsLoader.spec.ts
@@ -21,6 +21,8 @@
   { name: 'a number out of range', text: `${good}drainTimeoutMs: -1\n`, errors: [/^drainTimeoutMs: /] },
   { name: 'a wrong type', text: good.replace('quito-1', '[1]'), errors: [/^vm: /] },
   { name: 'an address without a port', text: good.replace('127.0.0.1:7101', 'localhost'), errors: ['listen.callers: use IPv4:port, such as 10.0.0.4:7000'] },
+  { name: 'an address with a number above 255', text: good.replace('127.0.0.1:7201', '999.0.0.1:7201'), errors: [/^listen\.operators: use IPv4:port/] },
+  { name: 'a port above 65535', text: good.replace('127.0.0.1:7301', '127.0.0.1:99999'), errors: [/^listen\.peers: use IPv4:port/] },
   {
     name: 'three mistakes at once',
     text: `${good.replace('127.0.0.1:7301', 'here').replace('domain: quito-centro\n', '')}budgets: { flush: 3 }\n`,
--- a/packages/rosemaryspread/src/settings/settingsLoader.ts
+++ b/packages/rosemaryspread/src/settings/settingsLoader.ts
@@ -32,7 +32,7 @@
 }
 
 function invalid (errors: readonly string[]): Failure {
-  return new Failure('settingsInvalid', `${errors.length} mistakes in the settings`, { errors })
+  return new Failure('settingsInvalid', `${errors.length} ${errors.length === 1 ? 'mistake' : 'mistakes'} in the settings`, { errors })
 }
 
 function describeIssue (issue: z.core.$ZodIssue): string[] {
--- a/packages/rosemaryspread/src/settings/settingsSchema.ts
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -2,10 +2,12 @@
  * Settings of one VM: what a process must know before it can reach anything else. One schema is
  * the source of the types, of the defaults and of the checks; docs/SETTINGS.md describes each.
  */
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
-const ipPort = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use IPv4:port, such as 10.0.0.4:7000')
+const MAX_PORT = 65_535
+const ipPort = z.string().refine(isIpPort, 'use IPv4:port, such as 10.0.0.4:7000')
 const baseUrl = z.url({ protocol: /^https?$/, error: 'use an http or https URL' })
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'use 1 to 63 of a-z 0-9 -')
 const milliseconds = z.number().int().positive()
@@ -51,3 +53,8 @@
 
 /** Settings of one VM with all defaults filled in. */
 export type Settings = z.infer<typeof settingsSchema>
+
+function isIpPort (text: string): boolean {
+  const [, host = '', port = ''] = /^([\d.]+):(\d{1,5})$/.exec(text) ?? []
+  return isIPv4(host) && Number(port) <= MAX_PORT
+}
