--- a/packages/decisions/src/budget/billBlocks.ts
+++ b/packages/decisions/src/budget/billBlocks.ts
@@ -35,7 +35,7 @@
 }
 
 /** Holder and number of a segment; nothing for one that a recovery wrote. */
-export function numberOf (key: string): { readonly holder: string, readonly seq: number } | undefined {
+function numberOf (key: string): { readonly holder: string, readonly seq: number } | undefined {
   const [, holder, digits] = NUMBERED.exec(key) ?? []
   return holder === undefined ? undefined : { holder, seq: Number(digits) }
 }
--- a/packages/decisions/src/budget/budgetRows.ts
+++ b/packages/decisions/src/budget/budgetRows.ts
@@ -8,7 +8,7 @@
 import type { AllotmentRow, BudgetRow, Transfer } from './budgetTypes.js'
 
 /** Largest amount of tokens in one operation. */
-export const MAX_TOKENS = 1_000_000_000_000
+const MAX_TOKENS = 1_000_000_000_000
 
 /** A budget row and the allotment row that changes with it. */
 export interface RowPair {
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -40,11 +40,9 @@
 
 /** Row `holders/<domain>/<holder>`: written once, before the holder takes a transfer. */
 export const holderRowSchema = z.object({ holder: z.string(), domain: z.string() })
-export type HolderRow = z.infer<typeof holderRowSchema>
 
 /** Row `places/<holder>`: a name of the addresses on which the process listens, on this very system. */
 export const placeRowSchema = z.object({ holder: z.string(), place: z.string() })
-export type PlaceRow = z.infer<typeof placeRowSchema>
 
 /** Row `holdings/<holder>/<budget>`: index of the allotments of a holder. */
 export const holdingRowSchema = z.object({ holder: z.string(), budget: z.string() })
--- a/packages/decisions/src/budget/flushQueue.ts
+++ b/packages/decisions/src/budget/flushQueue.ts
@@ -7,9 +7,9 @@
 import type { FlushOrder } from './flushPlan.js'
 
 /** Bounds that keep a flush under the limits of a transaction. */
-export const MAX_FLUSH_BILLS = 150
-export const MAX_FLUSH_BUDGETS = 100
-export const MAX_FLUSH_TRANSFERS = 60
+const MAX_FLUSH_BILLS = 150
+const MAX_FLUSH_BUDGETS = 100
+const MAX_FLUSH_TRANSFERS = 60
 
 /** Times of a flush queue in milliseconds. */
 export interface FlushTimes {
--- a/packages/decisions/src/membership/memberRecord.ts
+++ b/packages/decisions/src/membership/memberRecord.ts
@@ -15,7 +15,7 @@
 }
 
 /** Whether one reading of this process's clocks is later than another. */
-export function isLater (a: Instant, b: Instant): boolean {
+function isLater (a: Instant, b: Instant): boolean {
   return a.mono > b.mono
 }
 
--- a/packages/decisions/src/routing/prefixIndex.ts
+++ b/packages/decisions/src/routing/prefixIndex.ts
@@ -5,10 +5,10 @@
  */
 
 /** Entries kept at most. */
-export const PREFIX_LIMIT = 16_384
+const PREFIX_LIMIT = 16_384
 
 /** Milliseconds for which an entry is believed. */
-export const PREFIX_KEEP_MS = 30_000
+const PREFIX_KEEP_MS = 30_000
 
 /** Runners remembered for one prefix at most. */
 const RUNNERS_PER_PREFIX = 4
--- a/packages/decisions/src/routing/runnerHealth.ts
+++ b/packages/decisions/src/routing/runnerHealth.ts
@@ -17,7 +17,7 @@
 const EJECT_MAX_MS = 60_000
 
 /** Milliseconds over which a returned runner gets back to its full share. */
-export const RETURN_MS = 10_000
+const RETURN_MS = 10_000
 
 /** Milliseconds of good service after which past ejections are forgotten. */
 const FORGIVE_MS = 60_000
--- a/packages/decisions/src/routing/runnerSubset.ts
+++ b/packages/decisions/src/routing/runnerSubset.ts
@@ -7,7 +7,7 @@
 import type { RunnerView } from './routingTypes.js'
 
 /** Runners that one VM watches for one model at most. */
-export const SUBSET_LIMIT = 32
+const SUBSET_LIMIT = 32
 
 /** How many of them are taken from other domains when both kinds suffice. */
 const REMOTE_PLACES = 8
--- a/packages/rosemaryspread/src/admin/adminService.ts
+++ b/packages/rosemaryspread/src/admin/adminService.ts
@@ -10,7 +10,7 @@
 import type { BudgetReader } from '../directory/callerDirectory.js'
 
 /** Name of the operator whose key stands in the settings. */
-export const BOOTSTRAP_OPERATOR = 'bootstrap'
+const BOOTSTRAP_OPERATOR = 'bootstrap'
 
 /** Budgets as operators use them. */
 export interface BudgetAdmin extends BudgetReader {
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -8,7 +8,7 @@
 import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
 
 /** Table of the claims. */
-export const CLAIMS_TABLE = 'claims'
+const CLAIMS_TABLE = 'claims'
 /** Largest answer kept for repeats, in bytes. */
 const MAX_KEPT_ANSWER_BYTES = 65_536
 /** Milliseconds to come back after when the table cannot be reached. */
