Say plainly what the budget and membership modules do

Cause: comments spoke of draws that wait for company, of a sign of life and of the platform's word; the methods `honest` and `hurry` needed explaining. Change: the comments use plain terms; the methods are orUnknown and makeDue. Behaviour is the same, no test was touched.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -40,7 +40,7 @@
 export interface OpenDraw {
   readonly drawId: string
   readonly inFlight: boolean
-  /** Whether requests wait for it, so that it must not wait for company. */
+  /** Whether requests wait for it, so that it must not wait for other draws. */
   readonly isUrgent: boolean
   readonly since: Instant
 }
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -19,7 +19,7 @@
   readonly excessFactor: number
   /** A budget not asked for this long is returned whole. */
   readonly idleReturnMs: number
-  /** Bills wait at most this long for company. */
+  /** Bills wait at most this long for others that go in the same flush. */
   readonly flushMs: number
   /** Pause after a table call that failed, before the next try; doubles up to `retryMaxMs`. */
   readonly retryMs: number
--- a/packages/decisions/src/budget/budgetUpkeep.ts
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -83,7 +83,7 @@
    */
   returnAll (now: Instant): void {
     for (const entry of this.entries.values()) this.returnFree(entry, 0, now)
-    this.queue.hurry(now.mono)
+    this.queue.makeDue(now.mono)
   }
 
   private look (entry: BudgetEntry, now: Instant, draining: boolean): void {
--- a/packages/decisions/src/budget/flushQueue.ts
+++ b/packages/decisions/src/budget/flushQueue.ts
@@ -80,7 +80,7 @@
    * Makes what is queued due now.
    * @param mono - monotonic milliseconds
    */
-  hurry (mono: number): void {
+  makeDue (mono: number): void {
     if (!this.isEmpty) this.schedule(mono)
   }
 
--- a/packages/decisions/src/membership/heartbeatPlan.ts
+++ b/packages/decisions/src/membership/heartbeatPlan.ts
@@ -82,7 +82,7 @@
     return this.rumors.takeDigest([...moment.states.keys()].map(record => record.vm), this.limits.digest)
   }
 
-  /** Watched VMs that should be asked for a sign of life. */
+  /** Watched VMs that should be asked for a heartbeat. */
   private silent (moment: FleetMoment): readonly MemberRecord[] {
     return moment.participants.filter(record => moment.silenceMs(record) > this.limits.askAfterMs)
   }
--- a/packages/decisions/src/membership/memberTable.ts
+++ b/packages/decisions/src/membership/memberTable.ts
@@ -156,7 +156,7 @@
 
   private leave (now: Instant): readonly MemberAction[] {
     this.self = { ...this.self, state: 'leaving' }
-    this.ownRow.hurry()
+    this.ownRow.makeDue()
     this.beat += 1
     const told = this.records.participants(now).filter(record => record.domain === this.self.domain || this.records.size < this.limits.meshMembers)
     return [...this.beatTo(told, [], false, now), ...this.ownRow.due(this.self, now)]
--- a/packages/decisions/src/membership/ownRow.ts
+++ b/packages/decisions/src/membership/ownRow.ts
@@ -58,7 +58,7 @@
   }
 
   /** Writes the row as soon as possible, as when this VM leaves. */
-  hurry (): void {
+  makeDue (): void {
     this.wantsWrite = true
   }
 
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -36,7 +36,7 @@
 
 /** Holders of one failure domain as a pass sees them. */
 interface DomainView {
-  /** Ended by the platform's word. */
+  /** Proved to have ended, by the platform's list or a later process in their place. */
   readonly ended: readonly HolderAtVersion[]
   /** Neither ended nor a member: they may have lapsed. */
   readonly absent: readonly HolderAtVersion[]
--- a/packages/rosemaryspread/src/budget/budgetTopUps.ts
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -24,7 +24,7 @@
   async topUp (topUp: TopUpRow): Promise<Either<Failure, BudgetAnswer>> {
     const keys = topUpKeys(topUp.operationId, topUp.budget)
     const done = await this.table.run(topUp.operationId, keys, rows => planTopUp(rows, topUp))
-    if (done.isLeft()) return Left(this.honest(done.extract(), topUp.operationId))
+    if (done.isLeft()) return Left(this.orUnknown(done.extract(), topUp.operationId))
     return await this.show(topUp.budget)
   }
 
@@ -50,7 +50,7 @@
   }
 
   /** A write whose answer was lost in an earlier try may have taken effect. */
-  private honest (failure: Failure, operationId: string): Failure {
+  private orUnknown (failure: Failure, operationId: string): Failure {
     if (!this.table.isUnknown(operationId)) return failure
     return new Failure('platformOutcomeUnknown', failure.message, { ran: 'unknown', retryAfterMs: 1000 })
   }
--- a/packages/rosemaryspread/src/budget/drawQueue.ts
+++ b/packages/rosemaryspread/src/budget/drawQueue.ts
@@ -1,5 +1,5 @@
 /**
- * Draws ahead of need wait a short time for company, so that one transaction carries those of
+ * Draws ahead of need wait a short time for others, so that one transaction carries those of
  * many budgets. A draw for which requests wait goes out at once.
  */
 import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
@@ -36,7 +36,7 @@
   }
 
   /**
-   * Draws that waited long enough, with their company.
+   * Draws that waited long enough, and those that may go with them.
    * @param now - both clocks
    */
   due (now: Instant): readonly DrawAction[] {
