Rank watched runners only when a load call may be made

Cause: read again: all watched runners were ranked four times a second, also when no call was allowed. Change: an early return; the calls made stay the same. Conclusion: work left out of a path that runs all the time.

--- a/packages/decisions/src/routing/pollSchedule.ts
+++ b/packages/decisions/src/routing/pollSchedule.ts
@@ -57,6 +57,7 @@
   due (watched: readonly string[], vms: number, mono: number): readonly DueRunner[] {
     this.earn(vms, mono)
     this.forget(watched)
+    if (this.credit < 1) return []
     const ranked = watched
       .filter(runner => this.ageMs(runner, mono) >= this.leastMs)
       .sort((a, b) => this.urgency(b, mono) - this.urgency(a, mono))
