Name the package of infrastructure clients infra

Cause: the users' platform gets a folder platform/ at the root; a package of the same name that speaks to the stand-ins would be taken for it. Change: packages/platform and @rosemaryspread/platform become packages/infra and @rosemaryspread/infra; nothing else.

--- a/packages/rosemaryspread/src/budget/billArchive.ts
+++ b/packages/rosemaryspread/src/budget/billArchive.ts
@@ -9,8 +9,8 @@
 import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ObjectStore } from '@rosemaryspread/infra/objects/objectTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Steps of one pass: a holder looked at, or a block archived. */
 const STEPS_A_PASS = 600
--- a/packages/rosemaryspread/src/budget/budgetAsking.ts
+++ b/packages/rosemaryspread/src/budget/budgetAsking.ts
@@ -9,7 +9,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { allotmentKey, budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { allotmentRowSchema, transferSchema, type BudgetAction, type BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { surveyBudget, type AgedAllotment } from './budgetSharing.js'
 import type { BudgetPeers, GiveAnswer, GiveAsk } from './budgetPeers.js'
 
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -2,7 +2,7 @@
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { RecoveryRunners } from './budgetRecoveryRuns.js'
 
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -8,7 +8,7 @@
 import { RUN_RETENTION_MS } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { OwedBill } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { segmentRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
 import { RunPayers } from './budgetRunPayers.js'
 import { scanAll, type AgedAllotment } from './budgetSharing.js'
--- a/packages/rosemaryspread/src/budget/budgetSharing.ts
+++ b/packages/rosemaryspread/src/budget/budgetSharing.ts
@@ -5,7 +5,7 @@
 import { toFailure, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { allotmentRowSchema, budgetRowSchema, type AllotmentRow, type BudgetRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Rows of one scan. */
 const SCAN_LIMIT = 500
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -6,7 +6,7 @@
 import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { RowSet, type PlanKey } from '@rosemaryspread/decisions/budget/rowSet.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Tries of one transaction before the caller has to come back. */
 const MAX_TRIES = 8
--- a/packages/rosemaryspread/src/config/configReader.ts
+++ b/packages/rosemaryspread/src/config/configReader.ts
@@ -5,7 +5,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { CURRENT_KEY, CURRENT_TABLE, currentRowSchema, VERSION_TABLE, versionKey, versionRowSchema, type VersionMark, type VersionRow } from '@rosemaryspread/decisions/config/configRows.js'
-import type { ReadAnswer, Row, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, Row, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { z } from 'zod'
 
 /** Version rows asked for at once. */
--- a/packages/rosemaryspread/src/config/configSnapshots.ts
+++ b/packages/rosemaryspread/src/config/configSnapshots.ts
@@ -9,7 +9,7 @@
 import type { ConfigCandidate } from '@rosemaryspread/decisions/config/configDecider.js'
 import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import { deltaName, LATEST_OBJECT, SNAPSHOT_EVERY, snapshotName, versionMarkSchema, versionRowSchema, wholeConfigSchema, type VersionMark, type VersionRow, type WholeConfig } from '@rosemaryspread/decisions/config/configRows.js'
-import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
+import type { ObjectStore } from '@rosemaryspread/infra/objects/objectTypes.js'
 import type { z } from 'zod'
 
 /** Version objects fetched at once when walking past the newest snapshot. */
--- a/packages/rosemaryspread/src/config/configTypes.ts
+++ b/packages/rosemaryspread/src/config/configTypes.ts
@@ -7,8 +7,8 @@
 import type { ConfigSource } from '@rosemaryspread/decisions/config/configDecider.js'
 import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ObjectStore } from '@rosemaryspread/infra/objects/objectTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Timers; the daemon binds the system's, tests and measurements a virtual clock. */
 export interface ConfigTimers {
--- a/packages/rosemaryspread/src/membership/leaseDriver.ts
+++ b/packages/rosemaryspread/src/membership/leaseDriver.ts
@@ -9,7 +9,7 @@
 import { LeaseKeeper } from '@rosemaryspread/decisions/lease/leaseKeeper.js'
 import { defaultLeaseLimits, FENCE_TABLE, fenceRowSchema, LEASE_TABLE, leaseRowSchema, type LeaseAction, type LeaseEvent, type LeaseLimits, type LeaseWriteOutcome, type ReadLease } from '@rosemaryspread/decisions/lease/leaseTypes.js'
 import type { HolderId } from '@rosemaryspread/decisions/names/nameTypes.js'
-import type { ReadAnswer, Row, RowCheck, TableStore, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, Row, RowCheck, TableStore, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Milliseconds between two looks at the clock; shorter than any period of the keeper. */
 const TICK_MS = 250
--- a/packages/rosemaryspread/src/membership/memberDriver.spec.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.spec.ts
@@ -3,7 +3,7 @@
 import type { MemberRow, MemberState } from '@rosemaryspread/decisions/membership/memberTypes.js'
 import { JsonRpcPeerClient } from '@rosemaryspread/peers/link/peerClient.js'
 import { JsonRpcPeerServer } from '@rosemaryspread/peers/link/peerServer.js'
-import type { VmEntry } from '@rosemaryspread/platform/vmList/vmListTypes.js'
+import type { VmEntry } from '@rosemaryspread/infra/vmList/vmListTypes.js'
 import { MemberDriver } from './memberDriver.js'
 import { FixtureTable } from './membershipTable.fixture.js'
 
--- a/packages/rosemaryspread/src/membership/memberDriver.ts
+++ b/packages/rosemaryspread/src/membership/memberDriver.ts
@@ -13,8 +13,8 @@
 import { defaultMemberLimits, heartbeatSchema, type MemberAction, type MemberEvent, type MemberLimits, type MemberRow, type MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
 import type { HolderId } from '@rosemaryspread/decisions/names/nameTypes.js'
 import type { PeerNotifier, PeerServer } from '@rosemaryspread/peers/link/linkTypes.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
-import type { VmList } from '@rosemaryspread/platform/vmList/vmListTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { VmList } from '@rosemaryspread/infra/vmList/vmListTypes.js'
 import { MemberRows } from './memberRows.js'
 
 /** Method of heartbeats between VMs; short, for it is sent with each one. */
--- a/packages/rosemaryspread/src/membership/memberRows.ts
+++ b/packages/rosemaryspread/src/membership/memberRows.ts
@@ -4,7 +4,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { MEMBER_TABLE, memberRowSchema, type MemberEvent, type MemberRow, type OwnWriteOutcome, type ReadMember } from '@rosemaryspread/decisions/membership/memberTypes.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 const SCAN_PAGE = 500
 
--- a/packages/rosemaryspread/src/membership/membershipTable.fixture.ts
+++ b/packages/rosemaryspread/src/membership/membershipTable.fixture.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { ReadAnswer, Row, RowCheck, RowKey, RowWrite, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, Row, RowCheck, RowKey, RowWrite, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** The table. */
 export class FixtureTable implements TableStore {
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Table of the claims. */
 const CLAIMS_TABLE = 'claims'
--- a/packages/runners/src/application/httpApplicationClient.spec.ts
+++ b/packages/runners/src/application/httpApplicationClient.spec.ts
@@ -4,7 +4,7 @@
 import { gzipSync } from 'node:zlib'
 import { expect } from 'chai'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { AMPLE_MS, answers, breaksOff, closedAddress, drops, hangs, SHORT_MS, startTestServer, type TestHandler } from '@rosemaryspread/platform/http/testServer.spec.js'
+import { AMPLE_MS, answers, breaksOff, closedAddress, drops, hangs, SHORT_MS, startTestServer, type TestHandler } from '@rosemaryspread/infra/http/testServer.spec.js'
 import type { ApplicationCall } from './applicationTypes.js'
 import { HttpApplicationClient } from './httpApplicationClient.js'
 
--- a/packages/runners/src/application/httpApplicationClient.ts
+++ b/packages/runners/src/application/httpApplicationClient.ts
@@ -4,7 +4,7 @@
  */
 import { Left, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { HttpTransport } from '@rosemaryspread/platform/http/httpTransport.js'
+import { HttpTransport } from '@rosemaryspread/infra/http/httpTransport.js'
 import type { ApplicationAnswer, ApplicationCall, ApplicationClient } from './applicationTypes.js'
 
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
--- a/packages/runners/src/engine/engineAnswer.spec.ts
+++ b/packages/runners/src/engine/engineAnswer.spec.ts
@@ -3,7 +3,7 @@
  */
 import { expect } from 'chai'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { closedAddress, SHORT_MS } from '@rosemaryspread/platform/http/testServer.spec.js'
+import { closedAddress, SHORT_MS } from '@rosemaryspread/infra/http/testServer.spec.js'
 import { streamWhole, type StreamWholeOptions } from './engineAnswer.js'
 import { DONE, last, piece, REQUEST, startTestEngine, testClient, type Connection } from './testEngine.spec.js'
 
--- a/packages/runners/src/engine/engineFailure.ts
+++ b/packages/runners/src/engine/engineFailure.ts
@@ -3,7 +3,7 @@
  * connection was never made or the engine itself confirms that it did not start the run.
  */
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { retryAfterMs, type HttpAnswer, type LostCall } from '@rosemaryspread/platform/http/httpTransport.js'
+import { retryAfterMs, type HttpAnswer, type LostCall } from '@rosemaryspread/infra/http/httpTransport.js'
 
 /** Statuses with which an engine says that it did nothing. */
 const REFUSED_STATUSES: readonly number[] = [404, 429, 503]
--- a/packages/runners/src/engine/httpEngineClient.spec.ts
+++ b/packages/runners/src/engine/httpEngineClient.spec.ts
@@ -3,7 +3,7 @@
  */
 import { expect } from 'chai'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { answers, closedAddress, drops, hangs, SHORT_MS, startTestServer, type TestHandler } from '@rosemaryspread/platform/http/testServer.spec.js'
+import { answers, closedAddress, drops, hangs, SHORT_MS, startTestServer, type TestHandler } from '@rosemaryspread/infra/http/testServer.spec.js'
 import type { EngineStream } from './engineTypes.js'
 import { DONE, last, piece, REQUEST, startTestEngine, testClient, type Ending } from './testEngine.spec.js'
 
--- a/packages/runners/src/engine/testEngine.spec.ts
+++ b/packages/runners/src/engine/testEngine.spec.ts
@@ -2,7 +2,7 @@
  * Frames of an engine's stream for specs, and a server that sends them as a script says.
  */
 import type { ServerResponse } from 'node:http'
-import { AMPLE_MS, startTestServer, type TestServer } from '@rosemaryspread/platform/http/testServer.spec.js'
+import { AMPLE_MS, startTestServer, type TestServer } from '@rosemaryspread/infra/http/testServer.spec.js'
 import { HttpEngineClient, type EngineClientSettings } from './httpEngineClient.js'
 import type { EngineRequest } from './engineTypes.js'
 
--- a/packages/stand-ins/src/config/fleetTable.ts
+++ b/packages/stand-ins/src/config/fleetTable.ts
@@ -4,7 +4,7 @@
  */
 import { Left, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import { MemoryTableStore } from '../table/memoryTableStore.js'
 import { TableState } from '../table/tableState.js'
 
--- a/packages/stand-ins/src/config/memoryObjects.ts
+++ b/packages/stand-ins/src/config/memoryObjects.ts
@@ -3,7 +3,7 @@
  */
 import { Left, Maybe, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { ObjectStore } from '@rosemaryspread/platform/objects/objectTypes.js'
+import type { ObjectStore } from '@rosemaryspread/infra/objects/objectTypes.js'
 
 /** Objects in memory. */
 export class MemoryObjects implements ObjectStore {
--- a/packages/stand-ins/src/measure/budget/budgetFaults.spec.ts
+++ b/packages/stand-ins/src/measure/budget/budgetFaults.spec.ts
@@ -8,7 +8,7 @@
 import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
 import type { GiveAnswer, GiveAsk } from 'rosemaryspread/budget/budgetPeers.js'
-import type { Row, TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { ChaosRun, productDriver, type ChaosStep, type DriverFactory, type Tally } from './budgetChaos.js'
 import type { SpenderParts } from './budgetVm.js'
 
--- a/packages/stand-ins/src/measure/budget/budgetVm.ts
+++ b/packages/stand-ins/src/measure/budget/budgetVm.ts
@@ -5,7 +5,7 @@
 import type { Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetPeers, ConfirmAsk, GiveAsk, RecallAsk } from 'rosemaryspread/budget/budgetPeers.js'
 import type { BudgetPort } from 'rosemaryspread/budget/budgetPort.js'
 import type { RecoveryRunners } from 'rosemaryspread/budget/budgetRecoveryRuns.js'
--- a/packages/stand-ins/src/measure/capacity/countingTable.ts
+++ b/packages/stand-ins/src/measure/capacity/countingTable.ts
@@ -3,7 +3,7 @@
  */
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Counts of a table. */
 export interface TableCounts {
--- a/packages/stand-ins/src/measure/config/wireCost.ts
+++ b/packages/stand-ins/src/measure/config/wireCost.ts
@@ -4,7 +4,7 @@
  */
 import { connect, createServer, type AddressInfo, type Server } from 'node:net'
 import { firstConfig } from '@rosemaryspread/decisions/config/configPatch.js'
-import { HttpTableStore } from '@rosemaryspread/platform/table/httpTableStore.js'
+import { HttpTableStore } from '@rosemaryspread/infra/table/httpTableStore.js'
 import { dialTcp, JsonRpcPeerClient } from '@rosemaryspread/peers/link/peerClient.js'
 import { JsonRpcPeerServer } from '@rosemaryspread/peers/link/peerServer.js'
 import { PUSH_METHOD } from 'rosemaryspread/config/configSpread.js'
--- a/packages/stand-ins/src/request/serviceCalls.spec.ts
+++ b/packages/stand-ins/src/request/serviceCalls.spec.ts
@@ -8,7 +8,7 @@
 import { failureOf, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { ClaimStore, type ClaimOutcome, type ClaimRow } from 'rosemaryspread/service/serviceClaim.js'
 import { applicationAddresses, serviceFleet, type ServiceFleet } from './serviceFakes.spec.js'
 
--- a/packages/stand-ins/src/request/serviceFakes.spec.ts
+++ b/packages/stand-ins/src/request/serviceFakes.spec.ts
@@ -8,7 +8,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { TableStore } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { ApplicationAnswer, ApplicationCall, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import { OpenWork } from 'rosemaryspread/completion/completionDrain.js'
 import { SystemRandom } from 'rosemaryspread/completion/completionSystem.js'
--- a/packages/stand-ins/src/table/memoryTableStore.ts
+++ b/packages/stand-ins/src/table/memoryTableStore.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { transactionSchema, type ReadAnswer, type RowKey, type ScanAnswer, type ScanRequest, type TableStore, type TransactAnswer, type Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import { transactionSchema, type ReadAnswer, type RowKey, type ScanAnswer, type ScanRequest, type TableStore, type TransactAnswer, type Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import { TableState } from './tableState.js'
 
 /** Name of an operation of the store. */
--- a/packages/stand-ins/src/table/tableHistory.ts
+++ b/packages/stand-ins/src/table/tableHistory.ts
@@ -4,7 +4,7 @@
  * row that was deleted and written anew does.
  */
 import { z, type ZodType } from 'zod'
-import type { Row } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { Row } from '@rosemaryspread/infra/table/tableTypes.js'
 import { segmentRowSchema, topUpRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { HistoryLog } from '../control/historyLog.js'
 import type { HistoryRecord } from '../history/historyTypes.js'
--- a/packages/stand-ins/src/table/tableRoutes.ts
+++ b/packages/stand-ins/src/table/tableRoutes.ts
@@ -2,7 +2,7 @@
  * The table service over HTTP.
  */
 import { z } from 'zod'
-import { rowKeySchema, transactionSchema } from '@rosemaryspread/platform/table/tableTypes.js'
+import { rowKeySchema, transactionSchema } from '@rosemaryspread/infra/table/tableTypes.js'
 import { HistoryLog } from '../control/historyLog.js'
 import type { HttpAnswer, HttpRequest, HttpRoute } from '../control/httpTypes.js'
 import type { StandInParts } from '../control/standIn.js'
--- a/packages/stand-ins/src/table/tableState.spec.ts
+++ b/packages/stand-ins/src/table/tableState.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { RowCheck, RowWrite } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { RowCheck, RowWrite } from '@rosemaryspread/infra/table/tableTypes.js'
 import { MemoryTableStore } from './memoryTableStore.js'
 import { TableState } from './tableState.js'
 
--- a/packages/stand-ins/src/table/tableState.ts
+++ b/packages/stand-ins/src/table/tableState.ts
@@ -4,7 +4,7 @@
  * deleted and written anew is told from the old one.
  */
 import { Left, Right, type Either } from 'purify-ts'
-import type { ReadAnswer, Row, RowCheck, RowKey, ScanAnswer, ScanRequest, TransactAnswer, Transaction } from '@rosemaryspread/platform/table/tableTypes.js'
+import type { ReadAnswer, Row, RowCheck, RowKey, ScanAnswer, ScanRequest, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Most rows that one scan answers. */
 export const SCAN_LIMIT = 1000
