--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -93,6 +93,15 @@
     this.rate = new DemandRate(policy.rateWindowMs)
   }
 
+  /** Has the table asked again at once, because more may be had now. */
+  forgetShortage (): void {
+    this.shortage = undefined
+    this.nextDrawAt = 0
+    this.drawPauseMs = 0
+    this.nextRoundAt = 0
+    this.roundPauseMs = 0
+  }
+
   /** Tokens that bind nothing. */
   get free (): number {
     return this.held - this.reserved - this.unsettled - this.returning
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -104,6 +104,7 @@
       case 'recallAsked': return this.recallAsked(event, now)
       case 'recallAnswered': return this.recallAnswered(event, now)
       case 'fence': this.giving.fence(event.holder, now); return []
+      case 'paidChanged': return this.paidChanged(event, now)
       case 'drain': return this.drain(now)
     }
   }
@@ -190,6 +191,15 @@
     return this.step(entry, now)
   }
 
+  private paidChanged ({ budget, isLowered }: EventOf<'paidChanged'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.all.get(budget)
+    if (entry === undefined) return []
+    entry.forgetShortage()
+    if (isLowered) this.upkeep.returnFree(entry, 0, now)
+    this.entries.watch(entry)
+    return this.step(entry, now)
+  }
+
   private drain (now: Instant): readonly BudgetAction[] {
     this.draining = true
     const actions: BudgetAction[] = []
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -6,8 +6,8 @@
 import { Failure } from '../codes/failure.js'
 import { allotmentKey, budgetTables, holderKey, holdingKey } from './budgetKeys.js'
 import { grantTokens } from './budgetPolicy.js'
-import { applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
-import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type TopUpRow } from './budgetTypes.js'
+import { applyDeclared, applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
+import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type DeclaredPaid, type TopUpRow } from './budgetTypes.js'
 import type { PlanKey, RowSet } from './rowSet.js'
 
 /** Who draws. */
@@ -32,6 +32,8 @@
   readonly reopen?: boolean
   /** Whether the holder counts on a row it wrote before. */
   readonly expectsRow?: boolean
+  /** What the configuration of the drawing VM says was paid, where it says so. */
+  readonly declared?: DeclaredPaid
 }
 
 /** What a draw comes to. */
@@ -40,7 +42,8 @@
   | { readonly kind: 'write', readonly tokens: number, readonly left: number }
   /** The draw took effect earlier. */
   | { readonly kind: 'done', readonly tokens: number, readonly left: number }
-  | { readonly kind: 'short', readonly left: number }
+  /** Too little is left. The budget row is changed all the same when the declared amount was new. */
+  | { readonly kind: 'short', readonly left: number, readonly isRowChanged: boolean }
   | { readonly kind: 'unknownBudget' }
   | { readonly kind: 'closed' }
 
@@ -114,7 +117,8 @@
  * @param drawer - who draws
  */
 export function planDraw (rows: RowSet, order: DrawOrder, drawer: Drawer): Either<Failure, DrawPlan> {
-  const budget = budgetOf(rows, order.budget)
+  const stored = budgetOf(rows, order.budget)
+  const budget = order.declared === undefined ? stored : applyDeclared(stored, order.budget, order.declared)
   if (budget === undefined) return Right({ kind: 'unknownBudget' })
   const found = allotmentOf(rows, order.budget, drawer.holder)
   const fresh = emptyAllotment(order.budget, drawer.holder, drawer.domain)
@@ -124,7 +128,11 @@
   const left = unallotted(budget)
   if (allotment.lastDraw?.drawId === order.drawId) return Right({ kind: 'done', tokens: allotment.lastDraw.tokens, left })
   const granted = grantTokens(order.tokens, order.atLeast, left, drawer.holders, drawer.shareDivisor)
-  if (!worthDrawing(granted, order)) return Right({ kind: 'short', left })
+  if (!worthDrawing(granted, order)) {
+    const isRowChanged = budget !== stored
+    if (isRowChanged) putBudget(rows, budget)
+    return Right({ kind: 'short', left, isRowChanged })
+  }
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
     putAllotment(rows, pair.allotment)
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -37,6 +37,11 @@
   readonly marginMs: number
   /** Longest time between a reservation and the end of its run. */
   readonly requestTimeoutMs: number
+  /** Pause before the next draw ahead of need once nothing was left. */
+  readonly emptyPauseMs: number
+  /** Draws that share a transaction, and budgets that share a flush; bounded by what the table takes at once. */
+  readonly drawsAtOnce: number
+  readonly budgetsAtOnce: number
 }
 
 const SECOND = 1000
@@ -62,7 +67,10 @@
   // Leaves time to recover before engines forget their runs, which is after two hours.
   lapseMs: 100 * MINUTE,
   marginMs: MINUTE,
-  requestTimeoutMs: MINUTE
+  requestTimeoutMs: MINUTE,
+  emptyPauseMs: 30 * SECOND,
+  drawsAtOnce: 100,
+  budgetsAtOnce: 100
 }
 
 /** Part of the lapse after which an idle allotment is renewed. */
--- a/packages/decisions/src/budget/budgetRows.ts
+++ b/packages/decisions/src/budget/budgetRows.ts
@@ -5,7 +5,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
-import type { AllotmentRow, BudgetRow, Transfer } from './budgetTypes.js'
+import type { AllotmentRow, BudgetRow, DeclaredPaid, Transfer } from './budgetTypes.js'
 
 /** Largest amount of tokens in one operation. */
 const MAX_TOKENS = 1_000_000_000_000
@@ -84,6 +84,23 @@
   return Right({ ...before, paid })
 }
 
+/**
+ * Takes what a configuration says was paid; an older version changes nothing.
+ * @param row - the budget row, absent for a new budget
+ * @param budget - budget id
+ * @param declared - tokens paid in all, and the version that says so
+ */
+export function applyDeclared (row: BudgetRow | undefined, budget: string, declared: DeclaredPaid): BudgetRow {
+  const before = row ?? { budget, paid: 0, spent: 0, allotted: 0 }
+  if (before.declared !== undefined && before.declared.version >= declared.version) return before
+  return withDeclaredPaid({ ...before, declared })
+}
+
+function withDeclaredPaid (row: BudgetRow): BudgetRow {
+  if (row.declared === undefined) return row
+  return { ...row, paid: Math.max(row.declared.tokens, row.spent + row.allotted) }
+}
+
 /**
  * Moves billed tokens of an allotment to `spent` of its budget.
  * @param pair - both rows
@@ -134,7 +151,7 @@
   if (tokens > pair.allotment.held) return broken(`${pair.allotment.holder} returns more than it holds`)
   const { budget, allotment } = fold(pair)
   return checkBudget({ ...budget, allotted: budget.allotted - tokens })
-    .map(row => ({ budget: row, allotment: { ...allotment, held: allotment.held - tokens } }))
+    .map(row => ({ budget: withDeclaredPaid(row), allotment: { ...allotment, held: allotment.held - tokens } }))
 }
 
 /**
@@ -172,7 +189,7 @@
   if (billed > held) return broken(`${billed} tokens are owed but only ${held} are held in ${budget.budget}`)
   const after = { ...budget, spent: budget.spent + settled + billed, allotted: budget.allotted - settled - held }
   return checkBudget(after).map(row => ({
-    budget: row,
+    budget: withDeclaredPaid(row),
     allotments: allotments.map(item => ({ ...item, held: 0, settled: 0, state: 'closed' as const }))
   }))
 }
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -9,9 +9,6 @@
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
 
-/** Pause before the next draw ahead of need once nothing was left. */
-const EMPTY_TABLE_PAUSE_MS = 30_000
-
 const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
 
 /** Gets tokens for the entries of one holder. */
@@ -112,7 +109,7 @@
     const { retryMs, retryMaxMs } = this.policy
     entry.drawPauseMs = outcome.kind === 'unavailable'
       ? Math.min(retryMaxMs, Math.max(retryMs, entry.drawPauseMs * 2))
-      : EMPTY_TABLE_PAUSE_MS
+      : this.policy.emptyPauseMs
     entry.nextDrawAt = now.mono + entry.drawPauseMs
   }
 
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -7,10 +7,23 @@
 import type { Instant } from '../clock/clockTypes.js'
 import type { Failure } from '../codes/failure.js'
 
+/** What a configuration says was paid for a budget in all. */
+export const declaredPaidSchema = z.object({
+  tokens: z.number().int().nonnegative(),
+  /** Version of the configuration; a lower one never replaces a higher. */
+  version: z.number().int().nonnegative()
+})
+export type DeclaredPaid = z.infer<typeof declaredPaidSchema>
+
 /** Row `budgets/<budget>`. All amounts in tokens. */
 export const budgetRowSchema = z.object({
   budget: z.string(),
   paid: z.number().int().nonnegative(),
+  /**
+   * Present where a configuration declares what was paid. While it is below what is spent and
+   * allotted, `paid` stays at that sum, and every token that comes back lowers it.
+   */
+  declared: declaredPaidSchema.optional(),
   spent: z.number().int().nonnegative(),
   /** Sum of `held + settled` over all allotment rows of the budget, open or in doubt. */
   allotted: z.number().int().nonnegative()
@@ -104,6 +117,8 @@
   | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number, readonly unreachable?: number }
   /** A holder ended: no transfer from or to it may begin, and late answers of it are void. */
   | { readonly kind: 'fence', readonly holder: string }
+  /** What was paid for a budget changed: what was learned of a shortage is void, and when it was lowered, free tokens go back. */
+  | { readonly kind: 'paidChanged', readonly budget: string, readonly isLowered: boolean }
   | { readonly kind: 'drain' }
 
 /** How a draw ended. `granted` tokens are durable in the table for this holder. */
--- a/packages/decisions/src/budget/flushQueue.ts
+++ b/packages/decisions/src/budget/flushQueue.ts
@@ -8,14 +8,15 @@
 
 /** Bounds that keep a flush under the limits of a transaction. */
 const MAX_FLUSH_BILLS = 150
-const MAX_FLUSH_BUDGETS = 100
 const MAX_FLUSH_TRANSFERS = 60
 
-/** Times of a flush queue in milliseconds. */
+/** Times of a flush queue in milliseconds, and its size. */
 export interface FlushTimes {
   readonly flushMs: number
   readonly retryMs: number
   readonly retryMaxMs: number
+  /** Budgets in one flush at most. */
+  readonly budgetsAtOnce: number
 }
 
 /** Queue of bills, returns and transfers. */
@@ -169,7 +170,7 @@
     let count = 0
     while (count < this.bills.length && count < MAX_FLUSH_BILLS) {
       const bill = this.bills[count]
-      if (bill === undefined || (budgets.size === MAX_FLUSH_BUDGETS && !budgets.has(bill.budget))) break
+      if (bill === undefined || (budgets.size === this.times.budgetsAtOnce && !budgets.has(bill.budget))) break
       budgets.add(bill.budget)
       count += 1
     }
@@ -179,7 +180,7 @@
   private takeReturns (budgets: Set<string>, transfers: readonly Transfer[]): readonly BudgetReturn[] {
     const taken: BudgetReturn[] = []
     for (const [budget, tokens] of this.returns) {
-      if (budgets.size >= MAX_FLUSH_BUDGETS && !budgets.has(budget)) continue
+      if (budgets.size >= this.times.budgetsAtOnce && !budgets.has(budget)) continue
       if (this.transfers.some(item => item.budget === budget)) continue
       budgets.add(budget)
       taken.push({ budget, tokens })
--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -28,6 +28,7 @@
   bodyTooLarge: { number: 105, status: 413, title: 'The body exceeds the limit' },
   methodNotAllowed: { number: 106, status: 405, title: 'The method is not allowed here' },
   keyRequired: { number: 107, status: 400, title: 'This call may not be repeated and needs an Idempotency-Key' },
+  headersTooLarge: { number: 109, status: 431, title: 'The headers exceed the limit' },
   unknownModel: { number: 108, status: 404, title: 'The team may not use this model, or it does not exist' },
 
   budgetSpent: { number: 201, status: 402, title: 'The prepaid budget is spent' },
@@ -56,6 +57,7 @@
   runnerRefused: { number: 405, status: 502, title: 'The runner refused the request' },
   draining: { number: 406, status: 503, title: 'This VM is draining' },
   overloaded: { number: 407, status: 503, title: 'The VM sheds load' },
+  targetReplaced: { number: 408, status: 502, title: 'Another process has the address of the target' },
 
   configConflict: { number: 501, status: 409, title: 'The patch is based on another version' },
   configInvalid: { number: 502, status: 422, title: 'The configuration does not follow its schema' },
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -46,6 +46,8 @@
   placementFault: { number: 4005, level: 'warn', title: 'An order of placement failed or its outcome is not known; fields: runner, order, code, detail' },
   attemptFailed: { number: 4006, level: 'warn', title: 'An attempt at a runner did not end whole; fields: request, runner, code, ran, retried (another runner is tried if one is left), detail' },
 
+  targetsRead: { number: 4007, level: 'info', title: 'The whole register of targets was read; fields: targets' },
+
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
   configRefused: { number: 5003, level: 'info', title: 'A patch was refused; fields: base, patchId, code' },
--- /dev/null
+++ b/packages/decisions/src/gateway/routeTable.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds the route of a request: of those with its host, the one with the longest prefix.
+ */
+import type { GatewayConfig, GatewayRoute, RouteService } from './gatewayConfig.js'
+
+/** Routes of one configuration, prepared for lookups. */
+export class RouteTable {
+  private readonly byHost = new Map<string, GatewayRoute[]>()
+
+  /** @param config - the configuration */
+  constructor (config: GatewayConfig) {
+    for (const route of config.routes) {
+      const routes = this.byHost.get(hostName(route.host)) ?? []
+      routes.push(route)
+      this.byHost.set(hostName(route.host), routes)
+    }
+    for (const routes of this.byHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
+  }
+
+  /**
+   * The route of a request; undefined when there is none.
+   * @param host - host as sent, with or without a port
+   * @param target - path with its query
+   */
+  find (host: string, target: string): GatewayRoute | undefined {
+    const path = target.split('?', 1)[0] ?? target
+    return this.byHost.get(hostName(host))?.find(route => path.startsWith(route.prefix))
+  }
+}
+
+function hostName (host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase()
+}
+
+/**
+ * Chooses one of the services that share a route, each as often as its weight says.
+ * @param services - services of the route
+ * @param random - a number in [0, 1)
+ */
+export function chooseService (services: readonly RouteService[], random: number): string | undefined {
+  const total = services.reduce((sum, { weight }) => sum + weight, 0)
+  let left = random * total
+  for (const { service, weight } of services) {
+    if (weight <= 0) continue
+    if (left < weight) return service
+    left -= weight
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -0,0 +1,127 @@
+/**
+ * The targets that the platform's register lists. An entry can disappear because its target left,
+ * or because the register was out of reach of the target for too long. After trouble with the
+ * register, removed entries are therefore kept for the time in which live targets are listed again.
+ */
+
+/** One registered target. */
+export interface TargetView {
+  /** Unlike that of any earlier process at the same address. */
+  readonly id: string
+  readonly service: string
+  readonly address: string
+  readonly domain: string
+  /** Requests that it works on at once. */
+  readonly slots: number
+  readonly isLeaving: boolean
+}
+
+/** Milliseconds after trouble with the register for which a removed entry counts as lapsed; live targets are back within two seconds. */
+export const RELIST_MS = 2_200
+
+interface Listed {
+  readonly view: TargetView
+  /** Set when the entry was removed and may come back. */
+  readonly removedAt?: number
+}
+
+/** Registered targets of all services. Times are monotonic milliseconds. */
+export class TargetSet {
+  private readonly listed = new Map<string, Listed>()
+  private byService = new Map<string, readonly TargetView[]>()
+  private troubleAt = -Infinity
+
+  /**
+   * Takes the whole register.
+   * @param views - all entries
+   * @param mono - present time
+   */
+  replace (views: readonly TargetView[], mono: number): void {
+    const present = new Set(views.map(view => view.id))
+    for (const id of this.listed.keys()) if (!present.has(id)) this.drop(id, mono)
+    for (const view of views) this.listed.set(view.id, { view })
+    this.rebuild()
+  }
+
+  /**
+   * Takes one entry that was written.
+   * @param view - the entry
+   */
+  put (view: TargetView): void {
+    this.listed.set(view.id, { view })
+    this.rebuild()
+  }
+
+  /**
+   * Takes the removal of an entry.
+   * @param id - id of the target
+   * @param mono - present time
+   */
+  remove (id: string, mono: number): void {
+    this.drop(id, mono)
+    this.rebuild()
+  }
+
+  /**
+   * Notes that the register could not be read.
+   * @param mono - present time
+   */
+  registerFailed (mono: number): void {
+    this.troubleAt = mono
+  }
+
+  /**
+   * Forgets removed entries that were not listed again in time; to be called several times a second.
+   * @param mono - present time
+   */
+  tick (mono: number): void {
+    if (mono - this.troubleAt <= RELIST_MS) return
+    const gone = [...this.listed].filter(([, { removedAt }]) => removedAt !== undefined)
+    if (gone.length === 0) return
+    for (const [id] of gone) this.listed.delete(id)
+    this.rebuild()
+  }
+
+  /**
+   * Targets of a service that take new work.
+   * @param service - name of the service
+   */
+  serving (service: string): readonly TargetView[] {
+    return this.byService.get(service) ?? []
+  }
+
+  /**
+   * Whether a target is listed.
+   * @param id - id of the target
+   */
+  has (id: string): boolean {
+    return this.listed.has(id)
+  }
+
+  /**
+   * Whether an entry tells more than a heartbeat.
+   * @param view - the entry
+   */
+  isNew (view: TargetView): boolean {
+    return this.listed.get(view.id)?.view.isLeaving !== view.isLeaving
+  }
+
+  private drop (id: string, mono: number): void {
+    const known = this.listed.get(id)
+    if (known === undefined) return
+    const mayLapse = mono - this.troubleAt <= RELIST_MS && !known.view.isLeaving
+    if (mayLapse) this.listed.set(id, { view: known.view, removedAt: known.removedAt ?? mono })
+    else this.listed.delete(id)
+  }
+
+  private rebuild (): void {
+    const byService = new Map<string, TargetView[]>()
+    for (const { view } of this.listed.values()) {
+      if (view.isLeaving) continue
+      const views = byService.get(view.service) ?? []
+      views.push(view)
+      byService.set(view.service, views)
+    }
+    this.byService = byService
+  }
+}
--- a/packages/decisions/src/routing/retryBudget.ts
+++ b/packages/decisions/src/routing/retryBudget.ts
@@ -58,9 +58,18 @@
 export class RetryBudget implements RetryDecider {
   private tokens: number
   private filledAt: number | undefined
+  private readonly policyNow: () => RetryPolicy
 
-  constructor (private readonly policy: RetryPolicy = defaultRetryPolicy) {
-    this.tokens = policy.burst
+  /**
+   * @param policy - the limits, or what tells them where they change with the number of VMs
+   */
+  constructor (policy: RetryPolicy | (() => RetryPolicy) = defaultRetryPolicy) {
+    this.policyNow = typeof policy === 'function' ? policy : () => policy
+    this.tokens = this.policy.burst
+  }
+
+  private get policy (): RetryPolicy {
+    return this.policyNow()
   }
 
   attempted (now: Instant): void {
--- a/packages/infra/src/http/httpTransport.ts
+++ b/packages/infra/src/http/httpTransport.ts
@@ -17,8 +17,8 @@
 
 /** Settings of a transport. */
 export interface TransportSettings {
-  /** Name of this VM, sent as `x-vm`. */
-  readonly vm: string
+  /** Name of this VM, sent as `x-vm` where the other side takes it. */
+  readonly vm?: string
   /** Milliseconds for making a connection. */
   readonly connectMs?: number
 }
@@ -138,7 +138,7 @@
   private options (call: HttpCall) {
     return {
       method: call.method,
-      headers: { 'user-agent': undefined, ...call.headers, 'x-vm': this.settings.vm },
+      headers: { 'user-agent': undefined, ...call.headers, ...(this.settings.vm === undefined ? {} : { 'x-vm': this.settings.vm }) },
       ...(call.body === undefined ? {} : { body: call.body, allowGetBody: true }),
       agent: { http: this.agent },
       retry: { limit: 0 },
--- /dev/null
+++ b/packages/infra/src/table/tableFeed.ts
@@ -0,0 +1,34 @@
+/**
+ * A feed of the changes of one table, for stores that offer one. It takes the place of polls and
+ * of messages between VMs: whoever writes a row is heard by all who follow its table.
+ */
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+
+/** A row as the feed tells it; `value` is null when the row was deleted. */
+export interface FeedRow {
+  readonly key: string
+  readonly value: unknown
+  readonly version: number
+}
+
+/** Takes what the feed tells. */
+export interface FeedHandler {
+  /** The whole table, read at the start and after a gap. */
+  replaced (rows: readonly FeedRow[]): void
+  /** Rows that changed since, in order. */
+  changed (rows: readonly FeedRow[]): void
+  /** The store could not be reached; the feed goes on trying. */
+  failed (failure: Failure): void
+  /** A row was left out because its value cannot be decoded. */
+  undecodable? (key: string, err: unknown): void
+}
+
+/** Feeds of the tables of a store. */
+export interface TableFeed {
+  /**
+   * Follows a table until the answer is called.
+   * @param table - name of the table
+   * @param handler - takes what the feed tells
+   */
+  follow (table: string, handler: FeedHandler): () => void
+}
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -40,9 +40,9 @@
   constructor (private readonly parts: BudgetDriverParts, private readonly targets: BudgetActionTargets) {
     const { holder, domain, store, peers, clock, log } = parts
     const { table, registry, dispatch } = targets
-    const { shareDivisor, flushMs } = parts.policy ?? defaultBudgetPolicy
-    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1 }, log)
-    this.draws = new DrawQueue(flushMs)
+    const { shareDivisor, flushMs, drawsAtOnce } = parts.policy ?? defaultBudgetPolicy
+    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1, declared: parts.declared ?? (() => undefined) }, log)
+    this.draws = new DrawQueue(flushMs, drawsAtOnce)
     this.flushing = new BudgetFlushing(table, { holder, domain }, log)
     const isRegistered = (): boolean => registry.isRegistered
     this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, isRegistered, dispatch })
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -5,8 +5,8 @@
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import type { BudgetAction, DrawOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
-import { drawKeys, planDraw, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
+import type { BudgetAction, DeclaredPaid, DrawOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { drawKeys, planDraw, type DrawOrder, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import type { BudgetTable } from './budgetTable.js'
 import { surveyBudget } from './budgetSharing.js'
 
@@ -16,6 +16,8 @@
   readonly domain: string
   readonly shareDivisor: number
   holders (): number
+  /** What the configuration says was paid for a budget; undefined where top-ups say it. */
+  declared (budget: string): DeclaredPaid | undefined
 }
 
 /** A draw as the ledger wants it. */
@@ -39,12 +41,17 @@
     const keys = actions.flatMap(action => drawKeys(holder, action.budget))
     const ids = actions.map(action => action.drawId)
     const done = await this.table.run(ids, keys, rows =>
-      Either.sequence(actions.map(action => planDraw(rows, action, drawer))).map(batchOf))
+      Either.sequence(actions.map(action => planDraw(rows, this.orderOf(action), drawer))).map(batchOf))
     if (done.isLeft()) return await this.allFailed(actions, done.extract())
     const { plan, sentAt } = done.unsafeCoerce()
     return await Promise.all(plan.plans.map(async (item, index) => await this.outcome(actions[index], item, sentAt)))
   }
 
+  private orderOf (action: DrawAction): DrawOrder {
+    const declared = this.self.declared(action.budget)
+    return declared === undefined ? action : { ...action, declared }
+  }
+
   /** A broken row fails only the draw of its own budget. */
   private async allFailed (actions: readonly DrawAction[], failure: Failure): Promise<readonly DrawOutcome[]> {
     if (failure.code !== 'internal' || actions.length === 1) return actions.map(action => this.failed(action, failure))
@@ -80,12 +87,13 @@
   }
 }
 
-/** Plans of one transaction; it is written if any of them writes. */
+/** Plans of one transaction; it is written if any of them changes a row. */
 interface DrawBatch {
   readonly kind: 'write' | 'done'
   readonly plans: readonly DrawPlan[]
 }
 
 function batchOf (plans: readonly DrawPlan[]): DrawBatch {
-  return { kind: plans.some(plan => plan.kind === 'write') ? 'write' : 'done', plans }
+  const isChanged = (plan: DrawPlan): boolean => plan.kind === 'write' || (plan.kind === 'short' && plan.isRowChanged)
+  return { kind: plans.some(isChanged) ? 'write' : 'done', plans }
 }
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -14,6 +14,7 @@
 import type { ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
 import { BudgetRecovery, type ListEvidence } from './budgetRecovery.js'
+import { RecoveryRuns } from './budgetRecoveryRuns.js'
 import { BudgetRegistry } from './budgetRegistry.js'
 import type { AgedAllotment } from './budgetSharing.js'
 import { BudgetTable } from './budgetTable.js'
@@ -98,6 +99,15 @@
     await this.recovery?.pass(list)
   }
 
+  /**
+   * Takes note that the amount paid for a budget changed in the configuration.
+   * @param budget - budget id
+   * @param isLowered - whether it is less than before
+   */
+  paidChanged (budget: string, isLowered: boolean): void {
+    this.dispatch({ kind: 'paidChanged', budget, isLowered })
+  }
+
   /** Budgets as this holder sees them. */
   views (): readonly BudgetView[] {
     return this.ledger.views()
@@ -148,9 +158,10 @@
 
   private recoveryOf (parts: BudgetDriverParts): BudgetRecovery | undefined {
     const { holder, peers, log, runners } = parts
-    if (runners === undefined) return undefined
+    const runs = parts.unbilled ?? (runners === undefined ? undefined : new RecoveryRuns(this.table.store, runners))
+    if (runs === undefined) return undefined
     const confirmOwn = (ended: string): boolean => this.onConfirm({ holder: ended }).none
-    return new BudgetRecovery(this.table, { holder, policy: this.policy, peers, runners, log, confirmOwn }, this.registry)
+    return new BudgetRecovery(this.table, { holder, policy: this.policy, peers, runs, log, confirmOwn }, this.registry)
   }
 
   private isInDoubt (item: AgedAllotment): boolean {
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -1,9 +1,11 @@
 /** What the budget driver is built from, and what it counts. */
+import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetPeers } from './budgetPeers.js'
+import type { UnbilledRuns } from './budgetRecovery.js'
 import type { RecoveryRunners } from './budgetRecoveryRuns.js'
 
 /** What the driver is built from. */
@@ -17,8 +19,12 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly policy?: BudgetPolicy
-  /** Runners to ask on recovery; without them nothing is recovered. */
+  /** Runners to ask on recovery; without them, and without `unbilled`, nothing is recovered. */
   readonly runners?: RecoveryRunners
+  /** How recovery finds what ended holders still owe, where runners keep no record of it. */
+  readonly unbilled?: UnbilledRuns
+  /** What the configuration says was paid for a budget, where top-ups do not say it. */
+  readonly declared?: (budget: string) => DeclaredPaid | undefined
 }
 
 /** Counters for metrics. */
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -13,7 +13,7 @@
 import { GoneVms, hasLapsed, isSucceeded, mayBeForgotten, type PlacedHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
-import { RecoveryRuns, type RecoveryRunners } from './budgetRecoveryRuns.js'
+import type { RunOwner } from './budgetRecoveryRuns.js'
 import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSharing.js'
 import type { BudgetTable } from './budgetTable.js'
 
@@ -23,12 +23,31 @@
   readonly vms: ReadonlyArray<{ readonly vm: string, readonly state: string }>
 }
 
+/** Finds what ended holders spent and no segment has billed. */
+export interface UnbilledRuns {
+  /** Forgets what the pass before found. */
+  beginPass (): void
+  /**
+   * Milliseconds since a holder itself wrote to the table.
+   * @param item - its allotment
+   * @param now - table milliseconds
+   */
+  contactAgeMs (item: AgedAllotment, now: number): Promise<number>
+  /**
+   * Bills that are owed. Fails while that is not certain.
+   * @param budget - budget id
+   * @param owners - ended holders
+   * @param wall - present time of the table service in milliseconds
+   */
+  unbilled (budget: string, owners: readonly RunOwner[], wall: number): Promise<Either<Failure, readonly OwedBill[]>>
+}
+
 /** What recovery is built from. */
 export interface RecoveryParts {
   readonly holder: string
   readonly policy: BudgetPolicy
   readonly peers: BudgetPeers
-  readonly runners: RecoveryRunners
+  readonly runs: UnbilledRuns
   readonly log: EventLog
   /** Fences an ended holder at this VM; true when no transfer with it is unrecorded here. */
   confirmOwn (holder: string): boolean
@@ -51,13 +70,13 @@
 export class BudgetRecovery {
   private readonly gone = new GoneVms()
   private readonly registry: BudgetRegistry
-  private readonly runs: RecoveryRuns
+  private readonly runs: UnbilledRuns
   private readonly absentSince = new Map<string, Instant>()
   private running = false
 
   constructor (private readonly table: BudgetTable, private readonly parts: RecoveryParts, registry: BudgetRegistry) {
     this.registry = registry
-    this.runs = new RecoveryRuns(table.store, parts.runners)
+    this.runs = parts.runs
   }
 
   /**
@@ -177,6 +196,7 @@
     return await this.runs.unbilled(budget, [...holders].map(holder => ({
       holder,
       lastSeq: rows.get(holder)?.row.lastSeq,
+      held: closing.find(item => item.row.holder === holder)?.row.held ?? 0,
       mayCancel: !ended.includes(holder)
     })), survey.now)
   }
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -10,6 +10,7 @@
 import { segmentRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
+import type { UnbilledRuns } from './budgetRecovery.js'
 import { RunPayers } from './budgetRunPayers.js'
 import { scanAll, type AgedAllotment } from './budgetSharing.js'
 
@@ -32,6 +33,8 @@
   readonly holder: string
   /** Highest segment with bills of the budget; absent when there is none. */
   readonly lastSeq: number | undefined
+  /** Tokens that no segment has billed, of its allotment that is being closed; 0 where none is. */
+  readonly held: number
   /** Whether its running requests may be cancelled; otherwise their end is awaited. */
   readonly mayCancel: boolean
 }
@@ -49,7 +52,7 @@
 }
 
 /** Looks for unbilled runs. */
-export class RecoveryRuns {
+export class RecoveryRuns implements UnbilledRuns {
   /** Runs of holders that certainly ended, listed once in a pass for all their budgets. */
   private readonly listed = new Map<string, Either<Failure, readonly FoundRun[]>>()
 
--- a/packages/rosemaryspread/src/budget/drawQueue.ts
+++ b/packages/rosemaryspread/src/budget/drawQueue.ts
@@ -5,9 +5,6 @@
 import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { DrawAction } from './budgetDrawing.js'
 
-/** Draws of one transaction; each reads two rows and writes up to four. */
-const MAX_DRAWS = 100
-
 /** Queue of draws of one holder. */
 export class DrawQueue {
   private readonly waiting = new Map<string, DrawAction>()
@@ -16,8 +13,9 @@
 
   /**
    * @param waitMs - longest time a draw ahead of need waits
+   * @param atOnce - draws of one transaction; each reads two rows and writes up to four
    */
-  constructor (private readonly waitMs: number) {}
+  constructor (private readonly waitMs: number, private readonly atOnce: number) {}
 
   /**
    * Takes a draw; answers what has to go out at once.
@@ -41,7 +39,7 @@
    */
   due (now: Instant): readonly DrawAction[] {
     if (this.oldest === undefined || elapsedMs(this.oldest, now) < this.waitMs) return []
-    const batch = [...this.waiting.values()].slice(0, MAX_DRAWS)
+    const batch = [...this.waiting.values()].slice(0, this.atOnce)
     for (const action of batch) this.waiting.delete(action.drawId)
     if (this.waiting.size === 0) this.oldest = undefined
     return this.send(batch)
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -0,0 +1,115 @@
+/**
+ * Bindings of the gateway. The edge brings what reaches the platform and the targets; all else is
+ * the product's.
+ */
+import { randomBytes } from 'node:crypto'
+import { setTimeout as pause } from 'node:timers/promises'
+import type { Container } from 'inversify'
+import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
+import type { TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import { BudgetDriver } from '../budget/budgetDriver.js'
+import { HeldAsSpent } from '../budget/budgetHeldAsSpent.js'
+import { BudgetRecalls } from '../budget/budgetRecalls.js'
+import { OpenWork } from '../completion/completionDrain.js'
+import { SteadyClock, SystemRandom } from '../completion/completionSystem.js'
+import { BunyanEventLog } from '../log/logger.js'
+import { MetricsRecorder } from '../metrics/metricsRecorder.js'
+import { VmPresence } from '../presence/vmPresence.js'
+import { gatewayBudgetPolicy } from './gatewayBudgetPolicy.js'
+import { GatewayConfigHolder } from './gatewayConfigHolder.js'
+import { gatewayIds as ids } from './gatewayIds.js'
+import { GatewayPipeline } from './gatewayPipeline.js'
+import { GatewayReport } from './gatewayReport.js'
+import { GatewayRetries } from './gatewayRetries.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import { GatewayTargets } from './gatewayTargets.js'
+import type { TargetClient } from './gatewayTypes.js'
+
+const INCARNATION_BYTES = 6
+
+/** What reaches the platform and the targets. */
+export interface GatewayEdge {
+  readonly table: TableStore
+  readonly feed: TableFeed
+  readonly client: TargetClient
+}
+
+/**
+ * Binds the gateway.
+ * @param container - the container
+ * @param settings - settings of the VM
+ * @param edge - what reaches the platform and the targets
+ */
+export function bindGateway (container: Container, settings: GatewaySettings, edge: GatewayEdge): void {
+  const holder = holderOf(settings.vm, randomBytes(INCARNATION_BYTES).toString('hex'))
+  bindBase(container, settings, holder)
+  bindFleet(container, settings, edge, holder)
+  bindBudgets(container, settings, edge, holder)
+  bindPipeline(container, settings, edge)
+}
+
+function bindBase (container: Container, { vm, domain, logLevel }: GatewaySettings, holder: string): void {
+  container.bind(ids.clock).toConstantValue(new SteadyClock())
+  container.bind(ids.random).toConstantValue(new SystemRandom())
+  container.bind(ids.log).toConstantValue(new BunyanEventLog({ vm, domain, holder, level: logLevel }))
+  container.bind(ids.metrics).toConstantValue(new MetricsRecorder())
+  container.bind(ids.work).toConstantValue(new OpenWork())
+  container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
+}
+
+function bindFleet (container: Container, { vm, domain, callers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
+  container.bind(ids.table).toConstantValue(table)
+  container.bind(ids.presence).toResolvedValue((clock, log) =>
+    new VmPresence({ self: { vm, holder, domain, callers }, table, feed, clock, log }), [ids.clock, ids.log]).inSingletonScope()
+  container.bind(ids.balancer).toConstantValue(new TargetBalancer())
+  container.bind(ids.targets).toResolvedValue((clock, balancer, log) =>
+    new GatewayTargets(clock, balancer, log), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
+}
+
+function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
+  container.bind(ids.recalls).toResolvedValue((presence, log) => new BudgetRecalls({
+    holder,
+    table,
+    feed,
+    log,
+    members: () => presence.members(),
+    onRecall: async ask => await container.get(ids.budgets).onRecall(ask),
+    pause: async ms => await pause(ms)
+  }), [ids.presence, ids.log]).inSingletonScope()
+  container.bind(ids.budgets).toResolvedValue((recalls, config, clock, log) => new BudgetDriver({
+    holder,
+    domain,
+    place: callers,
+    store: table,
+    peers: recalls,
+    clock,
+    log,
+    policy: gatewayBudgetPolicy,
+    unbilled: new HeldAsSpent(),
+    declared: team => config.declaredPaid(team)
+  }), [ids.recalls, ids.config, ids.clock, ids.log]).inSingletonScope()
+}
+
+function bindPipeline (container: Container, { retries }: GatewaySettings, { client }: GatewayEdge): void {
+  container.bind(ids.pipeline).toDynamicValue(ctx => {
+    const log = ctx.get(ids.log)
+    const metrics = ctx.get(ids.metrics)
+    const presence = ctx.get(ids.presence)
+    return new GatewayPipeline({
+      clock: ctx.get(ids.clock),
+      random: ctx.get(ids.random),
+      config: ctx.get(ids.config),
+      work: ctx.get(ids.work),
+      budgets: ctx.get(ids.budgets),
+      targets: ctx.get(ids.targets),
+      balancer: ctx.get(ids.balancer),
+      retries: new GatewayRetries(retries, () => presence.size),
+      client,
+      log,
+      metrics,
+      report: new GatewayReport(log, metrics)
+    })
+  }).inSingletonScope()
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/eventRelay.ts
@@ -0,0 +1,67 @@
+/**
+ * Cuts a byte stream into whole server-sent events, without changing a byte, so that a stream that
+ * breaks inside an event can go on with a whole one. Counts events and remembers the last id.
+ */
+
+const LINE_FEED = 0x0a
+/** Longest piece without the end of an event that is kept, in bytes. */
+const MAX_EVENT_BYTES = 1_048_576
+const idLine = /(?:^|\n)id: ?([^\r\n]*)/g
+
+/** Relays the events of one stream. */
+export class EventRelay {
+  private rest: Buffer = Buffer.alloc(0)
+  private count = 0
+  private id: string | undefined
+
+  /** Events relayed so far. */
+  get events (): number {
+    return this.count
+  }
+
+  /** Id of the last whole event. */
+  get lastId (): string | undefined {
+    return this.id
+  }
+
+  /** Whether bytes of an unfinished event are kept back. */
+  get hasRest (): boolean {
+    return this.rest.length > 0
+  }
+
+  /**
+   * Takes bytes; answers those that end whole events.
+   * @param bytes - what arrived
+   */
+  take (bytes: Buffer): Buffer {
+    const all = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes])
+    const end = endOfEvents(all)
+    this.rest = all.subarray(end)
+    if (this.rest.length > MAX_EVENT_BYTES) throw new RangeError(`an event exceeds ${MAX_EVENT_BYTES} bytes`)
+    const whole = all.subarray(0, end)
+    this.note(whole.toString('latin1'))
+    return whole
+  }
+
+  /** Gives up what is kept back: the stream broke inside an event. */
+  drop (): void {
+    this.rest = Buffer.alloc(0)
+  }
+
+  private note (text: string): void {
+    for (const [, id] of text.matchAll(idLine)) {
+      this.id = id
+      this.count += 1
+    }
+  }
+}
+
+/** Index after the last blank line; blank lines end events. */
+function endOfEvents (bytes: Buffer): number {
+  for (let i = bytes.length - 1; i > 0; i--) {
+    if (bytes[i] !== LINE_FEED) continue
+    if (bytes[i - 1] === LINE_FEED) return i + 1
+    if (bytes[i - 1] === 0x0d && bytes[i - 2] === LINE_FEED) return i + 1
+  }
+  return 0
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
@@ -0,0 +1,65 @@
+/**
+ * Checks of a call before anything is reserved or sent: route, key, team and time left.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { GatewayConfig, GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
+import { chooseService, type RouteTable } from '@rosemaryspread/decisions/gateway/routeTable.js'
+import type { KeyDirectory } from '../directory/keyDirectory.js'
+import type { GatewayCall } from './gatewayTypes.js'
+
+/** Milliseconds to come back after when the route has no service. */
+const NO_SERVICE_RETRY_MS = 1_000
+
+/** A configuration prepared for calls. */
+export interface PreparedConfig {
+  readonly config: GatewayConfig
+  readonly routes: RouteTable
+  readonly keys: KeyDirectory
+}
+
+/** A call that may be served. */
+export interface AdmittedCall {
+  readonly call: GatewayCall
+  readonly route: GatewayRoute
+  readonly service: string
+  /** Absent on routes that need no key. */
+  readonly team: string | undefined
+  /** Whether the team's tokens are counted. */
+  readonly isPrepaid: boolean
+  readonly priority: number
+  readonly tokensPerEvent: number
+  /** Prompt parts that other requests have as well. */
+  readonly sharedParts: readonly string[]
+  /** Monotonic milliseconds at which the caller or the route gives up. */
+  readonly deadline: number
+}
+
+/**
+ * Checks a call.
+ * @param call - the call
+ * @param prepared - the configuration in force
+ * @param random - a number in [0, 1), for routes with several services
+ */
+export function admitCall (call: GatewayCall, prepared: PreparedConfig, random: number): Either<Failure, AdmittedCall> {
+  const { config, routes, keys } = prepared
+  const route = routes.find(call.host, call.path)
+  if (route === undefined) return Left(new Failure('notFound', 'no route for this host and path'))
+  const team = call.key === undefined ? undefined : keys.ownerOf(call.key)
+  if (team === undefined && !route.isOpen) return Left(new Failure('unauthorized', 'the key is missing or belongs to no team'))
+  const service = chooseService(route.services, random)
+  if (service === undefined) return Left(new Failure('noRunner', 'the route has no service', { retryAfterMs: NO_SERVICE_RETRY_MS }))
+  const teamConfig = team === undefined ? undefined : config.teams[team]
+  const waitMs = Math.min(call.timeoutMs ?? route.timeoutMs, route.timeoutMs)
+  return Right({
+    call,
+    route,
+    service,
+    team,
+    isPrepaid: teamConfig?.prepaidTokens !== undefined && call.promptTokens + call.maxTokens > 0,
+    priority: teamConfig?.priority ?? route.priority,
+    tokensPerEvent: config.services[service]?.tokensPerEvent ?? 1,
+    sharedParts: route.hasAffinity ? call.promptParts.slice(0, -1).map(({ id }) => id) : [],
+    deadline: call.receivedAt.mono + waitMs
+  })
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -0,0 +1,29 @@
+/**
+ * Sizes and times of budgets where targets keep no record of runs and nothing outlives a process.
+ * An allotment covers some seconds of demand: enough for a store that is out of reach for as long,
+ * and little enough that the end of a VM, which counts its allotment as spent, costs little.
+ */
+import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+
+/** Policy of the gateway; docs/design/platform.md gives the ways weighed. */
+export const gatewayBudgetPolicy: BudgetPolicy = {
+  ...defaultBudgetPolicy,
+  horizonMs: 10_000,
+  rateWindowMs: 5_000,
+  minTokens: 16_384,
+  idleReturnMs: 15_000,
+  flushMs: 400,
+  retryMs: 200,
+  retryMaxMs: 1_000,
+  roundMs: 150,
+  roundMaxMs: 600,
+  patienceMs: 100,
+  recallKeepMs: 1_000,
+  lapseMs: 60_000,
+  marginMs: 5_000,
+  requestTimeoutMs: 15_000,
+  emptyPauseMs: 1_000,
+  // A transaction of the store takes 100 entries; a draw has up to six of them, a flush four for each budget.
+  drawsAtOnce: 12,
+  budgetsAtOnce: 20
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -0,0 +1,30 @@
+/** Identifiers of what the container of a gateway binds; those shared with the VM of the own interface are its own. */
+import type { ServiceIdentifier } from 'inversify'
+import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { BudgetRecalls } from '../budget/budgetRecalls.js'
+import { ids } from '../compose/serviceIds.js'
+import type { VmPresence } from '../presence/vmPresence.js'
+import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
+import type { GatewayPipeline } from './gatewayPipeline.js'
+import type { GatewayTargets } from './gatewayTargets.js'
+
+function id<T> (name: string): ServiceIdentifier<T> {
+  return Symbol.for(name) as ServiceIdentifier<T>
+}
+
+/** Identifiers of the gateway. */
+export const gatewayIds = {
+  clock: ids.clock,
+  random: ids.random,
+  log: ids.log,
+  metrics: ids.metrics,
+  work: ids.work,
+  table: ids.table,
+  budgets: ids.budgets,
+  config: id<GatewayConfigHolder>('GatewayConfig'),
+  presence: id<VmPresence>('VmPresence'),
+  recalls: id<BudgetRecalls>('BudgetRecalls'),
+  balancer: id<TargetBalancer>('TargetBalancer'),
+  targets: id<GatewayTargets>('GatewayTargets'),
+  pipeline: id<GatewayPipeline>('GatewayPipeline')
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
@@ -0,0 +1,116 @@
+/**
+ * One call on its way: what is reserved for it, which targets it was sent to, and whether its time
+ * is over or its caller gone.
+ */
+import { Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Reservation } from '../budget/budgetPort.js'
+import { EventRelay } from './eventRelay.js'
+import type { AdmittedCall } from './gatewayAdmission.js'
+import type { AttemptEnd } from './gatewayAttempt.js'
+import type { GatewaySink } from './gatewayTypes.js'
+
+type FailedAnswer = Extract<AttemptEnd, { kind: 'failedAnswer' }>
+
+/** Milliseconds to come back after when the time was over before anything ran. */
+const LATE_RETRY_MS = 100
+
+/** A call that was admitted. */
+export class OpenCall {
+  readonly relay = new EventRelay()
+  readonly excluded = new Set<string>()
+  reservation: Reservation | undefined
+  /** Why the call ends early, once it does. */
+  stopped: Failure | undefined
+  lastFailure: Failure | undefined
+  failedAnswer: FailedAnswer | undefined
+  lastTarget: string | undefined
+  /** Whether some target may have begun to work on it. */
+  mayHaveRun = false
+  /** Targets that the request arrived at. */
+  attempts = 0
+  /** Targets to which no connection could be made. */
+  unreached = 0
+  private ran = false
+  private readonly stop = new AbortController()
+  private readonly timer: NodeJS.Timeout
+
+  constructor (readonly admitted: AdmittedCall, readonly sink: GatewaySink, private readonly clock: Clock) {
+    this.timer = setTimeout(() => { this.timeOut() }, Math.max(0, this.leftMs))
+    admitted.call.gone.addEventListener('abort', this.onGone)
+    if (admitted.call.gone.aborted) this.onGone()
+  }
+
+  /** Milliseconds until the deadline. */
+  get leftMs (): number {
+    return this.admitted.deadline - this.clock.now().mono
+  }
+
+  /** Milliseconds since the call was received. */
+  get ageMs (): number {
+    return this.clock.now().mono - this.admitted.call.receivedAt.mono
+  }
+
+  /** Aborted when the call ends early; asked for when an attempt begins, from which time it may run. */
+  stopSignal (): AbortSignal {
+    this.mayHaveRun = true
+    return this.stop.signal
+  }
+
+  /** Goes on without a reservation. */
+  unpaid (): Either<Failure, void> {
+    return Right(undefined)
+  }
+
+  /**
+   * Takes the end of an attempt that did not answer the call.
+   * @param target - id of the target
+   * @param end - how it ended
+   */
+  tried (target: string, end: AttemptEnd): void {
+    this.excluded.add(target)
+    if (this.wasUnreached(end)) this.unreached += 1
+    else this.attempts += 1
+    if (end.kind !== 'notRun') {
+      this.ran = true
+      this.lastTarget = target
+    }
+    this.mayHaveRun = this.ran
+    if (end.kind === 'failedAnswer') this.failedAnswer = end
+    if (end.kind === 'notRun' || end.kind === 'broken') this.lastFailure = this.worse(end.failure)
+  }
+
+  /**
+   * Whether nothing arrived at the target.
+   * @param end - how the attempt ended
+   */
+  wasUnreached (end: AttemptEnd): boolean {
+    return end.kind === 'notRun' && end.failure.code === 'runnerUnreachable'
+  }
+
+  /** Ends the timers of the call. */
+  close (): void {
+    clearTimeout(this.timer)
+    this.admitted.call.gone.removeEventListener('abort', this.onGone)
+  }
+
+  /** Once something may have run, no later failure may say that nothing ran. */
+  private worse (failure: Failure): Failure {
+    const known = this.lastFailure
+    return known === undefined || known.ran === 'no' ? failure : known
+  }
+
+  private readonly onGone = (): void => {
+    const { route } = this.admitted
+    this.stopped ??= new Failure('callerGone', 'the caller closed the connection', { ran: 'unknown' })
+    // A call that runs once is left to its target: breaking it off could leave it half done.
+    if (route.streamed || route.repeat !== 'never') this.stop.abort()
+  }
+
+  private timeOut (): void {
+    const ran = this.mayHaveRun ? 'unknown' : 'no'
+    this.stopped ??= new Failure('deadlineExceeded', 'the time for the answer is over', { ran, retryAfterMs: LATE_RETRY_MS })
+    this.stop.abort()
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayReport.ts
@@ -0,0 +1,64 @@
+/** What the log and the metrics learn of the calls of the gateway. */
+import { Right, type Either } from 'purify-ts'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import type { AttemptEnd } from './gatewayAttempt.js'
+import type { OpenCall } from './gatewayOpenCall.js'
+import type { GatewayCall } from './gatewayTypes.js'
+
+/** Reports of one VM. */
+export class GatewayReport {
+  constructor (private readonly log: EventLog, private readonly metrics: Metrics) {}
+
+  /**
+   * A target was chosen.
+   * @param open - the call
+   * @param choice - the choice
+   */
+  routed ({ admitted }: OpenCall, { target, candidates, reason }: TargetChoice): void {
+    const { call, service, team } = admitted
+    this.log.write('routed', { request: call.requestId, team, service, candidates, choice: target.id, reason })
+  }
+
+  /**
+   * The whole answer went out.
+   * @param open - the call
+   * @param target - id of the target
+   */
+  answered (open: OpenCall, target: string): Either<Failure, void> {
+    const totalMs = Math.round(open.ageMs)
+    this.metrics.count('answers')
+    this.metrics.record('total_ms', totalMs)
+    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, events: open.relay.events, totalMs })
+    return Right(undefined)
+  }
+
+  /**
+   * One target did not give the whole answer.
+   * @param open - the call
+   * @param target - id of the target
+   * @param end - how the attempt ended
+   * @param retried - whether another target is tried
+   */
+  attemptFailed (open: OpenCall, target: string, end: AttemptEnd, retried: boolean): void {
+    if (end.kind === 'answered') return
+    const request = open.admitted.call.requestId
+    const cause = end.kind === 'failedAnswer'
+      ? { code: 'runnerRefused', ran: 'yes', detail: `status ${end.head.status}` }
+      : { code: end.failure.code, ran: end.failure.ran, detail: end.failure.message }
+    this.metrics.count('attempts_failed')
+    this.log.write('attemptFailed', { request, runner: target, ...cause, retried })
+  }
+
+  /**
+   * The caller gets a failure.
+   * @param call - the call
+   * @param failure - the failure
+   */
+  failed (call: GatewayCall, { code, ran, retryAfterMs, message }: Failure): void {
+    this.metrics.count(`refusals_${code}`)
+    this.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: call.requestId, code, ran, retryAfterMs, detail: message })
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -0,0 +1,99 @@
+/**
+ * The gateway of one VM: composes its parts over what the edge binds (table, feeds, client of the
+ * targets), keeps their timers, and stops gracefully.
+ */
+import 'reflect-metadata'
+import { setTimeout as pause } from 'node:timers/promises'
+import { Container } from 'inversify'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { gatewayIds as ids } from './gatewayIds.js'
+import { bindGateway, type GatewayEdge } from './bindGateway.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+
+/** Milliseconds between two ticks of budgets, presence and targets. */
+const TICK_MS = 100
+/** Milliseconds between two passes over what ended holders held. */
+const RECOVERY_MS = 4_000
+/** Part of the grace time for which a stopping VM serves callers that do not know of it yet. */
+const LINGER_PART = 0.25
+/** Part of the grace time after which requests still open are given up. */
+const FINISH_PART = 0.85
+
+/** The gateway of one VM. */
+export class GatewayVm {
+  readonly container = new Container()
+  private readonly log: EventLog
+  private readonly timers: NodeJS.Timeout[] = []
+  private stopRecalls: () => void = () => {}
+
+  /**
+   * @param settings - settings of the VM
+   * @param edge - what reaches the platform and the targets
+   */
+  constructor (private readonly settings: GatewaySettings, edge: GatewayEdge) {
+    bindGateway(this.container, settings, edge)
+    this.log = this.container.get(ids.log)
+  }
+
+  /** Whether callers may be sent here: a configuration is in force and no stop was ordered. */
+  get isReady (): boolean {
+    return this.container.get(ids.config).current() !== undefined && !this.container.get(ids.work).draining
+  }
+
+  get clock (): Clock {
+    return this.container.get(ids.clock)
+  }
+
+  /** Starts what works in the background. */
+  start (): void {
+    const budgets = this.container.get(ids.budgets)
+    const presence = this.container.get(ids.presence)
+    const targets = this.container.get(ids.targets)
+    this.container.get(ids.config).onPaidChanged((team, isLowered) => { budgets.paidChanged(team, isLowered) })
+    presence.start()
+    this.stopRecalls = this.container.get(ids.recalls).start()
+    this.every(TICK_MS, async () => {
+      budgets.tick()
+      targets.tick()
+      if (this.isReady) await presence.tell('serving')
+      presence.tick()
+    })
+    this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
+    this.inBackground(budgets.recoverDead())
+    this.log.write('started', { ...this.settings })
+  }
+
+  /**
+   * Stops gracefully: callers are sent elsewhere, open requests are finished, tokens go back.
+   * Resolves when the process may end, at the latest shortly before the grace time is over.
+   */
+  async drain (): Promise<void> {
+    const work = this.container.get(ids.work)
+    const startedAt = this.clock.now().mono
+    const leftMs = (): number => Math.max(0, this.settings.graceMs * FINISH_PART - (this.clock.now().mono - startedAt))
+    work.draining = true
+    this.log.write('draining', { open: work.openCount() })
+    this.inBackground(this.container.get(ids.presence).tell('leaving'))
+    await pause(this.settings.graceMs * LINGER_PART)
+    await work.idle(leftMs())
+    await Promise.race([this.handBack(), pause(leftMs())])
+    this.timers.forEach(timer => { clearInterval(timer) })
+    this.log.write('stopped', { open: work.openCount() })
+  }
+
+  private async handBack (): Promise<void> {
+    this.stopRecalls()
+    await this.container.get(ids.budgets).drain()
+    await this.container.get(ids.presence).leave()
+  }
+
+  private every (ms: number, work: () => Promise<void>): void {
+    this.timers.push(setInterval(() => { this.inBackground(work()) }, ms))
+  }
+
+  private inBackground (work: Promise<void>): void {
+    work.catch((err: unknown) => { this.log.write('fault', { err: toFailure(err).message }) })
+  }
+}
--- /dev/null
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -0,0 +1,21 @@
+/**
+ * What VMs tell of themselves in the table `vms`, where a feed of changes carries it to all others.
+ */
+import { z } from 'zod'
+
+/** Table of the presence rows; the key is the name of the VM. */
+export const PRESENCE_TABLE = 'vms'
+
+/** Row `vms/<vm>`. */
+export const presenceRowSchema = z.object({
+  vm: z.string(),
+  holder: z.string(),
+  domain: z.string(),
+  /** IPv4:port for callers. */
+  callers: z.string(),
+  /** `starting` until it can serve, `leaving` once it was told to stop. */
+  state: z.enum(['starting', 'serving', 'leaving']),
+  /** Grows with each heartbeat, so that every write is a change. */
+  beat: z.number().int()
+})
+export type PresenceRow = z.infer<typeof presenceRowSchema>
--- /dev/null
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -0,0 +1,109 @@
+/**
+ * Tells the other VMs of this one and follows what they tell: one row a VM, rewritten with each
+ * heartbeat. There are no messages between VMs.
+ */
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { BudgetMember } from '../budget/budgetPeers.js'
+import { PRESENCE_TABLE, presenceRowSchema, type PresenceRow } from './presenceTypes.js'
+import { PresenceView } from './presenceView.js'
+
+/** Milliseconds between two heartbeats of a small fleet. */
+const HEARTBEAT_MS = 1_500
+/** Heartbeats that all VMs together write in a second at most; a larger fleet beats less often. */
+const FLEET_BEATS_PER_S = 40
+/** Heartbeats that may be missed. */
+const MISSED_BEATS = 3
+const MS_PER_SECOND = 1_000
+
+/** What presence works with. */
+export interface PresenceParts {
+  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'callers'>
+  readonly table: TableStore
+  readonly feed: TableFeed
+  readonly clock: Clock
+  readonly log: EventLog
+}
+
+/** Presence of this VM and of the others. */
+export class VmPresence {
+  private readonly view: PresenceView
+  private state: PresenceRow['state'] = 'starting'
+  private beat = 0
+  private nextBeatAt = 0
+  private writing = false
+  private stopFeed: () => void = () => {}
+
+  constructor (private readonly parts: PresenceParts) {
+    this.view = new PresenceView(parts.self.vm, HEARTBEAT_MS * (MISSED_BEATS + 1))
+  }
+
+  /** Begins to follow the other VMs. */
+  start (): void {
+    this.stopFeed = this.parts.feed.follow(PRESENCE_TABLE, {
+      replaced: rows => { this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono) },
+      changed: rows => { for (const row of rows) this.view.changed(row.key, this.rowOf(row), this.mono) },
+      failed: () => { this.view.feedFailed() }
+    })
+  }
+
+  /** Writes a heartbeat when one is due; to be called several times a second. */
+  tick (): void {
+    if (this.writing || this.mono < this.nextBeatAt) return
+    this.write().catch((err: unknown) => { this.parts.log.write('fault', { err: String(err) }) })
+  }
+
+  /**
+   * Tells a new state at once.
+   * @param state - the state
+   */
+  async tell (state: PresenceRow['state']): Promise<void> {
+    if (this.state === state) return
+    this.state = state
+    await this.write()
+  }
+
+  /** Deletes the row of this VM and stops. */
+  async leave (): Promise<void> {
+    this.stopFeed()
+    this.nextBeatAt = Infinity
+    await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: this.parts.self.vm, value: null }] })
+  }
+
+  /** The other VMs that hold budgets. */
+  members (): readonly BudgetMember[] {
+    return this.view.others(this.mono).map(({ holder, domain }) => ({ holder, domain }))
+  }
+
+  /** VMs present, this one included. */
+  get size (): number {
+    return this.view.others(this.mono).length + 1
+  }
+
+  /** Addresses for callers of all VMs that serve, this one included. */
+  addresses (): readonly string[] {
+    const others = this.view.others(this.mono).filter(({ state }) => state === 'serving').map(({ callers }) => callers)
+    return this.state === 'serving' ? [this.parts.self.callers, ...others] : others
+  }
+
+  private get mono (): number {
+    return this.parts.clock.now().mono
+  }
+
+  private async write (): Promise<void> {
+    this.writing = true
+    this.beat += 1
+    this.nextBeatAt = this.mono + Math.max(HEARTBEAT_MS, this.size * MS_PER_SECOND / FLEET_BEATS_PER_S)
+    const value: PresenceRow = { ...this.parts.self, state: this.state, beat: this.beat }
+    const written = await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: value.vm, value }] })
+    this.writing = false
+    written.ifLeft(({ code }) => { this.parts.log.write('platformFault', { service: 'table', operation: 'presence', code }) })
+  }
+
+  private rowOf ({ value }: FeedRow): PresenceRow | null {
+    const parsed = presenceRowSchema.safeParse(value)
+    return parsed.success ? parsed.data : null
+  }
+}
