Size the gateway's allotments at 15 s of demand, its rate over 3 s

Cause: all VMs are cut off from the store from second 5.8 to 14; allotments of 10 s, from a rate that had not risen yet, ran out after four seconds: 706 requests refused for want of tokens, 9 in 10 of all refusals. Ruled out: too little paid for (over half of each budget was not allotted when the cut began). Change: horizon 15 s in place of 10, rate over 3 s in place of 5.

--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -8,8 +8,8 @@
 /** Policy of the gateway; docs/design/platform.md gives the ways weighed. */
 export const gatewayBudgetPolicy: BudgetPolicy = {
   ...defaultBudgetPolicy,
-  horizonMs: 10_000,
-  rateWindowMs: 5_000,
+  horizonMs: 15_000,
+  rateWindowMs: 3_000,
   minTokens: 16_384,
   idleReturnMs: 15_000,
   flushMs: 400,
