Let allotments cover the mean demand of the fleet

Cause: with 15 s of own demand, requests were refused while over a third of each budget was unallotted: callers choose a VM anew every few seconds, so a VM's own rate says little about its next seconds. Ruled out: a larger own rate window (it rises too late at the start of traffic). Change: a draw tells what all holders spent; the target is the larger of own and mean demand over the horizon. A setting of the policy, off for the own interface.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -4,7 +4,7 @@
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
-import type { BudgetView, Transfer } from './budgetTypes.js'
+import type { BudgetView, FleetSpending, Transfer } from './budgetTypes.js'
 import { DemandRate } from './demandRate.js'
 
 /** A request that waits for tokens. */
@@ -83,6 +83,9 @@
   roundPauseMs = 0
   waiting: WaitingRequest[] = []
   readonly rate: DemandRate
+  /** Demand of all holders, divided by their number. */
+  private readonly fleetRate: DemandRate
+  private fleetSpent: number | undefined
   private readonly received = new Map<string, ReceivedTokens>()
 
   /**
@@ -91,6 +94,7 @@
    */
   constructor (readonly budget: string, private readonly policy: BudgetPolicy) {
     this.rate = new DemandRate(policy.rateWindowMs)
+    this.fleetRate = new DemandRate(policy.rateWindowMs)
   }
 
   /** Has the table asked again at once, because more may be had now. */
@@ -157,7 +161,20 @@
    * @param now - both clocks
    */
   target (now: Instant): number {
-    return targetTokens(this.policy, this.rate.perMs(now.mono), this.largest)
+    const own = this.rate.perMs(now.mono)
+    const rate = this.policy.coversFleetMean ? Math.max(own, this.fleetRate.perMs(now.mono)) : own
+    return targetTokens(this.policy, rate, this.largest)
+  }
+
+  /**
+   * Takes what a draw told of the spending of all holders.
+   * @param fleet - tokens billed in all, and the number of holders
+   * @param mono - monotonic milliseconds
+   */
+  noteFleet ({ spent, holders }: FleetSpending, mono: number): void {
+    const added = spent - (this.fleetSpent ?? spent)
+    this.fleetSpent = spent
+    this.fleetRate.add(Math.max(0, added) / Math.max(1, holders), mono)
   }
 
   /**
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -39,7 +39,7 @@
 /** What a draw comes to. */
 export type DrawPlan =
   /** The rows are changed in the row set; send it. */
-  | { readonly kind: 'write', readonly tokens: number, readonly left: number }
+  | { readonly kind: 'write', readonly tokens: number, readonly left: number, readonly spent: number }
   /** The draw took effect earlier. */
   | { readonly kind: 'done', readonly tokens: number, readonly left: number }
   /** Too little is left. The budget row is changed all the same when the declared amount was new. */
@@ -136,7 +136,7 @@
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
     putAllotment(rows, pair.allotment)
-    return { kind: 'write', tokens: granted, left: unallotted(pair.budget) }
+    return { kind: 'write', tokens: granted, left: unallotted(pair.budget), spent: pair.budget.spent }
   })
 }
 
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -9,6 +9,11 @@
   readonly horizonMs: number
   /** Time constant of the demand rate. */
   readonly rateWindowMs: number
+  /**
+   * Whether an allotment also covers an equal part of the demand at all holders: callers that choose
+   * their VM anew every few seconds move demand between VMs faster than a VM's own rate tells.
+   */
+  readonly coversFleetMean: boolean
   /** Least allotment aimed at. */
   readonly minTokens: number
   /** A holder takes at most the unallotted remainder divided by this times the number of holders. */
@@ -52,6 +57,7 @@
 export const defaultBudgetPolicy: BudgetPolicy = {
   horizonMs: 120 * MINUTE,
   rateWindowMs: 20 * MINUTE,
+  coversFleetMean: false,
   minTokens: 8_192,
   shareDivisor: 0.5,
   lowWater: 0.9,
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -41,6 +41,7 @@
   drawn (entry: BudgetEntry, outcome: DrawOutcome, now: Instant): void {
     const drawId = entry.draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
+    if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.noteFleet(outcome.fleet, now.mono)
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -121,9 +121,16 @@
   | { readonly kind: 'paidChanged', readonly budget: string, readonly isLowered: boolean }
   | { readonly kind: 'drain' }
 
+/** What a draw tells of the spending of all holders. */
+export interface FleetSpending {
+  /** Tokens billed in all. */
+  readonly spent: number
+  readonly holders: number
+}
+
 /** How a draw ended. `granted` tokens are durable in the table for this holder. */
 export type DrawOutcome =
-  | { readonly kind: 'granted', readonly tokens: number, readonly left: number, readonly sentAt: Instant }
+  | { readonly kind: 'granted', readonly tokens: number, readonly left: number, readonly sentAt: Instant, readonly fleet?: FleetSpending }
   /** The table was reached but nothing, or less than a useful amount, is left unallotted. `elsewhere` is held by others, `unspent` is `paid` less all that is billed. */
   | { readonly kind: 'short', readonly left: number, readonly elsewhere: number, readonly unspent?: number, readonly sentAt: Instant }
   /** The allotment row was closed by a recovery; nothing was drawn. */
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -65,7 +65,8 @@
     if (plan.kind === 'short') return await this.short(action, plan.left)
     const { tokens, left } = plan
     this.log.write('budgetDrawn', { budget: action.budget, tokens, left })
-    return { kind: 'granted', tokens, left, sentAt }
+    const fleet = plan.kind === 'write' ? { fleet: { spent: plan.spent, holders: this.self.holders() } } : {}
+    return { kind: 'granted', tokens, left, sentAt, ...fleet }
   }
 
   /** Only when requests wait does it matter who holds the rest. */
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -10,6 +10,7 @@
   ...defaultBudgetPolicy,
   horizonMs: 15_000,
   rateWindowMs: 3_000,
+  coversFleetMean: true,
   minTokens: 16_384,
   idleReturnMs: 15_000,
   flushMs: 400,
