Bound what a VM uses of an allotment without telling; allotments of 25 s

Cause: allotments of 15 s of demand still ran out in a cut of 8 s, and larger ones would all count as spent when a VM ends, because targets keep no record of runs. Change: each flush reports how many tokens may be reserved or billed until the next one, growing with time; a request beyond it waits for a report. Recovery bills that bound and returns the rest. The bound counts from the first try of a flush, and while its outcome is open both bounds hold. Horizon 25 s.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -5,6 +5,7 @@
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetView, FleetSpending, Transfer } from './budgetTypes.js'
+import { allowanceOf, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
 import { DemandRate } from './demandRate.js'
 
 /** A request that waits for tokens. */
@@ -43,6 +44,8 @@
   /** Whether requests wait for it, so that it must not wait for other draws. */
   readonly isUrgent: boolean
   readonly since: Instant
+  /** Bound that a new allotment row gets; the same for every try. */
+  readonly report?: ReportBound
 }
 
 /** One budget at one holder. All amounts in tokens, all plain numbers of time monotonic milliseconds. */
@@ -83,6 +86,8 @@
   roundPauseMs = 0
   waiting: WaitingRequest[] = []
   readonly rate: DemandRate
+  /** What may be in use without the table knowing it. */
+  readonly bounds = new ReportBounds()
   /** Demand of all holders, divided by their number. */
   private readonly fleetRate: DemandRate
   private fleetSpent: number | undefined
@@ -161,9 +166,30 @@
    * @param now - both clocks
    */
   target (now: Instant): number {
+    return targetTokens(this.policy, this.demandPerMs(now), this.largest)
+  }
+
+  /**
+   * What a report made now should allow.
+   * @param now - both clocks
+   */
+  allowance (now: Instant): ReportAllowance {
+    const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
+    return allowanceOf(this.reserved + this.unsettled + waiting, this.demandPerMs(now), this.largest)
+  }
+
+  /**
+   * Tokens that may be reserved now: free ones, as far as the last report allows.
+   * @param now - both clocks
+   */
+  usable (now: Instant): number {
+    if (!this.policy.boundsUse) return this.free
+    return Math.min(this.free, this.bounds.room(this.reserved + this.unsettled, this.flushing, now))
+  }
+
+  private demandPerMs (now: Instant): number {
     const own = this.rate.perMs(now.mono)
-    const rate = this.policy.coversFleetMean ? Math.max(own, this.fleetRate.perMs(now.mono)) : own
-    return targetTokens(this.policy, rate, this.largest)
+    return this.policy.coversFleetMean ? Math.max(own, this.fleetRate.perMs(now.mono)) : own
   }
 
   /**
@@ -213,6 +239,7 @@
 
   /** Forgets all tokens after the allotment was closed. */
   reset (): void {
+    this.bounds.reset()
     this.held = 0
     this.reserved = 0
     this.unsettled = 0
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -44,7 +44,7 @@
     this.supply = new BudgetSupply(holder, policy)
     this.giving = new BudgetGiving(holder, policy, this.queue)
     this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries.all)
-    this.settlement = new BudgetSettlement(this.entries.all, this.queue)
+    this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy.boundsUse)
     this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, upkeep: this.upkeep, settlement: this.settlement })
   }
 
@@ -52,8 +52,8 @@
     const actions = this.take(event, now)
     const flush = this.queue.next(now.mono)
     if (flush === undefined) return actions
-    this.settlement.sent(flush)
-    return [...actions, { kind: 'flush', ...flush }]
+    const reports = this.settlement.sent(flush, now)
+    return [...actions, { kind: 'flush', ...flush, ...(reports.length === 0 ? {} : { reports }) }]
   }
 
   views (): readonly BudgetView[] {
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -7,7 +7,7 @@
 import { allotmentKey, budgetTables, holderKey, holdingKey } from './budgetKeys.js'
 import { grantTokens } from './budgetPolicy.js'
 import { applyDeclared, applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
-import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type DeclaredPaid, type TopUpRow } from './budgetTypes.js'
+import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type DeclaredPaid, type ReportRow, type TopUpRow } from './budgetTypes.js'
 import type { PlanKey, RowSet } from './rowSet.js'
 
 /** Who draws. */
@@ -34,6 +34,8 @@
   readonly expectsRow?: boolean
   /** What the configuration of the drawing VM says was paid, where it says so. */
   readonly declared?: DeclaredPaid
+  /** What the holder may use without telling from now on; absent where the row has a report already. */
+  readonly report?: ReportRow
 }
 
 /** What a draw comes to. */
@@ -135,7 +137,7 @@
   }
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
-    putAllotment(rows, pair.allotment)
+    putAllotment(rows, order.report === undefined ? pair.allotment : { ...pair.allotment, report: order.report })
     return { kind: 'write', tokens: granted, left: unallotted(pair.budget), spent: pair.budget.spent }
   })
 }
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -14,6 +14,8 @@
    * their VM anew every few seconds move demand between VMs faster than a VM's own rate tells.
    */
   readonly coversFleetMean: boolean
+  /** Whether a holder bounds what it uses without telling, see reportBound; needed where the end of a VM is settled by that bound. */
+  readonly boundsUse: boolean
   /** Least allotment aimed at. */
   readonly minTokens: number
   /** A holder takes at most the unallotted remainder divided by this times the number of holders. */
@@ -58,6 +60,7 @@
   horizonMs: 120 * MINUTE,
   rateWindowMs: 20 * MINUTE,
   coversFleetMean: false,
+  boundsUse: false,
   minTokens: 8_192,
   shareDivisor: 0.5,
   lowWater: 0.9,
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -5,7 +5,7 @@
 import type { Instant } from '../clock/clockTypes.js'
 import type { BudgetEntry } from './budgetEntry.js'
 import { isAmount } from './budgetRows.js'
-import type { Bill, BudgetAction, BudgetEvent, FlushOutcome } from './budgetTypes.js'
+import type { Bill, BudgetAction, BudgetEvent, BudgetReport, FlushOutcome } from './budgetTypes.js'
 import type { FlushOrder } from './flushPlan.js'
 import type { FlushQueue } from './flushQueue.js'
 
@@ -26,8 +26,19 @@
 /** Reservations and bills. */
 export class BudgetSettlement {
   private readonly reservations = new Map<string, OpenReservation>()
+  /** What the open flush reports. */
+  private reported: { readonly seq: number, readonly reports: readonly BudgetReport[] } | undefined
 
-  constructor (private readonly entries: ReadonlyMap<string, BudgetEntry>, private readonly queue: FlushQueue) {}
+  /**
+   * @param entries - budgets of the holder
+   * @param queue - what has to become durable
+   * @param boundsUse - whether flushes report what may be used until the next one
+   */
+  constructor (
+    private readonly entries: ReadonlyMap<string, BudgetEntry>,
+    private readonly queue: FlushQueue,
+    private readonly boundsUse: boolean
+  ) {}
 
   /**
    * Notes an admitted request.
@@ -65,16 +76,31 @@
   }
 
   /**
-   * Notes that a flush goes out.
+   * Notes that a flush goes out; answers what it reports, the same for each try.
    * @param flush - the flush
+   * @param now - both clocks
    */
-  sent (flush: FlushOrder): void {
+  sent (flush: FlushOrder, now: Instant): readonly BudgetReport[] {
     const sums = new Map<string, number>()
     for (const bill of flush.bills) sums.set(bill.budget, (sums.get(bill.budget) ?? 0) + bill.tokens)
     for (const [budget, tokens] of sums) {
       const entry = this.entries.get(budget)
       if (entry !== undefined) entry.flushing = tokens
     }
+    if (this.reported?.seq !== flush.seq) this.reported = { seq: flush.seq, reports: this.reportsOf(flush, now) }
+    return this.reported.reports
+  }
+
+  private reportsOf (flush: FlushOrder, now: Instant): readonly BudgetReport[] {
+    if (!this.boundsUse) return []
+    const budgets = new Set([...flush.bills, ...flush.returns].map(item => item.budget))
+    return [...budgets].flatMap(budget => {
+      const entry = this.entries.get(budget)
+      if (entry === undefined || entry.bounds.isEmpty) return []
+      const allowance = entry.allowance(now)
+      entry.bounds.send({ ...allowance, at: now })
+      return [{ budget, ...allowance }]
+    })
   }
 
   /**
@@ -146,12 +172,16 @@
       changed.add(entry)
     }
     for (const item of flush.transfers) this.entries.get(item.budget)?.recorded(item.transferId)
-    for (const entry of changed) entry.touchedAt = sentAt
+    for (const entry of changed) {
+      entry.touchedAt = sentAt
+      entry.bounds.written()
+    }
     return [...changed]
   }
 
   /** Nothing was written: what is still possible is queued again for a later number. */
   private refused (flush: FlushOrder, outcome: Extract<FlushOutcome, { kind: 'closed' }>, now: Instant): FlushResult {
+    for (const item of [...flush.bills, ...flush.returns]) this.entries.get(item.budget)?.bounds.dropped()
     const lost = new Set(outcome.lostTransfers ?? [])
     const closed = new Set(outcome.budgets)
     for (const bill of flush.bills) this.queue.addBill(bill, now.mono)
--- a/packages/decisions/src/budget/budgetStep.ts
+++ b/packages/decisions/src/budget/budgetStep.ts
@@ -33,6 +33,7 @@
     const before = entry.waiting
     if (before.length > 0 && entry.held > 0 && !entry.isUsable(now)) upkeep.renew(entry, now)
     const actions = supply.serve(entry, now)
+    if (entry.waiting.some(item => item.tokens <= entry.free && item.tokens > entry.usable(now))) upkeep.report(entry, now)
     for (const action of actions) {
       if (action.kind !== 'admit') continue
       const tokens = before.find(item => item.reservationId === action.reservationId)?.tokens ?? 0
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -4,7 +4,7 @@
  * waiting request is refused is decided in budgetRefusal.
  */
 import type { Instant } from '../clock/clockTypes.js'
-import type { BudgetEntry, RoundStage, Shortage } from './budgetEntry.js'
+import type { BudgetEntry, OpenDraw, RoundStage, Shortage } from './budgetEntry.js'
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
@@ -39,9 +39,11 @@
    * @param now - both clocks
    */
   drawn (entry: BudgetEntry, outcome: DrawOutcome, now: Instant): void {
-    const drawId = entry.draw?.drawId ?? ''
+    const { draw } = entry
+    const drawId = draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
     if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.noteFleet(outcome.fleet, now.mono)
+    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(draw.report)
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -126,7 +128,7 @@
     if (entry.waiting.length === 0 || !entry.isUsable(now)) return []
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
-      if (item.tokens > entry.free) return true
+      if (item.tokens > entry.usable(now)) return true
       entry.reserved += item.tokens
       actions.push({ kind: 'admit', reservationId: item.reservationId })
       return false
@@ -174,10 +176,15 @@
     const isUrgent = atLeast > 0
     // A draw that went out ahead of need is told again, under its id, when requests begin to wait for it.
     if (entry.draw?.inFlight === true && (entry.draw.isUrgent || !isUrgent)) return []
-    const { drawId, since } = entry.draw ?? { drawId: this.nextId('draw'), since: now }
-    entry.draw = { drawId, inFlight: true, isUrgent, since }
+    const { drawId, since, report } = entry.draw ?? this.freshDraw(entry, now)
+    entry.draw = { drawId, inFlight: true, isUrgent, since, ...(report === undefined ? {} : { report }) }
     const tokens = Math.max(atLeast, this.missing(entry, now))
-    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined }]
+    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined, ...(report === undefined ? {} : { report }) }]
+  }
+
+  private freshDraw (entry: BudgetEntry, now: Instant): Pick<OpenDraw, 'drawId' | 'since' | 'report'> {
+    const draw = { drawId: this.nextId('draw'), since: now }
+    return this.policy.boundsUse && entry.bounds.isEmpty ? { ...draw, report: { ...entry.allowance(now), at: now } } : draw
   }
 
   private drawAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod'
 import type { Instant } from '../clock/clockTypes.js'
 import type { Failure } from '../codes/failure.js'
+import type { ReportAllowance } from './reportBound.js'
 
 /** What a configuration says was paid for a budget in all. */
 export const declaredPaidSchema = z.object({
@@ -30,6 +31,15 @@
 })
 export type BudgetRow = z.infer<typeof budgetRowSchema>
 
+/** What a holder told of how much it may use without telling; see reportBound. */
+export const reportSchema = z.object({
+  tokens: z.number().nonnegative(),
+  perMs: z.number().nonnegative(),
+  /** Milliseconds of the table's clock, not after the report was made. */
+  since: z.number()
+})
+export type ReportRow = z.infer<typeof reportSchema>
+
 /** Row `allotments/<budget>/<holder>`. */
 export const allotmentRowSchema = z.object({
   budget: z.string(),
@@ -44,6 +54,8 @@
   settled: z.number().int().nonnegative().default(0),
   /** The last draw that took effect, so that a draw whose answer was lost counts once. */
   lastDraw: z.object({ drawId: z.string(), tokens: z.number().int().nonnegative() }).optional(),
+  /** Present where holders bound what they use without telling. */
+  report: reportSchema.optional(),
   /** Highest segment that touched this row. */
   lastSeq: z.number().int().optional(),
   /** `closed` once recovered: the holder may neither spend nor settle any more. */
@@ -149,9 +161,9 @@
   | { readonly kind: 'admit', readonly reservationId: string }
   | { readonly kind: 'refuse', readonly reservationId: string, readonly failure: Failure }
   /** Allot up to `tokens` more, `atLeast` if possible; less than `least` is of no use. */
-  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean, readonly expectsRow?: boolean }
+  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean, readonly expectsRow?: boolean, readonly report?: ReportAllowance }
   /** One transaction: the segment row if absent, settlement of every bill, tokens given back (0 only renews the row), transfers recorded. */
-  | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[] }
+  | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[], readonly reports?: readonly BudgetReport[] }
   /** Ask the holders of the own domain for a transfer. */
   | { readonly kind: 'askGive', readonly transferId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answer a `giveAsked`: the tokens are subtracted already; no transfer means nothing can be given. */
@@ -163,6 +175,11 @@
   /** The allotment of this holder was closed; `inDoubt` tokens were billed here but are accounted for by the recovery. */
   | { readonly kind: 'closed', readonly budget: string, readonly inDoubt: number }
 
+/** What a flush allows a holder to use of a budget until the next one. */
+export interface BudgetReport extends ReportAllowance {
+  readonly budget: string
+}
+
 /** Tokens that go back to the table unspent. */
 export interface BudgetReturn {
   readonly budget: string
--- a/packages/decisions/src/budget/budgetUpkeep.ts
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -63,6 +63,15 @@
     this.queue.addReturn({ budget: entry.budget, tokens: 0 }, now.mono)
   }
 
+  /**
+   * Reports anew, since requests wait for what the last report does not allow. One report at a time.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  report (entry: BudgetEntry, now: Instant): void {
+    if (this.queue.open === undefined) this.queue.addReturn({ budget: entry.budget, tokens: 0 }, now.mono)
+  }
+
   /**
    * Returns free tokens above a level.
    * @param entry - the budget
--- a/packages/decisions/src/budget/flushPlan.ts
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -7,7 +7,7 @@
 import { allotmentOf, budgetOf, putAllotment, putBudget } from './budgetPlans.js'
 import { allotmentKey, budgetTables, segmentKey } from './budgetKeys.js'
 import { applyReturn, applySettle, applyTransfer, emptyAllotment } from './budgetRows.js'
-import { segmentRowSchema, transferSchema, type Bill, type BudgetReturn, type Transfer } from './budgetTypes.js'
+import { segmentRowSchema, transferSchema, type Bill, type BudgetReport, type BudgetReturn, type Transfer } from './budgetTypes.js'
 import type { PlanKey, RowSet } from './rowSet.js'
 
 /** Content of a flush; the same for every try of one number. */
@@ -16,6 +16,14 @@
   readonly bills: readonly Bill[]
   readonly returns: readonly BudgetReturn[]
   readonly transfers: readonly Transfer[]
+  /** What the holder may use of each budget until the next flush. */
+  readonly reports?: readonly BudgetReport[]
+}
+
+/** A flush with the time of its reports. */
+export interface TimedFlush extends FlushOrder {
+  /** Milliseconds of the table's clock, not after the flush was first sent. */
+  readonly since?: number
 }
 
 /** Who flushes. */
@@ -103,10 +111,12 @@
   }).map(() => undefined)
 }
 
-function stampSeq (rows: RowSet, order: FlushOrder, flusher: Flusher): void {
+function stampSeq (rows: RowSet, order: TimedFlush, flusher: Flusher): void {
+  const reports = new Map((order.reports ?? []).map(({ budget, tokens, perMs }) => [budget, { tokens, perMs, since: order.since ?? 0 }]))
   for (const budget of ownBudgets(order)) {
     const row = allotmentOf(rows, budget, flusher.holder)
-    if (row !== undefined) putAllotment(rows, { ...row, lastSeq: order.seq })
+    const report = reports.get(budget) ?? row?.report
+    if (row !== undefined) putAllotment(rows, { ...row, lastSeq: order.seq, ...(report === undefined ? {} : { report }) })
   }
 }
 
@@ -116,7 +126,7 @@
  * @param order - the flush
  * @param flusher - who flushes
  */
-export function planFlush (rows: RowSet, order: FlushOrder, flusher: Flusher): Either<Failure, FlushPlan> {
+export function planFlush (rows: RowSet, order: TimedFlush, flusher: Flusher): Either<Failure, FlushPlan> {
   const { holder, domain } = flusher
   const key = segmentKey(holder, order.seq)
   if (rows.get(segmentRowSchema, budgetTables.segments, key) !== undefined) return Right({ kind: 'done' })
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -8,6 +8,7 @@
 import type { BudgetAction, DeclaredPaid, DrawOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { drawKeys, planDraw, type DrawOrder, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import type { BudgetTable } from './budgetTable.js'
+import { FirstSent } from './budgetFirstSent.js'
 import { surveyBudget } from './budgetSharing.js'
 
 /** Who draws; `holders` is asked each time. */
@@ -25,6 +26,8 @@
 
 /** Carries out draws. */
 export class BudgetDrawing {
+  private readonly since = new FirstSent()
+
   constructor (
     private readonly table: BudgetTable,
     private readonly self: DrawingHolder,
@@ -40,16 +43,22 @@
     const drawer = { holder, domain, shareDivisor, holders: this.self.holders() }
     const keys = actions.flatMap(action => drawKeys(holder, action.budget))
     const ids = actions.map(action => action.drawId)
+    for (const id of ids) this.since.begin(id, this.table.tableNow)
     const done = await this.table.run(ids, keys, rows =>
       Either.sequence(actions.map(action => planDraw(rows, this.orderOf(action), drawer))).map(batchOf))
     if (done.isLeft()) return await this.allFailed(actions, done.extract())
     const { plan, sentAt } = done.unsafeCoerce()
+    for (const id of ids) this.since.end(id)
     return await Promise.all(plan.plans.map(async (item, index) => await this.outcome(actions[index], item, sentAt)))
   }
 
-  private orderOf (action: DrawAction): DrawOrder {
+  private orderOf ({ report, ...action }: DrawAction): DrawOrder {
     const declared = this.self.declared(action.budget)
-    return declared === undefined ? action : { ...action, declared }
+    return {
+      ...action,
+      ...(declared === undefined ? {} : { declared }),
+      ...(report === undefined ? {} : { report: { ...report, since: this.since.of(action.drawId) } })
+    }
   }
 
   /** A broken row fails only the draw of its own budget. */
--- a/packages/rosemaryspread/src/budget/budgetFlushing.ts
+++ b/packages/rosemaryspread/src/budget/budgetFlushing.ts
@@ -5,12 +5,15 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetAction, FlushOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { flushKeys, planFlush, type Flusher } from '@rosemaryspread/decisions/budget/flushPlan.js'
+import { FirstSent } from './budgetFirstSent.js'
 import type { BudgetTable } from './budgetTable.js'
 
 type FlushAction = Extract<BudgetAction, { kind: 'flush' }>
 
 /** Carries out flushes. */
 export class BudgetFlushing {
+  private readonly since = new FirstSent()
+
   constructor (
     private readonly table: BudgetTable,
     private readonly self: Flusher,
@@ -23,8 +26,12 @@
    */
   async flush (action: FlushAction): Promise<FlushOutcome> {
     const keys = flushKeys(action, this.self)
-    const done = await this.table.run(`flush${action.seq}`, keys, rows => planFlush(rows, action, this.self))
+    const id = `flush${action.seq}`
+    this.since.begin(id, this.table.tableNow)
+    const order = { ...action, since: this.since.of(id) }
+    const done = await this.table.run(id, keys, rows => planFlush(rows, order, this.self))
     if (done.isLeft()) return this.failed(action, done.extract())
+    this.since.end(id)
     const { plan, sentAt } = done.unsafeCoerce()
     if (plan.kind === 'closed') return plan
     this.report(action)
--- a/packages/rosemaryspread/src/budget/budgetHeldAsSpent.ts
+++ b/packages/rosemaryspread/src/budget/budgetHeldAsSpent.ts
@@ -1,16 +1,17 @@
 /**
- * Recovery where targets keep no record of runs: what an ended holder had not billed may all have
- * been spent, so it is billed whole. That never overspends; the price are tokens that were paid
- * for and not used, at most one allotment for each holder that did not end gracefully.
+ * Recovery where targets keep no record of runs: an ended holder may have spent what its last
+ * report allowed up to now, so that much is billed and the rest goes back. That never overspends;
+ * the price are tokens that were paid for and not used.
  */
 import { Right, type Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { mayBeSpent } from '@rosemaryspread/decisions/budget/reportBound.js'
 import type { OwedBill } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import type { UnbilledRuns } from './budgetRecovery.js'
 import type { RunOwner } from './budgetRecoveryRuns.js'
 import type { AgedAllotment } from './budgetSharing.js'
 
-/** Counts everything that ended holders held as spent. */
+/** Counts as spent what ended holders may have spent. */
 export class HeldAsSpent implements UnbilledRuns {
   beginPass (): void {}
 
@@ -18,10 +19,10 @@
     return item.ageMs
   }
 
-  async unbilled (budget: string, owners: readonly RunOwner[]): Promise<Either<Failure, readonly OwedBill[]>> {
-    return Right(owners.filter(({ held }) => held > 0).map(({ holder, held }) => ({
-      holder,
-      bill: { requestId: `unbilled/${holder}`, budget, team: budget, tokens: held, runner: '' }
-    })))
+  async unbilled (budget: string, owners: readonly RunOwner[], tableNow: number): Promise<Either<Failure, readonly OwedBill[]>> {
+    return Right(owners.flatMap(({ holder, allotment }) => {
+      const tokens = allotment === undefined ? 0 : mayBeSpent(allotment, tableNow)
+      return tokens === 0 ? [] : [{ holder, bill: { requestId: `unbilled/${holder}`, budget, team: budget, tokens, runner: '' } }]
+    }))
   }
 }
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -196,7 +196,7 @@
     return await this.runs.unbilled(budget, [...holders].map(holder => ({
       holder,
       lastSeq: rows.get(holder)?.row.lastSeq,
-      held: closing.find(item => item.row.holder === holder)?.row.held ?? 0,
+      ...allotmentOf(closing, holder),
       mayCancel: !ended.includes(holder)
     })), survey.now)
   }
@@ -238,3 +238,8 @@
     await this.registry.remove(item, closed)
   }
 }
+
+function allotmentOf (closing: readonly AgedAllotment[], holder: string): Pick<RunOwner, 'allotment'> {
+  const item = closing.find(other => other.row.holder === holder)
+  return item === undefined ? {} : { allotment: item.row }
+}
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -7,7 +7,7 @@
 import { SEGMENT_ARCHIVE_MS } from '@rosemaryspread/decisions/budget/billBlocks.js'
 import { RUN_RETENTION_MS } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { OwedBill } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
-import { segmentRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { segmentRowSchema, type AllotmentRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { EngineClient, RunRecord } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { UnbilledRuns } from './budgetRecovery.js'
@@ -33,8 +33,8 @@
   readonly holder: string
   /** Highest segment with bills of the budget; absent when there is none. */
   readonly lastSeq: number | undefined
-  /** Tokens that no segment has billed, of its allotment that is being closed; 0 where none is. */
-  readonly held: number
+  /** Its allotment that is being closed; absent where none is. */
+  readonly allotment?: AllotmentRow
   /** Whether its running requests may be cancelled; otherwise their end is awaited. */
   readonly mayCancel: boolean
 }
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -6,7 +6,7 @@
 import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { RowSet, type PlanKey } from '@rosemaryspread/decisions/budget/rowSet.js'
-import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { TableStore, TransactAnswer } from '@rosemaryspread/infra/table/tableTypes.js'
 
 /** Tries of one transaction before the caller has to come back. */
 const MAX_TRIES = 8
@@ -27,6 +27,8 @@
   /** Table writes that took effect, for metrics. */
   writes = 0
   conflicts = 0
+  /** Milliseconds of the table's clock by its last answer, so never ahead of it; 0 before the first. */
+  tableNow = 0
 
   /** Start of the first try of operations whose outcome is not known yet. */
   private readonly firstSent = new Map<string, Instant>()
@@ -47,7 +49,9 @@
     for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
       const read = await this.store.read(keys)
       if (read.isLeft()) return Left(read.extract())
-      const rows = new RowSet(keys, read.unsafeCoerce().rows)
+      const answer = read.unsafeCoerce()
+      this.tableNow = answer.now
+      const rows = new RowSet(keys, answer.rows)
       const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
       if (planned.isLeft()) return Left(planned.extract())
       const value = planned.unsafeCoerce()
@@ -93,9 +97,12 @@
     for (const id of ids) if (!this.firstSent.has(id)) this.firstSent.set(id, startedAt)
   }
 
-  private async write (rows: RowSet): Promise<Either<Failure, unknown>> {
+  private async write (rows: RowSet): Promise<Either<Failure, TransactAnswer>> {
     const result = await this.store.transact({ checks: [...rows.checks()], writes: [...rows.writes()] })
-    result.ifRight(() => { this.writes += 1 })
+    result.ifRight(({ now }) => {
+      this.writes += 1
+      this.tableNow = now
+    })
     result.ifLeft(failure => { if (failure.code === 'platformConflict') this.conflicts += 1 })
     return result
   }
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -8,9 +8,10 @@
 /** Policy of the gateway; docs/design/platform.md gives the ways weighed. */
 export const gatewayBudgetPolicy: BudgetPolicy = {
   ...defaultBudgetPolicy,
-  horizonMs: 15_000,
+  horizonMs: 25_000,
   rateWindowMs: 3_000,
   coversFleetMean: true,
+  boundsUse: true,
   minTokens: 16_384,
   idleReturnMs: 15_000,
   flushMs: 400,
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -20,6 +20,8 @@
 
 /** Milliseconds to come back after when no configuration is in force. */
 const NO_CONFIG_RETRY_MS = 500
+/** Milliseconds to come back after when another VM may have tokens: about a round trip, since callers come back to another address. */
+const OTHER_VM_RETRY_MS = 20
 /** Part of the objective that a call may wait for tokens. */
 const RESERVE_PART = 0.25
 /** Targets that could not be reached at all that one call passes over. */
@@ -94,7 +96,7 @@
     const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_PART, open.leftMs))
     const reserved = await this.deps.budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
     this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before)
-    return reserved.map(reservation => { open.reservation = reservation })
+    return reserved.mapLeft(elsewhere).map(reservation => { open.reservation = reservation })
   }
 
   /** Tries targets in turn until the answer is whole or nothing may be tried any more. */
@@ -207,6 +209,12 @@
   }
 }
 
+/** Tokens that are not here may well be at another VM, so the caller is asked to try one at once. */
+function elsewhere (failure: Failure): Failure {
+  const { code, message, ran } = failure
+  return code === 'budgetPending' || code === 'budgetElsewhere' ? new Failure(code, message, { ran, retryAfterMs: OTHER_VM_RETRY_MS }) : failure
+}
+
 /** What the end of an attempt says of the target. */
 function verdictOf (end: AttemptEnd, open: OpenCall): 'good' | 'failed' | 'unreachable' | 'none' {
   if (end.kind === 'answered' || end.kind === 'failedAnswer') return 'good'
--- a/packages/stand-ins/src/budget/recoveryRuns.spec.ts
+++ b/packages/stand-ins/src/budget/recoveryRuns.spec.ts
@@ -53,7 +53,7 @@
   for (const test of cases) {
     it(`bills ${test.billed} for ${test.name}`, async () => {
       const runs = new RecoveryRuns(new MemoryTableStore(), runnersOf(test))
-      const owed = await runs.unbilled('b', [{ holder: ENDED, lastSeq: undefined, held: 0, mayCancel: false }], 1_000)
+      const owed = await runs.unbilled('b', [{ holder: ENDED, lastSeq: undefined, mayCancel: false }], 1_000)
       expect(owed.caseOf<number | 'pending'>({ Left: () => 'pending', Right: bills => bills.length })).to.equal(test.billed)
     })
   }
