--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -23,7 +23,7 @@
 /** Milliseconds to come back after when another VM may have tokens: about a round trip, since callers come back to another address. */
 const OTHER_VM_RETRY_MS = 20
 /** Part of the objective that a call may wait for tokens. */
-const RESERVE_PART = 0.25
+const RESERVE_PART = 0.5
 /** Targets that could not be reached at all that one call passes over. */
 const MAX_UNREACHED = 3
 
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -13,7 +13,7 @@
 import type { GatewaySettings } from './gatewaySettings.js'
 
 /** Milliseconds between two ticks of budgets, presence and targets. */
-const TICK_MS = 100
+const TICK_MS = 50
 /** Milliseconds between two passes over what ended holders held. */
 const RECOVERY_MS = 4_000
 /** Part of the grace time for which a stopping VM serves callers that do not know of it yet. */
