Count demand for tokens by reservations, and take a short past for the whole window

Cause: bills come at the end of a run and an average over 3 s begins at 0, so five seconds into the traffic the rate of a team stood at 40% of what it used, and its allotment was too small for the cut that followed. Ruled out: a longer horizon (right at the start, and later a VM holds far more than it needs). Change: a policy of the demand rate, off for the own interface.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -98,7 +98,7 @@
    * @param policy - sizes and times
    */
   constructor (readonly budget: string, private readonly policy: BudgetPolicy) {
-    this.rate = new DemandRate(policy.rateWindowMs)
+    this.rate = new DemandRate(policy.rateWindowMs, policy.demandFrom === 'reservations')
     this.fleetRate = new DemandRate(policy.rateWindowMs)
   }
 
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -44,7 +44,7 @@
     this.supply = new BudgetSupply(holder, policy)
     this.giving = new BudgetGiving(holder, policy, this.queue)
     this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries.all)
-    this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy.boundsUse)
+    this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy)
     this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, upkeep: this.upkeep, settlement: this.settlement })
   }
 
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -14,6 +14,11 @@
    * their VM anew every few seconds move demand between VMs faster than a VM's own rate tells.
    */
   readonly coversFleetMean: boolean
+  /**
+   * What the demand rate counts: `bills`, exactly what was used, or `reservations`, at once and at their
+   * most, with the rate of a short past taken for the whole window. The second suits short windows.
+   */
+  readonly demandFrom: 'bills' | 'reservations'
   /** Whether a holder bounds what it uses without telling, see reportBound; needed where the end of a VM is settled by that bound. */
   readonly boundsUse: boolean
   /** Least allotment aimed at. */
@@ -60,6 +65,7 @@
   horizonMs: 120 * MINUTE,
   rateWindowMs: 20 * MINUTE,
   coversFleetMean: false,
+  demandFrom: 'bills',
   boundsUse: false,
   minTokens: 8_192,
   shareDivisor: 0.5,
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -4,6 +4,7 @@
  */
 import type { Instant } from '../clock/clockTypes.js'
 import type { BudgetEntry } from './budgetEntry.js'
+import type { BudgetPolicy } from './budgetPolicy.js'
 import { isAmount } from './budgetRows.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetReport, FlushOutcome } from './budgetTypes.js'
 import type { FlushOrder } from './flushPlan.js'
@@ -32,12 +33,12 @@
   /**
    * @param entries - budgets of the holder
    * @param queue - what has to become durable
-   * @param boundsUse - whether flushes report what may be used until the next one
+   * @param policy - what the demand rate counts, and whether flushes report what may be used until the next one
    */
   constructor (
     private readonly entries: ReadonlyMap<string, BudgetEntry>,
     private readonly queue: FlushQueue,
-    private readonly boundsUse: boolean
+    private readonly policy: Pick<BudgetPolicy, 'boundsUse' | 'demandFrom'>
   ) {}
 
   /**
@@ -92,7 +93,7 @@
   }
 
   private reportsOf (flush: FlushOrder, now: Instant): readonly BudgetReport[] {
-    if (!this.boundsUse) return []
+    if (!this.policy.boundsUse) return []
     const budgets = new Set([...flush.bills, ...flush.returns].map(item => item.budget))
     return [...budgets].flatMap(budget => {
       const entry = this.entries.get(budget)
@@ -150,7 +151,7 @@
   private bill (entry: BudgetEntry, bill: Bill, reservation: OpenReservation, now: Instant): void {
     const tokens = isAmount(bill.tokens) ? Math.min(bill.tokens, reservation.tokens) : reservation.tokens
     entry.unsettled += tokens
-    entry.rate.add(tokens, now.mono)
+    if (this.policy.demandFrom === 'bills') entry.rate.add(tokens, now.mono)
     this.queue.addBill({ ...bill, budget: reservation.budget, tokens }, now.mono)
   }
 
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -130,6 +130,7 @@
     entry.waiting = entry.waiting.filter(item => {
       if (item.tokens > entry.usable(now)) return true
       entry.reserved += item.tokens
+      if (this.policy.demandFrom === 'reservations') entry.rate.add(item.tokens, now.mono)
       actions.push({ kind: 'admit', reservationId: item.reservationId })
       return false
     })
--- a/packages/decisions/src/budget/demandRate.ts
+++ b/packages/decisions/src/budget/demandRate.ts
@@ -2,15 +2,20 @@
  * Demand of one budget at one holder, as an exponentially weighted rate.
  */
 
+/** Part of the window that counts as filled at the least: the first requests are no rate yet. */
+const LEAST_PART = 0.25
+
 /** Tokens a millisecond, averaged over a window that fades out. */
 export class DemandRate {
   private weight = 0
   private at: number | undefined
+  private since: number | undefined
 
   /**
    * @param windowMs - time constant in milliseconds
+   * @param isEarly - whether a past shorter than the window counts as all there is
    */
-  constructor (private readonly windowMs: number) {}
+  constructor (private readonly windowMs: number, private readonly isEarly = false) {}
 
   /**
    * Counts tokens that were used.
@@ -20,6 +25,7 @@
   add (tokens: number, mono: number): void {
     this.weight = this.faded(mono) + tokens
     this.at = mono
+    this.since ??= mono
   }
 
   /**
@@ -27,7 +33,13 @@
    * @param mono - monotonic milliseconds
    */
   perMs (mono: number): number {
-    return this.faded(mono) / this.windowMs
+    return this.faded(mono) / (this.windowMs * this.filledPart(mono))
+  }
+
+  /** Part of the window that the past fills. */
+  private filledPart (mono: number): number {
+    if (!this.isEarly || this.since === undefined) return 1
+    return Math.max(LEAST_PART, 1 - Math.exp((this.since - mono) / this.windowMs))
   }
 
   private faded (mono: number): number {
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -12,6 +12,7 @@
   rateWindowMs: 3_000,
   coversFleetMean: true,
   boundsUse: true,
+  demandFrom: 'reservations',
   minTokens: 16_384,
   // Many teams are served by one VM at a time, since callers keep their connections: it may take most of what is left.
   shareDivisor: 0.25,
