Weigh a target's work against reading shared prompt parts again

Cause: 22% of the requests with shared parts left their first target because two or three requests of this VM were open there, which says little: half of them were answered no faster elsewhere, and the parts were read again. Change: a VM keeps the prompt tokens it sent to each target of late and those not yet begun; of the first three targets in order, the one with the least of tokens to read plus work is taken.

--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -1,19 +1,27 @@
 /**
  * Chooses the target of a request without talk between VMs. Requests with the same shared prompt
  * parts meet at the target that rendezvous hashing names for these parts, so that it finds them in
- * its cache; a target that has clearly more requests than the mean passes them on to the next one.
- * Requests without such parts go where this VM has the fewest requests open.
+ * its cache; another target in that order takes them where it has so much less work that reading
+ * the shared parts there costs less. Requests without such parts go where this VM has the fewest requests open.
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
+import { FadingSum } from './fadingSum.js'
 import { RunnerHealth } from '../routing/runnerHealth.js'
 import type { TargetView } from './targetSet.js'
 
-/** Times the mean of open requests that a target may have before the next one in order is taken. */
-const BOUND_FACTOR = 1.5
-/** Requests beyond that bound; keeps the order also when hardly anything is open. */
-const BOUND_SLACK = 1
+/** Targets, in the order of rendezvous hashing, that are weighed for a request with shared parts. */
+const WEIGHED = 3
+/** Milliseconds over which prompt tokens sent to a target fade from its work. */
+const WORK_FADE_MS = 1_000
+/**
+ * Times the own work that counts against reading shared parts again. A VM sees only its own part of
+ * the requests, so a difference in its own work stands for a larger one.
+ */
+const WORK_FACTOR = 2
+/** Milliseconds for which a target is believed to keep shared parts that this VM sent there. */
+const CACHED_MS = 8_000
 /** Milliseconds to come back after when no target is listed or every one is ejected. */
 const NONE_RETRY_MS = 300
 
@@ -21,6 +29,9 @@
 export interface TargetDemand {
   /** Ids of the prompt parts that other requests have as well; empty without affinity. */
   readonly sharedParts: readonly string[]
+  readonly sharedTokens: number
+  /** Prompt tokens of this request alone. */
+  readonly ownTokens: number
   /** Targets tried already. */
   readonly exclude: ReadonlySet<string>
 }
@@ -29,13 +40,20 @@
 export interface TargetChoice {
   readonly target: TargetView
   readonly candidates: number
-  readonly reason: 'affinity' | 'affinityFull' | 'fewestOpen'
+  readonly reason: 'affinity' | 'lessWork' | 'fewestOpen'
+  /** Prompt tokens that the target is believed to read for it. */
+  readonly work: number
 }
 
 interface TargetState {
   readonly nameHash: number
   readonly health: RunnerHealth
   open: number
+  /** Prompt tokens of requests without a first event. */
+  pending: number
+  readonly recent: FadingSum
+  /** Shared parts sent there, and when. */
+  readonly cached: Map<string, number>
 }
 
 /** Balances the requests of one VM. Times are monotonic milliseconds. */
@@ -54,16 +72,33 @@
     if (candidates.length === 0) {
       return Left(new Failure('noRunner', 'no target of the service takes new work', { retryAfterMs: NONE_RETRY_MS }))
     }
-    if (demand.sharedParts.length > 0) return Right(this.byAffinity(candidates, demand.sharedParts))
-    return Right({ target: this.fewestOpen(candidates, random), candidates: candidates.length, reason: 'fewestOpen' })
+    if (demand.sharedParts.length > 0) return Right(this.byAffinity(candidates, demand, mono))
+    const target = this.fewestOpen(candidates, random)
+    return Right({ target, candidates: candidates.length, reason: 'fewestOpen', work: demand.ownTokens })
   }
 
   /**
    * Counts a request sent to a target.
-   * @param id - id of the target
+   * @param choice - the choice that was followed
+   * @param sharedParts - ids of its shared parts
+   * @param mono - present time
    */
-  sent (id: string): void {
-    this.stateOf(id).open += 1
+  sent ({ target, work }: TargetChoice, sharedParts: readonly string[], mono: number): void {
+    const state = this.stateOf(target.id)
+    state.open += 1
+    state.pending += work
+    if (sharedParts.length > 0) remember(state.cached, sharedParts.join(','), mono)
+  }
+
+  /**
+   * The target began to answer, or the request ended without it.
+   * @param choice - the choice that was followed
+   * @param mono - present time
+   */
+  begun ({ target, work }: TargetChoice, mono: number): void {
+    const state = this.stateOf(target.id)
+    state.pending = Math.max(0, state.pending - work)
+    state.recent.add(work, mono)
   }
 
   /**
@@ -106,15 +141,23 @@
     return healthy.length > 0 ? healthy : targets
   }
 
-  private byAffinity (candidates: readonly TargetView[], sharedParts: readonly string[]): TargetChoice {
-    const key = hashName(sharedParts.join(','))
-    const weighted = candidates.map(target => ({ target, weight: pairWeight(key, this.stateOf(target.id).nameHash) }))
-    weighted.sort((a, b) => b.weight - a.weight)
-    const open = candidates.reduce((sum, { id }) => sum + this.open(id), 0)
-    const bound = BOUND_FACTOR * (open + 1) / candidates.length + BOUND_SLACK
-    const index = weighted.findIndex(({ target }) => this.open(target.id) + 1 <= bound)
-    const { target } = weighted[Math.max(0, index)] as (typeof weighted)[number]
-    return { target, candidates: candidates.length, reason: index > 0 ? 'affinityFull' : 'affinity' }
+  /** The first target in order, unless another's lead in work is worth reading the shared parts there. */
+  private byAffinity (candidates: readonly TargetView[], demand: TargetDemand, mono: number): TargetChoice {
+    const parts = demand.sharedParts.join(',')
+    const key = hashName(parts)
+    const ordered = candidates
+      .map(target => ({ target, weight: pairWeight(key, this.stateOf(target.id).nameHash) }))
+      .sort((a, b) => b.weight - a.weight)
+      .slice(0, WEIGHED)
+    const weighed = ordered.map(({ target }, rank) => {
+      const state = this.stateOf(target.id)
+      const isCached = rank === 0 || mono - (state.cached.get(parts) ?? -Infinity) < CACHED_MS
+      const unread = isCached ? 0 : demand.sharedTokens
+      const cost = unread + WORK_FACTOR * (state.pending + state.recent.at(mono))
+      return { target, rank, cost, work: demand.ownTokens + unread }
+    })
+    const { target, rank, work } = weighed.reduce((best, next) => next.cost < best.cost ? next : best)
+    return { target, work, candidates: candidates.length, reason: rank === 0 ? 'affinity' : 'lessWork' }
   }
 
   private fewestOpen (candidates: readonly TargetView[], random: number): TargetView {
@@ -126,8 +169,19 @@
   private stateOf (id: string): TargetState {
     const known = this.states.get(id)
     if (known !== undefined) return known
-    const fresh = { nameHash: hashName(id), health: new RunnerHealth(), open: 0 }
+    const fresh = { nameHash: hashName(id), health: new RunnerHealth(), open: 0, pending: 0, recent: new FadingSum(WORK_FADE_MS), cached: new Map() }
     this.states.set(id, fresh)
     return fresh
   }
 }
+
+/** Shared parts remembered for one target. */
+const MAX_REMEMBERED = 2_000
+
+/** Keeps the latest entries in order of their last use. */
+function remember (cached: Map<string, number>, parts: string, mono: number): void {
+  cached.delete(parts)
+  cached.set(parts, mono)
+  const oldest = cached.keys().next()
+  if (cached.size > MAX_REMEMBERED && oldest.done !== true) cached.delete(oldest.value)
+}
--- a/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
@@ -31,6 +31,8 @@
   readonly tokensPerEvent: number
   /** Prompt parts that other requests have as well. */
   readonly sharedParts: readonly string[]
+  /** Tokens of these parts. */
+  readonly sharedTokens: number
   /** Monotonic milliseconds at which the caller or the route gives up. */
   readonly deadline: number
 }
@@ -50,6 +52,8 @@
   const service = chooseService(route.services, random)
   if (service === undefined) return Left(new Failure('noRunner', 'the route has no service', { retryAfterMs: NO_SERVICE_RETRY_MS }))
   const teamConfig = team === undefined ? undefined : config.teams[team]
+  // The last part belongs to the request itself.
+  const shared = route.hasAffinity ? call.promptParts.slice(0, -1) : []
   const waitMs = Math.min(call.timeoutMs ?? route.timeoutMs, route.timeoutMs)
   return Right({
     call,
@@ -59,7 +63,8 @@
     isPrepaid: teamConfig?.prepaidTokens !== undefined && call.promptTokens + call.maxTokens > 0,
     priority: teamConfig?.priority ?? route.priority,
     tokensPerEvent: config.services[service]?.tokensPerEvent ?? 1,
-    sharedParts: route.hasAffinity ? call.promptParts.slice(0, -1).map(({ id }) => id) : [],
+    sharedParts: shared.map(({ id }) => id),
+    sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     deadline: call.receivedAt.mono + waitMs
   })
 }
--- a/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
@@ -26,6 +26,8 @@
   lastFailure: Failure | undefined
   failedAnswer: FailedAnswer | undefined
   lastTarget: string | undefined
+  /** Milliseconds from its receipt to the first event, or the whole answer, passed on. */
+  firstMs: number | undefined
   /** Whether some target may have begun to work on it. */
   mayHaveRun = false
   /** Targets that the request arrived at. */
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -117,9 +117,9 @@
   }
 
   private choose (open: OpenCall): Either<Failure, TargetChoice> {
-    const { service, sharedParts } = open.admitted
+    const { service, sharedParts, sharedTokens, call } = open.admitted
     const targets = this.deps.targets.serving(service)
-    const demand = { sharedParts, exclude: open.excluded }
+    const demand = { sharedParts, sharedTokens, ownTokens: Math.max(0, call.promptTokens - sharedTokens), exclude: open.excluded }
     return this.deps.balancer.choose(targets, demand, this.deps.clock.now().mono, this.deps.random.next())
       .ifRight(choice => { this.deps.report.routed(open, choice) })
   }
@@ -128,13 +128,22 @@
     return open.reservation === undefined ? open.unpaid() : this.deps.budgets.confirm(open.reservation)
   }
 
-  private async attempt (open: OpenCall, { target }: TargetChoice): Promise<AttemptEnd> {
+  private async attempt (open: OpenCall, choice: TargetChoice): Promise<AttemptEnd> {
     const { balancer, client, clock } = this.deps
-    balancer.sent(target.id)
-    const stop = open.stopSignal()
-    const parts = { client, sink: open.sink, relay: open.relay, streamed: open.admitted.route.streamed, onFirst: () => { this.first(open) } }
-    const end = await runAttempt(parts, this.requestFor(open, { target }), stop)
-    balancer.ended(target.id, verdictOf(end, open), clock.now().mono)
+    const { sink, relay, admitted: { route: { streamed }, sharedParts } } = open
+    let isBegun = false
+    const begun = (): void => {
+      if (!isBegun) balancer.begun(choice, clock.now().mono)
+      isBegun = true
+    }
+    const onFirst = (): void => {
+      begun()
+      this.first(open)
+    }
+    balancer.sent(choice, sharedParts, clock.now().mono)
+    const end = await runAttempt({ client, sink, relay, streamed, onFirst }, this.requestFor(open, choice), open.stopSignal())
+    begun()
+    balancer.ended(choice.target.id, verdictOf(end, open), clock.now().mono)
     return end
   }
 
@@ -157,7 +166,8 @@
   }
 
   private first (open: OpenCall): void {
-    this.deps.metrics.record('first_token_ms', this.deps.clock.now().mono - open.admitted.call.receivedAt.mono)
+    open.firstMs ??= open.ageMs
+    this.deps.metrics.record('first_token_ms', open.firstMs)
   }
 
   private mayRetry (open: OpenCall, end: AttemptEnd): boolean {
--- a/packages/rosemaryspread/src/gateway/gatewayReport.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayReport.ts
@@ -31,7 +31,7 @@
     const totalMs = Math.round(open.ageMs)
     this.metrics.count('answers')
     this.metrics.record('total_ms', totalMs)
-    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, events: open.relay.events, totalMs })
+    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, route: open.admitted.route.name, events: open.relay.events, firstMs: Math.round(open.firstMs ?? totalMs), totalMs })
     return Right(undefined)
   }
 
