--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true, env: ['node', 'mocha'] }),
   {
     files: ['**/*.spec.ts'],
--- a/packages/decisions/src/budget/budgetLedger.spec.ts
+++ b/packages/decisions/src/budget/budgetLedger.spec.ts
@@ -10,10 +10,14 @@
 
 /** A ledger with its clocks. */
 class Bench {
-  readonly ledger = new BudgetLedger('vm1~a', policy)
+  readonly ledger: BudgetLedger
   mono = 0
   wall = 0
 
+  constructor (ledgerPolicy = policy) {
+    this.ledger = new BudgetLedger('vm1~a', ledgerPolicy)
+  }
+
   send (event: BudgetEvent): readonly BudgetAction[] {
     return this.ledger.handle(event, { mono: this.mono, wall: this.wall })
   }
@@ -149,4 +153,71 @@
     bench.send({ kind: 'settle', reservationId: 'r1' })
     expect(kinds(bench.pass(policy.lapseMs / 4 + 1))).to.include('flush')
   })
+
+  describe('with bounds on what is used without telling', () => {
+    const bounded = { ...policy, boundsUse: true, demandFrom: 'reservations' as const, flushMs: 60_000 }
+    const LARGEST = 100
+
+    function boundedBench (): Bench {
+      const bench = new Bench(bounded)
+      bench.grant(bench.reserve('r0', LARGEST), 100_000)
+      return bench
+    }
+
+    /** Reserves until a request has to wait; answers how many were admitted and what the last one led to. */
+    function fill (bench: Bench): { readonly admitted: number, readonly last: readonly BudgetAction[] } {
+      for (let admitted = 0; ; admitted += 1) {
+        const last = bench.send({ kind: 'reserve', reservationId: `f${admitted}`, budget: 'b', tokens: LARGEST, giveUpAfterMs: 10_000 })
+        if (!kinds(last).includes('admit')) return { admitted, last }
+      }
+    }
+
+    it('admits what the first report allows, then reports anew before it admits more', () => {
+      const bench = boundedBench()
+      const { admitted, last } = fill(bench)
+      expect(admitted).to.be.greaterThan(1).and.below(100)
+      const flush = last.find(action => action.kind === 'flush')
+      expect(flush?.reports?.[0]?.tokens).to.be.greaterThan((admitted + 2) * LARGEST)
+      const after = bench.send({ kind: 'flushAnswered', seq: flush?.seq ?? 0, outcome: { kind: 'durable', sentAt: { mono: 0, wall: 0 } } })
+      expect(kinds(after)).to.include('admit')
+    })
+
+    it('admits no more while the outcome of the report is not known', () => {
+      const bench = boundedBench()
+      const flush = fill(bench).last.find(action => action.kind === 'flush')
+      const after = bench.send({ kind: 'flushAnswered', seq: flush?.seq ?? 0, outcome: { kind: 'unavailable' } })
+      expect(kinds(after)).not.to.include('admit')
+    })
+
+    it('admits more with time while nothing can be told', () => {
+      const bench = boundedBench()
+      const flush = fill(bench).last.find(action => action.kind === 'flush')
+      bench.send({ kind: 'flushAnswered', seq: flush?.seq ?? 0, outcome: { kind: 'unavailable' } })
+      expect([kinds(bench.pass(900)).includes('admit'), kinds(bench.pass(1_200)).includes('admit')]).to.deep.equal([false, true])
+    })
+
+    it('sends the same report with each try of a flush', () => {
+      const bench = boundedBench()
+      const first = fill(bench).last.find(action => action.kind === 'flush')
+      bench.send({ kind: 'flushAnswered', seq: first?.seq ?? 0, outcome: { kind: 'unavailable' } })
+      const again = bench.pass(policy.retryMs).find(action => action.kind === 'flush')
+      expect(again).to.deep.equal(first)
+    })
+  })
+
+  it('asks the table again at once when what was paid changes', () => {
+    const bench = new Bench()
+    const asked = bench.answer(bench.reserve('r1', 100), { kind: 'short', left: 0, elsewhere: 0, sentAt: { mono: 0, wall: 0 } })
+    bench.send({ kind: 'giveAnswered', transferId: asked.find(action => action.kind === 'askGive')?.transferId ?? '' })
+    const before = bench.reserve('r2', 100)
+    bench.send({ kind: 'paidChanged', budget: 'b', isLowered: false })
+    expect([kinds(before), kinds(bench.reserve('r3', 100))]).to.deep.equal([['budgetSpent'], ['draw']])
+  })
+
+  it('returns its free tokens when what was paid is lowered', () => {
+    const bench = new Bench()
+    bench.grant(bench.reserve('r1', 100), 1000)
+    const flush = bench.send({ kind: 'paidChanged', budget: 'b', isLowered: true }).find(action => action.kind === 'flush')
+    expect(flush?.returns).to.deep.equal([{ budget: 'b', tokens: 900 }])
+  })
 })
--- a/packages/decisions/src/budget/budgetPlans.spec.ts
+++ b/packages/decisions/src/budget/budgetPlans.spec.ts
@@ -6,6 +6,7 @@
 import type { Failure } from '../codes/failure.js'
 import { budgetOf, drawKeys, planDraw, planTopUp, putBudget, topUpKeys, type DrawOrder } from './budgetPlans.js'
 import { applyTopUp } from './budgetRows.js'
+import { flushKeys, planFlush } from './flushPlan.js'
 import { RowSet, type PlanKey, type PlanRow } from './rowSet.js'
 
 /** The least table: rows, versions, and transactions that check them. */
@@ -13,11 +14,11 @@
   private readonly rows = new Map<string, PlanRow>()
   private version = 0
 
-  run<P extends { readonly kind: string }> (keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>): Either<Failure, P> {
+  run<P extends { readonly kind: string, readonly isRowChanged?: true }> (keys: readonly PlanKey[], plan: (rows: RowSet) => Either<Failure, P>): Either<Failure, P> {
     const set = new RowSet(keys, keys.map(({ table, key }) => this.rows.get(`${table}/${key}`) ?? null))
-    return plan(set).ifRight(({ kind }) => {
+    return plan(set).ifRight(({ kind, isRowChanged }) => {
       this.version += 1
-      if (kind !== 'write') return
+      if (kind !== 'write' && isRowChanged !== true) return
       for (const { table, key, value } of set.writes()) this.rows.set(`${table}/${key}`, { table, key, value, version: this.version, updatedAt: 0 })
     })
   }
@@ -33,6 +34,12 @@
     return this.run(drawKeys(holder, whole.budget), rows => planDraw(rows, whole, drawer)).extract()
   }
 
+  giveBack (tokens: number): void {
+    const order = { seq: this.version, bills: [], returns: [{ budget: 'b', tokens }], transfers: [] }
+    const flusher = { holder: 'vm1~a', domain: 'd' }
+    this.run(flushKeys(order, flusher), rows => planFlush(rows, order, flusher))
+  }
+
   get paid (): number | undefined {
     let paid: number | undefined
     this.run(topUpKeys('', 'b'), rows => {
@@ -63,9 +70,9 @@
   })
 
   const draws: ReadonlyArray<{ title: string, order: Partial<DrawOrder>, holder?: string, expected: object }> = [
-    { title: 'grant a share of what is left ahead of need', order: {}, expected: { kind: 'write', tokens: 500, left: 500 } },
-    { title: 'grant what is needed now beyond the share', order: { atLeast: 700 }, expected: { kind: 'write', tokens: 700, left: 300 } },
-    { title: 'grant all that is left when that serves some', order: { atLeast: 1200, least: 900 }, expected: { kind: 'write', tokens: 1000, left: 0 } },
+    { title: 'grant a share of what is left ahead of need', order: {}, expected: { kind: 'write', tokens: 500, left: 500, spent: 0 } },
+    { title: 'grant what is needed now beyond the share', order: { atLeast: 700 }, expected: { kind: 'write', tokens: 700, left: 300, spent: 0 } },
+    { title: 'grant all that is left when that serves some', order: { atLeast: 1200, least: 900 }, expected: { kind: 'write', tokens: 1000, left: 0, spent: 0 } },
     { title: 'grant nothing when it serves nobody', order: { atLeast: 1200 }, expected: { kind: 'short', left: 1000 } },
     { title: 'grant no crumbs ahead of need', order: { tokens: 10_000 }, expected: { kind: 'short', left: 1000 } },
     { title: 'know no other budget', order: { budget: 'x' }, expected: { kind: 'unknownBudget' } },
@@ -85,4 +92,32 @@
     expect(rows.draw({ atLeast: 300, tokens: 300 })).to.include({ kind: 'write', tokens: 300 })
     expect(rows.draw({ atLeast: 900, tokens: 900 })).to.include({ kind: 'done', tokens: 300, left: 700 })
   })
+
+  const declared: ReadonlyArray<{ title: string, versions: readonly (readonly [version: number, tokens: number])[], draw: number, paid: number, granted: number }> = [
+    { title: 'makes a budget of the first amount', versions: [[1, 1000]], draw: 300, paid: 1000, granted: 300 },
+    { title: 'takes a higher amount of a newer version', versions: [[1, 100], [2, 1000]], draw: 300, paid: 1000, granted: 300 },
+    { title: 'ignores an older version', versions: [[2, 1000], [1, 100]], draw: 300, paid: 1000, granted: 300 },
+    { title: 'ignores another amount of the same version', versions: [[1, 1000], [1, 5000]], draw: 300, paid: 1000, granted: 300 },
+    { title: 'grants nothing beyond a lowered amount', versions: [[1, 1000], [2, 100]], draw: 300, paid: 100, granted: 0 }
+  ]
+  for (const { title, versions, draw, paid, granted } of declared) {
+    it(`with declared amounts ${title}`, () => {
+      const rows = new Rows()
+      versions.slice(0, -1).forEach(([version, tokens], index) => rows.draw({ drawId: `early${index}`, tokens: 1e6, atLeast: 1e6, declared: { version, tokens } }))
+      const [version, tokens] = versions.at(-1) ?? [0, 0]
+      const drawn = rows.draw({ tokens: draw, atLeast: draw, declared: { version, tokens } })
+      expect([rows.paid, (drawn as { tokens?: number }).tokens ?? 0]).to.deep.equal([paid, granted])
+    })
+  }
+
+  it('lowers the paid amount as tokens come back when more is allotted than is declared', () => {
+    const rows = new Rows()
+    rows.draw({ tokens: 600, atLeast: 600, declared: { version: 1, tokens: 1000 } })
+    rows.draw({ drawId: 'd2', tokens: 10, atLeast: 10, declared: { version: 2, tokens: 100 } })
+    const before = rows.paid
+    rows.giveBack(350)
+    const between = rows.paid
+    rows.giveBack(250)
+    expect([before, between, rows.paid]).to.deep.equal([600, 250, 100])
+  })
 })
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -45,7 +45,7 @@
   /** The draw took effect earlier. */
   | { readonly kind: 'done', readonly tokens: number, readonly left: number }
   /** Too little is left. The budget row is changed all the same when the declared amount was new. */
-  | { readonly kind: 'short', readonly left: number, readonly isRowChanged: boolean }
+  | { readonly kind: 'short', readonly left: number, readonly isRowChanged?: true }
   | { readonly kind: 'unknownBudget' }
   | { readonly kind: 'closed' }
 
@@ -131,9 +131,9 @@
   if (allotment.lastDraw?.drawId === order.drawId) return Right({ kind: 'done', tokens: allotment.lastDraw.tokens, left })
   const granted = grantTokens(order.tokens, order.atLeast, left, drawer.holders, drawer.shareDivisor)
   if (!worthDrawing(granted, order)) {
-    const isRowChanged = budget !== stored
-    if (isRowChanged) putBudget(rows, budget)
-    return Right({ kind: 'short', left, isRowChanged })
+    if (budget === stored) return Right({ kind: 'short', left })
+    putBudget(rows, budget)
+    return Right({ kind: 'short', left, isRowChanged: true })
   }
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
--- a/packages/decisions/src/budget/recoveryRules.ts
+++ b/packages/decisions/src/budget/recoveryRules.ts
@@ -77,8 +77,20 @@
  * @param placed - all holders with their places
  */
 export function isSucceeded (holder: string, placed: readonly PlacedHolder[]): boolean {
+  return succeededAt(holder, placed) !== undefined
+}
+
+/**
+ * Table milliseconds at which the first later process of the same VM listened in the place of a
+ * holder; undefined when none does.
+ * @param holder - the holder
+ * @param placed - all holders with their places
+ */
+export function succeededAt (holder: string, placed: readonly PlacedHolder[]): number | undefined {
   const own = placed.find(item => item.holder === holder)
-  if (own === undefined) return false
-  return placed.some(other => other.holder !== holder && vmOf(other.holder) === vmOf(holder) &&
-    other.place === own.place && other.since > own.since)
+  if (own === undefined) return undefined
+  const later = placed
+    .filter(other => other.holder !== holder && vmOf(other.holder) === vmOf(holder) && other.place === own.place && other.since > own.since)
+    .map(other => other.since)
+  return later.length === 0 ? undefined : Math.min(...later)
 }
--- /dev/null
+++ b/packages/decisions/src/budget/reportBound.spec.ts
@@ -0,0 +1,77 @@
+/**
+ * Bounds on what is used without telling: what a holder may use is always what recovery would bill.
+ */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import type { Instant } from '../clock/clockTypes.js'
+import { allowanceOf, allowedNow, mayBeSpent, ReportBounds } from './reportBound.js'
+import type { AllotmentRow } from './budgetTypes.js'
+
+const at = (mono: number): Instant => ({ mono, wall: mono })
+const row = (over: Partial<AllotmentRow> = {}): AllotmentRow =>
+  ({ budget: 'b', holder: 'v~1', domain: 'd', held: 1_000, settled: 0, state: 'open', ...over })
+
+describe('mayBeSpent', () => {
+  const report = { tokens: 100, perMs: 0.5, since: 5_000 }
+  const cases: ReadonlyArray<{ readonly name: string, readonly row: AllotmentRow, readonly now: number, readonly spent: number }> = [
+    { name: 'all that is held without a report', row: row(), now: 5_000, spent: 1_000 },
+    { name: 'what the report allows', row: row({ report }), now: 5_000, spent: 100 },
+    { name: 'no more in the first second', row: row({ report }), now: 6_000, spent: 100 },
+    { name: 'more with the time since', row: row({ report }), now: 6_400, spent: 300 },
+    { name: 'never more than is held', row: row({ report }), now: 50_000, spent: 1_000 },
+    { name: 'no less when the clock of the table seems to go back', row: row({ report }), now: 4_000, spent: 100 }
+  ]
+  for (const { name, row, now, spent } of cases) {
+    it(name, () => { expect(mayBeSpent(row, now)).to.equal(spent) })
+  }
+})
+
+describe('allowanceOf', () => {
+  const cases: ReadonlyArray<{ readonly name: string, readonly allowance: ReturnType<typeof allowanceOf>, readonly tokens: number, readonly perMs: number }> = [
+    { name: 'demand of a second beyond what is in use', allowance: allowanceOf(500, 10, 100), tokens: 10_500, perMs: 20 },
+    { name: 'some large requests where there is hardly any demand', allowance: allowanceOf(0, 0, 9_000), tokens: 18_000, perMs: 9 }
+  ]
+  for (const { name, allowance, tokens, perMs } of cases) {
+    it(name, () => { expect(allowance).to.deep.equal({ tokens, perMs }) })
+  }
+})
+
+describe('ReportBounds', () => {
+  it('has no room before the first report', () => {
+    expect(new ReportBounds().room(0, 0, at(0))).to.equal(0)
+  })
+
+  it('keeps to both bounds while the outcome of a report is open', () => {
+    const bounds = new ReportBounds()
+    bounds.begin({ tokens: 1_000, perMs: 0, at: at(0) })
+    bounds.send({ tokens: 300, perMs: 0, at: at(100) })
+    const open = bounds.room(500, 400, at(100))
+    bounds.written()
+    const written = bounds.room(100, 0, at(100))
+    expect([open, written]).to.deep.equal([200, 200])
+  })
+
+  it('goes back to the known bound when a report was certainly not written', () => {
+    const bounds = new ReportBounds()
+    bounds.begin({ tokens: 1_000, perMs: 0, at: at(0) })
+    bounds.send({ tokens: 300, perMs: 0, at: at(100) })
+    bounds.dropped()
+    expect(bounds.room(500, 0, at(100))).to.equal(500)
+  })
+
+  it('never lets a holder use more than recovery bills, whichever report was written', () => {
+    const allowance = fc.record({ tokens: fc.integer({ min: 0, max: 5_000 }), perMs: fc.double({ min: 0, max: 5, noNaN: true }) })
+    fc.assert(fc.property(allowance, allowance, fc.nat(2_000), fc.nat(2_000), fc.nat(3_000), fc.boolean(), (first, second, sentAfter, endsAfter, billed, isWritten) => {
+      const bounds = new ReportBounds()
+      bounds.begin({ ...first, at: at(0) })
+      bounds.send({ ...second, at: at(sentAfter) })
+      const end = sentAfter + endsAfter
+      const inUse = billed + Math.max(0, Math.floor(bounds.room(billed, billed, at(end))))
+      const known = isWritten ? { ...second, since: sentAfter } : { ...first, since: 0 }
+      const unbilled = isWritten ? inUse - billed : inUse
+      const allowed = allowedNow({ ...first, at: at(0) }, at(end)) >= billed
+      const held = 1_000_000
+      return !allowed || unbilled <= mayBeSpent(row({ held, report: known }), end)
+    }), { seed: 11 })
+  })
+})
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -11,7 +11,7 @@
 export interface ReportAllowance {
   /** Tokens that may be reserved, or billed and not yet written. */
   readonly tokens: number
-  /** Tokens more for each millisecond since the report. */
+  /** Tokens more for each millisecond since the report, after {@link GROWTH_AFTER_MS}. */
   readonly perMs: number
 }
 
@@ -20,10 +20,12 @@
   readonly at: Instant
 }
 
-/** Demand, in milliseconds, that a report allows beyond what is in use; several flushes may be late. */
-const HEADROOM_MS = 2_000
+/** Demand, in milliseconds, that a report allows beyond what is in use: about two flushes. */
+const HEADROOM_MS = 1_000
 /** Requests of the largest size seen that it allows beyond, whatever the demand. */
-const HEADROOM_REQUESTS = 4
+const HEADROOM_REQUESTS = 2
+/** Milliseconds without growth: while the table can be reached, a new report comes sooner. */
+const GROWTH_AFTER_MS = 1_000
 /** Times the demand by which the allowance grows: callers of a VM cut off may be more than before. */
 const GROWTH = 2
 /** Milliseconds in which it grows by one request of the largest size at least. */
@@ -48,18 +50,22 @@
  * @param now - both clocks
  */
 export function allowedNow ({ tokens, perMs, at }: ReportBound, now: Instant): number {
-  return tokens + perMs * elapsedMs(at, now)
+  return tokens + grown(perMs, elapsedMs(at, now))
 }
 
 /**
  * Tokens of an allotment that its ended holder may have spent without writing it.
  * @param row - the allotment
- * @param tableNow - milliseconds of the table's clock
+ * @param endedBy - milliseconds of the table's clock at which the holder had certainly ended
  */
-export function mayBeSpent (row: AllotmentRow, tableNow: number): number {
+export function mayBeSpent (row: AllotmentRow, endedBy: number): number {
   if (row.report === undefined) return row.held
   const { tokens, perMs, since } = row.report
-  return Math.min(row.held, Math.ceil(tokens + perMs * Math.max(0, tableNow - since)))
+  return Math.min(row.held, Math.ceil(tokens + grown(perMs, endedBy - since)))
+}
+
+function grown (perMs: number, elapsed: number): number {
+  return perMs * Math.max(0, elapsed - GROWTH_AFTER_MS)
 }
 
 /** The bounds of one allotment: that of the report known to be written, and one whose outcome is open. */
--- /dev/null
+++ b/packages/decisions/src/gateway/targetBalancer.spec.ts
@@ -0,0 +1,120 @@
+/**
+ * Choice of targets: affinity of shared parts, less work elsewhere, and targets that fail.
+ */
+import { expect } from 'chai'
+import { TargetBalancer, type TargetChoice, type TargetDemand } from './targetBalancer.js'
+import type { TargetView } from './targetSet.js'
+
+const targets: readonly TargetView[] = ['a', 'b', 'c', 'd', 'e'].map(id =>
+  ({ id, service: 's', address: id, domain: 'd', slots: 4, isLeaving: false }))
+
+function demand (over: Partial<TargetDemand> = {}): TargetDemand {
+  return { sharedParts: ['p', 'q'], sharedTokens: 1_000, ownTokens: 100, exclude: new Set(), ...over }
+}
+
+function chosen (balancer: TargetBalancer, what: TargetDemand, mono = 0): TargetChoice {
+  return balancer.choose(targets, what, mono, 0.5).unsafeCoerce()
+}
+
+const home = chosen(new TargetBalancer(), demand()).target
+
+interface BalancerCase {
+  readonly name: string
+  readonly before: (balancer: TargetBalancer) => void
+  readonly demand?: TargetDemand
+  readonly mono?: number
+  readonly atHome: boolean
+  readonly reason: TargetChoice['reason']
+}
+
+/** Tokens sent to the first target by an earlier request that has no answer yet. */
+function sentHome (tokens: number): (balancer: TargetBalancer) => void {
+  return balancer => { balancer.sent({ target: home, work: tokens, candidates: 5, reason: 'affinity' }, ['x'], 0) }
+}
+
+function failHome (times: number): (balancer: TargetBalancer) => void {
+  return balancer => {
+    for (let i = 0; i < times; i += 1) {
+      balancer.sent({ target: home, work: 0, candidates: 5, reason: 'affinity' }, [], 0)
+      balancer.ended(home.id, 'failed', 0)
+    }
+  }
+}
+
+const cases: readonly BalancerCase[] = [
+  { name: 'the same parts meet at the same target', before: () => {}, atHome: true, reason: 'affinity' },
+  { name: 'little work does not drive them away', before: sentHome(400), atHome: true, reason: 'affinity' },
+  { name: 'work that costs more than reading the parts does', before: sentHome(600), atHome: false, reason: 'lessWork' },
+  { name: 'few shared tokens leave sooner', before: sentHome(100), demand: demand({ sharedTokens: 50 }), atHome: false, reason: 'lessWork' },
+  {
+    name: 'work that was begun fades',
+    before: balancer => {
+      sentHome(600)(balancer)
+      balancer.begun({ target: home, work: 600, candidates: 5, reason: 'affinity' }, 0)
+    },
+    mono: 1_000,
+    atHome: true,
+    reason: 'affinity'
+  },
+  { name: 'a target tried already is left out', before: () => {}, demand: demand({ exclude: new Set([home.id]) }), atHome: false, reason: 'affinity' },
+  { name: 'two failures are borne', before: failHome(2), atHome: true, reason: 'affinity' },
+  { name: 'three failures in a row eject', before: failHome(3), atHome: false, reason: 'affinity' },
+  {
+    name: 'one failure to connect ejects',
+    before: balancer => { balancer.ended(home.id, 'unreachable', 0) },
+    atHome: false,
+    reason: 'affinity'
+  }
+]
+
+describe('TargetBalancer', () => {
+  for (const test of cases) {
+    it(test.name, () => {
+      const balancer = new TargetBalancer()
+      test.before(balancer)
+      const choice = chosen(balancer, test.demand ?? demand(), test.mono)
+      expect([choice.target.id === home.id, choice.reason]).to.deep.equal([test.atHome, test.reason])
+    })
+  }
+
+  it('counts shared parts as unread only where they are not believed to be', () => {
+    const balancer = new TargetBalancer()
+    sentHome(600)(balancer)
+    const away = chosen(balancer, demand())
+    balancer.sent(away, ['p', 'q'], 0)
+    balancer.begun(away, 0)
+    expect([away.work, chosen(balancer, demand(), 5_000).work]).to.deep.equal([1_100, 100])
+  })
+
+  it('sends requests without shared parts where the fewest are open', () => {
+    const balancer = new TargetBalancer()
+    const seen = new Set<string>()
+    for (let i = 0; i < targets.length; i += 1) {
+      const choice = chosen(balancer, demand({ sharedParts: [] }))
+      balancer.sent(choice, [], 0)
+      seen.add(choice.target.id)
+    }
+    expect(seen.size).to.equal(targets.length)
+  })
+
+  it('uses ejected targets when all are ejected', () => {
+    const balancer = new TargetBalancer()
+    for (const { id } of targets) balancer.ended(id, 'unreachable', 0)
+    expect(balancer.choose(targets, demand(), 1, 0).isRight()).to.equal(true)
+  })
+
+  it('refuses with a time to come back when there is no target', () => {
+    const failure = new TargetBalancer().choose([], demand(), 0, 0).extract()
+    expect(failure).to.include({ code: 'noRunner', ran: 'no', retryAfterMs: 300 })
+  })
+
+  it('spreads many keys over all targets', () => {
+    const balancer = new TargetBalancer()
+    const counts = new Map<string, number>()
+    for (let key = 0; key < 1_000; key += 1) {
+      const { id } = chosen(balancer, demand({ sharedParts: [`k${key}`] })).target
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+    }
+    for (const { id } of targets) expect(counts.get(id)).to.be.within(140, 260)
+  })
+})
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -104,6 +104,6 @@
 }
 
 function batchOf (plans: readonly DrawPlan[]): DrawBatch {
-  const isChanged = (plan: DrawPlan): boolean => plan.kind === 'write' || (plan.kind === 'short' && plan.isRowChanged)
+  const isChanged = (plan: DrawPlan): boolean => plan.kind === 'write' || (plan.kind === 'short' && plan.isRowChanged === true)
   return { kind: plans.some(isChanged) ? 'write' : 'done', plans }
 }
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -9,6 +9,7 @@
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetView, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
+import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { BudgetActions } from './budgetActions.js'
 import type { BudgetCounters, BudgetDriverParts } from './budgetDriverTypes.js'
 import type { ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
@@ -108,6 +109,12 @@
     this.dispatch({ kind: 'paidChanged', budget, isLowered })
   }
 
+  /** Registers this holder and takes back what earlier processes of its VM held; to be called once, at the start. */
+  async takeOver (): Promise<void> {
+    await this.registry.register()
+    await this.recovery?.pass(undefined, vmOf(this.parts.holder))
+  }
+
   /** Budgets as this holder sees them. */
   views (): readonly BudgetView[] {
     return this.ledger.views()
--- a/packages/rosemaryspread/src/budget/budgetHeldAsSpent.ts
+++ b/packages/rosemaryspread/src/budget/budgetHeldAsSpent.ts
@@ -1,6 +1,6 @@
 /**
  * Recovery where targets keep no record of runs: an ended holder may have spent what its last
- * report allowed up to now, so that much is billed and the rest goes back. That never overspends;
+ * report allowed up to its end, so that much is billed and the rest goes back. That never overspends;
  * the price are tokens that were paid for and not used.
  */
 import { Right, type Either } from 'purify-ts'
@@ -20,8 +20,8 @@
   }
 
   async unbilled (budget: string, owners: readonly RunOwner[], tableNow: number): Promise<Either<Failure, readonly OwedBill[]>> {
-    return Right(owners.flatMap(({ holder, allotment }) => {
-      const tokens = allotment === undefined ? 0 : mayBeSpent(allotment, tableNow)
+    return Right(owners.flatMap(({ holder, allotment, endedBy }) => {
+      const tokens = allotment === undefined ? 0 : mayBeSpent(allotment, endedBy ?? tableNow)
       return tokens === 0 ? [] : [{ holder, bill: { requestId: `unbilled/${holder}`, budget, team: budget, tokens, runner: '' } }]
     }))
   }
--- a/packages/rosemaryspread/src/budget/budgetPeers.ts
+++ b/packages/rosemaryspread/src/budget/budgetPeers.ts
@@ -50,6 +50,8 @@
 
 /** Other VMs. Each call has a timeout of its own; `peerUnreachable` leaves open whether it was served. */
 export interface BudgetPeers {
+  /** Whether holders never give each other tokens, so that recovery need not rule out unrecorded transfers. */
+  readonly transfersNothing?: true
   /** All other live or leaving VMs by membership. */
   members (): readonly BudgetMember[]
   give (holder: string, ask: GiveAsk): Promise<Either<Failure, GiveAnswer>>
--- a/packages/rosemaryspread/src/budget/budgetRecalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecalls.ts
@@ -37,6 +37,7 @@
 
 /** The other holders, reached through the table. */
 export class BudgetRecalls implements BudgetPeers {
+  readonly transfersNothing = true
   private readonly asking = new Map<string, Promise<unknown>>()
   private number = 0
 
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -10,7 +10,8 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import { planRecovery, recoveryKeys, type OwedBill, type RecoveryOrder, type RecoveryPlan } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
-import { GoneVms, hasLapsed, isSucceeded, mayBeForgotten, type PlacedHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
+import { GoneVms, hasLapsed, isSucceeded, mayBeForgotten, succeededAt, type PlacedHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import type { RunOwner } from './budgetRecoveryRuns.js'
@@ -60,6 +61,7 @@
   /** Neither ended nor a member: they may have lapsed. */
   readonly absent: readonly HolderAtVersion[]
   readonly present: readonly HolderAtVersion[]
+  readonly placed: readonly PlacedHolder[]
 }
 
 function waiting (detail: string): Failure {
@@ -82,8 +84,9 @@
   /**
    * One pass over all failure domains; passes do not overlap.
    * @param list - the platform's list, when it could be read
+   * @param vm - recovers only what earlier processes of this VM held, when given
    */
-  async pass (list?: ListEvidence): Promise<void> {
+  async pass (list?: ListEvidence, vm?: string): Promise<void> {
     if (list !== undefined) this.gone.note(list.asOf, list.vms)
     if (this.running) return
     this.running = true
@@ -92,7 +95,8 @@
       const holders = (await this.registry.all()).orDefault([])
       const placed = (await this.registry.places()).orDefault([])
       for (const domain of new Set(holders.map(item => item.domain))) {
-        await this.recoverDomain(this.viewOf(holders.filter(item => item.domain === domain), placed))
+        const view = this.viewOf(holders.filter(item => item.domain === domain), placed)
+        await this.recoverDomain(vm === undefined ? view : onlyOf(view, vm))
       }
     } finally {
       this.running = false
@@ -105,7 +109,7 @@
     const ended = holders.filter(isEnded)
     const rest = holders.filter(item => !isEnded(item))
     for (const holder of members) this.absentSince.delete(holder)
-    return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)) }
+    return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)), placed }
   }
 
   private async recoverDomain (view: DomainView): Promise<void> {
@@ -145,7 +149,7 @@
 
   /** Why the allotments cannot be closed yet. */
   private async blocked (view: DomainView, survey: BudgetSurvey, closing: readonly AgedAllotment[]): Promise<Failure | undefined> {
-    const unsure = this.unsure(view, survey, closing)
+    const unsure = this.parts.peers.transfersNothing === true ? undefined : this.unsure(view, survey, closing)
     if (unsure !== undefined) return waiting(`${unsure.holder} may hold a transfer and has not lapsed`)
     for (const item of closing) {
       if (mayBeForgotten(this.parts.policy, await this.runs.contactAgeMs(item, survey.now))) {
@@ -197,6 +201,7 @@
       holder,
       lastSeq: rows.get(holder)?.row.lastSeq,
       ...allotmentOf(closing, holder),
+      ...endOf(holder, view.placed),
       mayCancel: !ended.includes(holder)
     })), survey.now)
   }
@@ -243,3 +248,13 @@
   const item = closing.find(other => other.row.holder === holder)
   return item === undefined ? {} : { allotment: item.row }
 }
+
+function endOf (holder: string, placed: readonly PlacedHolder[]): Pick<RunOwner, 'endedBy'> {
+  const endedBy = succeededAt(holder, placed)
+  return endedBy === undefined ? {} : { endedBy }
+}
+
+/** The view without what holders of other VMs left. */
+function onlyOf (view: DomainView, vm: string): DomainView {
+  return { ...view, ended: view.ended.filter(({ holder }) => vmOf(holder) === vm), absent: [] }
+}
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -35,6 +35,8 @@
   readonly lastSeq: number | undefined
   /** Its allotment that is being closed; absent where none is. */
   readonly allotment?: AllotmentRow
+  /** Table milliseconds at which it had certainly ended, where a later process in its place tells. */
+  readonly endedBy?: number
   /** Whether its running requests may be cancelled; otherwise their end is awaited. */
   readonly mayCancel: boolean
 }
--- a/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
@@ -60,6 +60,14 @@
     return this.stop.signal
   }
 
+  /**
+   * Notes what was reserved for the call.
+   * @param reservation - the reservation
+   */
+  pay (reservation: Reservation): void {
+    this.reservation = reservation
+  }
+
   /** Goes on without a reservation. */
   unpaid (): Either<Failure, void> {
     return Right(undefined)
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -96,7 +96,7 @@
     const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_PART, open.leftMs))
     const reserved = await this.deps.budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
     this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before)
-    return reserved.mapLeft(elsewhere).map(reservation => { open.reservation = reservation })
+    return reserved.mapLeft(elsewhere).map(reservation => open.pay(reservation))
   }
 
   /** Tries targets in turn until the answer is whole or nothing may be tried any more. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -61,7 +61,7 @@
       presence.tick()
     })
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
-    this.inBackground(budgets.recoverDead())
+    this.inBackground(budgets.takeOver())
     this.log.write('started', { ...this.settings })
   }
 
--- /dev/null
+++ b/packages/rosemaryspread/src/presence/presenceView.spec.ts
@@ -0,0 +1,54 @@
+/**
+ * Presence of other VMs: silence counts only while the feed works.
+ */
+import { expect } from 'chai'
+import type { PresenceRow } from './presenceTypes.js'
+import { PresenceView } from './presenceView.js'
+
+const EXPIRY_MS = 1_000
+const row = (vm: string, beat: number): PresenceRow => ({ vm, holder: `${vm}~1`, domain: 'd', callers: `${vm}:1`, state: 'serving', beat })
+
+interface PresenceCase {
+  readonly name: string
+  readonly act: (view: PresenceView) => void
+  readonly at: number
+  readonly others: readonly string[]
+}
+
+const cases: readonly PresenceCase[] = [
+  { name: 'names the others', act: () => {}, at: 0, others: ['b', 'c'] },
+  { name: 'drops those that are silent', act: view => { view.changed('b', row('b', 2), 900) }, at: 1_500, others: ['b'] },
+  { name: 'drops a row that was deleted', act: view => { view.changed('b', null, 100) }, at: 100, others: ['c'] },
+  { name: 'a whole read without news is no sign of life', act: view => { view.replaced([row('b', 1), row('c', 2)], 900) }, at: 1_500, others: ['c'] },
+  { name: 'keeps all while the feed does not work', act: view => { view.feedFailed() }, at: 50_000, others: ['b', 'c'] },
+  {
+    name: 'gives all their time once the feed works again',
+    act: view => {
+      view.feedFailed()
+      view.changed('b', row('b', 2), 50_000)
+    },
+    at: 50_900,
+    others: ['b', 'c']
+  },
+  {
+    name: 'and drops those that stay silent',
+    act: view => {
+      view.feedFailed()
+      view.changed('b', row('b', 2), 50_500)
+      view.changed('b', row('b', 3), 51_400)
+    },
+    at: 51_600,
+    others: ['b']
+  }
+]
+
+describe('PresenceView', () => {
+  for (const { name, act, at, others } of cases) {
+    it(name, () => {
+      const view = new PresenceView('a', EXPIRY_MS)
+      view.replaced([row('a', 1), row('b', 1), row('c', 1)], 0)
+      act(view)
+      expect(view.others(at).map(({ vm }) => vm)).to.deep.equal(others)
+    })
+  }
+})
--- /dev/null
+++ b/packages/stand-ins/src/budget/heldAsSpent.spec.ts
@@ -0,0 +1,102 @@
+/**
+ * A VM that ends without a word, where targets keep no record of runs: its successor takes back what
+ * the last report of the ended process did not allow it to use, and nothing is overspent.
+ */
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
+import { HeldAsSpent } from 'rosemaryspread/budget/budgetHeldAsSpent.js'
+import type { BudgetPeers } from 'rosemaryspread/budget/budgetPeers.js'
+import { gatewayBudgetPolicy } from 'rosemaryspread/gateway/gatewayBudgetPolicy.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+import { TableState } from '../table/tableState.js'
+
+const TICK_MS = 50
+const PAID = 1_000_000
+const REQUEST = 1_000
+
+const alone: BudgetPeers = {
+  members: () => [],
+  give: async () => Right({}),
+  recall: async () => Right({ returned: 0 }),
+  confirmNoTransfers: async () => Right({ none: true })
+}
+
+/** One VM, and the processes that run on it one after the other. */
+class World {
+  mono = 0
+  private readonly state = new TableState(() => this.mono)
+  readonly store = new MemoryTableStore(this.state)
+
+  process (token: string): BudgetDriver {
+    return new BudgetDriver({
+      holder: `vm1~${token}`,
+      domain: 'd',
+      place: '10.0.0.1:80',
+      store: this.store,
+      peers: alone,
+      policy: gatewayBudgetPolicy,
+      clock: { now: () => ({ mono: this.mono, wall: this.mono }) },
+      log: { write: () => {} },
+      unbilled: new HeldAsSpent(),
+      declared: () => ({ tokens: PAID, version: 1 })
+    })
+  }
+
+  async pass (ms: number, driver: BudgetDriver): Promise<void> {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      this.mono += TICK_MS
+      driver.tick()
+      for (let i = 0; i < 4; i += 1) await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
+  /** Requests one after the other; answers the tokens of those that were admitted and not billed. */
+  async use (driver: BudgetDriver, requests: number): Promise<number> {
+    let used = 0
+    for (let i = 0; i < requests; i += 1) {
+      const asked = driver.reserve('b', REQUEST, 100)
+      await this.pass(TICK_MS, driver)
+      if (i % 2 === 0) await this.pass(TICK_MS, driver)
+      const reserved = await Promise.race([asked, Promise.resolve(undefined)])
+      if (reserved?.isRight() === true) used += REQUEST
+    }
+    return used
+  }
+}
+
+interface EndCase {
+  readonly name: string
+  readonly requests: number
+  /** Requests made while the store is out of reach, before the end. */
+  readonly cutOff: number
+}
+
+const cases: readonly EndCase[] = [
+  { name: 'at once', requests: 1, cutOff: 0 },
+  { name: 'under load', requests: 60, cutOff: 0 },
+  { name: 'under load after it was cut off from the store', requests: 40, cutOff: 40 }
+]
+
+describe('recovery without records of runs', () => {
+  for (const { name, requests, cutOff } of cases) {
+    it(`overspends nothing and returns most of what a VM held that ended ${name}`, async () => {
+      const world = new World()
+      const first = world.process('a')
+      await world.pass(200, first)
+      let used = await world.use(first, requests)
+      world.store.outage = true
+      used += await world.use(first, cutOff)
+      world.store.outage = false
+      const second = world.process('b')
+      await world.pass(1_000, second)
+      const held = (await second.show('b')).map(({ allotted }) => allotted).orDefault(0)
+      await second.recoverDead()
+      const shown = (await second.show('b')).unsafeCoerce()
+      expect(used).to.be.greaterThan(0)
+      expect(shown.spent).to.be.at.least(used)
+      expect(shown.allotted).to.equal(0)
+      expect(shown.spent).to.be.at.most(Math.max(held / 2 + used, used * 3 + 8 * REQUEST))
+    })
+  }
+})
