--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -175,7 +175,7 @@
    */
   allowance (now: Instant): ReportAllowance {
     const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return allowanceOf(this.reserved + this.unsettled + waiting, this.demandPerMs(now), this.largest)
+    return allowanceOf(this.reserved + this.unsettled + waiting, this.demandPerMs(now))
   }
 
   /**
--- a/packages/decisions/src/budget/budgetLedger.spec.ts
+++ b/packages/decisions/src/budget/budgetLedger.spec.ts
@@ -156,7 +156,7 @@
 
   describe('with bounds on what is used without telling', () => {
     const bounded = { ...policy, boundsUse: true, demandFrom: 'reservations' as const, flushMs: 60_000 }
-    const LARGEST = 100
+    const LARGEST = 2_000
 
     function boundedBench (): Bench {
       const bench = new Bench(bounded)
--- a/packages/decisions/src/budget/reportBound.spec.ts
+++ b/packages/decisions/src/budget/reportBound.spec.ts
@@ -28,8 +28,8 @@
 
 describe('allowanceOf', () => {
   const cases: ReadonlyArray<{ readonly name: string, readonly allowance: ReturnType<typeof allowanceOf>, readonly tokens: number, readonly perMs: number }> = [
-    { name: 'demand of a second beyond what is in use', allowance: allowanceOf(500, 10, 100), tokens: 10_500, perMs: 20 },
-    { name: 'some large requests where there is hardly any demand', allowance: allowanceOf(0, 0, 9_000), tokens: 18_000, perMs: 9 }
+    { name: 'demand of a second beyond what is in use', allowance: allowanceOf(500, 10), tokens: 10_500, perMs: 20 },
+    { name: 'a usual request where there is hardly any demand', allowance: allowanceOf(0, 0), tokens: 8_000, perMs: 2 }
   ]
   for (const { name, allowance, tokens, perMs } of cases) {
     it(name, () => { expect(allowance).to.deep.equal({ tokens, perMs }) })
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -22,25 +22,24 @@
 
 /** Demand, in milliseconds, that a report allows beyond what is in use: about two flushes. */
 const HEADROOM_MS = 1_000
-/** Requests of the largest size seen that it allows beyond, whatever the demand. */
-const HEADROOM_REQUESTS = 2
+/** Tokens that it allows beyond, whatever the demand: one or two usual requests; a larger one waits for a report. */
+const HEADROOM_TOKENS = 8_000
 /** Milliseconds without growth: while the table can be reached, a new report comes sooner. */
 const GROWTH_AFTER_MS = 1_000
 /** Times the demand by which the allowance grows: callers of a VM cut off may be more than before. */
 const GROWTH = 2
-/** Milliseconds in which it grows by one request of the largest size at least. */
-const GROWTH_REQUEST_MS = 1_000
+/** Tokens a millisecond by which it grows at least: one usual request in two seconds. */
+const LEAST_GROWTH = 2
 
 /**
  * What a report should allow.
  * @param inUse - tokens reserved, waited for, or billed and not written
  * @param ratePerMs - demand in tokens a millisecond
- * @param largest - largest reservation seen
  */
-export function allowanceOf (inUse: number, ratePerMs: number, largest: number): ReportAllowance {
+export function allowanceOf (inUse: number, ratePerMs: number): ReportAllowance {
   return {
-    tokens: Math.ceil(inUse + Math.max(ratePerMs * HEADROOM_MS, largest * HEADROOM_REQUESTS)),
-    perMs: Math.max(ratePerMs * GROWTH, largest / GROWTH_REQUEST_MS)
+    tokens: Math.ceil(inUse + Math.max(ratePerMs * HEADROOM_MS, HEADROOM_TOKENS)),
+    perMs: Math.max(ratePerMs * GROWTH, LEAST_GROWTH)
   }
 }
 
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -8,7 +8,7 @@
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
 import { FadingSum } from './fadingSum.js'
-import { RunnerHealth } from '../routing/runnerHealth.js'
+import { TargetHealth } from '../routing/targetHealth.js'
 import type { TargetView } from './targetSet.js'
 
 /** Targets, in the order of rendezvous hashing, that are weighed for a request with shared parts. */
@@ -47,7 +47,7 @@
 
 interface TargetState {
   readonly nameHash: number
-  readonly health: RunnerHealth
+  readonly health: TargetHealth
   open: number
   /** Prompt tokens of requests without a first event. */
   pending: number
@@ -169,7 +169,7 @@
   private stateOf (id: string): TargetState {
     const known = this.states.get(id)
     if (known !== undefined) return known
-    const fresh = { nameHash: hashName(id), health: new RunnerHealth(), open: 0, pending: 0, recent: new FadingSum(WORK_FADE_MS), cached: new Map() }
+    const fresh = { nameHash: hashName(id), health: new TargetHealth(), open: 0, pending: 0, recent: new FadingSum(WORK_FADE_MS), cached: new Map() }
     this.states.set(id, fresh)
     return fresh
   }
--- a/packages/decisions/src/routing/runnerState.ts
+++ b/packages/decisions/src/routing/runnerState.ts
@@ -3,7 +3,7 @@
  */
 import { LatencyModel, predict, type Prediction, type Work } from './latencyModel.js'
 import { hashName } from './rendezvous.js'
-import { RunnerHealth } from './runnerHealth.js'
+import { TargetHealth } from './targetHealth.js'
 import { RunnerLoad } from './runnerLoad.js'
 import type { RunnerStanding, RunnerView } from './routingTypes.js'
 
@@ -50,7 +50,7 @@
 export class RunnerState {
   readonly nameHash: number
   readonly load = new RunnerLoad()
-  readonly health = new RunnerHealth()
+  readonly health = new TargetHealth()
   /** Models it is configured for, each with the wall milliseconds since which it serves it, when known. */
   readonly models = new Map<string, number | undefined>()
   latency = new LatencyModel()
--- a/packages/decisions/src/routing/runnerHealth.ts
+++ b/packages/decisions/src/routing/targetHealth.ts
@@ -23,7 +23,7 @@
 const FORGIVE_MS = 60_000
 
 /** Health of one runner. Times are monotonic milliseconds. */
-export class RunnerHealth {
+export class TargetHealth {
   private consecutive = 0
   private errors = new Ewma()
   private ejections = 0
--- a/packages/rosemaryspread/src/service/serviceRoute.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { RunnerHealth } from '@rosemaryspread/decisions/routing/runnerHealth.js'
+import { TargetHealth } from '@rosemaryspread/decisions/routing/targetHealth.js'
 import type { ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 
 /** Milliseconds to come back after when every runner is full. */
@@ -22,7 +22,7 @@
 /** Open calls and health of each application runner, as this VM sees them. */
 export class ServiceLoad {
   private readonly open = new Map<string, number>()
-  private readonly health = new Map<string, RunnerHealth>()
+  private readonly health = new Map<string, TargetHealth>()
 
   of (runner: string): number {
     return this.open.get(runner) ?? 0
@@ -39,7 +39,7 @@
    * @param mono - monotonic milliseconds
    */
   ended (runner: string, reached: boolean, mono: number): void {
-    const health = this.health.get(runner) ?? new RunnerHealth()
+    const health = this.health.get(runner) ?? new TargetHealth()
     this.health.set(runner, health)
     if (reached) health.succeeded(mono)
     else health.failed(mono)
