Close the front once callers were sent elsewhere, then hand tokens back and answer what came meanwhile

Cause: read again: the front listened until the process ended, so a request that came while tokens went back was cut by the exit. Ruled out: closing at once when told to stop (callers keep addresses for seconds). One fading sum serves demand rates and work of targets.

--- a/packages/decisions/src/budget/demandRate.ts
+++ b/packages/decisions/src/budget/demandRate.ts
@@ -1,21 +1,23 @@
 /**
  * Demand of one budget at one holder, as an exponentially weighted rate.
  */
+import { FadingSum } from '../clock/fadingSum.js'
 
 /** Part of the window that counts as filled at the least: the first requests are no rate yet. */
 const LEAST_PART = 0.25
 
 /** Tokens a millisecond, averaged over a window that fades out. */
 export class DemandRate {
-  private weight = 0
-  private at: number | undefined
+  private readonly used: FadingSum
   private since: number | undefined
 
   /**
    * @param windowMs - time constant in milliseconds
    * @param isEarly - whether a past shorter than the window counts as all there is
    */
-  constructor (private readonly windowMs: number, private readonly isEarly = false) {}
+  constructor (private readonly windowMs: number, private readonly isEarly = false) {
+    this.used = new FadingSum(windowMs)
+  }
 
   /**
    * Counts tokens that were used.
@@ -23,8 +25,7 @@
    * @param mono - monotonic milliseconds
    */
   add (tokens: number, mono: number): void {
-    this.weight = this.faded(mono) + tokens
-    this.at = mono
+    this.used.add(tokens, mono)
     this.since ??= mono
   }
 
@@ -33,7 +34,7 @@
    * @param mono - monotonic milliseconds
    */
   perMs (mono: number): number {
-    return this.faded(mono) / (this.windowMs * this.filledPart(mono))
+    return this.used.at(mono) / (this.windowMs * this.filledPart(mono))
   }
 
   /** Part of the window that the past fills. */
@@ -41,10 +42,4 @@
     if (!this.isEarly || this.since === undefined) return 1
     return Math.max(LEAST_PART, 1 - Math.exp((this.since - mono) / this.windowMs))
   }
-
-  private faded (mono: number): number {
-    if (this.at === undefined) return 0
-    const age = Math.max(0, mono - this.at)
-    return this.weight * Math.exp(-age / this.windowMs)
-  }
 }
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -7,7 +7,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
-import { FadingSum } from './fadingSum.js'
+import { FadingSum } from '../clock/fadingSum.js'
 import { TargetHealth } from '../routing/targetHealth.js'
 import type { TargetView } from './targetSet.js'
 
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -0,0 +1,225 @@
+/**
+ * The pipeline over fakes: which targets a call is sent to, what its caller gets, what is billed.
+ */
+import { expect } from 'chai'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Bill } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { gatewayConfigSchema, type GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
+import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
+import { OpenWork } from '../completion/completionDrain.js'
+import { MetricsRecorder } from '../metrics/metricsRecorder.js'
+import { GatewayConfigHolder } from './gatewayConfigHolder.js'
+import { GatewayPipeline } from './gatewayPipeline.js'
+import { GatewayReport } from './gatewayReport.js'
+import { GatewayRetries } from './gatewayRetries.js'
+import type { AnswerHead, GatewayCall, GatewaySink, TargetAnswer, TargetClient, TargetRequest } from './gatewayTypes.js'
+
+const OK: AnswerHead = { status: 200, headers: [] }
+const FAILED: AnswerHead = { status: 500, headers: [] }
+const silent = { write: () => {} }
+
+/** What a target does with a request: pieces of an answer, and how it ends; or a failure to answer. */
+type Script = Failure | { readonly head: AnswerHead, readonly pieces: readonly string[], readonly end?: Failure }
+
+class Client implements TargetClient {
+  readonly sent: TargetRequest[] = []
+
+  constructor (private readonly scripts: Script[]) {}
+
+  async send (req: TargetRequest, stop: AbortSignal): Promise<Either<Failure, TargetAnswer>> {
+    this.sent.push(req)
+    const script = this.scripts.shift()
+    if (script === undefined) return await stopped(stop)
+    if (script instanceof Failure) return Left(script)
+    const { head, pieces, end } = script
+    return Right({
+      head,
+      read: async onBytes => {
+        for (const piece of pieces) await onBytes(Buffer.from(piece))
+        return end === undefined ? Right(undefined) : Left(end)
+      }
+    })
+  }
+}
+
+async function stopped (stop: AbortSignal): Promise<Either<Failure, TargetAnswer>> {
+  await new Promise<void>(resolve => { stop.addEventListener('abort', () => { resolve() }) })
+  return Left(new Failure('runnerUnreachable', 'stopped', { ran: 'unknown' }))
+}
+
+class Budgets implements BudgetPort {
+  readonly bills: Array<Bill | undefined> = []
+  confirmed: Either<Failure, void> = Right(undefined)
+
+  constructor (private readonly refusal?: Failure) {}
+
+  async reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>> {
+    return this.refusal === undefined ? Right({ reservationId: 'v', budget, tokens }) : Left(this.refusal)
+  }
+
+  confirm (): Either<Failure, void> { return this.confirmed }
+
+  settle (_reservation: Reservation, bill?: Bill): void { this.bills.push(bill) }
+}
+
+class Sink implements GatewaySink {
+  begun = false
+  text = ''
+  readonly ends: string[] = []
+
+  whole ({ status }: AnswerHead, body: Buffer): void {
+    this.begun = true
+    this.text += body.toString()
+    this.ends.push(`whole ${status}`)
+  }
+
+  head (): void { this.begun = true }
+
+  piece (bytes: Buffer): undefined { this.text += bytes.toString() }
+
+  end (): void { this.ends.push('end') }
+
+  cut (): void { this.ends.push('cut') }
+
+  refuse ({ code, ran }: Failure): void { this.ends.push(`${code} ${ran}`) }
+}
+
+interface PipelineCase {
+  readonly name: string
+  readonly route?: Partial<GatewayRoute>
+  readonly scripts: Script[]
+  readonly refusal?: Failure
+  readonly gone?: true
+  /** How the call ended, once. */
+  readonly end: string
+  readonly text?: string
+  readonly sends: number
+  /** Tokens billed; absent when the reservation ended without a bill. */
+  readonly billed?: number
+}
+
+const event = (id: number): string => `id: ${id}\ndata: x\n\n`
+const notRun = new Failure('runnerRefused', 'full', { ran: 'no' })
+const unreached = new Failure('runnerUnreachable', 'no connection', { ran: 'no' })
+const lost = new Failure('runnerUnreachable', 'reset', { ran: 'unknown' })
+const cutShort = new Failure('answerCut', 'reset', { ran: 'yes' })
+const stream = { streamed: true, repeat: 'never' } as const
+const resumable = { streamed: true, repeat: 'resume' } as const
+
+const cases: readonly PipelineCase[] = [
+  { name: 'a whole answer', scripts: [{ head: OK, pieces: ['a', 'b'] }], end: 'whole 200', text: 'ab', sends: 1, billed: 100 },
+  { name: 'a stream, billed by its events', route: stream, scripts: [{ head: OK, pieces: [event(1), event(2)] }], end: 'end', text: event(1) + event(2), sends: 1, billed: 106 },
+  { name: 'a stream longer than it may be, billed at its most', route: stream, scripts: [{ head: OK, pieces: [1, 2, 3, 4, 5].map(event) }], end: 'end', sends: 1, billed: 110 },
+  { name: 'a proof of not having run', scripts: [notRun, { head: OK, pieces: ['a'] }], end: 'whole 200', sends: 2, billed: 100 },
+  { name: 'proofs from all that may be tried', scripts: [notRun, notRun], end: 'runnerRefused no', sends: 2 },
+  { name: 'a proof where only one target may be tried', route: { attempts: 1 }, scripts: [notRun], end: 'runnerRefused no', sends: 1 },
+  { name: 'targets that cannot be reached, which are no attempts', route: { attempts: 1 }, scripts: [unreached, unreached, { head: OK, pieces: [] }], end: 'whole 200', sends: 3, billed: 100 },
+  { name: 'a lost call that runs once', scripts: [lost], end: 'runnerUnreachable unknown', sends: 1, billed: 100 },
+  { name: 'a lost call that may run again', route: { repeat: 'always' }, scripts: [lost, { head: OK, pieces: ['a'] }], end: 'whole 200', sends: 2, billed: 100 },
+  { name: 'a lost call, and then a proof that does not count any more', route: { repeat: 'always' }, scripts: [lost, notRun], end: 'runnerUnreachable unknown', sends: 2, billed: 100 },
+  { name: 'a failure of the target', scripts: [{ head: FAILED, pieces: ['sorry'] }], end: 'whole 500', text: 'sorry', sends: 1, billed: 100 },
+  { name: 'a failure of the target that may run again', route: { repeat: 'always' }, scripts: [{ head: FAILED, pieces: [] }, { head: OK, pieces: ['a'] }], end: 'whole 200', text: 'a', sends: 2, billed: 100 },
+  { name: 'a cut answer that may run again', route: { repeat: 'always' }, scripts: [{ head: OK, pieces: ['ha'], end: cutShort }, { head: OK, pieces: ['half'] }], end: 'whole 200', text: 'half', sends: 2, billed: 100 },
+  { name: 'a stream cut before its first event', route: stream, scripts: [{ head: OK, pieces: ['id: 1'], end: cutShort }], end: 'answerCut yes', text: '', sends: 1, billed: 100 },
+  { name: 'a stream cut behind an event', route: stream, scripts: [{ head: OK, pieces: [event(1)], end: cutShort }], end: 'cut', text: event(1), sends: 1, billed: 103 },
+  { name: 'a stream that ends inside an event', route: stream, scripts: [{ head: OK, pieces: [`${event(1)}id: 2`] }], end: 'cut', text: event(1), sends: 1, billed: 103 },
+  { name: 'a cut stream that may be resumed', route: resumable, scripts: [{ head: OK, pieces: [`${event(1)}id: 2`], end: cutShort }, { head: OK, pieces: [event(2)] }], end: 'end', text: event(1) + event(2), sends: 2, billed: 106 },
+  { name: 'a target that is silent past the time of the route', route: { timeoutMs: 30 }, scripts: [], end: 'deadlineExceeded unknown', sends: 1, billed: 100 },
+  { name: 'a caller that left before anything was sent', route: stream, scripts: [], gone: true, end: 'callerGone unknown', sends: 0 },
+  { name: 'a budget that is spent', scripts: [], refusal: new Failure('budgetSpent', 'spent'), end: 'budgetSpent no', sends: 0 }
+]
+
+function callOf (gone: AbortSignal): GatewayCall {
+  return {
+    requestId: 'r', method: 'POST', host: 'h', path: '/p/x', key: undefined, headers: [], body: Buffer.alloc(0), timeoutMs: undefined, promptTokens: 100, maxTokens: 10, promptParts: [], receivedAt: { mono: performance.now(), wall: 0 }, gone
+  }
+}
+
+function pipelineOf (client: Client, budgets: Budgets, route: Partial<GatewayRoute>): { readonly pipeline: GatewayPipeline, readonly config: GatewayConfigHolder } {
+  const config = new GatewayConfigHolder(silent)
+  const whole = { name: 'p', host: 'h', prefix: '/p/', services: [{ service: 's', weight: 1 }], repeat: 'never', streamed: false, timeoutMs: 5_000, objectiveMs: 100, attempts: 2, priority: 0, isOpen: true, hasAffinity: false, ...route }
+  config.apply(gatewayConfigSchema.parse({ version: 1, routes: [whole], services: { s: { tokensPerEvent: 3 } }, teams: { team: { keyHashes: [], prepaidTokens: 1 } } }))
+  const metrics = new MetricsRecorder()
+  const prepared = config.current()
+  const pipeline = new GatewayPipeline({
+    clock: { now: () => ({ mono: performance.now(), wall: 0 }) },
+    random: { next: () => 0, id: () => 'id' },
+    // Every key belongs to the one team.
+    config: { current: () => prepared === undefined ? undefined : { ...prepared, keys: { ownerOf: () => 'team' } as never } },
+    work: new OpenWork(),
+    budgets,
+    targets: { serving: () => ['a', 'b', 'c', 'd'].map(id => ({ id, service: 's', address: id, domain: 'd', slots: 1, isLeaving: false })) },
+    balancer: new TargetBalancer(),
+    retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
+    client,
+    log: silent,
+    metrics,
+    report: new GatewayReport(silent, metrics)
+  })
+  return { pipeline, config }
+}
+
+describe('GatewayPipeline', () => {
+  for (const test of cases) {
+    it(`with ${test.name}: ${test.end}`, async () => {
+      const client = new Client([...test.scripts])
+      const budgets = new Budgets(test.refusal)
+      const sink = new Sink()
+      const gone = new AbortController()
+      if (test.gone === true) gone.abort()
+      await pipelineOf(client, budgets, test.route ?? {}).pipeline.serve({ ...callOf(gone.signal), key: 'k' }, sink)
+      expect([sink.ends, client.sent.length]).to.deep.equal([[test.end], test.sends])
+      if (test.text !== undefined) expect(sink.text).to.equal(test.text)
+      const isReserved = test.refusal === undefined
+      expect(budgets.bills.map(bill => bill?.tokens)).to.deep.equal(isReserved ? [test.billed] : [])
+    })
+  }
+
+  it('tries no target twice', async () => {
+    const client = new Client([lost, lost, lost, lost, lost])
+    await pipelineOf(client, new Budgets(), { repeat: 'always', attempts: 4 }).pipeline.serve(callOf(new AbortController().signal), new Sink())
+    expect(new Set(client.sent.map(({ target }) => target.id)).size).to.equal(4)
+  })
+
+  it('sends nothing when the allotment was closed while the call waited', async () => {
+    const client = new Client([])
+    const budgets = new Budgets()
+    budgets.confirmed = Left(new Failure('allotmentClosed', 'closed'))
+    const sink = new Sink()
+    await pipelineOf(client, budgets, {}).pipeline.serve({ ...callOf(new AbortController().signal), key: 'k' }, sink)
+    expect([sink.ends, client.sent.length]).to.deep.equal([['allotmentClosed no'], 0])
+  })
+
+  it('ends the run of a caller that leaves', async () => {
+    const client = new Client([])
+    const sink = new Sink()
+    const gone = new AbortController()
+    const served = pipelineOf(client, new Budgets(), stream).pipeline.serve(callOf(gone.signal), sink)
+    await new Promise(resolve => setTimeout(resolve, 10))
+    gone.abort()
+    await served
+    expect([sink.ends, client.sent.length]).to.deep.equal([['callerGone unknown'], 1])
+  })
+})
+
+describe('GatewayConfigHolder', () => {
+  const paid = (version: number, prepaidTokens: number): unknown => ({ version, routes: [], services: {}, teams: { t: { keyHashes: [], prepaidTokens } } })
+  const changes: ReadonlyArray<{ readonly name: string, readonly configs: readonly unknown[], readonly version: number, readonly told: readonly (readonly [string, boolean])[] }> = [
+    { name: 'tells nothing of the first', configs: [paid(1, 10)], version: 1, told: [] },
+    { name: 'tells a higher amount', configs: [paid(1, 10), paid(2, 20)], version: 2, told: [['t', false]] },
+    { name: 'tells a lower amount', configs: [paid(1, 10), paid(2, 5)], version: 2, told: [['t', true]] },
+    { name: 'ignores an older version', configs: [paid(2, 10), paid(1, 5)], version: 2, told: [] },
+    { name: 'ignores the same version again', configs: [paid(2, 10), paid(2, 5)], version: 2, told: [] }
+  ]
+  for (const { name, configs, version, told } of changes) {
+    it(name, () => {
+      const holder = new GatewayConfigHolder(silent)
+      const heard: Array<readonly [string, boolean]> = []
+      holder.onPaidChanged((team, isLowered) => { heard.push([team, isLowered]) })
+      for (const config of configs) holder.apply(gatewayConfigSchema.parse(config))
+      expect([holder.current()?.config.version, holder.declaredPaid('t')?.version, heard]).to.deep.equal([version, version, told])
+    })
+  }
+})
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -18,6 +18,8 @@
 const RECOVERY_MS = 4_000
 /** Part of the grace time for which a stopping VM serves callers that do not know of it yet. */
 const LINGER_PART = 0.25
+/** Milliseconds for the last bytes of answers to leave the process. */
+const FLUSH_MS = 50
 /** Part of the grace time after which requests still open are given up. */
 const FINISH_PART = 0.85
 
@@ -68,8 +70,9 @@
   /**
    * Stops gracefully: callers are sent elsewhere, open requests are finished, tokens go back.
    * Resolves when the process may end, at the latest shortly before the grace time is over.
+   * @param stopAccepting - closes connections without a request and takes no new ones
    */
-  async drain (): Promise<void> {
+  async drain (stopAccepting: () => void): Promise<void> {
     const work = this.container.get(ids.work)
     const startedAt = this.clock.now().mono
     const leftMs = (): number => Math.max(0, this.settings.graceMs * FINISH_PART - (this.clock.now().mono - startedAt))
@@ -77,8 +80,12 @@
     this.log.write('draining', { open: work.openCount() })
     this.inBackground(this.container.get(ids.presence).tell('leaving'))
     await pause(this.settings.graceMs * LINGER_PART)
+    stopAccepting()
     await work.idle(leftMs())
     await Promise.race([this.handBack(), pause(leftMs())])
+    // Requests that came on open connections meanwhile are answered too, and the last bytes are on their way.
+    await work.idle(leftMs())
+    await pause(FLUSH_MS)
     this.timers.forEach(timer => { clearInterval(timer) })
     this.log.write('stopped', { open: work.openCount() })
   }
