Have one dispatch for opaque requests and calls to services

Cause: the gateway had become a third path beside completions and service calls: each had its own loop of choosing, sending, trying again and giving up. Ruled out: completions in the same step (records of runs, seals and joins have to become capabilities of the target's client). Change: gateway/callDispatch takes who chooses, what repeats are allowed, who pays and the client; the gateway's pipeline and service/serviceDispatch are its edges, claims stay around it. A hung application runner now ends as deadlineExceeded (504, ran unknown) and not as runnerUnreachable (502, ran unknown); each answered call gets a log line.

--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -38,9 +38,10 @@
 
 /** A target chosen, and the reason for the log. */
 export interface TargetChoice {
-  readonly target: TargetView
-  readonly candidates: number
-  readonly reason: 'affinity' | 'lessWork' | 'fewestOpen'
+  readonly target: Pick<TargetView, 'id' | 'address'>
+  /** Number of the candidates, or their names. */
+  readonly candidates: number | readonly string[]
+  readonly reason: string
   /** Prompt tokens that the target is believed to read for it. */
   readonly work: number
 }
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -18,14 +18,16 @@
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { VmPresence } from '../presence/vmPresence.js'
 import { gatewayBudgetPolicy } from './gatewayBudgetPolicy.js'
+import { CallDispatch } from './callDispatch.js'
+import { CallReport } from './callReport.js'
+import { GatewayChooser } from './gatewayChooser.js'
 import { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import { gatewayIds as ids } from './gatewayIds.js'
 import { GatewayPipeline } from './gatewayPipeline.js'
-import { GatewayReport } from './gatewayReport.js'
 import { GatewayRetries } from './gatewayRetries.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { GatewayTargets } from './gatewayTargets.js'
-import type { TargetClient } from './gatewayTypes.js'
+import type { TargetClient } from './callTypes.js'
 
 const INCARNATION_BYTES = 6
 
@@ -97,19 +99,18 @@
     const log = ctx.get(ids.log)
     const metrics = ctx.get(ids.metrics)
     const presence = ctx.get(ids.presence)
-    return new GatewayPipeline({
-      clock: ctx.get(ids.clock),
-      random: ctx.get(ids.random),
-      config: ctx.get(ids.config),
-      work: ctx.get(ids.work),
+    const clock = ctx.get(ids.clock)
+    const random = ctx.get(ids.random)
+    const report = new CallReport(log, metrics)
+    const dispatch = new CallDispatch({
+      clock,
       budgets: ctx.get(ids.budgets),
-      targets: ctx.get(ids.targets),
-      balancer: ctx.get(ids.balancer),
+      chooser: new GatewayChooser(ctx.get(ids.targets), ctx.get(ids.balancer), clock, random),
       retries: new GatewayRetries(retries, () => presence.size),
       client,
-      log,
       metrics,
-      report: new GatewayReport(log, metrics)
+      report
     })
+    return new GatewayPipeline({ random, config: ctx.get(ids.config), work: ctx.get(ids.work), dispatch, log, report })
   }).inSingletonScope()
 }
--- a/packages/rosemaryspread/src/gateway/gatewayAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -4,7 +4,7 @@
  */
 import { failureOf, Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventRelay } from './eventRelay.js'
-import type { AnswerHead, GatewaySink, TargetAnswer, TargetClient, TargetRequest } from './gatewayTypes.js'
+import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
 
 /** Largest answer that is read whole, in bytes. */
 const MAX_WHOLE_BYTES = 16 * 1024 * 1024
@@ -24,9 +24,11 @@
 /** What an attempt works with. */
 export interface AttemptParts {
   readonly client: TargetClient
-  readonly sink: GatewaySink
+  readonly sink: CallSink
   readonly relay: EventRelay
   readonly streamed: boolean
+  /** Whether a failure that the target answered may be asked for again elsewhere. */
+  readonly repeatsFailures: boolean
   /** Told when the first event, or the whole answer, was passed on. */
   readonly onFirst: () => void
 }
@@ -54,7 +56,7 @@
   return isStream ? await relayStream(parts, answer) : await relayWhole(parts, answer)
 }
 
-async function relayWhole ({ sink, onFirst }: AttemptParts, answer: TargetAnswer): Promise<AttemptEnd> {
+async function relayWhole ({ sink, repeatsFailures, onFirst }: AttemptParts, answer: TargetAnswer): Promise<AttemptEnd> {
   const pieces: Buffer[] = []
   let size = 0
   const read = await answer.read(bytes => {
@@ -66,7 +68,7 @@
   const failure = failureOf(read)
   if (failure !== undefined) return { kind: 'broken', failure }
   const body = Buffer.concat(pieces)
-  if (answer.head.status >= FIRST_ERROR_STATUS || sink.begun) return { kind: 'failedAnswer', head: answer.head, body }
+  if ((answer.head.status >= FIRST_ERROR_STATUS && repeatsFailures) || sink.begun) return { kind: 'failedAnswer', head: answer.head, body }
   onFirst()
   sink.whole(answer.head, body)
   return { kind: 'answered' }
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -0,0 +1,193 @@
+/**
+ * The way of an admitted call: reserve, choose a target, dispatch, relay, settle. The payload is
+ * opaque, and what decides is given: who chooses targets, what repeats are allowed, who pays. The
+ * gateway and the service API are edges of it.
+ */
+import { Left, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { BudgetPort } from '../budget/budgetPort.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import { runAttempt, type AttemptEnd } from './callAttempt.js'
+import type { CallReport } from './callReport.js'
+import { OpenCall } from './callOpen.js'
+import type { AdmittedCall, CallRetries, CallSink, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from './callTypes.js'
+
+/** Milliseconds to come back after when another VM may have tokens: about a round trip, since callers come back to another address. */
+const OTHER_VM_RETRY_MS = 20
+/** Part of the objective that a call may wait for tokens. */
+const RESERVE_PART = 0.5
+/** Targets that could not be reached at all that one call passes over, where it may not try more of them anyway. */
+const MAX_UNREACHED = 3
+
+/** What dispatch is composed of. */
+export interface DispatchDeps {
+  readonly clock: Clock
+  /** Absent where calls cost no tokens. */
+  readonly budgets?: BudgetPort
+  readonly chooser: TargetChooser
+  readonly retries: CallRetries
+  readonly client: TargetClient
+  readonly metrics: Metrics
+  readonly report: CallReport
+}
+
+/** Dispatches admitted calls of one VM. */
+export class CallDispatch {
+  constructor (private readonly deps: DispatchDeps) {}
+
+  /**
+   * Serves a call. The sink got its end when this is a success; a failure is left to be told.
+   * @param admitted - the call
+   * @param sink - where the answer goes
+   */
+  async serve (admitted: AdmittedCall, sink: CallSink): Promise<Either<Failure, void>> {
+    const open = new OpenCall(admitted, sink, this.deps.clock)
+    try {
+      const reserved = await this.reserve(open)
+      if (reserved.isLeft()) return reserved
+      this.deps.retries.requested(admitted.service, this.deps.clock.now())
+      return await this.tryTargets(open)
+    } finally {
+      this.settle(open)
+      open.close()
+    }
+  }
+
+  private async reserve (open: OpenCall): Promise<Either<Failure, void>> {
+    const { call, team, route, isPrepaid } = open.admitted
+    const { budgets } = this.deps
+    if (!isPrepaid || team === undefined || budgets === undefined) return open.unpaid()
+    const before = this.deps.clock.now().mono
+    const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_PART, open.leftMs))
+    const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
+    this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before)
+    return reserved.mapLeft(elsewhere).map(reservation => open.pay(reservation))
+  }
+
+  /** Tries targets in turn until the answer is whole or nothing may be tried any more. */
+  private async tryTargets (open: OpenCall): Promise<Either<Failure, void>> {
+    for (;;) {
+      if (open.stopped !== undefined) return Left(open.stopped)
+      const chosen = this.choose(open)
+      if (chosen.isLeft()) return this.lastEnd(open, chosen.extract())
+      const confirmed = this.confirm(open)
+      if (confirmed.isLeft()) return confirmed
+      const end = await this.attempt(open, chosen.unsafeCoerce())
+      if (end.kind === 'answered') return this.deps.report.answered(open, chosen.unsafeCoerce().target.id)
+      open.tried(chosen.unsafeCoerce().target.id, end)
+      const isRetried = this.mayRetry(open, end)
+      this.deps.report.attemptFailed(open, chosen.unsafeCoerce().target.id, end, isRetried)
+      if (!isRetried) return this.lastEnd(open, open.lastFailure)
+    }
+  }
+
+  private choose (open: OpenCall): Either<Failure, TargetChoice> {
+    return this.deps.chooser.choose(open.admitted, open.excluded).ifRight(choice => { this.deps.report.routed(open, choice) })
+  }
+
+  private confirm (open: OpenCall): Either<Failure, void> {
+    const { budgets } = this.deps
+    return open.reservation === undefined || budgets === undefined ? open.unpaid() : budgets.confirm(open.reservation)
+  }
+
+  private async attempt (open: OpenCall, choice: TargetChoice): Promise<AttemptEnd> {
+    const { chooser, client } = this.deps
+    const { sink, relay, admitted: { route: { streamed, repeatsFailures } } } = open
+    let isBegun = false
+    const begun = (): void => {
+      if (!isBegun) chooser.begun(choice)
+      isBegun = true
+    }
+    const onFirst = (): void => {
+      begun()
+      this.first(open)
+    }
+    chooser.sent(choice, open.admitted)
+    const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst }, this.requestFor(open, choice), open.stopSignal())
+    begun()
+    chooser.ended(choice, verdictOf(end, open))
+    return end
+  }
+
+  private requestFor (open: OpenCall, { target }: Pick<TargetChoice, 'target'>): TargetRequest {
+    const { call, team, route, priority } = open.admitted
+    const { requestId, method, path, headers, body } = call
+    return {
+      target,
+      requestId,
+      method,
+      path,
+      headers,
+      body,
+      timeoutMs: Math.max(1, Math.floor(open.leftMs)),
+      team,
+      priority,
+      resumeAfter: open.sink.begun ? open.relay.lastId : undefined,
+      runsOnce: route.repeat === 'never'
+    }
+  }
+
+  private first (open: OpenCall): void {
+    open.firstMs ??= open.ageMs
+    if (open.admitted.route.streamed) this.deps.metrics.record('first_token_ms', open.firstMs)
+  }
+
+  private mayRetry (open: OpenCall, end: AttemptEnd): boolean {
+    if (end.kind === 'answered' || open.stopped !== undefined) return false
+    const { route, service } = open.admitted
+    if (open.wasUnreached(end)) return open.unreached <= Math.max(MAX_UNREACHED, route.attempts)
+    if (open.attempts >= route.attempts) return false
+    if (end.kind !== 'notRun' && !this.isRepeatable(open)) return false
+    return this.deps.retries.take(service, this.deps.clock.now())
+  }
+
+  private isRepeatable ({ admitted: { route: { repeat } }, sink, relay }: OpenCall): boolean {
+    if (repeat === 'resume') return !sink.begun || relay.lastId !== undefined
+    return repeat === 'always' && !sink.begun
+  }
+
+  /** A failure that the target answered is passed on as it is; anything else becomes an own answer. */
+  private lastEnd (open: OpenCall, failure: Failure | undefined): Either<Failure, void> {
+    const { failedAnswer, sink } = open
+    if (failedAnswer !== undefined && !sink.begun && open.stopped === undefined) {
+      sink.whole(failedAnswer.head, failedAnswer.body)
+      return this.deps.report.answered(open, 'failed')
+    }
+    return Left(open.stopped ?? open.lastFailure ?? failure ?? new Failure('internal', 'no attempt was made'))
+  }
+
+  private settle (open: OpenCall): void {
+    const { reservation, admitted } = open
+    const { budgets } = this.deps
+    if (reservation === undefined || budgets === undefined) return
+    if (!open.mayHaveRun) {
+      budgets.settle(reservation)
+      return
+    }
+    const { call, team, tokensPerEvent } = admitted
+    const answerTokens = Math.min(call.maxTokens, open.relay.events * tokensPerEvent)
+    budgets.settle(reservation, {
+      requestId: call.requestId,
+      budget: reservation.budget,
+      team: team ?? '',
+      tokens: call.promptTokens + answerTokens,
+      runner: open.lastTarget ?? ''
+    })
+  }
+}
+
+/** Tokens that are not here may well be at another VM, so the caller is asked to try one at once. */
+function elsewhere (failure: Failure): Failure {
+  const { code, message, ran } = failure
+  return code === 'budgetPending' || code === 'budgetElsewhere' ? new Failure(code, message, { ran, retryAfterMs: OTHER_VM_RETRY_MS }) : failure
+}
+
+/** What the end of an attempt says of the target. */
+function verdictOf (end: AttemptEnd, open: OpenCall): TargetVerdict {
+  if (end.kind === 'answered' || end.kind === 'failedAnswer') return 'good'
+  if (open.stopped !== undefined) return 'none'
+  if (end.kind === 'notRun') return end.failure.code === 'runnerUnreachable' ? 'unreachable' : 'none'
+  return 'failed'
+}
--- a/packages/rosemaryspread/src/gateway/gatewayOpenCall.ts
+++ b/packages/rosemaryspread/src/gateway/callOpen.ts
@@ -7,9 +7,8 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Reservation } from '../budget/budgetPort.js'
 import { EventRelay } from './eventRelay.js'
-import type { AdmittedCall } from './gatewayAdmission.js'
-import type { AttemptEnd } from './gatewayAttempt.js'
-import type { GatewaySink } from './gatewayTypes.js'
+import type { AttemptEnd } from './callAttempt.js'
+import type { AdmittedCall, CallSink } from './callTypes.js'
 
 type FailedAnswer = Extract<AttemptEnd, { kind: 'failedAnswer' }>
 
@@ -38,7 +37,7 @@
   private readonly stop = new AbortController()
   private readonly timer: NodeJS.Timeout
 
-  constructor (readonly admitted: AdmittedCall, readonly sink: GatewaySink, private readonly clock: Clock) {
+  constructor (readonly admitted: AdmittedCall, readonly sink: CallSink, private readonly clock: Clock) {
     this.timer = setTimeout(() => { this.timeOut() }, Math.max(0, this.leftMs))
     admitted.call.gone.addEventListener('abort', this.onGone)
     if (admitted.call.gone.aborted) this.onGone()
--- a/packages/rosemaryspread/src/gateway/gatewayReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -1,15 +1,15 @@
-/** What the log and the metrics learn of the calls of the gateway. */
+/** What the log and the metrics learn of calls on their way. */
 import { Right, type Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
-import type { AttemptEnd } from './gatewayAttempt.js'
-import type { OpenCall } from './gatewayOpenCall.js'
-import type { GatewayCall } from './gatewayTypes.js'
+import type { AttemptEnd } from './callAttempt.js'
+import type { OpenCall } from './callOpen.js'
+import type { OpaqueCall } from './callTypes.js'
 
 /** Reports of one VM. */
-export class GatewayReport {
+export class CallReport {
   constructor (private readonly log: EventLog, private readonly metrics: Metrics) {}
 
   /**
@@ -57,7 +57,7 @@
    * @param call - the call
    * @param failure - the failure
    */
-  failed (call: GatewayCall, { code, ran, retryAfterMs, message }: Failure): void {
+  failed (call: OpaqueCall, { code, ran, retryAfterMs, message }: Failure): void {
     this.metrics.count(`refusals_${code}`)
     this.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: call.requestId, code, ran, retryAfterMs, detail: message })
   }
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -0,0 +1,146 @@
+/**
+ * What goes through dispatch: a call with an opaque payload, the answer as it comes back, and the
+ * ports to targets, their choice, and callers. The edges translate their own protocols to these types.
+ */
+import type { Either } from 'purify-ts'
+import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
+import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
+
+/** A header as it came; names may repeat. */
+export type HeaderPair = readonly [name: string, value: string]
+
+/** A request of a caller. */
+export interface OpaqueCall {
+  readonly requestId: string
+  readonly method: string
+  /** Path with its query, as sent. */
+  readonly path: string
+  /** Headers that are passed on unchanged. */
+  readonly headers: readonly HeaderPair[]
+  readonly body: Buffer
+  readonly promptTokens: number
+  /** Most tokens of the answer. */
+  readonly maxTokens: number
+  readonly receivedAt: Instant
+  /** Aborted when the caller goes away. */
+  readonly gone: AbortSignal
+}
+
+/** What is allowed with a call; see the route of the gateway's configuration. */
+export interface DispatchRule extends Pick<GatewayRoute, 'name' | 'repeat' | 'streamed' | 'objectiveMs' | 'attempts'> {
+  /** Whether a failure that a target answered may be asked for again elsewhere; else it is the answer. */
+  readonly repeatsFailures: boolean
+}
+
+/** A call that may be served. */
+export interface AdmittedCall {
+  readonly call: OpaqueCall
+  readonly route: DispatchRule
+  readonly service: string
+  /** Absent where no key is needed. */
+  readonly team: string | undefined
+  /** Whether the team's tokens are counted. */
+  readonly isPrepaid: boolean
+  readonly priority: number
+  readonly tokensPerEvent: number
+  /** Prompt parts that other requests have as well. */
+  readonly sharedParts: readonly string[]
+  /** Tokens of these parts. */
+  readonly sharedTokens: number
+  /** Monotonic milliseconds at which the caller or the route gives up. */
+  readonly deadline: number
+}
+
+/** Status and headers of an answer of a target. */
+export interface AnswerHead {
+  readonly status: number
+  readonly headers: readonly HeaderPair[]
+}
+
+/** Where the answer of one call goes. Exactly one of `end`, `cut` and `refuse` ends it. */
+export interface CallSink {
+  /** Whether something was sent already. */
+  readonly begun: boolean
+  /** Sends a whole answer. */
+  whole (head: AnswerHead, body: Buffer): void
+  /** Begins a streamed answer. */
+  head (head: AnswerHead): void
+  /** Sends a piece; a promise asks to wait until the caller has read. */
+  piece (bytes: Buffer): Promise<void> | undefined
+  /** Ends a complete stream. */
+  end (): void
+  /** Ends a stream so that it cannot be taken for complete. */
+  cut (): void
+  refuse (failure: Failure): void
+}
+
+/** One request to one target. */
+export interface TargetRequest {
+  readonly target: Pick<TargetView, 'id' | 'address'>
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly headers: readonly HeaderPair[]
+  readonly body: Buffer
+  /** Milliseconds that are left for the whole answer. */
+  readonly timeoutMs: number
+  readonly team: string | undefined
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Id of the last event that the caller has, where a stream goes on. */
+  readonly resumeAfter: string | undefined
+  /** Whether the request must not reach a target that may have closed the connection meanwhile. */
+  readonly runsOnce: boolean
+}
+
+/** The answer of a target as it arrives. */
+export interface TargetAnswer {
+  readonly head: AnswerHead
+  /**
+   * Reads the body to its end.
+   * @param onBytes - takes each piece; reading waits for its promise
+   */
+  read (onBytes: (bytes: Buffer) => Promise<void> | undefined): Promise<Either<Failure, void>>
+}
+
+/**
+ * Sends requests to targets. A failure with `ran: no` is proof that the target did not run the
+ * request; `runnerUnreachable` with `ran: no` means that nothing arrived there.
+ */
+export interface TargetClient {
+  /**
+   * Sends a request; resolves with the head of the answer.
+   * @param req - the request
+   * @param stop - aborted to end the exchange with the target
+   */
+  send (req: TargetRequest, stop: AbortSignal): Promise<Either<Failure, TargetAnswer>>
+}
+
+/** What the end of a request says of its target. */
+export type TargetVerdict = 'good' | 'failed' | 'unreachable' | 'none'
+
+/** Chooses targets, and is told what became of the choices. */
+export interface TargetChooser {
+  /**
+   * Chooses a target.
+   * @param admitted - the call
+   * @param exclude - targets tried already
+   */
+  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice>
+  /** The request goes out. */
+  sent (choice: TargetChoice, admitted: AdmittedCall): void
+  /** The target began to answer, or the request ended without it. */
+  begun (choice: TargetChoice): void
+  ended (choice: TargetChoice, verdict: TargetVerdict): void
+}
+
+/** Bounds repeats. */
+export interface CallRetries {
+  /** Counts a request to a service. */
+  requested (service: string, now: Instant): void
+  /** Takes one repeat from the budget of a service; false when it is spent. */
+  take (service: string, now: Instant): boolean
+}
--- a/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
@@ -3,9 +3,10 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { GatewayConfig, GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
+import type { GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import { chooseService, type RouteTable } from '@rosemaryspread/decisions/gateway/routeTable.js'
 import type { KeyDirectory } from '../directory/keyDirectory.js'
+import type { AdmittedCall } from './callTypes.js'
 import type { GatewayCall } from './gatewayTypes.js'
 
 /** Milliseconds to come back after when the route has no service. */
@@ -18,25 +19,6 @@
   readonly keys: KeyDirectory
 }
 
-/** A call that may be served. */
-export interface AdmittedCall {
-  readonly call: GatewayCall
-  readonly route: GatewayRoute
-  readonly service: string
-  /** Absent on routes that need no key. */
-  readonly team: string | undefined
-  /** Whether the team's tokens are counted. */
-  readonly isPrepaid: boolean
-  readonly priority: number
-  readonly tokensPerEvent: number
-  /** Prompt parts that other requests have as well. */
-  readonly sharedParts: readonly string[]
-  /** Tokens of these parts. */
-  readonly sharedTokens: number
-  /** Monotonic milliseconds at which the caller or the route gives up. */
-  readonly deadline: number
-}
-
 /**
  * Checks a call.
  * @param call - the call
@@ -57,7 +39,7 @@
   const waitMs = Math.min(call.timeoutMs ?? route.timeoutMs, route.timeoutMs)
   return Right({
     call,
-    route,
+    route: { ...route, repeatsFailures: true },
     service,
     team,
     isPrepaid: teamConfig?.prepaidTokens !== undefined && call.promptTokens + call.maxTokens > 0,
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -11,10 +11,13 @@
 import { OpenWork } from '../completion/completionDrain.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { GatewayConfigHolder } from './gatewayConfigHolder.js'
+import { CallDispatch } from './callDispatch.js'
+import { CallReport } from './callReport.js'
+import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
+import { GatewayChooser } from './gatewayChooser.js'
 import { GatewayPipeline } from './gatewayPipeline.js'
-import { GatewayReport } from './gatewayReport.js'
 import { GatewayRetries } from './gatewayRetries.js'
-import type { AnswerHead, GatewayCall, GatewaySink, TargetAnswer, TargetClient, TargetRequest } from './gatewayTypes.js'
+import type { GatewayCall } from './gatewayTypes.js'
 
 const OK: AnswerHead = { status: 200, headers: [] }
 const FAILED: AnswerHead = { status: 500, headers: [] }
@@ -64,7 +67,7 @@
   settle (_reservation: Reservation, bill?: Bill): void { this.bills.push(bill) }
 }
 
-class Sink implements GatewaySink {
+class Sink implements CallSink {
   begun = false
   text = ''
   readonly ends: string[] = []
@@ -143,20 +146,26 @@
   config.apply(gatewayConfigSchema.parse({ version: 1, routes: [whole], services: { s: { tokensPerEvent: 3 } }, teams: { team: { keyHashes: [], prepaidTokens: 1 } } }))
   const metrics = new MetricsRecorder()
   const prepared = config.current()
+  const clock = { now: () => ({ mono: performance.now(), wall: 0 }) }
+  const random = { next: () => 0, id: () => 'id' }
+  const targets = ['a', 'b', 'c', 'd'].map(id => ({ id, service: 's', address: id, domain: 'd', slots: 1, isLeaving: false }))
+  const report = new CallReport(silent, metrics)
   const pipeline = new GatewayPipeline({
-    clock: { now: () => ({ mono: performance.now(), wall: 0 }) },
-    random: { next: () => 0, id: () => 'id' },
+    random,
     // Every key belongs to the one team.
     config: { current: () => prepared === undefined ? undefined : { ...prepared, keys: { ownerOf: () => 'team' } as never } },
     work: new OpenWork(),
-    budgets,
-    targets: { serving: () => ['a', 'b', 'c', 'd'].map(id => ({ id, service: 's', address: id, domain: 'd', slots: 1, isLeaving: false })) },
-    balancer: new TargetBalancer(),
-    retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
-    client,
+    dispatch: new CallDispatch({
+      clock,
+      budgets,
+      chooser: new GatewayChooser({ serving: () => targets }, new TargetBalancer(), clock, random),
+      retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
+      client,
+      metrics,
+      report
+    }),
     log: silent,
-    metrics,
-    report: new GatewayReport(silent, metrics)
+    report
   })
   return { pipeline, config }
 }
--- a/packages/rosemaryspread/src/gateway/gatewayRetries.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayRetries.ts
@@ -3,6 +3,7 @@
  * to the requests of a service; each VM takes an equal part of the fixed allowance.
  */
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { CallRetries } from './callTypes.js'
 import { RetryBudget, type RetryPolicy } from '@rosemaryspread/decisions/routing/retryBudget.js'
 
 /** The allowance of all VMs together. */
@@ -25,7 +26,7 @@
 const MS_PER_SECOND = 1_000
 
 /** Retry budgets by service. */
-export class GatewayRetries {
+export class GatewayRetries implements CallRetries {
   private readonly budgets = new Map<string, RetryBudget>()
 
   /**
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -5,16 +5,20 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { ApplicationService, ServiceAnswer, ServiceCall } from '@rosemaryspread/callers/completion/completionTypes.js'
 import { elapsedMs, type Clock, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { FleetConfig, ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { bodyDigest, keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
 import type { ApplicationAnswer, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import type { CurrentConfig, DrainState, RandomSource } from '../completion/completionPorts.js'
+import { CallDispatch } from '../gateway/callDispatch.js'
+import { CallReport } from '../gateway/callReport.js'
+import type { AdmittedCall } from '../gateway/callTypes.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import type { BackgroundWrites } from './serviceBackground.js'
 import type { ClaimRow, ClaimStore, HeldClaim } from './serviceClaim.js'
-import { chooseServiceRunner, isRepeatable, ServiceLoad, type ServiceChoice } from './serviceRoute.js'
+import { AnswerKeeper, ApplicationTargets, ServiceChooser, unboundedRetries } from './serviceDispatch.js'
+import { isRepeatable, ServiceLoad } from './serviceRoute.js'
 
 /** A claim older than this when the call would be dispatched is abandoned: its holder was paused. */
 const CLAIM_FRESH_MS = 5_000
@@ -142,50 +146,21 @@
     return answer
   }
 
-  /** Tries runners in turn; after one may have run the call, only a repeatable call goes on. */
   private async dispatch (checked: CheckedCall): Promise<Either<Failure, ServiceAnswer>> {
-    const exclude: string[] = []
-    let last: Failure | undefined
-    for (;;) {
-      const chosen = chooseServiceRunner(checked.service, this.deps.domain, this.load, exclude, this.deps.clock.now().mono)
-      if (chosen.isLeft()) return Left(last ?? chosen.extract())
-      const leftMs = checked.timeoutMs - elapsedMs(checked.startedAt, this.deps.clock.now())
-      if (leftMs <= 0) return Left(last ?? new Failure('deadlineExceeded', 'the deadline passed before the call was dispatched'))
-      const answer = await this.callRunner(checked, chosen.unsafeCoerce(), leftMs)
-      const failure = failureOf(answer)
-      if (failure === undefined) return answer.map(({ status, contentType, body }) => ({ status, contentType, body, requestId: checked.requestId, repeated: false }))
-      last = worse(last, failure)
-      const { runner } = chosen.unsafeCoerce()
-      const retried = last.ran === 'no' || checked.repeatable
-      this.attemptFailed(checked.requestId, runner, failure, retried)
-      if (!retried) return Left(last)
-      exclude.push(runner)
-    }
-  }
-
-  private async callRunner (checked: CheckedCall, choice: ServiceChoice, timeoutMs: number): Promise<Either<Failure, ApplicationAnswer>> {
-    const { call, requestId } = checked
-    this.deps.log.write('routed', { request: requestId, service: call.service, candidates: choice.candidates, choice: choice.runner, reason: 'fewest open calls' })
-    this.load.add(choice.runner, 1)
-    try {
-      const answer = await this.deps.runners.call(choice.address, {
-        requestId,
-        method: call.method,
-        path: call.path,
-        ...(call.contentType === undefined ? {} : { contentType: call.contentType }),
-        body: call.body,
-        timeoutMs
-      })
-      this.load.ended(choice.runner, answer.isRight(), this.deps.clock.now().mono)
-      return answer
-    } finally {
-      this.load.add(choice.runner, -1)
-      this.deps.metrics.record('service_call_ms', elapsedMs(checked.startedAt, this.deps.clock.now()))
-    }
-  }
-
-  private attemptFailed (request: string, runner: string, { code, ran, message }: Failure, retried: boolean): void {
-    this.deps.log.write('attemptFailed', { request, runner, code, ran, retried, detail: message })
+    const { requestId, startedAt } = checked
+    const { clock, metrics, log, runners, domain } = this.deps
+    const keeper = new AnswerKeeper()
+    const dispatch = new CallDispatch({
+      clock,
+      chooser: new ServiceChooser(checked.service, domain, this.load, clock),
+      retries: unboundedRetries,
+      client: new ApplicationTargets(runners),
+      metrics,
+      report: new CallReport(log, metrics)
+    })
+    const served = await dispatch.serve(admittedOf(checked), keeper)
+    metrics.record('service_call_ms', elapsedMs(startedAt, clock.now()))
+    return served.map(() => ({ ...keeper.answer as ApplicationAnswer, requestId, repeated: false }))
   }
 
   private refused (request: string, team: string, failure: Failure): void {
@@ -200,9 +175,24 @@
   return bodyDigest(`${service} ${method} ${path} ${digest}`)
 }
 
-/** Of two failures keeps the one that admits that the call may have run. */
-function worse (known: Failure | undefined, next: Failure): Failure {
-  return known === undefined || known.ran === 'no' ? next : known
+/** The call as dispatch takes it: a caller that leaves does not end it, and tokens are not counted. */
+function admittedOf ({ call, service, requestId, startedAt, timeoutMs, repeatable }: CheckedCall): AdmittedCall {
+  const { method, path, body, contentType, caller } = call
+  const rule = { name: call.service, repeat: repeatable ? 'always' : 'never', streamed: false, objectiveMs: timeoutMs, attempts: Object.keys(service.runners).length, repeatsFailures: false } as const
+  return {
+    call: {
+      requestId, method, path, headers: contentType === undefined ? [] : [['content-type', contentType]], body, promptTokens: 0, maxTokens: 0, receivedAt: startedAt, gone: new AbortController().signal
+    },
+    route: rule,
+    service: call.service,
+    team: caller.team,
+    isPrepaid: false,
+    priority: 0,
+    tokensPerEvent: 1,
+    sharedParts: [],
+    sharedTokens: 0,
+    deadline: startedAt.mono + timeoutMs
+  }
 }
 
 /** What a repeat is told about a call that another attempt claimed. */
--- /dev/null
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -0,0 +1,95 @@
+/**
+ * The service API as an edge of dispatch: application runners as targets, chosen by the fewest open
+ * calls, and answers that are taken whole.
+ */
+import { Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
+import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { ApplicationAnswer, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
+import type { AdmittedCall, AnswerHead, CallRetries, CallSink, TargetAnswer, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from '../gateway/callTypes.js'
+import { chooseServiceRunner, type ServiceLoad } from './serviceRoute.js'
+
+const CONTENT_TYPE = 'content-type'
+/** Reason in the log of each choice. */
+const REASON = 'fewest open calls'
+
+/** Chooses application runners of one service. */
+export class ServiceChooser implements TargetChooser {
+  constructor (
+    private readonly service: ServiceConfig,
+    private readonly domain: string,
+    private readonly load: ServiceLoad,
+    private readonly clock: Clock
+  ) {}
+
+  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice> {
+    return chooseServiceRunner(this.service, this.domain, this.load, [...exclude], this.clock.now().mono)
+      .map(({ runner, address, candidates }) => ({ target: { id: runner, address }, candidates, reason: REASON, work: 0 }))
+  }
+
+  sent ({ target }: TargetChoice): void {
+    this.load.add(target.id, 1)
+  }
+
+  begun (): void {}
+
+  ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
+    this.load.ended(target.id, verdict === 'good', this.clock.now().mono)
+    this.load.add(target.id, -1)
+  }
+}
+
+/** Calls to services may go to every runner in turn. */
+export const unboundedRetries: CallRetries = {
+  requested: () => {},
+  take: () => true
+}
+
+/** Application runners as targets. They are not asked to stop: a call runs to its end or its time limit. */
+export class ApplicationTargets implements TargetClient {
+  constructor (private readonly client: ApplicationClient) {}
+
+  async send ({ target, requestId, method, path, headers, body, timeoutMs }: TargetRequest): Promise<Either<Failure, TargetAnswer>> {
+    const contentType = headers.find(([name]) => name === CONTENT_TYPE)?.[1]
+    const answer = await this.client.call(target.address, {
+      requestId,
+      method: method === 'GET' ? 'GET' : 'POST',
+      path,
+      ...(contentType === undefined ? {} : { contentType }),
+      body,
+      timeoutMs
+    })
+    return answer.map(answerOf)
+  }
+}
+
+function answerOf ({ status, contentType, body }: ApplicationAnswer): TargetAnswer {
+  return {
+    head: { status, headers: [[CONTENT_TYPE, contentType]] },
+    read: async onBytes => {
+      await onBytes(body)
+      return Right(undefined)
+    }
+  }
+}
+
+/** Keeps the answer of a call for who asked. */
+export class AnswerKeeper implements CallSink {
+  answer: ApplicationAnswer | undefined
+
+  get begun (): boolean {
+    return this.answer !== undefined
+  }
+
+  whole ({ status, headers }: AnswerHead, body: Buffer): void {
+    this.answer = { status, contentType: headers.find(([name]) => name === CONTENT_TYPE)?.[1] ?? '', body }
+  }
+
+  head (): void {}
+  piece (): undefined {}
+  end (): void {}
+  cut (): void {}
+  refuse (): void {}
+}
