--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -32,7 +32,7 @@
   billsArchived: { number: 2009, level: 'info', title: 'Old bills went from the table to the object store; fields: object, segments' },
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
-  requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, runner, tokens, totalMs' },
+  requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, runner, tokens or events, route, firstMs (until the first event), totalMs' },
   requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
   requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran' },
   requestJoined: { number: 3005, level: 'info', title: 'A repeat joined the run of an earlier request; fields: request, runner' },
--- a/packages/infra/src/table/tableFeed.ts
+++ b/packages/infra/src/table/tableFeed.ts
@@ -5,19 +5,19 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
 /** A row as the feed tells it; `value` is null when the row was deleted. */
-export interface FeedRow {
+export interface FeedRow<T = unknown> {
   readonly key: string
-  readonly value: unknown
+  readonly value: T | null
   readonly version: number
 }
 
 /** Takes what the feed tells. */
-export interface FeedHandler {
+export interface FeedHandler<T = unknown> {
   /** The whole table, read at the start and after a gap. */
-  replaced (rows: readonly FeedRow[]): void
+  replaced (rows: ReadonlyArray<FeedRow<T>>): void
   /** Rows that changed since, in order. */
-  changed (rows: readonly FeedRow[]): void
-  /** The store could not be reached; the feed goes on trying. */
+  changed (rows: ReadonlyArray<FeedRow<T>>): void
+  /** The store could not be reached, or what it told could not be taken; the feed goes on trying. */
   failed (failure: Failure): void
   /** A row was left out because its value cannot be decoded. */
   undecodable? (key: string, err: unknown): void
