Name the target in each bill; deny nothing that may have run when an allotment closes between two attempts

Cause: read again as a newcomer: bills of answered calls named no target, a closed allotment before a repeat would have been told as not run although the first attempt may have, and a request to a target had a field that nobody read. Change: the target is noted when the request goes out; the worse failure counts; the field is gone. Figures: two checks of the pipeline's spec fail without the change.

--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -3,7 +3,7 @@
  * opaque, and what decides is given: who chooses targets, what repeats are allowed, who pays. The
  * gateway and the service API are edges of it.
  */
-import { Left, type Either } from 'purify-ts'
+import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
@@ -58,7 +58,7 @@
   private async reserve (open: OpenCall): Promise<Either<Failure, void>> {
     const { call, team, route, isPrepaid } = open.admitted
     const { budgets } = this.deps
-    if (!isPrepaid || team === undefined || budgets === undefined) return open.unpaid()
+    if (!isPrepaid || team === undefined || budgets === undefined) return Right(undefined)
     const before = this.deps.clock.now().mono
     const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_PART, open.leftMs))
     const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
@@ -73,7 +73,7 @@
       const chosen = this.choose(open)
       if (chosen.isLeft()) return this.lastEnd(open, chosen.extract())
       const confirmed = this.confirm(open)
-      if (confirmed.isLeft()) return confirmed
+      if (confirmed.isLeft()) return this.lastEnd(open, confirmed.extract())
       const end = await this.attempt(open, chosen.unsafeCoerce())
       if (end.kind === 'answered') return this.deps.report.answered(open, chosen.unsafeCoerce().target.id)
       open.tried(chosen.unsafeCoerce().target.id, end)
@@ -89,7 +89,7 @@
 
   private confirm (open: OpenCall): Either<Failure, void> {
     const { budgets } = this.deps
-    return open.reservation === undefined || budgets === undefined ? open.unpaid() : budgets.confirm(open.reservation)
+    return open.reservation === undefined || budgets === undefined ? Right(undefined) : budgets.confirm(open.reservation)
   }
 
   private async attempt (open: OpenCall, choice: TargetChoice): Promise<AttemptEnd> {
@@ -104,6 +104,7 @@
       begun()
       this.first(open)
     }
+    open.lastTarget = choice.target.id
     chooser.sent(choice, open.admitted)
     const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst }, this.requestFor(open, choice), open.stopSignal())
     begun()
@@ -111,8 +112,8 @@
     return end
   }
 
-  private requestFor (open: OpenCall, { target }: Pick<TargetChoice, 'target'>): TargetRequest {
-    const { call, team, route, priority } = open.admitted
+  private requestFor (open: OpenCall, { target }: TargetChoice): TargetRequest {
+    const { call, team, priority } = open.admitted
     const { requestId, method, path, headers, body } = call
     return {
       target,
@@ -124,8 +125,7 @@
       timeoutMs: Math.max(1, Math.floor(open.leftMs)),
       team,
       priority,
-      resumeAfter: open.sink.begun ? open.relay.lastId : undefined,
-      runsOnce: route.repeat === 'never'
+      resumeAfter: open.sink.begun ? open.relay.lastId : undefined
     }
   }
 
--- a/packages/rosemaryspread/src/gateway/callOpen.ts
+++ b/packages/rosemaryspread/src/gateway/callOpen.ts
@@ -2,7 +2,6 @@
  * One call on its way: what is reserved for it, which targets it was sent to, and whether its time
  * is over or its caller gone.
  */
-import { Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Reservation } from '../budget/budgetPort.js'
@@ -24,6 +23,7 @@
   stopped: Failure | undefined
   lastFailure: Failure | undefined
   failedAnswer: FailedAnswer | undefined
+  /** Target that it was sent to last. */
   lastTarget: string | undefined
   /** Milliseconds from its receipt to the first event, or the whole answer, passed on. */
   firstMs: number | undefined
@@ -67,11 +67,6 @@
     this.reservation = reservation
   }
 
-  /** Goes on without a reservation. */
-  unpaid (): Either<Failure, void> {
-    return Right(undefined)
-  }
-
   /**
    * Takes the end of an attempt that did not answer the call.
    * @param target - id of the target
@@ -81,10 +76,7 @@
     this.excluded.add(target)
     if (this.wasUnreached(end)) this.unreached += 1
     else this.attempts += 1
-    if (end.kind !== 'notRun') {
-      this.ran = true
-      this.lastTarget = target
-    }
+    if (end.kind !== 'notRun') this.ran = true
     this.mayHaveRun = this.ran
     if (end.kind === 'failedAnswer') this.failedAnswer = end
     if (end.kind === 'notRun' || end.kind === 'broken') this.lastFailure = this.worse(end.failure)
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -92,8 +92,6 @@
   readonly priority: number
   /** Id of the last event that the caller has, where a stream goes on. */
   readonly resumeAfter: string | undefined
-  /** Whether the request must not reach a target that may have closed the connection meanwhile. */
-  readonly runsOnce: boolean
 }
 
 /** The answer of a target as it arrives. */
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -54,7 +54,8 @@
 
 class Budgets implements BudgetPort {
   readonly bills: Array<Bill | undefined> = []
-  confirmed: Either<Failure, void> = Right(undefined)
+  /** Answers to the next confirmations; later ones succeed. */
+  confirmations: Array<Either<Failure, void>> = []
 
   constructor (private readonly refusal?: Failure) {}
 
@@ -62,7 +63,7 @@
     return this.refusal === undefined ? Right({ reservationId: 'v', budget, tokens }) : Left(this.refusal)
   }
 
-  confirm (): Either<Failure, void> { return this.confirmed }
+  confirm (): Either<Failure, void> { return this.confirmations.shift() ?? Right(undefined) }
 
   settle (_reservation: Reservation, bill?: Bill): void { this.bills.push(bill) }
 }
@@ -183,6 +184,7 @@
       if (test.text !== undefined) expect(sink.text).to.equal(test.text)
       const isReserved = test.refusal === undefined
       expect(budgets.bills.map(bill => bill?.tokens)).to.deep.equal(isReserved ? [test.billed] : [])
+      if (test.billed !== undefined) expect(budgets.bills[0]?.runner).to.equal(client.sent.at(-1)?.target.id)
     })
   }
 
@@ -192,10 +194,19 @@
     expect(new Set(client.sent.map(({ target }) => target.id)).size).to.equal(4)
   })
 
+  it('does not deny what may have run when the allotment is closed before a repeat', async () => {
+    const client = new Client([lost])
+    const budgets = new Budgets()
+    const sink = new Sink()
+    budgets.confirmations = [Right(undefined), Left(new Failure('allotmentClosed', 'closed'))]
+    await pipelineOf(client, budgets, { repeat: 'always' }).pipeline.serve({ ...callOf(new AbortController().signal), key: 'k' }, sink)
+    expect([sink.ends, client.sent.length]).to.deep.equal([['runnerUnreachable unknown'], 1])
+  })
+
   it('sends nothing when the allotment was closed while the call waited', async () => {
     const client = new Client([])
     const budgets = new Budgets()
-    budgets.confirmed = Left(new Failure('allotmentClosed', 'closed'))
+    budgets.confirmations = [Left(new Failure('allotmentClosed', 'closed'))]
     const sink = new Sink()
     await pipelineOf(client, budgets, {}).pipeline.serve({ ...callOf(new AbortController().signal), key: 'k' }, sink)
     expect([sink.ends, client.sent.length]).to.deep.equal([['allotmentClosed no'], 0])
