--- a/packages/rosemaryspread/src/gateway/gatewayTypes.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTypes.ts
@@ -1,8 +1,6 @@
 /**
  * What the gateway takes from its edge, and the targets that it knows.
  */
-import type { Maybe } from 'purify-ts'
-import type { GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { OpaqueCall } from './callTypes.js'
 
@@ -25,8 +23,3 @@
 export interface TargetDirectory {
   serving (service: string): readonly TargetView[]
 }
-
-/** The gateway's configuration in force. */
-export interface CurrentGatewayConfig {
-  current (): Maybe<GatewayConfig>
-}
