Bound what an ended VM may have used by the start of its successor's process

Cause: after a loss of power of all VMs recovery billed what the reports allowed up to the time at which the successor had registered, 1.5 s and more after its process began, and reports carried the time of the last answer of the store, which is as old as the last outage. Ruled out: a wrong sum of what was in use (reports hold what was reserved, checked by the random test). Change: a process tells when it had begun by the store's clock, from above; the table's clock is carried on by the monotonic clock between answers.

--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -67,7 +67,12 @@
 export const holderRowSchema = z.object({ holder: z.string(), domain: z.string() })
 
 /** Row `places/<holder>`: a name of the addresses on which the process listens, on this very system. */
-export const placeRowSchema = z.object({ holder: z.string(), place: z.string() })
+export const placeRowSchema = z.object({
+  holder: z.string(),
+  place: z.string(),
+  /** Milliseconds of the table's clock at which the process had certainly begun; absent where it does not know. */
+  begunBy: z.number().optional()
+})
 
 /** Row `holdings/<holder>/<budget>`: index of the allotments of a holder. */
 export const holdingRowSchema = z.object({ holder: z.string(), budget: z.string() })
--- a/packages/decisions/src/budget/recoveryRules.ts
+++ b/packages/decisions/src/budget/recoveryRules.ts
@@ -66,7 +66,7 @@
 export interface PlacedHolder {
   readonly holder: string
   readonly place: string
-  /** Table milliseconds at which it was listening there. */
+  /** Table milliseconds at which its process had certainly begun: no earlier process of its VM ran any more. */
   readonly since: number
 }
 
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -39,7 +39,7 @@
     this.policy = parts.policy ?? defaultBudgetPolicy
     this.ledger = new BudgetLedger(holder, this.policy)
     this.table = new BudgetTable(store, clock)
-    this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place })
+    this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place, begunAt: parts.begunAt })
     this.reservations = new OpenReservations(holder)
     const targets = { table: this.table, registry: this.registry, reservations: this.reservations, dispatch: (event: BudgetEvent) => { this.dispatch(event) } }
     this.actions = new BudgetActions(parts, targets)
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -14,6 +14,8 @@
   readonly domain: string
   /** Name of the addresses on which this process listens. */
   readonly place?: string | undefined
+  /** Monotonic milliseconds at which this process had begun; absent where its clock does not tell. */
+  readonly begunAt?: number
   readonly store: TableStore
   readonly peers: BudgetPeers
   readonly clock: Clock
--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -11,6 +11,7 @@
 import type { PlacedHolder, RegisteredHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
 import { drawKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import { planRetire } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
+import type { Row } from '@rosemaryspread/infra/table/tableTypes.js'
 import { scanAll } from './budgetSharing.js'
 import type { BudgetTable } from './budgetTable.js'
 
@@ -36,6 +37,8 @@
   readonly domain: string
   /** Name of the addresses it listens on; without it its successor proves nothing. */
   readonly place?: string | undefined
+  /** Monotonic milliseconds at which this process had begun; absent where its clock does not tell. */
+  readonly begunAt?: number | undefined
 }
 
 /** Registers this holder and finds the others. */
@@ -58,10 +61,11 @@
     const { holder, domain } = this.self
     const key = holderKey(domain, holder)
     const keys = [{ table: budgetTables.holders, key }, { table: budgetTables.places, key: holder }]
+    const askedAt = this.table.now()
     const done = await this.table.run('register', keys, rows => {
       if (rows.version(budgetTables.holders, key) !== null && this.isPlaced(rows)) return Right({ kind: 'done' })
       rows.set(budgetTables.holders, key, { holder, domain })
-      if (!this.isPlaced(rows)) rows.set(budgetTables.places, holder, { holder, place: this.self.place })
+      if (!this.isPlaced(rows)) rows.set(budgetTables.places, holder, { holder, place: this.self.place, ...this.begunBy(askedAt) })
       return Right({ kind: 'write' })
     })
     this.registering = false
@@ -71,6 +75,17 @@
     })
   }
 
+  /**
+   * By the table's clock. An answer tells a time that is not before the question was asked, so the
+   * time from the beginning of this process to the question can be taken off it.
+   */
+  private begunBy (askedAt: Instant): { readonly begunBy?: number } {
+    const { begunAt } = this.self
+    if (begunAt === undefined) return {}
+    const sinceAskedMs = this.table.now().mono - askedAt.mono
+    return { begunBy: Math.ceil(this.table.tableNow + sinceAskedMs - (this.table.now().mono - begunAt)) }
+  }
+
   private isPlaced (rows: RowSet): boolean {
     return this.self.place === undefined || rows.version(budgetTables.places, this.self.holder) !== null
   }
@@ -109,7 +124,7 @@
   /** All holders that told where they listen. */
   async places (): Promise<Either<Failure, readonly PlacedHolder[]>> {
     const scan = await scanAll(this.table.store, budgetTables.places, '').run()
-    return scan.map(({ rows }) => rows.map(row => ({ ...placeRowSchema.parse(row.value), since: row.updatedAt })))
+    return scan.map(({ rows }) => rows.map(placedHolder))
   }
 
   /**
@@ -142,3 +157,8 @@
     })
   }
 }
+
+function placedHolder ({ value, updatedAt }: Row): PlacedHolder {
+  const { holder, place, begunBy } = placeRowSchema.parse(value)
+  return { holder, place, since: Math.min(updatedAt, begunBy ?? updatedAt) }
+}
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -27,8 +27,8 @@
   /** Table writes that took effect, for metrics. */
   writes = 0
   conflicts = 0
-  /** Milliseconds of the table's clock by its last answer, so never ahead of it; 0 before the first. */
-  tableNow = 0
+  /** Table's clock less the own monotonic one, by the last answer; undefined before the first. */
+  private aheadMs: number | undefined
 
   /** Start of the first try of operations whose outcome is not known yet. */
   private readonly firstSent = new Map<string, Instant>()
@@ -50,7 +50,7 @@
       const read = await this.store.read(keys)
       if (read.isLeft()) return Left(read.extract())
       const answer = read.unsafeCoerce()
-      this.tableNow = answer.now
+      this.noteClock(answer.now)
       const rows = new RowSet(keys, answer.rows)
       const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
       if (planned.isLeft()) return Left(planned.extract())
@@ -77,6 +77,11 @@
     return this.firstSent.has(operationId)
   }
 
+  /** Milliseconds of the table's clock; never ahead of it, since an answer takes time to come. 0 before the first answer. */
+  get tableNow (): number {
+    return this.aheadMs === undefined ? 0 : Math.floor(this.clock.now().mono + this.aheadMs)
+  }
+
   /** Both clocks. */
   now (): Instant {
     return this.clock.now()
@@ -93,6 +98,10 @@
     return first
   }
 
+  private noteClock (now: number): void {
+    this.aheadMs = now - this.clock.now().mono
+  }
+
   private noteUnknown (ids: readonly string[], startedAt: Instant): void {
     for (const id of ids) if (!this.firstSent.has(id)) this.firstSent.set(id, startedAt)
   }
@@ -101,7 +110,7 @@
     const result = await this.store.transact({ checks: [...rows.checks()], writes: [...rows.writes()] })
     result.ifRight(({ now }) => {
       this.writes += 1
-      this.tableNow = now
+      this.noteClock(now)
     })
     result.ifLeft(failure => { if (failure.code === 'platformConflict') this.conflicts += 1 })
     return result
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -30,6 +30,8 @@
 import type { TargetClient } from './callTypes.js'
 
 const INCARNATION_BYTES = 6
+/** Monotonic milliseconds at which a process begins: Node's performance clock counts from there. */
+const PROCESS_BEGUN_AT = 0
 
 /** What reaches the platform and the targets. */
 export interface GatewayEdge {
@@ -84,6 +86,7 @@
     holder,
     domain,
     place: callers,
+    begunAt: PROCESS_BEGUN_AT,
     store: table,
     peers: recalls,
     clock,
--- a/packages/stand-ins/src/budget/heldAsSpent.spec.ts
+++ b/packages/stand-ins/src/budget/heldAsSpent.spec.ts
@@ -28,11 +28,12 @@
   private readonly state = new TableState(() => this.mono)
   readonly store = new MemoryTableStore(this.state)
 
-  process (token: string): BudgetDriver {
+  process (token: string, begunAt = this.mono): BudgetDriver {
     return new BudgetDriver({
       holder: `vm1~${token}`,
       domain: 'd',
       place: '10.0.0.1:80',
+      begunAt,
       store: this.store,
       peers: alone,
       policy: gatewayBudgetPolicy,
@@ -99,4 +100,21 @@
       expect(shown.spent).to.be.at.most(Math.max(held / 2 + used, used * 3 + 8 * REQUEST))
     })
   }
+
+  it('bills no more for the time that its successor took to reach the store', async () => {
+    const spentAfter = async (outageMs: number): Promise<number> => {
+      const world = new World()
+      const first = world.process('a')
+      await world.pass(200, first)
+      await world.use(first, 30)
+      const second = world.process('b')
+      world.store.outage = true
+      await world.pass(outageMs, second)
+      world.store.outage = false
+      await world.pass(1_000, second)
+      await second.recoverDead()
+      return (await second.show('b')).unsafeCoerce().spent
+    }
+    expect(await spentAfter(6_000)).to.equal(await spentAfter(0))
+  })
 })
