Bill a request only once any of its answer was passed on

The users count input once per request and output that was delivered, and a team is owed service up to 97 in 100 of what it paid; beyond these three in 100 every further refusal was a wrong one. A failure that a target answered and that was passed on is billed as before; whether the users count it is not known. The log says how many tokens a request had, and how long it waited for a reservation.

--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -62,7 +62,8 @@
     const before = this.deps.clock.now().mono
     const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_PART, open.leftMs))
     const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
-    this.deps.metrics.record('reserve_wait_ms', this.deps.clock.now().mono - before)
+    open.reserveMs = this.deps.clock.now().mono - before
+    this.deps.metrics.record('reserve_wait_ms', open.reserveMs)
     return reserved.mapLeft(elsewhere).map(reservation => open.pay(reservation))
   }
 
@@ -162,7 +163,7 @@
     const { reservation, admitted } = open
     const { budgets } = this.deps
     if (reservation === undefined || budgets === undefined) return
-    if (!open.mayHaveRun) {
+    if (!open.mayHaveRun || !open.isDelivered) {
       budgets.settle(reservation)
       return
     }
--- a/packages/rosemaryspread/src/gateway/callOpen.ts
+++ b/packages/rosemaryspread/src/gateway/callOpen.ts
@@ -25,6 +25,8 @@
   failedAnswer: FailedAnswer | undefined
   /** Target that it was sent to last. */
   lastTarget: string | undefined
+  /** Milliseconds that it waited for tokens. */
+  reserveMs = 0
   /** Milliseconds from its receipt to the first event, or the whole answer, passed on. */
   firstMs: number | undefined
   /** Whether some target may have begun to work on it. */
@@ -53,6 +55,14 @@
     return this.clock.now().mono - this.admitted.call.receivedAt.mono
   }
 
+  /**
+   * Whether any of an answer was passed on. Only then does a request cost its prompt: callers pay for
+   * what they get, and an answer that was lost on its way costs nothing.
+   */
+  get isDelivered (): boolean {
+    return this.firstMs !== undefined || this.failedAnswer !== undefined
+  }
+
   /** Aborted when the call ends early; asked for when an attempt begins, from which time it may run. */
   stopSignal (): AbortSignal {
     this.mayHaveRun = true
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -17,9 +17,9 @@
    * @param open - the call
    * @param choice - the choice
    */
-  routed ({ admitted }: OpenCall, { target, candidates, reason }: TargetChoice): void {
-    const { call, service, team } = admitted
-    this.log.write('routed', { request: call.requestId, team, service, candidates, choice: target.id, reason })
+  routed ({ admitted }: OpenCall, { target, candidates, reason, work }: TargetChoice): void {
+    const { call, service, team, sharedTokens } = admitted
+    this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, choice: target.id, reason, work })
   }
 
   /**
@@ -31,7 +31,7 @@
     const totalMs = Math.round(open.ageMs)
     this.metrics.count('answers')
     this.metrics.record('total_ms', totalMs)
-    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, route: open.admitted.route.name, events: open.relay.events, firstMs: Math.round(open.firstMs ?? totalMs), totalMs })
+    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, route: open.admitted.route.name, events: open.relay.events, reserveMs: Math.round(open.reserveMs), firstMs: Math.round(open.firstMs ?? totalMs), totalMs })
     return Right(undefined)
   }
 
