Plan transactions on the own rows as last written, without reading them

Ruled out: a wrong write from an outdated row: every row of a transaction is checked by its version, and an end without a write is decided on rows that were read. Change: rows that only this holder writes are kept as it wrote them, a transaction reads the others; a return of nothing, which only renews a report, does not touch the budget row.

--- a/packages/decisions/src/budget/budgetKeys.ts
+++ b/packages/decisions/src/budget/budgetKeys.ts
@@ -47,6 +47,15 @@
   return `${budget}/${holder}`
 }
 
+/**
+ * Whether a row is an allotment of a holder; while the holder lives, nobody else writes it.
+ * @param row - table and key
+ * @param holder - holder id
+ */
+export function isOwnAllotment ({ table, key }: { readonly table: string, readonly key: string }, holder: HolderId): boolean {
+  return table === budgetTables.allotments && key.endsWith(`/${holder}`)
+}
+
 /**
  * Key of a segment row; keys of one holder sort by number.
  * @param holder - holder id
--- a/packages/decisions/src/budget/flushPlan.ts
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -57,7 +57,7 @@
     { table: budgetTables.segments, key: segmentKey(flusher.holder, order.seq) },
     ...[...allotments].map(key => ({ table: budgetTables.allotments, key })),
     ...order.transfers.map(item => ({ table: budgetTables.transfers, key: item.transferId })),
-    ...[...new Set(order.returns.map(item => item.budget))].map(key => ({ table: budgetTables.budgets, key }))
+    ...[...new Set(order.returns.filter(item => item.tokens > 0).map(item => item.budget))].map(key => ({ table: budgetTables.budgets, key }))
   ]
 }
 
@@ -100,10 +100,12 @@
 }
 
 function giveBack (rows: RowSet, item: BudgetReturn, flusher: Flusher): Either<Failure, void> {
+  // Nothing to return only renews the allotment row.
+  if (item.tokens === 0) return Right(undefined)
   const budget = budgetOf(rows, item.budget)
   const allotment = allotmentOf(rows, item.budget, flusher.holder)
   if (budget === undefined || allotment === undefined) {
-    return item.tokens === 0 ? Right(undefined) : Left(new Failure('internal', `no rows to return ${item.budget} to`))
+    return Left(new Failure('internal', `no rows to return ${item.budget} to`))
   }
   return applyReturn({ budget, allotment }, item.tokens).ifRight(pair => {
     putBudget(rows, pair.budget)
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -5,12 +5,14 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { isOwnAllotment } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetView, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
 import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { BudgetActions } from './budgetActions.js'
+import { BudgetRowCache } from './budgetRowCache.js'
 import type { BudgetCounters, BudgetDriverParts } from './budgetDriverTypes.js'
 import type { ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
@@ -38,7 +40,7 @@
     const { holder, domain, store, clock } = parts
     this.policy = parts.policy ?? defaultBudgetPolicy
     this.ledger = new BudgetLedger(holder, this.policy)
-    this.table = new BudgetTable(store, clock)
+    this.table = new BudgetTable(store, clock, new BudgetRowCache(key => isOwnAllotment(key, holder)))
     this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place, begunAt: parts.begunAt })
     this.reservations = new OpenReservations(holder)
     const targets = { table: this.table, registry: this.registry, reservations: this.reservations, dispatch: (event: BudgetEvent) => { this.dispatch(event) } }
@@ -109,6 +111,22 @@
     this.dispatch({ kind: 'paidChanged', budget, isLowered })
   }
 
+  /**
+   * Holds tokens of a budget ahead of requests; to be called again before it would count as idle.
+   * @param budget - budget id
+   */
+  prepare (budget: string): void {
+    this.dispatch({ kind: 'prepare', budget })
+  }
+
+  /**
+   * Takes note that another holder began, which needs its part of the budgets held here.
+   * @param holders - number of holders, the new one included
+   */
+  holderJoined (holders: number): void {
+    this.dispatch({ kind: 'holderJoined', holders })
+  }
+
   /** Registers this holder and takes back what earlier processes of its VM held; to be called once, at the start. */
   async takeOver (): Promise<void> {
     await this.registry.register()
--- a/packages/rosemaryspread/src/budget/budgetFirstSent.ts
+++ b/packages/rosemaryspread/src/budget/budgetFirstSent.ts
@@ -8,12 +8,14 @@
   private readonly times = new Map<string, number>()
 
   /**
-   * Notes a try; only the first counts.
+   * Notes a try; only the first counts. Answers whether it is the first.
    * @param id - the operation
    * @param tableNow - milliseconds of the table's clock, not after the present
    */
-  begin (id: string, tableNow: number): void {
-    if (!this.times.has(id)) this.times.set(id, tableNow)
+  begin (id: string, tableNow: number): boolean {
+    if (this.times.has(id)) return false
+    this.times.set(id, tableNow)
+    return true
   }
 
   /**
--- a/packages/rosemaryspread/src/budget/budgetFlushing.ts
+++ b/packages/rosemaryspread/src/budget/budgetFlushing.ts
@@ -4,6 +4,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { BudgetAction, FlushOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { budgetTables, segmentKey } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { flushKeys, planFlush, type Flusher } from '@rosemaryspread/decisions/budget/flushPlan.js'
 import { FirstSent } from './budgetFirstSent.js'
 import type { BudgetTable } from './budgetTable.js'
@@ -27,7 +28,8 @@
   async flush (action: FlushAction): Promise<FlushOutcome> {
     const keys = flushKeys(action, this.self)
     const id = `flush${action.seq}`
-    this.since.begin(id, this.table.tableNow)
+    // Its segment cannot be there before the first try.
+    if (this.since.begin(id, this.table.tableNow)) this.table.assumeAbsent({ table: budgetTables.segments, key: segmentKey(this.self.holder, action.seq) })
     const order = { ...action, since: this.since.of(id) }
     const done = await this.table.run(id, keys, rows => planFlush(rows, order, this.self))
     if (done.isLeft()) return this.failed(action, done.extract())
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -1,12 +1,13 @@
 /**
- * Optimistic transactions on budget rows: read, plan, write if unchanged. A conflict is read and
+ * Optimistic transactions on budget rows: read, unless all rows are known, plan, write if unchanged. A conflict is read and
  * planned anew; a lost answer is resolved by the plan itself, which finds its earlier effect.
  */
 import { Either, Left, Right } from 'purify-ts'
 import type { Clock, Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
-import { RowSet, type PlanKey } from '@rosemaryspread/decisions/budget/rowSet.js'
+import { RowSet, type PlanKey, type PlanRow } from '@rosemaryspread/decisions/budget/rowSet.js'
 import type { TableStore, TransactAnswer } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { BudgetRowCache } from './budgetRowCache.js'
 
 /** Tries of one transaction before the caller has to come back. */
 const MAX_TRIES = 8
@@ -33,7 +34,12 @@
   /** Start of the first try of operations whose outcome is not known yet. */
   private readonly firstSent = new Map<string, Instant>()
 
-  constructor (readonly store: TableStore, private readonly clock: Clock) {}
+  /**
+   * @param store - the table service
+   * @param clock - clocks of this process
+   * @param cache - rows that need not be read before they are written
+   */
+  constructor (readonly store: TableStore, private readonly clock: Clock, private readonly cache?: BudgetRowCache) {}
 
   /**
    * Reads rows, plans on them and writes the result. A plan of another kind than `write` ends it without a write.
@@ -47,17 +53,18 @@
     const ids = typeof operationIds === 'string' ? [operationIds] : operationIds
     const startedAt = this.clock.now()
     for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
-      const read = await this.store.read(keys)
+      const unknown = tries === 1 ? keys.filter(key => this.cache?.get(key) === undefined) : keys
+      const read = await this.read(keys, unknown)
       if (read.isLeft()) return Left(read.extract())
-      const answer = read.unsafeCoerce()
-      this.noteClock(answer.now)
-      const rows = new RowSet(keys, answer.rows)
+      const rows = new RowSet(keys, read.unsafeCoerce())
       const planned = Either.encase(() => plan(rows)).mapLeft(toFailure).chain(result => result)
+      // A write checks the versions of known rows; any other end needs rows that were read.
+      if (unknown.length < keys.length && !isWrite(planned)) continue
       if (planned.isLeft()) return Left(planned.extract())
       const value = planned.unsafeCoerce()
       if (value.kind !== 'write') return Right({ plan: value, sentAt: this.resolved(ids, startedAt) })
       const sentAt = this.clock.now()
-      const written = await this.write(rows)
+      const written = await this.write(keys, rows)
       const failure = failureOf(written)
       if (failure === undefined) {
         // In a batch some may have taken effect before, so the lease counts from the first of them.
@@ -82,6 +89,14 @@
     return this.aheadMs === undefined ? 0 : Math.floor(this.clock.now().mono + this.aheadMs)
   }
 
+  /**
+   * Notes that an own row does not exist yet.
+   * @param key - the row
+   */
+  assumeAbsent (key: PlanKey): void {
+    this.cache?.absent(key)
+  }
+
   /** Both clocks. */
   now (): Instant {
     return this.clock.now()
@@ -106,9 +121,23 @@
     for (const id of ids) if (!this.firstSent.has(id)) this.firstSent.set(id, startedAt)
   }
 
-  private async write (rows: RowSet): Promise<Either<Failure, TransactAnswer>> {
-    const result = await this.store.transact({ checks: [...rows.checks()], writes: [...rows.writes()] })
-    result.ifRight(({ now }) => {
+  /** Rows in the order of the keys; those that are not unknown are taken as they were written. */
+  private async read (keys: readonly PlanKey[], unknown: readonly PlanKey[]): Promise<Either<Failure, ReadonlyArray<PlanRow | null>>> {
+    const known = keys.map(key => unknown.includes(key) ? undefined : this.cache?.get(key))
+    if (unknown.length === 0) return Right(known.map(row => row ?? null))
+    return (await this.store.read(unknown)).map(({ rows, now }) => {
+      this.noteClock(now)
+      let next = 0
+      return keys.map((key, index) => unknown.includes(key) ? rows[next++] ?? null : known[index] ?? null)
+    })
+  }
+
+  private async write (keys: readonly PlanKey[], rows: RowSet): Promise<Either<Failure, TransactAnswer>> {
+    const writes = rows.writes()
+    this.cache?.forget([...keys, ...writes])
+    const result = await this.store.transact({ checks: [...rows.checks()], writes: [...writes] })
+    result.ifRight(({ now, version }) => {
+      this.cache?.written(writes, version, now)
       this.writes += 1
       this.noteClock(now)
     })
@@ -116,3 +145,7 @@
     return result
   }
 }
+
+function isWrite (planned: Either<Failure, Planned>): boolean {
+  return planned.map(({ kind }) => kind === 'write').orDefault(false)
+}
--- /dev/null
+++ b/packages/stand-ins/src/budget/budgetRowCache.spec.ts
@@ -0,0 +1,94 @@
+/**
+ * Transactions planned on rows that the holder wrote last: no read before the write, and nothing
+ * wrong written when another writer came in between.
+ */
+import { expect } from 'chai'
+import { Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { RowSet } from '@rosemaryspread/decisions/budget/rowSet.js'
+import type { ReadAnswer, RowKey } from '@rosemaryspread/infra/table/tableTypes.js'
+import { BudgetRowCache } from 'rosemaryspread/budget/budgetRowCache.js'
+import { BudgetTable } from 'rosemaryspread/budget/budgetTable.js'
+import { MemoryTableStore } from '../table/memoryTableStore.js'
+
+const own = { table: 'allotments', key: 'b/own' }
+const shared = { table: 'budgets', key: 'b' }
+
+class CountingStore extends MemoryTableStore {
+  /** Rows read. */
+  reads = 0
+
+  override async read (keys: readonly RowKey[]): Promise<Either<Failure, ReadAnswer>> {
+    this.reads += keys.length
+    return await super.read(keys)
+  }
+}
+
+interface CacheCase {
+  readonly name: string
+  readonly keys: readonly RowKey[]
+  /** Happens between the first and the second transaction. */
+  readonly between?: (store: MemoryTableStore) => Promise<unknown>
+  readonly reads: number
+  readonly value: number
+}
+
+const cases: readonly CacheCase[] = [
+  { name: 'needs no read for an own row', keys: [own], reads: 1, value: 2 },
+  { name: 'reads only the rows of others', keys: [own, shared], reads: 3, value: 2 },
+  {
+    name: 'reads all again after a row of others changed meanwhile',
+    keys: [own, shared],
+    between: async store => await store.transact({ checks: [], writes: [{ ...own, value: 10 }] }),
+    reads: 5,
+    value: 11
+  },
+  {
+    name: 'reads again after another writer changed the own row',
+    keys: [own],
+    between: async store => await store.transact({ checks: [], writes: [{ ...own, value: 10 }] }),
+    reads: 2,
+    value: 11
+  },
+  {
+    name: 'reads again after the own row was removed',
+    keys: [own],
+    between: async store => await store.transact({ checks: [], writes: [{ ...own, value: null }] }),
+    reads: 2,
+    value: 1
+  }
+]
+
+function addOne (rows: RowSet): Either<Failure, { readonly kind: 'write' }> {
+  rows.set(own.table, own.key, (rows.get(z.number(), own.table, own.key) ?? 0) + 1)
+  return Right({ kind: 'write' })
+}
+
+describe('transactions on known rows', () => {
+  for (const { name, keys, between, reads, value } of cases) {
+    it(name, async () => {
+      const store = new CountingStore()
+      const cache = new BudgetRowCache(key => key.table === own.table)
+      const table = new BudgetTable(store, { now: () => ({ mono: 0, wall: 0 }) }, cache)
+      await table.run('first', keys, addOne)
+      await between?.(store)
+      await table.run('second', keys, addOne)
+      const row = (await store.read([own])).unsafeCoerce().rows[0]
+      expect([store.reads - 1, row?.value]).to.deep.equal([reads, value])
+    })
+  }
+
+  it('ends without a write only on rows that were read', async () => {
+    const store = new CountingStore()
+    const table = new BudgetTable(store, { now: () => ({ mono: 0, wall: 0 }) }, new BudgetRowCache(() => true))
+    await table.run('first', [own], addOne)
+    await store.transact({ checks: [], writes: [{ ...own, value: 10 }] })
+    let seen: number | undefined
+    await table.run('second', [own], rows => {
+      seen = rows.get(z.number(), own.table, own.key)
+      return Right({ kind: 'done' })
+    })
+    expect(seen).to.equal(10)
+  })
+})
