--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -3,11 +3,15 @@
  * its allotment, demand, and requests that wait for tokens.
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
-import { targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
+import { evenTokens, targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
+import { MAX_TOKENS } from './budgetRows.js'
 import type { BudgetView, FleetSpending, Transfer } from './budgetTypes.js'
-import { allowanceOf, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
+import { allowanceOf, isAmple, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
 import { DemandRate } from './demandRate.js'
 
+/** Part of what is dealt out evenly below which a holder asks for more though it has no use for it yet. */
+const LEAST_OF_EVEN = 0.5
+
 /** A request that waits for tokens. */
 export interface WaitingRequest {
   readonly reservationId: string
@@ -81,6 +85,8 @@
   /** Tokens held by holders that the last recall could not reach. */
   unreachable = 0
   nextDrawAt = 0
+  /** When tokens may be recalled ahead of need again. */
+  nextRecallAt = 0
   drawPauseMs = 0
   nextRoundAt = 0
   roundPauseMs = 0
@@ -90,7 +96,8 @@
   readonly bounds = new ReportBounds()
   /** Demand of all holders, divided by their number. */
   private readonly fleetRate: DemandRate
-  private fleetSpent: number | undefined
+  /** What the last draw told of all holders. */
+  private fleet: FleetSpending | undefined
   private readonly received = new Map<string, ReceivedTokens>()
 
   /**
@@ -166,7 +173,33 @@
    * @param now - both clocks
    */
   target (now: Instant): number {
-    return targetTokens(this.policy, this.demandPerMs(now), this.largest)
+    return Math.max(this.demandTarget(now), this.evenTarget)
+  }
+
+  /**
+   * Whether no demand asks for more than what is dealt out evenly.
+   * @param now - both clocks
+   */
+  isForEvenPart (now: Instant): boolean {
+    return this.policy.evenPart > 0 && this.waiting.length === 0 && this.demandTarget(now) <= this.evenTarget
+  }
+
+  /** Where tokens are dealt out evenly, no floor is held besides: it would lie idle at all holders without demand. */
+  private demandTarget (now: Instant): number {
+    const rate = this.demandPerMs(now)
+    return this.policy.evenPart > 0 ? Math.ceil(rate * this.policy.horizonMs) : targetTokens(this.policy, rate, this.largest)
+  }
+
+  /** Before the first draw nobody knows how much there is. */
+  private get evenTarget (): number {
+    const { fleet, policy: { evenPart } } = this
+    if (evenPart === 0) return 0
+    return fleet === undefined ? MAX_TOKENS : evenTokens(fleet.paid - fleet.spent, fleet.holders, evenPart)
+  }
+
+  /** Whether the budget was ample at the last draw, as far as that is known. */
+  get isAmple (): boolean {
+    return this.fleet !== undefined && isAmple(this.fleet.paid, this.fleet.spent)
   }
 
   /**
@@ -175,7 +208,7 @@
    */
   allowance (now: Instant): ReportAllowance {
     const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return allowanceOf(this.reserved + this.unsettled + waiting, this.demandPerMs(now))
+    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held, ratePerMs: this.demandPerMs(now), isAmple: this.isAmple })
   }
 
   /**
@@ -187,6 +220,24 @@
     return Math.min(this.free, this.bounds.room(this.reserved + this.unsettled, this.flushing, now))
   }
 
+  /**
+   * Milliseconds until so many tokens may be reserved, as far as the last report is what forbids it; undefined where tokens lack.
+   * @param tokens - amount needed
+   * @param now - both clocks
+   */
+  untilUsableMs (tokens: number, now: Instant): number | undefined {
+    if (!this.policy.boundsUse || tokens > this.free) return undefined
+    return this.bounds.untilRoomMs(tokens, this.reserved + this.unsettled, this.flushing, now)
+  }
+
+  /**
+   * Free tokens that a holder which needs no refill has: the level after the last draw, or a part of what is dealt out evenly.
+   * @param now - both clocks
+   */
+  enough (now: Instant): number {
+    return Math.min(this.target(now), Math.max(this.level, this.evenTarget * LEAST_OF_EVEN))
+  }
+
   private demandPerMs (now: Instant): number {
     const own = this.rate.perMs(now.mono)
     return this.policy.coversFleetMean ? Math.max(own, this.fleetRate.perMs(now.mono)) : own
@@ -194,13 +245,13 @@
 
   /**
    * Takes what a draw told of the spending of all holders.
-   * @param fleet - tokens billed in all, and the number of holders
+   * @param fleet - tokens paid and billed in all, and the number of holders
    * @param mono - monotonic milliseconds
    */
-  noteFleet ({ spent, holders }: FleetSpending, mono: number): void {
-    const added = spent - (this.fleetSpent ?? spent)
-    this.fleetSpent = spent
-    this.fleetRate.add(Math.max(0, added) / Math.max(1, holders), mono)
+  noteFleet (fleet: FleetSpending, mono: number): void {
+    const added = fleet.spent - (this.fleet?.spent ?? fleet.spent)
+    this.fleet = fleet
+    this.fleetRate.add(Math.max(0, added) / Math.max(1, fleet.holders), mono)
   }
 
   /**
--- a/packages/decisions/src/budget/budgetGiving.ts
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -84,9 +84,13 @@
    * @param now - both clocks
    */
   returnOnRecall (event: EventOf<'recallAsked'>, entry: BudgetEntry, now: Instant): number {
-    const keep = entry.rate.perMs(now.mono) * this.policy.recallKeepMs
+    const { recallKeepMs, recallKeepPart, recallAheadMs } = this.policy
+    const rate = entry.rate.perMs(now.mono)
+    const keep = event.atLeast === 0 ? rate * recallAheadMs : Math.max(rate * recallKeepMs, entry.free * recallKeepPart)
     const tokens = recallTokens(entry.free, keep, event.atLeast ?? event.wanted)
     if (tokens === 0) return 0
+    // Else it would draw back at once what another holder needs more.
+    entry.nextDrawAt = Math.max(entry.nextDrawAt, now.mono + this.policy.emptyPauseMs)
     entry.returning += tokens
     entry.level = Math.min(entry.level, Math.max(0, entry.free))
     this.queue.addReturn({ budget: event.budget, tokens }, now.mono)
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -97,6 +97,8 @@
       case 'settle': return this.settle(event, now)
       case 'withdraw': return this.withdraw(event, now)
       case 'tick': return this.tick(now)
+      case 'prepare': return this.prepare(event, now)
+      case 'holderJoined': return this.holderJoined(event, now)
       case 'drawAnswered': return this.drawAnswered(event, now)
       case 'flushAnswered': return this.flushAnswered(event, now)
       case 'giveAsked': return this.giveAsked(event, now)
@@ -122,6 +124,23 @@
     return this.step(entry, now)
   }
 
+  /** Counts as an ask, so that what is held is not returned as idle; draws go out with the next tick. */
+  private prepare ({ budget }: EventOf<'prepare'>, now: Instant): readonly BudgetAction[] {
+    if (this.draining) return []
+    const entry = this.entryOf(budget)
+    entry.lastAskedAt = now.mono
+    entry.isWanted = true
+    return this.step(entry, now)
+  }
+
+  private holderJoined ({ holders }: EventOf<'holderJoined'>, now: Instant): readonly BudgetAction[] {
+    if (this.policy.evenPart === 0 || this.draining) return []
+    for (const entry of this.entries.all.values()) {
+      this.upkeep.returnFree(entry, Math.ceil(entry.free * (holders - 1) / holders), now)
+    }
+    return []
+  }
+
   private settle (event: EventOf<'settle'>, now: Instant): readonly BudgetAction[] {
     const entry = this.settlement.settle(event, now)
     return entry === undefined ? [] : this.step(entry, now)
@@ -187,6 +206,8 @@
     const entry = this.entries.withOperation(event.recallId)
     if (entry === undefined) return []
     entry.unreachable = event.unreachable ?? 0
+    // What came back can be drawn now.
+    entry.nextDrawAt = 0
     this.supply.endStage(entry, event.recallId, now)
     return this.step(entry, now)
   }
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -5,9 +5,10 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
 import { allotmentKey, budgetTables, holderKey, holdingKey } from './budgetKeys.js'
-import { grantTokens } from './budgetPolicy.js'
+import { evenTokens, grantTokens, shareOfLeft } from './budgetPolicy.js'
 import { applyDeclared, applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
 import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type DeclaredPaid, type ReportRow, type TopUpRow } from './budgetTypes.js'
+import { isAmple, withHeld } from './reportBound.js'
 import type { PlanKey, RowSet } from './rowSet.js'
 
 /** Who draws. */
@@ -17,6 +18,8 @@
   /** Number of VMs that may draw on the budget. */
   readonly holders: number
   readonly shareDivisor: number
+  /** See {@link BudgetPolicy}. */
+  readonly evenPart: number
 }
 
 /** What is drawn. */
@@ -28,6 +31,8 @@
   readonly atLeast: number
   /** Smallest useful amount; `atLeast` when absent. */
   readonly least?: number
+  /** Whether there is no demand that asks for more than what is dealt out evenly. */
+  readonly isForEvenPart?: boolean
   /** Opens a row that was closed, or removed after it was closed. */
   readonly reopen?: boolean
   /** Whether the holder counts on a row it wrote before. */
@@ -41,7 +46,7 @@
 /** What a draw comes to. */
 export type DrawPlan =
   /** The rows are changed in the row set; send it. */
-  | { readonly kind: 'write', readonly tokens: number, readonly left: number, readonly spent: number }
+  | { readonly kind: 'write', readonly tokens: number, readonly left: number, readonly spent: number, readonly paid: number }
   /** The draw took effect earlier. */
   | { readonly kind: 'done', readonly tokens: number, readonly left: number }
   /** Too little is left. The budget row is changed all the same when the declared amount was new. */
@@ -107,9 +112,25 @@
   rows.set(budgetTables.budgets, row.budget, row)
 }
 
-function worthDrawing (granted: number, order: DrawOrder): boolean {
+function worthDrawing (granted: number, order: DrawOrder, budget: BudgetRow, drawer: Drawer): boolean {
   if (granted === 0 || granted < (order.least ?? order.atLeast)) return false
-  return order.atLeast > 0 || granted >= order.tokens * LEAST_AHEAD_PART
+  return order.atLeast > 0 || granted >= usefulTokens(order, budget, drawer) * LEAST_AHEAD_PART
+}
+
+/** A draw for no demand asks for any amount; what is dealt out evenly is all that it can have. */
+function usefulTokens ({ tokens, isForEvenPart }: DrawOrder, budget: BudgetRow, drawer: Drawer): number {
+  return isForEvenPart === true ? evenOf(budget, drawer) : tokens
+}
+
+function evenOf ({ paid, spent }: BudgetRow, { holders, evenPart }: Drawer): number {
+  return evenTokens(paid - spent, holders, evenPart)
+}
+
+/** Tokens that a holder may take ahead of need. */
+function shareOf (order: DrawOrder, budget: BudgetRow, allotment: AllotmentRow, drawer: Drawer): number {
+  const even = evenOf(budget, drawer) - allotment.held
+  if (order.isForEvenPart === true) return Math.max(0, even)
+  return Math.max(shareOfLeft(unallotted(budget), drawer.holders, drawer.shareDivisor), even)
 }
 
 /**
@@ -129,16 +150,17 @@
   const allotment = found?.state === 'closed' ? { ...fresh, lastSeq: found.lastSeq } : found ?? fresh
   const left = unallotted(budget)
   if (allotment.lastDraw?.drawId === order.drawId) return Right({ kind: 'done', tokens: allotment.lastDraw.tokens, left })
-  const granted = grantTokens(order.tokens, order.atLeast, left, drawer.holders, drawer.shareDivisor)
-  if (!worthDrawing(granted, order)) {
+  const granted = grantTokens(order.tokens, order.atLeast, left, shareOf(order, budget, allotment, drawer))
+  if (!worthDrawing(granted, order, budget, drawer)) {
     if (budget === stored) return Right({ kind: 'short', left })
     putBudget(rows, budget)
     return Right({ kind: 'short', left, isRowChanged: true })
   }
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
-    putAllotment(rows, order.report === undefined ? pair.allotment : { ...pair.allotment, report: order.report })
-    return { kind: 'write', tokens: granted, left: unallotted(pair.budget), spent: pair.budget.spent }
+    const { spent, paid } = pair.budget
+    putAllotment(rows, order.report === undefined ? pair.allotment : { ...pair.allotment, report: withHeld(order.report, granted, isAmple(paid, spent)) })
+    return { kind: 'write', tokens: granted, left: unallotted(pair.budget), spent, paid }
   })
 }
 
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -25,6 +25,12 @@
   readonly minTokens: number
   /** A holder takes at most the unallotted remainder divided by this times the number of holders. */
   readonly shareDivisor: number
+  /**
+   * Part of the unspent tokens that is dealt out to all VMs evenly, also of budgets that nobody asked
+   * them for: callers move between VMs at any time, and a VM that is cut off from the table can draw
+   * nothing. The rest goes where the demand is. 0 deals nothing out.
+   */
+  readonly evenPart: number
   /** Refill when less than this part of the level after the last draw is free. */
   readonly lowWater: number
   /** Return what exceeds this many targets. */
@@ -43,6 +49,10 @@
   readonly patienceMs: number
   /** Own demand that a holder keeps back when asked to return tokens. */
   readonly recallKeepMs: number
+  /** Part of its free tokens that it keeps back then. */
+  readonly recallKeepPart: number
+  /** Own demand, in milliseconds, below which a holder recalls tokens ahead of need, and which others keep then; 0 for never. */
+  readonly recallAheadMs: number
   /** How long after its last contact with the table an allotment may be taken by recovery. */
   readonly lapseMs: number
   /** Margin for clocks that run at different rates. */
@@ -69,6 +79,7 @@
   boundsUse: false,
   minTokens: 8_192,
   shareDivisor: 0.5,
+  evenPart: 0,
   lowWater: 0.9,
   excessFactor: 2,
   idleReturnMs: 6 * HOUR,
@@ -79,6 +90,8 @@
   roundMaxMs: 2 * SECOND,
   patienceMs: 2 * SECOND,
   recallKeepMs: 20 * SECOND,
+  recallKeepPart: 0,
+  recallAheadMs: 0,
   // Leaves time to recover before engines forget their runs, which is after two hours.
   lapseMs: 100 * MINUTE,
   marginMs: MINUTE,
@@ -141,12 +154,20 @@
  * @param wanted - amount wanted
  * @param atLeast - amount needed now
  * @param left - unallotted tokens
+ * @param share - tokens that this holder may take ahead of need
+ */
+export function grantTokens (wanted: number, atLeast: number, left: number, share: number): number {
+  return Math.max(0, Math.min(left, Math.max(wanted, atLeast), Math.max(atLeast, share)))
+}
+
+/**
+ * Tokens that one holder may take ahead of need from what is left.
+ * @param left - unallotted tokens
  * @param holders - number of VMs that may draw
  * @param shareDivisor - see {@link BudgetPolicy}
  */
-export function grantTokens (wanted: number, atLeast: number, left: number, holders: number, shareDivisor: number): number {
-  const share = Math.floor(left / Math.max(1, holders * shareDivisor))
-  return Math.max(0, Math.min(left, Math.max(wanted, atLeast), Math.max(atLeast, share)))
+export function shareOfLeft (left: number, holders: number, shareDivisor: number): number {
+  return Math.floor(left / Math.max(1, holders * shareDivisor))
 }
 
 /**
@@ -161,9 +182,19 @@
 }
 
 /**
- * Tokens returned on recall: all but the own demand of a short time, and that too when it is needed elsewhere now.
+ * Tokens that each holder has of those that are dealt out evenly.
+ * @param unspent - tokens paid and not billed
+ * @param holders - number of VMs
+ * @param evenPart - see {@link BudgetPolicy}
+ */
+export function evenTokens (unspent: number, holders: number, evenPart: number): number {
+  return Math.floor(Math.max(0, unspent) * evenPart / Math.max(1, holders))
+}
+
+/**
+ * Tokens returned on recall: all but what is kept back, and that too when it is needed elsewhere now.
  * @param free - tokens free here
- * @param keep - own demand kept back
+ * @param keep - tokens kept back
  * @param atLeast - amount needed now elsewhere
  */
 export function recallTokens (free: number, keep: number, atLeast: number): number {
--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -12,6 +12,10 @@
 const SPENT_RETRY_MS = 30_000
 /** Advice to callers when tokens are held elsewhere. */
 const ELSEWHERE_RETRY_MS = 5_000
+/** Part of its time that a request waits at most for a use that is not reported yet. */
+const HELD_PART = 0.5
+/** Longest advice to callers when free tokens may not be used yet: another VM may be able to report. */
+const MOST_REPORT_RETRY_MS = 500
 /** Least advice to callers when the table cannot be reached. */
 const PENDING_RETRY_MS = 1_000
 
@@ -28,6 +32,8 @@
   if (shortage?.kind === 'short' && cannotComeBack(entry, shortage.unspent, item.tokens)) {
     return new Failure('budgetSpent', `fewer than ${item.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
   }
+  const untilUsableMs = entry.untilUsableMs(item.tokens, now)
+  if (untilUsableMs !== undefined) return notReported(entry, item, untilUsableMs, now)
   const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0)
   const limitMs = isCutOff && entry.round === undefined ? Math.min(patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
   return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, now) : undefined
@@ -54,6 +60,13 @@
   return unspent - (entry.unsettled - entry.flushing) < tokens
 }
 
+/** Tokens are here, and a report is on its way; without an answer to it they may be used somewhat later. */
+function notReported (entry: BudgetEntry, item: WaitingRequest, untilUsableMs: number, now: Instant): Failure | undefined {
+  if (elapsedMs(item.since, now) < item.giveUpAfterMs * HELD_PART) return undefined
+  const retryAfterMs = Math.min(Math.ceil(untilUsableMs), MOST_REPORT_RETRY_MS)
+  return new Failure('budgetUnreported', `${item.tokens} of ${entry.free} free tokens of ${entry.budget} may not be used before the table knows of it`, { retryAfterMs })
+}
+
 function timedOut (entry: BudgetEntry, now: Instant): Failure {
   if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
     return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: ELSEWHERE_RETRY_MS })
--- a/packages/decisions/src/budget/budgetRows.ts
+++ b/packages/decisions/src/budget/budgetRows.ts
@@ -8,7 +8,7 @@
 import type { AllotmentRow, BudgetRow, DeclaredPaid, Transfer } from './budgetTypes.js'
 
 /** Largest amount of tokens in one operation. */
-const MAX_TOKENS = 1_000_000_000_000
+export const MAX_TOKENS = 1_000_000_000_000
 
 /** A budget row and the allotment row that changes with it. */
 export interface RowPair {
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -8,6 +8,7 @@
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
+import { withHeld } from './reportBound.js'
 
 const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
 
@@ -43,7 +44,7 @@
     const drawId = draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
     if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.noteFleet(outcome.fleet, now.mono)
-    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(draw.report)
+    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(withHeld(draw.report, outcome.tokens, entry.isAmple))
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -77,7 +78,7 @@
    */
   isLow (entry: BudgetEntry, now: Instant): boolean {
     if (!entry.isWanted) return false
-    return entry.free < lowWaterMark(this.policy, Math.min(entry.target(now), entry.level), entry.largest)
+    return entry.free < lowWaterMark(this.policy, entry.enough(now), entry.largest)
   }
 
   private endRound (entry: BudgetEntry, now: Instant): void {
@@ -180,7 +181,7 @@
     const { drawId, since, report } = entry.draw ?? this.freshDraw(entry, now)
     entry.draw = { drawId, inFlight: true, isUrgent, since, ...(report === undefined ? {} : { report }) }
     const tokens = Math.max(atLeast, this.missing(entry, now))
-    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), reopen, expectsRow: entry.touchedAt !== undefined, ...(report === undefined ? {} : { report }) }]
+    return [{ kind: 'draw', drawId, budget, tokens, atLeast, least: this.least(entry), isForEvenPart: entry.isForEvenPart(now), reopen, expectsRow: entry.touchedAt !== undefined, ...(report === undefined ? {} : { report }) }]
   }
 
   private freshDraw (entry: BudgetEntry, now: Instant): Pick<OpenDraw, 'drawId' | 'since' | 'report'> {
@@ -189,11 +190,25 @@
   }
 
   private drawAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (this.needsRecall(entry, now)) return this.recallAhead(entry, now)
     if (now.mono < entry.nextDrawAt) return []
     const isOpen = entry.draw?.inFlight === false
     return isOpen || this.isLow(entry, now) ? this.startDraw(entry, now) : []
   }
 
+  /** Nothing is left to draw, and what is held lasts for a short time only; holders without demand have more. */
+  private needsRecall (entry: BudgetEntry, now: Instant): boolean {
+    if (entry.shortage?.kind !== 'short' || now.mono < entry.nextRecallAt || !entry.isWanted) return false
+    return entry.free < entry.rate.perMs(now.mono) * this.policy.recallAheadMs
+  }
+
+  private recallAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    const recallId = this.nextId('recall')
+    entry.round = { stage: 'recall', operationId: recallId }
+    entry.nextRecallAt = now.mono + this.policy.emptyPauseMs
+    return [{ kind: 'recall', recallId, budget: entry.budget, tokens: this.missing(entry, now), atLeast: 0 }]
+  }
+
   /** Tokens up to the target, with what waiting requests take on top. */
   private missing (entry: BudgetEntry, now: Instant): number {
     const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -126,6 +126,10 @@
   /** The caller gave up while the reservation waited. */
   | { readonly kind: 'withdraw', readonly reservationId: string }
   | { readonly kind: 'tick' }
+  /** Requests for this budget may come at any time: an equal part is held ahead of them. */
+  | { readonly kind: 'prepare', readonly budget: string }
+  /** Another holder began: it needs its part of what this one holds. */
+  | { readonly kind: 'holderJoined', readonly holders: number }
   | { readonly kind: 'drawAnswered', readonly drawId: string, readonly outcome: DrawOutcome }
   | { readonly kind: 'flushAnswered', readonly seq: number, readonly outcome: FlushOutcome }
   | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly atLeast?: number, readonly sameDomain: boolean, readonly isRepeat?: boolean }
@@ -140,6 +144,8 @@
 
 /** What a draw tells of the spending of all holders. */
 export interface FleetSpending {
+  /** Tokens paid in all. */
+  readonly paid: number
   /** Tokens billed in all. */
   readonly spent: number
   readonly holders: number
@@ -166,7 +172,7 @@
   | { readonly kind: 'admit', readonly reservationId: string }
   | { readonly kind: 'refuse', readonly reservationId: string, readonly failure: Failure }
   /** Allot up to `tokens` more, `atLeast` if possible; less than `least` is of no use. */
-  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly reopen?: boolean, readonly expectsRow?: boolean, readonly report?: ReportAllowance }
+  | { readonly kind: 'draw', readonly drawId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number, readonly least?: number, readonly isForEvenPart?: boolean, readonly reopen?: boolean, readonly expectsRow?: boolean, readonly report?: ReportAllowance }
   /** One transaction: the segment row if absent, settlement of every bill, tokens given back (0 only renews the row), transfers recorded. */
   | { readonly kind: 'flush', readonly seq: number, readonly bills: readonly Bill[], readonly returns: readonly BudgetReturn[], readonly transfers: readonly Transfer[], readonly reports?: readonly BudgetReport[] }
   /** Ask the holders of the own domain for a transfer. */
--- a/packages/decisions/src/budget/budgetUpkeep.ts
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -8,6 +8,8 @@
 import { renewAfterMs, type BudgetPolicy } from './budgetPolicy.js'
 import type { FlushQueue } from './flushQueue.js'
 
+/** Milliseconds after which an allotment is reported anew though nothing was billed: before what it allows grows. */
+const REPORT_MS = 300
 /** Entries visited in one tick. */
 const VISITS_PER_TICK = 32
 
@@ -104,6 +106,7 @@
     else if (!this.isRecent(entry, now)) this.retire(entry, now)
     else this.trim(entry, now)
     if (entry.held > 0 && this.renewIsDue(entry, now)) this.renew(entry, now)
+    else if (entry.held > 0 && this.reportIsDue(entry, now)) this.report(entry, now)
   }
 
   private forget (entry: BudgetEntry): void {
@@ -125,6 +128,11 @@
     if (entry.free > target * this.policy.excessFactor) this.returnFree(entry, target, now)
   }
 
+  /** An old report allows much, which is lost to the team when this process ends. */
+  private reportIsDue (entry: BudgetEntry, now: Instant): boolean {
+    return this.policy.boundsUse && entry.bounds.ageMs(now) > REPORT_MS
+  }
+
   private renewIsDue (entry: BudgetEntry, now: Instant): boolean {
     return entry.touchedAt === undefined || elapsedMs(entry.touchedAt, now) > renewAfterMs(this.policy)
   }
--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -38,6 +38,7 @@
   budgetBelowCommitted: { number: 205, status: 409, title: 'The budget cannot be lowered below what is spent and allotted' },
   topUpConflict: { number: 206, status: 409, title: 'The operation id was used for another top-up' },
   amountInvalid: { number: 207, status: 400, title: 'A token amount must be a positive whole number' },
+  budgetUnreported: { number: 209, status: 503, title: 'Tokens may not be used before the table knows of it' },
   allotmentClosed: { number: 208, status: 409, title: 'The allotment of this holder was closed' },
 
   keyReused: { number: 301, status: 422, title: 'The Idempotency-Key was used with another body' },
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -40,8 +40,8 @@
   constructor (private readonly parts: BudgetDriverParts, private readonly targets: BudgetActionTargets) {
     const { holder, domain, store, peers, clock, log } = parts
     const { table, registry, dispatch } = targets
-    const { shareDivisor, flushMs, drawsAtOnce } = parts.policy ?? defaultBudgetPolicy
-    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, holders: () => peers.members().length + 1, declared: parts.declared ?? (() => undefined) }, log)
+    const { shareDivisor, evenPart, flushMs, drawsAtOnce } = parts.policy ?? defaultBudgetPolicy
+    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, evenPart, holders: () => peers.members().length + 1, declared: parts.declared ?? (() => undefined) }, log)
     this.draws = new DrawQueue(flushMs, drawsAtOnce)
     this.flushing = new BudgetFlushing(table, { holder, domain }, log)
     const isRegistered = (): boolean => registry.isRegistered
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -16,6 +16,7 @@
   readonly holder: string
   readonly domain: string
   readonly shareDivisor: number
+  readonly evenPart: number
   holders (): number
   /** What the configuration says was paid for a budget; undefined where top-ups say it. */
   declared (budget: string): DeclaredPaid | undefined
@@ -39,8 +40,8 @@
    * @param actions - what the ledger wants, of different budgets
    */
   async draw (actions: readonly DrawAction[]): Promise<readonly DrawOutcome[]> {
-    const { holder, domain, shareDivisor } = this.self
-    const drawer = { holder, domain, shareDivisor, holders: this.self.holders() }
+    const { holder, domain, shareDivisor, evenPart } = this.self
+    const drawer = { holder, domain, shareDivisor, evenPart, holders: this.self.holders() }
     const keys = actions.flatMap(action => drawKeys(holder, action.budget))
     const ids = actions.map(action => action.drawId)
     for (const id of ids) this.since.begin(id, this.table.tableNow)
@@ -74,7 +75,7 @@
     if (plan.kind === 'short') return await this.short(action, plan.left)
     const { tokens, left } = plan
     this.log.write('budgetDrawn', { budget: action.budget, tokens, left })
-    const fleet = plan.kind === 'write' ? { fleet: { spent: plan.spent, holders: this.self.holders() } } : {}
+    const fleet = plan.kind === 'write' ? { fleet: { paid: plan.paid, spent: plan.spent, holders: this.self.holders() } } : {}
     return { kind: 'granted', tokens, left, sentAt, ...fleet }
   }
 
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -16,7 +16,7 @@
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import type { RunOwner } from './budgetRecoveryRuns.js'
 import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSharing.js'
-import type { BudgetTable } from './budgetTable.js'
+import type { BudgetTable, Committed } from './budgetTable.js'
 
 /** The platform's list as far as recovery needs it. */
 export interface ListEvidence {
@@ -135,7 +135,9 @@
       const reason = await this.blocked(view, survey, closing)
       if (reason !== undefined) throwE(reason)
       const owed = await fromPromise(this.owed(view, survey, closing, budget))
-      await fromPromise(this.close({ budget, owed, closing: closing.map(item => ({ holder: item.row.holder, version: item.version })) }))
+      const order = { budget, owed, closing: closing.map(item => ({ holder: item.row.holder, version: item.version })) }
+      const { plan } = await fromPromise(this.close(order))
+      if (plan.kind === 'write') this.report(closing, plan, view.placed)
     }).mapLeft(toFailure).run()
     result.ifLeft(failure => this.parts.log.write('budgetFault', { operation: 'recover', budget, code: failure.code, detail: failure.message }))
   }
@@ -206,17 +208,18 @@
     })), survey.now)
   }
 
-  private async close (order: RecoveryOrder): Promise<Either<Failure, void>> {
+  private async close (order: RecoveryOrder): Promise<Either<Failure, Committed<RecoveryPlan>>> {
     const id = `recover/${order.budget}/${order.closing.map(item => item.version).join('-')}`
-    const done = await this.table.run(id, recoveryKeys(order), rows => planRecovery(rows, order))
-    done.ifRight(({ plan }) => this.report(order, plan))
-    return done.map(() => undefined)
+    return await this.table.run(id, recoveryKeys(order), rows => planRecovery(rows, order))
   }
 
-  private report (order: RecoveryOrder, plan: RecoveryPlan): void {
-    if (plan.kind !== 'write') return
-    const ended = order.closing.map(item => item.holder).join(' ')
-    this.parts.log.write('budgetRecovered', { ended, budget: order.budget, billed: plan.billed, returned: plan.returned })
+  private report (closing: readonly AgedAllotment[], { billed, returned }: Extract<RecoveryPlan, { kind: 'write' }>, placed: readonly PlacedHolder[]): void {
+    const reports = closing.flatMap(({ row: { holder, report } }) => {
+      const endedBy = succeededAt(holder, placed)
+      return report === undefined || endedBy === undefined ? [] : [{ tokens: report.tokens, perMs: report.perMs, ageMs: endedBy - report.since }]
+    })
+    const ended = closing.map(({ row }) => row.holder).join(' ')
+    this.parts.log.write('budgetRecovered', { ended, budget: closing[0]?.row.budget, billed, returned, ...(reports.length === 0 ? {} : { reports }) })
   }
 
   /** Whether a holder has been no member for a whole lapse, as seen by this process itself. */
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -66,7 +66,7 @@
 function bindFleet (container: Container, { vm, domain, callers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.presence).toResolvedValue((clock, log) =>
-    new VmPresence({ self: { vm, holder, domain, callers }, table, feed, clock, log }), [ids.clock, ids.log]).inSingletonScope()
+    new VmPresence({ self: { vm, holder, domain, callers }, table, feed, clock, log, onJoined: vms => { container.get(ids.budgets).holderJoined(vms) } }), [ids.clock, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
   container.bind(ids.targets).toResolvedValue((clock, balancer, log) =>
     new GatewayTargets(clock, balancer, log), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -8,26 +8,29 @@
 /** Policy of the gateway; docs/design/platform.md gives the ways weighed. */
 export const gatewayBudgetPolicy: BudgetPolicy = {
   ...defaultBudgetPolicy,
-  horizonMs: 25_000,
+  horizonMs: 45_000,
   rateWindowMs: 3_000,
-  coversFleetMean: true,
   boundsUse: true,
   demandFrom: 'reservations',
   minTokens: 16_384,
+  evenPart: 0.1,
   // Many teams are served by one VM at a time, since callers keep their connections: it may take most of what is left.
   shareDivisor: 0.25,
   idleReturnMs: 15_000,
-  flushMs: 400,
+  flushMs: 100,
   retryMs: 200,
   retryMaxMs: 1_000,
   roundMs: 150,
   roundMaxMs: 600,
   patienceMs: 30,
   recallKeepMs: 200,
+  recallKeepPart: 0.5,
+  // An outage of the store is mostly shorter.
+  recallAheadMs: 10_000,
   lapseMs: 60_000,
   marginMs: 5_000,
   requestTimeoutMs: 15_000,
-  emptyPauseMs: 1_000,
+  emptyPauseMs: 2_000,
   // A transaction of the store takes 100 entries; a draw has up to six of them, a flush four for each budget.
   drawsAtOnce: 12,
   budgetsAtOnce: 20
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
+import { BudgetPreparation } from './budgetPreparation.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
 /** Milliseconds between two ticks of budgets, presence and targets. */
@@ -56,7 +57,10 @@
     this.container.get(ids.config).onPaidChanged((team, isLowered) => { budgets.paidChanged(team, isLowered) })
     presence.start()
     this.stopRecalls = this.container.get(ids.recalls).start()
+    const preparation = new BudgetPreparation(this.settings.vm, budgets)
     this.every(TICK_MS, async () => {
+      const prepared = this.container.get(ids.config).current()
+      if (prepared !== undefined && this.isReady) preparation.tick(prepared.config, this.clock.now().mono)
       budgets.tick()
       targets.tick()
       if (this.isReady) await presence.tell('serving')
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -25,12 +25,16 @@
   readonly feed: TableFeed
   readonly clock: Clock
   readonly log: EventLog
+  /** Told when a process of another VM was seen for the first time; gets the number of VMs present. */
+  onJoined (vms: number): void
 }
 
 /** Presence of this VM and of the others. */
 export class VmPresence {
   private readonly view: PresenceView
   private state: PresenceRow['state'] = 'starting'
+  /** Last holder seen of each other VM. */
+  private readonly seenHolders = new Map<string, string>()
   private beat = 0
   private nextBeatAt = 0
   private writing = false
@@ -43,8 +47,14 @@
   /** Begins to follow the other VMs. */
   start (): void {
     this.stopFeed = this.parts.feed.follow(PRESENCE_TABLE, {
-      replaced: rows => { this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono) },
-      changed: rows => { for (const row of rows) this.view.changed(row.key, this.rowOf(row), this.mono) },
+      replaced: rows => {
+        this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono)
+        this.noteJoined()
+      },
+      changed: rows => {
+        for (const row of rows) this.view.changed(row.key, this.rowOf(row), this.mono)
+        this.noteJoined()
+      },
       failed: () => { this.view.feedFailed() }
     })
   }
@@ -92,6 +102,14 @@
     return this.parts.clock.now().mono
   }
 
+  private noteJoined (): void {
+    for (const { vm, holder } of this.view.others(this.mono)) {
+      if (this.seenHolders.get(vm) === holder) continue
+      this.seenHolders.set(vm, holder)
+      this.parts.onJoined(this.size)
+    }
+  }
+
   private async write (): Promise<void> {
     this.writing = true
     this.beat += 1
