--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -26,7 +26,7 @@
   budgetTransferred: { number: 2003, level: 'info', title: 'Tokens moved between VMs of a domain; fields: budget, tokens, from, to' },
   budgetRecalled: { number: 2004, level: 'info', title: 'Other holders were asked to return tokens; fields: budget, tokens' },
   budgetReturned: { number: 2005, level: 'info', title: 'Unspent tokens went back to the table; fields: budget, tokens' },
-  budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: ended, billed, returned' },
+  budgetRecovered: { number: 2006, level: 'warn', title: 'The allotment of a dead holder was recovered; fields: ended, billed, returned, reports with what they allowed and their age' },
   budgetFault: { number: 2007, level: 'warn', title: 'A budget operation failed and will be tried again; fields: operation, code' },
   allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
   billsArchived: { number: 2009, level: 'info', title: 'Old bills went from the table to the object store; fields: object, segments' },
@@ -39,7 +39,7 @@
   callClaimed: { number: 3006, level: 'info', title: 'A non-repeatable call was claimed; fields: request, service' },
   callerGone: { number: 3007, level: 'info', title: 'The caller closed the connection; fields: request, cancelled' },
 
-  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, candidates, choice, reason' },
+  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, choice, reason, work' },
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
   runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, ejected or notLoaded; fields: runner, state, reason' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
