Look for earlier processes of a VM until what they held is taken back

Change: from the start on every 0.3 s until a pass goes through; a pass says whether it did. Tests: a successor that starts in an outage; flushes of returns.

--- a/packages/decisions/src/budget/budgetEvenPart.spec.ts
+++ b/packages/decisions/src/budget/budgetEvenPart.spec.ts
@@ -8,6 +8,7 @@
 import { drawKeys, planDraw } from './budgetPlans.js'
 import type { BudgetAction, BudgetEvent, BudgetRow } from './budgetTypes.js'
 import { budgetTables } from './budgetKeys.js'
+import { FlushQueue } from './flushQueue.js'
 import { RowSet } from './rowSet.js'
 
 const PAID = 600_000
@@ -100,6 +101,16 @@
     expect(flush?.returns).to.deep.equal([{ budget: 'b', tokens: 20_000 }])
   })
 
+  it('go back in small flushes, since the rows of budgets are written by all holders', () => {
+    const queue = new FlushQueue({ ...policy, returnsAtOnce: 3 })
+    for (let i = 0; i < 5; i += 1) queue.addReturn({ budget: `b${i}`, tokens: 10 }, 0)
+    queue.addReturn({ budget: 'renewed', tokens: 0 }, 0)
+    const first = queue.next(0)
+    queue.finish(0)
+    const second = queue.next(policy.flushMs)
+    expect([first, second].map(flush => flush?.returns.map(({ budget }) => budget))).to.deep.equal([['b0', 'b1', 'b2', 'renewed'], ['b3', 'b4']])
+  })
+
   it('are reported again before what the last report allows grows', () => {
     const holder = new Holder().prepared(100_000)
     const flush = holder.pass(700).find(action => action.kind === 'flush')
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -64,6 +64,8 @@
   /** Draws that share a transaction, and budgets that share a flush; bounded by what the table takes at once. */
   readonly drawsAtOnce: number
   readonly budgetsAtOnce: number
+  /** Budgets to which one flush returns tokens. */
+  readonly returnsAtOnce: number
 }
 
 const SECOND = 1000
@@ -98,7 +100,8 @@
   requestTimeoutMs: MINUTE,
   emptyPauseMs: 30 * SECOND,
   drawsAtOnce: 100,
-  budgetsAtOnce: 100
+  budgetsAtOnce: 100,
+  returnsAtOnce: 100
 }
 
 /** Part of the lapse after which an idle allotment is renewed. */
--- a/packages/decisions/src/budget/flushQueue.ts
+++ b/packages/decisions/src/budget/flushQueue.ts
@@ -17,6 +17,8 @@
   readonly retryMaxMs: number
   /** Budgets in one flush at most. */
   readonly budgetsAtOnce: number
+  /** Budgets to which one flush returns tokens at most: their rows are written by all holders, and each may conflict. */
+  readonly returnsAtOnce: number
 }
 
 /** Queue of bills, returns and transfers. */
@@ -179,11 +181,14 @@
 
   private takeReturns (budgets: Set<string>, transfers: readonly Transfer[]): readonly BudgetReturn[] {
     const taken: BudgetReturn[] = []
+    let returning = 0
     for (const [budget, tokens] of this.returns) {
+      if (tokens > 0 && returning === this.times.returnsAtOnce) continue
       if (budgets.size >= this.times.budgetsAtOnce && !budgets.has(budget)) continue
       if (this.transfers.some(item => item.budget === budget)) continue
       budgets.add(budget)
       taken.push({ budget, tokens })
+      if (tokens > 0) returning += 1
       this.returns.delete(budget)
     }
     const touched = new Set(taken.map(item => item.budget))
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -127,10 +127,11 @@
     this.dispatch({ kind: 'holderJoined', holders })
   }
 
-  /** Registers this holder and takes back what earlier processes of its VM held; to be called once, at the start. */
-  async takeOver (): Promise<void> {
+  /** Registers this holder and takes back what earlier processes of its VM held; to be called from the start on until it is done. */
+  async takeOver (): Promise<boolean> {
     await this.registry.register()
-    await this.recovery?.pass(undefined, vmOf(this.parts.holder))
+    const isRecovered = await this.recovery?.pass(undefined, vmOf(this.parts.holder)) ?? true
+    return this.registry.isRegistered && isRecovered
   }
 
   /** Budgets as this holder sees them. */
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -82,27 +82,35 @@
   }
 
   /**
-   * One pass over all failure domains; passes do not overlap.
+   * One pass over all failure domains; passes do not overlap. Answers whether it went through and
+   * nothing stayed in doubt.
    * @param list - the platform's list, when it could be read
    * @param vm - recovers only what earlier processes of this VM held, when given
    */
-  async pass (list?: ListEvidence, vm?: string): Promise<void> {
+  async pass (list?: ListEvidence, vm?: string): Promise<boolean> {
     if (list !== undefined) this.gone.note(list.asOf, list.vms)
-    if (this.running) return
+    if (this.running) return false
     this.running = true
     this.runs.beginPass()
     try {
-      const holders = (await this.registry.all()).orDefault([])
-      const placed = (await this.registry.places()).orDefault([])
-      for (const domain of new Set(holders.map(item => item.domain))) {
-        const view = this.viewOf(holders.filter(item => item.domain === domain), placed)
-        await this.recoverDomain(vm === undefined ? view : onlyOf(view, vm))
-      }
+      const holders = await this.registry.all()
+      const placed = await this.registry.places()
+      if (holders.isLeft() || placed.isLeft()) return false
+      return await this.recoverAll(holders.unsafeCoerce(), placed.unsafeCoerce(), vm)
     } finally {
       this.running = false
     }
   }
 
+  private async recoverAll (holders: readonly HolderAtVersion[], placed: readonly PlacedHolder[], vm?: string): Promise<boolean> {
+    let isDone = true
+    for (const domain of new Set(holders.map(item => item.domain))) {
+      const view = this.viewOf(holders.filter(item => item.domain === domain), placed)
+      isDone = await this.recoverDomain(vm === undefined ? view : onlyOf(view, vm)) && isDone
+    }
+    return isDone
+  }
+
   private viewOf (holders: readonly HolderAtVersion[], placed: readonly PlacedHolder[]): DomainView {
     const members = new Set([this.parts.holder, ...this.parts.peers.members().map(member => member.holder)])
     const isEnded = (item: HolderAtVersion): boolean => this.gone.proves(item) || isSucceeded(item.holder, placed)
@@ -112,17 +120,21 @@
     return { ended, absent: rest.filter(item => !members.has(item.holder)), present: rest.filter(item => members.has(item.holder)), placed }
   }
 
-  private async recoverDomain (view: DomainView): Promise<void> {
+  private async recoverDomain (view: DomainView): Promise<boolean> {
     const budgets = new Set<string>()
+    let isDone = true
     for (const { holder } of [...view.ended, ...view.absent]) {
-      for (const budget of (await this.registry.budgetsOf(holder)).orDefault([])) budgets.add(budget)
+      const found = await this.registry.budgetsOf(holder)
+      isDone &&= found.isRight()
+      for (const budget of found.orDefault([])) budgets.add(budget)
     }
-    for (const budget of budgets) await this.recoverBudget(view, budget)
+    for (const budget of budgets) isDone = await this.recoverBudget(view, budget) && isDone
     for (const item of view.ended) await this.removeWhenClosed(view, item)
     for (const item of view.absent) if (this.isLongAbsent(item)) await this.removeWhenClosed(view, item)
+    return isDone
   }
 
-  private async recoverBudget (view: DomainView, budget: string): Promise<void> {
+  private async recoverBudget (view: DomainView, budget: string): Promise<boolean> {
     const result = await EitherAsync<Failure, void>(async ({ fromPromise, throwE }) => {
       const before = await fromPromise(surveyBudget(this.table.store, budget))
       if (this.closing(view, before).length === 0) return
@@ -140,6 +152,7 @@
       if (plan.kind === 'write') this.report(closing, plan, view.placed)
     }).mapLeft(toFailure).run()
     result.ifLeft(failure => this.parts.log.write('budgetFault', { operation: 'recover', budget, code: failure.code, detail: failure.message }))
+    return result.isRight()
   }
 
   private closing (view: DomainView, survey: BudgetSurvey): readonly AgedAllotment[] {
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -33,5 +33,7 @@
   emptyPauseMs: 2_000,
   // A transaction of the store takes 100 entries; a draw has up to six of them, a flush four for each budget.
   drawsAtOnce: 12,
-  budgetsAtOnce: 20
+  budgetsAtOnce: 20,
+  // With returns to ten budgets at once eight tries in a row conflicted while a VM joined and others drew.
+  returnsAtOnce: 3
 }
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -17,6 +17,8 @@
 const TICK_MS = 50
 /** Milliseconds between two passes over what ended holders held. */
 const RECOVERY_MS = 4_000
+/** Milliseconds before earlier processes of this VM are looked for again: the store may be out of reach at the start. */
+const TAKE_OVER_RETRY_MS = 300
 /** Part of the grace time for which a stopping VM serves callers that do not know of it yet. */
 const LINGER_PART = 0.25
 /** Milliseconds for the last bytes of answers to leave the process. */
@@ -67,7 +69,7 @@
       presence.tick()
     })
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
-    this.inBackground(budgets.takeOver())
+    this.inBackground(this.takeOver())
     this.log.write('started', { ...this.settings })
   }
 
@@ -94,6 +96,12 @@
     this.log.write('stopped', { open: work.openCount() })
   }
 
+  /** What earlier processes of this VM held is missing to everybody until it is taken back. */
+  private async takeOver (): Promise<void> {
+    const budgets = this.container.get(ids.budgets)
+    while (!this.container.get(ids.work).draining && !await budgets.takeOver()) await pause(TAKE_OVER_RETRY_MS)
+  }
+
   private async handBack (): Promise<void> {
     this.stopRecalls()
     await this.container.get(ids.budgets).drain()
--- a/packages/stand-ins/src/budget/heldAsSpent.spec.ts
+++ b/packages/stand-ins/src/budget/heldAsSpent.spec.ts
@@ -117,4 +117,17 @@
     }
     expect(await spentAfter(6_000)).to.equal(await spentAfter(0))
   })
+
+  it('says whether a successor took back what its VM held', async () => {
+    const world = new World()
+    const first = world.process('a')
+    await world.pass(200, first)
+    await world.use(first, 10)
+    const second = world.process('b')
+    world.store.outage = true
+    const during = await second.takeOver()
+    world.store.outage = false
+    const after = await second.takeOver()
+    expect([during, after, (await second.show('b')).unsafeCoerce().allotted]).to.deep.equal([false, true, 0])
+  })
 })
