--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -49,8 +49,6 @@
   readonly patienceMs: number
   /** Own demand that a holder keeps back when asked to return tokens. */
   readonly recallKeepMs: number
-  /** Part of its free tokens that it keeps back then. */
-  readonly recallKeepPart: number
   /** Own demand, in milliseconds, below which a holder recalls tokens ahead of need, and which others keep then; 0 for never. */
   readonly recallAheadMs: number
   /** How long after its last contact with the table an allotment may be taken by recovery. */
@@ -92,7 +90,6 @@
   roundMaxMs: 2 * SECOND,
   patienceMs: 2 * SECOND,
   recallKeepMs: 20 * SECOND,
-  recallKeepPart: 0,
   recallAheadMs: 0,
   // Leaves time to recover before engines forget their runs, which is after two hours.
   lapseMs: 100 * MINUTE,
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -18,8 +18,8 @@
 const OTHER_VM_RETRY_MS = 20
 /** Part of the objective that a call may wait for tokens. */
 const RESERVE_PART = 0.5
-/** Targets that could not be reached at all that one call passes over, where it may not try more of them anyway. */
-const MAX_UNREACHED = 3
+/** Targets that were not there any more that one call passes over, where it may not try more of them anyway. */
+const MAX_ABSENT = 3
 
 /** What dispatch is composed of. */
 export interface DispatchDeps {
@@ -138,12 +138,18 @@
   private mayRetry (open: OpenCall, end: AttemptEnd): boolean {
     if (end.kind === 'answered' || open.stopped !== undefined) return false
     const { route, service } = open.admitted
-    if (open.wasUnreached(end)) return open.unreached <= Math.max(MAX_UNREACHED, route.attempts)
+    if (open.wasAbsent(end)) return open.absent <= Math.max(MAX_ABSENT, route.attempts) && this.mayPassOver(end, service)
     if (open.attempts >= route.attempts) return false
     if (end.kind !== 'notRun' && !this.isRepeatable(open)) return false
     return this.deps.retries.take(service, this.deps.clock.now())
   }
 
+  /** What arrived at another process counts as a repeat; what arrived nowhere does not. */
+  private mayPassOver (end: AttemptEnd, service: string): boolean {
+    const isArrived = end.kind === 'notRun' && end.failure.code === 'targetReplaced'
+    return !isArrived || this.deps.retries.take(service, this.deps.clock.now())
+  }
+
   private isRepeatable ({ admitted: { route: { repeat } }, sink, relay }: OpenCall): boolean {
     if (repeat === 'resume') return !sink.begun || relay.lastId !== undefined
     return repeat === 'always' && !sink.begun
@@ -189,6 +195,6 @@
 function verdictOf (end: AttemptEnd, open: OpenCall): TargetVerdict {
   if (end.kind === 'answered' || end.kind === 'failedAnswer') return 'good'
   if (open.stopped !== undefined) return 'none'
-  if (end.kind === 'notRun') return end.failure.code === 'runnerUnreachable' ? 'unreachable' : 'none'
+  if (end.kind === 'notRun') return open.wasAbsent(end) ? 'unreachable' : 'none'
   return 'failed'
 }
--- a/packages/rosemaryspread/src/gateway/callOpen.ts
+++ b/packages/rosemaryspread/src/gateway/callOpen.ts
@@ -33,8 +33,8 @@
   mayHaveRun = false
   /** Targets that the request arrived at. */
   attempts = 0
-  /** Targets to which no connection could be made. */
-  unreached = 0
+  /** Targets to which no connection could be made, or at whose address another process was. */
+  absent = 0
   private ran = false
   private readonly stop = new AbortController()
   private readonly timer: NodeJS.Timeout
@@ -84,7 +84,7 @@
    */
   tried (target: string, end: AttemptEnd): void {
     this.excluded.add(target)
-    if (this.wasUnreached(end)) this.unreached += 1
+    if (this.wasAbsent(end)) this.absent += 1
     else this.attempts += 1
     if (end.kind !== 'notRun') this.ran = true
     this.mayHaveRun = this.ran
@@ -93,11 +93,11 @@
   }
 
   /**
-   * Whether nothing arrived at the target.
+   * Whether the target was not there any more, so that it proves nothing about others.
    * @param end - how the attempt ended
    */
-  wasUnreached (end: AttemptEnd): boolean {
-    return end.kind === 'notRun' && end.failure.code === 'runnerUnreachable'
+  wasAbsent (end: AttemptEnd): boolean {
+    return end.kind === 'notRun' && (end.failure.code === 'runnerUnreachable' || end.failure.code === 'targetReplaced')
   }
 
   /** Ends the timers of the call. */
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -24,7 +24,6 @@
   roundMaxMs: 600,
   patienceMs: 30,
   recallKeepMs: 200,
-  recallKeepPart: 0.5,
   // An outage of the store is mostly shorter.
   recallAheadMs: 10_000,
   lapseMs: 60_000,
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -107,6 +107,7 @@
 const event = (id: number): string => `id: ${id}\ndata: x\n\n`
 const notRun = new Failure('runnerRefused', 'full', { ran: 'no' })
 const unreached = new Failure('runnerUnreachable', 'no connection', { ran: 'no' })
+const replaced = new Failure('targetReplaced', 'another process', { ran: 'no' })
 const lost = new Failure('runnerUnreachable', 'reset', { ran: 'unknown' })
 const cutShort = new Failure('answerCut', 'reset', { ran: 'yes' })
 const stream = { streamed: true, repeat: 'never' } as const
@@ -120,6 +121,8 @@
   { name: 'proofs from all that may be tried', scripts: [notRun, notRun], end: 'runnerRefused no', sends: 2 },
   { name: 'a proof where only one target may be tried', route: { attempts: 1 }, scripts: [notRun], end: 'runnerRefused no', sends: 1 },
   { name: 'targets that cannot be reached, which are no attempts', route: { attempts: 1 }, scripts: [unreached, unreached, { head: OK, pieces: [] }], end: 'whole 200', sends: 3, billed: 100 },
+  { name: 'targets whose addresses other processes have, which are no attempts', route: { attempts: 1 }, scripts: [replaced, replaced, { head: OK, pieces: ['a'] }], end: 'whole 200', sends: 3, billed: 100 },
+  { name: 'addresses that other processes have, in the end', route: { attempts: 1 }, scripts: [replaced, replaced, replaced, replaced], end: 'targetReplaced no', sends: 4 },
   { name: 'a lost call that runs once', scripts: [lost], end: 'runnerUnreachable unknown', sends: 1 },
   { name: 'a lost call that may run again', route: { repeat: 'always' }, scripts: [lost, { head: OK, pieces: ['a'] }], end: 'whole 200', sends: 2, billed: 100 },
   { name: 'a lost call, and then a proof that does not count any more', route: { repeat: 'always' }, scripts: [lost, notRun], end: 'runnerUnreachable unknown', sends: 2 },
