Give the aim of a budget a module of its own; remove the fleet's mean demand, which nothing uses

Change: budgetAim holds demand, even part and whether a budget is ample. No behaviour changes; the specs of budgets are green.

--- a/deploy/runBundle.cjs
+++ b/deploy/runBundle.cjs
@@ -27,5 +27,5 @@
   })
 }
 
-const module_ = { exports: {} }
-script.runInThisContext()(module_.exports, require, module_, bundleFile, dirname(bundleFile))
+const bundle = { exports: {} }
+script.runInThisContext()(bundle.exports, require, bundle, bundleFile, dirname(bundleFile))
--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -3,11 +3,10 @@
  * its allotment, demand, and requests that wait for tokens.
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
-import { evenTokens, targetTokens, usableMs, type BudgetPolicy } from './budgetPolicy.js'
-import { MAX_TOKENS } from './budgetRows.js'
-import type { BudgetView, FleetSpending, Transfer } from './budgetTypes.js'
-import { allowanceOf, isAmple, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
-import { DemandRate } from './demandRate.js'
+import { BudgetAim } from './budgetAim.js'
+import { usableMs, type BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetView, Transfer } from './budgetTypes.js'
+import { allowanceOf, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
 
 /** Part of what is dealt out evenly below which a holder asks for more though it has no use for it yet. */
 const LEAST_OF_EVEN = 0.5
@@ -68,7 +67,6 @@
   inDoubt = 0
   /** Free tokens right after the last change from outside; the low-water mark is a part of it. */
   level = 0
-  largest = 0
   lastAskedAt = 0
   /** Cleared when the holder drains or the budget is idle: no more tokens are drawn. */
   isWanted = true
@@ -91,13 +89,10 @@
   nextRoundAt = 0
   roundPauseMs = 0
   waiting: WaitingRequest[] = []
-  readonly rate: DemandRate
+  /** How much of the budget is aimed at. */
+  readonly aim: BudgetAim
   /** What may be in use without the table knowing it. */
   readonly bounds = new ReportBounds()
-  /** Demand of all holders, divided by their number. */
-  private readonly fleetRate: DemandRate
-  /** What the last draw told of all holders. */
-  private fleet: FleetSpending | undefined
   private readonly received = new Map<string, ReceivedTokens>()
 
   /**
@@ -105,8 +100,7 @@
    * @param policy - sizes and times
    */
   constructor (readonly budget: string, private readonly policy: BudgetPolicy) {
-    this.rate = new DemandRate(policy.rateWindowMs, policy.demandFrom === 'reservations')
-    this.fleetRate = new DemandRate(policy.rateWindowMs)
+    this.aim = new BudgetAim(policy)
   }
 
   /** Has the table asked again at once, because more may be had now. */
@@ -169,37 +163,11 @@
   }
 
   /**
-   * Allotment to aim at.
-   * @param now - both clocks
-   */
-  target (now: Instant): number {
-    return Math.max(this.demandTarget(now), this.evenTarget)
-  }
-
-  /**
-   * Whether no demand asks for more than what is dealt out evenly.
+   * Whether a draw is made for no demand beyond what is dealt out evenly.
    * @param now - both clocks
    */
   isForEvenPart (now: Instant): boolean {
-    return this.policy.evenPart > 0 && this.waiting.length === 0 && this.demandTarget(now) <= this.evenTarget
-  }
-
-  /** Where tokens are dealt out evenly, no floor is held besides: it would lie idle at all holders without demand. */
-  private demandTarget (now: Instant): number {
-    const rate = this.demandPerMs(now)
-    return this.policy.evenPart > 0 ? Math.ceil(rate * this.policy.horizonMs) : targetTokens(this.policy, rate, this.largest)
-  }
-
-  /** Before the first draw nobody knows how much there is. */
-  private get evenTarget (): number {
-    const { fleet, policy: { evenPart } } = this
-    if (evenPart === 0) return 0
-    return fleet === undefined ? MAX_TOKENS : evenTokens(fleet.paid - fleet.spent, fleet.holders, evenPart)
-  }
-
-  /** Whether the budget was ample at the last draw, as far as that is known. */
-  get isAmple (): boolean {
-    return this.fleet !== undefined && isAmple(this.fleet.paid, this.fleet.spent)
+    return this.waiting.length === 0 && this.aim.isEvenPart(now.mono)
   }
 
   /**
@@ -208,7 +176,7 @@
    */
   allowance (now: Instant): ReportAllowance {
     const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held, ratePerMs: this.demandPerMs(now), isAmple: this.isAmple })
+    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held, ratePerMs: this.aim.rate.perMs(now.mono), isAmple: this.aim.isAmple })
   }
 
   /**
@@ -235,23 +203,7 @@
    * @param now - both clocks
    */
   enough (now: Instant): number {
-    return Math.min(this.target(now), Math.max(this.level, this.evenTarget * LEAST_OF_EVEN))
-  }
-
-  private demandPerMs (now: Instant): number {
-    const own = this.rate.perMs(now.mono)
-    return this.policy.coversFleetMean ? Math.max(own, this.fleetRate.perMs(now.mono)) : own
-  }
-
-  /**
-   * Takes what a draw told of the spending of all holders.
-   * @param fleet - tokens paid and billed in all, and the number of holders
-   * @param mono - monotonic milliseconds
-   */
-  noteFleet (fleet: FleetSpending, mono: number): void {
-    const added = fleet.spent - (this.fleet?.spent ?? fleet.spent)
-    this.fleet = fleet
-    this.fleetRate.add(Math.max(0, added) / Math.max(1, fleet.holders), mono)
+    return Math.min(this.aim.tokens(now.mono), Math.max(this.level, this.aim.evenPart * LEAST_OF_EVEN))
   }
 
   /**
--- a/packages/decisions/src/budget/budgetGiving.ts
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -101,9 +101,9 @@
   /** While a budget is ample, half stays where it is, for callers that may come; later a request that waits goes before. */
   private keptOnRecall (entry: BudgetEntry, isAhead: boolean, now: Instant): number {
     const { recallKeepMs, recallAheadMs } = this.policy
-    const rate = entry.rate.perMs(now.mono)
+    const rate = entry.aim.rate.perMs(now.mono)
     if (isAhead) return rate * recallAheadMs
-    return Math.max(rate * recallKeepMs, this.policy.evenPart > 0 && entry.isAmple ? entry.free * AMPLE_KEPT_PART : 0)
+    return Math.max(rate * recallKeepMs, this.policy.evenPart > 0 && entry.aim.isAmple ? entry.free * AMPLE_KEPT_PART : 0)
   }
 
   /**
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -119,7 +119,7 @@
     const entry = this.entryOf(budget)
     entry.lastAskedAt = now.mono
     entry.isWanted = true
-    entry.largest = Math.max(entry.largest, tokens)
+    entry.aim.largest = Math.max(entry.aim.largest, tokens)
     entry.waiting.push({ reservationId, tokens, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
     return this.step(entry, now)
   }
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -9,11 +9,6 @@
   readonly horizonMs: number
   /** Time constant of the demand rate. */
   readonly rateWindowMs: number
-  /**
-   * Whether an allotment also covers an equal part of the demand at all holders: callers that choose
-   * their VM anew every few seconds move demand between VMs faster than a VM's own rate tells.
-   */
-  readonly coversFleetMean: boolean
   /**
    * What the demand rate counts: `bills`, exactly what was used, or `reservations`, at once and at their
    * most, with the rate of a short past taken for the whole window. The second suits short windows.
@@ -74,7 +69,6 @@
 export const defaultBudgetPolicy: BudgetPolicy = {
   horizonMs: 120 * MINUTE,
   rateWindowMs: 20 * MINUTE,
-  coversFleetMean: false,
   demandFrom: 'bills',
   boundsUse: false,
   minTokens: 8_192,
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -151,7 +151,7 @@
   private bill (entry: BudgetEntry, bill: Bill, reservation: OpenReservation, now: Instant): void {
     const tokens = isAmount(bill.tokens) ? Math.min(bill.tokens, reservation.tokens) : reservation.tokens
     entry.unsettled += tokens
-    if (this.policy.demandFrom === 'bills') entry.rate.add(tokens, now.mono)
+    if (this.policy.demandFrom === 'bills') entry.aim.rate.add(tokens, now.mono)
     this.queue.addBill({ ...bill, budget: reservation.budget, tokens }, now.mono)
   }
 
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -43,8 +43,8 @@
     const { draw } = entry
     const drawId = draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
-    if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.noteFleet(outcome.fleet, now.mono)
-    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(withHeld(draw.report, outcome.tokens, entry.isAmple))
+    if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.aim.noteFleet(outcome.fleet)
+    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(withHeld(draw.report, outcome.tokens, entry.aim.isAmple))
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -78,7 +78,7 @@
    */
   isLow (entry: BudgetEntry, now: Instant): boolean {
     if (!entry.isWanted) return false
-    return entry.free < lowWaterMark(this.policy, entry.enough(now), entry.largest)
+    return entry.free < lowWaterMark(this.policy, entry.enough(now), entry.aim.largest)
   }
 
   private endRound (entry: BudgetEntry, now: Instant): void {
@@ -131,7 +131,7 @@
     entry.waiting = entry.waiting.filter(item => {
       if (item.tokens > entry.usable(now)) return true
       entry.reserved += item.tokens
-      if (this.policy.demandFrom === 'reservations') entry.rate.add(item.tokens, now.mono)
+      if (this.policy.demandFrom === 'reservations') entry.aim.rate.add(item.tokens, now.mono)
       actions.push({ kind: 'admit', reservationId: item.reservationId })
       return false
     })
@@ -199,7 +199,7 @@
   /** Nothing is left to draw, and what is held lasts for a short time only; holders without demand have more. */
   private needsRecall (entry: BudgetEntry, now: Instant): boolean {
     if (entry.shortage?.kind !== 'short' || now.mono < entry.nextRecallAt || !entry.isWanted) return false
-    return entry.free < entry.rate.perMs(now.mono) * this.policy.recallAheadMs
+    return entry.free < entry.aim.rate.perMs(now.mono) * this.policy.recallAheadMs
   }
 
   private recallAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
@@ -212,7 +212,7 @@
   /** Tokens up to the target, with what waiting requests take on top. */
   private missing (entry: BudgetEntry, now: Instant): number {
     const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    const target = entry.isWanted ? entry.target(now) : 0
+    const target = entry.isWanted ? entry.aim.tokens(now.mono) : 0
     return Math.max(0, target + wanted - Math.max(0, entry.free))
   }
 
--- a/packages/decisions/src/budget/budgetUpkeep.ts
+++ b/packages/decisions/src/budget/budgetUpkeep.ts
@@ -124,7 +124,7 @@
   }
 
   private trim (entry: BudgetEntry, now: Instant): void {
-    const target = entry.target(now)
+    const target = entry.aim.tokens(now.mono)
     if (entry.free > target * this.policy.excessFactor) this.returnFree(entry, target, now)
   }
 
