--- /dev/null
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -0,0 +1,64 @@
+/**
+ * What a VM learns of others that begin: each process of another VM is told once, so that it gets its
+ * part of the budgets, however often its row changes or the table is read anew.
+ */
+import { expect } from 'chai'
+import { Right } from 'purify-ts'
+import type { FeedHandler, FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { PresenceRow } from './presenceTypes.js'
+import { VmPresence } from './vmPresence.js'
+
+const store: TableStore = {
+  read: async () => Right({ rows: [], now: 0 }),
+  scan: async () => Right({ rows: [], now: 0 }),
+  transact: async () => Right({ version: 1, now: 0 })
+}
+
+/** A feed that tells what a test hands it. */
+class Feed implements TableFeed {
+  handler: FeedHandler | undefined
+
+  follow (_table: string, handler: FeedHandler): () => void {
+    this.handler = handler
+    return () => { this.handler = undefined }
+  }
+}
+
+const row = (vm: string, process: string, beat: number): FeedRow => {
+  const value: PresenceRow = { vm, holder: `${vm}~${process}`, domain: 'd', callers: `${vm}:1`, state: 'serving', beat }
+  return { key: vm, value, version: beat }
+}
+
+type Told = (feed: FeedHandler) => void
+const changed = (...rows: readonly FeedRow[]): Told => feed => { feed.changed(rows) }
+const replaced = (...rows: readonly FeedRow[]): Told => feed => { feed.replaced(rows) }
+
+const cases: ReadonlyArray<{ readonly name: string, readonly told: readonly Told[], readonly joined: readonly number[] }> = [
+  { name: 'tells of each VM with the number of those present', told: [changed(row('b', '1', 1)), changed(row('c', '1', 1))], joined: [2, 3] },
+  { name: 'is silent about itself', told: [changed(row('a', '1', 1))], joined: [] },
+  { name: 'tells of a process once', told: [changed(row('b', '1', 1)), changed(row('b', '1', 2)), replaced(row('b', '1', 3))], joined: [2] },
+  { name: 'tells of a VM that began again', told: [changed(row('b', '1', 1)), changed(row('b', '2', 1))], joined: [2, 2] },
+  { name: 'tells of all that a whole read names', told: [replaced(row('a', '1', 1), row('b', '1', 1), row('c', '1', 1))], joined: [3, 3] },
+  { name: 'takes a VM that was out of sight for the same', told: [changed(row('b', '1', 1)), changed({ key: 'b', value: null, version: 2 }), changed(row('b', '1', 3))], joined: [2] }
+]
+
+describe('VmPresence', () => {
+  for (const { name, told, joined } of cases) {
+    it(name, () => {
+      const feed = new Feed()
+      const heard: number[] = []
+      const presence = new VmPresence({
+        self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1' },
+        table: store,
+        feed,
+        clock: { now: () => ({ mono: 0, wall: 0 }) },
+        log: { write: () => {} },
+        onJoined: vms => { heard.push(vms) }
+      })
+      presence.start()
+      for (const tell of told) if (feed.handler !== undefined) tell(feed.handler)
+      expect(heard).to.deep.equal(joined)
+    })
+  }
+})
