Let a holder use no more than what recovery would bill: lost answers of draws, times of reports

Cause: found on reading. The time of a report is read after what it allows was worked out, later on a slow VM, since the table's clock is carried on between answers. Change: ample only by the rows of the very draw; 0.1 s taken off the time of a report, and added to the time at which a process had begun.

--- a/packages/decisions/src/budget/budgetEvenPart.spec.ts
+++ b/packages/decisions/src/budget/budgetEvenPart.spec.ts
@@ -38,9 +38,9 @@
   }
 
   /** Prepares the budget and grants what it draws. */
-  prepared (tokens: number): this {
+  prepared (tokens: number, spent = PAID - 2 * tokens): this {
     const draw = this.send({ kind: 'prepare', budget: 'b' }).find(action => action.kind === 'draw')
-    const fleet = { paid: PAID, spent: PAID - 2 * tokens, holders: 2 }
+    const fleet = { paid: PAID, spent, holders: (PAID - spent) / tokens }
     this.send({ kind: 'drawAnswered', drawId: draw?.drawId ?? '', outcome: { kind: 'granted', tokens, left: 0, sentAt: this.now, fleet } })
     return this
   }
@@ -101,6 +101,17 @@
     expect(flush?.returns).to.deep.equal([{ budget: 'b', tokens: 20_000 }])
   })
 
+  it('allow no more than the table knows where the answer of the draw was lost', () => {
+    const holder = new Holder().prepared(100_000, 0)
+    const flush = holder.pass(700).find(action => action.kind === 'flush')
+    const closed = holder.send({ kind: 'flushAnswered', seq: flush?.seq ?? 0, outcome: { kind: 'closed', budgets: ['b'] } })
+    const draw = [...closed, ...holder.pass(100)].find(action => action.kind === 'draw')
+    expect(draw?.report?.tokens).to.equal(8_000)
+    holder.send({ kind: 'drawAnswered', drawId: draw?.drawId ?? '', outcome: { kind: 'granted', tokens: 100_000, left: 0, sentAt: holder.now } })
+    const admitted = ['r1', 'r2', 'r3'].map(id => holder.reserve(id, 4_900).includes('admit'))
+    expect(admitted).to.deep.equal([true, true, false])
+  })
+
   it('go back in small flushes, since the rows of budgets are written by all holders', () => {
     const queue = new FlushQueue({ ...policy, returnsAtOnce: 3 })
     for (let i = 0; i < 5; i += 1) queue.addReturn({ budget: `b${i}`, tokens: 10 }, 0)
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -8,7 +8,7 @@
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
-import { withHeld } from './reportBound.js'
+import { withHeld, type ReportBound } from './reportBound.js'
 
 const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
 
@@ -44,7 +44,7 @@
     const drawId = draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
     if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.aim.noteFleet(outcome.fleet)
-    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(withHeld(draw.report, outcome.tokens, entry.aim.isAmple))
+    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(firstBound(draw.report, outcome, entry.aim.isAmple))
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -226,3 +226,8 @@
     return `${this.holder}.${stage}${this.operations}`
   }
 }
+
+/** Without the rows of this very draw nobody knows whether the table took the budget for ample. */
+function firstBound (report: ReportBound, { tokens, fleet }: Extract<DrawOutcome, { kind: 'granted' }>, isAmple: boolean): ReportBound {
+  return withHeld(report, tokens, fleet !== undefined && isAmple)
+}
--- a/packages/rosemaryspread/src/budget/budgetFirstSent.ts
+++ b/packages/rosemaryspread/src/budget/budgetFirstSent.ts
@@ -3,6 +3,12 @@
  * that one may have taken effect though its answer was lost.
  */
 
+/**
+ * Milliseconds taken off the time of a first try: a report is made up somewhat before it is sent, by more
+ * on a VM that is slow, and what it allows must not begin to grow later for others than for its holder.
+ */
+const MADE_BEFORE_MS = 100
+
 /** First tries of open operations. */
 export class FirstSent {
   private readonly times = new Map<string, number>()
@@ -14,7 +20,7 @@
    */
   begin (id: string, tableNow: number): boolean {
     if (this.times.has(id)) return false
-    this.times.set(id, tableNow)
+    this.times.set(id, tableNow - MADE_BEFORE_MS)
     return true
   }
 
--- a/packages/rosemaryspread/src/budget/budgetRegistry.ts
+++ b/packages/rosemaryspread/src/budget/budgetRegistry.ts
@@ -17,6 +17,8 @@
 
 /** Milliseconds between two looks whether the own row is still there. */
 const CHECK_MS = 300_000
+/** Milliseconds by which the table's clock may be ahead of what this process believes, after an answer that was slow. */
+const CLOCK_MARGIN_MS = 100
 /** Budgets of a holder removed in one transaction. */
 const MAX_REMOVED = 200
 
@@ -83,7 +85,7 @@
     const { begunAt } = this.self
     if (begunAt === undefined) return {}
     const sinceAskedMs = this.table.now().mono - askedAt.mono
-    return { begunBy: Math.ceil(this.table.tableNow + sinceAskedMs - (this.table.now().mono - begunAt)) }
+    return { begunBy: Math.ceil(this.table.tableNow + sinceAskedMs + CLOCK_MARGIN_MS - (this.table.now().mono - begunAt)) }
   }
 
   private isPlaced (rows: RowSet): boolean {
