--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -1,7 +1,7 @@
 /**
  * Sizes and times of budgets where targets keep no record of runs and nothing outlives a process.
- * An allotment covers some seconds of demand: enough for a store that is out of reach for as long,
- * and little enough that the end of a VM, which counts its allotment as spent, costs little.
+ * An allotment covers demand for longer than the store is mostly out of reach; what the end of a VM
+ * costs is bounded by its last report, see reportBound.
  */
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
@@ -12,11 +12,12 @@
   rateWindowMs: 3_000,
   boundsUse: true,
   demandFrom: 'reservations',
-  minTokens: 16_384,
+  // More than a tenth lies idle at VMs without demand while the one with the callers runs dry in a cut.
   evenPart: 0.1,
   // Many teams are served by one VM at a time, since callers keep their connections: it may take most of what is left.
   shareDivisor: 0.25,
   idleReturnMs: 15_000,
+  // Reports go with flushes; each is one call of the store.
   flushMs: 100,
   retryMs: 200,
   retryMaxMs: 1_000,
