Have VMs give each other tokens when the store is out of reach

Change: a VM that lacks tokens asks others over the links of packages/peers. The giver bills what it gives as used by itself, within its last report, before it answers; the taker keeps it in a purse beside its allotment. The store needs to know nothing of it, so an end, a lost or a doubled message costs tokens at worst. The key of the links lies in the store.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -6,6 +6,7 @@
 import { BudgetAim } from './budgetAim.js'
 import { usableMs, type BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetView, Transfer } from './budgetTypes.js'
+import { GiftPurse } from './giftPurse.js'
 import { allowanceOf, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
 
 /** Part of what is dealt out evenly below which a holder asks for more though it has no use for it yet. */
@@ -19,6 +20,14 @@
   readonly giveUpAfterMs: number
 }
 
+/** Where the tokens of a reservation come from. */
+export interface ReservedTokens {
+  /** Tokens of the allotment. */
+  readonly own: number
+  /** Tokens that other holders gave. */
+  readonly given: number
+}
+
 /** Received tokens whose transfer is not in the table yet. */
 interface ReceivedTokens {
   readonly tokens: number
@@ -51,6 +60,9 @@
   readonly report?: ReportBound
 }
 
+/** Flushes after which the last written report shows that the table does not answer: without bills one comes every three. */
+const SILENT_FLUSHES = 5
+
 /** One budget at one holder. All amounts in tokens, all plain numbers of time monotonic milliseconds. */
 export class BudgetEntry {
   /** Durable tokens of this holder, with those received from other holders, less those settled or given. */
@@ -89,6 +101,13 @@
   nextRoundAt = 0
   roundPauseMs = 0
   waiting: WaitingRequest[] = []
+  /** What other holders gave; no part of the allotment. */
+  readonly purse = new GiftPurse()
+  /** The ask for a gift that is open. */
+  giftAsk: string | undefined
+  nextGiftAt = 0
+  /** When other holders last had too little for the requests that waited. */
+  giftShortAt = -Infinity
   /** How much of the budget is aimed at. */
   readonly aim: BudgetAim
   /** What may be in use without the table knowing it. */
@@ -188,6 +207,18 @@
     return Math.min(this.free, this.bounds.room(this.reserved + this.unsettled, this.flushing, now))
   }
 
+  /**
+   * Reserves from what was given first, the rest from the allotment; undefined where both are too little.
+   * @param tokens - amount needed
+   * @param now - both clocks
+   */
+  reserve (tokens: number, now: Instant): ReservedTokens | undefined {
+    const own = Math.max(0, tokens - this.purse.free)
+    if (own > 0 && (!this.isUsable(now) || own > this.usable(now))) return undefined
+    this.reserved += own
+    return { own, given: this.purse.take(tokens) }
+  }
+
   /**
    * Milliseconds until so many tokens may be reserved, as far as the last report is what forbids it; undefined where tokens lack.
    * @param tokens - amount needed
@@ -234,10 +265,18 @@
     this.received.delete(transferId)
   }
 
+  /**
+   * Whether the table is known not to help a waiting request: it has nothing left, or did not answer lately.
+   * @param now - both clocks
+   */
+  isOutOfTouch (now: Instant): boolean {
+    return this.shortage?.kind === 'short' || this.shortage?.kind === 'unavailable' || this.bounds.ageMs(now) > this.policy.flushMs * SILENT_FLUSHES
+  }
+
   /** Whether nothing is held, owed or awaited, so that the entry can be forgotten. */
   get isEmpty (): boolean {
     return this.held === 0 && this.reserved === 0 && this.unsettled === 0 && this.waiting.length === 0 &&
-      this.draw === undefined && this.round === undefined && this.received.size === 0
+      this.draw === undefined && this.round === undefined && this.received.size === 0 && this.purse.free === 0 && this.giftAsk === undefined
   }
 
   /** Forgets all tokens after the allotment was closed. */
--- /dev/null
+++ b/packages/decisions/src/budget/budgetGifts.spec.ts
@@ -0,0 +1,173 @@
+/**
+ * Gifts between holders that cannot reach the table: when they are asked for, what is given, and that
+ * no order of messages, losses and ends has a token used twice.
+ */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { BudgetLedger } from './budgetLedger.js'
+import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetAction, BudgetEvent } from './budgetTypes.js'
+
+const policy: BudgetPolicy = {
+  ...defaultBudgetPolicy, evenPart: 0.1, boundsUse: true, demandFrom: 'reservations', flushMs: 100, horizonMs: 10_000, rateWindowMs: 3_000, patienceMs: 30, giftAfterMs: 20
+}
+/** What the first report of an allotment of 100,000 tokens allows, beyond what was asked for at the draw. */
+const ALLOWED = 5_000
+const HELD = 100_000
+
+class Holder {
+  readonly ledger: BudgetLedger
+  mono = 0
+
+  constructor (name: string, over: Partial<BudgetPolicy> = {}) {
+    this.ledger = new BudgetLedger(name, { ...policy, ...over })
+    const draw = this.send({ kind: 'prepare', budget: 'b' }).find(action => action.kind === 'draw')
+    this.send({ kind: 'drawAnswered', drawId: draw?.drawId ?? '', outcome: { kind: 'granted', tokens: HELD, left: 0, sentAt: this.now } })
+  }
+
+  get now (): { readonly mono: number, readonly wall: number } {
+    return { mono: this.mono, wall: this.mono }
+  }
+
+  send (event: BudgetEvent): readonly BudgetAction[] {
+    return this.ledger.handle(event, this.now)
+  }
+
+  pass (ms: number): readonly BudgetAction[] {
+    this.mono += ms
+    return this.send({ kind: 'tick' })
+  }
+
+  reserve (reservationId: string, tokens: number): readonly BudgetAction[] {
+    return this.send({ kind: 'reserve', reservationId, budget: 'b', tokens, giveUpAfterMs: 200 })
+  }
+
+  settle (reservationId: string, tokens: number): readonly BudgetAction[] {
+    return this.send({ kind: 'settle', reservationId, bill: { requestId: reservationId, budget: 'b', team: 't', tokens, runner: 'r' } })
+  }
+
+  /** The ask that goes out when a request waits long enough. */
+  askFor (tokens: number): Extract<BudgetAction, { kind: 'askGift' }> | undefined {
+    return [...this.reserve('r1', tokens), ...this.pass(25)].find(action => action.kind === 'askGift')
+  }
+
+  give (tokens: number): number {
+    const gift = this.send({ kind: 'giftAsked', giftId: 'g', budget: 'b', tokens, to: 'other' }).find(action => action.kind === 'gift')
+    return gift?.tokens ?? 0
+  }
+}
+
+const kinds = (actions: readonly BudgetAction[]): readonly string[] => actions.map(action => action.kind === 'refuse' ? action.failure.code : action.kind)
+
+describe('gifts between holders', () => {
+  const gifts: ReadonlyArray<{ readonly name: string, readonly prepare?: (holder: Holder) => void, readonly asked: number, readonly given: number }> = [
+    { name: 'what is asked for', asked: 3_000, given: 3_000 },
+    { name: 'no more than the last report allows', asked: 90_000, given: ALLOWED },
+    { name: 'only what is not reserved', prepare: holder => { holder.reserve('own', 4_000) }, asked: 3_000, given: 1_000 },
+    { name: 'nothing while own requests wait', prepare: holder => { holder.reserve('own', 9_000) }, asked: 3_000, given: 0 },
+    { name: 'only what was not given before', prepare: holder => { holder.give(4_500) }, asked: 3_000, given: 500 },
+    { name: 'nothing while the process drains', prepare: holder => { holder.send({ kind: 'drain' }) }, asked: 3_000, given: 0 }
+  ]
+  for (const { name, prepare, asked, given } of gifts) {
+    it(`a holder gives ${name}`, () => {
+      const holder = new Holder('vm1~a')
+      prepare?.(holder)
+      expect(holder.give(asked)).to.equal(given)
+    })
+  }
+
+  it('a holder bills what it gives before it answers', () => {
+    const holder = new Holder('vm1~a')
+    holder.give(3_000)
+    const flush = holder.pass(200).find(action => action.kind === 'flush')
+    expect(flush?.bills).to.deep.equal([{ requestId: 'g', budget: 'b', team: 'b', tokens: 3_000, runner: 'other' }])
+  })
+
+  const asks: ReadonlyArray<{ readonly name: string, readonly over?: Partial<BudgetPolicy>, readonly tokens: number, readonly waitedMs: number, readonly asked: number | undefined }> = [
+    { name: 'what a request lacks once it waited', tokens: 9_000, waitedMs: 20, asked: 4_000 },
+    { name: 'nothing while the table may still help', tokens: 9_000, waitedMs: 10, asked: undefined },
+    { name: 'nothing where holders have no links', over: { giftAfterMs: undefined as never }, tokens: 9_000, waitedMs: 40, asked: undefined }
+  ]
+  for (const { name, over, tokens, waitedMs, asked } of asks) {
+    it(`a holder asks for ${name}`, () => {
+      const holder = new Holder('vm1~a', over)
+      const actions = [...holder.reserve('r1', tokens), ...holder.pass(waitedMs)]
+      expect(actions.find(action => action.kind === 'askGift')?.tokens).to.equal(asked)
+    })
+  }
+
+  it('a holder asks at once when its last report is old', () => {
+    const holder = new Holder('vm1~a')
+    holder.pass(600)
+    expect(holder.reserve('r1', 9_000).find(action => action.kind === 'askGift')?.tokens).to.equal(4_000)
+  })
+
+  it('a request is admitted from what was given, and what it did not use serves the next one', () => {
+    const holder = new Holder('vm1~a')
+    const ask = holder.askFor(9_000)
+    const admitted = holder.send({ kind: 'giftAnswered', giftId: ask?.giftId ?? '', budget: 'b', tokens: 4_000 })
+    holder.settle('r1', 1_000)
+    const next = holder.reserve('r2', 8_000)
+    expect([kinds(admitted), kinds(next)]).to.deep.equal([['admit'], ['admit']])
+  })
+
+  it('a request paid by gifts alone costs the own allotment nothing', () => {
+    const holder = new Holder('vm1~a')
+    const ask = holder.askFor(9_000)
+    holder.send({ kind: 'giftAnswered', giftId: ask?.giftId ?? '', budget: 'b', tokens: 9_000 })
+    holder.settle('r1', 9_000)
+    expect(holder.ledger.view('b')).to.deep.include({ held: HELD, reserved: 0, unsettled: 0 })
+  })
+
+  it('an answer to an ask that is not open gives nothing', () => {
+    const holder = new Holder('vm1~a')
+    const ask = holder.askFor(9_000)
+    holder.send({ kind: 'giftAnswered', giftId: ask?.giftId ?? '', budget: 'b', tokens: 0 })
+    holder.send({ kind: 'giftAnswered', giftId: ask?.giftId ?? '', budget: 'b', tokens: 9_000 })
+    expect(kinds(holder.reserve('r2', 9_000))).to.not.include('admit')
+  })
+
+  it('a request is refused at once when neither the table nor other holders have tokens', () => {
+    const holder = new Holder('vm1~a')
+    holder.pass(600)
+    const ask = holder.reserve('r1', 9_000).find(action => action.kind === 'askGift')
+    const answered = holder.send({ kind: 'giftAnswered', giftId: ask?.giftId ?? '', budget: 'b', tokens: 0 })
+    expect(kinds(answered)).to.include('budgetUnreported')
+  })
+
+  /**
+   * Three holders that lost the table. Messages between them are lost, late or doubled, requests bill
+   * all they reserved, and any holder may end. No holder passes a second, so that nothing grows: what was
+   * admitted anywhere stays within what recovery would bill for the three.
+   */
+  it('no order of messages, losses and ends has a token used twice', () => {
+    const step = fc.record({ holder: fc.nat(2), giver: fc.nat(2), tokens: fc.integer({ min: 1, max: 9_000 }), fate: fc.constantFrom('arrives', 'lost', 'answerLost', 'doubled', 'ends'), settles: fc.boolean() })
+    fc.assert(fc.property(fc.array(step, { maxLength: 40 }), steps => {
+      const holders = ['vm1~a', 'vm2~a', 'vm3~a'].map(name => new Holder(name))
+      const ended = new Set<number>()
+      let used = 0
+      steps.forEach(({ holder: index, giver, tokens, fate, settles }, number) => {
+        const holder = holders[index]!
+        if (ended.has(index)) return
+        const taken = [...holder.reserve(`r${number}`, tokens), ...holder.pass(25)]
+        used += admittedTokens(taken, steps)
+        const ask = taken.find(action => action.kind === 'askGift')
+        const isAnswered = ask !== undefined && fate !== 'lost' && !ended.has(giver) && giver !== index
+        const given = isAnswered ? holders[giver]!.give(ask.tokens) : 0
+        if (ask !== undefined) {
+          const answer = { kind: 'giftAnswered' as const, giftId: ask.giftId, budget: 'b', tokens: fate === 'answerLost' ? 0 : given }
+          const answers = fate === 'doubled' ? [answer, answer] : [answer]
+          for (const event of answers) used += admittedTokens(holder.send(event), steps)
+        }
+        if (settles) holder.settle(`r${number}`, tokens)
+        if (fate === 'ends') ended.add(index)
+      })
+      return used <= holders.length * ALLOWED
+    }), { seed: 7, numRuns: 300 })
+  })
+})
+
+/** Tokens of the requests that were admitted; the number of a reservation is that of its step. */
+function admittedTokens (actions: readonly BudgetAction[], steps: ReadonlyArray<{ readonly tokens: number }>): number {
+  return actions.reduce((sum, action) => action.kind === 'admit' ? sum + (steps[Number(action.reservationId.slice(1))]?.tokens ?? 0) : sum, 0)
+}
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -6,6 +6,7 @@
 import type { Instant } from '../clock/clockTypes.js'
 import { Failure } from '../codes/failure.js'
 import { BudgetEntry } from './budgetEntry.js'
+import { BudgetGifts } from './budgetGifts.js'
 import { BudgetGiving } from './budgetGiving.js'
 import { BudgetUpkeep } from './budgetUpkeep.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
@@ -30,6 +31,7 @@
   private readonly queue: FlushQueue
   private readonly supply: BudgetSupply
   private readonly giving: BudgetGiving
+  private readonly gifts: BudgetGifts
   private readonly upkeep: BudgetUpkeep
   private readonly settlement: BudgetSettlement
   private readonly steps: BudgetStep
@@ -41,11 +43,12 @@
    */
   constructor (holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy) {
     this.queue = new FlushQueue(policy)
-    this.supply = new BudgetSupply(holder, policy)
     this.giving = new BudgetGiving(holder, policy, this.queue)
     this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries.all)
     this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy)
-    this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, upkeep: this.upkeep, settlement: this.settlement })
+    this.supply = new BudgetSupply(holder, policy, this.settlement)
+    this.gifts = new BudgetGifts(holder, policy, this.queue)
+    this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, upkeep: this.upkeep, gifts: this.gifts })
   }
 
   handle (event: BudgetEvent, now: Instant): readonly BudgetAction[] {
@@ -79,8 +82,8 @@
    * @param now - both clocks
    */
   isValid (reservationId: string, now: Instant): boolean {
-    const budget = this.settlement.budgetOf(reservationId)
-    return budget !== undefined && this.entries.all.get(budget)?.isUsable(now) === true
+    const budget = this.settlement.allotmentOf(reservationId)
+    return budget === undefined || this.entries.all.get(budget)?.isUsable(now) === true
   }
 
   /**
@@ -105,6 +108,8 @@
       case 'giveAnswered': return this.giveAnswered(event, now)
       case 'recallAsked': return this.recallAsked(event, now)
       case 'recallAnswered': return this.recallAnswered(event, now)
+      case 'giftAsked': return this.giftAsked(event, now)
+      case 'giftAnswered': return this.giftAnswered(event, now)
       case 'fence': this.giving.fence(event.holder, now); return []
       case 'paidChanged': return this.paidChanged(event, now)
       case 'drain': return this.drain(now)
@@ -212,6 +217,20 @@
     return this.step(entry, now)
   }
 
+  private giftAsked (event: EventOf<'giftAsked'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.all.get(event.budget)
+    const tokens = this.gifts.give(event, this.draining ? undefined : entry, now)
+    const left = Math.max(0, Math.floor(entry?.usable(now) ?? 0))
+    return [{ kind: 'gift', giftId: event.giftId, tokens, left }]
+  }
+
+  private giftAnswered (event: EventOf<'giftAnswered'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.all.get(event.budget)
+    if (entry === undefined) return []
+    this.gifts.answered(entry, event, now)
+    return this.step(entry, now)
+  }
+
   private paidChanged ({ budget, isLowered }: EventOf<'paidChanged'>, now: Instant): readonly BudgetAction[] {
     const entry = this.entries.all.get(budget)
     if (entry === undefined) return []
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -37,6 +37,11 @@
   /** Pause after a table call that failed, before the next try; doubles up to `retryMaxMs`. */
   readonly retryMs: number
   readonly retryMaxMs: number
+  /**
+   * Milliseconds that a request waits for the table before other holders are asked for a gift; at once where the
+   * table is known not to help. Absent where holders have no links to each other.
+   */
+  readonly giftAfterMs?: number
   /** Pause between rounds of draw, transfer and recall for one budget. */
   readonly roundMs: number
   readonly roundMaxMs: number
--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -34,7 +34,7 @@
   }
   const untilUsableMs = entry.untilUsableMs(item.tokens, now)
   if (untilUsableMs !== undefined) return notReported(entry, item, untilUsableMs, now)
-  const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0)
+  const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0) || othersLack(entry, item, now)
   const limitMs = isCutOff && entry.round === undefined ? Math.min(patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
   return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, now) : undefined
 }
@@ -56,13 +56,20 @@
   return isCurrent ? entry.shortage : undefined
 }
 
+/** Neither the table nor other holders can be had tokens from. */
+function othersLack (entry: BudgetEntry, item: WaitingRequest, now: Instant): boolean {
+  return entry.giftShortAt >= item.since.mono && entry.isOutOfTouch(now)
+}
+
 function cannotComeBack (entry: BudgetEntry, unspent: number, tokens: number): boolean {
   return unspent - (entry.unsettled - entry.flushing) < tokens
 }
 
 /** Tokens are here, and a report is on its way; without an answer to it they may be used somewhat later. */
 function notReported (entry: BudgetEntry, item: WaitingRequest, untilUsableMs: number, now: Instant): Failure | undefined {
-  if (elapsedMs(item.since, now) < item.giveUpAfterMs * HELD_PART) return undefined
+  const heldMs = item.giveUpAfterMs * HELD_PART - elapsedMs(item.since, now)
+  const isHopeless = untilUsableMs > heldMs && othersLack(entry, item, now)
+  if (heldMs > 0 && !isHopeless) return undefined
   const retryAfterMs = Math.min(Math.ceil(untilUsableMs), MOST_REPORT_RETRY_MS)
   return new Failure('budgetUnreported', `${item.tokens} of ${entry.free} free tokens of ${entry.budget} may not be used before the table knows of it`, { retryAfterMs })
 }
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -3,7 +3,7 @@
  * outcome of a flush moves it from owed to settled.
  */
 import type { Instant } from '../clock/clockTypes.js'
-import type { BudgetEntry } from './budgetEntry.js'
+import type { BudgetEntry, ReservedTokens } from './budgetEntry.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
 import { isAmount } from './budgetRows.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetReport, FlushOutcome } from './budgetTypes.js'
@@ -13,9 +13,8 @@
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
 /** A running request. */
-interface OpenReservation {
+interface OpenReservation extends ReservedTokens {
   readonly budget: string
-  readonly tokens: number
 }
 
 /** What the outcome of a flush came to. */
@@ -45,23 +44,24 @@
    * Notes an admitted request.
    * @param reservationId - id of the reservation
    * @param budget - budget id
-   * @param tokens - the worst case
+   * @param reserved - the worst case, and where its tokens come from
    */
-  open (reservationId: string, budget: string, tokens: number): void {
-    this.reservations.set(reservationId, { budget, tokens })
+  open (reservationId: string, budget: string, reserved: ReservedTokens): void {
+    this.reservations.set(reservationId, { budget, ...reserved })
   }
 
   /**
-   * The budget of an open reservation.
+   * The budget on whose allotment an open reservation draws; `ended` where there is none, undefined for tokens that were given.
    * @param reservationId - id of the reservation
    */
-  budgetOf (reservationId: string): string | undefined {
-    return this.reservations.get(reservationId)?.budget
+  allotmentOf (reservationId: string): string | 'ended' | undefined {
+    const reservation = this.reservations.get(reservationId)
+    if (reservation === undefined) return 'ended'
+    return reservation.own > 0 ? reservation.budget : undefined
   }
 
   /**
-   * Ends a reservation. A second end is ignored; a bill is never more than the reservation, and an
-   * amount that is no whole number costs the whole reservation.
+   * Ends a reservation; what was given is used up first. A second end is ignored.
    * @param event - the end
    * @param now - both clocks
    */
@@ -71,8 +71,11 @@
     this.reservations.delete(event.reservationId)
     const entry = this.entries.get(reservation.budget)
     if (entry === undefined) return undefined
-    entry.reserved -= reservation.tokens
-    if (event.bill !== undefined) this.bill(entry, event.bill, reservation, now)
+    entry.reserved -= reservation.own
+    const used = event.bill === undefined ? 0 : usedTokens(event.bill, reservation)
+    const ofGiven = Math.min(used, reservation.given)
+    entry.purse.add(reservation.given - ofGiven)
+    if (event.bill !== undefined && reservation.own > 0) this.bill(entry, { ...event.bill, budget: reservation.budget, tokens: used - ofGiven }, now)
     return entry
   }
 
@@ -141,18 +144,17 @@
     for (const [id, item] of this.reservations) {
       if (item.budget !== entry.budget) continue
       this.reservations.delete(id)
-      inDoubt += item.tokens
+      inDoubt += item.own
     }
     entry.reset()
     entry.inDoubt += inDoubt
     return [{ kind: 'closed', budget: entry.budget, inDoubt }]
   }
 
-  private bill (entry: BudgetEntry, bill: Bill, reservation: OpenReservation, now: Instant): void {
-    const tokens = isAmount(bill.tokens) ? Math.min(bill.tokens, reservation.tokens) : reservation.tokens
-    entry.unsettled += tokens
-    if (this.policy.demandFrom === 'bills') entry.aim.rate.add(tokens, now.mono)
-    this.queue.addBill({ ...bill, budget: reservation.budget, tokens }, now.mono)
+  private bill (entry: BudgetEntry, bill: Bill, now: Instant): void {
+    entry.unsettled += bill.tokens
+    if (this.policy.demandFrom === 'bills') entry.aim.rate.add(bill.tokens, now.mono)
+    this.queue.addBill(bill, now.mono)
   }
 
   private durable (flush: FlushOrder, sentAt: Instant): readonly BudgetEntry[] {
@@ -219,3 +221,8 @@
     return inDoubt > 0 ? [{ kind: 'closed', budget: entry.budget, inDoubt }] : []
   }
 }
+
+/** A bill is never more than the reservation, and an amount that is no whole number costs the whole reservation. */
+function usedTokens ({ tokens }: Bill, { own, given }: ReservedTokens): number {
+  return isAmount(tokens) ? Math.min(tokens, own + given) : own + given
+}
--- a/packages/decisions/src/budget/budgetStep.ts
+++ b/packages/decisions/src/budget/budgetStep.ts
@@ -4,7 +4,7 @@
  */
 import type { Instant } from '../clock/clockTypes.js'
 import type { BudgetEntry } from './budgetEntry.js'
-import type { BudgetSettlement } from './budgetSettlement.js'
+import type { BudgetGifts } from './budgetGifts.js'
 import type { BudgetSupply } from './budgetSupply.js'
 import type { BudgetAction } from './budgetTypes.js'
 import type { BudgetUpkeep } from './budgetUpkeep.js'
@@ -15,7 +15,7 @@
   readonly entries: EntrySet
   readonly supply: BudgetSupply
   readonly upkeep: BudgetUpkeep
-  readonly settlement: BudgetSettlement
+  readonly gifts: BudgetGifts
 }
 
 /** Steps of one holder. */
@@ -29,16 +29,10 @@
    * @param now - both clocks
    */
   take (entry: BudgetEntry, draining: boolean, now: Instant): readonly BudgetAction[] {
-    const { entries, supply, upkeep } = this.parts
-    const before = entry.waiting
-    if (before.length > 0 && entry.held > 0 && !entry.isUsable(now)) upkeep.renew(entry, now)
-    const actions = supply.serve(entry, now)
+    const { entries, supply, upkeep, gifts } = this.parts
+    if (entry.waiting.length > 0 && entry.held > 0 && !entry.isUsable(now)) upkeep.renew(entry, now)
+    const actions = [...supply.serve(entry, now), ...gifts.ask(entry, now)]
     if (entry.waiting.some(item => item.tokens <= entry.free && item.tokens > entry.usable(now))) upkeep.report(entry, now)
-    for (const action of actions) {
-      if (action.kind !== 'admit') continue
-      const tokens = before.find(item => item.reservationId === action.reservationId)?.tokens ?? 0
-      this.parts.settlement.open(action.reservationId, entry.budget, tokens)
-    }
     if (draining) upkeep.returnFree(entry, 0, now)
     entries.watch(entry, this.isOpen(entry, now))
     return actions
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -7,6 +7,7 @@
 import type { BudgetEntry, OpenDraw, RoundStage, Shortage } from './budgetEntry.js'
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
+import type { BudgetSettlement } from './budgetSettlement.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
 import { withHeld, type ReportBound } from './reportBound.js'
 
@@ -19,8 +20,13 @@
   /**
    * @param holder - holder id, part of the ids of its operations
    * @param policy - sizes and times
+   * @param settlement - is told of each admitted request
    */
-  constructor (private readonly holder: string, private readonly policy: BudgetPolicy) {}
+  constructor (
+    private readonly holder: string,
+    private readonly policy: BudgetPolicy,
+    private readonly settlement: Pick<BudgetSettlement, 'open'>
+  ) {}
 
   /**
    * Admits what fits, refuses what cannot be served, and goes on with the search for tokens.
@@ -126,11 +132,11 @@
   }
 
   private admit (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
-    if (entry.waiting.length === 0 || !entry.isUsable(now)) return []
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
-      if (item.tokens > entry.usable(now)) return true
-      entry.reserved += item.tokens
+      const reserved = entry.reserve(item.tokens, now)
+      if (reserved === undefined) return true
+      this.settlement.open(item.reservationId, entry.budget, reserved)
       if (this.policy.demandFrom === 'reservations') entry.aim.rate.add(item.tokens, now.mono)
       actions.push({ kind: 'admit', reservationId: item.reservationId })
       return false
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -136,6 +136,10 @@
   | { readonly kind: 'giveAnswered', readonly transferId: string, readonly transfer?: Transfer, readonly askedAt?: Instant }
   | { readonly kind: 'recallAsked', readonly budget: string, readonly wanted: number, readonly atLeast?: number }
   | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number, readonly unreachable?: number }
+  /** Another holder asks for a gift; answered by `gift` with the same id, at once. */
+  | { readonly kind: 'giftAsked', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly to: string }
+  /** The other holders were asked; `tokens` is what all of them gave. */
+  | { readonly kind: 'giftAnswered', readonly giftId: string, readonly budget: string, readonly tokens: number }
   /** A holder ended: no transfer from or to it may begin, and late answers of it are void. */
   | { readonly kind: 'fence', readonly holder: string }
   /** What was paid for a budget changed: what was learned of a shortage is void, and when it was lowered, free tokens go back. */
@@ -179,6 +183,10 @@
   | { readonly kind: 'askGive', readonly transferId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answer a `giveAsked`: the tokens are subtracted already; no transfer means nothing can be given. */
   | { readonly kind: 'give', readonly transferId: string, readonly transfer?: Transfer }
+  /** Ask other holders for tokens to use at once, without the table. */
+  | { readonly kind: 'askGift', readonly giftId: string, readonly budget: string, readonly tokens: number }
+  /** Answer to a `giftAsked`: so many tokens, billed here already, belong to the asker; `left` is what could be given besides. */
+  | { readonly kind: 'gift', readonly giftId: string, readonly tokens: number, readonly left: number }
   /** Ask holders everywhere to return what they do not need. */
   | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answer to a `recallAsked`: so much is on its way to the table. */
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -31,6 +31,10 @@
   allotmentClosed: { number: 2008, level: 'error', title: 'This holder found its allotment closed and stopped spending; fields: budget' },
   billsArchived: { number: 2009, level: 'info', title: 'Old bills went from the table to the object store; fields: object, segments' },
 
+  budgetGiven: { number: 2010, level: 'info', title: 'Tokens were billed here and given to another VM that asked for them; fields: budget, tokens, to, left' },
+  budgetGiftsTaken: { number: 2011, level: 'info', title: 'Other VMs were asked for tokens; fields: budget, asked, tokens, peers (how many were asked), tookMs' },
+  fleetKeyMissing: { number: 2012, level: 'warn', title: 'The key of the links between VMs could not be had from the table and will be asked for again; fields: code' },
+
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
   requestAnswered: { number: 3002, level: 'info', title: 'A whole answer was sent; fields: request, runner, tokens or events, route, firstMs (until the first event), totalMs' },
   requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -77,9 +77,11 @@
       case 'draw': this.run(this.performDraws(this.draws.add(action, this.parts.clock.now()))); break
       case 'flush': this.run(this.performFlush(action)); break
       case 'askGive': this.run(this.asking.askGive(action)); break
+      case 'askGift': this.run(this.askGift(action)); break
       case 'recall': this.run(this.asking.recall(action)); break
       case 'closed': this.reportClosed(action); break
       case 'give':
+      case 'gift':
       case 'returning': break
     }
   }
@@ -109,6 +111,11 @@
     })
   }
 
+  private async askGift ({ giftId, budget, tokens }: Extract<BudgetAction, { kind: 'askGift' }>): Promise<void> {
+    const given = await this.parts.gifts?.ask(giftId, budget, tokens) ?? 0
+    this.targets.dispatch({ kind: 'giftAnswered', giftId, budget, tokens: given })
+  }
+
   private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
     const outcome = await this.flushing.flush(action)
     this.targets.dispatch({ kind: 'flushAnswered', seq: action.seq, outcome })
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -14,6 +14,7 @@
 import { BudgetActions } from './budgetActions.js'
 import { BudgetRowCache } from './budgetRowCache.js'
 import type { BudgetCounters, BudgetDriverParts } from './budgetDriverTypes.js'
+import type { GiftAnswer, GiftAsk } from './budgetGiftCalls.js'
 import type { ConfirmAnswer, ConfirmAsk, GiveAnswer, GiveAsk, RecallAnswer, RecallAsk } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
 import { BudgetRecovery, type ListEvidence } from './budgetRecovery.js'
@@ -169,6 +170,18 @@
     return { returned }
   }
 
+  /**
+   * Serves the ask of another holder for tokens to use at once.
+   * @param ask - the ask
+   */
+  onGift ({ giftId, budget, tokens, to }: GiftAsk): GiftAnswer {
+    const actions = this.dispatch({ kind: 'giftAsked', giftId, budget, tokens, to })
+    const gift = actions.find(action => action.kind === 'gift')
+    const answer = { tokens: gift?.tokens ?? 0, left: gift?.left ?? 0 }
+    if (answer.tokens > 0) this.parts.log.write('budgetGiven', { budget, to, ...answer })
+    return answer
+  }
+
   /**
    * Serves the question whether transfers with an ended holder are unrecorded; none begins afterwards.
    * @param ask - the ended holder
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -8,6 +8,12 @@
 import type { UnbilledRuns } from './budgetRecovery.js'
 import type { RecoveryRunners } from './budgetRecoveryRuns.js'
 
+/** Asks other holders for tokens to use at once. */
+export interface GiftAsker {
+  /** Answers how many tokens were given in all. */
+  ask (giftId: string, budget: string, tokens: number): Promise<number>
+}
+
 /** What the driver is built from. */
 export interface BudgetDriverParts {
   readonly holder: string
@@ -21,6 +27,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly policy?: BudgetPolicy
+  /** Asks other holders for gifts; absent where holders give none. */
+  readonly gifts?: GiftAsker
   /** Runners to ask on recovery; without them, and without `unbilled`, nothing is recovered. */
   readonly runners?: RecoveryRunners
   /** How recovery finds what ended holders still owe, where runners keep no record of it. */
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -0,0 +1,119 @@
+/**
+ * Carries asks for gifts to other VMs, one after another until enough was given: first to those that
+ * had most left when they answered last. An answer that does not come in time is not waited for; what
+ * it may have given is lost, never used twice, since no ask is sent again.
+ */
+import { z } from 'zod'
+import type { Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
+import type { PeerVm } from '../presence/vmPresence.js'
+
+/** Method between VMs. */
+export const GIFT_METHOD = 'budget.gift'
+/** Milliseconds for one answer: some round trips of a slow VM, and short against the objective of the request that waits. */
+const ANSWER_MS = 60
+/** Milliseconds for which a VM that did not answer is asked last. */
+const SILENT_MS = 2_000
+/** VMs asked for one request at most. */
+const MOST_ASKED = 6
+/** Milliseconds for which it counts what a VM had left: then it is asked like one not known. */
+const KNOWN_MS = 3_000
+
+const amount = z.number().int().nonnegative()
+const giftAskSchema = z.object({ giftId: z.string(), budget: z.string(), to: z.string(), tokens: amount })
+const giftAnswerSchema = z.object({ tokens: amount, left: amount })
+
+/** What another VM is asked. */
+export type GiftAsk = z.infer<typeof giftAskSchema>
+/** What it gave, and what it has left to give. */
+export type GiftAnswer = z.infer<typeof giftAnswerSchema>
+
+/** What the calls work with. */
+export interface GiftCallsParts {
+  readonly holder: string
+  readonly clock: Clock
+  readonly log: EventLog
+  peers (): readonly PeerVm[]
+  call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
+  /** Uniform in [0, 1). */
+  random (): number
+}
+
+interface KnownLeft {
+  readonly left: number
+  readonly at: number
+}
+
+/** Asks other VMs. */
+export class BudgetGiftCalls {
+  /** What a VM had left of a budget, by both. */
+  private readonly known = new Map<string, KnownLeft>()
+  private readonly silentUntil = new Map<string, number>()
+
+  constructor (private readonly parts: GiftCallsParts) {}
+
+  /**
+   * Asks for tokens; answers how many were given in all.
+   * @param giftId - id of the ask
+   * @param budget - budget id
+   * @param tokens - tokens lacking
+   */
+  async ask (giftId: string, budget: string, tokens: number): Promise<number> {
+    const { clock, log } = this.parts
+    const startedAt = clock.now().mono
+    let given = 0
+    let asked = 0
+    for (const peer of this.inOrder(budget)) {
+      if (given >= tokens) break
+      asked += 1
+      given += await this.askOne(peer, { giftId: `${giftId}/${asked}`, budget, to: this.parts.holder, tokens: tokens - given })
+    }
+    log.write('budgetGiftsTaken', { budget, asked: tokens, tokens: given, peers: asked, tookMs: clock.now().mono - startedAt })
+    return given
+  }
+
+  private async askOne (peer: PeerVm, ask: GiftAsk): Promise<number> {
+    const answer = await this.parts.call(peer.address, GIFT_METHOD, ask, ANSWER_MS)
+    const { mono } = this.parts.clock.now()
+    const parsed = answer.map(value => giftAnswerSchema.safeParse(value))
+    const gift = parsed.isRight() ? parsed.extract().data : undefined
+    if (gift === undefined) {
+      this.silentUntil.set(peer.holder, mono + SILENT_MS)
+      return 0
+    }
+    this.known.set(keyOf(peer, ask.budget), { left: gift.left, at: mono })
+    return Math.min(gift.tokens, ask.tokens)
+  }
+
+  /** Those that have most first, then those not known in any order, then those known to have nothing, last the silent ones. */
+  private inOrder (budget: string): readonly PeerVm[] {
+    const { mono } = this.parts.clock.now()
+    return this.parts.peers()
+      .map(peer => ({ peer, rank: this.rank(peer, budget, mono) }))
+      .sort((a, b) => b.rank - a.rank)
+      .slice(0, MOST_ASKED)
+      .map(({ peer }) => peer)
+  }
+
+  private rank (peer: PeerVm, budget: string, mono: number): number {
+    if ((this.silentUntil.get(peer.holder) ?? 0) > mono) return -2
+    const known = this.known.get(keyOf(peer, budget))
+    if (known === undefined || mono - known.at > KNOWN_MS) return this.parts.random()
+    return known.left > 0 ? known.left : -1
+  }
+}
+
+/**
+ * Serves the asks of other VMs.
+ * @param give - answers an ask from the budgets of this VM
+ */
+export function giftMethod (give: (ask: GiftAsk) => GiftAnswer): PeerMethod {
+  return async params => give(giftAskSchema.parse(params))
+}
+
+function keyOf ({ holder }: PeerVm, budget: string): string {
+  return `${holder} ${budget}`
+}
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -11,11 +11,13 @@
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { BudgetDriver } from '../budget/budgetDriver.js'
 import { HeldAsSpent } from '../budget/budgetHeldAsSpent.js'
+import { BudgetGiftCalls } from '../budget/budgetGiftCalls.js'
 import { BudgetRecalls } from '../budget/budgetRecalls.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { SteadyClock, SystemRandom } from '../completion/completionSystem.js'
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
+import { FleetLinks } from '../presence/fleetLinks.js'
 import { VmPresence } from '../presence/vmPresence.js'
 import { fleetBudgetPolicy } from './gatewayBudgetPolicy.js'
 import { CallDispatch } from './callDispatch.js'
@@ -63,10 +65,12 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
-function bindFleet (container: Container, { vm, domain, callers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
+function bindFleet (container: Container, { vm, domain, callers, peers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.presence).toResolvedValue((clock, log) =>
-    new VmPresence({ self: { vm, holder, domain, callers }, table, feed, clock, log, onJoined: vms => { container.get(ids.budgets).holderJoined(vms) } }), [ids.clock, ids.log]).inSingletonScope()
+    new VmPresence({ self: { vm, holder, domain, callers, peers }, table, feed, clock, log, onJoined: vms => { container.get(ids.budgets).holderJoined(vms) } }), [ids.clock, ids.log]).inSingletonScope()
+  container.bind(ids.links).toResolvedValue((clock, random, log) =>
+    new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next() }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
   container.bind(ids.targets).toResolvedValue((clock, balancer, log) =>
     new GatewayTargets(clock, balancer, log), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
@@ -82,7 +86,7 @@
     onRecall: async ask => await container.get(ids.budgets).onRecall(ask),
     pause: async ms => await pause(ms)
   }), [ids.presence, ids.log]).inSingletonScope()
-  container.bind(ids.budgets).toResolvedValue((recalls, presence, config, clock, log) => new BudgetDriver({
+  container.bind(ids.budgets).toResolvedValue((recalls, presence, config, clock, log, links, random) => new BudgetDriver({
     holder,
     domain,
     place: callers,
@@ -91,10 +95,18 @@
     peers: recalls,
     clock,
     log,
+    gifts: new BudgetGiftCalls({
+      holder,
+      clock,
+      log,
+      peers: () => presence.peers(),
+      call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
+      random: () => random.next()
+    }),
     policy: fleetBudgetPolicy(() => presence.size),
     unbilled: new HeldAsSpent(),
     declared: team => config.declaredPaid(team)
-  }), [ids.recalls, ids.presence, ids.config, ids.clock, ids.log]).inSingletonScope()
+  }), [ids.recalls, ids.presence, ids.config, ids.clock, ids.log, ids.links, ids.random]).inSingletonScope()
 }
 
 function bindPipeline (container: Container, { retries }: GatewaySettings, { client }: GatewayEdge): void {
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -29,6 +29,8 @@
   roundMs: 150,
   roundMaxMs: 600,
   patienceMs: 30,
+  // A draw or a report mostly comes back sooner, and costs no other VM a call.
+  giftAfterMs: 20,
   recallKeepMs: 200,
   // An outage of the store is mostly shorter.
   recallAheadMs: 10_000,
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -3,6 +3,7 @@
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { BudgetRecalls } from '../budget/budgetRecalls.js'
 import { ids } from '../compose/serviceIds.js'
+import type { FleetLinks } from '../presence/fleetLinks.js'
 import type { VmPresence } from '../presence/vmPresence.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
@@ -24,6 +25,7 @@
   config: id<GatewayConfigHolder>('GatewayConfig'),
   presence: id<VmPresence>('VmPresence'),
   recalls: id<BudgetRecalls>('BudgetRecalls'),
+  links: id<FleetLinks>('FleetLinks'),
   balancer: id<TargetBalancer>('TargetBalancer'),
   targets: id<GatewayTargets>('GatewayTargets'),
   pipeline: id<GatewayPipeline>('GatewayPipeline')
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -14,6 +14,8 @@
   region: z.string(),
   /** IPv4:port for callers. */
   callers: z.string(),
+  /** IPv4:port for other VMs of the fleet; without it this VM neither gives tokens to others nor asks for them. */
+  peers: z.string().optional(),
   /** Repeats that all VMs together may add, see gatewayRetries. */
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
   /** Time between the order to stop and the end of the process. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { GIFT_METHOD, giftMethod } from '../budget/budgetGiftCalls.js'
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
@@ -69,6 +70,7 @@
       presence.tick()
     })
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
+    this.openLinks()
     this.inBackground(this.takeOver())
     this.log.write('started', { ...this.settings })
   }
@@ -92,10 +94,18 @@
     // Requests that came on open connections meanwhile are answered too, and the last bytes are on their way.
     await work.idle(leftMs())
     await pause(FLUSH_MS)
+    await this.container.get(ids.links).close()
     this.timers.forEach(timer => { clearInterval(timer) })
     this.log.write('stopped', { open: work.openCount() })
   }
 
+  private openLinks (): void {
+    const links = this.container.get(ids.links)
+    const budgets = this.container.get(ids.budgets)
+    links.serve(GIFT_METHOD, giftMethod(ask => budgets.onGift(ask)))
+    this.inBackground(links.open())
+  }
+
   /** What earlier processes of this VM held is missing to everybody until it is taken back. */
   private async takeOver (): Promise<void> {
     const budgets = this.container.get(ids.budgets)
--- /dev/null
+++ b/packages/rosemaryspread/src/presence/fleetKey.ts
@@ -0,0 +1,33 @@
+/**
+ * The key by which VMs of one fleet prove to each other that they belong together. The first VM that
+ * finds none makes one; it lies in the table, which only the fleet can read.
+ */
+import { randomBytes } from 'node:crypto'
+import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+
+const KEY_ROW = { table: 'keys', key: 'peers' } as const
+const KEY_BYTES = 32
+
+const keyRowSchema = z.object({ secret: z.string().min(1) })
+
+/**
+ * Reads the key, or makes it. Failures: those of the table; `platformConflict` when another VM made one meanwhile.
+ * @param table - the table service
+ */
+export async function fleetKey (table: TableStore): Promise<Either<Failure, string>> {
+  const read = await table.read([KEY_ROW])
+  if (read.isLeft()) return read
+  const found = read.unsafeCoerce().rows[0]
+  if (found === null || found === undefined) return await makeKey(table)
+  const row = keyRowSchema.safeParse(found.value)
+  return row.success ? Right(row.data.secret) : Left(new Failure('internal', 'the row of the fleet key cannot be read'))
+}
+
+async function makeKey (table: TableStore): Promise<Either<Failure, string>> {
+  const secret = randomBytes(KEY_BYTES).toString('base64')
+  const written = await table.transact({ checks: [{ ...KEY_ROW, version: null }], writes: [{ ...KEY_ROW, value: { secret } }] })
+  return written.map(() => secret)
+}
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -13,6 +13,8 @@
   domain: z.string(),
   /** IPv4:port for callers. */
   callers: z.string(),
+  /** IPv4:port for other VMs; absent where a VM has no links. */
+  peers: z.string().optional(),
   /** `starting` until it can serve, `leaving` once it was told to stop. */
   state: z.enum(['starting', 'serving', 'leaving']),
   /** Grows with each heartbeat, so that every write is a change. */
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -18,9 +18,15 @@
 const MISSED_BEATS = 3
 const MS_PER_SECOND = 1_000
 
+/** Another VM and the address of its links. */
+export interface PeerVm {
+  readonly holder: string
+  readonly address: string
+}
+
 /** What presence works with. */
 export interface PresenceParts {
-  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'callers'>
+  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'callers' | 'peers'>
   readonly table: TableStore
   readonly feed: TableFeed
   readonly clock: Clock
@@ -87,6 +93,11 @@
     return this.view.others(this.mono).map(({ holder, domain }) => ({ holder, domain }))
   }
 
+  /** The other VMs that can be asked directly. */
+  peers (): readonly PeerVm[] {
+    return this.view.others(this.mono).flatMap(({ holder, peers, state }) => peers === undefined || state === 'leaving' ? [] : [{ holder, address: peers }])
+  }
+
   /** VMs present, this one included. */
   get size (): number {
     return this.view.others(this.mono).length + 1
