Choose targets by the time to the first token, and tell other VMs of large prompts

Own recent work, faded over a second, drove 1,396 of 2,525 requests from where their shared parts lay. Change: a target's cost is what it has to read before the request, over the speed observed there; VMs tell each other of prompts of 2,000 tokens and more, and of shared parts read away from home. Tellings are bounded to 400 a second and VM.

--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -7,21 +7,19 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
-import { FadingSum } from '../clock/fadingSum.js'
 import { TargetHealth } from '../routing/targetHealth.js'
+import { TargetLoad } from './targetLoad.js'
 import type { TargetView } from './targetSet.js'
 
 /** Targets, in the order of rendezvous hashing, that are weighed for a request with shared parts. */
 const WEIGHED = 3
-/** Milliseconds over which prompt tokens sent to a target fade from its work. */
-const WORK_FADE_MS = 1_000
 /**
- * Times the own work that counts against reading shared parts again. A VM sees only its own part of
- * the requests, so a difference in its own work stands for a larger one.
+ * Times the reading of shared parts counts: what it delays the request itself, and what it delays others
+ * and takes from the target's memory.
  */
-const WORK_FACTOR = 2
-/** Milliseconds for which a target is believed to keep shared parts that this VM sent there. */
-const CACHED_MS = 8_000
+const REREAD_FACTOR = 2
+/** Prompt tokens from which other VMs are told of a request: what delays others by some ten milliseconds. */
+const TOLD_TOKENS = 2_000
 /** Milliseconds to come back after when no target is listed or every one is ejected. */
 const NONE_RETRY_MS = 300
 
@@ -46,15 +44,28 @@
   readonly work: number
 }
 
+/** What other VMs are told of a request that went to a target. */
+export interface WorkNotice {
+  readonly target: string
+  /** Prompt tokens that the target has to read. */
+  readonly work: number
+  /** Name of the shared parts that it has read then. */
+  readonly parts: string
+}
+
+/** A request that was sent. */
+export interface SentWork {
+  /** Names the request on {@link TargetBalancer.begun}. */
+  readonly ticket: number
+  /** What other VMs should know; absent for small requests at the target where all VMs expect them. */
+  readonly notice?: WorkNotice
+}
+
 interface TargetState {
   readonly nameHash: number
   readonly health: TargetHealth
+  readonly load: TargetLoad
   open: number
-  /** Prompt tokens of requests without a first event. */
-  pending: number
-  readonly recent: FadingSum
-  /** Shared parts sent there, and when. */
-  readonly cached: Map<string, number>
 }
 
 /** Balances the requests of one VM. Times are monotonic milliseconds. */
@@ -84,22 +95,37 @@
    * @param sharedParts - ids of its shared parts
    * @param mono - present time
    */
-  sent ({ target, work }: TargetChoice, sharedParts: readonly string[], mono: number): void {
+  sent ({ target, work, reason }: TargetChoice, sharedParts: readonly string[], mono: number): SentWork {
     const state = this.stateOf(target.id)
     state.open += 1
-    state.pending += work
-    if (sharedParts.length > 0) remember(state.cached, sharedParts.join(','), mono)
+    const ticket = state.load.sent(work, mono)
+    if (sharedParts.length === 0) return { ticket }
+    const parts = nameOf(sharedParts)
+    state.load.remember(parts, mono)
+    const isTold = work >= TOLD_TOKENS || reason === 'lessWork'
+    return isTold ? { ticket, notice: { target: target.id, work, parts } } : { ticket }
+  }
+
+  /**
+   * Takes what another VM told of a request that it sent.
+   * @param notice - the request
+   * @param mono - present time
+   */
+  told ({ target, work, parts }: WorkNotice, mono: number): void {
+    const { load } = this.stateOf(target)
+    load.told(work, mono)
+    load.remember(parts, mono)
   }
 
   /**
    * The target began to answer, or the request ended without it.
-   * @param choice - the choice that was followed
+   * @param id - id of the target
+   * @param ticket - what {@link sent} answered
+   * @param isAnswered - whether it began to answer
    * @param mono - present time
    */
-  begun ({ target, work }: TargetChoice, mono: number): void {
-    const state = this.stateOf(target.id)
-    state.pending = Math.max(0, state.pending - work)
-    state.recent.add(work, mono)
+  begun (id: string, ticket: number, isAnswered: boolean, mono: number): void {
+    this.stateOf(id).load.begun(ticket, isAnswered, mono)
   }
 
   /**
@@ -142,19 +168,18 @@
     return healthy.length > 0 ? healthy : targets
   }
 
-  /** The first target in order, unless another's lead in work is worth reading the shared parts there. */
+  /** The first target in order, unless another answers so much sooner that reading the shared parts there is worth it. */
   private byAffinity (candidates: readonly TargetView[], demand: TargetDemand, mono: number): TargetChoice {
-    const parts = demand.sharedParts.join(',')
-    const key = hashName(parts)
+    const parts = nameOf(demand.sharedParts)
+    const key = hashName(demand.sharedParts.join(','))
     const ordered = candidates
       .map(target => ({ target, weight: pairWeight(key, this.stateOf(target.id).nameHash) }))
       .sort((a, b) => b.weight - a.weight)
       .slice(0, WEIGHED)
     const weighed = ordered.map(({ target }, rank) => {
-      const state = this.stateOf(target.id)
-      const isCached = rank === 0 || mono - (state.cached.get(parts) ?? -Infinity) < CACHED_MS
-      const unread = isCached ? 0 : demand.sharedTokens
-      const cost = unread + WORK_FACTOR * (state.pending + state.recent.at(mono))
+      const { load } = this.stateOf(target.id)
+      const unread = rank === 0 || load.keeps(parts, mono) ? 0 : demand.sharedTokens
+      const cost = (load.ahead(mono) + demand.ownTokens + REREAD_FACTOR * unread) / load.tokensPerMs
       return { target, rank, cost, work: demand.ownTokens + unread }
     })
     const { target, rank, work } = weighed.reduce((best, next) => next.cost < best.cost ? next : best)
@@ -170,19 +195,13 @@
   private stateOf (id: string): TargetState {
     const known = this.states.get(id)
     if (known !== undefined) return known
-    const fresh = { nameHash: hashName(id), health: new TargetHealth(), open: 0, pending: 0, recent: new FadingSum(WORK_FADE_MS), cached: new Map() }
+    const fresh = { nameHash: hashName(id), health: new TargetHealth(), load: new TargetLoad(), open: 0 }
     this.states.set(id, fresh)
     return fresh
   }
 }
 
-/** Shared parts remembered for one target. */
-const MAX_REMEMBERED = 2_000
-
-/** Keeps the latest entries in order of their last use. */
-function remember (cached: Map<string, number>, parts: string, mono: number): void {
-  cached.delete(parts)
-  cached.set(parts, mono)
-  const oldest = cached.keys().next()
-  if (cached.size > MAX_REMEMBERED && oldest.done !== true) cached.delete(oldest.value)
+/** A short name of shared parts, the same at all VMs. */
+function nameOf (parts: readonly string[]): string {
+  return hashName(parts.join(',')).toString(36)
 }
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -29,6 +29,7 @@
 import { GatewayRetries } from './gatewayRetries.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { GatewayTargets } from './gatewayTargets.js'
+import { WorkNotices } from './workNotices.js'
 import type { TargetClient } from './callTypes.js'
 
 const INCARNATION_BYTES = 6
@@ -117,10 +118,16 @@
     const clock = ctx.get(ids.clock)
     const random = ctx.get(ids.random)
     const report = new CallReport(log, metrics)
+    const links = ctx.get(ids.links)
+    const notices = new WorkNotices({
+      clock,
+      peers: () => presence.peers(),
+      notify: (address, method, params) => { links.notify(address, method, params) }
+    })
     const dispatch = new CallDispatch({
       clock,
       budgets: ctx.get(ids.budgets),
-      chooser: new GatewayChooser(ctx.get(ids.targets), ctx.get(ids.balancer), clock, random),
+      chooser: new GatewayChooser(ctx.get(ids.targets), ctx.get(ids.balancer), clock, random, notice => { notices.tell(notice) }),
       retries: new GatewayRetries(retries, () => presence.size),
       client,
       metrics,
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -96,19 +96,14 @@
   private async attempt (open: OpenCall, choice: TargetChoice): Promise<AttemptEnd> {
     const { chooser, client } = this.deps
     const { sink, relay, admitted: { route: { streamed, repeatsFailures } } } = open
-    let isBegun = false
-    const begun = (): void => {
-      if (!isBegun) chooser.begun(choice)
-      isBegun = true
-    }
+    open.lastTarget = choice.target.id
+    const ticket = chooser.sent(choice, open.admitted)
     const onFirst = (): void => {
-      begun()
+      chooser.begun(choice, ticket, true)
       this.first(open)
     }
-    open.lastTarget = choice.target.id
-    chooser.sent(choice, open.admitted)
     const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst }, this.requestFor(open, choice), open.stopSignal())
-    begun()
+    chooser.begun(choice, ticket, false)
     chooser.ended(choice, verdictOf(end, open))
     return end
   }
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -128,10 +128,15 @@
    * @param exclude - targets tried already
    */
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice>
-  /** The request goes out. */
-  sent (choice: TargetChoice, admitted: AdmittedCall): void
-  /** The target began to answer, or the request ended without it. */
-  begun (choice: TargetChoice): void
+  /** The request goes out; answers what names it on {@link begun}. */
+  sent (choice: TargetChoice, admitted: AdmittedCall): number
+  /**
+   * The target began to answer, or the request ended without it.
+   * @param choice - the choice that was followed
+   * @param ticket - what {@link sent} answered
+   * @param isAnswered - whether it began to answer
+   */
+  begun (choice: TargetChoice, ticket: number, isAnswered: boolean): void
   ended (choice: TargetChoice, verdict: TargetVerdict): void
 }
 
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -4,18 +4,19 @@
 import type { Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { TargetBalancer, TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetBalancer, TargetChoice, WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import type { AdmittedCall, TargetChooser, TargetVerdict } from './callTypes.js'
 import type { TargetDirectory } from './gatewayTypes.js'
 
-/** Chooses by the balancer. */
+/** Chooses by the balancer, and has other VMs told of large requests. */
 export class GatewayChooser implements TargetChooser {
   constructor (
     private readonly targets: TargetDirectory,
     private readonly balancer: TargetBalancer,
     private readonly clock: Clock,
-    private readonly random: RandomSource
+    private readonly random: RandomSource,
+    private readonly tell: (notice: WorkNotice) => void
   ) {}
 
   choose ({ service, call, sharedParts, sharedTokens }: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice> {
@@ -23,12 +24,14 @@
     return this.balancer.choose(this.targets.serving(service), demand, this.mono, this.random.next())
   }
 
-  sent (choice: TargetChoice, { sharedParts }: AdmittedCall): void {
-    this.balancer.sent(choice, sharedParts, this.mono)
+  sent (choice: TargetChoice, { sharedParts }: AdmittedCall): number {
+    const { ticket, notice } = this.balancer.sent(choice, sharedParts, this.mono)
+    if (notice !== undefined) this.tell(notice)
+    return ticket
   }
 
-  begun (choice: TargetChoice): void {
-    this.balancer.begun(choice, this.mono)
+  begun ({ target }: TargetChoice, ticket: number, isAnswered: boolean): void {
+    this.balancer.begun(target.id, ticket, isAnswered, this.mono)
   }
 
   ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -12,6 +12,7 @@
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
+import { WORK_METHOD, workMethod } from './workNotices.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
 /** Milliseconds between two ticks of budgets, presence and targets. */
@@ -102,7 +103,9 @@
   private openLinks (): void {
     const links = this.container.get(ids.links)
     const budgets = this.container.get(ids.budgets)
+    const balancer = this.container.get(ids.balancer)
     links.serve(GIFT_METHOD, giftMethod(ask => budgets.onGift(ask)))
+    links.serve(WORK_METHOD, workMethod(notice => { balancer.told(notice, this.clock.now().mono) }))
     this.inBackground(links.open())
   }
 
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/workNotices.spec.ts
@@ -0,0 +1,42 @@
+/**
+ * How often other VMs are told of large requests.
+ */
+import { expect } from 'chai'
+import { WorkNotices, workMethod } from './workNotices.js'
+
+const notice = { target: 't', work: 5_000, parts: 'p' }
+
+function told (vms: number, times: number, everyMs: number): number {
+  let mono = 0
+  let sent = 0
+  const notices = new WorkNotices({
+    clock: { now: () => ({ mono, wall: 0 }) },
+    peers: () => Array.from({ length: vms - 1 }, (_, i) => ({ holder: `v${i}`, address: `v${i}:1` })),
+    notify: () => { sent += 1 }
+  })
+  for (let i = 0; i < times; i += 1) {
+    notices.tell(notice)
+    mono += everyMs
+  }
+  return sent
+}
+
+const cases: ReadonlyArray<{ readonly name: string, readonly vms: number, readonly times: number, readonly everyMs: number, readonly sent: number }> = [
+  { name: 'all VMs of a small fleet of each request', vms: 7, times: 20, everyMs: 50, sent: 120 },
+  { name: 'nobody where the VM is alone', vms: 1, times: 20, everyMs: 50, sent: 0 },
+  { name: 'no more than the bound at once', vms: 80, times: 20, everyMs: 0, sent: 395 },
+  { name: 'a large fleet as often as the bound allows', vms: 80, times: 21, everyMs: 50, sent: 790 }
+]
+
+describe('WorkNotices', () => {
+  for (const { name, vms, times, everyMs, sent } of cases) {
+    it(`tell ${name}`, () => { expect(told(vms, times, everyMs)).to.equal(sent) })
+  }
+
+  it('are dropped where they are malformed', async () => {
+    let taken = 0
+    const serve = workMethod(() => { taken += 1 })
+    const failed = await serve({ target: 't', work: -1, parts: 'p' }, 'v').then(() => false, () => true)
+    expect([failed, taken]).to.deep.equal([true, 0])
+  })
+})
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/workNotices.ts
@@ -0,0 +1,59 @@
+/**
+ * Tells the other VMs of large requests that this one sent to a target, so that they do not queue
+ * theirs behind them. The telling is bounded: a VM of a large fleet tells of fewer.
+ */
+import { z } from 'zod'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
+import type { PeerVm } from '../presence/vmPresence.js'
+
+/** Method between VMs. */
+export const WORK_METHOD = 'targets.work'
+/** Messages that one VM sends in a second at most: some thousandths of a core. */
+const MOST_PER_S = 400
+const MS_PER_SECOND = 1_000
+
+const noticeSchema = z.object({ target: z.string(), work: z.number().nonnegative(), parts: z.string() })
+
+/** What telling works with. */
+export interface WorkNoticesParts {
+  readonly clock: Clock
+  peers (): readonly PeerVm[]
+  notify (address: string, method: string, params: unknown): void
+}
+
+/** Tells other VMs. */
+export class WorkNotices {
+  /** Messages that may be sent now. */
+  private allowance = MOST_PER_S
+  private allowedAt = 0
+
+  constructor (private readonly parts: WorkNoticesParts) {}
+
+  /**
+   * Tells all other VMs of a request, or none where there were too many.
+   * @param notice - the request
+   */
+  tell (notice: WorkNotice): void {
+    const peers = this.parts.peers()
+    this.refill()
+    if (peers.length > this.allowance) return
+    this.allowance -= peers.length
+    for (const { address } of peers) this.parts.notify(address, WORK_METHOD, notice)
+  }
+
+  private refill (): void {
+    const { mono } = this.parts.clock.now()
+    this.allowance = Math.min(MOST_PER_S, this.allowance + (mono - this.allowedAt) * MOST_PER_S / MS_PER_SECOND)
+    this.allowedAt = mono
+  }
+}
+
+/**
+ * Serves what other VMs tell.
+ * @param told - takes a notice
+ */
+export function workMethod (told: (notice: WorkNotice) => void): PeerMethod {
+  return async params => { told(noticeSchema.parse(params)) }
+}
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -8,13 +8,18 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
-import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
+import { defaultLinkLimits, type LinkLimits, type PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
 import { JsonRpcPeerClient } from '@rosemaryspread/peers/link/peerClient.js'
 import { JsonRpcPeerServer } from '@rosemaryspread/peers/link/peerServer.js'
 import { fleetKey } from './fleetKey.js'
 
 /** Milliseconds before the key is asked for again: the store may be out of reach, or another VM is making it. */
 const KEY_RETRY_MS = 300
+/**
+ * Limits of the links: a connection that went silent without a reset is noticed within a second of its
+ * use, and the next call opens another. Round trips take some milliseconds.
+ */
+const limits: LinkLimits = { ...defaultLinkLimits, handshakeMs: 500, probeAfterMs: 400, probeTimeoutMs: 400 }
 
 /** What links work with. */
 export interface FleetLinksParts {
@@ -46,6 +51,11 @@
     this.methods.set(method, handler)
   }
 
+  /** The address listened on, as IPv4:port; absent while the links are not open. */
+  get listening (): string | undefined {
+    return this.server?.address
+  }
+
   /** Opens the links; resolves once they are open, or closed meanwhile. */
   async open (): Promise<void> {
     const { address, holder, clock, log, random } = this.parts
@@ -53,10 +63,10 @@
     const key = await this.key()
     if (key === undefined) return
     const identity = { holder, keys: [key] }
-    const server = new JsonRpcPeerServer(identity, log)
+    const server = new JsonRpcPeerServer(identity, log, limits)
     for (const [method, handler] of this.methods) server.register(method, handler)
     this.server = server
-    this.client = new JsonRpcPeerClient({ identity, clock, random })
+    this.client = new JsonRpcPeerClient({ identity, clock, random, limits })
     await server.listen(address)
   }
 
@@ -72,6 +82,16 @@
     return await this.client.call(address, method, params, timeoutMs)
   }
 
+  /**
+   * Tells another VM something that nobody answers; dropped where it cannot be reached.
+   * @param address - IPv4:port of its links
+   * @param method - method name
+   * @param params - a value that msgpackr can carry
+   */
+  notify (address: string, method: string, params: unknown): void {
+    this.client?.notify(address, method, params)
+  }
+
   /** Drops all links. */
   async close (): Promise<void> {
     this.isClosed = true
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -29,8 +29,9 @@
       .map(({ runner, address, candidates }) => ({ target: { id: runner, address }, candidates, reason: REASON, work: 0 }))
   }
 
-  sent ({ target }: TargetChoice): void {
+  sent ({ target }: TargetChoice): number {
     this.load.add(target.id, 1)
+    return 0
   }
 
   begun (): void {}
