Let reports allow a tenth and more from 1.5 s on; hand tokens over at an end; ask no tokens back through the store

Since VMs give each other what they may use, a tenth of each allotment is a tenth of all. Change: a tenth at once, nothing more for 1.5 s, by when a killed process has its successor, then 0.4 a second; no other rule for ample budgets. Purses and ends. Cause: given tokens lay in purses of VMs that had no more use for them, and a VM that was stopped in a cut held what nobody could use. Change: purses are passed on, and a VM that ends leaves its purse, and what it may use while the store is silent, to another one.

--- a/packages/decisions/src/budget/budgetAim.ts
+++ b/packages/decisions/src/budget/budgetAim.ts
@@ -6,7 +6,6 @@
 import { MAX_TOKENS } from './budgetRows.js'
 import type { FleetSpending } from './budgetTypes.js'
 import { DemandRate } from './demandRate.js'
-import { isAmple } from './reportBound.js'
 
 /** Aim of one holder for one budget. Times are monotonic milliseconds. */
 export class BudgetAim {
@@ -53,11 +52,6 @@
     return fleet === undefined ? MAX_TOKENS : evenTokens(fleet.paid - fleet.spent, fleet.holders, evenPart)
   }
 
-  /** Whether the budget was ample at the last draw, as far as that is known. */
-  get isAmple (): boolean {
-    return this.fleet !== undefined && isAmple(this.fleet.paid, this.fleet.spent)
-  }
-
   /** Where tokens are dealt out evenly, no floor is held besides: it would lie idle at all holders without demand. */
   private forDemand (mono: number): number {
     const rate = this.rate.perMs(mono)
--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -95,8 +95,6 @@
   /** Tokens held by holders that the last recall could not reach. */
   unreachable = 0
   nextDrawAt = 0
-  /** When tokens may be recalled ahead of need again. */
-  nextRecallAt = 0
   drawPauseMs = 0
   nextRoundAt = 0
   roundPauseMs = 0
@@ -195,7 +193,7 @@
    */
   allowance (now: Instant): ReportAllowance {
     const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held, ratePerMs: this.aim.rate.perMs(now.mono), isAmple: this.aim.isAmple })
+    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held })
   }
 
   /**
--- a/packages/decisions/src/budget/budgetGifts.ts
+++ b/packages/decisions/src/budget/budgetGifts.ts
@@ -33,18 +33,42 @@
   ) {}
 
   /**
-   * Gives what may be used here and no own request waits for; it counts as used from then on.
+   * Gives what may be used here and no own request waits for: what was given to this holder is passed on
+   * first, the rest counts as used by it from then on.
    * @param event - the ask
    * @param entry - the budget, if this holder draws on it
    * @param now - both clocks
    */
-  give ({ giftId, budget, tokens, to }: EventOf<'giftAsked'>, entry: BudgetEntry | undefined, now: Instant): number {
-    if (entry === undefined || entry.waiting.length > 0 || !entry.isUsable(now)) return 0
-    const given = Math.max(0, Math.min(tokens, Math.floor(entry.usable(now))))
-    if (given === 0) return 0
-    entry.unsettled += given
-    this.queue.addBill({ requestId: giftId, budget, team: budget, tokens: given, runner: to }, now.mono)
-    return given
+  give ({ giftId, tokens, to }: EventOf<'giftAsked'>, entry: BudgetEntry | undefined, now: Instant): number {
+    if (entry === undefined || entry.waiting.length > 0) return 0
+    const passedOn = entry.purse.take(tokens)
+    const own = Math.min(tokens - passedOn, ownTokens(entry, now))
+    if (own > 0) this.billAsUsed(entry, own, `${giftId} ${to}`, now)
+    return passedOn + own
+  }
+
+  /**
+   * Tokens that could be given now.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  left (entry: BudgetEntry, now: Instant): number {
+    return entry.waiting.length > 0 ? 0 : entry.purse.free + ownTokens(entry, now)
+  }
+
+  /**
+   * Leaves what may be used to another holder, where the table cannot take it back before this process
+   * ends; tokens that were given to this holder are left in any case, as no row has them.
+   * @param entry - the budget
+   * @param now - both clocks
+   */
+  handOver (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (this.policy.giftAfterMs === undefined) return []
+    const { budget } = entry
+    const own = entry.isOutOfTouch(now) ? ownTokens(entry, now) : 0
+    const tokens = entry.purse.take(Infinity) + own
+    if (own > 0) this.billAsUsed(entry, own, 'handOver', now)
+    return tokens === 0 ? [] : [{ kind: 'handOver', budget, tokens }]
   }
 
   /**
@@ -78,11 +102,21 @@
     entry.giftShortAt = now.mono
     entry.nextGiftAt = now.mono + EMPTY_PAUSE_MS
   }
+
+  private billAsUsed (entry: BudgetEntry, tokens: number, requestId: string, now: Instant): void {
+    const { budget } = entry
+    entry.unsettled += tokens
+    this.queue.addBill({ requestId, budget, team: budget, tokens, runner: '' }, now.mono)
+  }
 }
 
 /** Tokens that waiting requests lack beyond what may be used here. */
 function lackingTokens (entry: BudgetEntry, now: Instant): number {
   const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
-  const own = entry.isUsable(now) ? Math.max(0, Math.floor(entry.usable(now))) : 0
-  return wanted - own - entry.purse.free
+  return wanted - ownTokens(entry, now) - entry.purse.free
+}
+
+/** Tokens of the allotment that may be used now. */
+function ownTokens (entry: BudgetEntry, now: Instant): number {
+  return entry.isUsable(now) ? Math.max(0, Math.floor(entry.usable(now))) : 0
 }
--- a/packages/decisions/src/budget/budgetGiving.ts
+++ b/packages/decisions/src/budget/budgetGiving.ts
@@ -17,9 +17,6 @@
   readonly at: Instant
 }
 
-/** Part of its free tokens that a holder keeps on an urgent recall while the budget is ample. */
-const AMPLE_KEPT_PART = 0.5
-
 /** Gives tokens away. */
 export class BudgetGiving {
   /** Given and received transfers by id, in the order of time. */
@@ -87,7 +84,7 @@
    * @param now - both clocks
    */
   returnOnRecall (event: EventOf<'recallAsked'>, entry: BudgetEntry, now: Instant): number {
-    const keep = this.keptOnRecall(entry, event.atLeast === 0, now)
+    const keep = entry.aim.rate.perMs(now.mono) * this.policy.recallKeepMs
     const tokens = recallTokens(entry.free, keep, event.atLeast ?? event.wanted)
     if (tokens === 0) return 0
     // Else it would draw back at once what another holder needs more.
@@ -98,14 +95,6 @@
     return tokens
   }
 
-  /** While a budget is ample, half stays where it is, for callers that may come; later a request that waits goes before. */
-  private keptOnRecall (entry: BudgetEntry, isAhead: boolean, now: Instant): number {
-    const { recallKeepMs, recallAheadMs } = this.policy
-    const rate = entry.aim.rate.perMs(now.mono)
-    if (isAhead) return rate * recallAheadMs
-    return Math.max(rate * recallKeepMs, this.policy.evenPart > 0 && entry.aim.isAmple ? entry.free * AMPLE_KEPT_PART : 0)
-  }
-
   /**
    * Stops transfers from and to an ended holder; answers of it that are still on their way are void.
    * @param holder - the ended holder
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -110,6 +110,7 @@
       case 'recallAnswered': return this.recallAnswered(event, now)
       case 'giftAsked': return this.giftAsked(event, now)
       case 'giftAnswered': return this.giftAnswered(event, now)
+      case 'handedOver': return this.handedOver(event, now)
       case 'fence': this.giving.fence(event.holder, now); return []
       case 'paidChanged': return this.paidChanged(event, now)
       case 'drain': return this.drain(now)
@@ -220,7 +221,7 @@
   private giftAsked (event: EventOf<'giftAsked'>, now: Instant): readonly BudgetAction[] {
     const entry = this.entries.all.get(event.budget)
     const tokens = this.gifts.give(event, this.draining ? undefined : entry, now)
-    const left = Math.max(0, Math.floor(entry?.usable(now) ?? 0))
+    const left = entry === undefined ? 0 : this.gifts.left(entry, now)
     return [{ kind: 'gift', giftId: event.giftId, tokens, left }]
   }
 
@@ -231,11 +232,21 @@
     return this.step(entry, now)
   }
 
+  private handedOver ({ budget, tokens }: EventOf<'handedOver'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entryOf(budget)
+    entry.purse.add(tokens)
+    return this.step(entry, now)
+  }
+
   private paidChanged ({ budget, isLowered }: EventOf<'paidChanged'>, now: Instant): readonly BudgetAction[] {
     const entry = this.entries.all.get(budget)
     if (entry === undefined) return []
     entry.forgetShortage()
-    if (isLowered) this.upkeep.returnFree(entry, 0, now)
+    if (isLowered) {
+      // What was given counts as spent already, and nobody may use it any more.
+      entry.purse.take(Infinity)
+      this.upkeep.returnFree(entry, 0, now)
+    }
     this.entries.watch(entry)
     return this.step(entry, now)
   }
@@ -250,6 +261,7 @@
       }
       entry.waiting = []
       entry.isWanted = false
+      actions.push(...this.gifts.handOver(entry, now))
       this.entries.watch(entry)
     }
     this.upkeep.returnAll(now)
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -8,7 +8,7 @@
 import { evenTokens, grantTokens, shareOfLeft } from './budgetPolicy.js'
 import { applyDeclared, applyDraw, applyTopUp, emptyAllotment, unallotted } from './budgetRows.js'
 import { allotmentRowSchema, budgetRowSchema, topUpRowSchema, type AllotmentRow, type BudgetRow, type DeclaredPaid, type ReportRow, type TopUpRow } from './budgetTypes.js'
-import { isAmple, withHeld } from './reportBound.js'
+import { withHeld } from './reportBound.js'
 import type { PlanKey, RowSet } from './rowSet.js'
 
 /** Who draws. */
@@ -159,7 +159,7 @@
   return applyDraw({ budget, allotment }, granted, order.drawId).map(pair => {
     putBudget(rows, pair.budget)
     const { spent, paid } = pair.budget
-    putAllotment(rows, order.report === undefined ? pair.allotment : { ...pair.allotment, report: withHeld(order.report, granted, isAmple(paid, spent)) })
+    putAllotment(rows, order.report === undefined ? pair.allotment : { ...pair.allotment, report: withHeld(order.report, granted) })
     return { kind: 'write', tokens: granted, left: unallotted(pair.budget), spent, paid }
   })
 }
--- a/packages/decisions/src/budget/budgetPolicy.ts
+++ b/packages/decisions/src/budget/budgetPolicy.ts
@@ -47,10 +47,10 @@
   readonly roundMaxMs: number
   /** How long a request waits when the table or holders cannot be reached. */
   readonly patienceMs: number
+  /** Milliseconds to come back after where another VM may have tokens; absent where callers come back to the same VM. */
+  readonly otherVmRetryMs?: number
   /** Own demand that a holder keeps back when asked to return tokens. */
   readonly recallKeepMs: number
-  /** Own demand, in milliseconds, below which a holder recalls tokens ahead of need, and which others keep then; 0 for never. */
-  readonly recallAheadMs: number
   /** How long after its last contact with the table an allotment may be taken by recovery. */
   readonly lapseMs: number
   /** Margin for clocks that run at different rates. */
@@ -89,7 +89,6 @@
   roundMaxMs: 2 * SECOND,
   patienceMs: 2 * SECOND,
   recallKeepMs: 20 * SECOND,
-  recallAheadMs: 0,
   // Leaves time to recover before engines forget their runs, which is after two hours.
   lapseMs: 100 * MINUTE,
   marginMs: MINUTE,
--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -19,14 +19,22 @@
 /** Least advice to callers when the table cannot be reached. */
 const PENDING_RETRY_MS = 1_000
 
+/** How long requests wait for tokens that cannot be reached, and what they are told then. */
+export interface Patience {
+  /** Milliseconds that a request waits at most. */
+  readonly waitMs: number
+  /** Milliseconds to come back after where another VM may have tokens and was not asked; absent where callers come back to this one. */
+  readonly otherVmRetryMs?: number | undefined
+}
+
 /**
  * Why a waiting request is refused now; absent while it goes on waiting.
  * @param entry - the budget
  * @param item - the request
- * @param patienceMs - milliseconds that it waits at most while tokens cannot be reached
+ * @param patience - how long requests wait, and what they are told
  * @param now - both clocks
  */
-export function refusalOf (entry: BudgetEntry, item: WaitingRequest, patienceMs: number, now: Instant): Failure | undefined {
+export function refusalOf (entry: BudgetEntry, item: WaitingRequest, patience: Patience, now: Instant): Failure | undefined {
   const shortage = currentShortage(entry, item, now)
   if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `there is no budget ${entry.budget}`)
   if (shortage?.kind === 'short' && cannotComeBack(entry, shortage.unspent, item.tokens)) {
@@ -35,8 +43,8 @@
   const untilUsableMs = entry.untilUsableMs(item.tokens, now)
   if (untilUsableMs !== undefined) return notReported(entry, item, untilUsableMs, now)
   const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0) || othersLack(entry, item, now)
-  const limitMs = isCutOff && entry.round === undefined ? Math.min(patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
-  return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, now) : undefined
+  const limitMs = isCutOff && entry.round === undefined ? Math.min(patience.waitMs, item.giveUpAfterMs) : item.giveUpAfterMs
+  return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, item, patience, now) : undefined
 }
 
 /**
@@ -74,10 +82,11 @@
   return new Failure('budgetUnreported', `${item.tokens} of ${entry.free} free tokens of ${entry.budget} may not be used before the table knows of it`, { retryAfterMs })
 }
 
-function timedOut (entry: BudgetEntry, now: Instant): Failure {
+function timedOut (entry: BudgetEntry, item: WaitingRequest, { otherVmRetryMs }: Patience, now: Instant): Failure {
+  const otherMs = othersLack(entry, item, now) ? undefined : otherVmRetryMs
   if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
-    return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: ELSEWHERE_RETRY_MS })
+    return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are held by VMs that cannot be reached`, { retryAfterMs: otherMs ?? ELSEWHERE_RETRY_MS })
   }
-  const retryAfterMs = Math.max(PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
+  const retryAfterMs = otherMs ?? Math.max(PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
   return new Failure('budgetPending', `tokens of ${entry.budget} could not be had in time`, { retryAfterMs })
 }
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -9,7 +9,7 @@
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetSettlement } from './budgetSettlement.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
-import { withHeld, type ReportBound } from './reportBound.js'
+import { withHeld } from './reportBound.js'
 
 const nextStage: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
 
@@ -50,7 +50,7 @@
     const drawId = draw?.drawId ?? ''
     entry.draw = outcome.kind === 'unavailable' && entry.draw !== undefined ? { ...entry.draw, inFlight: false } : undefined
     if (outcome.kind === 'granted' && outcome.fleet !== undefined) entry.aim.noteFleet(outcome.fleet)
-    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(firstBound(draw.report, outcome, entry.aim.isAmple))
+    if (outcome.kind === 'granted' && draw?.report !== undefined) entry.bounds.begin(withHeld(draw.report, outcome.tokens))
     if (outcome.kind === 'granted') this.granted(entry, outcome.tokens, outcome.sentAt)
     else this.notGranted(entry, outcome, now)
     this.endStage(entry, drawId, now)
@@ -94,6 +94,7 @@
   }
 
   private stageAfter (entry: BudgetEntry, stage: RoundStage, now: Instant): RoundStage | undefined {
+    if (this.policy.giftAfterMs !== undefined) return undefined
     const next = stage === 'draw' && !entry.mayAsk(now) ? 'recall' : nextStage[stage]
     const reachable = entry.shortage === undefined || entry.shortage.kind === 'short'
     return next === 'recall' && !reachable ? undefined : next
@@ -147,7 +148,7 @@
   private refuse (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
-      const failure = refusalOf(entry, item, this.policy.patienceMs, now)
+      const failure = refusalOf(entry, item, { waitMs: this.policy.patienceMs, otherVmRetryMs: this.policy.otherVmRetryMs }, now)
       if (failure === undefined) return true
       actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
       return false
@@ -196,25 +197,11 @@
   }
 
   private drawAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
-    if (this.needsRecall(entry, now)) return this.recallAhead(entry, now)
     if (now.mono < entry.nextDrawAt) return []
     const isOpen = entry.draw?.inFlight === false
     return isOpen || this.isLow(entry, now) ? this.startDraw(entry, now) : []
   }
 
-  /** Nothing is left to draw, and what is held lasts for a short time only; holders without demand have more. */
-  private needsRecall (entry: BudgetEntry, now: Instant): boolean {
-    if (entry.shortage?.kind !== 'short' || now.mono < entry.nextRecallAt || !entry.isWanted) return false
-    return entry.free < entry.aim.rate.perMs(now.mono) * this.policy.recallAheadMs
-  }
-
-  private recallAhead (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
-    const recallId = this.nextId('recall')
-    entry.round = { stage: 'recall', operationId: recallId }
-    entry.nextRecallAt = now.mono + this.policy.emptyPauseMs
-    return [{ kind: 'recall', recallId, budget: entry.budget, tokens: this.missing(entry, now), atLeast: 0 }]
-  }
-
   /** Tokens up to the target, with what waiting requests take on top. */
   private missing (entry: BudgetEntry, now: Instant): number {
     const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
@@ -232,8 +219,3 @@
     return `${this.holder}.${stage}${this.operations}`
   }
 }
-
-/** Without the rows of this very draw nobody knows whether the table took the budget for ample. */
-function firstBound (report: ReportBound, { tokens, fleet }: Extract<DrawOutcome, { kind: 'granted' }>, isAmple: boolean): ReportBound {
-  return withHeld(report, tokens, fleet !== undefined && isAmple)
-}
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -140,6 +140,8 @@
   | { readonly kind: 'giftAsked', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly to: string }
   /** The other holders were asked; `tokens` is what all of them gave. */
   | { readonly kind: 'giftAnswered', readonly giftId: string, readonly budget: string, readonly tokens: number }
+  /** A holder that ends left tokens to this one. */
+  | { readonly kind: 'handedOver', readonly budget: string, readonly tokens: number }
   /** A holder ended: no transfer from or to it may begin, and late answers of it are void. */
   | { readonly kind: 'fence', readonly holder: string }
   /** What was paid for a budget changed: what was learned of a shortage is void, and when it was lowered, free tokens go back. */
@@ -187,6 +189,8 @@
   | { readonly kind: 'askGift', readonly giftId: string, readonly budget: string, readonly tokens: number }
   /** Answer to a `giftAsked`: so many tokens, billed here already, belong to the asker; `left` is what could be given besides. */
   | { readonly kind: 'gift', readonly giftId: string, readonly tokens: number, readonly left: number }
+  /** Tokens that this holder leaves to another one, billed here already: it ends, and the table cannot take them back. */
+  | { readonly kind: 'handOver', readonly budget: string, readonly tokens: number }
   /** Ask holders everywhere to return what they do not need. */
   | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answer to a `recallAsked`: so much is on its way to the table. */
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -21,23 +21,17 @@
 }
 
 /**
- * Part of an allotment that may be used beyond what is in use. It is lost where the holder ends, so it
- * goes down with what is left of the budget, as the loss matters more.
+ * Part of an allotment that may be used at once beyond what is in use. It is lost where the holder ends, and
+ * holders that lack tokens are given those that others may use, so a tenth of each is a tenth of all.
  */
-const UNREPORTED_PART = 0.05
-/** Part that is added for each second without contact: a VM that is cut off may use up its allotment in 20 s. */
-const GROWTH_PART_PER_S = 0.05
-/** Part of what was paid above which a budget is ample: what an end loses is not missed for long. */
-const AMPLE_PART = 0.4
-/** Tokens allowed beyond what is in use while a budget is ample: a usual request or two of a team that is rarely served here. */
-const AMPLE_TOKENS = 8_000
-/** Tokens a millisecond by which that grows at least: a usual request in two seconds. */
-const AMPLE_GROWTH = 2
-/** Demand, in milliseconds, that is allowed then, and times the demand by which it grows: callers of a VM cut off may be more than before. */
-const AMPLE_DEMAND_MS = 1_000
-const AMPLE_DEMAND_GROWTH = 2
-/** Milliseconds without growth: while the table can be reached, a new report comes sooner. */
-const GROWTH_AFTER_MS = 1_000
+const UNREPORTED_PART = 0.1
+/**
+ * Milliseconds without growth: while the table can be reached, a new report comes sooner, and a process that
+ * was killed has its successor by then, which bills no growth.
+ */
+const GROWTH_AFTER_MS = 1_500
+/** Part of an allotment that is added for each second after that: a VM that is cut off may use up its allotment in four seconds. */
+const GROWTH_PART_PER_S = 0.4
 const MS_PER_SECOND = 1_000
 
 /** What a report depends on. */
@@ -46,42 +40,23 @@
   readonly inUse: number
   /** Tokens of the allotment. */
   readonly held: number
-  /** Demand in tokens a millisecond. */
-  readonly ratePerMs: number
-  /** Whether the budget is ample, see {@link isAmple}. */
-  readonly isAmple: boolean
-}
-
-/**
- * Whether so much of a budget is left that the end of a VM may cost more of it.
- * @param paid - tokens paid in all
- * @param spent - tokens billed in all
- */
-export function isAmple (paid: number, spent: number): boolean {
-  return paid - spent > paid * AMPLE_PART
 }
 
 /**
  * What a report should allow.
  * @param inputs - what it depends on
  */
-export function allowanceOf ({ inUse, held, ratePerMs, isAmple }: AllowanceInputs): ReportAllowance {
-  const tight = { tokens: held * UNREPORTED_PART, perMs: held * GROWTH_PART_PER_S / MS_PER_SECOND }
-  if (!isAmple) return { tokens: Math.ceil(inUse + tight.tokens), perMs: tight.perMs }
-  return {
-    tokens: Math.ceil(inUse + Math.max(tight.tokens, ratePerMs * AMPLE_DEMAND_MS, AMPLE_TOKENS)),
-    perMs: Math.max(tight.perMs, ratePerMs * AMPLE_DEMAND_GROWTH, AMPLE_GROWTH)
-  }
+export function allowanceOf ({ inUse, held }: AllowanceInputs): ReportAllowance {
+  return { tokens: Math.ceil(inUse + held * UNREPORTED_PART), perMs: held * GROWTH_PART_PER_S / MS_PER_SECOND }
 }
 
 /**
  * The first report of an allotment, once it is known how much was allotted.
  * @param report - made before the draw
  * @param held - tokens of the allotment
- * @param isAmple - whether the budget is ample
  */
-export function withHeld<T extends ReportAllowance> (report: T, held: number, isAmple: boolean): T {
-  const own = allowanceOf({ inUse: 0, held, ratePerMs: 0, isAmple })
+export function withHeld<T extends ReportAllowance> (report: T, held: number): T {
+  const own = allowanceOf({ inUse: 0, held })
   return { ...report, tokens: report.tokens + own.tokens, perMs: report.perMs + own.perMs }
 }
 
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -78,6 +78,7 @@
       case 'flush': this.run(this.performFlush(action)); break
       case 'askGive': this.run(this.asking.askGive(action)); break
       case 'askGift': this.run(this.askGift(action)); break
+      case 'handOver': this.run(this.handOver(action)); break
       case 'recall': this.run(this.asking.recall(action)); break
       case 'closed': this.reportClosed(action); break
       case 'give':
@@ -116,6 +117,11 @@
     this.targets.dispatch({ kind: 'giftAnswered', giftId, budget, tokens: given })
   }
 
+  private async handOver ({ budget, tokens }: Extract<BudgetAction, { kind: 'handOver' }>): Promise<void> {
+    const isTaken = await this.parts.gifts?.handOver(budget, tokens) ?? false
+    this.parts.log.write('budgetHandedOver', { budget, tokens, isTaken })
+  }
+
   private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
     const outcome = await this.flushing.flush(action)
     this.targets.dispatch({ kind: 'flushAnswered', seq: action.seq, outcome })
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -182,6 +182,15 @@
     return answer
   }
 
+  /**
+   * Takes tokens that a holder left as it ended.
+   * @param budget - budget id
+   * @param tokens - amount
+   */
+  onHandOver (budget: string, tokens: number): void {
+    this.dispatch({ kind: 'handedOver', budget, tokens })
+  }
+
   /**
    * Serves the question whether transfers with an ended holder are unrecorded; none begins afterwards.
    * @param ask - the ended holder
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -12,6 +12,8 @@
 export interface GiftAsker {
   /** Answers how many tokens were given in all. */
   ask (giftId: string, budget: string, tokens: number): Promise<number>
+  /** Leaves tokens to another holder; answers whether one took them. */
+  handOver (budget: string, tokens: number): Promise<boolean>
 }
 
 /** What the driver is built from. */
--- /dev/null
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.spec.ts
@@ -0,0 +1,94 @@
+/**
+ * How other VMs are asked for gifts: in which order, how many, and what silence costs.
+ */
+import { expect } from 'chai'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { BudgetGiftCalls, giftMethod, type GiftAnswer } from './budgetGiftCalls.js'
+
+const peers = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(name => ({ holder: name, address: `${name}:1` }))
+
+/** Other VMs with what each can give; one without a number is silent. */
+class World {
+  mono = 0
+  readonly asked: string[] = []
+  readonly calls: BudgetGiftCalls
+
+  constructor (readonly have: Record<string, number | undefined>) {
+    this.calls = new BudgetGiftCalls({
+      holder: 'me',
+      clock: { now: () => ({ mono: this.mono, wall: 0 }) },
+      log: { write: () => {} },
+      peers: () => peers.filter(({ holder }) => holder in have),
+      call: async (address, _method, params) => this.answer(address.slice(0, 1), params as { tokens: number }),
+      random: () => 0.5
+    })
+  }
+
+  private answer (name: string, { tokens }: { tokens: number }): Either<Failure, unknown> {
+    this.asked.push(name)
+    const left = this.have[name]
+    if (left === undefined) return Left(new Failure('peerUnreachable', 'no answer', { ran: 'unknown' }))
+    const given = Math.min(left, tokens)
+    this.have[name] = left - given
+    return Right({ tokens: given, left: left - given })
+  }
+}
+
+interface AskCase {
+  readonly name: string
+  readonly have: Record<string, number | undefined>
+  /** Tokens of each ask, one after another, half a second apart. */
+  readonly asks: readonly number[]
+  readonly given: readonly number[]
+  readonly asked: readonly string[]
+}
+
+const cases: readonly AskCase[] = [
+  { name: 'one VM where it has enough', have: { a: 100, b: 100 }, asks: [50], given: [50], asked: ['a'] },
+  { name: 'the next one for the rest', have: { a: 30, b: 100 }, asks: [50], given: [50], asked: ['a', 'b'] },
+  { name: 'those first that had most left', have: { a: 60, b: 500 }, asks: [100, 10], given: [100, 10], asked: ['a', 'b', 'b'] },
+  { name: 'those last that did not answer', have: { a: undefined, b: 500 }, asks: [10, 10], given: [10, 10], asked: ['a', 'b', 'b'] },
+  { name: 'no more than six', have: { a: 1, b: 1, c: 1, d: 1, e: 1, f: 1, g: 1, h: 1 }, asks: [50], given: [6], asked: ['a', 'b', 'c', 'd', 'e', 'f'] },
+  { name: 'nobody where there is no other', have: {}, asks: [50], given: [0], asked: [] }
+]
+
+describe('BudgetGiftCalls', () => {
+  for (const { name, have, asks, given, asked } of cases) {
+    it(`asks ${name}`, async () => {
+      const world = new World({ ...have })
+      const got: number[] = []
+      for (const tokens of asks) {
+        got.push(await world.calls.ask('g', 'b', tokens))
+        world.mono += 500
+      }
+      expect([got, world.asked]).to.deep.equal([given, asked])
+    })
+  }
+
+  const hands: ReadonlyArray<{ readonly name: string, readonly have: Record<string, number | undefined>, readonly taken: boolean, readonly asked: readonly string[] }> = [
+    { name: 'one that answers', have: { a: 0, b: 0 }, taken: true, asked: ['a'] },
+    { name: 'no second one where the first may have taken them', have: { a: undefined, b: 0 }, taken: false, asked: ['a'] }
+  ]
+  for (const { name, have, taken, asked } of hands) {
+    it(`leaves tokens to ${name}`, async () => {
+      const world = new World({ ...have })
+      const isTaken = await world.calls.handOver('b', 100)
+      expect([isTaken, world.asked]).to.deep.equal([taken, asked])
+    })
+  }
+
+  const malformed: ReadonlyArray<{ readonly name: string, readonly params: unknown }> = [
+    { name: 'no number of tokens', params: { giftId: 'g', budget: 'b', to: 'v' } },
+    { name: 'a part of a token', params: { giftId: 'g', budget: 'b', to: 'v', tokens: 0.5 } },
+    { name: 'tokens below zero', params: { giftId: 'g', budget: 'b', to: 'v', tokens: -1 } }
+  ]
+  for (const { name, params } of malformed) {
+    it(`gives nothing for an ask with ${name}`, async () => {
+      let given = 0
+      const serve = giftMethod((): GiftAnswer => { given += 1; return { tokens: 1, left: 0 } })
+      const failed = await serve(params, 'v').then(() => false, () => true)
+      expect([failed, given]).to.deep.equal([true, 0])
+    })
+  }
+})
--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -11,8 +11,9 @@
 import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 
-/** Method between VMs. */
+/** Methods between VMs. */
 export const GIFT_METHOD = 'budget.gift'
+export const HAND_OVER_METHOD = 'budget.handOver'
 /** Milliseconds for one answer: some round trips of a slow VM, and short against the objective of the request that waits. */
 const ANSWER_MS = 60
 /** Milliseconds for which a VM that did not answer is asked last. */
@@ -26,6 +27,8 @@
 const giftAskSchema = z.object({ giftId: z.string(), budget: z.string(), to: z.string(), tokens: amount })
 const giftAnswerSchema = z.object({ tokens: amount, left: amount })
 
+const handOverSchema = z.object({ budget: z.string(), tokens: amount })
+
 /** What another VM is asked. */
 export type GiftAsk = z.infer<typeof giftAskSchema>
 /** What it gave, and what it has left to give. */
@@ -75,6 +78,20 @@
     return given
   }
 
+  /**
+   * Leaves tokens to one other VM: the first that answers. Where it is not known whether one took them they are lost.
+   * @param budget - budget id
+   * @param tokens - amount
+   */
+  async handOver (budget: string, tokens: number): Promise<boolean> {
+    for (const peer of this.inOrder(budget)) {
+      const answer = await this.parts.call(peer.address, HAND_OVER_METHOD, { budget, tokens }, ANSWER_MS)
+      const end = answer.caseOf({ Left: ({ ran }) => ran === 'no' ? 'notTaken' : 'lost', Right: () => 'taken' })
+      if (end !== 'notTaken') return end === 'taken'
+    }
+    return false
+  }
+
   private async askOne (peer: PeerVm, ask: GiftAsk): Promise<number> {
     const answer = await this.parts.call(peer.address, GIFT_METHOD, ask, ANSWER_MS)
     const { mono } = this.parts.clock.now()
@@ -114,6 +131,17 @@
   return async params => give(giftAskSchema.parse(params))
 }
 
+/**
+ * Takes what VMs that end leave.
+ * @param take - takes tokens into the budgets of this VM
+ */
+export function handOverMethod (take: (budget: string, tokens: number) => void): PeerMethod {
+  return async params => {
+    const { budget, tokens } = handOverSchema.parse(params)
+    take(budget, tokens)
+  }
+}
+
 function keyOf ({ holder }: PeerVm, budget: string): string {
   return `${holder} ${budget}`
 }
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -3,7 +3,6 @@
  * the product's.
  */
 import { randomBytes } from 'node:crypto'
-import { setTimeout as pause } from 'node:timers/promises'
 import type { Container } from 'inversify'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
@@ -12,7 +11,7 @@
 import { BudgetDriver } from '../budget/budgetDriver.js'
 import { HeldAsSpent } from '../budget/budgetHeldAsSpent.js'
 import { BudgetGiftCalls } from '../budget/budgetGiftCalls.js'
-import { BudgetRecalls } from '../budget/budgetRecalls.js'
+import { PresentHolders } from '../budget/presentHolders.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { SteadyClock, SystemRandom } from '../completion/completionSystem.js'
 import { BunyanEventLog } from '../log/logger.js'
@@ -77,23 +76,14 @@
     new GatewayTargets(clock, balancer, log), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
 }
 
-function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
-  container.bind(ids.recalls).toResolvedValue((presence, log) => new BudgetRecalls({
-    holder,
-    table,
-    feed,
-    log,
-    members: () => presence.members(),
-    onRecall: async ask => await container.get(ids.budgets).onRecall(ask),
-    pause: async ms => await pause(ms)
-  }), [ids.presence, ids.log]).inSingletonScope()
-  container.bind(ids.budgets).toResolvedValue((recalls, presence, config, clock, log, links, random) => new BudgetDriver({
+function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayEdge, holder: string): void {
+  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links, random) => new BudgetDriver({
     holder,
     domain,
     place: callers,
     begunAt: PROCESS_BEGUN_AT,
     store: table,
-    peers: recalls,
+    peers: new PresentHolders(() => presence.members()),
     clock,
     log,
     gifts: new BudgetGiftCalls({
@@ -107,7 +97,7 @@
     policy: fleetBudgetPolicy(() => presence.size),
     unbilled: new HeldAsSpent(),
     declared: team => config.declaredPaid(team)
-  }), [ids.recalls, ids.presence, ids.config, ids.clock, ids.log, ids.links, ids.random]).inSingletonScope()
+  }), [ids.presence, ids.config, ids.clock, ids.log, ids.links, ids.random]).inSingletonScope()
 }
 
 function bindPipeline (container: Container, { retries }: GatewaySettings, { client }: GatewayEdge): void {
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -14,8 +14,6 @@
 import { OpenCall } from './callOpen.js'
 import type { AdmittedCall, CallRetries, CallSink, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from './callTypes.js'
 
-/** Milliseconds to come back after when another VM may have tokens: about a round trip, since callers come back to another address. */
-const OTHER_VM_RETRY_MS = 20
 /** Part of the objective that a call may wait for tokens. */
 const RESERVE_PART = 0.5
 /** Targets that were not there any more that one call passes over, where it may not try more of them anyway. */
@@ -64,7 +62,7 @@
     const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
     open.reserveMs = this.deps.clock.now().mono - before
     this.deps.metrics.record('reserve_wait_ms', open.reserveMs)
-    return reserved.mapLeft(elsewhere).map(reservation => open.pay(reservation))
+    return reserved.map(reservation => open.pay(reservation))
   }
 
   /** Tries targets in turn until the answer is whole or nothing may be tried any more. */
@@ -180,12 +178,6 @@
   }
 }
 
-/** Tokens that are not here may well be at another VM, so the caller is asked to try one at once. */
-function elsewhere (failure: Failure): Failure {
-  const { code, message, ran } = failure
-  return code === 'budgetPending' || code === 'budgetElsewhere' ? new Failure(code, message, { ran, retryAfterMs: OTHER_VM_RETRY_MS }) : failure
-}
-
 /** What the end of an attempt says of the target. */
 function verdictOf (end: AttemptEnd, open: OpenCall): TargetVerdict {
   if (end.kind === 'answered' || end.kind === 'failedAnswer') return 'good'
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -29,11 +29,10 @@
   roundMs: 150,
   roundMaxMs: 600,
   patienceMs: 30,
+  // About a round trip: callers come back to another address.
+  otherVmRetryMs: 20,
   // A draw or a report mostly comes back sooner, and costs no other VM a call.
   giftAfterMs: 20,
-  recallKeepMs: 200,
-  // An outage of the store is mostly shorter.
-  recallAheadMs: 10_000,
   lapseMs: 60_000,
   marginMs: 5_000,
   requestTimeoutMs: 15_000,
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -1,7 +1,6 @@
 /** Identifiers of what the container of a gateway binds; those shared with the VM of the own interface are its own. */
 import type { ServiceIdentifier } from 'inversify'
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
-import type { BudgetRecalls } from '../budget/budgetRecalls.js'
 import { ids } from '../compose/serviceIds.js'
 import type { FleetLinks } from '../presence/fleetLinks.js'
 import type { VmPresence } from '../presence/vmPresence.js'
@@ -24,7 +23,6 @@
   budgets: ids.budgets,
   config: id<GatewayConfigHolder>('GatewayConfig'),
   presence: id<VmPresence>('VmPresence'),
-  recalls: id<BudgetRecalls>('BudgetRecalls'),
   links: id<FleetLinks>('FleetLinks'),
   balancer: id<TargetBalancer>('TargetBalancer'),
   targets: id<GatewayTargets>('GatewayTargets'),
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import { GIFT_METHOD, giftMethod } from '../budget/budgetGiftCalls.js'
+import { GIFT_METHOD, giftMethod, HAND_OVER_METHOD, handOverMethod } from '../budget/budgetGiftCalls.js'
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
@@ -33,7 +33,6 @@
   readonly container = new Container()
   private readonly log: EventLog
   private readonly timers: NodeJS.Timeout[] = []
-  private stopRecalls: () => void = () => {}
 
   /**
    * @param settings - settings of the VM
@@ -60,7 +59,6 @@
     const targets = this.container.get(ids.targets)
     this.container.get(ids.config).onPaidChanged((team, isLowered) => { budgets.paidChanged(team, isLowered) })
     presence.start()
-    this.stopRecalls = this.container.get(ids.recalls).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     this.every(TICK_MS, async () => {
       const prepared = this.container.get(ids.config).current()
@@ -105,6 +103,7 @@
     const budgets = this.container.get(ids.budgets)
     const balancer = this.container.get(ids.balancer)
     links.serve(GIFT_METHOD, giftMethod(ask => budgets.onGift(ask)))
+    links.serve(HAND_OVER_METHOD, handOverMethod((budget, tokens) => { budgets.onHandOver(budget, tokens) }))
     links.serve(WORK_METHOD, workMethod(notice => { balancer.told(notice, this.clock.now().mono) }))
     this.inBackground(links.open())
   }
@@ -116,7 +115,6 @@
   }
 
   private async handBack (): Promise<void> {
-    this.stopRecalls()
     await this.container.get(ids.budgets).drain()
     await this.container.get(ids.presence).leave()
   }
