--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -120,6 +120,15 @@
     this.aim = new BudgetAim(policy)
   }
 
+  /**
+   * Notes that requests ask for this budget, or may at any time.
+   * @param mono - present time
+   */
+  noteAsked (mono: number): void {
+    this.lastAskedAt = mono
+    this.isWanted = true
+  }
+
   /** Has the table asked again at once, because more may be had now. */
   forgetShortage (): void {
     this.shortage = undefined
@@ -141,10 +150,14 @@
     return Math.max(0, this.free - unrecorded)
   }
 
+  /** Tokens that waiting requests ask for. */
+  get waitingTokens (): number {
+    return this.waiting.reduce((sum, item) => sum + item.tokens, 0)
+  }
+
   /** Tokens that waiting requests lack. */
   get need (): number {
-    const wanted = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return Math.max(0, wanted - Math.max(0, this.free))
+    return Math.max(0, this.waitingTokens - Math.max(0, this.free))
   }
 
   /**
@@ -192,8 +205,7 @@
    * @param now - both clocks
    */
   allowance (now: Instant): ReportAllowance {
-    const waiting = this.waiting.reduce((sum, item) => sum + item.tokens, 0)
-    return allowanceOf({ inUse: this.reserved + this.unsettled + waiting, held: this.held })
+    return allowanceOf({ inUse: this.reserved + this.unsettled + this.waitingTokens, held: this.held })
   }
 
   /**
--- a/packages/decisions/src/budget/budgetGifts.ts
+++ b/packages/decisions/src/budget/budgetGifts.ts
@@ -112,8 +112,7 @@
 
 /** Tokens that waiting requests lack beyond what may be used here. */
 function lackingTokens (entry: BudgetEntry, now: Instant): number {
-  const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
-  return wanted - ownTokens(entry, now) - entry.purse.free
+  return entry.waitingTokens - ownTokens(entry, now) - entry.purse.free
 }
 
 /** Tokens of the allotment that may be used now. */
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -123,8 +123,7 @@
     if (!isAmount(tokens) || tokens === 0) return refuse(new Failure('amountInvalid', `${tokens} tokens cannot be reserved`))
     if (this.draining) return refuse(new Failure('draining', 'this VM is draining', { retryAfterMs: 0 }))
     const entry = this.entryOf(budget)
-    entry.lastAskedAt = now.mono
-    entry.isWanted = true
+    entry.noteAsked(now.mono)
     entry.aim.largest = Math.max(entry.aim.largest, tokens)
     entry.waiting.push({ reservationId, tokens, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
     return this.step(entry, now)
@@ -134,8 +133,7 @@
   private prepare ({ budget }: EventOf<'prepare'>, now: Instant): readonly BudgetAction[] {
     if (this.draining) return []
     const entry = this.entryOf(budget)
-    entry.lastAskedAt = now.mono
-    entry.isWanted = true
+    entry.noteAsked(now.mono)
     return this.step(entry, now)
   }
 
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -204,9 +204,8 @@
 
   /** Tokens up to the target, with what waiting requests take on top. */
   private missing (entry: BudgetEntry, now: Instant): number {
-    const wanted = entry.waiting.reduce((sum, item) => sum + item.tokens, 0)
     const target = entry.isWanted ? entry.aim.tokens(now.mono) : 0
-    return Math.max(0, target + wanted - Math.max(0, entry.free))
+    return Math.max(0, target + entry.waitingTokens - Math.max(0, entry.free))
   }
 
   private least (entry: BudgetEntry): number {
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -1,6 +1,6 @@
 /**
  * Tells the other VMs of this one and follows what they tell: one row a VM, rewritten with each
- * heartbeat. There are no messages between VMs.
+ * heartbeat. It needs no messages between VMs.
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
