--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -15,9 +15,10 @@
 const WEIGHED = 3
 /**
  * Times the reading of shared parts counts: what it delays the request itself, and what it delays others
- * and takes from the target's memory.
+ * and takes from the target's memory. Against 2, a third fewer tokens were read again on a quiet day (194,000
+ * of 290,000) and 116 streams were late of 133.
  */
-const REREAD_FACTOR = 2
+const REREAD_FACTOR = 4
 /** Prompt tokens from which other VMs are told of a request: what delays others by some ten milliseconds. */
 const TOLD_TOKENS = 2_000
 /** Milliseconds to come back after when no target is listed or every one is ejected. */
