--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -7,6 +7,7 @@
 import { usableMs, type BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetView, Transfer } from './budgetTypes.js'
 import { GiftPurse } from './giftPurse.js'
+import { ReceivedTransfers } from './receivedTransfers.js'
 import { allowanceOf, ReportBounds, type ReportAllowance, type ReportBound } from './reportBound.js'
 
 /** Part of what is dealt out evenly below which a holder asks for more though it has no use for it yet. */
@@ -28,13 +29,6 @@
   readonly given: number
 }
 
-/** Received tokens whose transfer is not in the table yet. */
-interface ReceivedTokens {
-  readonly tokens: number
-  readonly validForMs: number
-  readonly askedAt: Instant
-}
-
 /** Why tokens could not be had, as of the last try. */
 export type Shortage =
   | { readonly kind: 'unavailable' | 'unknownBudget' }
@@ -110,7 +104,7 @@
   readonly aim: BudgetAim
   /** What may be in use without the table knowing it. */
   readonly bounds = new ReportBounds()
-  private readonly received = new Map<string, ReceivedTokens>()
+  private readonly received = new ReceivedTransfers()
 
   /**
    * @param budget - budget id
@@ -145,9 +139,7 @@
 
   /** Free tokens that the table knows as held by this holder; only they may be given on. */
   get giveable (): number {
-    let unrecorded = 0
-    for (const item of this.received.values()) unrecorded += item.tokens
-    return Math.max(0, this.free - unrecorded)
+    return Math.max(0, this.free - this.received.tokens)
   }
 
   /** Tokens that waiting requests ask for. */
@@ -174,10 +166,8 @@
    * @param now - both clocks
    */
   isUsable (now: Instant): boolean {
-    for (const item of this.received.values()) {
-      if (elapsedMs(item.askedAt, now) >= item.validForMs) return false
-    }
-    if (this.touchedAt === undefined) return this.received.size > 0 && !this.reopen
+    if (this.received.hasLapsed(now)) return false
+    if (this.touchedAt === undefined) return !this.received.isEmpty && !this.reopen
     return this.leaseLeftMs(now) > 0
   }
 
@@ -253,7 +243,7 @@
    * @param askedAt - when it was asked for
    */
   receive (transfer: Transfer, askedAt: Instant): void {
-    this.received.set(transfer.transferId, { tokens: transfer.tokens, validForMs: transfer.validForMs ?? 0, askedAt })
+    this.received.add(transfer, askedAt)
     this.held += transfer.tokens
     this.level = Math.max(0, this.free)
   }
@@ -263,7 +253,7 @@
    * @param transferId - id of the transfer
    */
   recorded (transferId: string): void {
-    this.received.delete(transferId)
+    this.received.remove(transferId)
   }
 
   /**
@@ -271,8 +261,7 @@
    * @param transferId - id of the transfer
    */
   loseTransfer (transferId: string): void {
-    this.held -= this.received.get(transferId)?.tokens ?? 0
-    this.received.delete(transferId)
+    this.held -= this.received.remove(transferId)
   }
 
   /**
@@ -286,7 +275,7 @@
   /** Whether nothing is held, owed or awaited, so that the entry can be forgotten. */
   get isEmpty (): boolean {
     return this.held === 0 && this.reserved === 0 && this.unsettled === 0 && this.waiting.length === 0 &&
-      this.draw === undefined && this.round === undefined && this.received.size === 0 && this.purse.free === 0 && this.giftAsk === undefined
+      this.draw === undefined && this.round === undefined && this.received.isEmpty && this.purse.free === 0 && this.giftAsk === undefined
   }
 
   /** Forgets all tokens after the allotment was closed. */
--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -41,8 +41,8 @@
   readonly log: EventLog
   peers (): readonly PeerVm[]
   call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
-  /** Uniform in [0, 1). */
-  random (): number
+  /** How early a VM is asked for a budget of which it is not known what it has left: in [0, 1), always the same. */
+  preference (peer: string, budget: string): number
 }
 
 interface KnownLeft {
@@ -105,7 +105,10 @@
     return Math.min(gift.tokens, ask.tokens)
   }
 
-  /** Those that have most first, then those not known in any order, then those known to have nothing, last the silent ones. */
+  /**
+   * Those that have most first, then those not known, then those known to have nothing, last the silent ones. Of those
+   * not known the same come first for one budget, so that a VM of a large fleet has links to few others.
+   */
   private inOrder (budget: string): readonly PeerVm[] {
     const { mono } = this.parts.clock.now()
     return this.parts.peers()
@@ -118,7 +121,7 @@
   private rank (peer: PeerVm, budget: string, mono: number): number {
     if ((this.silentUntil.get(peer.holder) ?? 0) > mono) return -2
     const known = this.known.get(keyOf(peer, budget))
-    if (known === undefined || mono - known.at > KNOWN_MS) return this.parts.random()
+    if (known === undefined || mono - known.at > KNOWN_MS) return this.parts.preference(peer.holder, budget)
     return known.left > 0 ? known.left : -1
   }
 }
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -6,6 +6,7 @@
 import type { Container } from 'inversify'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
+import { hashName, pairWeight } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { BudgetDriver } from '../budget/budgetDriver.js'
@@ -35,6 +36,9 @@
 /** Monotonic milliseconds at which a process begins: Node's performance clock counts from there. */
 const PROCESS_BEGUN_AT = 0
 
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32
+
 /** What reaches the platform and the targets. */
 export interface GatewayEdge {
   readonly table: TableStore
@@ -77,7 +81,7 @@
 }
 
 function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayEdge, holder: string): void {
-  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links, random) => new BudgetDriver({
+  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links) => new BudgetDriver({
     holder,
     domain,
     place: callers,
@@ -92,12 +96,12 @@
       log,
       peers: () => presence.peers(),
       call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
-      random: () => random.next()
+      preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
     }),
     policy: fleetBudgetPolicy(() => presence.size),
     unbilled: new HeldAsSpent(),
     declared: team => config.declaredPaid(team)
-  }), [ids.presence, ids.config, ids.clock, ids.log, ids.links, ids.random]).inSingletonScope()
+  }), [ids.presence, ids.config, ids.clock, ids.log, ids.links]).inSingletonScope()
 }
 
 function bindPipeline (container: Container, { retries }: GatewaySettings, { client }: GatewayEdge): void {
--- a/packages/rosemaryspread/src/gateway/workNotices.ts
+++ b/packages/rosemaryspread/src/gateway/workNotices.ts
@@ -10,8 +10,11 @@
 
 /** Method between VMs. */
 export const WORK_METHOD = 'targets.work'
-/** Messages that one VM sends in a second at most: some thousandths of a core. */
-const MOST_PER_S = 400
+/**
+ * Messages that one VM sends in a second at most. A fleet of seven needs some forty; with 400 the processes of
+ * a fleet of 80 took twice the processor time. A VM with more others than this tells nobody.
+ */
+const MOST_PER_S = 60
 const MS_PER_SECOND = 1_000
 
 const noticeSchema = z.object({ target: z.string(), work: z.number().nonnegative(), parts: z.string() })
