Find open reservations by their record; answer each ask for gifts also when it fails

A reservation's budget was answered as a text that could also mean its end. An ask that threw left the ledger waiting for its answer, and it would have asked for no more gifts of that budget. No change of policy.

--- a/packages/decisions/src/budget/budgetGifts.spec.ts
+++ b/packages/decisions/src/budget/budgetGifts.spec.ts
@@ -142,6 +142,15 @@
     })
   }
 
+  it('what was given may be used after the allotment was closed, and a request paid by it alone stays valid', () => {
+    const holder = new Holder('vm1~a')
+    holder.send({ kind: 'handedOver', budget: 'b', tokens: 9_000 })
+    const flush = holder.pass(700).find(action => action.kind === 'flush')
+    holder.send({ kind: 'flushAnswered', seq: flush?.seq ?? 0, outcome: { kind: 'closed', budgets: ['b'] } })
+    const admitted = kinds(holder.reserve('r1', 9_000)).includes('admit')
+    expect([admitted, holder.ledger.isValid('r1', holder.now), holder.ledger.isValid('r2', holder.now)]).to.deep.equal([true, true, false])
+  })
+
   it('what was given is not used any more once the paid amount was lowered', () => {
     const holder = new Holder('vm1~a')
     holder.send({ kind: 'handedOver', budget: 'b', tokens: 9_000 })
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -82,8 +82,9 @@
    * @param now - both clocks
    */
   isValid (reservationId: string, now: Instant): boolean {
-    const budget = this.settlement.allotmentOf(reservationId)
-    return budget === undefined || this.entries.all.get(budget)?.isUsable(now) === true
+    const reservation = this.settlement.find(reservationId)
+    if (reservation === undefined) return false
+    return reservation.own === 0 || this.entries.all.get(reservation.budget)?.isUsable(now) === true
   }
 
   /**
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -13,7 +13,7 @@
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
 /** A running request. */
-interface OpenReservation extends ReservedTokens {
+export interface OpenReservation extends ReservedTokens {
   readonly budget: string
 }
 
@@ -51,13 +51,11 @@
   }
 
   /**
-   * The budget on whose allotment an open reservation draws; `ended` where there is none, undefined for tokens that were given.
+   * An open reservation; undefined once it ended or its allotment was closed.
    * @param reservationId - id of the reservation
    */
-  allotmentOf (reservationId: string): string | 'ended' | undefined {
-    const reservation = this.reservations.get(reservationId)
-    if (reservation === undefined) return 'ended'
-    return reservation.own > 0 ? reservation.budget : undefined
+  find (reservationId: string): OpenReservation | undefined {
+    return this.reservations.get(reservationId)
   }
 
   /**
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -113,8 +113,13 @@
   }
 
   private async askGift ({ giftId, budget, tokens }: Extract<BudgetAction, { kind: 'askGift' }>): Promise<void> {
-    const given = await this.parts.gifts?.ask(giftId, budget, tokens) ?? 0
-    this.targets.dispatch({ kind: 'giftAnswered', giftId, budget, tokens: given })
+    let given = 0
+    try {
+      given = await this.parts.gifts?.ask(giftId, budget, tokens) ?? 0
+    } finally {
+      // Without an answer the ledger would never ask again.
+      this.targets.dispatch({ kind: 'giftAnswered', giftId, budget, tokens: given })
+    }
   }
 
   private async handOver ({ budget, tokens }: Extract<BudgetAction, { kind: 'handOver' }>): Promise<void> {
