Read answers of VMs in one place, and take one schema for notices

Found on reading the whole change once more, with no change of behaviour: - BudgetGiftCalls checked answers beside the check that BudgetPeerCalls had: both call parseAnswer now. - A notice of a large prompt was an interface at the balancer and a schema at the wire: the type is inferred from the one schema. - The balancer joined and hashed the shared parts twice for each choice. - What a refusal reads of the policy was copied into another type for each waiting request. - A step without waiting requests built an empty list again: the early end that BudgetSupply had is back. - heldAsSpent.spec set the same world up twice.

--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -4,6 +4,7 @@
  */
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { Failure } from '../codes/failure.js'
+import type { BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetEntry, Shortage, WaitingRequest } from './budgetEntry.js'
 
 /** Age of the table's answer after which a new request has it asked again. */
@@ -20,12 +21,7 @@
 const PENDING_RETRY_MS = 1_000
 
 /** How long requests wait for tokens that cannot be reached, and what they are told then. */
-export interface Patience {
-  /** Milliseconds that a request waits at most. */
-  readonly waitMs: number
-  /** Milliseconds to come back after where another VM may have tokens and was not asked; absent where callers come back to this one. */
-  readonly otherVmRetryMs?: number | undefined
-}
+type Patience = Pick<BudgetPolicy, 'patienceMs' | 'otherVmRetryMs'>
 
 /**
  * Why a waiting request is refused now; absent while it goes on waiting.
@@ -43,7 +39,7 @@
   const untilUsableMs = entry.untilUsableMs(item.tokens, now)
   if (untilUsableMs !== undefined) return notReported(entry, item, untilUsableMs, now)
   const isCutOff = shortage?.kind === 'unavailable' || (shortage?.kind === 'short' && entry.unreachable > 0) || othersLack(entry, item, now)
-  const limitMs = isCutOff && entry.round === undefined ? Math.min(patience.waitMs, item.giveUpAfterMs) : item.giveUpAfterMs
+  const limitMs = isCutOff && entry.round === undefined ? Math.min(patience.patienceMs, item.giveUpAfterMs) : item.giveUpAfterMs
   return elapsedMs(item.since, now) >= limitMs ? timedOut(entry, item, patience, now) : undefined
 }
 
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -133,6 +133,7 @@
   }
 
   private admit (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
+    if (entry.waiting.length === 0) return []
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
       const reserved = entry.reserve(item.tokens, now)
@@ -148,7 +149,7 @@
   private refuse (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const actions: BudgetAction[] = []
     entry.waiting = entry.waiting.filter(item => {
-      const failure = refusalOf(entry, item, { waitMs: this.policy.patienceMs, otherVmRetryMs: this.policy.otherVmRetryMs }, now)
+      const failure = refusalOf(entry, item, this.policy, now)
       if (failure === undefined) return true
       actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
       return false
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -5,6 +5,7 @@
  * parts there is worth it. Requests without such parts go where this VM has the fewest requests open.
  */
 import { Left, Right, type Either } from 'purify-ts'
+import { z } from 'zod'
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
 import { TargetHealth } from '../routing/targetHealth.js'
@@ -49,13 +50,14 @@
 }
 
 /** What other VMs are told of a request that went to a target. */
-export interface WorkNotice {
-  readonly target: string
+export const workNoticeSchema = z.object({
+  target: z.string(),
   /** Prompt tokens that the target has to read. */
-  readonly work: number
+  work: z.number().nonnegative(),
   /** Name of the shared parts that it has read then. */
-  readonly parts: string
-}
+  parts: z.string()
+})
+export type WorkNotice = z.infer<typeof workNoticeSchema>
 
 /** A request that was sent. */
 export interface SentWork {
@@ -104,7 +106,7 @@
     state.open += 1
     const ticket = state.load.sent(work, mono)
     if (sharedParts.length === 0) return { ticket }
-    const parts = nameOf(sharedParts)
+    const parts = nameOf(hashOf(sharedParts))
     state.load.remember(parts, mono)
     const isTold = work >= TOLD_TOKENS || reason === 'lessWork'
     return isTold ? { ticket, notice: { target: target.id, work, parts } } : { ticket }
@@ -174,8 +176,8 @@
 
   /** The first target in order, unless another answers so much sooner that reading the shared parts there is worth it. */
   private byAffinity (candidates: readonly TargetView[], demand: TargetDemand, mono: number): TargetChoice {
-    const parts = nameOf(demand.sharedParts)
-    const key = hashName(demand.sharedParts.join(','))
+    const key = hashOf(demand.sharedParts)
+    const parts = nameOf(key)
     const ordered = candidates
       .map(target => ({ target, weight: pairWeight(key, this.stateOf(target.id).nameHash) }))
       .sort((a, b) => b.weight - a.weight)
@@ -205,7 +207,11 @@
   }
 }
 
-/** A short name of shared parts, the same at all VMs. */
-function nameOf (parts: readonly string[]): string {
-  return hashName(parts.join(',')).toString(36)
+function hashOf (parts: readonly string[]): number {
+  return hashName(parts.join(','))
+}
+
+/** A short name of hashed shared parts, the same at all VMs. */
+function nameOf (hash: number): string {
+  return hash.toString(36)
 }
--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
+import { parseAnswer } from './peerAnswer.js'
 
 /** Methods between VMs. */
 export const GIFT_METHOD = 'budget.gift'
@@ -95,14 +96,16 @@
   private async askOne (peer: PeerVm, ask: GiftAsk): Promise<number> {
     const answer = await this.parts.call(peer.address, GIFT_METHOD, ask, ANSWER_MS)
     const { mono } = this.parts.clock.now()
-    const parsed = answer.map(value => giftAnswerSchema.safeParse(value))
-    const gift = parsed.isRight() ? parsed.extract().data : undefined
-    if (gift === undefined) {
-      this.silentUntil.set(peer.holder, mono + SILENT_MS)
-      return 0
-    }
-    this.known.set(keyOf(peer, ask.budget), { left: gift.left, at: mono })
-    return Math.min(gift.tokens, ask.tokens)
+    return answer.chain(value => parseAnswer(giftAnswerSchema, value, GIFT_METHOD)).caseOf({
+      Left: () => {
+        this.silentUntil.set(peer.holder, mono + SILENT_MS)
+        return 0
+      },
+      Right: ({ tokens, left }) => {
+        this.known.set(keyOf(peer, ask.budget), { left, at: mono })
+        return Math.min(tokens, ask.tokens)
+      }
+    })
   }
 
   /**
--- a/packages/rosemaryspread/src/budget/budgetPeerCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetPeerCalls.ts
@@ -1,13 +1,14 @@
 /**
  * Binds the asks of budgets to the links between VMs, in both directions.
  */
-import { Left, Right, type Either } from 'purify-ts'
+import { Left, type Either } from 'purify-ts'
 import type { z } from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { MemberView } from '@rosemaryspread/decisions/membership/memberTypes.js'
 import type { PeerClient, PeerServer } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { BudgetDriver } from './budgetDriver.js'
 import { confirmAnswerSchema, confirmAskSchema, giveAnswerSchema, giveAskSchema, recallAnswerSchema, recallAskSchema, type BudgetMember, type BudgetPeers, type ConfirmAnswer, type ConfirmAsk, type GiveAnswer, type GiveAsk, type RecallAnswer, type RecallAsk } from './budgetPeers.js'
+import { parseAnswer } from './peerAnswer.js'
 
 /** Methods between VMs. */
 const methods = { give: 'budget.give', recall: 'budget.recall', confirm: 'budget.confirm' } as const
@@ -55,13 +56,6 @@
   }
 }
 
-function parseAnswer<T> (schema: z.ZodType<T>, value: unknown, method: string): Either<Failure, T> {
-  const parsed = schema.safeParse(value)
-  return parsed.success
-    ? Right(parsed.data)
-    : Left(new Failure('peerRefused', `the answer to ${method} is malformed`, { ran: 'unknown' }))
-}
-
 /**
  * Serves the asks of other VMs.
  * @param server - the peers' server
--- a/packages/rosemaryspread/src/gateway/workNotices.ts
+++ b/packages/rosemaryspread/src/gateway/workNotices.ts
@@ -2,9 +2,8 @@
  * Tells the other VMs of large requests that this one sent to a target, so that they do not queue
  * theirs behind them. The telling is bounded: a VM of a large fleet tells of fewer.
  */
-import { z } from 'zod'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import type { WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import { workNoticeSchema, type WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 
@@ -17,8 +16,6 @@
 const MOST_PER_S = 60
 const MS_PER_SECOND = 1_000
 
-const noticeSchema = z.object({ target: z.string(), work: z.number().nonnegative(), parts: z.string() })
-
 /** What telling works with. */
 export interface WorkNoticesParts {
   readonly clock: Clock
@@ -58,5 +55,5 @@
  * @param told - takes a notice
  */
 export function workMethod (told: (notice: WorkNotice) => void): PeerMethod {
-  return async params => { told(noticeSchema.parse(params)) }
+  return async params => { told(workNoticeSchema.parse(params)) }
 }
--- a/packages/stand-ins/src/budget/heldAsSpent.spec.ts
+++ b/packages/stand-ins/src/budget/heldAsSpent.spec.ts
@@ -52,6 +52,15 @@
     }
   }
 
+  /** The process that follows one which made requests and ended; the store is out of reach as it begins. */
+  async successorInOutage (requests: number): Promise<BudgetDriver> {
+    const first = this.process('a')
+    await this.pass(200, first)
+    await this.use(first, requests)
+    this.store.outage = true
+    return this.process('b')
+  }
+
   /** Requests one after the other; answers the tokens of those that were admitted and not billed. */
   async use (driver: BudgetDriver, requests: number): Promise<number> {
     let used = 0
@@ -104,11 +113,7 @@
   it('bills no more for the time that its successor took to reach the store', async () => {
     const spentAfter = async (outageMs: number): Promise<number> => {
       const world = new World()
-      const first = world.process('a')
-      await world.pass(200, first)
-      await world.use(first, 30)
-      const second = world.process('b')
-      world.store.outage = true
+      const second = await world.successorInOutage(30)
       await world.pass(outageMs, second)
       world.store.outage = false
       await world.pass(1_000, second)
@@ -120,11 +125,7 @@
 
   it('says whether a successor took back what its VM held', async () => {
     const world = new World()
-    const first = world.process('a')
-    await world.pass(200, first)
-    await world.use(first, 10)
-    const second = world.process('b')
-    world.store.outage = true
+    const second = await world.successorInOutage(10)
     const during = await second.takeOver()
     world.store.outage = false
     const after = await second.takeOver()
