--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -6,20 +6,15 @@
 import type { Container } from 'inversify'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
-import { hashName, pairWeight } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
-import { BudgetDriver } from '../budget/budgetDriver.js'
-import { HeldAsSpent } from '../budget/budgetHeldAsSpent.js'
-import { BudgetGiftCalls } from '../budget/budgetGiftCalls.js'
-import { PresentHolders } from '../budget/presentHolders.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { SteadyClock, SystemRandom } from '../completion/completionSystem.js'
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { FleetLinks } from '../presence/fleetLinks.js'
 import { VmPresence } from '../presence/vmPresence.js'
-import { fleetBudgetPolicy } from './gatewayBudgetPolicy.js'
+import { gatewayBudgets } from './gatewayBudgets.js'
 import { CallDispatch } from './callDispatch.js'
 import { CallReport } from './callReport.js'
 import { GatewayChooser } from './gatewayChooser.js'
@@ -33,11 +28,6 @@
 import type { TargetClient } from './callTypes.js'
 
 const INCARNATION_BYTES = 6
-/** Monotonic milliseconds at which a process begins: Node's performance clock counts from there. */
-const PROCESS_BEGUN_AT = 0
-
-/** Number of values of a hash. */
-const HASH_RANGE = 2 ** 32
 
 /** What reaches the platform and the targets. */
 export interface GatewayEdge {
@@ -81,25 +71,15 @@
 }
 
 function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayEdge, holder: string): void {
-  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links) => new BudgetDriver({
+  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links) => gatewayBudgets({
     holder,
     domain,
     place: callers,
-    begunAt: PROCESS_BEGUN_AT,
     store: table,
-    peers: new PresentHolders(() => presence.members()),
     clock,
     log,
-    gifts: new BudgetGiftCalls({
-      holder,
-      clock,
-      log,
-      peers: () => presence.peers(),
-      call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
-      preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
-    }),
-    policy: fleetBudgetPolicy(() => presence.size),
-    unbilled: new HeldAsSpent(),
+    fleet: presence,
+    call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
     declared: team => config.declaredPaid(team)
   }), [ids.presence, ids.config, ids.clock, ids.log, ids.links]).inSingletonScope()
 }
--- /dev/null
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgets.ts
@@ -0,0 +1,78 @@
+/**
+ * The budgets of one gateway: the driver with the policy of a fleet of equal VMs, and the gifts that
+ * VMs make each other over their links.
+ */
+import type { Either } from 'purify-ts'
+import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { hashName, pairWeight } from '@rosemaryspread/decisions/routing/rendezvous.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import { BudgetDriver } from '../budget/budgetDriver.js'
+import { BudgetGiftCalls } from '../budget/budgetGiftCalls.js'
+import { HeldAsSpent } from '../budget/budgetHeldAsSpent.js'
+import type { BudgetMember } from '../budget/budgetPeers.js'
+import { PresentHolders } from '../budget/presentHolders.js'
+import type { PeerVm } from '../presence/vmPresence.js'
+import { fleetBudgetPolicy } from './gatewayBudgetPolicy.js'
+
+/** Monotonic milliseconds at which a process begins: Node's performance clock counts from there. */
+const PROCESS_BEGUN_AT = 0
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32
+
+/** The other VMs as the budgets need them. */
+export interface BudgetFleet {
+  /** The other VMs that hold budgets. */
+  members (): readonly BudgetMember[]
+  /** The other VMs that can be asked directly. */
+  peers (): readonly PeerVm[]
+  /** VMs present, this one included. */
+  readonly size: number
+}
+
+/** What the budgets of a gateway work with. */
+export interface GatewayBudgetsParts {
+  readonly holder: string
+  readonly domain: string
+  /** Name of the addresses on which this process listens. */
+  readonly place: string
+  readonly store: TableStore
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly fleet: BudgetFleet
+  /** Calls another VM over a link. */
+  call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
+  /** What the configuration in force says was paid for a budget. */
+  declared (budget: string): DeclaredPaid | undefined
+}
+
+/**
+ * Composes the budgets of one gateway.
+ * @param parts - what they work with
+ */
+export function gatewayBudgets (parts: GatewayBudgetsParts): BudgetDriver {
+  const { holder, domain, place, store, clock, log, fleet, call, declared } = parts
+  return new BudgetDriver({
+    holder,
+    domain,
+    place,
+    begunAt: PROCESS_BEGUN_AT,
+    store,
+    peers: new PresentHolders(() => fleet.members()),
+    clock,
+    log,
+    gifts: new BudgetGiftCalls({
+      holder,
+      clock,
+      log,
+      peers: () => fleet.peers(),
+      call,
+      preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
+    }),
+    policy: fleetBudgetPolicy(() => fleet.size),
+    unbilled: new HeldAsSpent(),
+    declared
+  })
+}
