Have eight VMs own each budget, and give to all others what their requests need

Cause: in a fleet of 60 VMs each held a sixtieth of each budget and might use a tenth of that before it reported, less than one large request; so nearly each request waited for a report, a draw or a gift, and draws of 60 VMs on one row conflicted. Change: budgets have owners by rendezvous hashing; others ask them at once and draw only what they lacked. A report allows the largest request at least; half of what is unspent is dealt out to owners where they are fewer than the VMs; draws begin once presence settled. A call that nobody answered drops its link, the next opens another, and once that is answered the other silent links are dropped.

--- a/packages/decisions/src/budget/budgetAim.ts
+++ b/packages/decisions/src/budget/budgetAim.ts
@@ -16,8 +16,11 @@
   /** What the last draw told of all holders. */
   private fleet: FleetSpending | undefined
 
-  /** @param policy - sizes and times */
-  constructor (private readonly policy: BudgetPolicy) {
+  /**
+   * @param policy - sizes and times
+   * @param isOwned - whether this holder owns the budget; one that does not draws only what waiting requests need
+   */
+  constructor (private readonly policy: BudgetPolicy, private readonly isOwned: () => boolean) {
     this.rate = new DemandRate(policy.rateWindowMs, policy.demandFrom === 'reservations')
   }
 
@@ -34,7 +37,7 @@
    * @param mono - present time
    */
   tokens (mono: number): number {
-    return Math.max(this.forDemand(mono), this.evenPart)
+    return this.isOwned() ? Math.max(this.forDemand(mono), this.evenPart) : 0
   }
 
   /**
--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -109,9 +109,15 @@
   /**
    * @param budget - budget id
    * @param policy - sizes and times
+   * @param isOwnedNow - whether this holder owns the budget
    */
-  constructor (readonly budget: string, private readonly policy: BudgetPolicy) {
-    this.aim = new BudgetAim(policy)
+  constructor (readonly budget: string, private readonly policy: BudgetPolicy, private readonly isOwnedNow: () => boolean = () => true) {
+    this.aim = new BudgetAim(policy, isOwnedNow)
+  }
+
+  /** Whether this holder owns the budget. */
+  get isOwned (): boolean {
+    return this.isOwnedNow()
   }
 
   /**
@@ -123,6 +129,17 @@
     this.isWanted = true
   }
 
+  /**
+   * Notes a need of a holder that does not own the budget, and so counts no demand of its own.
+   * @param tokens - tokens asked for
+   * @param mono - present time
+   */
+  noteNeedOfOther (tokens: number, mono: number): void {
+    this.noteAsked(mono)
+    this.aim.largest = Math.max(this.aim.largest, tokens)
+    this.aim.rate.add(tokens, mono)
+  }
+
   /** Has the table asked again at once, because more may be had now. */
   forgetShortage (): void {
     this.shortage = undefined
@@ -195,7 +212,7 @@
    * @param now - both clocks
    */
   allowance (now: Instant): ReportAllowance {
-    return allowanceOf({ inUse: this.reserved + this.unsettled + this.waitingTokens, held: this.held })
+    return allowanceOf({ inUse: this.reserved + this.unsettled + this.waitingTokens, held: this.held, largest: this.aim.largest })
   }
 
   /**
--- a/packages/decisions/src/budget/budgetGifts.ts
+++ b/packages/decisions/src/budget/budgetGifts.ts
@@ -16,6 +16,8 @@
 
 /** Milliseconds between two asks for one budget, once the others had too little: their tokens do not change faster. */
 const EMPTY_PAUSE_MS = 150
+/** The same where the owners of the budget are asked: one that gave less reports at once, which takes some 15 ms. */
+const OWNERS_PAUSE_MS = 40
 
 /** Asks of one holder for gifts, and what it gives. */
 export class BudgetGifts {
@@ -80,7 +82,7 @@
     const oldest = entry.waiting[0]
     const { giftAfterMs } = this.policy
     if (oldest === undefined || giftAfterMs === undefined || entry.giftAsk !== undefined || now.mono < entry.nextGiftAt) return []
-    if (!entry.isOutOfTouch(now) && elapsedMs(oldest.since, now) < giftAfterMs) return []
+    if (entry.isOwned && !entry.isOutOfTouch(now) && elapsedMs(oldest.since, now) < giftAfterMs) return []
     const tokens = lackingTokens(entry, now)
     if (tokens <= 0) return []
     this.asks += 1
@@ -100,7 +102,7 @@
     entry.purse.add(tokens)
     if (lackingTokens(entry, now) <= 0) return
     entry.giftShortAt = now.mono
-    entry.nextGiftAt = now.mono + EMPTY_PAUSE_MS
+    entry.nextGiftAt = now.mono + (entry.isOwned ? EMPTY_PAUSE_MS : OWNERS_PAUSE_MS)
   }
 
   private billAsUsed (entry: BudgetEntry, tokens: number, requestId: string, now: Instant): void {
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -8,6 +8,7 @@
 import { BudgetEntry } from './budgetEntry.js'
 import { BudgetGifts } from './budgetGifts.js'
 import { BudgetGiving } from './budgetGiving.js'
+import { ownedByAll, type BudgetOwnership } from './budgetOwners.js'
 import { BudgetUpkeep } from './budgetUpkeep.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
 import { isAmount } from './budgetRows.js'
@@ -40,8 +41,9 @@
   /**
    * @param holder - holder id of this process
    * @param policy - sizes and times
+   * @param owners - who owns which budget
    */
-  constructor (holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy) {
+  constructor (private readonly holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy, private readonly owners: BudgetOwnership = ownedByAll(() => 1)) {
     this.queue = new FlushQueue(policy)
     this.giving = new BudgetGiving(holder, policy, this.queue)
     this.upkeep = new BudgetUpkeep(policy, this.queue, this.entries.all)
@@ -132,16 +134,17 @@
 
   /** Counts as an ask, so that what is held is not returned as idle; draws go out with the next tick. */
   private prepare ({ budget }: EventOf<'prepare'>, now: Instant): readonly BudgetAction[] {
-    if (this.draining) return []
+    if (this.draining || !this.owners.owns(this.holder, budget)) return []
     const entry = this.entryOf(budget)
     entry.noteAsked(now.mono)
     return this.step(entry, now)
   }
 
-  private holderJoined ({ holders }: EventOf<'holderJoined'>, now: Instant): readonly BudgetAction[] {
+  private holderJoined ({ holder }: EventOf<'holderJoined'>, now: Instant): readonly BudgetAction[] {
     if (this.policy.evenPart === 0 || this.draining) return []
+    const { count } = this.owners
     for (const entry of this.entries.all.values()) {
-      this.upkeep.returnFree(entry, Math.ceil(entry.free * (holders - 1) / holders), now)
+      if (this.owners.owns(holder, entry.budget)) this.upkeep.returnFree(entry, Math.ceil(entry.free * (count - 1) / count), now)
     }
     return []
   }
@@ -218,10 +221,21 @@
   }
 
   private giftAsked (event: EventOf<'giftAsked'>, now: Instant): readonly BudgetAction[] {
-    const entry = this.entries.all.get(event.budget)
+    const { budget, giftId, to } = event
+    const isOwned = !this.draining && this.owners.owns(this.holder, budget)
+    const entry = isOwned ? this.entryOf(budget) : this.entries.all.get(budget)
     const tokens = this.gifts.give(event, this.draining ? undefined : entry, now)
     const left = entry === undefined ? 0 : this.gifts.left(entry, now)
-    return [{ kind: 'gift', giftId: event.giftId, tokens, left }]
+    const supply = entry === undefined || this.owners.owns(to, budget) ? [] : this.supplyOther(entry, event, tokens, now)
+    return [{ kind: 'gift', giftId, tokens, left }, ...supply]
+  }
+
+  /** Sees to it that the next needs of a holder that does not own the budget can be met here. */
+  private supplyOther (entry: BudgetEntry, asked: EventOf<'giftAsked'>, given: number, now: Instant): readonly BudgetAction[] {
+    if (this.draining || !entry.isOwned) return []
+    entry.noteNeedOfOther(asked.tokens, now.mono)
+    if (given < asked.tokens && entry.free > 0) this.upkeep.report(entry, now)
+    return this.step(entry, now)
   }
 
   private giftAnswered (event: EventOf<'giftAnswered'>, now: Instant): readonly BudgetAction[] {
@@ -274,7 +288,7 @@
   private entryOf (budget: string): BudgetEntry {
     let entry = this.entries.all.get(budget)
     if (entry === undefined) {
-      entry = new BudgetEntry(budget, this.policy)
+      entry = new BudgetEntry(budget, this.policy, () => this.owners.owns(this.holder, budget))
       entry.isWanted = !this.draining
       entry.reopen = this.upkeep.hadRow(budget)
       this.entries.all.set(budget, entry)
--- /dev/null
+++ b/packages/decisions/src/budget/budgetOwners.spec.ts
@@ -0,0 +1,120 @@
+/**
+ * Who owns a budget, and what a holder that does not own it does: it asks the owners at once, draws only what they lack,
+ * and returns what it has left over.
+ */
+import { expect } from 'chai'
+import { BudgetLedger } from './budgetLedger.js'
+import { RendezvousOwners } from './budgetOwners.js'
+import { defaultBudgetPolicy, type BudgetPolicy } from './budgetPolicy.js'
+import type { BudgetAction, BudgetEvent } from './budgetTypes.js'
+
+const vms = (count: number): readonly string[] => Array.from({ length: count }, (_, index) => `vm${index}~a`)
+const budgets = Array.from({ length: 24 }, (_, index) => `team${index}`)
+
+function ownersAt (self: string, present: readonly string[]): RendezvousOwners {
+  const owners = new RendezvousOwners(self)
+  owners.refresh(present.filter(holder => holder !== self))
+  return owners
+}
+
+describe('RendezvousOwners', () => {
+  const sizes: ReadonlyArray<{ readonly present: number, readonly owners: number }> = [
+    { present: 1, owners: 1 }, { present: 7, owners: 7 }, { present: 8, owners: 8 }, { present: 9, owners: 8 }, { present: 360, owners: 8 }
+  ]
+  for (const { present, owners: expected } of sizes) {
+    it(`has ${expected} of ${present} VMs own each budget, the same at each of them`, () => {
+      const holders = vms(present)
+      const views = [holders[0], holders[present - 1]].map(self => ownersAt(self ?? '', holders))
+      for (const budget of budgets) {
+        const [first, last] = views.map(view => holders.filter(holder => view.owns(holder, budget)))
+        expect(first).to.have.length(expected).and.deep.equal(last)
+      }
+      expect(views.map(view => view.count)).to.deep.equal([expected, expected])
+    })
+  }
+
+  it('moves nothing when a VM begins again, and only what a VM owned when it goes', () => {
+    const holders = vms(60)
+    const view = ownersAt('vm0~a', holders)
+    const before = budgets.map(budget => holders.filter(holder => view.owns(holder, budget)))
+    view.refresh(holders.slice(1).map(holder => holder === 'vm5~a' ? 'vm5~b' : holder))
+    const restarted = budgets.map(budget => holders.filter(holder => view.owns(holder.replace('vm5~a', 'vm5~b'), budget)))
+    expect(restarted).to.deep.equal(before)
+    view.refresh(holders.slice(1).filter(holder => holder !== 'vm5~a'))
+    budgets.forEach((budget, index) => {
+      const kept = holders.filter(holder => holder !== 'vm5~a' && view.owns(holder, budget))
+      expect(kept).to.include.members(before[index]?.filter(holder => holder !== 'vm5~a') ?? [])
+    })
+  })
+})
+
+const policy: BudgetPolicy = {
+  ...defaultBudgetPolicy, horizonMs: 45_000, rateWindowMs: 3_000, boundsUse: true, demandFrom: 'reservations', evenPart: 0.5, giftAfterMs: 20, flushMs: 100, patienceMs: 30, otherVmRetryMs: 20
+}
+
+/** A ledger of a holder that owns no budget, or all. */
+class Holder {
+  mono = 1_000
+  readonly ledger: BudgetLedger
+
+  constructor (isOwner: boolean) {
+    this.ledger = new BudgetLedger('vm1~a', policy, { owns: holder => holder === 'vm1~a' ? isOwner : !isOwner, count: 8 })
+  }
+
+  send (event: BudgetEvent): readonly BudgetAction[] {
+    return this.ledger.handle(event, { mono: this.mono, wall: this.mono })
+  }
+
+  kinds (event: BudgetEvent): readonly string[] {
+    return this.send(event).map(({ kind }) => kind)
+  }
+
+  grant (actions: readonly BudgetAction[], tokens: number): readonly BudgetAction[] {
+    const draw = actions.find(action => action.kind === 'draw')
+    return this.send({ kind: 'drawAnswered', drawId: draw?.drawId ?? '', outcome: { kind: 'granted', tokens, left: 0, sentAt: { mono: this.mono, wall: this.mono }, fleet: { paid: 100_000, spent: 0, holders: 8 } } })
+  }
+}
+
+const reserve = (tokens: number): BudgetEvent => ({ kind: 'reserve', reservationId: 'r1', budget: 'b', tokens, giveUpAfterMs: 150 })
+
+describe('a holder that does not own a budget', () => {
+  it('holds nothing of it ahead of need', () => {
+    expect(new Holder(false).kinds({ kind: 'prepare', budget: 'b' })).to.deep.equal([])
+    expect(new Holder(true).kinds({ kind: 'prepare', budget: 'b' })).to.deep.equal(['draw'])
+  })
+
+  it('asks the owners at once, and serves by what they gave', () => {
+    const holder = new Holder(false)
+    const [ask] = holder.send(reserve(1_000))
+    expect(ask).to.include({ kind: 'askGift', tokens: 1_000 })
+    expect(holder.kinds({ kind: 'giftAnswered', giftId: ask?.kind === 'askGift' ? ask.giftId : '', budget: 'b', tokens: 1_000 })).to.deep.equal(['admit'])
+  })
+
+  it('draws just what waits where the owners had too little, and returns what is left over', () => {
+    const holder = new Holder(false)
+    const [ask] = holder.send(reserve(1_000))
+    holder.mono += 5
+    const drawn = holder.send({ kind: 'giftAnswered', giftId: ask?.kind === 'askGift' ? ask.giftId : '', budget: 'b', tokens: 0 })
+    expect(drawn.find(action => action.kind === 'draw')).to.include({ tokens: 1_000, atLeast: 1_000 })
+    expect(holder.grant(drawn, 1_000).map(({ kind }) => kind)).to.include('admit')
+    holder.send({ kind: 'settle', reservationId: 'r1', bill: { requestId: 'r1', budget: 'b', team: 'b', tokens: 400, runner: '' } })
+    const flush = holder.send({ kind: 'tick' }).find(action => action.kind === 'flush')
+    expect([flush?.bills.map(({ tokens }) => tokens), flush?.returns]).to.deep.equal([[400], [{ budget: 'b', tokens: 600 }]])
+  })
+})
+
+describe('an owner of a budget', () => {
+  it('reports at once where the last report allows too little, and draws by what other holders ask for', () => {
+    const owner = new Holder(true)
+    owner.grant(owner.send({ kind: 'prepare', budget: 'b' }), 20_000)
+    const gift = owner.send({ kind: 'giftAsked', giftId: 'g1', budget: 'b', tokens: 9_000, to: 'vm2~a' })
+    expect(gift.map(({ kind }) => kind)).to.deep.equal(['gift', 'flush'])
+    expect(gift.find(action => action.kind === 'gift')).to.include({ tokens: 2_000 })
+    const flush = gift.find(action => action.kind === 'flush')
+    expect(flush?.reports).to.deep.equal([{ budget: 'b', tokens: 11_000, perMs: 4 }])
+    owner.send({ kind: 'flushAnswered', seq: 1, outcome: { kind: 'durable', sentAt: { mono: owner.mono, wall: owner.mono } } })
+    const next = owner.send({ kind: 'giftAsked', giftId: 'g2', budget: 'b', tokens: 9_000, to: 'vm2~a' })
+    expect(next.map(({ kind }) => kind)).to.deep.equal(['gift', 'draw'])
+    expect(next.find(action => action.kind === 'gift')).to.include({ tokens: 9_000 })
+  })
+})
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -128,8 +128,8 @@
   | { readonly kind: 'tick' }
   /** Requests for this budget may come at any time: an equal part is held ahead of them. */
   | { readonly kind: 'prepare', readonly budget: string }
-  /** Another holder began: it needs its part of what this one holds. */
-  | { readonly kind: 'holderJoined', readonly holders: number }
+  /** Another holder began: it needs its part of what this one holds of the budgets that it owns. */
+  | { readonly kind: 'holderJoined', readonly holder: string }
   | { readonly kind: 'drawAnswered', readonly drawId: string, readonly outcome: DrawOutcome }
   | { readonly kind: 'flushAnswered', readonly seq: number, readonly outcome: FlushOutcome }
   | { readonly kind: 'giveAsked', readonly transferId: string, readonly budget: string, readonly to: string, readonly wanted: number, readonly atLeast?: number, readonly sameDomain: boolean, readonly isRepeat?: boolean }
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -44,14 +44,17 @@
   readonly inUse: number
   /** Tokens of the allotment. */
   readonly held: number
+  /** Largest request seen: less than that at once would have each request of its size wait for a report of its own. */
+  readonly largest: number
 }
 
 /**
  * What a report should allow.
  * @param inputs - what it depends on
  */
-export function allowanceOf ({ inUse, held }: AllowanceInputs): ReportAllowance {
-  return { tokens: Math.ceil(inUse + held * UNREPORTED_PART), perMs: held * GROWTH_PART_PER_S / MS_PER_SECOND }
+export function allowanceOf ({ inUse, held, largest }: AllowanceInputs): ReportAllowance {
+  const atOnce = Math.max(held * UNREPORTED_PART, Math.min(held, largest))
+  return { tokens: Math.ceil(inUse + atOnce), perMs: held * GROWTH_PART_PER_S / MS_PER_SECOND }
 }
 
 /**
@@ -60,7 +63,7 @@
  * @param held - tokens of the allotment
  */
 export function withHeld<T extends ReportAllowance> (report: T, held: number): T {
-  const own = allowanceOf({ inUse: 0, held })
+  const own = allowanceOf({ inUse: 0, held, largest: 0 })
   return { ...report, tokens: report.tokens + own.tokens, perMs: report.perMs + own.perMs }
 }
 
--- a/packages/peers/src/link/peerClient.ts
+++ b/packages/peers/src/link/peerClient.ts
@@ -26,6 +26,8 @@
   failures: number
   /** Monotonic milliseconds before which no new attempt is made. */
   notBefore: number
+  /** When the call was sent whose link nobody answered on; cleared once another link to the peer opened. */
+  unansweredAt?: number
 }
 
 /** Everything a client needs; only `identity`, `clock` and `random` have no default. */
@@ -36,6 +38,11 @@
   readonly random: () => number
   readonly dial?: Dial
   readonly limits?: LinkLimits
+  /**
+   * Told when a peer answered on a new connection but not on an old one: connections that were open then may be silent.
+   * Gets the monotonic milliseconds after which nothing was heard on the old one.
+   */
+  readonly onSilence?: (since: number) => void
 }
 
 /** Peer client over TCP, JSON-RPC and msgpackr. */
@@ -46,6 +53,7 @@
   private readonly clock: Clock
   private readonly random: () => number
   private readonly dial: Dial
+  private readonly onSilence: (since: number) => void
   private isClosed = false
 
   /**
@@ -57,6 +65,7 @@
     this.clock = options.clock
     this.random = options.random
     this.dial = options.dial ?? dialTcp
+    this.onSilence = options.onSilence ?? (() => {})
     this.context = {
       holder: options.identity.holder,
       keys: new KeyRing(options.identity.keys),
@@ -101,8 +110,12 @@
     const link = this.linkTo(address, peer)
     if (link.isLeft()) return link
     const opened = link.extract() as PeerLink
-    if (opened.wasOpen) return await opened.request(method, params, timeoutMs)
     const startedAt = this.clock.now().mono
+    if (opened.wasOpen) {
+      const answer = await opened.request(method, params, timeoutMs)
+      if (opened.wentSilent) peer.unansweredAt = startedAt
+      return answer
+    }
     const ready = await within(timeoutMs, opened.ready)
     if (ready.isLeft()) return ready
     const leftMs = Math.max(1, timeoutMs - (this.clock.now().mono - startedAt))
@@ -128,6 +141,18 @@
 
   private succeeded (peer: PeerState): void {
     peer.failures = 0
+    const { unansweredAt } = peer
+    delete peer.unansweredAt
+    if (unansweredAt !== undefined) this.dropSilent(peer, unansweredAt)
+  }
+
+  /** Connections mostly go silent together, and each would cost its next call the whole time limit. */
+  private dropSilent (answering: PeerState, since: number): void {
+    for (const peer of this.peers.values()) {
+      const { link } = peer
+      if (peer !== answering && link?.usable === true && link.wasOpen && !link.heardAfter(since)) link.close()
+    }
+    this.onSilence(since)
   }
 
   private failed (peer: PeerState): void {
--- a/packages/peers/src/link/peerLink.spec.ts
+++ b/packages/peers/src/link/peerLink.spec.ts
@@ -200,6 +200,38 @@
     expect(outcomeOf(await client.call(address, 'echo', 1, CALL_MS))).equal('ok')
   })
 
+  it('opens another link after a call that nobody answered, and drops the others that were silent since', async () => {
+    const servers = [await serverWith(['k']), await serverWith(['k'])]
+    const clock = new ManualClock()
+    const sockets: Socket[] = []
+    const told: number[] = []
+    const client = clientWith(['k'], { clock, dial: to => { sockets.push(connect(parseAddress(to))); return sockets.at(-1)! }, onSilence: since => { told.push(since) } })
+    for (const { address } of servers) await client.call(address, 'echo', 1, CALL_MS)
+    for (const socket of sockets) socket.pause()
+    clock.mono += 10
+    expect(outcomeOf(await client.call(servers[0]!.address, 'echo', 1, 60))).equal('peerUnreachable unknown')
+    expect([sockets[0]!.destroyed, sockets[1]!.destroyed]).deep.equal([true, false])
+    clock.mono += 60
+    expect(outcomeOf(await client.call(servers[0]!.address, 'echo', 1, CALL_MS))).equal('ok')
+    expect([sockets[1]!.destroyed, told]).deep.equal([true, [1_010]])
+    expect(outcomeOf(await client.call(servers[1]!.address, 'echo', 1, CALL_MS))).equal('ok')
+    expect(sockets.length).equal(4)
+  })
+
+  it('keeps a link on which a slow call got no answer in time, but others did', async () => {
+    const { address } = await serverWith(['k'])
+    const clock = new ManualClock()
+    let dials = 0
+    const client = clientWith(['k'], { clock, dial: to => { dials += 1; return connect(parseAddress(to)) } })
+    await client.call(address, 'echo', 1, CALL_MS)
+    const slow = client.call(address, 'never', 1, 60)
+    clock.mono += 10
+    await client.call(address, 'echo', 1, CALL_MS)
+    await slow
+    await client.call(address, 'echo', 1, CALL_MS)
+    expect(dials).equal(1)
+  })
+
   it('delivers notifications in order, the first ones after the handshake', async () => {
     const server = await serverWith(['k'])
     const seen: unknown[] = []
--- a/packages/peers/src/link/peerLink.ts
+++ b/packages/peers/src/link/peerLink.ts
@@ -33,6 +33,7 @@
   private settle: (outcome: Either<Failure, void>) => void = () => {}
   private state: LinkState = 'greeting'
   private opened = false
+  private silent = false
   private heardAt: number
   private probedAt: number | undefined
   private nextId = 0
@@ -64,6 +65,11 @@
     return this.opened
   }
 
+  /** Whether it was dropped because nobody answered on it. */
+  get wentSilent (): boolean {
+    return this.silent
+  }
+
   /**
    * Calls a method; the handshake must have succeeded.
    * @param method - method name
@@ -75,15 +81,25 @@
     if (!this.usable) return Left(new Failure('peerUnreachable', 'the link was closed'))
     this.nextId += 1
     const id = this.nextId
+    const sentAt = this.context.clock.now().mono
     const req = createJSONRPCRequest(id, method, params)
     const timed = this.rpc.timeout(timeoutMs, lateId => createJSONRPCErrorResponse(lateId, LOCAL_ERROR_CODE, `no answer to ${method} within ${timeoutMs} ms`))
     const answer: JSONRPCResponse = await timed.requestAdvanced(req)
     if (answer.error === undefined) return Right(answer.result)
     const unsent = this.unsent.get(id)
     this.unsent.delete(id)
+    if (unsent === undefined && answer.error.code === LOCAL_ERROR_CODE) this.unanswered(sentAt)
     return Left(unsent ?? fromErrorResponse(answer.error))
   }
 
+  /**
+   * Whether anything was heard on the link after a time.
+   * @param mono - monotonic milliseconds
+   */
+  heardAfter (mono: number): boolean {
+    return this.heardAt > mono
+  }
+
   /**
    * Sends a notification, unless the peer is too slow to take it.
    * @param method - method name
@@ -158,6 +174,13 @@
     this.rpc.rejectAllPendingRequests('the connection was lost')
   }
 
+  /** A connection that went silent stays so: the next call opens another, which costs two round trips in place of its time limit. */
+  private unanswered (sentAt: number): void {
+    if (!this.usable || this.heardAfter(sentAt)) return
+    this.silent = true
+    this.socket.destroy()
+  }
+
   /** Probes a peer that was silent for long; drops the link when an earlier probe got no answer. */
   private watch (): void {
     const { clock, limits } = this.context
--- a/packages/rosemaryspread/src/budget/budgetActions.ts
+++ b/packages/rosemaryspread/src/budget/budgetActions.ts
@@ -3,6 +3,7 @@
  * How each of them ended goes back to the ledger as an event.
  */
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { BudgetOwnership } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { BudgetAsking } from './budgetAsking.js'
@@ -18,6 +19,7 @@
 export interface BudgetActionTargets {
   readonly table: BudgetTable
   readonly registry: BudgetRegistry
+  readonly owners: BudgetOwnership
   readonly reservations: OpenReservations
   /** Hands an event to the ledger. */
   readonly dispatch: (event: BudgetEvent) => void
@@ -39,10 +41,10 @@
    */
   constructor (private readonly parts: BudgetDriverParts, private readonly targets: BudgetActionTargets) {
     const { holder, domain, store, peers, clock, log } = parts
-    const { table, registry, dispatch } = targets
-    const { shareDivisor, evenPart, flushMs, drawsAtOnce } = parts.policy ?? defaultBudgetPolicy
-    this.drawing = new BudgetDrawing(table, { holder, domain, shareDivisor, evenPart, holders: () => peers.members().length + 1, declared: parts.declared ?? (() => undefined) }, log)
-    this.draws = new DrawQueue(flushMs, drawsAtOnce)
+    const { table, registry, owners, dispatch } = targets
+    const policy = parts.policy ?? defaultBudgetPolicy
+    this.drawing = new BudgetDrawing(table, { holder, domain, policy, holders: () => owners.count, declared: parts.declared ?? (() => undefined) }, log)
+    this.draws = new DrawQueue(policy)
     this.flushing = new BudgetFlushing(table, { holder, domain }, log)
     const isRegistered = (): boolean => registry.isRegistered
     this.asking = new BudgetAsking({ holder, domain, peers, store, clock, log, isRegistered, dispatch })
--- a/packages/rosemaryspread/src/budget/budgetDrawing.ts
+++ b/packages/rosemaryspread/src/budget/budgetDrawing.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { BudgetAction, DeclaredPaid, DrawOutcome } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { drawKeys, planDraw, type DrawOrder, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import type { BudgetTable } from './budgetTable.js'
@@ -15,8 +16,7 @@
 export interface DrawingHolder {
   readonly holder: string
   readonly domain: string
-  readonly shareDivisor: number
-  readonly evenPart: number
+  readonly policy: Pick<BudgetPolicy, 'shareDivisor' | 'evenPart'>
   holders (): number
   /** What the configuration says was paid for a budget; undefined where top-ups say it. */
   declared (budget: string): DeclaredPaid | undefined
@@ -40,7 +40,7 @@
    * @param actions - what the ledger wants, of different budgets
    */
   async draw (actions: readonly DrawAction[]): Promise<readonly DrawOutcome[]> {
-    const { holder, domain, shareDivisor, evenPart } = this.self
+    const { holder, domain, policy: { shareDivisor, evenPart } } = this.self
     const drawer = { holder, domain, shareDivisor, evenPart, holders: this.self.holders() }
     const keys = actions.flatMap(action => drawKeys(holder, action.budget))
     const ids = actions.map(action => action.drawId)
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -7,6 +7,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { isOwnAllotment } from '@rosemaryspread/decisions/budget/budgetKeys.js'
 import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
+import { ownedByAll, type BudgetOwnership } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetView, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
@@ -35,16 +36,18 @@
   private readonly registry: BudgetRegistry
   private readonly recovery: BudgetRecovery | undefined
   private readonly policy: BudgetPolicy
+  private readonly owners: BudgetOwnership
   private drainWaiters: Array<() => void> = []
 
   constructor (private readonly parts: BudgetDriverParts) {
     const { holder, domain, store, clock } = parts
     this.policy = parts.policy ?? defaultBudgetPolicy
-    this.ledger = new BudgetLedger(holder, this.policy)
+    this.owners = parts.owners ?? ownedByAll(() => parts.peers.members().length + 1)
+    this.ledger = new BudgetLedger(holder, this.policy, this.owners)
     this.table = new BudgetTable(store, clock, new BudgetRowCache(key => isOwnAllotment(key, holder)))
     this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place, begunAt: parts.begunAt })
     this.reservations = new OpenReservations(holder)
-    const targets = { table: this.table, registry: this.registry, reservations: this.reservations, dispatch: (event: BudgetEvent) => { this.dispatch(event) } }
+    const targets = { table: this.table, registry: this.registry, owners: this.owners, reservations: this.reservations, dispatch: (event: BudgetEvent) => { this.dispatch(event) } }
     this.actions = new BudgetActions(parts, targets)
     this.recovery = this.recoveryOf(parts)
     this.topUps = new BudgetTopUps(this.table, item => this.isInDoubt(item))
@@ -68,6 +71,7 @@
 
   /** Moves time on; to be called every 100 to 200 ms. */
   tick (): void {
+    this.refreshOwners()
     this.dispatch({ kind: 'tick' })
     this.actions.tick()
   }
@@ -117,15 +121,17 @@
    * @param budget - budget id
    */
   prepare (budget: string): void {
+    this.refreshOwners()
     this.dispatch({ kind: 'prepare', budget })
   }
 
   /**
    * Takes note that another holder began, which needs its part of the budgets held here.
-   * @param holders - number of holders, the new one included
+   * @param holder - the new holder
    */
-  holderJoined (holders: number): void {
-    this.dispatch({ kind: 'holderJoined', holders })
+  holderJoined (holder: string): void {
+    this.refreshOwners()
+    this.dispatch({ kind: 'holderJoined', holder })
   }
 
   /** Registers this holder and takes back what earlier processes of its VM held; to be called from the start on until it is done. */
@@ -200,6 +206,10 @@
     return { none: !this.ledger.hasTransferWith(ask.holder) }
   }
 
+  private refreshOwners (): void {
+    this.parts.owners?.refresh(this.parts.peers.members().map(member => member.holder))
+  }
+
   private get isDrained (): boolean {
     return this.ledger.isSettled && this.actions.isIdle
   }
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -1,5 +1,6 @@
 /** What the budget driver is built from, and what it counts. */
 import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
@@ -29,6 +30,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly policy?: BudgetPolicy
+  /** Who owns which budget; absent where every holder owns all. */
+  readonly owners?: RendezvousOwners
   /** Asks other holders for gifts; absent where holders give none. */
   readonly gifts?: GiftAsker
   /** Runners to ask on recovery; without them, and without `unbilled`, nothing is recovered. */
--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -40,7 +40,8 @@
   readonly holder: string
   readonly clock: Clock
   readonly log: EventLog
-  peers (): readonly PeerVm[]
+  /** The other VMs that may have tokens of a budget. */
+  peersFor (budget: string): readonly PeerVm[]
   call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
   /** How early a VM is asked for a budget of which it is not known what it has left: in [0, 1), always the same. */
   preference (peer: string, budget: string): number
@@ -73,7 +74,7 @@
     for (const peer of this.inOrder(budget)) {
       if (given >= tokens) break
       asked += 1
-      given += await this.askOne(peer, { giftId: `${giftId}/${asked}`, budget, to: this.parts.holder, tokens: tokens - given })
+      given += await this.askTwice(peer, { giftId: `${giftId}/${asked}`, budget, to: this.parts.holder, tokens: tokens - given })
     }
     log.write('budgetGiftsTaken', { budget, asked: tokens, tokens: given, peers: asked, tookMs: clock.now().mono - startedAt })
     return given
@@ -93,8 +94,19 @@
     return false
   }
 
-  private async askOne (peer: PeerVm, ask: GiftAsk): Promise<number> {
+  /** The link may have gone silent: then the second ask goes over another one, in place of one VM after another over silent links. */
+  private async askTwice (peer: PeerVm, ask: GiftAsk): Promise<number> {
     const answer = await this.parts.call(peer.address, GIFT_METHOD, ask, ANSWER_MS)
+    const mayBeSilent = answer.isLeft() && answer.extract().ran === 'unknown' && !this.isSilent(peer)
+    if (!mayBeSilent) return this.taken(peer, ask, answer)
+    return this.taken(peer, ask, await this.parts.call(peer.address, GIFT_METHOD, { ...ask, giftId: `${ask.giftId}/again` }, ANSWER_MS))
+  }
+
+  private isSilent (peer: PeerVm): boolean {
+    return (this.silentUntil.get(peer.holder) ?? 0) > this.parts.clock.now().mono
+  }
+
+  private taken (peer: PeerVm, ask: GiftAsk, answer: Either<Failure, unknown>): number {
     const { mono } = this.parts.clock.now()
     return answer.chain(value => parseAnswer(giftAnswerSchema, value, GIFT_METHOD)).caseOf({
       Left: () => {
@@ -114,7 +126,7 @@
    */
   private inOrder (budget: string): readonly PeerVm[] {
     const { mono } = this.parts.clock.now()
-    return this.parts.peers()
+    return this.parts.peersFor(budget)
       .map(peer => ({ peer, rank: this.rank(peer, budget, mono) }))
       .sort((a, b) => b.rank - a.rank)
       .slice(0, MOST_ASKED)
@@ -122,7 +134,7 @@
   }
 
   private rank (peer: PeerVm, budget: string, mono: number): number {
-    if ((this.silentUntil.get(peer.holder) ?? 0) > mono) return -2
+    if (this.isSilent(peer)) return -2
     const known = this.known.get(keyOf(peer, budget))
     if (known === undefined || mono - known.at > KNOWN_MS) return this.parts.preference(peer.holder, budget)
     return known.left > 0 ? known.left : -1
--- a/packages/rosemaryspread/src/budget/drawQueue.ts
+++ b/packages/rosemaryspread/src/budget/drawQueue.ts
@@ -3,6 +3,7 @@
  * many budgets. A draw for which requests wait goes out at once.
  */
 import { elapsedMs, type Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 import type { DrawAction } from './budgetDrawing.js'
 
 /** Queue of draws of one holder. */
@@ -12,10 +13,9 @@
   private oldest: Instant | undefined
 
   /**
-   * @param waitMs - longest time a draw ahead of need waits
-   * @param atOnce - draws of one transaction; each reads two rows and writes up to four
+   * @param policy - a draw ahead of need waits as long as bills; draws of one transaction: each reads two rows and writes up to four
    */
-  constructor (private readonly waitMs: number, private readonly atOnce: number) {}
+  constructor (private readonly policy: Pick<BudgetPolicy, 'flushMs' | 'drawsAtOnce'>) {}
 
   /**
    * Takes a draw; answers what has to go out at once.
@@ -38,8 +38,8 @@
    * @param now - both clocks
    */
   due (now: Instant): readonly DrawAction[] {
-    if (this.oldest === undefined || elapsedMs(this.oldest, now) < this.waitMs) return []
-    const batch = [...this.waiting.values()].slice(0, this.atOnce)
+    if (this.oldest === undefined || elapsedMs(this.oldest, now) < this.policy.flushMs) return []
+    const batch = [...this.waiting.values()].slice(0, this.policy.drawsAtOnce)
     for (const action of batch) this.waiting.delete(action.drawId)
     if (this.waiting.size === 0) this.oldest = undefined
     return this.send(batch)
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -62,7 +62,7 @@
 function bindFleet (container: Container, { vm, domain, callers, peers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.presence).toResolvedValue((clock, log) =>
-    new VmPresence({ self: { vm, holder, domain, callers, peers }, table, feed, clock, log, onJoined: vms => { container.get(ids.budgets).holderJoined(vms) } }), [ids.clock, ids.log]).inSingletonScope()
+    new VmPresence({ self: { vm, holder, domain, callers, peers }, table, feed, clock, log, onJoined: other => { container.get(ids.budgets).holderJoined(other) } }), [ids.clock, ids.log]).inSingletonScope()
   container.bind(ids.links).toResolvedValue((clock, random, log) =>
     new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next() }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -3,12 +3,18 @@
  * An allotment covers demand for longer than the store is mostly out of reach; what the end of a VM
  * costs is bounded by its last report, see reportBound.
  */
+import { MOST_OWNERS } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
 /** Milliseconds between two flushes of a VM in a small fleet; reports go with them, each is one call of the store. */
 const FLUSH_MS = 100
 /** Flushes that all VMs together send in a second at most: two thirds of what one part of the store takes. */
 const FLEET_FLUSHES_PER_S = 200
+/**
+ * Part of the unspent tokens that is dealt out to the owners of a budget where they are fewer than the VMs: requests of all
+ * others come to them alike, so it does not lie idle, and the first seconds of traffic meet no empty owner.
+ */
+const OWNERS_EVEN_PART = 0.5
 const MS_PER_SECOND = 1_000
 
 /** Policy of the gateway; docs/design/platform.md gives the ways weighed. */
@@ -52,6 +58,7 @@
 export function fleetBudgetPolicy (vms: () => number): BudgetPolicy {
   return {
     ...gatewayBudgetPolicy,
+    get evenPart () { return vms() > MOST_OWNERS ? OWNERS_EVEN_PART : gatewayBudgetPolicy.evenPart },
     get flushMs () { return Math.max(FLUSH_MS, vms() * MS_PER_SECOND / FLEET_FLUSHES_PER_S) }
   }
 }
--- a/packages/rosemaryspread/src/gateway/gatewayBudgets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgets.ts
@@ -3,6 +3,7 @@
  * VMs make each other over their links.
  */
 import type { Either } from 'purify-ts'
+import { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
@@ -54,6 +55,7 @@
  */
 export function gatewayBudgets (parts: GatewayBudgetsParts): BudgetDriver {
   const { holder, domain, place, store, clock, log, fleet, call, declared } = parts
+  const owners = new RendezvousOwners(holder)
   return new BudgetDriver({
     holder,
     domain,
@@ -67,10 +69,11 @@
       holder,
       clock,
       log,
-      peers: () => fleet.peers(),
+      peersFor: budget => fleet.peers().filter(peer => owners.owns(peer.holder, budget)),
       call,
       preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
     }),
+    owners,
     policy: fleetBudgetPolicy(() => fleet.size),
     unbilled: new HeldAsSpent(),
     declared
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -62,7 +62,7 @@
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     this.every(TICK_MS, async () => {
       const prepared = this.container.get(ids.config).current()
-      if (prepared !== undefined && this.isReady) preparation.tick(prepared.config, this.clock.now().mono)
+      if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
       budgets.tick()
       targets.tick()
       if (this.isReady) await presence.tell('serving')
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -17,6 +17,11 @@
 /** Heartbeats that may be missed. */
 const MISSED_BEATS = 3
 const MS_PER_SECOND = 1_000
+/**
+ * Milliseconds from the first read of all rows until the view counts as settled: VMs that start together have written theirs
+ * by then. Sixty VMs that each took themselves for alone drew all budgets at once, and 672 of their draws failed.
+ */
+const SETTLE_MS = 1_200
 
 /** Another VM and the address of its links. */
 export interface PeerVm {
@@ -31,8 +36,8 @@
   readonly feed: TableFeed
   readonly clock: Clock
   readonly log: EventLog
-  /** Told when a process of another VM was seen for the first time; gets the number of VMs present. */
-  onJoined (vms: number): void
+  /** Told when a process of another VM was seen for the first time; gets its holder. */
+  onJoined (holder: string): void
 }
 
 /** Presence of this VM and of the others. */
@@ -44,6 +49,7 @@
   private beat = 0
   private nextBeatAt = 0
   private writing = false
+  private firstReadAt: number | undefined
   private stopFeed: () => void = () => {}
 
   constructor (private readonly parts: PresenceParts) {
@@ -54,6 +60,7 @@
   start (): void {
     this.stopFeed = this.parts.feed.follow(PRESENCE_TABLE, {
       replaced: rows => {
+        this.firstReadAt ??= this.mono
         this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono)
         this.noteJoined()
       },
@@ -98,6 +105,11 @@
     return this.view.others(this.mono).flatMap(({ holder, peers, state }) => peers === undefined || state === 'leaving' ? [] : [{ holder, address: peers }])
   }
 
+  /** Whether the other VMs that began together with this one are known. */
+  get isSettled (): boolean {
+    return this.firstReadAt !== undefined && this.mono - this.firstReadAt >= SETTLE_MS
+  }
+
   /** VMs present, this one included. */
   get size (): number {
     return this.view.others(this.mono).length + 1
@@ -117,7 +129,7 @@
     for (const { vm, holder } of this.view.others(this.mono)) {
       if (this.seenHolders.get(vm) === holder) continue
       this.seenHolders.set(vm, holder)
-      this.parts.onJoined(this.size)
+      this.parts.onJoined(holder)
     }
   }
 
--- a/packages/stand-ins/src/measure/budget/budgetBench.ts
+++ b/packages/stand-ins/src/measure/budget/budgetBench.ts
@@ -28,7 +28,7 @@
   /** Transactions of draws and flushes. */
   writes = 0
   mono = 0
-  private readonly draws = new DrawQueue(defaultBudgetPolicy.flushMs, defaultBudgetPolicy.drawsAtOnce)
+  private readonly draws = new DrawQueue(defaultBudgetPolicy)
 
   send (event: BudgetEvent): void {
     const now = { mono: this.mono, wall: this.mono }
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -78,6 +78,8 @@
   private readonly config: GatewayConfig
   /** Connections that went silent: who has them, and to whom. */
   private readonly silent = new Set<string>()
+  /** Links on which a call got no answer. */
+  private readonly unanswered = new Set<string>()
   private readonly used = new Map<string, number>()
   private partFreeAt = 0
   private second = 0
@@ -175,7 +177,7 @@
     const requestId = `r${this.requests}`
     counts.asked += 1
     vm.budgets.reserve(team, kind.tokens, kind.waitMs).then(reserved => reserved.caseOf({
-      Left: ({ code }) => {
+      Left: ({ code, message }) => {
         counts.refused += 1
         counts.codes[code] = (counts.codes[code] ?? 0) + 1
       },
@@ -192,15 +194,22 @@
 
   private async callVm (from: string, address: string, ask: GiftAsk, timeoutMs: number): Promise<Either<Failure, unknown>> {
     if (this.silent.delete(`${from} ${address}`)) {
+      this.unanswered.add(`${from} ${address}`)
       await this.time.sleep(timeoutMs)
       return Left(new Failure('peerUnreachable', 'no answer', { ran: 'unknown' }))
     }
     await this.time.sleep(LINK_MS)
+    if (this.unanswered.delete(`${from} ${address}`)) this.dropSilent(from)
     const answer = this.vms.find(vm => vm.address === address)?.budgets.onGift(ask)
     await this.time.sleep(LINK_MS)
     return Right(answer)
   }
 
+  /** As the client of the links does: a new link was answered, so links that were silent since are not used again. */
+  private dropSilent (from: string): void {
+    for (const { address } of this.vms) this.silent.delete(`${from} ${address}`)
+  }
+
   private storeOf (holder: string): TableStore {
     return {
       // A row is read with a call of its own, as the users' store is.
