--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -63,7 +63,8 @@
   peerFault: { number: 6002, level: 'warn', title: 'A peer call failed; fields: peer, method, code' },
   leaseTaken: { number: 6003, level: 'info', title: 'A lease was taken; fields: role, fencing' },
   leaseLost: { number: 6004, level: 'warn', title: 'A lease was lost; fields: role, fencing' },
-  peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: peer, state, evidence' }
+  peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: peer, state, evidence' },
+  connectionsSilent: { number: 6006, level: 'warn', title: 'An old connection got no answer while a new one did: idle connections are dropped; fields: by (store, peers or targets), since' }
 } as const satisfies Record<string, LogEvent>
 
 /** Name of a log event. */
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -15,6 +15,7 @@
 import { FleetLinks } from '../presence/fleetLinks.js'
 import { VmPresence } from '../presence/vmPresence.js'
 import { gatewayBudgets } from './gatewayBudgets.js'
+import type { ConnectionSilence } from './connectionSilence.js'
 import { CallDispatch } from './callDispatch.js'
 import { CallReport } from './callReport.js'
 import { GatewayChooser } from './gatewayChooser.js'
@@ -34,6 +35,7 @@
   readonly table: TableStore
   readonly feed: TableFeed
   readonly client: TargetClient
+  readonly silence: ConnectionSilence
 }
 
 /**
@@ -59,12 +61,12 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
-function bindFleet (container: Container, { vm, domain, callers, peers }: GatewaySettings, { table, feed }: GatewayEdge, holder: string): void {
+function bindFleet (container: Container, { vm, domain, callers, peers }: GatewaySettings, { table, feed, silence }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.presence).toResolvedValue((clock, log) =>
     new VmPresence({ self: { vm, holder, domain, callers, peers }, table, feed, clock, log, onJoined: other => { container.get(ids.budgets).holderJoined(other) } }), [ids.clock, ids.log]).inSingletonScope()
   container.bind(ids.links).toResolvedValue((clock, random, log) =>
-    new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next() }), [ids.clock, ids.random, ids.log]).inSingletonScope()
+    new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next(), onSilence: since => { silence.noticed('peers', since) } }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
   container.bind(ids.targets).toResolvedValue((clock, balancer, log) =>
     new GatewayTargets(clock, balancer, log), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -31,6 +31,8 @@
   readonly log: EventLog
   /** Uniform in [0, 1). */
   random (): number
+  /** Told when links went silent, with the monotonic milliseconds after which nothing was heard. */
+  onSilence (since: number): void
 }
 
 /** Links of one VM. */
@@ -58,7 +60,7 @@
 
   /** Opens the links; resolves once they are open, or closed meanwhile. */
   async open (): Promise<void> {
-    const { address, holder, clock, log, random } = this.parts
+    const { address, holder, clock, log, random, onSilence } = this.parts
     if (address === undefined) return
     const key = await this.key()
     if (key === undefined) return
@@ -66,7 +68,7 @@
     const server = new JsonRpcPeerServer(identity, log, limits)
     for (const [method, handler] of this.methods) server.register(method, handler)
     this.server = server
-    this.client = new JsonRpcPeerClient({ identity, clock, random, limits })
+    this.client = new JsonRpcPeerClient({ identity, clock, random, limits, onSilence })
     await server.listen(address)
   }
 
