Take entries of the register that cannot be read out of use; know a target that began again under its id

Cause: the users' pages say that others may write entries there, and that a process may start again under its id.

--- a/packages/decisions/src/gateway/targetBalancer.spec.ts
+++ b/packages/decisions/src/gateway/targetBalancer.spec.ts
@@ -81,6 +81,21 @@
 ]
 
 describe('TargetBalancer', () => {
+  it('forgets what it learned of a target that started again under its id, but for what is open there', () => {
+    const balancer = new TargetBalancer()
+    const [a, b] = [{ id: 'a', service: 's', address: 'a:1', domain: 'd', slots: 1, isLeaving: false }, { id: 'b', service: 's', address: 'b:1', domain: 'd', slots: 1, isLeaving: false }]
+    const demand = { sharedParts: [], sharedTokens: 0, ownTokens: 1, exclude: new Set<string>() }
+    balancer.sent({ target: a, candidates: 2, reason: 'fewestOpen', work: 1 }, [], 0)
+    balancer.sent({ target: a, candidates: 2, reason: 'fewestOpen', work: 1 }, [], 0)
+    balancer.ended('a', 'unreachable', 0)
+    const chosen = (): string | undefined => balancer.choose([a, b], { ...demand, exclude: new Set(['b']) }, 1, 0).map(({ target }) => target.id).extract() as string
+    balancer.sent({ target: b, candidates: 2, reason: 'fewestOpen', work: 1 }, [], 0)
+    balancer.sent({ target: b, candidates: 2, reason: 'fewestOpen', work: 1 }, [], 0)
+    expect(balancer.choose([a, b], demand, 1, 0).map(({ target }) => target.id).extract()).to.equal('b')
+    balancer.restarted('a')
+    expect([balancer.open('a'), chosen(), balancer.choose([a, b], demand, 1, 0).map(({ target }) => target.id).extract()]).to.deep.equal([1, 'a', 'a'])
+  })
+
   for (const test of cases) {
     it(test.name, () => {
       const balancer = new TargetBalancer()
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -165,6 +165,17 @@
     for (const [id, { open }] of this.states) if (open === 0 && !isListed(id)) this.states.delete(id)
   }
 
+  /**
+   * Forgets what was learned of a target: another process has its id, which keeps nothing of before.
+   * @param id - id of the target
+   */
+  restarted (id: string): void {
+    const known = this.states.get(id)
+    if (known === undefined) return
+    this.states.delete(id)
+    this.stateOf(id).open = known.open
+  }
+
   /** Ejected targets are left out unless all are: serving badly is better than refusing everything. */
   private usable (targets: readonly TargetView[], mono: number): readonly TargetView[] {
     const healthy = targets.filter(({ id }) => {
--- a/packages/decisions/src/gateway/targetSet.spec.ts
+++ b/packages/decisions/src/gateway/targetSet.spec.ts
@@ -69,6 +69,15 @@
     })
   }
 
+  it('tells a process that started again under its id from the one before, and discards an entry at once', () => {
+    const set = new TargetSet()
+    set.put(view('a', { startedAt: 1 }))
+    expect([view('a', { startedAt: 1 }), view('a', { startedAt: 2 }), view('b', { startedAt: 2 })].map(item => set.isRestarted(item))).to.deep.equal([false, true, false])
+    set.registerFailed(0)
+    set.discard('a')
+    expect([set.has('a'), set.serving('s')]).to.deep.equal([false, []])
+  })
+
   it('tells a heartbeat from news', () => {
     const set = new TargetSet()
     set.put(view('a'))
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -6,7 +6,7 @@
 
 /** One registered target. */
 export interface TargetView {
-  /** Unlike that of any earlier process at the same address. */
+  /** Unlike that of any other process at the same address. */
   readonly id: string
   readonly service: string
   readonly address: string
@@ -14,6 +14,8 @@
   /** Requests that it works on at once. */
   readonly slots: number
   readonly isLeaving: boolean
+  /** Unix milliseconds of the start of its process, which may start again under the same id; absent where it is not told. */
+  readonly startedAt?: number
 }
 
 /** Milliseconds after trouble with the register for which a removed entry counts as lapsed; live targets are back within two seconds. */
@@ -106,6 +108,23 @@
     return this.listed.get(view.id)?.view.isLeaving !== view.isLeaving
   }
 
+  /**
+   * Whether an entry is of a later process than the one listed under its id.
+   * @param view - the entry
+   */
+  isRestarted (view: TargetView): boolean {
+    const known = this.listed.get(view.id)?.view
+    return known !== undefined && known.startedAt !== view.startedAt
+  }
+
+  /**
+   * Takes an entry out of use at once: what its row says names no target.
+   * @param id - id of the target
+   */
+  discard (id: string): void {
+    if (this.listed.delete(id)) this.rebuild()
+  }
+
   private drop (id: string, mono: number): void {
     const known = this.listed.get(id)
     if (known === undefined) return
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -20,6 +20,7 @@
    * @param views - all entries
    */
   replaced (views: readonly TargetView[]): void {
+    for (const view of views) this.noteRestart(view)
     this.set.replace(views, this.mono)
     this.balancer.forget(id => this.set.has(id))
     this.log.write('targetsRead', { targets: views.length })
@@ -32,9 +33,21 @@
   changed (view: TargetView): void {
     const { id, isLeaving } = view
     if (this.set.isNew(view)) this.log.write('runnerState', { runner: id, state: isLeaving ? 'leaving' : 'active', reason: 'the register says so' })
+    this.noteRestart(view)
     this.set.put(view)
   }
 
+  /**
+   * Takes an entry that cannot be read: it names no target, also if it did before.
+   * @param id - id of the entry
+   * @param detail - what does not fit
+   */
+  unusable (id: string, detail: string): void {
+    if (this.set.has(id)) this.log.write('runnerState', { runner: id, state: 'leaving', reason: 'its entry cannot be read' })
+    this.log.write('platformFault', { service: 'register', operation: 'decode', code: id, detail })
+    this.set.discard(id)
+  }
+
   /**
    * Takes the removal of an entry.
    * @param id - id of the target
@@ -54,6 +67,12 @@
     this.set.tick(this.mono)
   }
 
+  private noteRestart (view: TargetView): void {
+    if (!this.set.isRestarted(view)) return
+    this.balancer.restarted(view.id)
+    this.log.write('runnerState', { runner: view.id, state: 'active', reason: 'another process has its id' })
+  }
+
   private get mono (): number {
     return this.clock.now().mono
   }
