Let silence of a VM count by the heartbeats that its fleet writes

A VM of 360 beats every 9 s and counted as gone after 6 s; the new case sees 1 of 360 present before, 360 after. Up to 60 VMs nothing changes.

--- a/packages/rosemaryspread/src/presence/presenceView.ts
+++ b/packages/rosemaryspread/src/presence/presenceView.ts
@@ -16,9 +16,9 @@
 
   /**
    * @param self - name of this VM
-   * @param expiryMs - silence after which a VM counts as gone
+   * @param expiryMs - silence after which a VM counts as gone, in a fleet of so many VMs
    */
-  constructor (private readonly self: string, private readonly expiryMs: number) {}
+  constructor (private readonly self: string, private readonly expiryMs: (vms: number) => number) {}
 
   /**
    * Takes the rows of all VMs. Rows that are not there any more belong to VMs that left.
@@ -68,6 +68,6 @@
 
   private isSilent (at: number, mono: number): boolean {
     if (this.healthySince === undefined) return false
-    return mono - Math.max(at, this.healthySince) > this.expiryMs
+    return mono - Math.max(at, this.healthySince) > this.expiryMs(this.seen.size)
   }
 }
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -43,6 +43,38 @@
   { name: 'takes a VM that was out of sight for the same', told: [changed(row('b', '1', 1)), changed({ key: 'b', value: null, version: 2 }), changed(row('b', '1', 3))], joined: ['b~1'] }
 ]
 
+/**
+ * Read in the code, seen by no user: a VM of 360 writes a heartbeat every 9 s and counted as gone after 6 s of silence,
+ * so each VM would have seen the others come and go all the time, and owners of budgets with them.
+ */
+const ages: ReadonlyArray<{ readonly vms: number, readonly silentMs: number, readonly isPresent: boolean }> = [
+  { vms: 6, silentMs: 5_900, isPresent: true },
+  { vms: 6, silentMs: 6_100, isPresent: false },
+  { vms: 360, silentMs: 9_000, isPresent: true },
+  { vms: 360, silentMs: 36_100, isPresent: false }
+]
+
+describe('presence of a VM that is silent', () => {
+  for (const { vms, silentMs, isPresent } of ages) {
+    it(`for ${silentMs} ms in a fleet of ${vms}: ${isPresent ? 'present' : 'gone'}`, () => {
+      const feed = new Feed()
+      const clock = { mono: 0 }
+      const presence = new VmPresence({
+        self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1' },
+        table: store,
+        feed,
+        clock: { now: () => ({ mono: clock.mono, wall: 0 }) },
+        log: { write: () => {} },
+        onJoined: () => {}
+      })
+      presence.start()
+      feed.handler?.replaced(Array.from({ length: vms }, (_, index) => row(index === 0 ? 'a' : `b${index}`, '1', 1)))
+      clock.mono = silentMs
+      expect(presence.size).to.equal(isPresent ? vms : 1)
+    })
+  }
+})
+
 describe('VmPresence', () => {
   for (const { name, told, joined } of cases) {
     it(name, () => {
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -40,6 +40,11 @@
   onJoined (holder: string): void
 }
 
+/** Milliseconds between two heartbeats of a VM. */
+function beatMs (vms: number): number {
+  return Math.max(HEARTBEAT_MS, vms * MS_PER_SECOND / FLEET_BEATS_PER_S)
+}
+
 /** Presence of this VM and of the others. */
 export class VmPresence {
   private readonly view: PresenceView
@@ -53,7 +58,7 @@
   private stopFeed: () => void = () => {}
 
   constructor (private readonly parts: PresenceParts) {
-    this.view = new PresenceView(parts.self.vm, HEARTBEAT_MS * (MISSED_BEATS + 1))
+    this.view = new PresenceView(parts.self.vm, vms => beatMs(vms) * (MISSED_BEATS + 1))
   }
 
   /** Begins to follow the other VMs. */
@@ -136,7 +141,7 @@
   private async write (): Promise<void> {
     this.writing = true
     this.beat += 1
-    this.nextBeatAt = this.mono + Math.max(HEARTBEAT_MS, this.size * MS_PER_SECOND / FLEET_BEATS_PER_S)
+    this.nextBeatAt = this.mono + beatMs(this.size)
     const value: PresenceRow = { ...this.parts.self, state: this.state, beat: this.beat }
     const written = await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: value.vm, value }] })
     this.writing = false
