--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -116,7 +116,7 @@
     return this.taken(peer, ask, await this.callOnce(peer, { ...ask, giftId: `${ask.giftId}/again` }))
   }
 
-  /** A busy VM reads answers late: one of 60 VMs lost two of three gifts, 700,000 tokens in two seconds, while late ones were not taken. */
+  /** A busy VM reads answers late: while late ones were not taken, one lost a third of what it was given, a million tokens in twelve seconds. */
   private async callOnce (peer: PeerVm, ask: GiftAsk): Promise<Either<Failure, unknown>> {
     return await this.parts.call(peer.address, GIFT_METHOD, ask, ANSWER_MS, late => {
       parseAnswer(giftAnswerSchema, late, GIFT_METHOD).ifRight(({ tokens }) => {
