--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -5,7 +5,8 @@
 import { elapsedMs, type Instant } from '../clock/clockTypes.js'
 import { Failure } from '../codes/failure.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
-import type { BudgetEntry, Shortage, WaitingRequest } from './budgetEntry.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import type { Shortage, WaitingRequest } from './budgetEntryTypes.js'
 
 /** Age of the table's answer after which a new request has it asked again. */
 const LOOK_AGAIN_MS = 1_000
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -3,7 +3,8 @@
  * outcome of a flush moves it from owed to settled.
  */
 import type { Instant } from '../clock/clockTypes.js'
-import type { BudgetEntry, ReservedTokens } from './budgetEntry.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import type { ReservedTokens } from './budgetEntryTypes.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
 import { isAmount } from './budgetRows.js'
 import type { Bill, BudgetAction, BudgetEvent, BudgetReport, FlushOutcome } from './budgetTypes.js'
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -4,7 +4,8 @@
  * waiting request is refused is decided in budgetRefusal.
  */
 import type { Instant } from '../clock/clockTypes.js'
-import type { BudgetEntry, OpenDraw, RoundStage, Shortage } from './budgetEntry.js'
+import type { BudgetEntry } from './budgetEntry.js'
+import type { OpenDraw, RoundStage, Shortage } from './budgetEntryTypes.js'
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayLookAgain, refusalOf } from './budgetRefusal.js'
 import type { BudgetSettlement } from './budgetSettlement.js'
