--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -30,6 +30,8 @@
 
 const handOverSchema = z.object({ budget: z.string(), tokens: amount })
 
+/** What another VM is left. */
+export type HandOver = z.infer<typeof handOverSchema>
 /** What another VM is asked. */
 export type GiftAsk = z.infer<typeof giftAskSchema>
 /** What it gave, and what it has left to give. */
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.spec.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.spec.ts
@@ -44,6 +44,29 @@
     expect(large, String(calls)).to.be.at.most(small * 2)
   })
 
+  /*
+   * Story: all VMs of a fleet of 79 lost power and were back after a second, and service did not come back: two seconds windows earned 0.1 to 0.3 of
+   * their worth to the end of the day. Order of events: nobody holds tokens, every request waits for some, and each VM at which one
+   * waits draws from the table though it owns none of the budget; 24 rows are drawn on by 20 VMs each, transactions queue for a second in
+   * the store, and the row has changed by the time that they are carried out. Evidence: in this play, 1,175 conflicts against 291 writes in
+   * five seconds, 87 of 100 requests refused as `budgetPending` from then on, with two thirds of what was paid unused and 2,100 calls of the store a second.
+   */
+  for (const [name, restMs] of [['at once', 0], ['after two seconds', 2_000]] as const) {
+    it(`serves again when all VMs ended and callers come back ${name}`, async () => {
+      const fleet = new GatewayFleet({ ...shape, vms: 79 })
+      await fleet.time.run(SETTLE_MS)
+      await fleet.serve(6_000)
+      await fleet.endAll(1_200)
+      await fleet.time.run(restMs)
+      const first = await fleet.serve(4_000)
+      const after = await fleet.serve(4_000)
+      const told = JSON.stringify({ first, after })
+      expect(fleet.overspent, told).to.equal(0)
+      expect(refusedPart(after), told).to.be.below(0.05)
+      expect(after.storeCalls / after.asked, told).to.be.below(4)
+    })
+  }
+
   const cases: ReadonlyArray<{ readonly name: string, readonly over: Partial<FleetShape> }> = [
     { name: 'six VMs', over: { vms: 6, readsPerS: 2_000, writesPerS: 600, requestsPerS: 60 } },
     { name: 'sixty VMs', over: {} },
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -8,7 +8,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
-import type { GiftAsk } from 'rosemaryspread/budget/budgetGiftCalls.js'
+import { GIFT_METHOD, type GiftAsk, type HandOver } from 'rosemaryspread/budget/budgetGiftCalls.js'
 import { BudgetPreparation } from 'rosemaryspread/gateway/budgetPreparation.js'
 import { gatewayBudgets } from 'rosemaryspread/gateway/gatewayBudgets.js'
 import { gatewayConfigSchema, type GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
@@ -17,6 +17,8 @@
 
 /** Milliseconds between two ticks of a gateway. */
 const TICK_MS = 50
+/** Milliseconds before a VM tries again to take back what it held. */
+const TAKE_OVER_RETRY_MS = 300
 /** Milliseconds, one way, between two VMs. */
 const LINK_MS = 1
 /** Milliseconds of a call of the store, both ways. */
@@ -28,6 +30,8 @@
 /** Milliseconds after which a call of the store without an answer is given up. */
 const STORE_TIMEOUT_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** Part of what was paid that users count on: what is left of it may be in use at the same moment. */
+const OWED_PART = 0.97
 
 /** Size and traffic of a fleet. */
 export interface FleetShape {
@@ -51,6 +55,8 @@
 export interface FleetCounts {
   readonly asked: number
   readonly refused: number
+  /** Refusals of requests that fit into what was paid: with all that was used and their worst case, into {@link OWED_PART} of it. */
+  readonly owed: number
   /** Refusals by result code. */
   readonly codes: Readonly<Record<string, number>>
   readonly storeCalls: number
@@ -60,9 +66,16 @@
 interface OpenCounts {
   asked: number
   refused: number
+  owed: number
   readonly codes: Record<string, number>
 }
 
+/** A call over a link. */
+interface LinkCall {
+  readonly method: string
+  readonly params: unknown
+}
+
 /** One VM. */
 interface FleetVm {
   readonly holder: string
@@ -76,7 +89,10 @@
   readonly time = new VirtualTime()
   private readonly random: () => number
   private readonly state = new TableState(() => this.time.mono)
-  private readonly vms: FleetVm[] = []
+  private vms: FleetVm[] = []
+  /** Holders that ended: what they had under way comes to nothing. */
+  private readonly ended = new Set<string>()
+  private life = 1
   private readonly config: GatewayConfig
   /** Connections that went silent: who has them, and to whom. */
   private readonly silent = new Set<string>()
@@ -84,6 +100,7 @@
   private readonly unanswered = new Set<string>()
   private readonly used = new Map<string, number>()
   private partFreeAt = 0
+  private cutUntil = 0
   private second = 0
   private reads = 0
   private writes = 0
@@ -104,7 +121,7 @@
   async serve (ms: number): Promise<FleetCounts> {
     const end = this.time.mono + ms
     const callsBefore = this.storeCalls
-    const counts: OpenCounts = { asked: 0, refused: 0, codes: {} }
+    const counts: OpenCounts = { asked: 0, refused: 0, owed: 0, codes: {} }
     for (let at = this.gap(); at < ms; at += this.gap()) this.time.after(at, () => { this.begin(counts) })
     await this.time.runUntil(end)
     return { ...counts, storeCalls: this.storeCalls - callsBefore }
@@ -125,6 +142,34 @@
     }
   }
 
+  /**
+   * Cuts all VMs off from the store, and not from each other.
+   * @param ms - virtual milliseconds
+   */
+  cutOff (ms: number): void {
+    this.cutUntil = this.time.mono + ms
+  }
+
+  /**
+   * Ends all VMs at once; they begin again some time later and take back what their earlier processes held.
+   * @param downMs - virtual milliseconds until they are back
+   */
+  async endAll (downMs: number): Promise<void> {
+    const names = this.vms.map(({ address }) => address)
+    for (const { holder } of this.vms) this.ended.add(holder)
+    this.vms = []
+    this.life += 1
+    await this.time.run(downMs)
+    for (const name of names) this.vms.push(this.startVm(name))
+    for (const { budgets } of this.vms) this.takeOver(budgets)
+  }
+
+  /** Part of what was paid that is used. */
+  get usedPart (): number {
+    const paid = Object.values(this.config.teams).reduce((sum, { prepaidTokens }) => sum + (prepaidTokens ?? 0), 0)
+    return [...this.used.values()].reduce((sum, tokens) => sum + tokens, 0) / paid
+  }
+
   /** Tokens used beyond what was paid, over all budgets. */
   get overspent (): number {
     return Object.entries(this.config.teams).reduce((sum, [team, { prepaidTokens }]) =>
@@ -148,26 +193,34 @@
   }
 
   private startVm (name: string): FleetVm {
-    const holder = `${name}~1`
+    const holder = `${name}~${this.life}`
+    const bornAt = this.time.mono
     const others = (): readonly FleetVm[] => this.vms.filter(vm => vm.holder !== holder)
     const budgets = gatewayBudgets({
       holder,
       domain: `domain${this.vms.length % 3}`,
       place: name,
       store: this.storeOf(holder),
-      clock: this.time,
+      // As in a process, whose monotonic clock begins with it.
+      clock: { now: () => ({ mono: this.time.mono - bornAt, wall: this.time.mono }) },
       log: { write: () => {} },
       fleet: {
         members: () => others().map(vm => ({ holder: vm.holder, domain: '' })),
         peers: () => others().map(vm => ({ holder: vm.holder, address: vm.address })),
         get size () { return others().length + 1 }
       },
-      call: async (address, _method, params, timeoutMs) => await this.callVm(holder, address, params as GiftAsk, timeoutMs),
+      call: async (address, method, params, timeoutMs) => await this.callVm(holder, address, { method, params }, timeoutMs),
       declared: team => ({ tokens: this.config.teams[team]?.prepaidTokens ?? 0, version: this.config.version })
     })
     return { holder, address: name, budgets, preparation: new BudgetPreparation(name, budgets) }
   }
 
+  private takeOver (budgets: BudgetDriver): void {
+    budgets.takeOver().then(isDone => {
+      if (!isDone) this.time.after(TAKE_OVER_RETRY_MS, () => { this.takeOver(budgets) })
+    }, err => { throw err })
+  }
+
   private tick (): void {
     for (const { budgets, preparation } of this.vms) {
       preparation.tick(this.config, this.time.mono)
@@ -189,20 +242,25 @@
     vm.budgets.reserve(team, kind.tokens, kind.waitMs).then(reserved => reserved.caseOf({
       Left: ({ code, message }) => {
         counts.refused += 1
+        if (this.fits(team, kind.tokens)) counts.owed += 1
         counts.codes[code] = (counts.codes[code] ?? 0) + 1
       },
       Right: reservation => {
         this.used.set(team, (this.used.get(team) ?? 0) + kind.used)
-        this.time.after(kind.runMs, () => { vm.budgets.settle(reservation, { requestId, budget: team, team, tokens: kind.used, runner: '' }) })
+        this.time.after(kind.runMs, () => { if (!this.ended.has(vm.holder)) vm.budgets.settle(reservation, { requestId, budget: team, team, tokens: kind.used, runner: '' }) })
       }
     }), err => { throw err })
   }
 
+  private fits (team: string, tokens: number): boolean {
+    return (this.used.get(team) ?? 0) + tokens <= OWED_PART * (this.config.teams[team]?.prepaidTokens ?? 0)
+  }
+
   private gap (): number {
     return -Math.log(1 - this.random()) * MS_PER_SECOND / this.shape.requestsPerS
   }
 
-  private async callVm (from: string, address: string, ask: GiftAsk, timeoutMs: number): Promise<Either<Failure, unknown>> {
+  private async callVm (from: string, address: string, call: LinkCall, timeoutMs: number): Promise<Either<Failure, unknown>> {
     if (this.silent.delete(`${from} ${address}`)) {
       this.unanswered.add(`${from} ${address}`)
       await this.time.sleep(timeoutMs)
@@ -210,11 +268,19 @@
     }
     await this.time.sleep(LINK_MS)
     if (this.unanswered.delete(`${from} ${address}`)) this.dropSilent(from)
-    const answer = this.vms.find(vm => vm.address === address)?.budgets.onGift(ask)
+    const answer = this.answer(address, call)
     await this.time.sleep(LINK_MS)
     return Right(answer)
   }
 
+  private answer (address: string, { method, params }: LinkCall): unknown {
+    const budgets = this.vms.find(vm => vm.address === address)?.budgets
+    if (method === GIFT_METHOD) return budgets?.onGift(params as GiftAsk)
+    const { budget, tokens } = params as HandOver
+    budgets?.onHandOver(budget, tokens)
+    return null
+  }
+
   /** As the client of the links does: a new link was answered, so links that were silent since are not used again. */
   private dropSilent (from: string): void {
     for (const { address } of this.vms) this.silent.delete(`${from} ${address}`)
@@ -231,8 +297,9 @@
   }
 
   private async callStore<T> (holder: string, reads: number, writes: number, effect: () => Either<Failure, T>): Promise<Either<Failure, T>> {
+    if (this.ended.has(holder)) return await new Promise(() => {})
     this.storeCalls += reads + writes
-    if (this.silent.delete(`${holder} store`)) {
+    if (this.silent.delete(`${holder} store`) || this.time.mono < this.cutUntil) {
       await this.time.sleep(STORE_TIMEOUT_MS)
       return Left(new Failure(writes > 0 ? 'platformOutcomeUnknown' : 'platformUnavailable', 'no answer', { ran: 'unknown' }))
     }
