Have four VMs own a budget of a large fleet in place of eight

Near the end of a budget its tokens also lie apart at all owners.

Four stay: three more of a failure domain's loss would go unanswered. Fleets of up to eight VMs are as before.

--- a/packages/decisions/src/budget/budgetOwners.spec.ts
+++ b/packages/decisions/src/budget/budgetOwners.spec.ts
@@ -19,7 +19,7 @@
 
 describe('RendezvousOwners', () => {
   const sizes: ReadonlyArray<{ readonly present: number, readonly owners: number }> = [
-    { present: 1, owners: 1 }, { present: 7, owners: 7 }, { present: 8, owners: 8 }, { present: 9, owners: 8 }, { present: 360, owners: 8 }
+    { present: 1, owners: 1 }, { present: 7, owners: 7 }, { present: 8, owners: 8 }, { present: 9, owners: 4 }, { present: 360, owners: 4 }
   ]
   for (const { present, owners: expected } of sizes) {
     it(`has ${expected} of ${present} VMs own each budget, the same at each of them`, () => {
--- a/packages/decisions/src/budget/budgetOwners.ts
+++ b/packages/decisions/src/budget/budgetOwners.ts
@@ -9,11 +9,15 @@
 import { vmOf } from '../names/nameTypes.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
 
+/** VMs up to which each owns every budget: callers may be at any of few, and each alone may be the one that is not cut off. */
+export const ALL_OWN_UP_TO = 8
 /**
- * Owners of one budget at most. A few ends of VMs and a cut of a failure domain leave some; a tenth of an eighth of
- * a budget still covers many requests.
+ * Owners of one budget in a larger fleet. A few ends of VMs and a cut of a failure domain mostly leave some, and where none answers
+ * a VM draws for itself. What each may use without reporting is lost when all end, and towards the end of a budget its tokens
+ * lie apart at all of them: of 7,956 requests before 79 VMs that are cut off and then ended, 1,663 that fitted into what was paid
+ * were refused with eight owners, 1,473 with four and 1,431 with three, of a calm day 106, 28 and 30; store calls 13,040, 4,588 and 3,672.
  */
-export const MOST_OWNERS = 8
+const OWNERS = 4
 
 /** Who owns which budget. */
 export interface BudgetOwnership {
@@ -49,11 +53,15 @@
   }
 
   get count (): number {
-    return Math.min(MOST_OWNERS, this.holders.length)
+    return this.isOwnedByAll ? this.holders.length : OWNERS
   }
 
   owns (holder: string, budget: string): boolean {
-    return this.holders.length <= MOST_OWNERS || this.ownersOf(budget).has(holder)
+    return this.isOwnedByAll || this.ownersOf(budget).has(holder)
+  }
+
+  private get isOwnedByAll (): boolean {
+    return this.holders.length <= ALL_OWN_UP_TO
   }
 
   private ownersOf (budget: string): ReadonlySet<string> {
@@ -63,7 +71,7 @@
     const ranked = this.holders
       .map(holder => ({ holder, weight: pairWeight(hash, hashName(vmOf(holder))) }))
       .sort((a, b) => b.weight - a.weight)
-    const owners = new Set(ranked.slice(0, MOST_OWNERS).map(({ holder }) => holder))
+    const owners = new Set(ranked.slice(0, OWNERS).map(({ holder }) => holder))
     this.byBudget.set(budget, owners)
     return owners
   }
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -3,7 +3,7 @@
  * An allotment covers demand for longer than the store is mostly out of reach; what the end of a VM
  * costs is bounded by its last report, see reportBound.
  */
-import { MOST_OWNERS } from '@rosemaryspread/decisions/budget/budgetOwners.js'
+import { ALL_OWN_UP_TO } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
 /** Milliseconds between two flushes of a VM in a small fleet; reports go with them, each is one call of the store. */
@@ -58,7 +58,7 @@
 export function fleetBudgetPolicy (vms: () => number): BudgetPolicy {
   return {
     ...gatewayBudgetPolicy,
-    get evenPart () { return vms() > MOST_OWNERS ? OWNERS_EVEN_PART : gatewayBudgetPolicy.evenPart },
+    get evenPart () { return vms() > ALL_OWN_UP_TO ? OWNERS_EVEN_PART : gatewayBudgetPolicy.evenPart },
     get flushMs () { return Math.max(FLUSH_MS, vms() * MS_PER_SECOND / FLEET_FLUSHES_PER_S) }
   }
 }
