--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -8,15 +8,13 @@
 import type { OpenDraw, ReservedTokens, Round, Shortage, WaitingRequest } from './budgetEntryTypes.js'
 import type { BudgetView, Transfer } from './budgetTypes.js'
 import { GiftPurse } from './giftPurse.js'
+import { NeedsOfOthers } from './needsOfOthers.js'
 import { ReceivedTransfers } from './receivedTransfers.js'
 import { allowanceOf, ReportBounds, type ReportAllowance } from './reportBound.js'
 
 /** Part of what is dealt out evenly below which a holder asks for more though it has no use for it yet. */
 const LEAST_OF_EVEN = 0.5
 
-/** Milliseconds in which a holder that was given too little asks again: it does after 40, and waits for half of an objective at most. */
-const UNMET_MS = 200
-
 /** Flushes after which the last written report shows that the table does not answer: without bills one comes every three. */
 const SILENT_FLUSHES = 5
 
@@ -65,13 +63,7 @@
   giftShortAt = -Infinity
   /** When other holders were last asked in vain: none answered. */
   othersSilentAt = -Infinity
-  /**
-   * Largest need of a holder that does not own the budget. Reports allow as much only for them: where all own it, that billed 1.03 M tokens
-   * in place of 0.76 M at ends of VMs on a day of trouble with seven.
-   */
-  private largestNeed = 0
-  /** What another holder asked for last and was not given whole; it asks again within {@link UNMET_MS}, or did without. */
-  private unmet = { tokens: 0, at: -Infinity }
+  private readonly needs = new NeedsOfOthers()
   /** How much of the budget is aimed at. */
   readonly aim: BudgetAim
   /** What may be in use without the table knowing it. */
@@ -112,24 +104,16 @@
   /**
    * Notes a need of a holder that does not own the budget, and so counts no demand of its own.
    * @param tokens - tokens asked for
+   * @param given - tokens that it got
    * @param mono - present time
    */
-  noteNeedOfOther (tokens: number, mono: number): void {
+  noteNeedOfOther (tokens: number, given: number, mono: number): void {
     this.noteAsked(mono)
     this.aim.largest = Math.max(this.aim.largest, tokens)
-    this.largestNeed = Math.max(this.largestNeed, tokens)
+    this.needs.note(tokens, given, mono)
     this.aim.rate.add(tokens, mono)
   }
 
-  /**
-   * Notes what another holder asked for and could not be given whole.
-   * @param tokens - tokens asked for; 0 where it got all
-   * @param mono - present time
-   */
-  noteUnmet (tokens: number, mono: number): void {
-    this.unmet = { tokens, at: mono }
-  }
-
   /** Has the table asked again at once, because more may be had now. */
   forgetShortage (): void {
     this.shortage = undefined
@@ -202,11 +186,13 @@
    * @param now - both clocks
    */
   allowance (now: Instant): ReportAllowance {
-    return allowanceOf({ inUse: this.reserved + this.unsettled + this.waitingTokens, held: this.held, largest: this.largestNeed, most: this.aim.mostAtOnce, unmet: this.unmetNow(now) })
-  }
-
-  private unmetNow ({ mono }: Instant): number {
-    return mono - this.unmet.at < UNMET_MS ? this.unmet.tokens : 0
+    return allowanceOf({
+      inUse: this.reserved + this.unsettled + this.waitingTokens,
+      held: this.held,
+      largest: this.needs.largest,
+      most: this.aim.mostAtOnce,
+      unmet: this.needs.unmetTokens(now.mono)
+    })
   }
 
   /**
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -233,8 +233,7 @@
   /** Sees to it that the next needs of a holder that does not own the budget can be met here. */
   private supplyOther (entry: BudgetEntry, asked: EventOf<'giftAsked'>, given: number, now: Instant): readonly BudgetAction[] {
     if (this.draining || !entry.isOwned) return []
-    entry.noteNeedOfOther(asked.tokens, now.mono)
-    entry.noteUnmet(given < asked.tokens ? asked.tokens : 0, now.mono)
+    entry.noteNeedOfOther(asked.tokens, given, now.mono)
     if (given < asked.tokens && entry.free > 0) this.upkeep.report(entry, now)
     return this.step(entry, now)
   }
--- a/packages/rosemaryspread/src/gateway/workNotices.ts
+++ b/packages/rosemaryspread/src/gateway/workNotices.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { workNoticeSchema, type WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
+import { MOST_TOLD } from '../presence/fleetLinks.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 
 /** Method between VMs. */
@@ -14,11 +15,6 @@
  * a fleet of 80 took twice the processor time.
  */
 const MOST_PER_S = 60
-/**
- * Other VMs up to which they are told. Beyond it each hears of few prompts, and links between all VMs are opened for them: with
- * 60 VMs a calm day took 185 s of processor time without, 230 s with notices, at the same worth (0.702, 0.693).
- */
-const MOST_TOLD = 20
 const MS_PER_SECOND = 1_000
 
 /** What telling works with. */
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -35,6 +35,13 @@
   onSilence (since: number): void
 }
 
+/**
+ * Other VMs up to which all are told of something over links. Beyond it each hears of little that concerns it, and links between all VMs are
+ * opened for it: with 60 VMs a calm day took 185 s of processor time without notices of prompts, 230 s with them, at the same worth
+ * (0.702, 0.693); news of ended targets come as quickly by a feed.
+ */
+export const MOST_TOLD = 20
+
 /** Links of one VM. */
 export class FleetLinks {
   private readonly methods = new Map<string, PeerMethod>()
--- a/packages/rosemaryspread/src/quarantine/quarantineShare.ts
+++ b/packages/rosemaryspread/src/quarantine/quarantineShare.ts
@@ -7,6 +7,7 @@
   MOST_DIGESTS, processOf, quarantineNewsSchema, type Clearance, type QuarantineNews, type TargetEnd, type Verdict
 } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
 import type { PeerMethod } from '@rosemaryspread/peers/link/linkTypes.js'
+import { MOST_TOLD } from '../presence/fleetLinks.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import { QuarantineRows, type QuarantineRowsParts } from './quarantineRows.js'
 
@@ -16,8 +17,6 @@
 const GATHER_MS = 10
 /** Milliseconds for which calls on an ended target are added to its row: the last of them break when their VM reads the close. */
 const REPORT_OPEN_MS = 5_000
-/** Other VMs up to which they are told over links; beyond it links between all VMs would be opened for it, and the feed is as quick. */
-const MOST_TOLD = 20
 
 /** What sharing works with. */
 export interface QuarantineShareParts extends QuarantineRowsParts {
