--- a/packages/decisions/src/gateway/warmUpPart.ts
+++ b/packages/decisions/src/gateway/warmUpPart.ts
@@ -42,7 +42,7 @@
 export class WarmUpPart {
   private readonly nameHash: number
   private sentAt = -Infinity
-  private intervalMs = Infinity
+  private intervalMs: number | undefined
   private namedAt = -Infinity
 
   /**
@@ -68,8 +68,9 @@
    */
   waitMs (rate: WarmUpRate, mono: number): number {
     if (mono >= this.warmAt) return 0
-    const openAt = Math.min(this.warmAt, this.sentAt + this.interval(rate, mono))
-    return Math.max(0, openAt - mono)
+    const intervalMs = this.interval(rate, mono)
+    if (intervalMs === undefined) return this.warmAt - mono
+    return Math.max(0, Math.min(this.warmAt, this.sentAt + intervalMs) - mono)
   }
 
   /**
@@ -80,21 +81,21 @@
     this.sentAt = mono
   }
 
-  /** Milliseconds between two requests of this VM; infinite where it is not named. */
-  private interval (rate: WarmUpRate, mono: number): number {
+  /** Milliseconds between two requests of this VM; undefined where it is not named. */
+  private interval (rate: WarmUpRate, mono: number): number | undefined {
     if (mono - this.namedAt < NAMED_MS) return this.intervalMs
     this.namedAt = mono
-    this.intervalMs = this.name(rate)
+    this.intervalMs = this.intervalOf(rate)
     return this.intervalMs
   }
 
-  private name ({ perS, vm, vms }: WarmUpRate): number {
+  private intervalOf ({ perS, vm, vms }: WarmUpRate): number | undefined {
     const known = vms()
     const usedPerS = perS * USED_PART
     const named = Math.min(known.length, Math.max(1, Math.floor(usedPerS)))
     const weightOf = (name: string): number => pairWeight(this.nameHash, hashName(name))
     const own = weightOf(vm)
     const ahead = known.filter(other => weightOf(other) > own).length
-    return ahead < named ? named * MS_PER_S / usedPerS : Infinity
+    return ahead < named ? named * MS_PER_S / usedPerS : undefined
   }
 }
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -38,8 +38,7 @@
 
   /** Targets as operators see them, with why one gets no new work. */
   list (): readonly TargetRow[] {
-    return this.set.all().map(({ id, service, domain, isLeaving }) =>
-      ({ id, service, domain, state: isLeaving ? 'leaving' : this.evacuations.all.has(domain) ? 'evacuated' : 'serving' }))
+    return this.set.all().map(view => ({ id: view.id, service: view.service, domain: view.domain, state: this.stateOf(view) }))
   }
 
   /** Failure domains that operators evacuated. */
@@ -117,6 +116,11 @@
     this.set.tick(this.mono)
   }
 
+  private stateOf ({ domain, isLeaving }: TargetView): TargetRow['state'] {
+    if (isLeaving) return 'leaving'
+    return this.evacuations.all.has(domain) ? 'evacuated' : 'serving'
+  }
+
   private noteState (view: TargetView): void {
     const { balancer, log } = this.parts
     if (this.set.isRestarted(view)) {
