--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -190,7 +190,7 @@
       inUse: this.reserved + this.unsettled + this.waitingTokens,
       held: this.held,
       largest: this.needs.largest,
-      most: this.aim.mostAtOnce,
+      most: this.needs.largest > 0 ? this.aim.mostAtOnce : Infinity,
       unmet: this.needs.unmetTokens(now.mono)
     })
   }
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -53,7 +53,7 @@
   readonly held: number
   /** Largest need of holders that do not own the budget, 0 where all do: less than that at once would have each request of its size wait for a report of its own. */
   readonly largest: number
-  /** Tokens that one holder's report allows at once at most, see {@link mostAtOnce}. */
+  /** Tokens that one holder's report allows at once at most, see {@link mostAtOnce}; without bound where every holder owns the budget: a fleet of six recovered too little with it. */
   readonly most: number
   /** Tokens that another holder asked for just now and could not be given: the report goes out for them. */
   readonly unmet: number
