Sight: what the front takes beside the turns of the event loop

Cause it is for: no log or gauge told whether connections wait for a VM, whether its event loop was held up, or whether connections were closed for want of descriptors; the hypotheses of the incident could not be told apart.

Change: FrontWatch counts connections taken, closed unused and closed at once, requests, turns of the event loop and the longest time between two ticks; log event 1005 at most once a second, only when pressed; gauges on the metrics address. The count of turns is Node's own (uvMetricsInfo), in Node 20 from 20.18 on.

No change of what is done. Specs of when a line is written: 8 passing; specs of the whole VM pass.

--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -6,6 +6,7 @@
 import type { VmPresence } from '../presence/vmPresence.js'
 import type { CallQuarantine } from '../quarantine/callQuarantine.js'
 import type { QuarantineShare } from '../quarantine/quarantineShare.js'
+import type { FrontWatch } from './frontWatch.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
 import type { GatewayTargets } from './gatewayTargets.js'
@@ -30,5 +31,6 @@
   targets: id<GatewayTargets>('GatewayTargets'),
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineShare: id<QuarantineShare>('QuarantineShare'),
+  frontWatch: id<FrontWatch>('FrontWatch'),
   pipeline: id<GatewayPipeline>('GatewayPipeline')
 }
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -14,6 +14,7 @@
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
+import { FrontWatch, loopTurns } from './frontWatch.js'
 import { WORK_METHOD, workMethod } from './workNotices.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -49,6 +50,8 @@
   constructor (private readonly settings: GatewaySettings, edge: GatewayEdge) {
     bindGateway(this.container, settings, edge)
     this.log = this.container.get(ids.log)
+    this.container.bind(ids.frontWatch).toResolvedValue((clock, log, metrics) =>
+      new FrontWatch({ clock, log, metrics, turns: loopTurns, isReady: () => this.isReady }), [ids.clock, ids.log, ids.metrics]).inSingletonScope()
   }
 
   /** Whether callers may be sent here: configuration and quarantine were read and no stop was ordered. */
@@ -71,7 +74,9 @@
     presence.start()
     this.container.get(ids.quarantineShare).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
+    const frontWatch = this.container.get(ids.frontWatch)
     this.every(TICK_MS, async () => {
+      frontWatch.tick()
       const prepared = this.container.get(ids.config).current()
       if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
       this.tickBudgets(budgets)
