Let sixteen connections wait to be taken, in place of 511

What callers saw: a VM of a large fleet that said it was ready took none of 589 new connections in 4,552 ms.

Cause: Node's event loop takes one new connection a turn, in the order in which they came, and Node asks the kernel for a queue of 511. Where callers keep to one VM and its turns take 9 ms (a VM of a third of a core) the queue takes 4.6 s to pass; callers give up after one, so all that is taken has been left, for as long as callers come as fast as the VM takes. The queue is what fails, not the load: the VM takes about a hundred a second all the while.

Change: a queue of 16 for the front and for the servers of directory, readiness, callers and operators. Then a connection that is queued is taken within the time of its caller down to 16 turns a second, and others learn by their connect that they had better go elsewhere.

--- a/packages/http/src/server/httpLimits.ts
+++ b/packages/http/src/server/httpLimits.ts
@@ -6,6 +6,12 @@
 const mebibyte = 1_048_576
 const whole = z.number().int().positive()
 
+/**
+ * Connections that may wait to be taken. One is taken in each turn of the event loop, in the order in which they came: behind a long queue a
+ * loaded server takes only those whose clients have left. Beyond it clients learn while they connect that they had better go elsewhere.
+ */
+export const WAITING_CONNECTIONS = 16
+
 /** The limits with their defaults; bytes and milliseconds as the names say. */
 export const httpLimitsSchema = z.strictObject({
   bodyBytes: whole.default(4 * mebibyte),
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -10,7 +10,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { HttpExchange } from './httpExchange.js'
-import type { HttpLimits } from './httpLimits.js'
+import { WAITING_CONNECTIONS, type HttpLimits } from './httpLimits.js'
 import { parserFailure, refuseSocket, routerFailure, type StatusError } from './protocolFailures.js'
 import { silentLog } from './silentLog.js'
 
@@ -79,7 +79,7 @@
     return new Promise((resolve, reject) => {
       // Restify passes the errors of its server on and throws where nobody listens to them.
       this.app.once('error', reject)
-      this.app.listen(Number(port), host, () => {
+      this.app.listen(Number(port), host, WAITING_CONNECTIONS, () => {
         this.app.off('error', reject)
         const bound = this.node.address() as AddressInfo
         resolve(`${bound.address}:${bound.port}`)
