Leave VMs that missed three heartbeats out of the addresses for callers

Cause: addresses were those of all VMs that count as present, and a VM counts as gone only after four heartbeats (6 s at 60 VMs, 7.9 s at 79). That span guards tokens, which must not be taken early from a VM that may live; for addresses it has no use, and an ended one costs each caller a second of connecting.

Change: PresenceView knows who is late (three heartbeats: 4.5 s, 5.9 s at 79 VMs) beside who is present; only addresses ask for it. Where every other VM is late all are named, as then this VM more likely hears nothing; while the feed does not work nobody is late, as before.

--- a/packages/rosemaryspread/src/presence/presenceView.spec.ts
+++ b/packages/rosemaryspread/src/presence/presenceView.spec.ts
@@ -45,7 +45,7 @@
 describe('PresenceView', () => {
   for (const { name, act, at, others } of cases) {
     it(name, () => {
-      const view = new PresenceView('a', () => EXPIRY_MS)
+      const view = new PresenceView('a', () => EXPIRY_MS, () => EXPIRY_MS)
       view.replaced([row('a', 1), row('b', 1), row('c', 1)], 0)
       act(view)
       expect(view.others(at).map(({ vm }) => vm)).to.deep.equal(others)
--- a/packages/rosemaryspread/src/presence/presenceView.ts
+++ b/packages/rosemaryspread/src/presence/presenceView.ts
@@ -15,18 +15,26 @@
   readonly at: number
 }
 
+/** The other VMs at one moment. */
+interface Present {
+  readonly all: readonly PresenceRow[]
+  /** Those of them that are not late. */
+  readonly punctual: readonly PresenceRow[]
+}
+
 /** The other VMs. Times are monotonic milliseconds. */
 export class PresenceView {
   private seen = new Map<string, Seen>()
   private healthySince: number | undefined
-  private kept: readonly PresenceRow[] | undefined
+  private kept: Present | undefined
   private keptAt = -Infinity
 
   /**
    * @param self - name of this VM
    * @param expiryMs - silence after which a VM counts as gone, in a fleet of so many VMs
+   * @param lateMs - silence after which it counts as late
    */
-  constructor (private readonly self: string, private readonly expiryMs: (vms: number) => number) {}
+  constructor (private readonly self: string, private readonly expiryMs: (vms: number) => number, private readonly lateMs: (vms: number) => number) {}
 
   /**
    * Takes the rows of all VMs. Rows that are not there any more belong to VMs that left.
@@ -66,10 +74,23 @@
    * @param mono - present time
    */
   others (mono: number): readonly PresenceRow[] {
+    return this.present(mono).all
+  }
+
+  /**
+   * Other VMs that are present and not late; all that are present where each is late, as then this VM may hear nothing.
+   * @param mono - present time
+   */
+  punctual (mono: number): readonly PresenceRow[] {
+    const { all, punctual } = this.present(mono)
+    return punctual.length === 0 ? all : punctual
+  }
+
+  private present (mono: number): Present {
     if (this.kept !== undefined && mono - this.keptAt < KEPT_MS) return this.kept
-    this.kept = [...this.seen.values()]
-      .filter(({ row, at }) => row.vm !== this.self && !this.isSilent(at, mono))
-      .map(({ row }) => row)
+    const others = [...this.seen.values()].filter(({ row }) => row.vm !== this.self)
+    const heardWithin = (ms: number): readonly PresenceRow[] => others.filter(({ at }) => this.silentMs(at, mono) <= ms).map(({ row }) => row)
+    this.kept = { all: heardWithin(this.expiryMs(this.seen.size)), punctual: heardWithin(this.lateMs(this.seen.size)) }
     this.keptAt = mono
     return this.kept
   }
@@ -79,8 +100,8 @@
     this.kept = undefined
   }
 
-  private isSilent (at: number, mono: number): boolean {
-    if (this.healthySince === undefined) return false
-    return mono - Math.max(at, this.healthySince) > this.expiryMs(this.seen.size)
+  /** Milliseconds for which a VM was silent while the feed worked. */
+  private silentMs (at: number, mono: number): number {
+    return this.healthySince === undefined ? 0 : mono - Math.max(at, this.healthySince)
   }
 }
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -62,7 +62,7 @@
   private stopFeed: () => void = () => {}
 
   constructor (private readonly parts: PresenceParts) {
-    this.view = new PresenceView(parts.self.vm, vms => beatMs(vms) * (MISSED_BEATS + 1))
+    this.view = new PresenceView(parts.self.vm, vms => beatMs(vms) * (MISSED_BEATS + 1), vms => beatMs(vms) * MISSED_BEATS)
   }
 
   /** Begins to follow the other VMs. */
@@ -130,9 +130,12 @@
     return this.isSettled ? [this.parts.self.vm, ...this.view.others(this.mono).map(({ vm }) => vm)] : []
   }
 
-  /** Addresses for callers of all VMs that serve, this one included. */
+  /**
+   * Addresses for callers of all VMs that serve, this one included. Those that missed their heartbeats are left out before they count as
+   * gone: an address of an ended VM costs a caller a second, while its tokens must not be taken early.
+   */
   addresses (): readonly string[] {
-    const others = this.view.others(this.mono).filter(({ state }) => state === 'serving').map(({ callers }) => callers)
+    const others = this.view.punctual(this.mono).filter(({ state }) => state === 'serving').map(({ callers }) => callers)
     return this.state === 'serving' ? [this.parts.self.callers, ...others] : others
   }
 
