Give metrics a table, and their catalogue a page made from it

Cause: names of counters and gauges were free strings in nine modules; nothing listed them, and a misspelt one would have been a new one.

Change: metricTable has each with its kind and a line for people; Metrics takes only these names; docs/METRICS.md is written from it and compared by the test of generated pages. Names stay as they were.

--- a/packages/rosemaryspread/src/metrics/metricsRecorder.ts
+++ b/packages/rosemaryspread/src/metrics/metricsRecorder.ts
@@ -2,18 +2,19 @@
  * Counters, and hdr-histogram-js histograms, rendered in the Prometheus text format.
  */
 import { build, type Histogram } from 'hdr-histogram-js'
-import type { HistogramName, Metrics } from './metricsTypes.js'
+import type { CounterName, GaugeName, HistogramName } from '@rosemaryspread/decisions/events/metricTable.js'
+import type { Metrics } from './metricsTypes.js'
 
 const QUANTILES = [50, 95, 99]
 const MAX_MILLISECONDS = 3_600_000
 
 /** Keeps metrics in memory. */
 export class MetricsRecorder implements Metrics {
-  private readonly counters = new Map<string, number>()
+  private readonly counters = new Map<CounterName, number>()
   private readonly histograms = new Map<HistogramName, Histogram>()
-  private readonly gauges = new Map<string, () => number>()
+  private readonly gauges = new Map<GaugeName, () => number>()
 
-  count (name: string, by = 1): void {
+  count (name: CounterName, by = 1): void {
     this.counters.set(name, (this.counters.get(name) ?? 0) + by)
   }
 
@@ -22,7 +23,7 @@
     this.histogram(name).recordValue(whole)
   }
 
-  gauge (name: string, read: () => number): void {
+  gauge (name: GaugeName, read: () => number): void {
     this.gauges.set(name, read)
   }
 
--- a/packages/rosemaryspread/src/metrics/metricsTypes.ts
+++ b/packages/rosemaryspread/src/metrics/metricsTypes.ts
@@ -1,18 +1,16 @@
 /**
- * Metrics of one VM: counters, and histograms of durations.
+ * Metrics of one VM: counters, gauges, and histograms of durations.
  */
-
-/** Names of the histograms; all in milliseconds. */
-export type HistogramName = 'first_token_ms' | 'between_tokens_ms' | 'total_ms' | 'reserve_wait_ms' | 'service_call_ms'
+import type { CounterName, GaugeName, HistogramName } from '@rosemaryspread/decisions/events/metricTable.js'
 
 /** Where measurements go. */
 export interface Metrics {
   /**
    * Adds to a counter.
-   * @param name - counter name in snake case
+   * @param name - the counter
    * @param by - amount, 1 unless given
    */
-  count (name: string, by?: number): void
+  count (name: CounterName, by?: number): void
   /**
    * Records a duration.
    * @param name - the histogram
@@ -21,10 +19,10 @@
   record (name: HistogramName, milliseconds: number): void
   /**
    * Shows a value as it is whenever the metrics are read.
-   * @param name - in snake case
+   * @param name - the gauge
    * @param read - answers the present value
    */
-  gauge (name: string, read: () => number): void
+  gauge (name: GaugeName, read: () => number): void
   /** All metrics in the Prometheus text format. */
   render (): string
 }
--- a/packages/stand-ins/src/docs/tableDocs.ts
+++ b/packages/stand-ins/src/docs/tableDocs.ts
@@ -1,7 +1,8 @@
 /**
- * Renders the tables of result codes and log events for docs/CODES.md and docs/EVENTS.md.
+ * Renders the tables of result codes and log events for docs/CODES.md and docs/EVENTS.md, and of metrics for docs/METRICS.md.
  */
 import { logEvents } from '@rosemaryspread/decisions/events/logEvents.js'
+import { metricTable } from '@rosemaryspread/decisions/events/metricTable.js'
 import { resultCodes } from '@rosemaryspread/decisions/codes/resultCodes.js'
 
 /** A generated page: its path from the root and its text. */
@@ -14,7 +15,8 @@
 export function generatedPages (): GeneratedPage[] {
   return [
     { path: 'docs/CODES.md', text: codesPage() },
-    { path: 'docs/EVENTS.md', text: eventsPage() }
+    { path: 'docs/EVENTS.md', text: eventsPage() },
+    { path: 'docs/METRICS.md', text: metricsPage() }
   ]
 }
 
@@ -53,3 +55,21 @@
     ''
   ].join('\n')
 }
+
+function metricsPage (): string {
+  const rows = Object.entries(metricTable)
+    .sort(([left], [right]) => left < right ? -1 : 1)
+    .map(([name, { kind, title }]) => `| \`${name}\` | ${kind} | ${title} |`)
+  return [
+    '# Metrics',
+    '',
+    'What a VM serves on the metrics address of its settings, in the Prometheus text format. Each name has the prefix',
+    '`rosemaryspread_`; counters end in `_total`, histograms are summaries in milliseconds with the quantiles 0.5, 0.95 and 0.99 and `_count`.',
+    'Written by `npm run docs:tables` from the code; a test compares the two.',
+    '',
+    '| name | kind | what it tells |',
+    '|---|---|---|',
+    ...rows,
+    ''
+  ].join('\n')
+}
