--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -20,6 +20,8 @@
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
   /** Time between the order to stop and the end of the process. */
   graceMs: milliseconds,
+  /** Descriptors that the process may have open; absent: nothing bounds them. */
+  descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
 })
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>
