--- a/packages/rosemaryspread/src/gateway/connectionRoom.ts
+++ b/packages/rosemaryspread/src/gateway/connectionRoom.ts
@@ -12,23 +12,17 @@
 export class ConnectionRoom {
   /** Connections that may be open; those beyond are to be closed at once. */
   readonly most: number
-  private open = 0
 
   /** @param descriptors - descriptors that the process may have open; absent where nothing bounds them */
   constructor (descriptors?: number) {
     this.most = Math.floor((descriptors ?? Infinity) * CALLERS_PART)
   }
 
-  /** Whether connections without a request should be closed, so that new ones find room. */
-  get isCrowded (): boolean {
-    return this.open >= this.most * CROWDED_PART
-  }
-
-  opened (): void {
-    this.open += 1
-  }
-
-  closed (): void {
-    this.open -= 1
+  /**
+   * Whether connections without a request should be closed, so that new ones find room.
+   * @param open - connections that are open
+   */
+  isCrowded (open: number): boolean {
+    return open >= this.most * CROWDED_PART
   }
 }
--- a/packages/rosemaryspread/src/gateway/frontWatch.ts
+++ b/packages/rosemaryspread/src/gateway/frontWatch.ts
@@ -59,6 +59,11 @@
     deps.metrics.gauge('loop_longest_ms', () => Math.max(this.span.longestMs, this.last.longestMs))
   }
 
+  /** Connections of callers that are open. */
+  get openConnections (): number {
+    return this.open
+  }
+
   /** A connection was taken; answers what to call when it closes, with whether any request came on it. */
   taken (): (isUsed: boolean) => void {
     this.open += 1
