--- a/deploy/runBundle.cjs
+++ b/deploy/runBundle.cjs
@@ -1,8 +1,7 @@
 /**
- * Runs the bundled program from its compiled code. Compiling 4.5 MB of source is most of the time
- * from the start of a process to its first answer: with the code cache 0.32 s in place of 0.42 s, of
- * which Node alone takes 0.1 s. The build writes the cache with `--write-code-cache`; without one, or
- * with that of another version of Node, the source is compiled as usual.
+ * Runs the bundled program from its compiled code: compiling the source is most of the time from the
+ * start of a process to its first answer. The build writes the cache with `--write-code-cache`; without
+ * one, or with that of another version of Node, the source is compiled as usual.
  */
 'use strict'
 
@@ -15,7 +14,8 @@
 const isWriting = process.argv.includes('--write-code-cache')
 
 const cachedData = !isWriting && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined
-const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'utf8')}\n})`
+// The bundle is ASCII, which is read without decoding.
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'latin1')}\n})`
 const script = new Script(source, { filename: bundleFile, ...(cachedData === undefined ? {} : { cachedData }) })
 if (script.cachedDataRejected === true) console.error('the code cache is of another build or version of Node and is not used')
 
--- a/packages/callers/src/api/callerServer.ts
+++ b/packages/callers/src/api/callerServer.ts
@@ -8,6 +8,7 @@
 import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
 import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
 import { HttpServer } from '@rosemaryspread/http/server/httpServer.js'
+import { RestifyRouter } from '@rosemaryspread/http/server/restifyRouter.js'
 import type { ApplicationService, CallerDirectory, CallerIdentity, CompletionService } from '../completion/completionTypes.js'
 import { callerOf } from './callerCalls.js'
 import { CompletionRoute } from './completionRoute.js'
@@ -34,7 +35,7 @@
   /** @param deps - services, log and limits */
   constructor (deps: CallerServerDeps) {
     this.directory = deps.directory
-    this.http = new HttpServer(deps)
+    this.http = new HttpServer(deps, new RestifyRouter())
     const completions = new CompletionRoute(deps.completions, deps.directory, deps.log)
     const services = new ServiceRoute(deps.services, deps.directory)
     this.http.route('POST', '/v1/chat/completions', (exchange) => completions.serve(exchange))
--- a/packages/callers/src/completion/completionTypes.ts
+++ b/packages/callers/src/completion/completionTypes.ts
@@ -2,7 +2,7 @@
  * What the HTTP API for callers asks of the rest of the VM. The API package knows HTTP and
  * nothing of budgets or runners; the daemon binds the implementations.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -3,7 +3,7 @@
  * table keeps, for each budget, what was paid, spent and allotted to holders, and every
  * transaction keeps `spent + allotted <= paid`. A holder spends only from its allotment.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Instant } from '../clock/clockTypes.js'
 import type { Failure } from '../codes/failure.js'
 import type { ReportAllowance } from './reportBound.js'
--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -2,7 +2,7 @@
  * Result codes: every refusal, failure and exit has one numbered entry here. docs/CODES.md is
  * the table for people; a test compares the two. Numbers are never used again for another meaning.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Whether the work behind a refused or failed request was run. */
 export const ranSchema = z.enum(['no', 'yes', 'unknown'])
--- a/packages/decisions/src/config/configRows.ts
+++ b/packages/decisions/src/config/configRows.ts
@@ -4,7 +4,7 @@
  * configuration, so that a row stays small whatever the number of teams; whole configurations
  * are snapshot objects, named by version and digest.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Table of the one row that names the version in force. */
 export const CURRENT_TABLE = 'config'
--- a/packages/decisions/src/config/configSchema.ts
+++ b/packages/decisions/src/config/configSchema.ts
@@ -3,7 +3,7 @@
  * inferred from it. Collections are records keyed by id, so that patches from two operators
  * touch different paths. Token amounts of budgets are not in it: they live in budget rows.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const id = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'use 1 to 63 of a-z 0-9 . _ -')
 const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use IPv4:port')
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -2,7 +2,7 @@
  * Log events: every log line carries one numbered entry of this table. docs/EVENTS.md is the
  * catalogue for people; a test compares the two. Numbers are never used again for another meaning.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Shape of one entry of the table. */
 export const logEventSchema = z.object({
--- a/packages/decisions/src/gateway/gatewayConfig.ts
+++ b/packages/decisions/src/gateway/gatewayConfig.ts
@@ -3,7 +3,7 @@
  * what each team has paid for. It is handed in whole by whoever owns it, under a version that only
  * grows. One schema is the source of the types.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const count = z.number().int().nonnegative()
 const milliseconds = z.number().positive()
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -5,7 +5,7 @@
  * parts there is worth it. Requests without such parts go where this VM has the fewest requests open.
  */
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
 import { TargetHealth } from '../routing/targetHealth.js'
--- a/packages/decisions/src/lease/leaseTypes.ts
+++ b/packages/decisions/src/lease/leaseTypes.ts
@@ -3,7 +3,7 @@
  * written at each renewal. `fences/<role>` is written only when the role changes hands, so
  * writes under the lease can check its version without a conflict with a renewal under way.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Instant } from '../clock/clockTypes.js'
 import type { HolderId } from '../names/nameTypes.js'
 
--- a/packages/decisions/src/membership/memberTypes.ts
+++ b/packages/decisions/src/membership/memberTypes.ts
@@ -2,7 +2,7 @@
  * Membership as the decider sees it: what the VMs tell each other, what the table and the
  * platform's list say, and what follows from it.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Instant } from '../clock/clockTypes.js'
 import type { HolderId } from '../names/nameTypes.js'
 
--- a/packages/decisions/src/quarantine/quarantineTypes.ts
+++ b/packages/decisions/src/quarantine/quarantineTypes.ts
@@ -2,7 +2,7 @@
  * What VMs tell each other of requests under which targets ended. One schema is the source of the types, of the rows in the table
  * and of the messages over links. A request is named by a digest of what makes it the same when it comes again.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Table of the rows, which a feed carries to all VMs. */
 export const QUARANTINE_TABLE = 'quarantine'
--- a/packages/http/src/input/callHeaders.ts
+++ b/packages/http/src/input/callHeaders.ts
@@ -3,7 +3,7 @@
  * ready to wait, and names the budget that pays.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import { checkBy, type Checked } from './inputChecks.js'
 
 const maxTimeoutMs = 3_600_000
--- a/packages/http/src/input/inputChecks.ts
+++ b/packages/http/src/input/inputChecks.ts
@@ -3,7 +3,7 @@
  * it found, named by path; `together` joins checks so that a caller learns all mistakes at once.
  */
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
 /** Every mistake found, or the checked value. */
--- a/packages/http/src/server/httpLimits.ts
+++ b/packages/http/src/server/httpLimits.ts
@@ -1,7 +1,7 @@
 /**
  * Limits of one HTTP server against clients that send too much, too slowly, or do not read.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const mebibyte = 1_048_576
 const whole = z.number().int().positive()
--- a/packages/http/src/server/httpServer.spec.ts
+++ b/packages/http/src/server/httpServer.spec.ts
@@ -1,29 +1,80 @@
 /**
- * Listening: the address in use is told, and one that is taken is a rejection, not a fault of the process.
+ * Servers over each router: the address in use is told, one that is taken is a rejection and not a fault of
+ * the process, and a request reaches its handler or a numbered problem.
  */
 import { once } from 'node:events'
 import { createServer, type AddressInfo } from 'node:net'
 import { expect } from 'chai'
+import got from 'got'
+import { Left, Right } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { httpLimitsSchema } from './httpLimits.js'
+import type { HttpRouter, RouteMethod } from './httpRouter.js'
 import { HttpServer } from './httpServer.js'
+import { PathRouter } from './pathRouter.js'
+import { RestifyRouter } from './restifyRouter.js'
 
-function newServer (): HttpServer {
-  return new HttpServer({ log: { write: () => {} }, limits: httpLimitsSchema.parse({}) })
+const routers: ReadonlyArray<{ readonly name: string, readonly make: () => HttpRouter }> = [
+  { name: 'restify', make: () => new RestifyRouter() },
+  { name: 'paths', make: () => new PathRouter() }
+]
+
+interface RequestCase {
+  readonly says: string
+  readonly method: RouteMethod | 'DELETE'
+  readonly path: string
+  readonly status: number
+  /** What the body holds. */
+  readonly body: object
 }
 
-describe('listening of an HTTP server', () => {
-  it('tells the address in use', async () => {
-    const server = newServer()
-    expect(await server.listen('127.0.0.1:0')).to.match(/^127\.0\.0\.1:[1-9]\d*$/)
-    await server.close()
-  })
+const requests: readonly RequestCase[] = [
+  { says: 'a plain path', method: 'GET', path: '/plain', status: 200, body: { route: 'plain' } },
+  { says: 'a query, which is no part of the path', method: 'GET', path: '/plain?name=a&zone=b', status: 200, body: { route: 'plain' } },
+  { says: 'a named segment', method: 'POST', path: '/things/a%20b/lift', status: 200, body: { name: 'a b' } },
+  { says: 'a failure of the handler', method: 'GET', path: '/refused', status: 404, body: { code: 'RS-104' } },
+  { says: 'an error of the handler', method: 'GET', path: '/faulty', status: 500, body: { code: 'RS-799' } },
+  { says: 'an unknown path', method: 'GET', path: '/unknown', status: 404, body: { code: 'RS-104' } },
+  { says: 'a longer path', method: 'GET', path: '/plain/more', status: 404, body: { code: 'RS-104' } },
+  { says: 'another method', method: 'DELETE', path: '/plain', status: 405, body: { code: 'RS-106' } },
+  { says: 'escapes that stand for nothing', method: 'POST', path: '/things/%E0%A4%A/lift', status: 404, body: {} }
+]
+
+function newServer (router: HttpRouter): HttpServer {
+  const server = new HttpServer({ log: { write: () => {} }, limits: httpLimitsSchema.parse({}) }, router)
+  server.route('GET', '/plain', async exchange => Right(exchange.sendJson(200, { route: 'plain' })))
+  server.route('POST', '/things/:name/lift', async exchange => Right(exchange.sendJson(200, { name: exchange.params.name })))
+  server.route('GET', '/refused', async () => Left(new Failure('notFound', 'there is none')))
+  server.route('GET', '/faulty', async () => { throw new Error('broken') })
+  return server
+}
 
-  it('is rejected when the address is taken', async () => {
-    const taken = createServer().listen(0, '127.0.0.1')
-    await once(taken, 'listening')
-    const { port } = taken.address() as AddressInfo
-    const outcome = await newServer().listen(`127.0.0.1:${port}`).catch((err: NodeJS.ErrnoException) => err.code)
-    taken.close()
-    expect(outcome).to.equal('EADDRINUSE')
+for (const { name, make } of routers) {
+  describe(`an HTTP server over ${name}`, () => {
+    it('tells the address in use', async () => {
+      const server = newServer(make())
+      expect(await server.listen('127.0.0.1:0')).to.match(/^127\.0\.0\.1:[1-9]\d*$/)
+      await server.close()
+    })
+
+    it('is rejected when the address is taken', async () => {
+      const taken = createServer().listen(0, '127.0.0.1')
+      await once(taken, 'listening')
+      const { port } = taken.address() as AddressInfo
+      const outcome = await newServer(make()).listen(`127.0.0.1:${port}`).catch((err: NodeJS.ErrnoException) => err.code)
+      taken.close()
+      expect(outcome).to.equal('EADDRINUSE')
+    })
+
+    for (const { says, method, path, status, body } of requests) {
+      it(`answers ${says}`, async () => {
+        const server = newServer(make())
+        const address = await server.listen('127.0.0.1:0')
+        const res = await got(`http://${address}${path}`, { method, throwHttpErrors: false, retry: { limit: 0 } })
+        await server.close()
+        expect(res.statusCode).to.equal(status)
+        expect(JSON.parse(res.body)).to.include(body)
+      })
+    }
   })
-})
+}
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -1,25 +1,21 @@
 /**
- * An HTTP server by restify with this project's rules: every failure is answered with a
+ * An HTTP server with this project's rules: every failure is answered with a
  * numbered problem, a fault in a handler included; limits on what clients send; and a graceful
  * close that finishes the open requests.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import restify from 'restify'
 import type { Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { HttpExchange } from './httpExchange.js'
 import { WAITING_CONNECTIONS, type HttpLimits } from './httpLimits.js'
-import { parserFailure, refuseSocket, routerFailure, type StatusError } from './protocolFailures.js'
-import { silentLog } from './silentLog.js'
+import type { HttpRouter, RouteMethod } from './httpRouter.js'
+import { parserFailure, refuseSocket } from './protocolFailures.js'
 
 /** Answers an exchange, or says why it is refused. */
 export type ExchangeHandler = (exchange: HttpExchange) => Promise<Either<Failure, void>>
 
-/** Methods that routes are made for. */
-export type RouteMethod = 'GET' | 'POST'
-
 /** What a server needs. */
 export interface HttpServerDeps {
   readonly log: EventLog
@@ -30,61 +26,45 @@
 
 /** The server. */
 export class HttpServer {
-  private readonly app: restify.Server
   private readonly open = new Set<HttpExchange>()
   private readonly sockets = new Set<Socket>()
   private lingering = false
   private closing = false
 
-  /** @param deps - log and limits */
-  constructor (private readonly deps: HttpServerDeps) {
-    this.app = restify.createServer({ name: '', log: silentLog as never })
+  /**
+   * @param deps - log and limits
+   * @param router - leads requests to their handlers; it has no routes yet
+   */
+  constructor (private readonly deps: HttpServerDeps, private readonly router: HttpRouter) {
     this.node.headersTimeout = deps.limits.headersMs
     this.node.requestTimeout = deps.limits.requestMs
     this.node.keepAliveTimeout = deps.limits.idleMs
     this.node.maxHeadersCount = deps.limits.headerCount
     this.node.maxConnections = deps.limits.connections
-    // Restify would take the connection of a request with `Upgrade` and never answer it; without it Node serves the request.
-    this.node.removeAllListeners('upgrade')
-    this.app.on('connection', (socket: Socket) => this.watch(socket))
-    this.app.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.refuseInvalid(err, socket))
-    // Restify's own answer is left out by not calling its callback.
-    this.app.on('restifyError', (req: IncomingMessage, res: ServerResponse, err: StatusError) => {
-      this.refuse(this.exchangeOf(req, res), routerFailure(err))
-    })
+    this.node.on('connection', (socket: Socket) => this.watch(socket))
+    this.node.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.refuseInvalid(err, socket))
+    router.onUnrouted((req, res, failure) => { this.refuse(this.exchangeOf(req, res), failure) })
   }
 
   /**
    * Adds a route.
    * @param method - HTTP method
-   * @param path - path in restify's notation
+   * @param path - path in the notation of the router
    * @param handler - answers the requests
    */
   route (method: RouteMethod, path: string, handler: ExchangeHandler): void {
-    const serve = (req: restify.Request, res: restify.Response, next: restify.Next): void => {
-      this.serve(this.exchangeOf(req, res), handler).then(() => {
-        if (res.headersSent) next()
-      })
-    }
-    if (method === 'GET') this.app.get(path, serve)
-    else this.app.post(path, serve)
+    this.router.route(method, path, async (req, res) => { await this.serve(this.exchangeOf(req, res), handler) })
   }
 
   /**
    * Listens; resolves to the address in use, which tells the port when 0 was asked.
    * @param address - IPv4:port
    */
-  listen (address: string): Promise<string> {
-    const [host, port] = address.split(':')
-    return new Promise((resolve, reject) => {
-      // Restify passes the errors of its server on and throws where nobody listens to them.
-      this.app.once('error', reject)
-      this.app.listen(Number(port), host, WAITING_CONNECTIONS, () => {
-        this.app.off('error', reject)
-        const bound = this.node.address() as AddressInfo
-        resolve(`${bound.address}:${bound.port}`)
-      })
-    })
+  async listen (address: string): Promise<string> {
+    const [host = '', port] = address.split(':')
+    await this.router.listen(host, Number(port), WAITING_CONNECTIONS)
+    const bound = this.node.address() as AddressInfo
+    return `${bound.address}:${bound.port}`
   }
 
   /**
@@ -116,7 +96,7 @@
   }
 
   private get node (): Server {
-    return this.app.server as Server
+    return this.router.node
   }
 
   private watch (socket: Socket): void {
--- a/packages/infra/src/table/httpTableStore.ts
+++ b/packages/infra/src/table/httpTableStore.ts
@@ -3,7 +3,7 @@
  * answer is lost, only the caller knows how to read back whether it took effect.
  */
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { HttpTransport, parseJson, type HttpAnswer, type LostCall } from '../http/httpTransport.js'
 import { outcomeUnknown, readFailed, readRefused, writeLost, writeRefused } from '../http/platformFailure.js'
--- a/packages/infra/src/table/tableTypes.ts
+++ b/packages/infra/src/table/tableTypes.ts
@@ -3,7 +3,7 @@
  * a version that never repeats, so a deleted and recreated row is told from the old one. All
  * writes of a transaction take effect together or not at all.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
--- a/packages/infra/src/vmList/vmListTypes.ts
+++ b/packages/infra/src/vmList/vmListTypes.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's list of live and leaving VMs. It lags: what it says is evidence with an age.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
--- a/packages/infra/src/weights/httpWeightStore.ts
+++ b/packages/infra/src/weights/httpWeightStore.ts
@@ -2,7 +2,7 @@
  * Client of the weight store. Going over its rate is a failure with the time to come back.
  */
 import { Left, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { HttpTransport, parseJson } from '../http/httpTransport.js'
 import { readFailed, readRefused } from '../http/platformFailure.js'
--- a/packages/operators/src/admin/adminQueries.ts
+++ b/packages/operators/src/admin/adminQueries.ts
@@ -2,7 +2,7 @@
  * What the admin API reads from URLs.
  */
 import type { Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { badRequest, checkBy } from '@rosemaryspread/http/input/inputChecks.js'
 
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -12,7 +12,9 @@
 import { jsonBody } from '@rosemaryspread/http/input/jsonBody.js'
 import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
 import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
-import { HttpServer, type RouteMethod } from '@rosemaryspread/http/server/httpServer.js'
+import type { RouteMethod } from '@rosemaryspread/http/server/httpRouter.js'
+import { HttpServer } from '@rosemaryspread/http/server/httpServer.js'
+import { RestifyRouter } from '@rosemaryspread/http/server/restifyRouter.js'
 import { budgetParam, historyQuery, versionQuery } from './adminQueries.js'
 import { patchRequestSchema, topUpRequestSchema, type AdminService } from './adminTypes.js'
 import { configStatus, type ConfigStatus } from './configStatus.js'
@@ -35,7 +37,7 @@
   /** @param deps - service, log and limits */
   constructor (deps: AdminServerDeps) {
     this.service = deps.service
-    this.http = new HttpServer(deps)
+    this.http = new HttpServer(deps, new RestifyRouter())
     this.route('GET', '/admin/v1/config', (exchange) => this.config(exchange))
     this.route('POST', '/admin/v1/config/patches', (exchange) => this.patch(exchange))
     this.route('GET', '/admin/v1/config/history', (exchange) => this.history(exchange))
--- a/packages/operators/src/admin/adminTypes.ts
+++ b/packages/operators/src/admin/adminTypes.ts
@@ -2,7 +2,7 @@
  * What the admin API asks of the rest of the VM, and the answers both it and
  * `rosemaryspreadctl` understand. The daemon binds the implementations.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
--- a/packages/operators/src/admin/configStatus.ts
+++ b/packages/operators/src/admin/configStatus.ts
@@ -1,7 +1,7 @@
 /**
  * Which VM is at which configuration version, and who lags.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { VmAnswer } from './adminTypes.js'
 
 /** One VM's version. */
--- a/packages/operators/src/ctl/adminRequest.ts
+++ b/packages/operators/src/ctl/adminRequest.ts
@@ -3,7 +3,7 @@
  */
 import got, { RequestError, TimeoutError } from 'got'
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { ranSchema, resultCodes, type ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 
--- a/packages/operators/src/ctl/configCommands.ts
+++ b/packages/operators/src/ctl/configCommands.ts
@@ -3,7 +3,7 @@
  */
 import { EitherAsync, Left, Right, type Either } from 'purify-ts'
 import { stringify } from 'yaml'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { checkBy } from '@rosemaryspread/http/input/inputChecks.js'
 import { configAnswerSchema, historyEntrySchema, patchAnswerSchema, patchRequestSchema, type HistoryEntry, type PatchAnswer, type PatchRequest } from '../admin/adminTypes.js'
--- a/packages/operators/src/ctl/fleetCommands.ts
+++ b/packages/operators/src/ctl/fleetCommands.ts
@@ -1,7 +1,7 @@
 /**
  * `rosemaryspreadctl vm list`, `runner list` and `addresses`.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { runnerAnswerSchema, vmAnswerSchema } from '../admin/adminTypes.js'
 import type { CtlAction } from './ctlTypes.js'
 import { ageText, textTable } from './textTable.js'
--- a/packages/operators/src/ctl/teamCommands.ts
+++ b/packages/operators/src/ctl/teamCommands.ts
@@ -3,7 +3,7 @@
  */
 import { createHash } from 'node:crypto'
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { teamSchema, type TeamConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import { checkBy } from '@rosemaryspread/http/input/inputChecks.js'
--- a/packages/peers/src/link/failureCodec.ts
+++ b/packages/peers/src/link/failureCodec.ts
@@ -3,7 +3,7 @@
  * numbered failure at the caller.
  */
 import { createJSONRPCErrorResponse, JSONRPCErrorCode, type JSONRPCError, type JSONRPCErrorResponse, type JSONRPCID } from 'json-rpc-2.0'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { ranSchema, resultCodes, type ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 
--- a/packages/peers/src/link/handshake.ts
+++ b/packages/peers/src/link/handshake.ts
@@ -7,7 +7,7 @@
  * nor signed, so the network between VMs has to be private.
  */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
 /** Version of the protocol between VMs; VMs of different versions refuse each other. */
--- a/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGiftCalls.ts
@@ -3,7 +3,7 @@
  * had most left when they answered last. An answer that does not come in time is not waited for; what it
  * gave is taken when it comes after all, for later requests. What is lost with an answer is never used twice.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
--- a/packages/rosemaryspread/src/budget/budgetPeers.ts
+++ b/packages/rosemaryspread/src/budget/budgetPeers.ts
@@ -2,7 +2,7 @@
  * What the budget driver asks of other VMs, and how their answers look. The daemon binds it to
  * the peer protocol; `BudgetDriver` has the methods that serve the asks.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { transferSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
--- a/packages/rosemaryspread/src/config/configSpread.ts
+++ b/packages/rosemaryspread/src/config/configSpread.ts
@@ -5,7 +5,7 @@
  * it while the table is down.
  */
 import type { Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import { versionMarkSchema, versionRowSchema, wholeConfigSchema, type VersionMark } from '@rosemaryspread/decisions/config/configRows.js'
 import type { HeldConfig } from '@rosemaryspread/decisions/config/configPatch.js'
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -2,7 +2,7 @@
  * What the gateway of one VM must know before it can reach anything. The edge that starts it
  * decodes its settings file to this; one schema is the source of the types and the checks.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const milliseconds = z.number().nonnegative()
 
--- a/packages/rosemaryspread/src/metrics/metricsRecorder.ts
+++ b/packages/rosemaryspread/src/metrics/metricsRecorder.ts
@@ -1,12 +1,19 @@
 /**
  * Counters, and hdr-histogram-js histograms, rendered in the Prometheus text format.
  */
-import { build, type Histogram } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+// The main module also loads WebAssembly, compression and the formats of logs, none of which is used.
+import { constructorFromBucketSize } from 'hdr-histogram-js/dist/JsHistogramFactory.js'
 import type { CounterName, GaugeName, HistogramName } from '@rosemaryspread/decisions/events/metricTable.js'
 import type { Metrics } from './metricsTypes.js'
 
 const QUANTILES = [50, 95, 99]
 const MAX_MILLISECONDS = 3_600_000
+const SIGNIFICANT_DIGITS = 2
+/** Bits of a counter. */
+const COUNTER_BITS = 32
+
+const MillisecondHistogram = constructorFromBucketSize(COUNTER_BITS)
 
 /** Keeps metrics in memory. */
 export class MetricsRecorder implements Metrics {
@@ -37,7 +44,7 @@
   private histogram (name: HistogramName): Histogram {
     const known = this.histograms.get(name)
     if (known !== undefined) return known
-    const fresh = build({ lowestDiscernibleValue: 1, highestTrackableValue: MAX_MILLISECONDS, numberOfSignificantValueDigits: 2 })
+    const fresh = new MillisecondHistogram(1, MAX_MILLISECONDS, SIGNIFICANT_DIGITS)
     this.histograms.set(name, fresh)
     return fresh
   }
--- a/packages/rosemaryspread/src/presence/fleetKey.ts
+++ b/packages/rosemaryspread/src/presence/fleetKey.ts
@@ -4,7 +4,7 @@
  */
 import { randomBytes } from 'node:crypto'
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -1,7 +1,7 @@
 /**
  * What VMs tell of themselves in the table `vms`, where a feed of changes carries it to all others.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Table of the presence rows; the key is the name of the VM. */
 export const PRESENCE_TABLE = 'vms'
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -2,7 +2,7 @@
  * Claims of calls that may not be repeated: one row for each request id in the table, inserted
  * before anything is dispatched. Whoever finds the row does not dispatch.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
--- a/packages/rosemaryspread/src/settings/settingsSchema.ts
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -3,7 +3,7 @@
  * the source of the types, of the defaults and of the checks; docs/SETTINGS.md describes each.
  */
 import { isIPv4 } from 'node:net'
-import { z } from 'zod'
+import * as z from 'zod'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
 
 const MAX_PORT = 65_535
--- a/packages/runners/src/engine/engineEvents.ts
+++ b/packages/runners/src/engine/engineEvents.ts
@@ -5,7 +5,7 @@
  * `answerCut` when the stream stops or stalls before its end. The end is handed on only after
  * `[DONE]`, and only if nothing follows it.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventSourceMessage } from 'eventsource-parser'
 import { usageSchema, type AnswerEnd, type EngineEvent } from './engineTypes.js'
--- a/packages/runners/src/engine/engineTypes.ts
+++ b/packages/runners/src/engine/engineTypes.ts
@@ -2,7 +2,7 @@
  * A model engine as this project meets it: OpenAI-style chat completions over SSE, with a
  * request id by which a run is joined, resumed, cancelled, looked up or sealed.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Either, Maybe } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
--- a/packages/runners/src/engine/httpEngineClient.ts
+++ b/packages/runners/src/engine/httpEngineClient.ts
@@ -4,7 +4,7 @@
  */
 import type { Request, Response } from 'got'
 import { Just, Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { HttpTransport, parseJson, toLostCall, type HttpAnswer, type HttpCall } from '@rosemaryspread/infra/http/httpTransport.js'
 import { answerUnfit, callRefused, orderRefused, runnerLost, submitRefused } from './engineFailure.js'
--- a/packages/stand-ins/src/budget/budgetRowCache.spec.ts
+++ b/packages/stand-ins/src/budget/budgetRowCache.spec.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from 'chai'
 import { Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { RowSet } from '@rosemaryspread/decisions/budget/rowSet.js'
 import type { ReadAnswer, RowKey } from '@rosemaryspread/infra/table/tableTypes.js'
--- a/packages/stand-ins/src/control/controlTypes.ts
+++ b/packages/stand-ins/src/control/controlTypes.ts
@@ -2,7 +2,7 @@
  * What tests send to the control port of a stand-in. Every member is optional; what is left out
  * keeps its setting.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const count = z.number().int().nonnegative()
 
--- a/packages/stand-ins/src/engine/engineRoutes.ts
+++ b/packages/stand-ins/src/engine/engineRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * The engine stand-in over HTTP.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { chatMessageSchema, engineOrderSchema, type EngineRequest } from '@rosemaryspread/runners/engine/engineTypes.js'
 import { HttpFault, type HttpAnswer, type HttpRequest, type HttpRoute } from '../control/httpTypes.js'
 import type { StreamFaults } from './engineFaults.js'
--- a/packages/stand-ins/src/history/historyFile.ts
+++ b/packages/stand-ins/src/history/historyFile.ts
@@ -2,7 +2,7 @@
  * Reads and writes histories as JSON lines; mistakes are reported with the line they are on.
  */
 import { Left, Right, type Either } from 'purify-ts'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { historyRecordSchema, type HistoryRecord } from './historyTypes.js'
 
--- a/packages/stand-ins/src/history/historyTypes.ts
+++ b/packages/stand-ins/src/history/historyTypes.ts
@@ -3,7 +3,7 @@
  * what was billed and answered. Stand-ins, test callers and log readers write it as JSON lines;
  * the checker judges any list of such records.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const at = z.number()
 
--- a/packages/stand-ins/src/scenario/callers/testCaller.ts
+++ b/packages/stand-ins/src/scenario/callers/testCaller.ts
@@ -2,7 +2,7 @@
  * A caller over HTTP that records what it asked and what it got.
  */
 import got from 'got'
-import { z } from 'zod'
+import * as z from 'zod'
 import { ranSchema } from '@rosemaryspread/decisions/codes/resultCodes.js'
 import type { Outcome } from '../../history/history.js'
 import type { HistoryRecord } from '../../history/historyTypes.js'
--- a/packages/stand-ins/src/scenario/callers/testOperator.ts
+++ b/packages/stand-ins/src/scenario/callers/testOperator.ts
@@ -3,7 +3,7 @@
  */
 import { createHash } from 'node:crypto'
 import got from 'got'
-import { z } from 'zod'
+import * as z from 'zod'
 import { configAnswerSchema } from '@rosemaryspread/operators/admin/adminTypes.js'
 
 /** Key of the operator in scenarios and the demo. */
--- a/packages/stand-ins/src/scenario/fleet/vmLog.ts
+++ b/packages/stand-ins/src/scenario/fleet/vmLog.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the log lines of a VM: the events that scenarios wait for, and what they say to the history.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { HistoryRecord } from '../../history/historyTypes.js'
 
 const lineSchema = z.object({
--- a/packages/stand-ins/src/scenario/language/scenarioParser.ts
+++ b/packages/stand-ins/src/scenario/language/scenarioParser.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import { isMap, isSeq, LineCounter, parseDocument, type Document, type ParsedNode } from 'yaml'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { historyRules } from '../../history/historyChecker.js'
 import { fleetSchema, verbSchemas, type FleetHead, type Scenario, type Step, type Verb } from './scenarioSchema.js'
--- a/packages/stand-ins/src/scenario/language/scenarioSchema.ts
+++ b/packages/stand-ins/src/scenario/language/scenarioSchema.ts
@@ -2,7 +2,7 @@
  * The scenario language: a fleet head and a list of steps. Each step is a map with one verb, and
  * each verb has one schema here, from which its type is inferred.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,30}$/, 'use 1 to 31 of a-z 0-9 -')
 const names = z.union([name.transform(one => [one]), z.array(name).min(1)])
--- a/packages/stand-ins/src/table/tableHistory.ts
+++ b/packages/stand-ins/src/table/tableHistory.ts
@@ -3,7 +3,7 @@
  * what is new in a row counts: a row that is written again as it was says nothing twice, and a
  * row that was deleted and written anew does.
  */
-import { z, type ZodType } from 'zod'
+import * as z from 'zod'
 import type { Row } from '@rosemaryspread/infra/table/tableTypes.js'
 import { segmentRowSchema, topUpRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { HistoryLog } from '../control/historyLog.js'
@@ -26,7 +26,7 @@
 }
 const readFenced = reader(fencedSchema, ({ holder, fencing, role }, at) => [{ kind: 'leaseWrite', at, role, holder, fencing }])
 
-function reader<T> (schema: ZodType<T>, records: (value: T, at: number, key: string) => HistoryRecord[]): Reader {
+function reader<T> (schema: z.ZodType<T>, records: (value: T, at: number, key: string) => HistoryRecord[]): Reader {
   return row => {
     const checked = schema.safeParse(row.value)
     return checked.success ? records(checked.data, row.updatedAt, row.key) : []
--- a/packages/stand-ins/src/table/tableRoutes.ts
+++ b/packages/stand-ins/src/table/tableRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * The table service over HTTP.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { rowKeySchema, transactionSchema } from '@rosemaryspread/infra/table/tableTypes.js'
 import { HistoryLog } from '../control/historyLog.js'
 import type { HttpAnswer, HttpRequest, HttpRoute } from '../control/httpTypes.js'
--- a/packages/stand-ins/src/vmList/vmListRoutes.ts
+++ b/packages/stand-ins/src/vmList/vmListRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's list of VMs over HTTP. Tests set its entries; callers see them late.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { vmEntrySchema, type VmEntry } from '@rosemaryspread/infra/vmList/vmListTypes.js'
 import { HistoryLog } from '../control/historyLog.js'
 import { LaggingValue } from '../control/laggingValue.js'
