--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -11,12 +11,15 @@
   vm: z.string(),
   holder: z.string(),
   domain: z.string(),
+  region: z.string().optional(),
   /** IPv4:port for callers. */
   callers: z.string(),
   /** IPv4:port for other VMs; absent where a VM has no links. */
   peers: z.string().optional(),
   /** `starting` until it can serve, `leaving` once it was told to stop. */
   state: z.enum(['starting', 'serving', 'leaving']),
+  /** Set while it has more to do than it can; absent otherwise. */
+  isPressed: z.boolean().optional(),
   /** Grows with each heartbeat, so that every write is a change. */
   beat: z.number().int()
 })
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -133,7 +133,7 @@
         if (isFeedDown) feed.handler?.failed(new Failure('platformUnavailable', 'no connection'))
         else feed.handler?.changed(others.slice(ended).map(vm => row(vm, '1', beat)))
       }
-      expect(presence.addresses()).to.have.length(named)
+      expect(presence.addresses({ caller: 'c' })).to.have.length(named)
     })
   }
 })
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -32,9 +32,17 @@
   readonly address: string
 }
 
+/** Where a caller is who asks for addresses. */
+export interface CallerPlace {
+  /** What tells callers apart; the same caller gets the same addresses. */
+  readonly caller: string
+  readonly domain?: string
+  readonly region?: string
+}
+
 /** What presence works with. */
 export interface PresenceParts {
-  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'callers' | 'peers'>
+  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
   readonly table: TableStore
   readonly feed: TableFeed
   readonly clock: Clock
@@ -134,7 +142,7 @@
    * Addresses for callers of all VMs that serve, this one included. Those that missed their heartbeats are left out before they count as
    * gone: an address of an ended VM costs a caller a second, while its tokens must not be taken early.
    */
-  addresses (): readonly string[] {
+  addresses (_place: CallerPlace): readonly string[] {
     const others = this.view.punctual(this.mono).filter(({ state }) => state === 'serving').map(({ callers }) => callers)
     return this.state === 'serving' ? [this.parts.self.callers, ...others] : others
   }
