Name at most 64 VMs to a caller, those of its failure domain with room first, the same at each ask

Cause: the directory answered with all VMs that serve, 195 of 195, by name, and ignored the caller's zone and region; an answer may hold 64. What callers do with more is theirs to choose. Change: namedVms decides. The caller's domain is enough while at least eight of its VMs, and half of them, have room; else VMs of the region fill up to 64. The order is a rendezvous hash of the caller's address over the names, so that whichever VM is asked the answer is the same: callers stop using open connections to addresses that a new answer does not name. A VM that is pressed (connections wait, were closed at once, the event loop was held up or had no pause; until three calm seconds later) is not named while others have room; it tells so at once in its row. Ruled out: a random sample at each ask, which would close open connections every two seconds.

--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -67,10 +67,10 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
-function bindFleet (container: Container, { vm, domain, callers, peers }: GatewaySettings, { table, feed, silence }: GatewayEdge, holder: string): void {
+function bindFleet (container: Container, { vm, domain, region, callers, peers }: GatewaySettings, { table, feed, silence }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.presence).toResolvedValue((clock, log) =>
-    new VmPresence({ self: { vm, holder, domain, callers, peers }, table, feed, clock, log, onJoined: other => { container.get(ids.budgets).holderJoined(other) } }), [ids.clock, ids.log]).inSingletonScope()
+    new VmPresence({ self: { vm, holder, domain, region, callers, peers }, table, feed, clock, log, onJoined: other => { container.get(ids.budgets).holderJoined(other) } }), [ids.clock, ids.log]).inSingletonScope()
   container.bind(ids.links).toResolvedValue((clock, random, log) =>
     new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next(), onSilence: since => { silence.noticed('peers', since) } }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
--- a/packages/rosemaryspread/src/gateway/frontWatch.spec.ts
+++ b/packages/rosemaryspread/src/gateway/frontWatch.spec.ts
@@ -14,6 +14,7 @@
   readonly turns: number
   /** Milliseconds by which one tick comes late. */
   readonly lateMs?: number
+  readonly busyMs?: number
   readonly lines: number
 }
 
@@ -31,18 +32,21 @@
   readonly metrics = new MetricsRecorder()
   mono = 0
   turns = 0
+  busyMs = 0
   readonly watch = new FrontWatch({
     clock: { now: () => ({ mono: this.mono, wall: 0 }) },
     log: { write: (event, fields) => { this.lines.push({ event, ...fields }) } },
     metrics: this.metrics,
     isReady: () => true,
-    turns: () => this.turns
+    turns: () => this.turns,
+    busyMs: () => this.busyMs
   })
 
-  second ({ taken = 0, dropped = 0, turns, lateMs = 0 }: Omit<Second, 'name' | 'lines'>): void {
+  second ({ taken = 0, dropped = 0, turns, lateMs = 0, busyMs = 100 }: Omit<Second, 'name' | 'lines'>): void {
     for (let i = 0; i < taken; i += 1) this.watch.taken()(i % 2 === 0)
     for (let i = 0; i < dropped; i += 1) this.watch.dropped()
     this.turns += turns
+    this.busyMs += busyMs
     this.mono += lateMs
     for (const end = this.mono + 1_000; this.mono < end;) {
       this.mono += TICK_MS
@@ -68,6 +72,25 @@
     expect(watched.lines.map(({ taken, unused, turns, open }) => [taken, unused, turns, open])).to.deep.equal([[40, 20, 40, 0], [60, 30, 100, 0]])
   })
 
+  const calm = { turns: 900 }
+  const pressures: ReadonlyArray<{ readonly name: string, readonly seconds: ReadonlyArray<Omit<Second, 'name' | 'lines'>>, readonly isPressed: boolean }> = [
+    { name: 'room at the start', seconds: [], isPressed: false },
+    { name: 'pressure of many connections', seconds: [{ taken: 100, turns: 200 }], isPressed: true },
+    { name: 'pressure of connections closed at once', seconds: [{ dropped: 1, turns: 900 }], isPressed: true },
+    { name: 'pressure of a loop that was held up', seconds: [{ turns: 900, lateMs: 600 }], isPressed: true },
+    { name: 'pressure of a loop without a pause', seconds: [{ turns: 900, busyMs: 990 }], isPressed: true },
+    { name: 'room beside a busy loop with pauses', seconds: [{ turns: 900, busyMs: 800 }], isPressed: false },
+    { name: 'pressure two calm seconds later', seconds: [{ dropped: 1, turns: 900 }, calm, calm], isPressed: true },
+    { name: 'room three calm seconds later', seconds: [{ dropped: 1, turns: 900 }, calm, calm, calm], isPressed: false }
+  ]
+  for (const { name, seconds, isPressed } of pressures) {
+    it(`tells ${name}`, () => {
+      const watched = new Watched()
+      for (const second of seconds) watched.second(second)
+      expect(watched.watch.isPressed).to.equal(isPressed)
+    })
+  }
+
   it('shows open connections while they are open', () => {
     const watched = new Watched()
     const closed = watched.watch.taken()
--- a/packages/rosemaryspread/src/gateway/frontWatch.ts
+++ b/packages/rosemaryspread/src/gateway/frontWatch.ts
@@ -16,6 +16,11 @@
 /** Connections below which a span says nothing of others that wait. */
 const LEAST_TAKEN = 20
 
+/** Part of a span in which the event loop was busy from which on this VM has more to do than it can. */
+const BUSY_PART = 0.9
+/** Spans in a row without pressure after which it has room again. */
+const CALM_SPANS = 3
+
 /** What the watch is composed of. */
 export interface FrontWatchDeps {
   readonly clock: Clock
@@ -25,12 +30,15 @@
   isReady (): boolean
   /** Turns that the event loop has made. */
   turns (): number
+  /** Milliseconds for which the event loop was busy. */
+  busyMs (): number
 }
 
 /** One span. */
 interface FrontSpan {
   readonly startedAt: number
   readonly turnsBefore: number
+  readonly busyBeforeMs: number
   taken: number
   dropped: number
   unused: number
@@ -43,12 +51,18 @@
   return performance.nodeTiming.uvMetricsInfo.loopCount
 }
 
+/** Milliseconds for which the event loop of this process was busy. */
+export function loopBusyMs (): number {
+  return performance.eventLoopUtilization().active
+}
+
 /** Watches the front of one VM. */
 export class FrontWatch {
   private open = 0
   private tickedAt: number
   private span: FrontSpan
   private last: FrontSpan
+  private calmSpans = CALM_SPANS
 
   constructor (private readonly deps: FrontWatchDeps) {
     this.tickedAt = deps.clock.now().mono
@@ -64,6 +78,11 @@
     return this.open
   }
 
+  /** Whether callers had better go to other VMs. Some spans without pressure are awaited, so that they do not come and go with each. */
+  get isPressed (): boolean {
+    return this.calmSpans < CALM_SPANS
+  }
+
   /** A connection was taken; answers what to call when it closes, with whether any request came on it. */
   taken (): (isUsed: boolean) => void {
     this.open += 1
@@ -100,17 +119,21 @@
   }
 
   private report (mono: number): void {
-    const { taken, dropped, unused, requests, longestMs, startedAt, turnsBefore } = this.span
+    const { taken, dropped, unused, requests, longestMs, startedAt, turnsBefore, busyBeforeMs } = this.span
     const turns = this.deps.turns() - turnsBefore
-    const isPressed = taken >= LEAST_TAKEN && taken >= turns * PRESSED_PART
-    if (!isPressed && dropped === 0 && longestMs < HELD_UP_MS) return
+    const spanMs = Math.round(mono - startedAt)
+    const isCrowded = (taken >= LEAST_TAKEN && taken >= turns * PRESSED_PART) || dropped > 0
+    const isHeldUp = longestMs >= HELD_UP_MS
+    const isBusy = this.deps.busyMs() - busyBeforeMs >= spanMs * BUSY_PART
+    this.calmSpans = isCrowded || isHeldUp || isBusy ? 0 : this.calmSpans + 1
+    if (!isCrowded && !isHeldUp) return
     this.deps.log.write('frontPressed', {
-      spanMs: Math.round(mono - startedAt), taken, dropped, unused, requests, turns, longestMs: Math.round(longestMs), open: this.open, isReady: this.deps.isReady()
+      spanMs, taken, dropped, unused, requests, turns, longestMs: Math.round(longestMs), open: this.open, isReady: this.deps.isReady()
     })
   }
 
   private begin (): FrontSpan {
     const { deps } = this
-    return { startedAt: deps.clock.now().mono, turnsBefore: deps.turns(), taken: 0, dropped: 0, unused: 0, requests: 0, longestMs: 0 }
+    return { startedAt: deps.clock.now().mono, turnsBefore: deps.turns(), busyBeforeMs: deps.busyMs(), taken: 0, dropped: 0, unused: 0, requests: 0, longestMs: 0 }
   }
 }
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -14,7 +14,7 @@
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
-import { FrontWatch, loopTurns } from './frontWatch.js'
+import { FrontWatch, loopBusyMs, loopTurns } from './frontWatch.js'
 import { WORK_METHOD, workMethod } from './workNotices.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -51,7 +51,7 @@
     bindGateway(this.container, settings, edge)
     this.log = this.container.get(ids.log)
     this.container.bind(ids.frontWatch).toResolvedValue((clock, log, metrics) =>
-      new FrontWatch({ clock, log, metrics, turns: loopTurns, isReady: () => this.isReady }), [ids.clock, ids.log, ids.metrics]).inSingletonScope()
+      new FrontWatch({ clock, log, metrics, turns: loopTurns, busyMs: loopBusyMs, isReady: () => this.isReady }), [ids.clock, ids.log, ids.metrics]).inSingletonScope()
   }
 
   /** Whether callers may be sent here: configuration and quarantine were read and no stop was ordered. */
@@ -85,6 +85,7 @@
       targets.tick()
       quarantine.tick()
       if (this.isReady) await presence.tell('serving')
+      presence.pressed(frontWatch.isPressed)
       presence.tick()
     })
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
--- a/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
+++ b/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
@@ -46,6 +46,7 @@
   const presence = new VmPresence({ self: { vm, holder, domain, region, callers }, table: store, feed, clock: { now: () => ({ mono: 0, wall: 0 }) }, log: { write: () => {} }, onJoined: () => {} })
   presence.start()
   handler?.replaced(others.map((value): FeedRow => ({ key: value.vm, value, version: 1 })))
+  presence.pressed(self.isPressed === true)
   await presence.tell(self.state)
   return presence
 }
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { namedVms, type CallerPlace } from '@rosemaryspread/decisions/membership/namedVms.js'
 import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetMember } from '../budget/budgetPeers.js'
@@ -32,14 +33,6 @@
   readonly address: string
 }
 
-/** Where a caller is who asks for addresses. */
-export interface CallerPlace {
-  /** What tells callers apart; the same caller gets the same addresses. */
-  readonly caller: string
-  readonly domain?: string
-  readonly region?: string
-}
-
 /** What presence works with. */
 export interface PresenceParts {
   readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
@@ -62,6 +55,7 @@
   private state: PresenceRow['state'] = 'starting'
   /** Last holder seen of each other VM. */
   private readonly seenHolders = new Map<string, string>()
+  private isPressed = false
   private beat = 0
   private nextBeatAt = 0
   private tickedAt = Infinity
@@ -139,12 +133,26 @@
   }
 
   /**
-   * Addresses for callers of all VMs that serve, this one included. Those that missed their heartbeats are left out before they count as
+   * Addresses for a caller, of VMs that serve, this one included. Those that missed their heartbeats are left out before they count as
    * gone: an address of an ended VM costs a caller a second, while its tokens must not be taken early.
+   * @param place - the caller
+   */
+  addresses (place: CallerPlace): readonly string[] {
+    const all = [this.ownRow, ...this.view.punctual(this.mono)]
+    return namedVms(place, all.filter(({ state }) => state === 'serving')).map(({ callers }) => callers)
+  }
+
+  /**
+   * Takes whether this VM has more to do than it can; a change is told with the next tick, as heartbeats of a large fleet are seldom.
+   * @param isPressed - whether it has
    */
-  addresses (_place: CallerPlace): readonly string[] {
-    const others = this.view.punctual(this.mono).filter(({ state }) => state === 'serving').map(({ callers }) => callers)
-    return this.state === 'serving' ? [this.parts.self.callers, ...others] : others
+  pressed (isPressed: boolean): void {
+    if (isPressed !== this.isPressed) this.nextBeatAt = Math.min(this.nextBeatAt, this.mono)
+    this.isPressed = isPressed
+  }
+
+  private get ownRow (): PresenceRow {
+    return { ...this.parts.self, state: this.state, beat: this.beat, ...(this.isPressed ? { isPressed: true } : {}) }
   }
 
   private get mono (): number {
@@ -170,7 +178,7 @@
     this.writing = true
     this.beat += 1
     this.nextBeatAt = this.mono + beatMs(this.size)
-    const value: PresenceRow = { ...this.parts.self, state: this.state, beat: this.beat }
+    const value = this.ownRow
     const written = await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: value.vm, value }] })
     this.writing = false
     written.ifLeft(({ code }) => { this.parts.log.write('platformFault', { service: 'table', operation: 'presence', code }) })
