--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -20,6 +20,7 @@
   stopped: { number: 1003, level: 'info', title: 'The VM stopped; fields: open requests, unsettled bills' },
   clockJumped: { number: 1004, level: 'warn', title: 'A clock jumped: the process was paused or the clock was set; fields: jumpMs' },
   frontPressed: { number: 1005, level: 'warn', title: 'New connections wait for this VM, or its event loop was held up; fields: spanMs, taken (connections; the event loop takes one a turn), turns, unused (closed before a request), dropped (closed at once), requests, longestMs (between two ticks), open, isReady' },
+  digestFollowed: { number: 1006, level: 'info', title: 'This VM began or ceased to rely on the digest of the tables of heartbeats; fields: isFollowed, entries (in the digest)' },
   fault: { number: 1099, level: 'error', title: 'An unexpected fault of the program; fields: err' },
 
   budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left' },
--- a/packages/infra/src/table/tableFeed.ts
+++ b/packages/infra/src/table/tableFeed.ts
@@ -19,6 +19,8 @@
   changed (rows: ReadonlyArray<FeedRow<T>>): void
   /** The store could not be reached, or what it told could not be taken; the feed goes on trying. */
   failed (failure: Failure): void
+  /** The store answered, also where nothing changed. */
+  answered? (): void
   /** A row was left out because its value cannot be decoded. */
   undecodable? (key: string, err: unknown): void
 }
--- /dev/null
+++ b/packages/rosemaryspread/src/digest/tableDigest.ts
@@ -0,0 +1,181 @@
+/**
+ * Tables of heartbeats, followed at a cost that does not grow with the number of their rows: in a large fleet a few VMs
+ * follow the tables and write a digest of what changed, all others read the digest. No VM depends on those few: where no complete
+ * digest is heard for some seconds, each follows the tables itself.
+ */
+import { toFailure, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { digestEntrySchema, type DigestEntry } from '@rosemaryspread/decisions/digest/digestEntry.js'
+import { ALL_FOLLOW_UP_TO, passingRank } from '@rosemaryspread/decisions/digest/digestRank.js'
+import { digestBeatSchema, DigestTrust } from '@rosemaryspread/decisions/digest/digestTrust.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
+import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import { DigestedTable, type AnyDigestedTable } from './digestedTable.js'
+import { DigestTeller } from './digestTeller.js'
+import { DIGEST_TABLE, type DigestSource } from './digestTypes.js'
+
+/** Milliseconds between two looks at what is to be told and whom to follow. */
+const LOOK_MS = 200
+/** Milliseconds for which the feed of a table may be without an answer while this VM passes it on. */
+const HEARD_MS = 2_000
+const BEAT_PREFIX = 'beat/'
+
+/** What the digest works with. */
+export interface TableDigestParts {
+  readonly vm: string
+  readonly table: TableStore
+  readonly feed: TableFeed
+  readonly clock: Clock
+  readonly log: EventLog
+  /** Names of the VMs present, this one included; empty until they are known. */
+  vms (): readonly string[]
+}
+
+/** The digest as one VM reads and writes it. */
+export class TableDigest {
+  private readonly tables: AnyDigestedTable[] = []
+  private readonly trust = new DigestTrust()
+  private readonly teller: DigestTeller
+  /** What the digest says, by its keys. */
+  private told = new Map<string, DigestEntry>()
+  private stopFeed: (() => void) | undefined
+  private lookedAt = -Infinity
+  private isStopped = false
+
+  constructor (private readonly parts: TableDigestParts) {
+    this.teller = new DigestTeller({
+      vm: parts.vm,
+      table: parts.table,
+      written: (key, entry) => { this.take(key, entry) },
+      failed: code => { parts.log.write('platformFault', { service: 'table', operation: 'digest', code }) }
+    })
+  }
+
+  /**
+   * Follows a table, itself at first.
+   * @param source - the table
+   */
+  follow<T> (source: DigestSource<T>): void {
+    const table = new DigestedTable(source, () => this.mono)
+    this.tables.push(table)
+    table.followDirect()
+  }
+
+  /** Decides whom to follow, and tells what is due; to be called several times a second. */
+  tick (): void {
+    if (this.isStopped || this.mono - this.lookedAt < LOOK_MS) return
+    this.lookedAt = this.mono
+    const vms = this.parts.vms()
+    if (vms.length <= ALL_FOLLOW_UP_TO) {
+      this.leaveDigest()
+      return
+    }
+    this.stopFeed ??= this.followDigest()
+    const rank = passingRank(this.parts.vm, vms)
+    if (rank === undefined && this.trust.isTrusted(this.mono)) this.relyOnDigest()
+    else this.followDirect()
+    if (rank !== undefined) this.tell(rank)
+  }
+
+  /** Ends all feeds. */
+  stop (): void {
+    this.isStopped = true
+    this.stopFeed?.()
+    for (const table of this.tables) table.stop()
+  }
+
+  private tell (rank: number): void {
+    const { mono } = this
+    const seen = new Map(this.tables.flatMap(table => [...table.entries()].map(([key, entry]): [string, DigestEntry] => [`${table.name}/${key}`, entry])))
+    const isInTouch = this.tables.every(({ heardAt }) => mono - heardAt <= HEARD_MS)
+    this.teller.tick({ mono, rank, seen, told: this.told, isInTouch, silentMs: this.trust.silentMs(mono) })
+      .catch((err: unknown) => { this.parts.log.write('fault', { err: toFailure(err).message }) })
+  }
+
+  private leaveDigest (): void {
+    this.stopFeed?.()
+    this.stopFeed = undefined
+    this.trust.lost()
+    this.followDirect()
+  }
+
+  private followDirect (): void {
+    if (this.tables.every(({ isDirect }) => isDirect)) return
+    for (const table of this.tables) table.followDirect()
+    this.parts.log.write('digestFollowed', { isFollowed: false, entries: this.told.size })
+  }
+
+  private relyOnDigest (): void {
+    if (!this.tables.some(({ isDirect }) => isDirect)) return
+    for (const table of this.tables) table.followDigest(this.toldOf(table))
+    this.parts.log.write('digestFollowed', { isFollowed: true, entries: this.told.size })
+  }
+
+  private followDigest (): () => void {
+    return this.parts.feed.follow(DIGEST_TABLE, {
+      replaced: rows => {
+        this.told = new Map()
+        for (const row of rows) if (!row.key.startsWith(BEAT_PREFIX)) this.takeRow(row)
+        this.tellAgain()
+      },
+      changed: rows => { for (const row of rows) this.takeRow(row) },
+      failed: failure => { this.unreadable(failure) },
+      undecodable: key => { this.undecodable(key) }
+    })
+  }
+
+  private takeRow ({ key, value }: FeedRow): void {
+    if (key.startsWith(BEAT_PREFIX)) this.takeBeat(key, value)
+    else if (value === null) this.take(key, undefined)
+    else {
+      const entry = digestEntrySchema.safeParse(value)
+      if (entry.success) this.take(key, entry.data)
+      else this.undecodable(key)
+    }
+  }
+
+  private takeBeat (key: string, value: unknown): void {
+    const beat = digestBeatSchema.safeParse(value)
+    if (beat.success) this.trust.heard(beat.data, this.mono)
+    else if (value !== null) this.undecodable(key)
+  }
+
+  private take (key: string, entry: DigestEntry | undefined): void {
+    if (entry === undefined) this.told.delete(key)
+    else this.told.set(key, entry)
+    const table = this.tables.find(({ name }) => key.startsWith(`${name}/`))
+    if (entry !== undefined && table?.isDirect === false) this.handOn(table, key, entry)
+  }
+
+  /** The value of an entry may be of a kind that this VM does not know: then it follows the tables themselves. */
+  private handOn (table: AnyDigestedTable, key: string, entry: DigestEntry): void {
+    try {
+      table.told(key.slice(table.name.length + 1), entry)
+    } catch {
+      this.undecodable(key)
+    }
+  }
+
+  private tellAgain (): void {
+    for (const table of this.tables) if (!table.isDirect) table.followDigest(this.toldOf(table))
+  }
+
+  private toldOf ({ name }: AnyDigestedTable): ReadonlyMap<string, DigestEntry> {
+    const prefix = `${name}/`
+    return new Map([...this.told].flatMap(([key, entry]): Array<[string, DigestEntry]> => key.startsWith(prefix) ? [[key.slice(prefix.length), entry]] : []))
+  }
+
+  private unreadable (failure: Failure): void {
+    for (const table of this.tables) if (!table.isDirect) table.failed(failure)
+  }
+
+  private undecodable (key: string): void {
+    this.trust.lost()
+    this.parts.log.write('platformFault', { service: 'digest', operation: 'decode', code: key })
+  }
+
+  private get mono (): number {
+    return this.parts.clock.now().mono
+  }
+}
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -14,6 +14,7 @@
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { FleetLinks } from '../presence/fleetLinks.js'
+import { TableDigest } from '../digest/tableDigest.js'
 import { VmPresence } from '../presence/vmPresence.js'
 import { CallQuarantine } from '../quarantine/callQuarantine.js'
 import { QuarantineShare } from '../quarantine/quarantineShare.js'
@@ -69,8 +70,17 @@
 
 function bindFleet (container: Container, { vm, domain, region, callers, peers }: GatewaySettings, { table, feed, silence }: GatewayEdge, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
-  container.bind(ids.presence).toResolvedValue((clock, log) =>
-    new VmPresence({ self: { vm, holder, domain, region, callers, peers }, table, feed, clock, log, onJoined: other => { container.get(ids.budgets).holderJoined(other) } }), [ids.clock, ids.log]).inSingletonScope()
+  container.bind(ids.digest).toResolvedValue((clock, log) =>
+    new TableDigest({ vm, table, feed, clock, log, vms: () => container.get(ids.presence).names }), [ids.clock, ids.log]).inSingletonScope()
+  container.bind(ids.presence).toResolvedValue((clock, log, digest) => new VmPresence({
+    self: { vm, holder, domain, region, callers, peers },
+    table,
+    feed,
+    digest,
+    clock,
+    log,
+    onJoined: other => { container.get(ids.budgets).holderJoined(other) }
+  }), [ids.clock, ids.log, ids.digest]).inSingletonScope()
   container.bind(ids.links).toResolvedValue((clock, random, log) =>
     new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next(), onSilence: since => { silence.noticed('peers', since) } }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -2,6 +2,7 @@
 import type { ServiceIdentifier } from 'inversify'
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { ids } from '../compose/serviceIds.js'
+import type { TableDigest } from '../digest/tableDigest.js'
 import type { FleetLinks } from '../presence/fleetLinks.js'
 import type { VmPresence } from '../presence/vmPresence.js'
 import type { CallQuarantine } from '../quarantine/callQuarantine.js'
@@ -25,6 +26,7 @@
   table: ids.table,
   budgets: ids.budgets,
   config: id<GatewayConfigHolder>('GatewayConfig'),
+  digest: id<TableDigest>('TableDigest'),
   presence: id<VmPresence>('VmPresence'),
   links: id<FleetLinks>('FleetLinks'),
   balancer: id<TargetBalancer>('TargetBalancer'),
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -67,6 +67,7 @@
   start (): void {
     const budgets = this.container.get(ids.budgets)
     const presence = this.container.get(ids.presence)
+    const digest = this.container.get(ids.digest)
     const targets = this.container.get(ids.targets)
     this.container.get(ids.config).onPaidChanged((team, isLowered) => { budgets.paidChanged(team, isLowered) })
     const quarantine = this.container.get(ids.quarantine)
@@ -87,6 +88,7 @@
       if (this.isReady) await presence.tell('serving')
       presence.pressed(frontWatch.isPressed)
       presence.tick()
+      digest.tick()
     })
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
     this.openLinks()
--- a/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
+++ b/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
@@ -9,6 +9,7 @@
 import { Right } from 'purify-ts'
 import type { FeedHandler, FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import { directly } from '../digest/directTables.fixture.js'
 import type { PresenceRow } from './presenceTypes.js'
 import { VmPresence } from './vmPresence.js'
 
@@ -43,7 +44,7 @@
     }
   }
   const { vm, holder, domain, region, callers } = self
-  const presence = new VmPresence({ self: { vm, holder, domain, region, callers }, table: store, feed, clock: { now: () => ({ mono: 0, wall: 0 }) }, log: { write: () => {} }, onJoined: () => {} })
+  const presence = new VmPresence({ self: { vm, holder, domain, region, callers }, table: store, feed, digest: directly, clock: { now: () => ({ mono: 0, wall: 0 }) }, log: { write: () => {} }, onJoined: () => {} })
   presence.start()
   handler?.replaced(others.map((value): FeedRow => ({ key: value.vm, value, version: 1 })))
   presence.pressed(self.isPressed === true)
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -20,7 +20,12 @@
   state: z.enum(['starting', 'serving', 'leaving']),
   /** Set while it has more to do than it can; absent otherwise. */
   isPressed: z.boolean().optional(),
+  /** Set where a digest tells the row of a VM that missed heartbeats; never written by the VM itself. */
+  isLate: z.boolean().optional(),
   /** Grows with each heartbeat, so that every write is a change. */
   beat: z.number().int()
 })
 export type PresenceRow = z.infer<typeof presenceRowSchema>
+
+/** The same without what changes with each heartbeat, as a digest tells it. */
+export const digestedPresenceSchema = presenceRowSchema.omit({ beat: true })
--- a/packages/rosemaryspread/src/presence/presenceView.ts
+++ b/packages/rosemaryspread/src/presence/presenceView.ts
@@ -2,6 +2,7 @@
  * Which other VMs are present, as one VM sees it. A VM counts as gone when its row did not change
  * for some heartbeats, but only as long as the feed works: silence of the store says nothing of VMs.
  */
+import type { DigestStage } from '@rosemaryspread/decisions/digest/digestEntry.js'
 import type { PresenceRow } from './presenceTypes.js'
 
 /**
@@ -26,6 +27,7 @@
 export class PresenceView {
   private seen = new Map<string, Seen>()
   private healthySince: number | undefined
+  private isVouched = false
   private kept: Present | undefined
   private keptAt = -Infinity
 
@@ -69,6 +71,29 @@
     this.kept = undefined
   }
 
+  /**
+   * Takes whether others tell which VMs are late or gone: then silence says nothing.
+   * @param isVouched - whether they do
+   */
+  vouched (isVouched: boolean): void {
+    this.isVouched = isVouched
+    this.healthySince = undefined
+    this.kept = undefined
+  }
+
+  /**
+   * How a VM is doing by its heartbeats; the VM itself counts as present.
+   * @param vm - name of the VM
+   * @param mono - present time
+   */
+  stageOf (vm: string, mono: number): DigestStage {
+    const seen = this.seen.get(vm)
+    if (vm === this.self || seen === undefined) return 'present'
+    const silentMs = this.silentMs(seen.at, mono)
+    if (silentMs > this.expiryMs(this.seen.size)) return 'gone'
+    return silentMs > this.lateMs(this.seen.size) ? 'late' : 'present'
+  }
+
   /**
    * Other VMs that are present.
    * @param mono - present time
@@ -89,7 +114,8 @@
     if (this.kept !== undefined && mono - this.keptAt < KEPT_MS) return this.kept
     const others = [...this.seen.values()].filter(({ row }) => row.vm !== this.self)
     const heardWithin = (ms: number): readonly PresenceRow[] => others.filter(({ at }) => this.silentMs(at, mono) <= ms).map(({ row }) => row)
-    this.kept = { all: heardWithin(this.expiryMs(this.seen.size)), punctual: heardWithin(this.lateMs(this.seen.size)) }
+    const punctual = heardWithin(this.lateMs(this.seen.size)).filter(({ isLate }) => isLate !== true)
+    this.kept = { all: heardWithin(this.expiryMs(this.seen.size)), punctual }
     this.keptAt = mono
     return this.kept
   }
@@ -101,6 +127,6 @@
 
   /** Milliseconds for which a VM was silent while the feed worked. */
   private silentMs (at: number, mono: number): number {
-    return this.healthySince === undefined ? 0 : mono - Math.max(at, this.healthySince)
+    return this.isVouched || this.healthySince === undefined ? 0 : mono - Math.max(at, this.healthySince)
   }
 }
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -7,6 +7,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { FeedHandler, FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import { directly } from '../digest/directTables.fixture.js'
 import type { PresenceRow } from './presenceTypes.js'
 import { VmPresence } from './vmPresence.js'
 
@@ -36,6 +37,7 @@
     self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1' },
     table: store,
     feed,
+    digest: directly,
     clock: { now: () => ({ mono: clock.mono, wall: 0 }) },
     log: { write: () => {} },
     onJoined: () => {}
@@ -147,6 +149,7 @@
         self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1' },
         table: store,
         feed,
+        digest: directly,
         clock: { now: () => ({ mono: 0, wall: 0 }) },
         log: { write: () => {} },
         onJoined: holder => { heard.push(holder) }
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -5,10 +5,12 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { namedVms, type CallerPlace } from '@rosemaryspread/decisions/membership/namedVms.js'
+import { hashName } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { TableDigest } from '../digest/tableDigest.js'
 import type { BudgetMember } from '../budget/budgetPeers.js'
-import { PRESENCE_TABLE, presenceRowSchema, type PresenceRow } from './presenceTypes.js'
+import { digestedPresenceSchema, PRESENCE_TABLE, presenceRowSchema, type PresenceRow } from './presenceTypes.js'
 import { PresenceView } from './presenceView.js'
 
 /** Milliseconds between two heartbeats of a small fleet. */
@@ -18,6 +20,8 @@
 /** Heartbeats that may be missed. */
 const MISSED_BEATS = 3
 const MS_PER_SECOND = 1_000
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32
 /**
  * Milliseconds from the first read of all rows until the view counts as settled: VMs that start together have written theirs
  * by then. Sixty VMs that each took themselves for alone drew all budgets at once, and 672 of their draws failed.
@@ -38,6 +42,7 @@
   readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
   readonly table: TableStore
   readonly feed: TableFeed
+  readonly digest: Pick<TableDigest, 'follow' | 'stop'>
   readonly clock: Clock
   readonly log: EventLog
   /** Told when a process of another VM was seen for the first time; gets its holder. */
@@ -61,7 +66,6 @@
   private tickedAt = Infinity
   private writing = false
   private firstReadAt: number | undefined
-  private stopFeed: () => void = () => {}
 
   constructor (private readonly parts: PresenceParts) {
     this.view = new PresenceView(parts.self.vm, vms => beatMs(vms) * (MISSED_BEATS + 1), vms => beatMs(vms) * MISSED_BEATS)
@@ -69,17 +73,25 @@
 
   /** Begins to follow the other VMs. */
   start (): void {
-    this.stopFeed = this.parts.feed.follow(PRESENCE_TABLE, {
-      replaced: rows => {
-        this.firstReadAt ??= this.mono
-        this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono)
-        this.noteJoined()
-      },
-      changed: rows => {
-        for (const row of rows) this.view.changed(row.key, this.rowOf(row), this.mono)
-        this.noteJoined()
-      },
-      failed: () => { this.view.feedFailed() }
+    this.parts.digest.follow<unknown>({
+      name: PRESENCE_TABLE,
+      follow: handler => this.parts.feed.follow(PRESENCE_TABLE, handler),
+      encode: value => withoutBeat(value),
+      decode: (value, isLate) => ({ ...digestedPresenceSchema.parse(value), beat: 0, isLate }),
+      stageOf: vm => this.view.stageOf(vm, this.mono),
+      handler: {
+        replaced: rows => {
+          this.firstReadAt ??= this.mono
+          this.view.replaced(rows.flatMap(row => this.rowOf(row) ?? []), this.mono)
+          this.noteJoined()
+        },
+        changed: rows => {
+          for (const row of rows) this.view.changed(row.key, this.rowOf(row), this.mono)
+          this.noteJoined()
+        },
+        failed: () => { this.view.feedFailed() },
+        vouched: isVouched => { this.view.vouched(isVouched) }
+      }
     })
   }
 
@@ -98,11 +110,13 @@
     if (this.state === state) return
     this.state = state
     await this.write()
+    // VMs that begin together would go on to beat together, more at once than the store takes.
+    this.nextBeatAt = this.mono + beatMs(this.size) * hashName(this.parts.self.vm) / HASH_RANGE
   }
 
   /** Deletes the row of this VM and stops. */
   async leave (): Promise<void> {
-    this.stopFeed()
+    this.parts.digest.stop()
     this.nextBeatAt = Infinity
     await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: this.parts.self.vm, value: null }] })
   }
@@ -189,3 +203,9 @@
     return parsed.success ? parsed.data : null
   }
 }
+
+/** A row without what changes with each heartbeat; what is no row stays as it is. */
+function withoutBeat (value: unknown): unknown {
+  const parsed = digestedPresenceSchema.safeParse(value)
+  return parsed.success ? parsed.data : value
+}
--- /dev/null
+++ b/packages/stand-ins/src/digest/digestFleet.fixture.ts
@@ -0,0 +1,244 @@
+/**
+ * A fleet that follows tables of heartbeats, in virtual time: presence and the digest are the product's, the table, its feeds and
+ * the targets are small fakes. A VM may end, stand still, or be cut from the table one way or both.
+ */
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { passingRank } from '@rosemaryspread/decisions/digest/digestRank.js'
+import type { FeedHandler, FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
+import type { ReadAnswer, ScanAnswer, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
+import { TableDigest } from 'rosemaryspread/digest/tableDigest.js'
+import { VmPresence } from 'rosemaryspread/presence/vmPresence.js'
+import { VirtualTime } from '../time/virtualTime.js'
+
+const CALL_MS = 4
+const WAIT_MS = 1_000
+const GATHER_MS = 500
+const RETRY_MS = 150
+/** The product ticks every 50 ms; the digest looks every 200. */
+const TICK_MS = 200
+const TARGET_BEAT_MS = 1_200
+const TARGETS_TABLE = 'register'
+
+/** Rows of one table, in the order of their versions. */
+class VirtualRows {
+  private readonly rows = new Map<string, FeedRow>()
+  private readonly waiting = new Set<() => void>()
+
+  put (row: FeedRow): void {
+    this.rows.delete(row.key)
+    this.rows.set(row.key, row)
+    for (const wake of this.waiting) wake()
+    this.waiting.clear()
+  }
+
+  get (key: string): FeedRow | undefined {
+    return this.rows.get(key)
+  }
+
+  since (version: number): readonly FeedRow[] {
+    return [...this.rows.values()].filter(row => row.version > version)
+  }
+
+  /** Resolves with the next write, at the latest when the time is over. */
+  change (time: VirtualTime, ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = time.after(ms, resolve)
+      this.waiting.add(() => {
+        cancel()
+        resolve()
+      })
+    })
+  }
+}
+
+/** Rows of all tables. */
+class VirtualTable {
+  private readonly tables = new Map<string, VirtualRows>()
+  version = 0
+
+  put (table: string, key: string, value: unknown): void {
+    this.version += 1
+    this.of(table).put({ key, value, version: this.version })
+  }
+
+  of (table: string): VirtualRows {
+    const rows = this.tables.get(table) ?? new VirtualRows()
+    this.tables.set(table, rows)
+    return rows
+  }
+
+  all (table: string): readonly FeedRow[] {
+    return this.of(table).since(0).filter(({ value }) => value !== null)
+  }
+}
+
+/** What a VM cannot do just now. */
+export type Trouble = 'ended' | 'frozen' | 'cut' | 'writesFail' | 'readsFail'
+
+const unreachable = new Failure('platformUnavailable', 'no connection')
+
+/** One VM. */
+export class DigestVm {
+  /** Calls of feeds, and rows that they brought. */
+  calls = 0
+  rows = 0
+  trouble: Trouble | undefined
+  readonly presence: VmPresence
+  readonly digest: TableDigest
+  /** Targets as this VM knows them. */
+  readonly targets = new Map<string, unknown>()
+  readonly events: string[] = []
+  /** Milliseconds by which its feeds lag behind. */
+  lagMs = 0
+
+  constructor (readonly name: string, private readonly fleet: DigestFleet) {
+    const feed: TableFeed = { follow: (table, handler) => this.follow(table, handler) }
+    const store: TableStore = {
+      read: async (): Promise<Either<Failure, ReadAnswer>> => Right({ rows: [], now: 0 }),
+      scan: async (): Promise<Either<Failure, ScanAnswer>> => Right({ rows: [], now: 0 }),
+      transact: async transaction => await this.transact(transaction)
+    }
+    const clock = fleet.time
+    const log = { write: (event: string) => { this.events.push(event) } }
+    this.digest = new TableDigest({ vm: name, table: store, feed, clock, log, vms: () => this.presence.names })
+    const self = { vm: name, holder: `${name}~1`, domain: 'd', callers: `${name}:1` }
+    this.presence = new VmPresence({ self, table: store, feed, digest: this.digest, clock, log, onJoined: () => {} })
+  }
+
+  async run (): Promise<void> {
+    this.presence.start()
+    this.digest.follow<unknown>({
+      name: 'targets',
+      follow: handler => this.follow(TARGETS_TABLE, handler),
+      encode: value => ({ state: (value as { readonly state: string }).state }),
+      decode: value => value,
+      stageOf: () => 'present',
+      handler: {
+        replaced: rows => {
+          this.targets.clear()
+          this.take(rows)
+        },
+        changed: rows => { this.take(rows) },
+        failed: () => {},
+        vouched: () => {}
+      }
+    })
+    while (!this.hasEnded) {
+      await this.fleet.time.sleep(TICK_MS)
+      if (this.hasEnded || this.trouble === 'frozen') continue
+      await this.presence.tell('serving')
+      this.presence.tick()
+      this.digest.tick()
+    }
+  }
+
+  private get hasEnded (): boolean {
+    return this.trouble === 'ended'
+  }
+
+  private take (rows: readonly FeedRow[]): void {
+    for (const { key, value } of rows) {
+      if (value === null) this.targets.delete(key)
+      else this.targets.set(key, (value as { readonly state: string }).state)
+    }
+  }
+
+  private async transact ({ writes }: Transaction): Promise<Either<Failure, TransactAnswer>> {
+    await this.fleet.time.sleep(CALL_MS)
+    if (this.trouble !== undefined && this.trouble !== 'readsFail') return Left(unreachable)
+    for (const { table, key, value } of writes) this.fleet.table.put(table, key, value)
+    return Right({ version: this.fleet.table.version, now: 0 })
+  }
+
+  private follow (table: string, handler: FeedHandler<unknown>): () => void {
+    const state = { stopped: false }
+    this.loop(table, handler, state).catch((err: unknown) => { throw err })
+    return () => { state.stopped = true }
+  }
+
+  private async loop (table: string, handler: FeedHandler<unknown>, state: { readonly stopped: boolean }): Promise<void> {
+    const { time, table: rows } = this.fleet
+    let since: number | undefined
+    while (!state.stopped && !this.hasEnded) {
+      await time.sleep(CALL_MS + this.lagMs)
+      if (this.trouble === 'frozen') continue
+      this.calls += 1
+      if (this.trouble === 'cut' || this.trouble === 'readsFail') {
+        handler.failed(unreachable)
+        await time.sleep(RETRY_MS)
+        continue
+      }
+      const known: number = since ?? 0
+      if (since !== undefined && rows.of(table).since(known).length === 0) await rows.of(table).change(time, WAIT_MS)
+      const told = since === undefined ? rows.all(table) : rows.of(table).since(known)
+      const version = rows.version
+      if (this.lagMs > 0) await time.sleep(this.lagMs)
+      if (state.stopped) return
+      this.rows += told.length
+      if (since === undefined) handler.replaced(told)
+      else if (told.length > 0) handler.changed(told)
+      since = version
+      handler.answered?.()
+      await time.sleep(GATHER_MS)
+    }
+  }
+}
+
+/** The fleet. */
+export class DigestFleet {
+  readonly time = new VirtualTime()
+  readonly table = new VirtualTable()
+  readonly vms: DigestVm[] = []
+  private readonly beating = new Set<string>()
+
+  /**
+   * @param vms - number of VMs
+   * @param targets - number of targets
+   */
+  constructor (vms: number, targets: number) {
+    for (let index = 0; index < targets; index += 1) this.beatTarget(`t${index}`, index * TARGET_BEAT_MS / targets)
+    this.add(vms)
+  }
+
+  /**
+   * Starts more VMs.
+   * @param vms - how many
+   */
+  add (vms: number): void {
+    for (let index = 0; index < vms; index += 1) {
+      const vm = new DigestVm(`vm-${this.vms.length}`, this)
+      this.vms.push(vm)
+      this.time.after(index, () => { vm.run().catch((err: unknown) => { throw err }) })
+    }
+  }
+
+  /** VMs that pass tables on, the first one first. */
+  get passing (): readonly DigestVm[] {
+    const names = this.vms.filter(({ trouble }) => trouble !== 'ended').map(({ name }) => name)
+    return this.vms.filter(({ name }) => passingRank(name, names) !== undefined).sort((a, b) => (passingRank(a.name, names) ?? 0) - (passingRank(b.name, names) ?? 0))
+  }
+
+  /** VMs without trouble that read the digest. */
+  get readers (): readonly DigestVm[] {
+    const passing = new Set(this.passing)
+    return this.vms.filter(vm => vm.trouble === undefined && !passing.has(vm))
+  }
+
+  /**
+   * Has a target say that it leaves.
+   * @param target - its key
+   */
+  leave (target: string): void {
+    this.table.put(TARGETS_TABLE, target, { state: 'leaving', beat: this.table.version })
+  }
+
+  private beatTarget (target: string, afterMs: number): void {
+    this.beating.add(target)
+    this.time.after(afterMs, () => {
+      const state = (this.table.of(TARGETS_TABLE).get(target)?.value as { readonly state: string } | undefined)?.state ?? 'ready'
+      this.table.put(TARGETS_TABLE, target, { state, beat: this.table.version })
+      this.beatTarget(target, TARGET_BEAT_MS)
+    })
+  }
+}
