--- a/packages/rosemaryspread/src/digest/tableDigest.ts
+++ b/packages/rosemaryspread/src/digest/tableDigest.ts
@@ -15,7 +15,7 @@
 import { DigestTeller } from './digestTeller.js'
 import { DIGEST_TABLE, type DigestSource } from './digestTypes.js'
 
-/** Milliseconds between two looks at what is to be told and whom to follow. */
+/** Milliseconds between two looks at what is to be told. */
 const LOOK_MS = 200
 /** Milliseconds for which the feed of a table may be without an answer while this VM passes it on. */
 const HEARD_MS = 2_000
