--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -9,6 +9,7 @@
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { directly } from '../digest/directTables.fixture.js'
 import type { PresenceRow } from './presenceTypes.js'
+import { PresenceView } from './presenceView.js'
 import { VmPresence } from './vmPresence.js'
 
 const store: TableStore = {
@@ -140,6 +141,45 @@
   }
 })
 
+/** Read in the code, seen by no user. */
+describe('presence of a VM that left', () => {
+  it('writes its row no more, also when it becomes pressed', async () => {
+    const writes: unknown[] = []
+    const presence = new VmPresence({
+      self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1' },
+      table: {
+        ...store,
+        transact: async ({ writes: [write] }) => {
+          writes.push(write?.value)
+          return Right({ version: 1, now: 0 })
+        }
+      },
+      feed: new Feed(),
+      digest: directly,
+      clock: { now: () => ({ mono: 0, wall: 0 }) },
+      log: { write: () => {} },
+      onJoined: () => {}
+    })
+    presence.start()
+    await presence.tell('serving')
+    await presence.leave()
+    presence.pressed(true)
+    presence.tick()
+    expect(writes.at(-1)).to.equal(null)
+  })
+})
+
+describe('presence that a digest tells', () => {
+  it('takes the new state of a VM where the digest is read whole again', () => {
+    const view = new PresenceView('a', () => 6_000, () => 4_500)
+    const told = (state: PresenceRow['state']): PresenceRow => ({ vm: 'b', holder: 'b~1', domain: 'd', callers: 'b:1', state, beat: 0 })
+    view.vouched(true)
+    view.replaced([told('serving')], 0)
+    view.replaced([told('leaving')], 200)
+    expect(view.others(400).map(({ state }) => state)).to.deep.equal(['leaving'])
+  })
+})
+
 describe('VmPresence', () => {
   for (const { name, told, joined } of cases) {
     it(name, () => {
--- a/packages/stand-ins/src/digest/tableDigest.spec.ts
+++ b/packages/stand-ins/src/digest/tableDigest.spec.ts
@@ -84,6 +84,14 @@
     }
   })
 
+  /** Read in the code, seen by no user: readers would have gone on sending to a target whose entry nobody takes back. */
+  it('tells nothing of a target that went while no VM ran', async () => {
+    const fleet = new DigestFleet(60, TARGETS)
+    fleet.table.put(DIGEST_TABLE, 'targets/old', { version: 1, stage: 'present', value: { state: 'ready' } })
+    await fleet.time.run(SETTLED_MS)
+    expect(fleet.readers.filter(({ targets }) => targets.has('old')).map(vm => vm.name)).to.deep.equal([])
+  })
+
   it('tells of VMs that ended, as late first', async () => {
     const fleet = await settled(60)
     const ended = fleet.readers.slice(0, 20)
