Take entries of unseen rows out of the digest, keep a VM that left silent, and take new states of a digest read whole

Cause, read in the code before any user saw it: an entry of a row that went while no VM ran had nobody to take it back, so all readers would have gone on sending to its target; a VM that left wrote its row again when it became pressed; rows from a digest have no beat, so that a whole read took the old state for the present one. Change: who passes tables on takes an entry without a row for gone after two seconds; presence writes nothing after it left; a row read whole replaces the one known, only the time of its last beat is kept.

--- a/packages/rosemaryspread/src/digest/digestTeller.ts
+++ b/packages/rosemaryspread/src/digest/digestTeller.ts
@@ -13,6 +13,8 @@
 const MOST_WRITTEN = 90
 /** Milliseconds for which the digest keeps an entry of a row that is gone. */
 const KEEP_GONE_MS = 60_000
+/** Milliseconds after which an entry whose row this VM does not see counts as gone: another VM may have seen a new row first. */
+const UNSEEN_MS = 2_000
 
 /** What the teller works with. */
 export interface DigestTellerParts {
@@ -46,6 +48,7 @@
   /** Since when an entry has been left out. */
   private readonly leftOutSince = new Map<string, number>()
   private readonly goneSince = new Map<string, number>()
+  private readonly unseenSince = new Map<string, number>()
 
   constructor (private readonly parts: DigestTellerParts) {}
 
@@ -81,14 +84,22 @@
     })
   }
 
-  private newsOf ({ seen, told, mono }: DigestSight): ReadonlyArray<[string, DigestEntry]> {
-    const news = [...seen].filter(([key, entry]) => isNews(entry, told.get(key)))
-    const keys = new Set(news.map(([key]) => key))
-    for (const key of this.leftOutSince.keys()) if (!keys.has(key)) this.leftOutSince.delete(key)
-    for (const key of keys) if (!this.leftOutSince.has(key)) this.leftOutSince.set(key, mono)
+  private newsOf (sight: DigestSight): ReadonlyArray<readonly [string, DigestEntry]> {
+    const { seen, told, mono } = sight
+    const news = [...[...seen].filter(([key, entry]) => isNews(entry, told.get(key))), ...this.unseen(sight)]
+    noteSince(this.leftOutSince, news.map(([key]) => key), mono)
     return news
   }
 
+  /** Entries of rows that went while nobody passed the table on; nobody else would take them back. */
+  private unseen ({ seen, told, mono }: DigestSight): ReadonlyArray<readonly [string, DigestEntry]> {
+    const entries = [...told].filter(([key, { stage }]) => stage !== 'gone' && !seen.has(key))
+    noteSince(this.unseenSince, entries.map(([key]) => key), mono)
+    return entries
+      .filter(([key]) => mono - (this.unseenSince.get(key) ?? mono) >= UNSEEN_MS)
+      .map(([key, { version }]) => [key, { version, stage: 'gone' }])
+  }
+
   private isDue (key: string, { rank, mono }: DigestSight): boolean {
     return mono - (this.leftOutSince.get(key) ?? mono) >= rank * STAND_BY_MS
   }
@@ -96,9 +107,7 @@
   /** Entries of rows that have been gone for long. */
   private forgotten ({ told, rank, mono }: DigestSight): readonly string[] {
     const gone = [...told].filter(([, { stage }]) => stage === 'gone').map(([key]) => key)
-    const keys = new Set(gone)
-    for (const key of this.goneSince.keys()) if (!keys.has(key)) this.goneSince.delete(key)
-    for (const key of gone) if (!this.goneSince.has(key)) this.goneSince.set(key, mono)
+    noteSince(this.goneSince, gone, mono)
     if (rank !== 0) return []
     return gone.filter(key => mono - (this.goneSince.get(key) ?? mono) >= KEEP_GONE_MS).slice(0, MOST_WRITTEN)
   }
@@ -114,3 +123,10 @@
     return { table: DIGEST_TABLE, key: `beat/${this.parts.vm}`, value: { beat: this.beat, isComplete } }
   }
 }
+
+/** Keeps since when each of some keys has been among them. */
+function noteSince (since: Map<string, number>, keys: readonly string[], mono: number): void {
+  const present = new Set(keys)
+  for (const key of since.keys()) if (!present.has(key)) since.delete(key)
+  for (const key of present) if (!since.has(key)) since.set(key, mono)
+}
--- a/packages/rosemaryspread/src/presence/presenceView.ts
+++ b/packages/rosemaryspread/src/presence/presenceView.ts
@@ -48,7 +48,7 @@
     this.seen = new Map()
     for (const row of rows) {
       const known = before.get(row.vm)
-      this.seen.set(row.vm, known?.row.beat === row.beat ? known : { row, at: mono })
+      this.seen.set(row.vm, { row, at: known?.row.beat === row.beat ? known.at : mono })
     }
     this.feedWorks(mono)
   }
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -61,6 +61,7 @@
   /** Last holder seen of each other VM. */
   private readonly seenHolders = new Map<string, string>()
   private isPressed = false
+  private hasLeft = false
   private beat = 0
   private nextBeatAt = 0
   private tickedAt = Infinity
@@ -98,7 +99,7 @@
   /** Writes a heartbeat when one is due; to be called several times a second. */
   tick (): void {
     this.noteStandstill()
-    if (this.writing || this.mono < this.nextBeatAt) return
+    if (this.hasLeft || this.writing || this.mono < this.nextBeatAt) return
     this.write().catch((err: unknown) => { this.parts.log.write('fault', { err: String(err) }) })
   }
 
@@ -117,7 +118,8 @@
   /** Deletes the row of this VM and stops. */
   async leave (): Promise<void> {
     this.parts.digest.stop()
-    this.nextBeatAt = Infinity
+    // A row written after its deletion would name a VM that has ended.
+    this.hasLeft = true
     await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: this.parts.self.vm, value: null }] })
   }
 
