Tell readers of the digest that a row cannot be decoded any more

Cause, read in the code: a register entry that becomes undecodable names no target for a VM that follows the register itself; one that passes it on kept telling the last entry that it could decode. The new spec of DigestedTable failed on that case before the change.

--- a/packages/rosemaryspread/src/digest/digestedTable.ts
+++ b/packages/rosemaryspread/src/digest/digestedTable.ts
@@ -62,6 +62,10 @@
       changed: rows => {
         for (const row of rows) this.known.set(row.key, this.entryOf(row))
         handler.changed(rows)
+      },
+      undecodable: (key, err) => {
+        this.discard(key)
+        handler.undecodable?.(key, err)
       }
     })
   }
@@ -108,6 +112,12 @@
     for (const row of rows) this.known.set(row.key, this.entryOf(row))
   }
 
+  /** A row that cannot be decoded any more must not be told as it was before. */
+  private discard (key: string): void {
+    const known = this.known.get(key)
+    if (known !== undefined) this.known.set(key, { version: known.version, stage: 'gone' })
+  }
+
   private staged (key: string, entry: DigestEntry): DigestEntry {
     if (entry.stage === 'gone') return entry
     const stage = this.source.stageOf(key)
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -17,7 +17,7 @@
 import { WORK_METHOD, workMethod } from './workNotices.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
-/** Milliseconds between two ticks of budgets, presence and targets. Each wakes the process, which is most of what an idle VM costs. */
+/** Milliseconds between two ticks of budgets, presence and targets; each wakes the process. */
 const TICK_MS = 150
 /** The same while a request waits for tokens, or this VM does not serve yet. */
 const URGENT_TICK_MS = 50
