Decode a value of the digest where it is read, once, and have what cannot be decoded written anew

Cause: the value of an entry was decoded only when it was handed on, so one that cannot be decoded lay in what the digest says; going over to the digest then ended the feed of the table, failed on the value and left the VM without either, at each later tick again. Change: an entry counts as told only if its value can be decoded. One that cannot be is forgotten, trust is lost as before, and who passes tables on finds it missing and writes it. Handing on needs no guard of its own any more. Ruled out: a guard around the switch, which would have left every VM on the tables themselves for as long as the value lay there.

--- a/packages/rosemaryspread/src/digest/digestedTable.ts
+++ b/packages/rosemaryspread/src/digest/digestedTable.ts
@@ -13,6 +13,7 @@
   /** When the table's own feed was answered last, in monotonic milliseconds. */
   readonly heardAt: number
   entries (): ReadonlyMap<string, DigestEntry>
+  isDecodable (entry: DigestEntry): boolean
   followDirect (): void
   followDigest (told: ReadonlyMap<string, DigestEntry>): void
   told (key: string, entry: DigestEntry): void
@@ -47,6 +48,19 @@
     return new Map(staged)
   }
 
+  /**
+   * Whether the value of an entry is of a kind that this VM knows.
+   * @param entry - the entry
+   */
+  isDecodable (entry: DigestEntry): boolean {
+    try {
+      this.rowOf('', entry)
+      return true
+    } catch {
+      return false
+    }
+  }
+
   /** Follows the table itself. */
   followDirect (): void {
     if (this.isDirect) return
--- a/packages/rosemaryspread/src/digest/tableDigest.ts
+++ b/packages/rosemaryspread/src/digest/tableDigest.ts
@@ -125,13 +125,17 @@
     })
   }
 
+  /** What cannot be decoded is not taken for told, so that a VM that passes tables on writes it anew. */
   private takeRow ({ key, value }: FeedRow): void {
     if (key.startsWith(BEAT_PREFIX)) this.takeBeat(key, value)
     else if (value === null) this.take(key, undefined)
     else {
       const entry = digestEntrySchema.safeParse(value)
-      if (entry.success) this.take(key, entry.data)
-      else this.undecodable(key)
+      if (entry.success && this.isDecodable(key, entry.data)) this.take(key, entry.data)
+      else {
+        this.told.delete(key)
+        this.undecodable(key)
+      }
     }
   }
 
@@ -144,26 +148,25 @@
   private take (key: string, entry: DigestEntry | undefined): void {
     if (entry === undefined) this.told.delete(key)
     else this.told.set(key, entry)
-    const table = this.tables.find(({ name }) => key.startsWith(`${name}/`))
-    if (entry !== undefined && table?.isDirect === false) this.handOn(table, key, entry)
+    const table = this.tableOf(key)
+    if (entry !== undefined && table?.isDirect === false) table.told(rowKeyOf(table, key), entry)
   }
 
-  /** The value of an entry may be of a kind that this VM does not know: then it follows the tables themselves. */
-  private handOn (table: AnyDigestedTable, key: string, entry: DigestEntry): void {
-    try {
-      table.told(key.slice(table.name.length + 1), entry)
-    } catch {
-      this.undecodable(key)
-    }
+  private isDecodable (key: string, entry: DigestEntry): boolean {
+    return this.tableOf(key)?.isDecodable(entry) ?? true
+  }
+
+  private tableOf (key: string): AnyDigestedTable | undefined {
+    return this.tables.find(({ name }) => key.startsWith(`${name}/`))
   }
 
   private tellAgain (): void {
     for (const table of this.tables) if (!table.isDirect) table.followDigest(this.toldOf(table))
   }
 
-  private toldOf ({ name }: AnyDigestedTable): ReadonlyMap<string, DigestEntry> {
-    const prefix = `${name}/`
-    return new Map([...this.told].flatMap(([key, entry]): Array<[string, DigestEntry]> => key.startsWith(prefix) ? [[key.slice(prefix.length), entry]] : []))
+  private toldOf (table: AnyDigestedTable): ReadonlyMap<string, DigestEntry> {
+    const entries = [...this.told].filter(([key]) => this.tableOf(key) === table)
+    return new Map(entries.map(([key, entry]) => [rowKeyOf(table, key), entry]))
   }
 
   private unreadable (failure: Failure): void {
@@ -179,3 +182,7 @@
     return this.parts.clock.now().mono
   }
 }
+
+function rowKeyOf ({ name }: AnyDigestedTable, key: string): string {
+  return key.slice(name.length + 1)
+}
