--- a/packages/decisions/src/digest/digestEntry.ts
+++ b/packages/decisions/src/digest/digestEntry.ts
@@ -19,13 +19,16 @@
 export type DigestEntry = z.infer<typeof digestEntrySchema>
 export type DigestStage = DigestEntry['stage']
 
+/** Where a row stands, whatever its value. */
+type RowState = Pick<DigestEntry, 'version' | 'stage'>
+
 /**
  * Whether an entry is later than another of the same row: two VMs that pass a table on see it at different times,
  * and the slower one must not take back what the other told.
  * @param next - the entry that may be later
  * @param known - the other; absent when there is none
  */
-export function isLater (next: DigestEntry, known: DigestEntry | undefined): boolean {
+export function isLater (next: RowState, known: RowState | undefined): boolean {
   if (known === undefined) return true
   if (next.version !== known.version) return next.version > known.version
   return stages.indexOf(next.stage) > stages.indexOf(known.stage)
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -26,7 +26,7 @@
   front_connections_dropped: { kind: 'counter', title: 'Connections of callers closed at once, as there were as many as there may be' },
   front_connections_open: { kind: 'gauge', title: 'Connections of callers that are open' },
   loop_turns: { kind: 'gauge', title: 'Turns that the event loop made since the start' },
-  loop_longest_ms: { kind: 'gauge', title: 'Longest time between two ticks of the last seconds, in milliseconds; a tick is due every 50' },
+  loop_longest_ms: { kind: 'gauge', title: 'Longest time between two ticks of the last seconds, in milliseconds; a tick is due every 50 to 150' },
   memory_bytes: { kind: 'gauge', title: 'Memory of the process that is in use, in bytes' },
   domains_evacuated: { kind: 'gauge', title: 'Failure domains that operators evacuated' },
   first_token_ms: { kind: 'histogram', title: 'From the receipt of a request to its first event, passed on' },
--- a/packages/decisions/src/membership/callerAddresses.ts
+++ b/packages/decisions/src/membership/callerAddresses.ts
@@ -4,7 +4,7 @@
  * callers who ask at the same moment do not all go to one VM. A caller who says its team gets the
  * VMs of a domain in the team's own order, so that few VMs draw on each budget.
  */
-import { hashName, pairWeight } from '../routing/rendezvous.js'
+import { HASH_RANGE, hashName, pairWeight } from '../routing/rendezvous.js'
 import type { MemberView } from './memberTypes.js'
 
 /** Most addresses in one answer. */
@@ -13,7 +13,6 @@
 const BUSY_MARGIN = 8
 /** Weight left to a VM that is behind. */
 const BUSY_WEIGHT = 0.01
-const HASHES = 2 ** 32
 
 /** The answering VM's place. */
 export interface Place {
@@ -64,7 +63,7 @@
   const mean = members.reduce((sum, member) => sum + member.openRequests, 0) / Math.max(1, members.length)
   return member => {
     const isBusy = member.openRequests > 2 * mean + BUSY_MARGIN
-    const draw = (pairWeight(key, hashName(member.vm)) + 1) / (HASHES + 1)
+    const draw = (pairWeight(key, hashName(member.vm)) + 1) / (HASH_RANGE + 1)
     return sortKey(member.capacity * (isBusy ? BUSY_WEIGHT : 1), draw)
   }
 }
--- a/packages/decisions/src/membership/namedVms.ts
+++ b/packages/decisions/src/membership/namedVms.ts
@@ -27,8 +27,8 @@
   /** What tells callers apart. */
   readonly caller: string
   /** Absent where the caller does not say. */
-  readonly domain?: string
-  readonly region?: string
+  readonly domain?: string | undefined
+  readonly region?: string | undefined
 }
 
 /**
--- a/packages/decisions/src/routing/rendezvous.ts
+++ b/packages/decisions/src/routing/rendezvous.ts
@@ -3,6 +3,9 @@
  * from the same names; adding or removing one name moves only the keys that it wins or held.
  */
 
+/** Number of values of a hash and of a weight. */
+export const HASH_RANGE = 2 ** 32
+
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
 
--- a/packages/rosemaryspread/src/digest/digestTypes.ts
+++ b/packages/rosemaryspread/src/digest/digestTypes.ts
@@ -14,7 +14,7 @@
    * heartbeats is told as late.
    * @param isVouched - whether they are
    */
-  vouched (isVouched: boolean): void
+  vouched? (isVouched: boolean): void
 }
 
 /** A table of heartbeats. */
--- a/packages/rosemaryspread/src/digest/digestedTable.spec.ts
+++ b/packages/rosemaryspread/src/digest/digestedTable.spec.ts
@@ -21,7 +21,7 @@
       const feeds: Array<FeedHandler<string>> = []
       const table = new DigestedTable<string>({
         name: 't',
-        handler: { replaced: () => {}, changed: () => {}, failed: () => {}, vouched: () => {} },
+        handler: { replaced: () => {}, changed: () => {}, failed: () => {} },
         follow: feed => {
           feeds.push(feed)
           return () => {}
--- a/packages/rosemaryspread/src/digest/digestedTable.ts
+++ b/packages/rosemaryspread/src/digest/digestedTable.ts
@@ -2,31 +2,26 @@
  * One table of heartbeats as one VM follows it: by its own feed, or by the digest. Goes from one to the other
  * without taking back what it told.
  */
-import { isLater, type DigestEntry } from '@rosemaryspread/decisions/digest/digestEntry.js'
+import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { isLater, type DigestEntry, type DigestStage } from '@rosemaryspread/decisions/digest/digestEntry.js'
 import type { FeedRow } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { DigestSource } from './digestTypes.js'
 
-/** A table without the type of its rows. */
-export interface AnyDigestedTable {
-  readonly name: string
-  readonly isDirect: boolean
-  /** When the table's own feed was answered last, in monotonic milliseconds. */
-  readonly heardAt: number
-  entries (): ReadonlyMap<string, DigestEntry>
-  isDecodable (entry: DigestEntry): boolean
-  followDirect (): void
-  followDigest (told: ReadonlyMap<string, DigestEntry>): void
-  told (key: string, entry: DigestEntry): void
-  failed (...failure: Parameters<DigestSource<unknown>['handler']['failed']>): void
-  stop (): void
+/** What this VM knows of a row. */
+interface Known<T> {
+  readonly version: number
+  readonly stage: DigestStage
+  /** Absent when the row is gone. */
+  readonly value?: T
 }
 
 /** One table. */
-export class DigestedTable<T> implements AnyDigestedTable {
+export class DigestedTable<T = unknown> {
+  /** When the table's own feed was answered last, in monotonic milliseconds. */
   heardAt = -Infinity
   private stopFeed: (() => void) | undefined
   /** What this VM knows, by key. */
-  private known = new Map<string, DigestEntry>()
+  private known = new Map<string, Known<T>>()
 
   /**
    * @param source - the table
@@ -42,10 +37,9 @@
     return this.stopFeed !== undefined
   }
 
-  /** What this VM sees, with the stage of each owner. */
+  /** What this VM would tell, with the stage of each owner. */
   entries (): ReadonlyMap<string, DigestEntry> {
-    const staged = [...this.known].map(([key, entry]): [string, DigestEntry] => [key, this.staged(key, entry)])
-    return new Map(staged)
+    return new Map([...this.known].map(([key, known]) => [key, this.entryOf(key, known)]))
   }
 
   /**
@@ -54,7 +48,7 @@
    */
   isDecodable (entry: DigestEntry): boolean {
     try {
-      this.rowOf('', entry)
+      this.knownOf(entry)
       return true
     } catch {
       return false
@@ -65,7 +59,7 @@
   followDirect (): void {
     if (this.isDirect) return
     const { handler } = this.source
-    handler.vouched(false)
+    handler.vouched?.(false)
     this.stopFeed = this.source.follow({
       ...handler,
       answered: () => { this.heardAt = this.mono() },
@@ -74,7 +68,7 @@
         handler.replaced(rows)
       },
       changed: rows => {
-        for (const row of rows) this.known.set(row.key, this.entryOf(row))
+        for (const row of rows) this.known.set(row.key, seen(row))
         handler.changed(rows)
       },
       undecodable: (key, err) => {
@@ -91,9 +85,9 @@
   followDigest (told: ReadonlyMap<string, DigestEntry>): void {
     this.stop()
     const { handler } = this.source
-    handler.vouched(true)
-    for (const [key, entry] of told) if (isLater(entry, this.known.get(key))) this.known.set(key, entry)
-    handler.replaced([...this.known].map(([key, entry]) => this.rowOf(key, entry)).filter(({ value }) => value !== null))
+    handler.vouched?.(true)
+    for (const [key, entry] of told) if (isLater(entry, this.known.get(key))) this.known.set(key, this.knownOf(entry))
+    handler.replaced([...this.known].map(([key, known]) => rowOf(key, known)).filter(({ value }) => value !== null))
   }
 
   /**
@@ -103,13 +97,17 @@
    */
   told (key: string, entry: DigestEntry): void {
     if (!isLater(entry, this.known.get(key))) return
-    this.known.set(key, entry)
-    this.source.handler.changed([this.rowOf(key, entry)])
+    const known = this.knownOf(entry)
+    this.known.set(key, known)
+    this.source.handler.changed([rowOf(key, known)])
   }
 
-  /** The digest could not be read. */
-  failed (...failure: Parameters<DigestSource<unknown>['handler']['failed']>): void {
-    this.source.handler.failed(...failure)
+  /**
+   * Takes that the digest could not be read.
+   * @param failure - why
+   */
+  failed (failure: Failure): void {
+    this.source.handler.failed(failure)
   }
 
   /** Ends the feed of the table. */
@@ -123,7 +121,7 @@
     const present = new Set(rows.map(({ key }) => key))
     const missing = [...this.known].filter(([key]) => !present.has(key))
     this.known = new Map(missing.map(([key, { version }]) => [key, { version, stage: 'gone' }]))
-    for (const row of rows) this.known.set(row.key, this.entryOf(row))
+    for (const row of rows) this.known.set(row.key, seen(row))
   }
 
   /** A row that cannot be decoded any more must not be told as it was before. */
@@ -132,17 +130,20 @@
     if (known !== undefined) this.known.set(key, { version: known.version, stage: 'gone' })
   }
 
-  private staged (key: string, entry: DigestEntry): DigestEntry {
-    if (entry.stage === 'gone') return entry
-    const stage = this.source.stageOf(key)
-    return stage === 'gone' ? { version: entry.version, stage } : { ...entry, stage }
+  private entryOf (key: string, { version, stage, value }: Known<T>): DigestEntry {
+    const present = stage === 'gone' ? stage : this.source.stageOf(key)
+    return present === 'gone' || value === undefined ? { version, stage: 'gone' } : { version, stage: present, value: this.source.encode(value) }
   }
 
-  private entryOf ({ value, version }: FeedRow<T>): DigestEntry {
-    return value === null ? { version, stage: 'gone' } : { version, stage: 'present', value: this.source.encode(value) }
+  private knownOf ({ version, stage, value }: DigestEntry): Known<T> {
+    return stage === 'gone' ? { version, stage } : { version, stage, value: this.source.decode(value, stage === 'late') }
   }
+}
 
-  private rowOf (key: string, { version, stage, value }: DigestEntry): FeedRow<T> {
-    return { key, version, value: stage === 'gone' ? null : this.source.decode(value, stage === 'late') }
-  }
+function seen<T> ({ value, version }: FeedRow<T>): Known<T> {
+  return value === null ? { version, stage: 'gone' } : { version, stage: 'present', value }
+}
+
+function rowOf<T> (key: string, { version, value }: Known<T>): FeedRow<T> {
+  return { key, version, value: value ?? null }
 }
--- a/packages/rosemaryspread/src/digest/directTables.fixture.ts
+++ b/packages/rosemaryspread/src/digest/directTables.fixture.ts
@@ -5,6 +5,5 @@
 
 /** Follows each table itself. */
 export const directly = {
-  follow: <T>({ follow, handler }: DigestSource<T>): void => { follow(handler) },
-  stop: (): void => {}
+  follow: <T>({ follow, handler }: DigestSource<T>): void => { follow(handler) }
 }
--- a/packages/rosemaryspread/src/digest/tableDigest.ts
+++ b/packages/rosemaryspread/src/digest/tableDigest.ts
@@ -11,7 +11,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
-import { DigestedTable, type AnyDigestedTable } from './digestedTable.js'
+import { DigestedTable } from './digestedTable.js'
 import { DigestTeller } from './digestTeller.js'
 import { DIGEST_TABLE, type DigestSource } from './digestTypes.js'
 
@@ -34,7 +34,7 @@
 
 /** The digest as one VM reads and writes it. */
 export class TableDigest {
-  private readonly tables: AnyDigestedTable[] = []
+  private readonly tables: DigestedTable[] = []
   private readonly trust = new DigestTrust()
   private readonly teller: DigestTeller
   /** What the digest says, by its keys. */
@@ -156,7 +156,7 @@
     return this.tableOf(key)?.isDecodable(entry) ?? true
   }
 
-  private tableOf (key: string): AnyDigestedTable | undefined {
+  private tableOf (key: string): DigestedTable | undefined {
     return this.tables.find(({ name }) => key.startsWith(`${name}/`))
   }
 
@@ -164,7 +164,7 @@
     for (const table of this.tables) if (!table.isDirect) table.followDigest(this.toldOf(table))
   }
 
-  private toldOf (table: AnyDigestedTable): ReadonlyMap<string, DigestEntry> {
+  private toldOf (table: DigestedTable): ReadonlyMap<string, DigestEntry> {
     const entries = [...this.told].filter(([key]) => this.tableOf(key) === table)
     return new Map(entries.map(([key, entry]) => [rowKeyOf(table, key), entry]))
   }
@@ -183,6 +183,6 @@
   }
 }
 
-function rowKeyOf ({ name }: AnyDigestedTable, key: string): string {
+function rowKeyOf ({ name }: DigestedTable, key: string): string {
   return key.slice(name.length + 1)
 }
--- a/packages/rosemaryspread/src/gateway/gatewayBudgets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgets.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import { hashName, pairWeight } from '@rosemaryspread/decisions/routing/rendezvous.js'
+import { HASH_RANGE, hashName, pairWeight } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { LateAnswer } from '@rosemaryspread/peers/link/linkTypes.js'
 import { BudgetDriver } from '../budget/budgetDriver.js'
@@ -21,8 +21,6 @@
 
 /** Monotonic milliseconds at which a process begins: Node's performance clock counts from there. */
 const PROCESS_BEGUN_AT = 0
-/** Number of values of a hash. */
-const HASH_RANGE = 2 ** 32
 
 /** The other VMs as the budgets need them. */
 export interface BudgetFleet {
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -14,6 +14,7 @@
 import { bindGateway, type GatewayEdge } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
 import { FrontWatch, loopBusyMs, loopTurns } from './frontWatch.js'
+import { PacedTicks } from './pacedTicks.js'
 import { WORK_METHOD, workMethod } from './workNotices.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -37,8 +38,7 @@
   readonly container = new Container()
   private readonly log: EventLog
   private readonly timers: NodeJS.Timeout[] = []
-  private stopTicks: () => void = () => {}
-  private tickSooner: () => void = () => {}
+  private ticks: PacedTicks | undefined
 
   /**
    * @param settings - settings of the VM
@@ -75,7 +75,7 @@
     this.container.get(ids.quarantineShare).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     const frontWatch = this.container.get(ids.frontWatch)
-    this.tickAtPace(() => budgets.isWaiting || !this.isReady ? URGENT_TICK_MS : TICK_MS, async () => {
+    const tick = async (): Promise<void> => {
       frontWatch.tick()
       const prepared = this.container.get(ids.config).current()
       if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
@@ -86,8 +86,16 @@
       presence.pressed(frontWatch.isPressed)
       presence.tick()
       digest.tick()
+    }
+    const ticks = new PacedTicks({
+      clock: this.clock,
+      urgentMs: URGENT_TICK_MS,
+      paceMs: () => budgets.isWaiting || !this.isReady ? URGENT_TICK_MS : TICK_MS,
+      run: () => { this.inBackground(tick()) }
     })
-    budgets.onWaiting(() => { this.tickSooner() })
+    this.ticks = ticks
+    budgets.onWaiting(() => { ticks.hurry() })
+    ticks.start()
     this.every(RECOVERY_MS, async () => { await budgets.recoverDead() })
     this.openLinks()
     this.inBackground(this.takeOver())
@@ -115,7 +123,7 @@
     await pause(FLUSH_MS)
     this.container.get(ids.quarantineShare).stop()
     await this.container.get(ids.links).close()
-    this.stopTicks()
+    this.ticks?.stop()
     this.timers.forEach(timer => { clearInterval(timer) })
     this.log.write('stopped', { open: work.openCount() })
   }
@@ -139,33 +147,10 @@
 
   private async handBack (): Promise<void> {
     await this.container.get(ids.budgets).drain()
+    this.container.get(ids.digest).stop()
     await this.container.get(ids.presence).leave()
   }
 
-  /** Repeats work at a pace that may change; `tickSooner` has the next tick come at the urgent one. */
-  private tickAtPace (pace: () => number, work: () => Promise<void>): void {
-    let timer: NodeJS.Timeout
-    let dueAt = 0
-    const plan = (ms: number): void => {
-      dueAt = this.clock.now().mono + ms
-      timer = setTimeout(run, ms)
-    }
-    const run = (): void => {
-      this.inBackground(work())
-      plan(pace())
-    }
-    this.stopTicks = () => {
-      clearTimeout(timer)
-      this.tickSooner = () => {}
-    }
-    this.tickSooner = () => {
-      if (dueAt - this.clock.now().mono <= URGENT_TICK_MS) return
-      clearTimeout(timer)
-      plan(URGENT_TICK_MS)
-    }
-    plan(URGENT_TICK_MS)
-  }
-
   private every (ms: number, work: () => Promise<void>): void {
     this.timers.push(setInterval(() => { this.inBackground(work()) }, ms))
   }
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -27,5 +27,5 @@
 })
 export type PresenceRow = z.infer<typeof presenceRowSchema>
 
-/** The same without what changes with each heartbeat, as a digest tells it. */
-export const digestedPresenceSchema = presenceRowSchema.omit({ beat: true })
+/** The same without what changes with each heartbeat, and without what the digest's stage says. */
+export const digestedPresenceSchema = presenceRowSchema.omit({ beat: true, isLate: true })
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { namedVms, type CallerPlace } from '@rosemaryspread/decisions/membership/namedVms.js'
-import { hashName } from '@rosemaryspread/decisions/routing/rendezvous.js'
+import { HASH_RANGE, hashName } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { TableDigest } from '../digest/tableDigest.js'
@@ -20,8 +20,6 @@
 /** Heartbeats that may be missed. */
 const MISSED_BEATS = 3
 const MS_PER_SECOND = 1_000
-/** Number of values of a hash. */
-const HASH_RANGE = 2 ** 32
 /**
  * Milliseconds from the first read of all rows until the view counts as settled: VMs that start together have written theirs
  * by then. Sixty VMs that each took themselves for alone drew all budgets at once, and 672 of their draws failed.
@@ -42,7 +40,7 @@
   readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
   readonly table: TableStore
   readonly feed: TableFeed
-  readonly digest: Pick<TableDigest, 'follow' | 'stop'>
+  readonly digest: Pick<TableDigest, 'follow'>
   readonly clock: Clock
   readonly log: EventLog
   /** Told when a process of another VM was seen for the first time; gets its holder. */
@@ -115,9 +113,8 @@
     this.nextBeatAt = this.mono + beatMs(this.size) * hashName(this.parts.self.vm) / HASH_RANGE
   }
 
-  /** Deletes the row of this VM and stops. */
+  /** Deletes the row of this VM and writes none any more. */
   async leave (): Promise<void> {
-    this.parts.digest.stop()
     // A row written after its deletion would name a VM that has ended.
     this.hasLeft = true
     await this.parts.table.transact({ checks: [], writes: [{ table: PRESENCE_TABLE, key: this.parts.self.vm, value: null }] })
--- a/packages/stand-ins/src/digest/digestFleet.fixture.ts
+++ b/packages/stand-ins/src/digest/digestFleet.fixture.ts
@@ -119,8 +119,7 @@
           this.take(rows)
         },
         changed: rows => { this.take(rows) },
-        failed: () => {},
-        vouched: () => {}
+        failed: () => {}
       }
     })
     while (!this.hasEnded) {
