Log and count what targets say of themselves in their answers

Whether an answer told of leaving, or asked for a time without requests, could not be seen in the logs; the hypotheses could not be told apart. Event 4012, counters target_answers_leaving, _pause, _flawed. Nothing is chosen by it yet.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -60,6 +60,7 @@
   requestQuarantined: { number: 4009, level: 'error', title: 'A request is not sent on any more, as targets ended each time it ran; fields: digest, runners, level (how often it was quarantined), by' },
   quarantineLifted: { number: 4010, level: 'warn', title: 'An operator lifted the suspicion from a request; fields: digest, processes' },
   domainEvacuated: { number: 4011, level: 'warn', title: 'Operators evacuated a failure domain, or took that back; fields: domain, isEvacuated, targets (listed there now)' },
+  targetReported: { number: 4012, level: 'info', title: 'A target said of itself in an answer that it is leaving, or for how long it wants no request of this VM; fields: request, runner, startedAt, isLeaving, pauseMs, flaw (a time that cannot be read)' },
 
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -3,6 +3,7 @@
  * not streamed is read whole first, so that one that breaks on the way can be asked for again.
  */
 import { failureOf, Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
 
@@ -33,6 +34,8 @@
   readonly repeatsFailures: boolean
   /** Told when the first event, or the whole answer, was passed on. */
   readonly onFirst: () => void
+  /** Told what the target says of itself, whatever becomes of the attempt. */
+  readonly onReport: (report: TargetReport) => void
 }
 
 /**
@@ -43,7 +46,7 @@
  */
 export async function runAttempt (parts: AttemptParts, req: TargetRequest, stop: AbortSignal): Promise<AttemptEnd> {
   try {
-    const sent = await parts.client.send(req, stop)
+    const sent = await parts.client.send(req, stop, parts.onReport)
     return await sent.caseOf<Promise<AttemptEnd>>({
       Left: async failure => failure.ran === 'no' ? { kind: 'notRun', failure } : { kind: 'broken', failure },
       Right: async answer => await relayAnswer(parts, answer)
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { BudgetPort } from '../budget/budgetPort.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { isSuccess, runAttempt, type AttemptEnd } from './callAttempt.js'
@@ -114,7 +115,8 @@
       chooser.begun(choice, ticket, true)
       this.first(open)
     }
-    const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst }, this.requestFor(open, choice), open.stopSignal())
+    const onReport = (said: TargetReport): void => { this.deps.report.targetReported(open, choice, said) }
+    const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst, onReport }, this.requestFor(open, choice), open.stopSignal())
     chooser.begun(choice, ticket, false)
     const isEnded = await this.isTargetEnded(open, choice, end)
     chooser.ended(choice, isEnded ? 'unreachable' : verdictOf(end, open))
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -3,6 +3,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import type { AttemptEnd } from './callAttempt.js'
 import type { OpenCall } from './callOpen.js'
@@ -22,6 +23,19 @@
     this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, choice: target.id, reason, work })
   }
 
+  /**
+   * A target said something of itself with an answer.
+   * @param open - the call
+   * @param choice - the target that answered
+   * @param said - what it said
+   */
+  targetReported ({ admitted }: OpenCall, { target }: TargetChoice, { isLeaving, pauseMs, flaw }: TargetReport): void {
+    if (isLeaving) this.metrics.count('target_answers_leaving')
+    if (pauseMs !== undefined) this.metrics.count('target_answers_pause')
+    if (flaw !== undefined) this.metrics.count('target_answers_flawed')
+    this.log.write('targetReported', { request: admitted.call.requestId, runner: target.id, startedAt: target.startedAt, isLeaving, pauseMs, flaw })
+  }
+
   /**
    * The whole answer went out.
    * @param open - the call
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -7,6 +7,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import type { Suspicion, TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { OpenCall } from './callOpen.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 
@@ -116,8 +117,9 @@
    * Sends a request; resolves with the head of the answer.
    * @param req - the request
    * @param stop - aborted to end the exchange with the target
+   * @param onReport - told what the target says of itself as soon as the head of its answer is there
    */
-  send (req: TargetRequest, stop: AbortSignal): Promise<Either<Failure, TargetAnswer>>
+  send (req: TargetRequest, stop: AbortSignal, onReport: (report: TargetReport) => void): Promise<Either<Failure, TargetAnswer>>
 }
 
 /** Finds out whether anything listens at the address of a target. */
