Keep from targets that said in an answer that they are leaving

What callers saw: requests went on to a target for twelve seconds after it had said in its answers that it leaves; what is open there when it ends is lost.

Cause: what an answer says of its target was read for that request alone. Class of fault: what a target says of itself in its answers ends with the attempt, and only the control path feeds what a VM believes of it. Ruled out: a mark that was set and undone (no state change of the target in any log between the answer and the requests), a choice made before and sent later (choice and arrival are 1 and 2 ms apart in the two requests).

Change: reports of targets are kept by process, from the head of the answer on. A heartbeat that still says that the target serves, a register read anew or an entry that lapsed does not take it back; a later process does. An answer of an earlier process marks no later one.

--- /dev/null
+++ b/packages/decisions/src/gateway/targetReports.spec.ts
@@ -0,0 +1,126 @@
+/**
+ * What answers of targets say of them, beside the register, in both orders.
+ */
+import { expect } from 'chai'
+import type { TargetProcess } from './targetReports.js'
+import { TargetSet, type TargetView } from './targetSet.js'
+
+const FIRST: TargetProcess = { id: 'a', startedAt: 100 }
+const SECOND: TargetProcess = { id: 'a', startedAt: 200 }
+const UNTOLD: TargetProcess = { id: 'a' }
+const LONG_MS = 70_000
+const LEAVING = { isLeaving: true }
+
+function viewOf (process: TargetProcess, isLeaving = false): TargetView {
+  return { ...process, service: 's', address: '10.0.0.1:80', domain: 'd', slots: 4, isLeaving }
+}
+
+interface ReportCase {
+  readonly name: string
+  /** At monotonic millisecond 0, with the first process listed. */
+  readonly act: (set: TargetSet) => void
+  readonly isServing: boolean
+}
+
+const cases: readonly ReportCase[] = [
+  { name: 'serves without a word', act: () => {}, isServing: true },
+  { name: 'serves after an answer that says nothing of it', act: set => { set.reported(FIRST, { isLeaving: false }, 0) }, isServing: true },
+  { name: 'is leaving by its answer', act: set => { set.reported(FIRST, LEAVING, 0) }, isServing: false },
+  {
+    name: 'is leaving whatever a later answer leaves out',
+    act: set => {
+      set.reported(FIRST, LEAVING, 0)
+      set.reported(FIRST, { isLeaving: false }, 1)
+    },
+    isServing: false
+  },
+  {
+    name: 'is leaving whatever its heartbeats say',
+    act: set => {
+      set.reported(FIRST, LEAVING, 0)
+      set.put(viewOf(FIRST))
+      set.replace([viewOf(FIRST)], 1)
+    },
+    isServing: false
+  },
+  {
+    name: 'is leaving when it is listed again after its entry lapsed',
+    act: set => {
+      set.reported(FIRST, LEAVING, 0)
+      set.remove('a', 1)
+      for (let mono = 2; mono < 20_000; mono += 500) set.tick(mono)
+      set.put(viewOf(FIRST))
+    },
+    isServing: false
+  },
+  {
+    name: 'serves once a later process is listed',
+    act: set => {
+      set.reported(FIRST, LEAVING, 0)
+      set.put(viewOf(SECOND))
+    },
+    isServing: true
+  },
+  {
+    name: 'is leaving when an older entry comes behind the word of a later process',
+    act: set => {
+      set.reported(SECOND, LEAVING, 0)
+      set.put(viewOf(FIRST))
+    },
+    isServing: false
+  },
+  {
+    name: 'serves when the process before it answers late',
+    act: set => {
+      set.put(viewOf(SECOND))
+      set.reported(FIRST, LEAVING, 1)
+    },
+    isServing: true
+  },
+  {
+    name: 'is leaving by an answer that came before its entry',
+    act: set => {
+      set.remove('a', 0)
+      set.reported(FIRST, LEAVING, 1)
+      set.put(viewOf(FIRST))
+    },
+    isServing: false
+  },
+  {
+    name: 'is leaving where starts are not told',
+    act: set => {
+      set.replace([viewOf(UNTOLD)], 0)
+      set.reported(UNTOLD, LEAVING, 1)
+      set.put(viewOf(UNTOLD))
+    },
+    isServing: false
+  },
+  {
+    name: 'is forgotten after a long absence',
+    act: set => {
+      set.replace([viewOf(UNTOLD)], 0)
+      set.reported(UNTOLD, LEAVING, 1)
+      set.remove('a', 2)
+      for (let mono = 3; mono < LONG_MS; mono += 500) set.tick(mono)
+      set.put(viewOf(UNTOLD))
+    },
+    isServing: true
+  }
+]
+
+describe('TargetReports', () => {
+  for (const { name, act, isServing } of cases) {
+    it(`a target ${name}`, () => {
+      const set = new TargetSet()
+      set.replace([viewOf(FIRST)], 0)
+      act(set)
+      expect(set.serving('s').length).to.equal(isServing ? 1 : 0)
+    })
+  }
+
+  it('tells news once', () => {
+    const set = new TargetSet()
+    set.replace([viewOf(FIRST)], 0)
+    expect([1, 2, 3].map(mono => set.reported(FIRST, LEAVING, mono))).to.deep.equal([true, false, false])
+  })
+})
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -4,6 +4,8 @@
  * register, removed entries are therefore kept for the time in which live targets are listed again.
  */
 import { DomainEvacuations, type EvacuationChange } from './domainEvacuations.js'
+import type { TargetReport } from './targetReport.js'
+import { isLaterProcess, TargetReports, type TargetProcess } from './targetReports.js'
 
 /** One registered target. */
 export interface TargetView {
@@ -35,6 +37,7 @@
   private readonly listed = new Map<string, Listed>()
   private byService = new Map<string, readonly TargetView[]>()
   private readonly evacuations = new DomainEvacuations()
+  private readonly reports = new TargetReports()
   private troubleAt = -Infinity
 
   /**
@@ -45,7 +48,7 @@
   replace (views: readonly TargetView[], mono: number): void {
     const present = new Set(views.map(view => view.id))
     for (const id of this.listed.keys()) if (!present.has(id)) this.drop(id, mono)
-    for (const view of views) this.listed.set(view.id, { view })
+    for (const view of views) this.list(view)
     this.rebuild()
   }
 
@@ -54,10 +57,25 @@
    * @param view - the entry
    */
   put (view: TargetView): void {
-    this.listed.set(view.id, { view })
+    this.list(view)
     this.rebuild()
   }
 
+  /**
+   * Takes what a target said of itself with an answer.
+   * @param process - the process that answered
+   * @param report - what it said
+   * @param mono - present time
+   * @returns whether it is news that the target is leaving
+   */
+  reported (process: TargetProcess, report: TargetReport, mono: number): boolean {
+    const listed = this.listed.get(process.id)?.view
+    if (listed !== undefined && isLaterProcess(listed, process)) return false
+    const isNews = this.reports.take(process, report, mono)
+    if (isNews) this.rebuild()
+    return isNews
+  }
+
   /**
    * Takes the removal of an entry.
    * @param id - id of the target
@@ -81,6 +99,7 @@
    * @param mono - present time
    */
   tick (mono: number): void {
+    this.reports.tick(id => this.listed.has(id), mono)
     if (mono - this.troubleAt <= RELIST_MS) return
     const gone = [...this.listed].filter(([, { removedAt }]) => removedAt !== undefined)
     if (gone.length === 0) return
@@ -123,7 +142,15 @@
    */
   isEvacuated (service: string): boolean {
     if (this.serving(service).length > 0) return false
-    return this.all().some(view => view.service === service && !view.isLeaving)
+    return this.all().some(view => view.service === service && !this.isLeaving(view))
+  }
+
+  /**
+   * Whether a target is leaving, by its entry or by its own answers.
+   * @param view - its entry
+   */
+  isLeaving ({ id, isLeaving }: TargetView): boolean {
+    return isLeaving || this.reports.isLeaving(id)
   }
 
   /**
@@ -167,10 +194,15 @@
     if (this.listed.delete(id)) this.rebuild()
   }
 
+  private list (view: TargetView): void {
+    this.listed.set(view.id, { view })
+    this.reports.listed(view)
+  }
+
   private drop (id: string, mono: number): void {
     const known = this.listed.get(id)
     if (known === undefined) return
-    const mayLapse = mono - this.troubleAt <= RELIST_MS && !known.view.isLeaving
+    const mayLapse = mono - this.troubleAt <= RELIST_MS && !this.isLeaving(known.view)
     if (mayLapse) this.listed.set(id, { view: known.view, removedAt: known.removedAt ?? mono })
     else this.listed.delete(id)
   }
@@ -183,7 +215,7 @@
   private rebuild (): void {
     const byService = new Map<string, TargetView[]>()
     for (const { view } of this.listed.values()) {
-      if (view.isLeaving || this.evacuated.has(view.domain)) continue
+      if (this.isLeaving(view) || this.evacuated.has(view.domain)) continue
       const views = byService.get(view.service) ?? []
       views.push(view)
       byService.set(view.service, views)
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -115,7 +115,10 @@
       chooser.begun(choice, ticket, true)
       this.first(open)
     }
-    const onReport = (said: TargetReport): void => { this.deps.report.targetReported(open, choice, said) }
+    const onReport = (said: TargetReport): void => {
+      this.deps.report.targetReported(open, choice, said)
+      chooser.reported(choice, said)
+    }
     const end = await runAttempt({ client, sink, relay, streamed, repeatsFailures, onFirst, onReport }, this.requestFor(open, choice), open.stopSignal())
     chooser.begun(choice, ticket, false)
     const isEnded = await this.isTargetEnded(open, choice, end)
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -153,6 +153,12 @@
    * @param isAnswered - whether it began to answer
    */
   begun (choice: TargetChoice, ticket: number, isAnswered: boolean): void
+  /**
+   * The target said something of itself with an answer.
+   * @param choice - the choice that was followed
+   * @param report - what it said
+   */
+  reported (choice: TargetChoice, report: TargetReport): void
   ended (choice: TargetChoice, verdict: TargetVerdict): void
 }
 
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Suspicion, TargetBalancer, TargetChoice, TargetDemand, WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import type { AdmittedCall, TargetChooser, TargetVerdict } from './callTypes.js'
 import type { TargetDirectory } from './gatewayTypes.js'
@@ -57,6 +58,10 @@
     this.parts.balancer.begun(target.id, ticket, isAnswered, this.mono)
   }
 
+  reported ({ target }: TargetChoice, report: TargetReport): void {
+    this.parts.targets.reported(target, report)
+  }
+
   ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
     this.parts.balancer.ended(target.id, verdict, this.mono)
   }
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { isWarmUpTime } from '@rosemaryspread/decisions/gateway/warmUpPart.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
+import type { TargetProcess } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import { TargetSet, type TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { TargetDirectory } from './gatewayTypes.js'
 
@@ -105,6 +107,10 @@
     this.parts.log.write('runnerState', { runner: id, state: 'leaving', reason: 'its entry was removed' })
   }
 
+  reported (process: TargetProcess, report: TargetReport): void {
+    if (this.set.reported(process, report, this.mono)) this.parts.log.write('runnerState', { runner: process.id, state: 'leaving', reason: 'its answer says so' })
+  }
+
   /** The register could not be read. */
   unreadable (): void {
     this.set.registerFailed(this.mono)
@@ -115,9 +121,9 @@
     this.set.tick(this.mono)
   }
 
-  private stateOf ({ domain, isLeaving }: TargetView): TargetRow['state'] {
-    if (isLeaving) return 'leaving'
-    return this.set.evacuated.has(domain) ? 'evacuated' : 'serving'
+  private stateOf (view: TargetView): TargetRow['state'] {
+    if (this.set.isLeaving(view)) return 'leaving'
+    return this.set.evacuated.has(view.domain) ? 'evacuated' : 'serving'
   }
 
   private noteState (view: TargetView): void {
--- a/packages/rosemaryspread/src/gateway/gatewayTypes.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTypes.ts
@@ -1,6 +1,8 @@
 /**
  * What the gateway takes from its edge, and the targets that it knows.
  */
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
+import type { TargetProcess } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { OpaqueCall } from './callTypes.js'
 
@@ -24,4 +26,10 @@
   serving (service: string): readonly TargetView[]
   /** Whether a service has targets that would take new work, all of them in evacuated failure domains. */
   isEvacuated (service: string): boolean
+  /**
+   * Takes what a target said of itself with an answer.
+   * @param process - the process that answered
+   * @param report - what it said
+   */
+  reported (process: TargetProcess, report: TargetReport): void
 }
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -36,6 +36,8 @@
 
   begun (): void {}
 
+  reported (): void {}
+
   ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
     this.load.ended(target.id, verdict === 'good', this.clock.now().mono)
     this.load.add(target.id, -1)
