Keep from targets for as long as they asked this VM to wait

What callers saw: requests were sent to targets that had just refused this VM and asked for three seconds without any, and were refused there again.

Cause: the time that a target names was a field of the failure for the caller of that one request; a refusal says nothing of the target to what chooses (verdict none), which sends the next one there at once. By affinity it is the same target again; by load it is preferred, as a refusal frees it. Ruled out: repeats of one request as the cause (47 of 166 refused attempts in the logs are repeated, to other targets; the further requests to one target are new ones).

Times that cannot be read (empty, negative, text, dates) change nothing, are counted, and logged once for each target. Retry-After with an empty or hexadecimal text was read as a number before.

--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -62,6 +62,7 @@
   targetReplaced: { number: 408, status: 502, title: 'Another process has the address of the target' },
   domainsEvacuated: { number: 409, status: 503, title: 'All targets of the service are in failure domains that operators evacuated' },
   targetsWarmUp: { number: 410, status: 503, title: 'The targets left are warming up and bear no further request now' },
+  targetsPaused: { number: 411, status: 503, title: 'All targets of the service asked this VM to wait' },
 
   configConflict: { number: 501, status: 409, title: 'The patch is based on another version' },
   configInvalid: { number: 502, status: 422, title: 'The configuration does not follow its schema' },
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -47,9 +47,9 @@
   callClaimed: { number: 3006, level: 'info', title: 'A non-repeatable call was claimed; fields: request, service' },
   callerGone: { number: 3007, level: 'info', title: 'The caller closed the connection; fields: request, cancelled' },
 
-  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, choice, reason, work' },
+  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, paused (left out, as they asked this VM to wait), choice, reason, work' },
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
-  runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, ejected or notLoaded; fields: runner, state, reason' },
+  runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, paused, ejected or notLoaded; fields: runner, state, reason, pauseMs' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
   placementFault: { number: 4005, level: 'warn', title: 'An order of placement failed or its outcome is not known; fields: runner, order, code, detail' },
   attemptFailed: { number: 4006, level: 'warn', title: 'An attempt at a runner did not end whole; fields: request, runner, code, ran, retried (another runner is tried if one is left), detail' },
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -32,6 +32,7 @@
   loop_longest_ms: { kind: 'gauge', title: 'Longest time between two ticks of the last seconds, in milliseconds; a tick is due every 50 to 150' },
   memory_bytes: { kind: 'gauge', title: 'Memory of the process that is in use, in bytes' },
   domains_evacuated: { kind: 'gauge', title: 'Failure domains that operators evacuated' },
+  targets_paused: { kind: 'gauge', title: 'Targets that asked this VM to wait' },
   first_token_ms: { kind: 'histogram', title: 'From the receipt of a request to its first event, passed on' },
   between_tokens_ms: { kind: 'histogram', title: 'Between two pieces of a streamed answer' },
   total_ms: { kind: 'histogram', title: 'From the receipt of a request to the end of its answer' },
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -60,6 +60,8 @@
   readonly reason: string
   /** Prompt tokens that the target is believed to read for it. */
   readonly work: number
+  /** Targets that were left out, as they asked this VM to wait; absent where none can. */
+  readonly paused?: number
 }
 
 /** What other VMs are told of a request that went to a target. */
--- a/packages/decisions/src/gateway/targetReports.spec.ts
+++ b/packages/decisions/src/gateway/targetReports.spec.ts
@@ -121,6 +121,51 @@
   it('tells news once', () => {
     const set = new TargetSet()
     set.replace([viewOf(FIRST)], 0)
-    expect([1, 2, 3].map(mono => set.reported(FIRST, LEAVING, mono))).to.deep.equal([true, false, false])
+    expect([1, 2, 3].map(mono => set.reported(FIRST, LEAVING, mono))).to.deep.equal([['leaving'], [], []])
   })
+  const pauses: ReadonlyArray<{ readonly name: string, readonly act: (set: TargetSet) => void, readonly pausesMs: readonly number[] }> = [
+    { name: 'none', act: () => {}, pausesMs: [] },
+    { name: 'the time that is left', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0) }, pausesMs: [2_000] },
+    { name: 'none once the time is over', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1_000 }, 0) }, pausesMs: [] },
+    {
+      name: 'the longest of several',
+      act: set => { for (const pauseMs of [500, 4_000, 1_500]) set.reported(FIRST, { isLeaving: false, pauseMs }, 0) },
+      pausesMs: [3_000]
+    },
+    {
+      name: 'the time that is left behind an answer that names none',
+      act: set => {
+        set.reported(FIRST, { isLeaving: false, pauseMs: 1_200 }, 0)
+        set.reported(FIRST, { isLeaving: false }, 900)
+      },
+      pausesMs: [200]
+    },
+    {
+      name: 'the time that is left after heartbeats and a register read anew',
+      act: set => {
+        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0)
+        set.put(viewOf(FIRST))
+        set.replace([viewOf(FIRST)], 500)
+      },
+      pausesMs: [2_000]
+    },
+    {
+      name: 'none for a later process',
+      act: set => {
+        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0)
+        set.put(viewOf(SECOND))
+      },
+      pausesMs: []
+    },
+    { name: 'an hour at the most', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1e12 }, 1_000) }, pausesMs: [3_600_000] }
+  ]
+  for (const { name, act, pausesMs } of pauses) {
+    it(`a pause: ${name}`, () => {
+      const set = new TargetSet()
+      set.replace([viewOf(FIRST)], 0)
+      act(set)
+      const available = set.available('s', 1_000)
+      expect([available.pausesMs, available.targets.length]).to.deep.equal([pausesMs, 1 - pausesMs.length])
+    })
+  }
 })
--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -8,6 +8,9 @@
 /** Milliseconds for which a target that is not listed any more is remembered; those that live are listed again within seconds. */
 const REMEMBERED_MS = 60_000
 
+/** Longest time without requests that is kept to, in milliseconds. */
+const MOST_PAUSE_MS = 3_600_000
+
 /** A process of a target. */
 export interface TargetProcess {
   readonly id: string
@@ -18,9 +21,14 @@
 interface Known {
   readonly startedAt: number | undefined
   isLeaving: boolean
+  /** Until when it wants no request. */
+  pausedUntil: number
   listedAt: number
 }
 
+/** News in an answer. */
+export type ReportNews = 'leaving' | 'paused'
+
 /**
  * Whether a process of a target is a later one than another.
  * @param process - the process
@@ -39,13 +47,25 @@
    * @param process - the process that answered
    * @param report - what it said
    * @param mono - present time
-   * @returns whether it is news that the target is leaving
+   * @returns what was not known before
    */
-  take (process: TargetProcess, { isLeaving }: TargetReport, mono: number): boolean {
+  take (process: TargetProcess, { isLeaving, pauseMs = 0 }: TargetReport, mono: number): readonly ReportNews[] {
     const known = this.of(process, mono)
-    if (!isLeaving || known.isLeaving) return false
-    known.isLeaving = true
-    return true
+    const news: ReportNews[] = []
+    if (isLeaving && !known.isLeaving) news.push('leaving')
+    if (pauseMs > 0 && known.pausedUntil <= mono) news.push('paused')
+    known.isLeaving ||= isLeaving
+    known.pausedUntil = Math.max(known.pausedUntil, mono + Math.min(pauseMs, MOST_PAUSE_MS))
+    return news
+  }
+
+  /**
+   * Milliseconds for which a target wants no request; 0 when it takes one.
+   * @param id - id of the target
+   * @param mono - present time
+   */
+  pauseMs (id: string, mono: number): number {
+    return Math.max(0, (this.known.get(id)?.pausedUntil ?? mono) - mono)
   }
 
   /**
@@ -80,7 +100,7 @@
   private of (process: TargetProcess, mono: number): Known {
     const known = this.known.get(process.id)
     if (known !== undefined && !isLaterProcess(process, known)) return known
-    const fresh = { startedAt: process.startedAt, isLeaving: false, listedAt: mono }
+    const fresh = { startedAt: process.startedAt, isLeaving: false, pausedUntil: -Infinity, listedAt: mono }
     this.known.set(process.id, fresh)
     return fresh
   }
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -5,7 +5,7 @@
  */
 import { DomainEvacuations, type EvacuationChange } from './domainEvacuations.js'
 import type { TargetReport } from './targetReport.js'
-import { isLaterProcess, TargetReports, type TargetProcess } from './targetReports.js'
+import { isLaterProcess, TargetReports, type ReportNews, type TargetProcess } from './targetReports.js'
 
 /** One registered target. */
 export interface TargetView {
@@ -26,6 +26,13 @@
 /** Milliseconds after trouble with the register for which a removed entry counts as lapsed; live targets are back within two seconds. */
 export const RELIST_MS = 2_200
 
+/** Targets of a service by whether they take a request now. */
+export interface AvailableTargets {
+  readonly targets: readonly TargetView[]
+  /** Milliseconds until each of the others takes one. */
+  readonly pausesMs: readonly number[]
+}
+
 interface Listed {
   readonly view: TargetView
   /** Set when the entry was removed and may come back. */
@@ -66,14 +73,14 @@
    * @param process - the process that answered
    * @param report - what it said
    * @param mono - present time
-   * @returns whether it is news that the target is leaving
+   * @returns what was not known before
    */
-  reported (process: TargetProcess, report: TargetReport, mono: number): boolean {
+  reported (process: TargetProcess, report: TargetReport, mono: number): readonly ReportNews[] {
     const listed = this.listed.get(process.id)?.view
-    if (listed !== undefined && isLaterProcess(listed, process)) return false
-    const isNews = this.reports.take(process, report, mono)
-    if (isNews) this.rebuild()
-    return isNews
+    if (listed !== undefined && isLaterProcess(listed, process)) return []
+    const news = this.reports.take(process, report, mono)
+    if (news.includes('leaving')) this.rebuild()
+    return news
   }
 
   /**
@@ -161,6 +168,30 @@
     return this.byService.get(service) ?? []
   }
 
+  /**
+   * Targets of a service that take new work now, and those that asked this VM to wait.
+   * @param service - name of the service
+   * @param mono - present time
+   */
+  available (service: string, mono: number): AvailableTargets {
+    const pausesMs: number[] = []
+    const targets = this.serving(service).filter(({ id }) => {
+      const pauseMs = this.reports.pauseMs(id, mono)
+      if (pauseMs > 0) pausesMs.push(pauseMs)
+      return pauseMs === 0
+    })
+    return { targets, pausesMs }
+  }
+
+  /**
+   * Whether a target asked this VM to wait.
+   * @param id - id of the target
+   * @param mono - present time
+   */
+  isPaused (id: string, mono: number): boolean {
+    return this.reports.pauseMs(id, mono) > 0
+  }
+
   /**
    * Whether a target is listed.
    * @param id - id of the target
--- a/packages/infra/src/http/httpTransport.ts
+++ b/packages/infra/src/http/httpTransport.ts
@@ -14,6 +14,8 @@
 const DEFAULT_CONNECT_MS = 1000
 const MAX_IDLE_CONNECTIONS = 64
 const MS_PER_SECOND = 1000
+/** Seconds with or without a fraction. */
+const SECONDS = /^\d+(\.\d+)?$/
 
 /** Settings of a transport. */
 export interface TransportSettings {
@@ -64,8 +66,8 @@
  * @param headers - headers of an answer
  */
 export function retryAfterMs (headers: HttpAnswer['headers']): number | undefined {
-  const seconds = Number(headers['retry-after'] ?? NaN)
-  return seconds >= 0 && Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined
+  const text = headers['retry-after']
+  return typeof text === 'string' && SECONDS.test(text) ? Number(text) * MS_PER_SECOND : undefined
 }
 
 /**
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -18,9 +18,9 @@
    * @param open - the call
    * @param choice - the choice
    */
-  routed ({ admitted }: OpenCall, { target, candidates, reason, work }: TargetChoice): void {
+  routed ({ admitted }: OpenCall, { target, candidates, paused, reason, work }: TargetChoice): void {
     const { call, service, team, sharedTokens } = admitted
-    this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, choice: target.id, reason, work })
+    this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, paused, choice: target.id, reason, work })
   }
 
   /**
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -32,11 +32,11 @@
   constructor (private readonly parts: ChooserParts) {}
 
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice> {
-    const { targets, balancer, random } = this.parts
+    const { balancer, random } = this.parts
     const { service, call, sharedParts, sharedTokens } = admitted
-    if (targets.isEvacuated(service)) {
-      return Left(new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS }))
-    }
+    const refusal = this.refusal(service)
+    if (refusal !== undefined) return Left(refusal)
+    const { targets, pausesMs } = this.parts.targets.available(service)
     const demand: TargetDemand = {
       sharedParts,
       sharedTokens,
@@ -45,7 +45,19 @@
       ...this.warmUpOf(admitted),
       ...(suspicion === undefined ? {} : { suspicion })
     }
-    return balancer.choose(targets.serving(service), demand, this.mono, random.next())
+    return balancer.choose(targets, demand, this.mono, random.next()).map(choice => ({ ...choice, paused: pausesMs.length }))
+  }
+
+  private refusal (service: string): Failure | undefined {
+    const { targets, random } = this.parts
+    if (targets.isEvacuated(service)) {
+      return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS })
+    }
+    const { targets: open, pausesMs } = targets.available(service)
+    if (open.length > 0 || pausesMs.length === 0) return undefined
+    // Each caller is told the end of the pause of one target, so that not all of them come back to the first.
+    const retryAfterMs = pausesMs[Math.floor(random.next() * pausesMs.length)]
+    return new Failure('targetsPaused', 'all targets of the service asked this VM to wait', { retryAfterMs })
   }
 
   sent (choice: TargetChoice, { sharedParts }: AdmittedCall): number {
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -163,7 +163,7 @@
       clock,
       budgets,
       chooser: new GatewayChooser({
-        targets: { serving: () => targets, isEvacuated: () => false, reported: () => {} }, balancer: new TargetBalancer(), clock, random, vm: 'v', vms: () => ['v'], tell: () => {}
+        targets: { available: () => ({ targets, pausesMs: [] }), isEvacuated: () => false, reported: () => {} }, balancer: new TargetBalancer(), clock, random, vm: 'v', vms: () => ['v'], tell: () => {}
       }),
       retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
       client,
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -6,7 +6,8 @@
 import { isWarmUpTime } from '@rosemaryspread/decisions/gateway/warmUpPart.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { TargetProcess } from '@rosemaryspread/decisions/gateway/targetReports.js'
-import { TargetSet, type TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
+import { TargetSet, type AvailableTargets, type TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
+import { FlawLog } from './flawLog.js'
 import type { TargetDirectory } from './gatewayTypes.js'
 
 /** What following the register works with. */
@@ -18,19 +19,27 @@
 
 /** A target as operators see it. */
 export interface TargetRow extends Pick<TargetView, 'id' | 'service' | 'domain'> {
-  readonly state: 'serving' | 'leaving' | 'evacuated'
+  readonly state: 'serving' | 'leaving' | 'evacuated' | 'paused'
 }
 
 /** Follows the register of targets. */
 export class GatewayTargets implements TargetDirectory {
   private readonly set = new TargetSet()
-  /** Targets that told a time until they are warm that cannot be. */
-  private readonly warmUpFlaws = new Set<string>()
+  private readonly entryFlaws: FlawLog
+  private readonly answerFlaws: FlawLog
 
-  constructor (private readonly parts: TargetsParts) {}
+  constructor (private readonly parts: TargetsParts) {
+    this.entryFlaws = new FlawLog(parts.log, 'register')
+    this.answerFlaws = new FlawLog(parts.log, 'target')
+  }
+
+  available (service: string): AvailableTargets {
+    return this.set.available(service, this.mono)
+  }
 
-  serving (service: string): readonly TargetView[] {
-    return this.set.serving(service)
+  /** Number of targets that asked this VM to wait. */
+  get paused (): number {
+    return this.set.all().filter(({ id }) => this.set.isPaused(id, this.mono)).length
   }
 
   isEvacuated (service: string): boolean {
@@ -72,7 +81,7 @@
     for (const view of views) this.noteState(view)
     this.set.replace(views, this.mono)
     this.parts.balancer.forget(id => this.set.has(id))
-    for (const id of this.warmUpFlaws) if (!this.set.has(id)) this.warmUpFlaws.delete(id)
+    for (const flaws of [this.entryFlaws, this.answerFlaws]) flaws.forget(id => this.set.has(id))
     this.parts.log.write('targetsRead', { targets: views.length })
   }
 
@@ -108,7 +117,10 @@
   }
 
   reported (process: TargetProcess, report: TargetReport): void {
-    if (this.set.reported(process, report, this.mono)) this.parts.log.write('runnerState', { runner: process.id, state: 'leaving', reason: 'its answer says so' })
+    for (const state of this.set.reported(process, report, this.mono)) {
+      this.parts.log.write('runnerState', { runner: process.id, state, reason: 'its answer says so', ...(state === 'paused' ? { pauseMs: report.pauseMs } : {}) })
+    }
+    if (report.flaw !== undefined) this.answerFlaws.note(process.id, `the time '${report.flaw}' to wait cannot be read`)
   }
 
   /** The register could not be read. */
@@ -123,7 +135,8 @@
 
   private stateOf (view: TargetView): TargetRow['state'] {
     if (this.set.isLeaving(view)) return 'leaving'
-    return this.set.evacuated.has(view.domain) ? 'evacuated' : 'serving'
+    if (this.set.evacuated.has(view.domain)) return 'evacuated'
+    return this.set.isPaused(view.id, this.mono) ? 'paused' : 'serving'
   }
 
   private noteState (view: TargetView): void {
@@ -134,14 +147,7 @@
     }
     const leftMs = view.warmUpMs ?? 0
     if (isWarmUpTime(leftMs)) balancer.warmsUp(view.id, leftMs, this.mono)
-    else this.noteWarmUpFlaw(view.id, leftMs)
-  }
-
-  /** Targets repeat what they say with each heartbeat: it is logged once. */
-  private noteWarmUpFlaw (id: string, leftMs: number): void {
-    if (this.warmUpFlaws.has(id)) return
-    this.warmUpFlaws.add(id)
-    this.parts.log.write('platformFault', { service: 'register', operation: 'decode', code: id, detail: `${leftMs} ms until it is warm cannot be; what was known before holds` })
+    else this.entryFlaws.note(view.id, `${leftMs} ms until it is warm cannot be; what was known before holds`)
   }
 
   private noteEvacuations (changes: readonly EvacuationChange[]): void {
--- a/packages/rosemaryspread/src/gateway/gatewayTypes.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTypes.ts
@@ -3,7 +3,7 @@
  */
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { TargetProcess } from '@rosemaryspread/decisions/gateway/targetReports.js'
-import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
+import type { AvailableTargets } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { OpaqueCall } from './callTypes.js'
 
 /** One part of a prompt, in the order of the prompt. */
@@ -23,7 +23,7 @@
 
 /** Targets of each service. */
 export interface TargetDirectory {
-  serving (service: string): readonly TargetView[]
+  available (service: string): AvailableTargets
   /** Whether a service has targets that would take new work, all of them in evacuated failure domains. */
   isEvacuated (service: string): boolean
   /**
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -70,6 +70,7 @@
     const quarantine = this.container.get(ids.quarantine)
     const metrics = this.container.get(ids.metrics)
     metrics.gauge('domains_evacuated', () => targets.evacuated().length)
+    metrics.gauge('targets_paused', () => targets.paused)
     metrics.gauge('memory_bytes', () => process.memoryUsage.rss())
     presence.start()
     this.container.get(ids.quarantineShare).start()
