--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -144,6 +144,11 @@
    * @param suspicion - set for a request under which targets ended
    */
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice>
+  /**
+   * Why no target of a call's service takes any request now; undefined when one does.
+   * @param admitted - the call
+   */
+  refusal (admitted: AdmittedCall): Failure | undefined
   /** The request goes out; answers what names it on {@link begun}. */
   sent (choice: TargetChoice, admitted: AdmittedCall): number
   /**
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -34,7 +34,7 @@
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice> {
     const { balancer, random } = this.parts
     const { service, call, sharedParts, sharedTokens } = admitted
-    const refusal = this.refusal(service)
+    const refusal = this.refusal(admitted)
     if (refusal !== undefined) return Left(refusal)
     const { targets, pausesMs } = this.parts.targets.available(service)
     const demand: TargetDemand = {
@@ -48,7 +48,7 @@
     return balancer.choose(targets, demand, this.mono, random.next()).map(choice => ({ ...choice, paused: pausesMs.length }))
   }
 
-  private refusal (service: string): Failure | undefined {
+  refusal ({ service }: AdmittedCall): Failure | undefined {
     const { targets, random } = this.parts
     if (targets.isEvacuated(service)) {
       return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS })
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -29,6 +29,8 @@
       .map(({ runner, address, domain, candidates }) => ({ target: { id: runner, address, domain }, candidates, reason: REASON, work: 0 }))
   }
 
+  refusal (): undefined {}
+
   sent ({ target }: TargetChoice): number {
     this.load.add(target.id, 1)
     return 0
