Tell the router of a runner that refuses a completion since it is leaving

Until the next load report a leaving runner went on being chosen, and each refusal cost a repeat.

The spec of the routing failed before: after the runner's word its state was active. The client tells it beside the failure, as the gateway's does; 404 and 429 say nothing of leaving.

--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -19,6 +19,8 @@
 
 /** What an engine does wrong; each fault counts down. */
 export interface EngineScript {
+  /** New runs are refused, as the engine is leaving. */
+  isLeaving?: boolean
   /** No connection can be made, from these VMs or from all. */
   unreachableFrom?: readonly string[] | 'all'
   /** Streams that break after a number of pieces. */
@@ -82,10 +84,14 @@
 export class FakeEngineClient implements EngineClient {
   constructor (protected readonly engines: FakeEngines, private readonly vm: string) {}
 
-  async submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>> {
+  async submit (address: string, req: EngineRequest, onLeaving: () => void = () => {}): Promise<Either<Failure, EngineStream>> {
     return await this.reach(address, async () => {
       const runs = this.engines.at(address)
       const known = runs.get(req.requestId)
+      if (this.engines.script(address).isLeaving === true) {
+        onLeaving()
+        return Left(new Failure('runnerRefused', 'leaving', { ran: 'no' }))
+      }
       if (this.engines.script(address).resetSubmit === true) {
         this.engines.scripts.set(address, { unreachableFrom: [this.vm] })
         return Left(new Failure('runnerUnreachable', 'reset', { ran: 'unknown' }))
@@ -209,6 +215,8 @@
 /** Runners in one order for all requests; those a VM believes to be down are passed over. */
 export class FakeRouting implements RoutingPort {
   believedDown: string[] = []
+  /** Runners that refused since they are leaving. */
+  readonly saidLeaving: string[] = []
   /** Runs counted at runners and not ended. */
   open = 0
 
@@ -219,7 +227,7 @@
     const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
     if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { retryAfterMs: 100 }), lookIn: admitted.keyed ? this.runners : [] })
     this.open += 1
-    const run = { opened: () => {}, firstToken: () => {}, ended: () => { this.open -= 1 } }
+    const run = { opened: () => {}, leaving: () => { this.saidLeaving.push(choice.runner) }, firstToken: () => {}, ended: () => { this.open -= 1 } }
     return Right({ run, choice, before: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
   }
 
--- a/packages/rosemaryspread/src/completion/completionRun.ts
+++ b/packages/rosemaryspread/src/completion/completionRun.ts
@@ -69,7 +69,7 @@
     return Right(undefined)
   }
 
-  private async submit (admitted: AdmittedCompletion, at: RunnerAddress, { reservation }: PaidRun): Promise<Either<Failure, EngineStream>> {
+  private async submit (admitted: AdmittedCompletion, at: RunnerAddress, { reservation, run }: PaidRun): Promise<Either<Failure, EngineStream>> {
     const confirmed = this.deps.budgets.confirm(reservation)
     if (confirmed.isLeft()) return confirmed
     return await this.deps.engines.submit(at.address, {
@@ -83,7 +83,7 @@
       messages: admitted.messages,
       maxTokens: admitted.maxTokens,
       priority: 0
-    })
+    }, () => { run.leaving() })
   }
 
   private context (open: OpenCompletion, at: RunnerAddress, onFirstToken: (afterMs: number) => void): AttemptContext {
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -105,6 +105,21 @@
   })
 })
 
+describe('a runner that refuses a completion since it is leaving', () => {
+  const cases: ReadonlyArray<{ readonly name: string, readonly script: EngineScript, readonly told: readonly string[] }> = [
+    { name: 'is told to the routing', script: { isLeaving: true }, told: ['r1'] },
+    { name: 'is not made of one that cannot be reached', script: { unreachableFrom: 'all' }, told: [] }
+  ]
+  for (const { name, script, told } of cases) {
+    it(name, async () => {
+      const { engines, a } = fleetOf()
+      engines.scripts.set('r1', script)
+      expectWhole(await a.ask())
+      expect([a.routing.saidLeaving, engines.began()]).to.deep.equal([told, ['r2:finished']])
+    })
+  }
+})
+
 describe('log lines of one completion', () => {
   const id = 'f00d'
   const failed = (runner: string, code: ResultName, ran: string, retried: boolean): object => ({ request: id, runner, code, ran, retried })
--- a/packages/rosemaryspread/src/routing/routingPort.ts
+++ b/packages/rosemaryspread/src/routing/routingPort.ts
@@ -26,6 +26,8 @@
 export interface DispatchedRun {
   /** The stream was opened; `load` is what the engine said of itself with it. */
   opened (load: StreamLoad | undefined): void
+  /** The engine refused the run since it is leaving. */
+  leaving (): void
   firstToken (afterMs: number): void
   ended (ok: boolean, tokens: number): void
 }
--- a/packages/rosemaryspread/src/routing/routingQueue.spec.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.spec.ts
@@ -7,7 +7,7 @@
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
 import { RouteQueues, type RouteTry } from './routingQueue.js'
 
-const FREE: RouteTry = { kind: 'routed', routed: { choice: { runner: 'r', address: 'r' }, before: [], run: { opened: () => {}, firstToken: () => {}, ended: () => {} } } }
+const FREE: RouteTry = { kind: 'routed', routed: { choice: { runner: 'r', address: 'r' }, before: [], run: { opened: () => {}, leaving: () => {}, firstToken: () => {}, ended: () => {} } } }
 const FULL: RouteTry = { kind: 'full', refusal: { failure: new Failure('overloaded', 'full'), lookIn: [] } }
 const NONE: RouteTry = { kind: 'refused', refusal: { failure: new Failure('noRunner', 'none'), lookIn: [] } }
 
--- /dev/null
+++ b/packages/rosemaryspread/src/routing/routingService.spec.ts
@@ -0,0 +1,66 @@
+/**
+ * What a runner says of itself when it refuses decides where the next request goes.
+ */
+import { expect } from 'chai'
+import { fleetConfigSchema } from '@rosemaryspread/decisions/config/configSchema.js'
+import { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
+import { RetryBudget } from '@rosemaryspread/decisions/routing/retryBudget.js'
+import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { AdmittedCompletion } from '../completion/completionAdmission.js'
+import { RoutingService } from './routingService.js'
+
+const config = fleetConfigSchema.parse({
+  models: { m: { maxTokens: 8 } },
+  runners: Object.fromEntries(['r1', 'r2'].map(name => [name, { address: `10.0.0.1:${name.length}`, domain: 'd', slots: 4, models: ['m'] }]))
+})
+const now = { mono: 0, wall: 0 }
+
+function admitted (requestId: string): AdmittedCompletion {
+  return {
+    requestId,
+    keyed: false,
+    team: 't',
+    teamConfig: { displayName: '', keyHashes: [], budget: 'b', models: [], services: [], weight: 1, maxInFlight: 64 },
+    budget: 'b',
+    model: 'm',
+    digest: '',
+    messages: [],
+    promptTokens: 10,
+    maxTokens: 10,
+    deadline: { mono: 10_000, wall: 10_000 }
+  }
+}
+
+describe('RoutingService', () => {
+  for (const isTold of [false, true]) {
+    it(`${isTold ? 'keeps from' : 'uses'} a runner that ${isTold ? 'said' : 'did not say'} that it is leaving`, async () => {
+      let draw = 0
+      const routing = new RoutingService({
+        decider: new RunnerRouter('v', 'd'),
+        vms: () => 1,
+        retries: new RetryBudget(() => ({ share: 1, perSecond: 1, burst: 1, attempts: 1, baseMs: 1, maxMs: 1 })),
+        polls: new PollSchedule(1_000),
+        clock: { now: () => now },
+        random: { next: () => (draw += 0.37) % 1, id: () => 'id' },
+        log: { write: () => {} }
+      })
+      routing.configure(config)
+      const used = new Set<string>()
+      for (let i = 0; i < 12; i += 1) {
+        const { run, choice } = (await routing.route(admitted(`q${i}`), [], new AbortController().signal)).unsafeCoerce()
+        used.add(choice.runner)
+        if (isTold && choice.runner === 'r1') run.leaving()
+        run.ended(true, 0)
+      }
+      const standing = routing.states().find(({ runner }) => runner === 'r1')?.state
+      expect(standing).to.equal(isTold ? 'leaving' : 'active')
+      used.clear()
+      for (let i = 0; i < 12; i += 1) {
+        const { run, choice } = (await routing.route(admitted(`p${i}`), [], new AbortController().signal)).unsafeCoerce()
+        used.add(choice.runner)
+        run.ended(true, 0)
+      }
+      expect([...used].sort()).to.deep.equal(isTold ? ['r2'] : ['r1', 'r2'])
+    })
+  }
+})
--- a/packages/rosemaryspread/src/routing/routingService.ts
+++ b/packages/rosemaryspread/src/routing/routingService.ts
@@ -122,6 +122,9 @@
     this.deps.decider.observe({ kind: 'dispatched', runner, requestId, tokens }, startedAt)
     return {
       opened: load => { this.tellLoad(runner, load) },
+      leaving: () => {
+        this.deps.decider.observe({ kind: 'leaving', runner, source: 'runner' }, this.deps.clock.now())
+      },
       firstToken: () => {
         const now = this.deps.clock.now()
         this.deps.decider.observe({ kind: 'firstToken', runner, requestId, afterMs: now.mono - startedAt.mono }, now)
--- a/packages/runners/src/engine/engineTypes.ts
+++ b/packages/runners/src/engine/engineTypes.ts
@@ -123,8 +123,13 @@
  * `runnerRefused` when the id was sealed or the engine refuses.
  */
 export interface EngineClient {
-  /** Starts the run, or joins it when the id is known; pieces come from number 0. */
-  submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>>
+  /**
+   * Starts the run, or joins it when the id is known; pieces come from number 0.
+   * @param address - IPv4:port
+   * @param req - the request
+   * @param onLeaving - told when the engine refuses since it is leaving
+   */
+  submit (address: string, req: EngineRequest, onLeaving?: () => void): Promise<Either<Failure, EngineStream>>
   /** Goes on with a known run from a piece number. */
   resume (address: string, requestId: string, sequence: number): Promise<Either<Failure, EngineStream>>
   /** The engine's record of a run. */
--- a/packages/runners/src/engine/httpEngineClient.spec.ts
+++ b/packages/runners/src/engine/httpEngineClient.spec.ts
@@ -100,9 +100,10 @@
   for (const [title, handler, expected] of refusals) {
     it(`submit: ${title} is ${expected}`, async () => {
       const engine = await startTestServer(handler)
-      const result = await testClient(handler === hangs ? { firstEventMs: SHORT_MS } : {}).submit(engine.address, REQUEST)
+      let isLeaving = false
+      const result = await testClient(handler === hangs ? { firstEventMs: SHORT_MS } : {}).submit(engine.address, REQUEST, () => { isLeaving = true })
       await engine.close()
-      expect(code(result.extract())).to.equal(expected)
+      expect([code(result.extract()), isLeaving]).to.deep.equal([expected, title === '503'])
       expect(engine.calls).to.have.length(1)
     })
   }
--- a/packages/runners/src/engine/httpEngineClient.ts
+++ b/packages/runners/src/engine/httpEngineClient.ts
@@ -78,6 +78,9 @@
   return runRecordSchema.refine(record => record.requestId === requestId, 'a record of another run')
 }
 
+/** Status with which an engine that is leaving refuses new runs. */
+const LEAVING_STATUS = 503
+
 /** Engines over HTTP. Addresses are `IPv4:port`. */
 export class HttpEngineClient implements EngineClient {
   private readonly transport: HttpTransport
@@ -86,7 +89,7 @@
     this.transport = new HttpTransport(settings)
   }
 
-  submit (address: string, req: EngineRequest): Promise<Either<Failure, EngineStream>> {
+  submit (address: string, req: EngineRequest, onLeaving: () => void = () => {}): Promise<Either<Failure, EngineStream>> {
     const call: HttpCall = {
       method: 'POST',
       url: `http://${address}/v1/chat/completions`,
@@ -94,7 +97,10 @@
       body: submitBody(req),
       timeoutMs: this.settings.firstEventMs
     }
-    return this.open(call, { requestId: req.requestId, from: 0 }, submitRefused)
+    return this.open(call, { requestId: req.requestId, from: 0 }, (status, headers) => {
+      if (status === LEAVING_STATUS) onLeaving()
+      return submitRefused(status, headers)
+    })
   }
 
   resume (address: string, requestId: string, sequence: number): Promise<Either<Failure, EngineStream>> {
