Keep from application runners for as long as they asked this VM to wait

The same class in the service API: an answer with 429 or 503 and Retry-After was passed on whole, and the next call went to the same runner, the one with the fewest open calls.

With the report not taken the new spec of dispatch fails (a, a where a, b is due).

--- a/packages/infra/src/http/httpTransport.ts
+++ b/packages/infra/src/http/httpTransport.ts
@@ -70,6 +70,14 @@
   return typeof text === 'string' && SECONDS.test(text) ? Number(text) * MS_PER_SECOND : undefined
 }
 
+/**
+ * Whether a server turned a request away: it had too many, or is not available.
+ * @param status - status of its answer
+ */
+export function isTurnedAway (status: number | undefined): boolean {
+  return status === 429 || status === 503
+}
+
 /**
  * Reads a JSON text by a schema; the error says what does not fit.
  * @param schema - what the text has to be
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -7,6 +7,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ServiceConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
 import type { ApplicationAnswer, ApplicationClient } from '@rosemaryspread/runners/application/applicationTypes.js'
 import type { AdmittedCall, AnswerHead, CallRetries, CallSink, TargetAnswer, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from '../gateway/callTypes.js'
 import { chooseServiceRunner, type ServiceLoad } from './serviceRoute.js'
@@ -38,7 +39,9 @@
 
   begun (): void {}
 
-  reported (): void {}
+  reported ({ target }: TargetChoice, { pauseMs }: TargetReport): void {
+    if (pauseMs !== undefined) this.load.pause(target.id, this.clock.now().mono + pauseMs)
+  }
 
   ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
     this.load.ended(target.id, verdict === 'good', this.clock.now().mono)
@@ -56,7 +59,7 @@
 export class ApplicationTargets implements TargetClient {
   constructor (private readonly client: ApplicationClient) {}
 
-  async send ({ target, requestId, method, path, headers, body, timeoutMs }: TargetRequest): Promise<Either<Failure, TargetAnswer>> {
+  async send ({ target, requestId, method, path, headers, body, timeoutMs }: TargetRequest, _stop: AbortSignal, onReport: (report: TargetReport) => void): Promise<Either<Failure, TargetAnswer>> {
     const contentType = headers.find(([name]) => name === CONTENT_TYPE)?.[1]
     const answer = await this.client.call(target.address, {
       requestId,
@@ -66,7 +69,7 @@
       body,
       timeoutMs
     })
-    return answer.map(answerOf)
+    return answer.ifRight(({ pauseMs }) => { if (pauseMs !== undefined) onReport({ isLeaving: false, pauseMs }) }).map(answerOf)
   }
 }
 
--- a/packages/rosemaryspread/src/service/serviceRoute.spec.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.spec.ts
@@ -2,8 +2,11 @@
  * The choice of application runners, and which calls may be repeated.
  */
 import { expect } from 'chai'
+import { Right } from 'purify-ts'
 import { serviceSchema } from '@rosemaryspread/decisions/config/configSchema.js'
 import { failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import type { AdmittedCall } from '../gateway/callTypes.js'
+import { ApplicationTargets, ServiceChooser } from './serviceDispatch.js'
 import { chooseServiceRunner, isRepeatable, ServiceLoad, type ServiceChoice } from './serviceRoute.js'
 
 const service = serviceSchema.parse({
@@ -19,6 +22,8 @@
   readonly name: string
   readonly open?: Readonly<Record<string, number>>
   readonly failed?: readonly string[]
+  /** Milliseconds for which runners want no call, from 0 on. */
+  readonly paused?: Readonly<Record<string, number>>
   readonly exclude?: readonly string[]
   readonly atMs?: number
   readonly expected: string
@@ -34,14 +39,18 @@
   { name: 'no runner that failed several times in a row', failed: ['a'], expected: 'b' },
   { name: 'an ejected runner when there is no other', failed: ['a', 'b'], expected: 'a' },
   { name: 'an ejected runner again after a while, as a probe', failed: ['a'], atMs: 3_000, expected: 'a' },
-  { name: 'no second call to a runner that is probed', failed: ['a'], open: { a: 1, b: 1 }, atMs: 3_000, expected: 'b' }
+  { name: 'no second call to a runner that is probed', failed: ['a'], open: { a: 1, b: 1 }, atMs: 3_000, expected: 'b' },
+  { name: 'no runner that wants no call for a time', paused: { a: 2_000 }, atMs: 1_999, expected: 'b' },
+  { name: 'a runner again whose time is over', paused: { a: 2_000 }, atMs: 2_000, expected: 'a' },
+  { name: 'a refusal when none wants a call', paused: { a: 2_000, b: 1_000 }, expected: 'targetsPaused' }
 ]
 
 describe('the choice of an application runner', () => {
-  for (const { name, open, failed, exclude, atMs, expected } of choices) {
+  for (const { name, open, failed, paused, exclude, atMs, expected } of choices) {
     it(`is ${name}`, () => {
       const load = new ServiceLoad()
       failed?.forEach(runner => { for (let i = 0; i < 3; i += 1) load.ended(runner, false, 0) })
+      Object.entries(paused ?? {}).forEach(([runner, pauseMs]) => { for (const until of [pauseMs, 1]) load.pause(runner, until) })
       Object.entries(open ?? {}).forEach(([runner, count]) => { for (let i = 0; i < count; i += 1) load.add(runner, 1) })
       const chosen = chooseServiceRunner(service, 'd1', load, exclude ?? [], atMs ?? 0)
       expect(failureOf(chosen)?.code ?? (chosen.extract() as ServiceChoice).runner).to.equal(expected)
@@ -49,6 +58,18 @@
   }
 })
 
+describe('the service API as an edge of dispatch', () => {
+  it('keeps from a runner that asked in an answer for a time without calls', async () => {
+    const load = new ServiceLoad()
+    const chooser = new ServiceChooser(service, 'd1', load, { now: () => ({ mono: 0, wall: 0 }) })
+    const targets = new ApplicationTargets({ call: async () => Right({ status: 503, contentType: '', body: Buffer.alloc(0), pauseMs: 2_000 }) })
+    const choice = chooser.choose({} as AdmittedCall, new Set()).unsafeCoerce()
+    const req = { target: choice.target, requestId: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), timeoutMs: 100, team: undefined, priority: 0, resumeAfter: undefined }
+    await targets.send(req, new AbortController().signal, report => { chooser.reported(choice, report) })
+    expect([choice.target.id, chooser.choose({} as AdmittedCall, new Set()).unsafeCoerce().target.id]).to.deep.equal(['a', 'b'])
+  })
+})
+
 const calls: ReadonlyArray<readonly [method: string, path: string, repeatable: boolean]> = [
   ['GET', '/dispatch', true],
   ['POST', '/dispatch', false],
--- a/packages/rosemaryspread/src/service/serviceRoute.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.ts
@@ -25,6 +25,8 @@
 export class ServiceLoad {
   private readonly open = new Map<string, number>()
   private readonly health = new Map<string, TargetHealth>()
+  /** Until when runners want no call. */
+  private readonly pausedUntil = new Map<string, number>()
 
   of (runner: string): number {
     return this.open.get(runner) ?? 0
@@ -47,6 +49,24 @@
     else health.failed(mono)
   }
 
+  /**
+   * Takes that a runner wants no call for a time.
+   * @param runner - id of the runner
+   * @param until - end of the time, in monotonic milliseconds
+   */
+  pause (runner: string, until: number): void {
+    this.pausedUntil.set(runner, Math.max(until, this.pausedUntil.get(runner) ?? -Infinity))
+  }
+
+  /**
+   * Milliseconds for which a runner wants no call; 0 when it takes one.
+   * @param runner - id of the runner
+   * @param mono - monotonic milliseconds
+   */
+  pauseMs (runner: string, mono: number): number {
+    return Math.max(0, (this.pausedUntil.get(runner) ?? mono) - mono)
+  }
+
   /**
    * Whether a call may go to a runner; one that was ejected gets single probes at first.
    * @param runner - id of the runner
@@ -70,7 +90,9 @@
   const active = Object.entries(service.runners)
     .filter(([runner, { state }]) => state === 'active' && !exclude.includes(runner))
   if (active.length === 0) return Left(new Failure('noRunner', 'no application runner is left to try', { retryAfterMs: NONE_RETRY_MS }))
-  const free = active.filter(([runner, { maxInFlight }]) => load.of(runner) < maxInFlight)
+  const backMs = Math.min(...active.map(([runner]) => load.pauseMs(runner, mono)))
+  if (backMs > 0) return Left(new Failure('targetsPaused', 'every application runner asked this VM to wait', { retryAfterMs: backMs }))
+  const free = active.filter(([runner]) => load.pauseMs(runner, mono) === 0).filter(([runner, { maxInFlight }]) => load.of(runner) < maxInFlight)
   if (free.length === 0) return Left(new Failure('overloaded', 'every application runner is full', { retryAfterMs: FULL_RETRY_MS }))
   const distance = (other: string): number => other === domain ? 0 : 1
   const usable = free.filter(([runner]) => load.isUsable(runner, mono))
--- a/packages/runners/src/application/applicationTypes.ts
+++ b/packages/runners/src/application/applicationTypes.ts
@@ -20,6 +20,8 @@
   readonly status: number
   readonly contentType: string
   readonly body: Buffer
+  /** Milliseconds for which the runner wants no further call of this VM; absent where it names no time. */
+  readonly pauseMs?: number
 }
 
 /**
--- a/packages/runners/src/application/httpApplicationClient.spec.ts
+++ b/packages/runners/src/application/httpApplicationClient.spec.ts
@@ -51,6 +51,27 @@
     })
   }
 
+  const pauses: ReadonlyArray<{ readonly status: number, readonly retryAfter: string, readonly pauseMs: number | undefined }> = [
+    { status: 503, retryAfter: '2.5', pauseMs: 2_500 },
+    { status: 429, retryAfter: '1', pauseMs: 1_000 },
+    { status: 503, retryAfter: 'soon', pauseMs: undefined },
+    { status: 503, retryAfter: '', pauseMs: undefined },
+    { status: 200, retryAfter: '3', pauseMs: undefined }
+  ]
+  for (const { status, retryAfter, pauseMs } of pauses) {
+    it(`reads ${pauseMs ?? 'no'} milliseconds without calls from a ${status} with '${retryAfter}'`, async () => {
+      const server = await startTestServer(res => {
+        res.writeHead(status, { 'retry-after': retryAfter })
+        res.end()
+      })
+      const client = new HttpApplicationClient({ vm: 'vm-1', connectMs: AMPLE_MS, maxBytes: MAX_BYTES })
+      const answer = (await client.call(server.address, CALL)).unsafeCoerce()
+      client.close()
+      await server.close()
+      expect([answer.status, answer.pauseMs]).to.deep.equal([status, pauseMs])
+    })
+  }
+
   it('knows that nothing ran when nobody listens', async () => {
     expect(await run(await closedAddress(), CALL)).to.equal('runnerUnreachable no')
   })
--- a/packages/runners/src/application/httpApplicationClient.ts
+++ b/packages/runners/src/application/httpApplicationClient.ts
@@ -4,7 +4,7 @@
  */
 import { Left, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
-import { HttpTransport } from '@rosemaryspread/infra/http/httpTransport.js'
+import { HttpTransport, isTurnedAway, retryAfterMs, type HttpAnswer } from '@rosemaryspread/infra/http/httpTransport.js'
 import type { ApplicationAnswer, ApplicationCall, ApplicationClient } from './applicationTypes.js'
 
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
@@ -40,7 +40,7 @@
     })
     return answer.bimap(
       lost => new Failure('runnerUnreachable', lost.detail, { ran: lost.connected ? 'unknown' : 'no' }),
-      res => ({ status: res.status, contentType: String(res.headers['content-type'] ?? DEFAULT_CONTENT_TYPE), body: res.body })
+      answerOf
     )
   }
 
@@ -49,3 +49,8 @@
     this.transport.close()
   }
 }
+
+function answerOf ({ status, headers, body }: HttpAnswer): ApplicationAnswer {
+  const pauseMs = isTurnedAway(status) ? retryAfterMs(headers) : undefined
+  return { status, contentType: String(headers['content-type'] ?? DEFAULT_CONTENT_TYPE), body, ...(pauseMs === undefined ? {} : { pauseMs }) }
+}
