--- a/packages/decisions/src/gateway/targetReports.spec.ts
+++ b/packages/decisions/src/gateway/targetReports.spec.ts
@@ -2,6 +2,8 @@
  * What answers of targets say of them, beside the register, in both orders.
  */
 import { expect } from 'chai'
+import seedrandom from 'seedrandom'
+import type { TargetReport } from './targetReport.js'
 import type { TargetProcess } from './targetReports.js'
 import { TargetSet, type TargetView } from './targetSet.js'
 
@@ -10,6 +12,10 @@
 const UNTOLD: TargetProcess = { id: 'a' }
 const LONG_MS = 70_000
 const LEAVING = { isLeaving: true }
+const SEEDS = 50
+const STEPS = 400
+const TARGETS = 4
+const PROCESSES = 5
 
 function viewOf (process: TargetProcess, isLeaving = false): TargetView {
   return { ...process, service: 's', address: '10.0.0.1:80', domain: 'd', slots: 4, isLeaving }
@@ -77,6 +83,22 @@
     },
     isServing: true
   },
+  {
+    name: 'serves when the process before it answers late, before its own entry is there',
+    act: set => {
+      set.reported(SECOND, { isLeaving: false, pauseMs: 1 }, 0)
+      set.reported(FIRST, LEAVING, 1)
+    },
+    isServing: true
+  },
+  {
+    name: 'serves once a later process answers without a word of leaving',
+    act: set => {
+      set.reported(FIRST, LEAVING, 0)
+      set.reported(SECOND, { isLeaving: false }, 1)
+    },
+    isServing: true
+  },
   {
     name: 'is leaving by an answer that came before its entry',
     act: set => {
@@ -168,4 +190,52 @@
       expect([available.pausesMs, available.targets.length]).to.deep.equal([pausesMs, 1 - pausesMs.length])
     })
   }
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    it(`sends nothing to who asked for it, in any order of answers and entries (seed ${seed})`, () => { play(seed) })
+  }
 })
+
+/** What a target asked for, kept apart from the code that is played. */
+interface Asked {
+  readonly startedAt: number
+  readonly isLeaving: boolean
+  readonly until: number
+}
+
+/** Plays answers and entries of present and earlier processes, and checks after each what may be sent to. */
+function play (seed: number): void {
+  const random = seedrandom(`reports ${seed}`)
+  const below = (most: number): number => Math.floor(random() * most)
+  const set = new TargetSet()
+  const asked = new Map<string, Asked>()
+  const newest = new Map<string, number>()
+  const list = (id: string, startedAt: number): void => {
+    newest.set(id, startedAt)
+    if ((asked.get(id)?.startedAt ?? Infinity) < startedAt) asked.delete(id)
+  }
+  const answer = (id: string, startedAt: number, { isLeaving, pauseMs = 0 }: TargetReport, mono: number): void => {
+    const known = asked.get(id)
+    if (startedAt < Math.max(newest.get(id) ?? 0, known?.startedAt ?? 0)) return
+    const same = known?.startedAt === startedAt ? known : { isLeaving: false, until: 0 }
+    asked.set(id, { startedAt, isLeaving: same.isLeaving || isLeaving, until: Math.max(same.until, mono + pauseMs) })
+  }
+  for (let step = 0, mono = 0; step < STEPS; step += 1, mono += below(200)) {
+    const [id, startedAt, act] = [`t${below(TARGETS)}`, below(PROCESSES), below(6)]
+    if (act === 0) {
+      const present = Math.max(startedAt, newest.get(id) ?? 0)
+      set.put(viewOf({ id, startedAt: present }))
+      list(id, present)
+    } else if (act === 1) set.remove(id, mono)
+    else if (act === 2) set.registerFailed(mono)
+    else if (act === 3) set.tick(mono)
+    else {
+      const report = { isLeaving: random() < 0.2, ...(random() < 0.6 ? { pauseMs: below(2_000) } : {}) }
+      set.reported({ id, startedAt }, report, mono)
+      answer(id, startedAt, report, mono)
+    }
+    const wanted = (target: string): boolean => asked.get(target)?.isLeaving !== true && (asked.get(target)?.until ?? 0) <= mono
+    const used = set.available('s', mono).targets.map(target => target.id)
+    const listed = set.all().map(target => target.id)
+    expect([...used].sort(), `step ${step}`).to.deep.equal(listed.filter(wanted).sort())
+  }
+}
--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -51,6 +51,7 @@
    */
   take (process: TargetProcess, { isLeaving, pauseMs = 0 }: TargetReport, mono: number): readonly ReportNews[] {
     const known = this.of(process, mono)
+    if (known === undefined) return []
     const news: ReportNews[] = []
     if (isLeaving && !known.isLeaving) news.push('leaving')
     if (pauseMs > 0 && known.pausedUntil <= mono) news.push('paused')
@@ -97,8 +98,10 @@
     }
   }
 
-  private of (process: TargetProcess, mono: number): Known {
+  /** Undefined for a process whose successor has answered. */
+  private of (process: TargetProcess, mono: number): Known | undefined {
     const known = this.known.get(process.id)
+    if (known !== undefined && isLaterProcess(known, process)) return undefined
     if (known !== undefined && !isLaterProcess(process, known)) return known
     const fresh = { startedAt: process.startedAt, isLeaving: false, pausedUntil: -Infinity, listedAt: mono }
     this.known.set(process.id, fresh)
