--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -78,8 +78,10 @@
   reported (process: TargetProcess, report: TargetReport, mono: number): readonly ReportNews[] {
     const listed = this.listed.get(process.id)?.view
     if (listed !== undefined && isLaterProcess(listed, process)) return []
+    const wasLeaving = this.reports.isLeaving(process.id)
     const news = this.reports.take(process, report, mono)
-    if (news.includes('leaving')) this.rebuild()
+    // A later process also ends what the one before it said.
+    if (this.reports.isLeaving(process.id) !== wasLeaving) this.rebuild()
     return news
   }
 
