--- a/packages/decisions/src/gateway/targetReports.spec.ts
+++ b/packages/decisions/src/gateway/targetReports.spec.ts
@@ -3,8 +3,7 @@
  */
 import { expect } from 'chai'
 import seedrandom from 'seedrandom'
-import type { TargetReport } from './targetReport.js'
-import type { TargetProcess } from './targetReports.js'
+import type { TargetProcess, TargetReport } from './targetReports.js'
 import { TargetSet, type TargetView } from './targetSet.js'
 
 const FIRST: TargetProcess = { id: 'a', startedAt: 100 }
--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -3,13 +3,21 @@
  * never while its store is out of reach, and a heartbeat written before goes on to say that the target
  * serves. So only a later process of the target, or its absence for long, takes back that it is leaving.
  */
-import type { TargetReport } from './targetReport.js'
 
 /** Milliseconds for which a target that is not listed any more is remembered; those that live are listed again within seconds. */
 const REMEMBERED_MS = 60_000
 
 /** Longest time without requests that is kept to, in milliseconds. */
-const MOST_PAUSE_MS = 3_600_000
+export const MOST_PAUSE_MS = 3_600_000
+
+/** What one answer says of its target, besides answering. */
+export interface TargetReport {
+  readonly isLeaving: boolean
+  /** Milliseconds for which the target wants no further request of this VM; absent where it names no time. */
+  readonly pauseMs?: number
+  /** The time as sent, where it cannot be read. */
+  readonly flaw?: string
+}
 
 /** A process of a target. */
 export interface TargetProcess {
@@ -18,6 +26,7 @@
   readonly startedAt?: number
 }
 
+/** What is known of one process. */
 interface Known {
   readonly startedAt: number | undefined
   isLeaving: boolean
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -4,8 +4,7 @@
  * register, removed entries are therefore kept for the time in which live targets are listed again.
  */
 import { DomainEvacuations, type EvacuationChange } from './domainEvacuations.js'
-import type { TargetReport } from './targetReport.js'
-import { isLaterProcess, TargetReports, type ReportNews, type TargetProcess } from './targetReports.js'
+import { isLaterProcess, TargetReports, type ReportNews, type TargetProcess, type TargetReport } from './targetReports.js'
 
 /** One registered target. */
 export interface TargetView {
--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -3,7 +3,7 @@
  * not streamed is read whole first, so that one that breaks on the way can be asked for again.
  */
 import { failureOf, Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
-import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
 
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -7,7 +7,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import type { Suspicion, TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
-import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { OpenCall } from './callOpen.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 
--- a/packages/rosemaryspread/src/gateway/gatewayTypes.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTypes.ts
@@ -1,8 +1,7 @@
 /**
  * What the gateway takes from its edge, and the targets that it knows.
  */
-import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReport.js'
-import type { TargetProcess } from '@rosemaryspread/decisions/gateway/targetReports.js'
+import type { TargetProcess, TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { AvailableTargets } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { OpaqueCall } from './callTypes.js'
 
--- a/packages/rosemaryspread/src/routing/routingQueue.spec.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.spec.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
 import type { AdmittedCompletion } from '../completion/completionAdmission.js'
+import { admittedCompletion } from './admittedCompletion.fixture.js'
 import { RouteQueues, type RouteTry } from './routingQueue.js'
 
 const FREE: RouteTry = { kind: 'routed', routed: { choice: { runner: 'r', address: 'r' }, before: [], run: { opened: () => {}, leaving: () => {}, firstToken: () => {}, ended: () => {} } } }
@@ -24,22 +25,6 @@
     vms: () => 1
   })
 
-  request (id: string, over: { team?: string, keyed?: boolean, deadlineMs?: number, maxInFlight?: number } = {}): AdmittedCompletion {
-    return {
-      requestId: id,
-      keyed: over.keyed ?? false,
-      team: over.team ?? 't',
-      teamConfig: { displayName: '', keyHashes: [], budget: 'b', models: [], services: [], weight: 1, maxInFlight: over.maxInFlight ?? 64 },
-      budget: 'b',
-      model: 'm',
-      digest: '',
-      messages: [],
-      promptTokens: 10,
-      maxTokens: 10,
-      deadline: { mono: over.deadlineMs ?? 10_000, wall: over.deadlineMs ?? 10_000 }
-    }
-  }
-
   ask (admitted: AdmittedCompletion, gone = new AbortController().signal): void {
     this.queues.route(admitted, gone)
       .then(routed => {
@@ -66,14 +51,14 @@
 }
 
 const cases: readonly QueueCase[] = [
-  { name: 'routes at once while there is room', act: test => { test.ask(test.request('a')) }, ended: ['a routed'] },
-  { name: 'refuses at once when no runner may be used', act: test => { test.runner = NONE; test.ask(test.request('a')) }, ended: ['a noRunner no'] },
+  { name: 'routes at once while there is room', act: test => { test.ask(admittedCompletion('a')) }, ended: ['a routed'] },
+  { name: 'refuses at once when no runner may be used', act: test => { test.runner = NONE; test.ask(admittedCompletion('a')) }, ended: ['a noRunner no'] },
   {
     name: 'keeps requests while all is full, and routes them when there is room',
     act: test => {
       test.runner = FULL
-      test.ask(test.request('a'))
-      test.ask(test.request('b'))
+      test.ask(admittedCompletion('a'))
+      test.ask(admittedCompletion('b'))
       test.runner = FREE
       test.queues.tick()
     },
@@ -83,7 +68,7 @@
     name: 'refuses a waiting request as soon as its deadline is out of reach, not at its deadline',
     act: test => {
       test.runner = FULL
-      test.ask(test.request('a', { deadlineMs: 1_000 }))
+      test.ask(admittedCompletion('a', { deadlineMs: 1_000 }))
       test.now = { mono: 950, wall: 950 }
       test.queues.tick()
     },
@@ -93,7 +78,7 @@
     name: 'says of a keyed request that an earlier attempt may have run',
     act: test => {
       test.runner = FULL
-      test.ask(test.request('a', { deadlineMs: 1_000, keyed: true }))
+      test.ask(admittedCompletion('a', { deadlineMs: 1_000, keyed: true }))
       test.now = { mono: 950, wall: 950 }
       test.queues.tick()
     },
@@ -103,9 +88,9 @@
     name: 'refuses a team beyond its limit and no other',
     act: test => {
       test.runner = FULL
-      test.ask(test.request('a', { team: 'greedy', maxInFlight: 1 }))
-      test.ask(test.request('b', { team: 'greedy', maxInFlight: 1 }))
-      test.ask(test.request('c', { team: 'other', maxInFlight: 1 }))
+      test.ask(admittedCompletion('a', { team: 'greedy', maxInFlight: 1 }))
+      test.ask(admittedCompletion('b', { team: 'greedy', maxInFlight: 1 }))
+      test.ask(admittedCompletion('c', { team: 'other', maxInFlight: 1 }))
       test.runner = FREE
       test.queues.tick()
     },
@@ -116,7 +101,7 @@
     act: test => {
       test.runner = FULL
       const caller = new AbortController()
-      test.ask(test.request('a'), caller.signal)
+      test.ask(admittedCompletion('a'), caller.signal)
       caller.abort()
     },
     ended: ['a callerGone no']
@@ -136,7 +121,7 @@
 
   it('gives the turn of an ended request to the next', async () => {
     const test = new QueueUnderTest()
-    const all = Array.from({ length: 200 }, (_, index) => test.request(`r${index}`, { maxInFlight: 500 }))
+    const all = Array.from({ length: 200 }, (_, index) => admittedCompletion(`r${index}`, { maxInFlight: 500 }))
     all.forEach(admitted => { test.ask(admitted) })
     await test.settle()
     const atOnce = test.ended.length
--- a/packages/rosemaryspread/src/routing/routingService.spec.ts
+++ b/packages/rosemaryspread/src/routing/routingService.spec.ts
@@ -6,7 +6,7 @@
 import { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import { RetryBudget } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
-import type { AdmittedCompletion } from '../completion/completionAdmission.js'
+import { admittedCompletion } from './admittedCompletion.fixture.js'
 import { RoutingService } from './routingService.js'
 
 const config = fleetConfigSchema.parse({
@@ -15,22 +15,6 @@
 })
 const now = { mono: 0, wall: 0 }
 
-function admitted (requestId: string): AdmittedCompletion {
-  return {
-    requestId,
-    keyed: false,
-    team: 't',
-    teamConfig: { displayName: '', keyHashes: [], budget: 'b', models: [], services: [], weight: 1, maxInFlight: 64 },
-    budget: 'b',
-    model: 'm',
-    digest: '',
-    messages: [],
-    promptTokens: 10,
-    maxTokens: 10,
-    deadline: { mono: 10_000, wall: 10_000 }
-  }
-}
-
 describe('RoutingService', () => {
   for (const isTold of [false, true]) {
     it(`${isTold ? 'keeps from' : 'uses'} a runner that ${isTold ? 'said' : 'did not say'} that it is leaving`, async () => {
@@ -47,7 +31,7 @@
       routing.configure(config)
       const used = new Set<string>()
       for (let i = 0; i < 12; i += 1) {
-        const { run, choice } = (await routing.route(admitted(`q${i}`), [], new AbortController().signal)).unsafeCoerce()
+        const { run, choice } = (await routing.route(admittedCompletion(`q${i}`), [], new AbortController().signal)).unsafeCoerce()
         used.add(choice.runner)
         if (isTold && choice.runner === 'r1') run.leaving()
         run.ended(true, 0)
@@ -56,7 +40,7 @@
       expect(standing).to.equal(isTold ? 'leaving' : 'active')
       used.clear()
       for (let i = 0; i < 12; i += 1) {
-        const { run, choice } = (await routing.route(admitted(`p${i}`), [], new AbortController().signal)).unsafeCoerce()
+        const { run, choice } = (await routing.route(admittedCompletion(`p${i}`), [], new AbortController().signal)).unsafeCoerce()
         used.add(choice.runner)
         run.ended(true, 0)
       }
