Keep a report that a later process may have made before its entry was read

It had begun again under its id and answered before its new entry was read: the answer was taken for one of the process before, and the new entry ended it. Protocols that give each start an id of its own, as the users' does, are not met by it.

An answer does not say which process gave it. What was said after the later process began, by the time of day, is kept for that process; where no later answer confirms it, for a minute, since clocks of machines differ.

--- a/packages/decisions/src/gateway/targetReports.spec.ts
+++ b/packages/decisions/src/gateway/targetReports.spec.ts
@@ -3,6 +3,7 @@
  */
 import { expect } from 'chai'
 import seedrandom from 'seedrandom'
+import type { Instant } from '../clock/clockTypes.js'
 import type { TargetProcess, TargetReport } from './targetReports.js'
 import { TargetSet, type TargetView } from './targetSet.js'
 
@@ -16,6 +17,11 @@
 const TARGETS = 4
 const PROCESSES = 5
 
+/** A moment before any of the processes began, by the time of day. */
+function at (mono: number): Instant {
+  return { mono, wall: -1 }
+}
+
 function viewOf (process: TargetProcess, isLeaving = false): TargetView {
   return { ...process, service: 's', address: '10.0.0.1:80', domain: 'd', slots: 4, isLeaving }
 }
@@ -29,20 +35,20 @@
 
 const cases: readonly ReportCase[] = [
   { name: 'serves without a word', act: () => {}, isServing: true },
-  { name: 'serves after an answer that says nothing of it', act: set => { set.reported(FIRST, { isLeaving: false }, 0) }, isServing: true },
-  { name: 'is leaving by its answer', act: set => { set.reported(FIRST, LEAVING, 0) }, isServing: false },
+  { name: 'serves after an answer that says nothing of it', act: set => { set.reported(FIRST, { isLeaving: false }, at(0)) }, isServing: true },
+  { name: 'is leaving by its answer', act: set => { set.reported(FIRST, LEAVING, at(0)) }, isServing: false },
   {
     name: 'is leaving whatever a later answer leaves out',
     act: set => {
-      set.reported(FIRST, LEAVING, 0)
-      set.reported(FIRST, { isLeaving: false }, 1)
+      set.reported(FIRST, LEAVING, at(0))
+      set.reported(FIRST, { isLeaving: false }, at(1))
     },
     isServing: false
   },
   {
     name: 'is leaving whatever its heartbeats say',
     act: set => {
-      set.reported(FIRST, LEAVING, 0)
+      set.reported(FIRST, LEAVING, at(0))
       set.put(viewOf(FIRST))
       set.replace([viewOf(FIRST)], 1)
     },
@@ -51,7 +57,7 @@
   {
     name: 'is leaving when it is listed again after its entry lapsed',
     act: set => {
-      set.reported(FIRST, LEAVING, 0)
+      set.reported(FIRST, LEAVING, at(0))
       set.remove('a', 1)
       for (let mono = 2; mono < 20_000; mono += 500) set.tick(mono)
       set.put(viewOf(FIRST))
@@ -61,15 +67,33 @@
   {
     name: 'serves once a later process is listed',
     act: set => {
-      set.reported(FIRST, LEAVING, 0)
+      set.reported(FIRST, LEAVING, at(0))
+      set.put(viewOf(SECOND))
+    },
+    isServing: true
+  },
+  {
+    name: 'is leaving when it said so after its later process began, though the entry of the one before was listed',
+    act: set => {
+      set.reported(FIRST, LEAVING, { mono: 0, wall: 250 })
+      set.put(viewOf(SECOND))
+      set.tick(50_000)
+    },
+    isServing: false
+  },
+  {
+    name: 'serves again when that is in doubt for long',
+    act: set => {
+      set.reported(FIRST, LEAVING, { mono: 0, wall: 250 })
       set.put(viewOf(SECOND))
+      set.tick(LONG_MS)
     },
     isServing: true
   },
   {
     name: 'is leaving when an older entry comes behind the word of a later process',
     act: set => {
-      set.reported(SECOND, LEAVING, 0)
+      set.reported(SECOND, LEAVING, at(0))
       set.put(viewOf(FIRST))
     },
     isServing: false
@@ -78,23 +102,23 @@
     name: 'serves when the process before it answers late',
     act: set => {
       set.put(viewOf(SECOND))
-      set.reported(FIRST, LEAVING, 1)
+      set.reported(FIRST, LEAVING, at(1))
     },
     isServing: true
   },
   {
     name: 'serves when the process before it answers late, before its own entry is there',
     act: set => {
-      set.reported(SECOND, { isLeaving: false, pauseMs: 1 }, 0)
-      set.reported(FIRST, LEAVING, 1)
+      set.reported(SECOND, { isLeaving: false, pauseMs: 1 }, at(0))
+      set.reported(FIRST, LEAVING, at(1))
     },
     isServing: true
   },
   {
     name: 'serves once a later process answers without a word of leaving',
     act: set => {
-      set.reported(FIRST, LEAVING, 0)
-      set.reported(SECOND, { isLeaving: false }, 1)
+      set.reported(FIRST, LEAVING, at(0))
+      set.reported(SECOND, { isLeaving: false }, at(1))
     },
     isServing: true
   },
@@ -102,7 +126,7 @@
     name: 'is leaving by an answer that came before its entry',
     act: set => {
       set.remove('a', 0)
-      set.reported(FIRST, LEAVING, 1)
+      set.reported(FIRST, LEAVING, at(1))
       set.put(viewOf(FIRST))
     },
     isServing: false
@@ -111,7 +135,7 @@
     name: 'is leaving where starts are not told',
     act: set => {
       set.replace([viewOf(UNTOLD)], 0)
-      set.reported(UNTOLD, LEAVING, 1)
+      set.reported(UNTOLD, LEAVING, at(1))
       set.put(viewOf(UNTOLD))
     },
     isServing: false
@@ -120,7 +144,7 @@
     name: 'is forgotten after a long absence',
     act: set => {
       set.replace([viewOf(UNTOLD)], 0)
-      set.reported(UNTOLD, LEAVING, 1)
+      set.reported(UNTOLD, LEAVING, at(1))
       set.remove('a', 2)
       for (let mono = 3; mono < LONG_MS; mono += 500) set.tick(mono)
       set.put(viewOf(UNTOLD))
@@ -142,29 +166,29 @@
   it('tells news once', () => {
     const set = new TargetSet()
     set.replace([viewOf(FIRST)], 0)
-    expect([1, 2, 3].map(mono => set.reported(FIRST, LEAVING, mono))).to.deep.equal([['leaving'], [], []])
+    expect([1, 2, 3].map(mono => set.reported(FIRST, LEAVING, at(mono)))).to.deep.equal([['leaving'], [], []])
   })
   const pauses: ReadonlyArray<{ readonly name: string, readonly act: (set: TargetSet) => void, readonly pausesMs: readonly number[] }> = [
     { name: 'none', act: () => {}, pausesMs: [] },
-    { name: 'the time that is left', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0) }, pausesMs: [2_000] },
-    { name: 'none once the time is over', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1_000 }, 0) }, pausesMs: [] },
+    { name: 'the time that is left', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, at(0)) }, pausesMs: [2_000] },
+    { name: 'none once the time is over', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1_000 }, at(0)) }, pausesMs: [] },
     {
       name: 'the longest of several',
-      act: set => { for (const pauseMs of [500, 4_000, 1_500]) set.reported(FIRST, { isLeaving: false, pauseMs }, 0) },
+      act: set => { for (const pauseMs of [500, 4_000, 1_500]) set.reported(FIRST, { isLeaving: false, pauseMs }, at(0)) },
       pausesMs: [3_000]
     },
     {
       name: 'the time that is left behind an answer that names none',
       act: set => {
-        set.reported(FIRST, { isLeaving: false, pauseMs: 1_200 }, 0)
-        set.reported(FIRST, { isLeaving: false }, 900)
+        set.reported(FIRST, { isLeaving: false, pauseMs: 1_200 }, at(0))
+        set.reported(FIRST, { isLeaving: false }, at(900))
       },
       pausesMs: [200]
     },
     {
       name: 'the time that is left after heartbeats and a register read anew',
       act: set => {
-        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0)
+        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, at(0))
         set.put(viewOf(FIRST))
         set.replace([viewOf(FIRST)], 500)
       },
@@ -173,12 +197,12 @@
     {
       name: 'none for a later process',
       act: set => {
-        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, 0)
+        set.reported(FIRST, { isLeaving: false, pauseMs: 3_000 }, at(0))
         set.put(viewOf(SECOND))
       },
       pausesMs: []
     },
-    { name: 'an hour at the most', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1e12 }, 1_000) }, pausesMs: [3_600_000] }
+    { name: 'an hour at the most', act: set => { set.reported(FIRST, { isLeaving: false, pauseMs: 1e12 }, at(1_000)) }, pausesMs: [3_600_000] }
   ]
   for (const { name, act, pausesMs } of pauses) {
     it(`a pause: ${name}`, () => {
@@ -229,7 +253,7 @@
     else if (act === 3) set.tick(mono)
     else {
       const report = { isLeaving: random() < 0.2, ...(random() < 0.6 ? { pauseMs: below(2_000) } : {}) }
-      set.reported({ id, startedAt }, report, mono)
+      set.reported({ id, startedAt }, report, at(mono))
       answer(id, startedAt, report, mono)
     }
     const wanted = (target: string): boolean => asked.get(target)?.isLeaving !== true && (asked.get(target)?.until ?? 0) <= mono
--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -2,9 +2,16 @@
  * What targets said of themselves in their answers, kept by process. The register may say so later, or
  * never while its store is out of reach, and a heartbeat written before goes on to say that the target
  * serves. So only a later process of the target, or its absence for long, takes back that it is leaving.
+ *
+ * An answer does not say which process gave it. Where one began again under its id and the register does not
+ * say so yet, the answer is taken for one of the process before, until the later one is listed.
  */
+import type { Instant } from '../clock/clockTypes.js'
 
-/** Milliseconds for which a target that is not listed any more is remembered; those that live are listed again within seconds. */
+/**
+ * Milliseconds for which a report is remembered whose target is not listed any more, or whose process is in doubt. Targets
+ * that live are listed again within seconds, and those that leave are gone.
+ */
 const REMEMBERED_MS = 60_000
 
 /** Longest time without requests that is kept to, in milliseconds. */
@@ -28,7 +35,11 @@
 
 /** What is known of one process. */
 interface Known {
-  readonly startedAt: number | undefined
+  startedAt: number | undefined
+  /** When it last said something: monotonic and Unix milliseconds. */
+  said: Instant
+  /** Set when a later process was listed that may have said it. */
+  isInDoubt: boolean
   isLeaving: boolean
   /** Until when it wants no request. */
   pausedUntil: number
@@ -55,12 +66,15 @@
    * Takes what a process said with an answer.
    * @param process - the process that answered
    * @param report - what it said
-   * @param mono - present time
+   * @param now - present time
    * @returns what was not known before
    */
-  take (process: TargetProcess, { isLeaving, pauseMs = 0 }: TargetReport, mono: number): readonly ReportNews[] {
-    const known = this.of(process, mono)
+  take (process: TargetProcess, { isLeaving, pauseMs = 0 }: TargetReport, now: Instant): readonly ReportNews[] {
+    const known = this.of(process, now)
     if (known === undefined) return []
+    const { mono } = now
+    known.said = now
+    known.isInDoubt = false
     const news: ReportNews[] = []
     if (isLeaving && !known.isLeaving) news.push('leaving')
     if (pauseMs > 0 && known.pausedUntil <= mono) news.push('paused')
@@ -87,32 +101,45 @@
   }
 
   /**
-   * Takes the entry of a process in the register: one of a later process ends what an earlier one said.
+   * Takes the entry of a process in the register: one of a later process ends what an earlier one said before it began.
    * @param process - the process
    */
   listed (process: TargetProcess): void {
     const known = this.known.get(process.id)
-    if (known !== undefined && isLaterProcess(process, known)) this.known.delete(process.id)
+    if (known === undefined || !isLaterProcess(process, known)) return
+    if (isLaterProcess(process, { startedAt: known.said.wall })) {
+      this.known.delete(process.id)
+      return
+    }
+    known.startedAt = process.startedAt
+    known.isInDoubt = true
   }
 
   /**
-   * Forgets targets that are not listed any more; to be called several times a second.
+   * Forgets targets that are not listed any more, and reports in doubt; to be called several times a second.
    * @param isListed - whether a target is listed
    * @param mono - present time
+   * @returns whether a target that is listed was forgotten
    */
-  tick (isListed: (id: string) => boolean, mono: number): void {
+  tick (isListed: (id: string) => boolean, mono: number): boolean {
+    let isFreed = false
     for (const [id, known] of this.known) {
-      if (isListed(id)) known.listedAt = mono
-      else if (mono - known.listedAt > REMEMBERED_MS) this.known.delete(id)
+      const isKept = isListed(id)
+      if (isKept) known.listedAt = mono
+      const since = known.isInDoubt ? known.said.mono : known.listedAt
+      if (mono - since <= REMEMBERED_MS) continue
+      this.known.delete(id)
+      isFreed ||= isKept
     }
+    return isFreed
   }
 
   /** Undefined for a process whose successor has answered. */
-  private of (process: TargetProcess, mono: number): Known | undefined {
+  private of (process: TargetProcess, now: Instant): Known | undefined {
     const known = this.known.get(process.id)
     if (known !== undefined && isLaterProcess(known, process)) return undefined
     if (known !== undefined && !isLaterProcess(process, known)) return known
-    const fresh = { startedAt: process.startedAt, isLeaving: false, pausedUntil: -Infinity, listedAt: mono }
+    const fresh = { startedAt: process.startedAt, said: now, isInDoubt: false, isLeaving: false, pausedUntil: -Infinity, listedAt: now.mono }
     this.known.set(process.id, fresh)
     return fresh
   }
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -3,6 +3,7 @@
  * or because the register was out of reach of the target for too long. After trouble with the
  * register, removed entries are therefore kept for the time in which live targets are listed again.
  */
+import type { Instant } from '../clock/clockTypes.js'
 import { DomainEvacuations, type EvacuationChange } from './domainEvacuations.js'
 import { isLaterProcess, TargetReports, type ReportNews, type TargetProcess, type TargetReport } from './targetReports.js'
 
@@ -71,14 +72,14 @@
    * Takes what a target said of itself with an answer.
    * @param process - the process that answered
    * @param report - what it said
-   * @param mono - present time
+   * @param now - present time
    * @returns what was not known before
    */
-  reported (process: TargetProcess, report: TargetReport, mono: number): readonly ReportNews[] {
+  reported (process: TargetProcess, report: TargetReport, now: Instant): readonly ReportNews[] {
     const listed = this.listed.get(process.id)?.view
     if (listed !== undefined && isLaterProcess(listed, process)) return []
     const wasLeaving = this.reports.isLeaving(process.id)
-    const news = this.reports.take(process, report, mono)
+    const news = this.reports.take(process, report, now)
     // A later process also ends what the one before it said.
     if (this.reports.isLeaving(process.id) !== wasLeaving) this.rebuild()
     return news
@@ -107,7 +108,7 @@
    * @param mono - present time
    */
   tick (mono: number): void {
-    this.reports.tick(id => this.listed.has(id), mono)
+    if (this.reports.tick(id => this.listed.has(id), mono)) this.rebuild()
     if (mono - this.troubleAt <= RELIST_MS) return
     const gone = [...this.listed].filter(([, { removedAt }]) => removedAt !== undefined)
     if (gone.length === 0) return
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -116,7 +116,7 @@
   }
 
   reported (process: TargetProcess, report: TargetReport): void {
-    for (const state of this.set.reported(process, report, this.mono)) {
+    for (const state of this.set.reported(process, report, this.parts.clock.now())) {
       this.parts.log.write('runnerState', { runner: process.id, state, reason: 'its answer says so', ...(state === 'paused' ? { pauseMs: report.pauseMs } : {}) })
     }
     if (report.flaw !== undefined) this.answerFlaws.note(process.id, `the time '${report.flaw}' to wait cannot be read`)
