--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -70,7 +70,7 @@
    * @returns what was not known before
    */
   take (process: TargetProcess, { isLeaving, pauseMs = 0 }: TargetReport, now: Instant): readonly ReportNews[] {
-    const known = this.of(process, now)
+    const known = this.knownOf(process, now)
     if (known === undefined) return []
     const { mono } = now
     known.said = now
@@ -135,7 +135,7 @@
   }
 
   /** Undefined for a process whose successor has answered. */
-  private of (process: TargetProcess, now: Instant): Known | undefined {
+  private knownOf (process: TargetProcess, now: Instant): Known | undefined {
     const known = this.known.get(process.id)
     if (known !== undefined && isLaterProcess(known, process)) return undefined
     if (known !== undefined && !isLaterProcess(process, known)) return known
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -185,11 +185,11 @@
       sink.whole(failedAnswer.head, failedAnswer.body)
       return this.deps.report.answered(open, 'failed')
     }
-    return Left(open.stopped ?? this.refused(open) ?? open.lastFailure ?? failure ?? new Failure('internal', 'no attempt was made'))
+    return Left(open.stopped ?? this.serviceRefusal(open) ?? open.lastFailure ?? failure ?? new Failure('internal', 'no attempt was made'))
   }
 
   /** A call that did not run is told why no other target takes it, and so when to come back. */
-  private refused (open: OpenCall): Failure | undefined {
+  private serviceRefusal (open: OpenCall): Failure | undefined {
     return open.lastFailure?.ran === 'no' ? this.deps.chooser.refusal(open.admitted) : undefined
   }
 
