Look up the targets that take a request once for each choice

Found by reading the whole change again: a choice filtered the targets of its service by their pauses twice, once to refuse and once to choose. No change of what is done.

--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -6,6 +6,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Suspicion, TargetBalancer, TargetChoice, TargetDemand, WorkNotice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
+import type { AvailableTargets } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import type { AdmittedCall, TargetChooser, TargetVerdict } from './callTypes.js'
 import type { TargetDirectory } from './gatewayTypes.js'
@@ -34,9 +35,9 @@
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice> {
     const { balancer, random } = this.parts
     const { service, call, sharedParts, sharedTokens } = admitted
-    const refusal = this.refusal(admitted)
+    const available = this.parts.targets.available(service)
+    const refusal = this.refusalOf(service, available)
     if (refusal !== undefined) return Left(refusal)
-    const { targets, pausesMs } = this.parts.targets.available(service)
     const demand: TargetDemand = {
       sharedParts,
       sharedTokens,
@@ -45,19 +46,11 @@
       ...this.warmUpOf(admitted),
       ...(suspicion === undefined ? {} : { suspicion })
     }
-    return balancer.choose(targets, demand, this.mono, random.next()).map(choice => ({ ...choice, paused: pausesMs.length }))
+    return balancer.choose(available.targets, demand, this.mono, random.next()).map(choice => ({ ...choice, paused: available.pausesMs.length }))
   }
 
   refusal ({ service }: AdmittedCall): Failure | undefined {
-    const { targets, random } = this.parts
-    if (targets.isEvacuated(service)) {
-      return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS })
-    }
-    const { targets: open, pausesMs } = targets.available(service)
-    if (open.length > 0 || pausesMs.length === 0) return undefined
-    // Each caller is told the end of the pause of one target, so that not all of them come back to the first.
-    const retryAfterMs = pausesMs[Math.floor(random.next() * pausesMs.length)]
-    return new Failure('targetsPaused', 'all targets of the service asked this VM to wait', { retryAfterMs })
+    return this.refusalOf(service, this.parts.targets.available(service))
   }
 
   sent (choice: TargetChoice, { sharedParts }: AdmittedCall): number {
@@ -78,6 +71,16 @@
     this.parts.balancer.ended(target.id, verdict, this.mono)
   }
 
+  private refusalOf (service: string, { targets, pausesMs }: AvailableTargets): Failure | undefined {
+    if (this.parts.targets.isEvacuated(service)) {
+      return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS })
+    }
+    if (targets.length > 0 || pausesMs.length === 0) return undefined
+    // Each caller is told the end of the pause of one target, so that not all of them come back to the first.
+    const retryAfterMs = pausesMs[Math.floor(this.parts.random.next() * pausesMs.length)]
+    return new Failure('targetsPaused', 'all targets of the service asked this VM to wait', { retryAfterMs })
+  }
+
   private warmUpOf ({ warmUpPerS: perS }: AdmittedCall): Pick<TargetDemand, 'warmUp'> {
     return perS === undefined ? {} : { warmUp: { perS, vm: this.parts.vm, vms: () => this.parts.vms() } }
   }
