Tell what recovery bills without a known run, by budget, and what each answer bills

Cause: logs of the incident could not tell tokens that answers used from tokens that recovery billed as possibly used: a flush sums bills of answers and of grants, and no line of an answer says what it cost.

Change: requestAnswered has the team and the tokens billed; counters tokens_billed and tokens_assumed_spent, the latter a series for each budget. Both derive from one place, OpenCall.billedTokens.

Nothing that is decided changes.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -39,7 +39,7 @@
   fleetKeyMissing: { number: 2012, level: 'warn', title: 'The key of the links between VMs could not be read from the table; the read will be retried; fields: code' },
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
-  requestAnswered: { number: 3002, level: 'info', title: 'A complete response was sent; fields: request, runner, tokens or events, route, firstMs (time to the first event), totalMs' },
+  requestAnswered: { number: 3002, level: 'info', title: 'A complete response was sent; fields: request, runner, team, tokens or events, billed (tokens billed for it), route, firstMs (time to the first event), totalMs' },
   requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
   requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran' },
   requestJoined: { number: 3005, level: 'info', title: 'A repeated request joined the execution of an earlier one; fields: request, runner' },
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -20,6 +20,8 @@
   refusals: { kind: 'counter', title: 'Requests refused or failed; one counter for each result code, with its name as suffix' },
   requests_suspected: { kind: 'counter', title: 'Requests that were open at a target when it terminated' },
   requests_quarantined: { kind: 'counter', title: 'Requests quarantined because targets terminated each time they were executed' },
+  tokens_billed: { kind: 'counter', title: 'Tokens billed for responses that callers received, completely or in part' },
+  tokens_assumed_spent: { kind: 'counter', title: 'Tokens billed because a terminated VM may have used them without a report; one series for each budget' },
   target_answers_leaving: { kind: 'counter', title: 'Responses of targets that reported that they are leaving' },
   target_answers_pause: { kind: 'counter', title: 'Responses of targets that requested a pause' },
   target_answers_flawed: { kind: 'counter', title: 'Responses of targets with a pause that could not be parsed' },
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -214,11 +214,11 @@
   }
 
   private createRecovery (parts: BudgetDriverParts): BudgetRecovery | undefined {
-    const { holder, peers, log, runners } = parts
+    const { holder, peers, log, metrics, runners } = parts
     const runs = parts.unbilledRuns ?? (runners === undefined ? undefined : new RecoveryRuns(this.table.store, runners))
     if (runs === undefined) return undefined
     const confirmLocally = (ended: string): boolean => this.onConfirmRequest({ holder: ended }).none
-    return new BudgetRecovery(this.table, { holder, policy: this.policy, peers, runs, log, confirmLocally }, this.registry)
+    return new BudgetRecovery(this.table, { holder, policy: this.policy, peers, runs, log, metrics, confirmLocally }, this.registry)
   }
 
   private isInDoubt (item: AgedAllotment): boolean {
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { UnbilledRuns } from './budgetRecovery.js'
 import type { RecoveryRunners } from './budgetRecoveryRuns.js'
@@ -40,6 +41,8 @@
   readonly peers: BudgetPeers
   readonly clock: Clock
   readonly log: EventLog
+  /** Counts what recovery bills without records of runs. */
+  readonly metrics?: Pick<Metrics, 'count'>
   readonly policy?: BudgetPolicy
   /** Owners of each budget; absent where every holder owns all budgets. */
   readonly owners?: RendezvousOwners
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -14,6 +14,7 @@
 import type { BudgetPeers } from './budgetPeers.js'
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import type { RunOwner } from './budgetRecoveryRuns.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
 import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSurvey.js'
 import type { BudgetTable, Committed } from './budgetTable.js'
 
@@ -46,6 +47,8 @@
   readonly peers: BudgetPeers
   readonly runs: UnbilledRuns
   readonly log: EventLog
+  /** Absent where bills come from the records of runs. */
+  readonly metrics?: Pick<Metrics, 'count'> | undefined
   /** Fences a terminated holder at this VM; returns true if no transfer with it is unrecorded here. */
   confirmLocally (holder: string): boolean
 }
@@ -230,7 +233,9 @@
       return report === undefined || endedBy === undefined ? [] : [{ tokens: report.tokens, perMs: report.perMs, ageMs: endedBy - report.since }]
     })
     const ended = closing.map(({ row }) => row.holder).join(' ')
-    this.parts.log.write('budgetRecovered', { ended, budget: closing[0]?.row.budget, billed, returned, ...(reports.length === 0 ? {} : { reports }) })
+    const budget = closing[0]?.row.budget
+    this.parts.metrics?.count('tokens_assumed_spent', billed, budget)
+    this.parts.log.write('budgetRecovered', { ended, budget, billed, returned, ...(reports.length === 0 ? {} : { reports }) })
   }
 
   /** Whether this process has observed for a whole expiry period that the holder is no member. */
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -83,17 +83,18 @@
 }
 
 function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayPorts, holder: string): void {
-  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, links) => createBudgetDriver({
+  container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, metrics, links) => createBudgetDriver({
     holder,
     domain,
     place: callers,
     store: table,
     clock,
     log,
+    metrics,
     fleet: presence,
     call: async (address, method, params, timeoutMs, onLate) => await links.call(address, method, params, timeoutMs, onLate),
     declared: team => config.declaredPaid(team)
-  }), [ids.presence, ids.config, ids.clock, ids.log, ids.links]).inSingletonScope()
+  }), [ids.presence, ids.config, ids.clock, ids.log, ids.metrics, ids.links]).inSingletonScope()
 }
 
 function bindQuarantine (container: Container, { vm }: GatewaySettings, { table, feed, client }: GatewayPorts): void {
--- a/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
+++ b/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
@@ -16,6 +16,7 @@
 import { AssumedSpentRuns } from '../budget/assumedSpentRuns.js'
 import type { BudgetMember } from '../budget/budgetPeers.js'
 import { NoTransferPeers } from '../budget/noTransferPeers.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import { fleetBudgetPolicy } from './gatewayBudgetPolicy.js'
 
@@ -40,6 +41,7 @@
   readonly store: TableStore
   readonly clock: Clock
   readonly log: EventLog
+  readonly metrics?: Pick<Metrics, 'count'>
   readonly fleet: BudgetFleet
   /** Calls another VM over a link. */
   call (address: string, method: string, params: unknown, timeoutMs: number, onLate?: LateResponseHandler): Promise<Either<Failure, unknown>>
@@ -48,7 +50,7 @@
 }
 
 export function createBudgetDriver (parts: BudgetDriverOptions): BudgetDriver {
-  const { holder, domain, place, store, clock, log, fleet, call, declared } = parts
+  const { holder, domain, place, store, clock, log, metrics, fleet, call, declared } = parts
   const owners = new RendezvousOwners(holder)
   const budgets: BudgetDriver = new BudgetDriver({
     holder,
@@ -59,6 +61,7 @@
     peers: new NoTransferPeers(() => fleet.members()),
     clock,
     log,
+    ...(metrics === undefined ? {} : { metrics }),
     grantRequester: new BudgetGrantCalls({
       holder,
       clock,
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -192,19 +192,14 @@
     const { reservation, admitted } = open
     const { budgets } = this.deps
     if (reservation === undefined || budgets === undefined) return
-    if (!open.mayHaveRun || !open.isDelivered) {
+    const tokens = open.billedTokens
+    if (tokens === 0) {
       budgets.settle(reservation)
       return
     }
-    const { call, team, tokensPerEvent } = admitted
-    const answerTokens = Math.min(call.maxTokens, open.relay.events * tokensPerEvent)
-    budgets.settle(reservation, {
-      requestId: call.requestId,
-      budget: reservation.budget,
-      team: team ?? '',
-      tokens: call.promptTokens + answerTokens,
-      runner: open.lastTarget ?? ''
-    })
+    const { call: { requestId }, team } = admitted
+    this.deps.metrics.count('tokens_billed', tokens)
+    budgets.settle(reservation, { requestId, budget: reservation.budget, team: team ?? '', tokens, runner: open.lastTarget ?? '' })
   }
 }
 
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -34,7 +34,8 @@
     const totalMs = Math.round(open.ageMs)
     this.metrics.count('answers')
     this.metrics.record('total_ms', totalMs)
-    this.log.write('requestAnswered', { request: open.admitted.call.requestId, runner: target, route: open.admitted.route.name, events: open.relay.events, reserveMs: Math.round(open.reserveMs), firstMs: Math.round(open.firstMs ?? totalMs), totalMs })
+    const { call, route, team } = open.admitted
+    this.log.write('requestAnswered', { request: call.requestId, runner: target, route: route.name, team, events: open.relay.events, billed: open.billedTokens, reserveMs: Math.round(open.reserveMs), firstMs: Math.round(open.firstMs ?? totalMs), totalMs })
     return Right(undefined)
   }
 
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -70,6 +70,13 @@
     return this.firstMs !== undefined || this.failedAnswer !== undefined
   }
 
+  /** Tokens to bill: the prompt, and the answer as far as it was relayed; 0 if nothing was delivered. */
+  get billedTokens (): number {
+    if (!this.mayHaveRun || !this.isDelivered) return 0
+    const { call, tokensPerEvent } = this.admitted
+    return call.promptTokens + Math.min(call.maxTokens, this.relay.events * tokensPerEvent)
+  }
+
   /** Signal that is aborted when the call ends early. Requested at the start of an attempt, so it also marks that the request may run. */
   stopSignal (): AbortSignal {
     this.mayHaveRun = true
--- a/packages/rosemaryspread/src/metrics/metricsRecorder.ts
+++ b/packages/rosemaryspread/src/metrics/metricsRecorder.ts
@@ -16,12 +16,14 @@
 const MillisecondHistogram = constructorFromBucketSize(COUNTER_BITS)
 
 export class MetricsRecorder implements Metrics {
-  private readonly counters = new Map<CounterName, number>()
+  /** By name as rendered, with the label if there is one. */
+  private readonly counters = new Map<string, number>()
   private readonly histograms = new Map<HistogramName, Histogram>()
   private readonly gauges = new Map<GaugeName, () => number>()
 
-  count (name: CounterName, amount = 1): void {
-    this.counters.set(name, (this.counters.get(name) ?? 0) + amount)
+  count (name: CounterName, amount = 1, budget?: string): void {
+    const series = `rosemaryspread_${name}_total${budget === undefined ? '' : `{budget=${JSON.stringify(budget)}}`}`
+    this.counters.set(series, (this.counters.get(series) ?? 0) + amount)
   }
 
   record (name: HistogramName, milliseconds: number): void {
@@ -35,7 +37,7 @@
 
   render (): string {
     const gauges = [...this.gauges].map(([name, read]) => `rosemaryspread_${name} ${read()}`)
-    const counters = [...this.counters].map(([name, value]) => `rosemaryspread_${name}_total ${value}`)
+    const counters = [...this.counters].map(([name, value]) => `${name} ${value}`)
     const histograms = [...this.histograms].flatMap(([name, histogram]) => renderHistogram(name, histogram))
     return [...counters, ...gauges, ...histograms, ''].join('\n')
   }
