--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -9,9 +9,11 @@
 import type { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
 import { GRANT_METHOD, type GrantRequest, type Handover } from 'rosemaryspread/budget/budgetGrantCalls.js'
 import { BudgetPreparation } from 'rosemaryspread/gateway/budgetPreparation.js'
+import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
+import { allotmentRowSchema, budgetRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { createBudgetDriver } from 'rosemaryspread/gateway/budgetDriverFactory.js'
 import { gatewayConfigSchema, type GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
-import { TableState } from '../../table/tableState.js'
+import { MAX_SCAN_ROWS, TableState } from '../../table/tableState.js'
 import { VirtualTime } from '../../time/virtualTime.js'
 
 const TICK_MS = 50
@@ -95,7 +97,8 @@
   private readonly timedOutLinks = new Set<string>()
   private readonly used = new Map<string, number>()
   private partitionFreeAt = 0
-  private storeOutageUntil = 0
+  /** VMs without the store, by address. */
+  private readonly cutOffUntil = new Map<string, number>()
   private second = 0
   private reads = 0
   private writes = 0
@@ -138,11 +141,12 @@
   }
 
   /**
-   * Cuts all VMs off from the store; the links between them keep working.
+   * Cuts VMs off from the store; the links between them keep working.
    * @param ms - virtual milliseconds
+   * @param vms - number of VMs, all by default
    */
-  cutOffStore (ms: number): void {
-    this.storeOutageUntil = this.time.mono + ms
+  cutOffStore (ms: number, vms = this.vms.length): void {
+    for (const { address } of this.vms.slice(0, vms)) this.cutOffUntil.set(address, this.time.mono + ms)
   }
 
   /**
@@ -150,13 +154,34 @@
    * @param downtimeMs - virtual milliseconds until the restart
    */
   async restartAll (downtimeMs: number): Promise<void> {
-    const names = this.vms.map(({ address }) => address)
-    for (const { holder } of this.vms) this.ended.add(holder)
-    this.vms = []
+    await this.restart(this.vms, downtimeMs)
+  }
+
+  /** Terminates and restarts one VM after another. */
+  async restartInTurn (vms: number, downtimeMs: number): Promise<void> {
+    for (const { address } of this.vms.slice(0, vms)) await this.restart(this.vms.filter(vm => vm.address === address), downtimeMs)
+  }
+
+  /**
+   * Stops VMs gracefully and restarts them; one that is not drained in time is terminated.
+   * @param graceMs - virtual milliseconds until then
+   */
+  async restartGracefully (vms: number, graceMs: number, downtimeMs: number): Promise<void> {
+    const stopped = this.vms.slice(0, vms)
+    const drained = Promise.all(stopped.map(async ({ budgets }) => { await budgets.drain() }))
+    await this.time.until(Promise.race([drained, this.time.sleep(graceMs)]))
+    await this.restart(stopped, downtimeMs)
+  }
+
+  private async restart (vms: readonly FleetVm[], downtimeMs: number): Promise<void> {
+    const names = vms.map(({ address }) => address)
+    for (const { holder } of vms) this.ended.add(holder)
+    this.vms = this.vms.filter(vm => !vms.includes(vm))
     this.generation += 1
     await this.time.run(downtimeMs)
-    for (const name of names) this.vms.push(this.startVm(name))
-    for (const { budgets } of this.vms) this.recoverPredecessors(budgets)
+    const started = names.map(name => this.startVm(name))
+    this.vms.push(...started)
+    for (const { budgets } of started) this.recoverPredecessors(budgets)
   }
 
   /** Used tokens as a share of all prepaid tokens. */
@@ -165,12 +190,39 @@
     return [...this.used.values()].reduce((sum, tokens) => sum + tokens, 0) / paid
   }
 
+  /** Tokens that the store counts as spent and no request used. */
+  get billedUnused (): number {
+    const billed = this.billedTokens()
+    return Object.keys(this.config.teams).reduce((sum, team) => sum + (billed.get(team) ?? 0) - (this.used.get(team) ?? 0), 0)
+  }
+
+  /** Sum over all budgets of the used tokens that the store does not count as spent. */
+  get unbilledUse (): number {
+    const billed = this.billedTokens()
+    return [...this.used].reduce((sum, [team, tokens]) => sum + Math.max(0, tokens - (billed.get(team) ?? 0)), 0)
+  }
+
   /** Sum over all budgets of the tokens used beyond the prepaid ones. */
   get overspent (): number {
     return Object.entries(this.config.teams).reduce((sum, [team, { prepaidTokens }]) =>
       sum + Math.max(0, (this.used.get(team) ?? 0) - (prepaidTokens ?? 0)), 0)
   }
 
+  /** Spent tokens by budget, with those of bills that no draw has added to the budget yet. */
+  private billedTokens (): ReadonlyMap<string, number> {
+    const billed = new Map<string, number>()
+    const add = (budget: string, tokens: number): void => { billed.set(budget, (billed.get(budget) ?? 0) + tokens) }
+    for (const { value } of this.state.scan({ table: budgetTables.budgets, prefix: '', limit: MAX_SCAN_ROWS }).rows) {
+      const { budget, spent } = budgetRowSchema.parse(value)
+      add(budget, spent)
+    }
+    for (const { value } of this.state.scan({ table: budgetTables.allotments, prefix: '', limit: MAX_SCAN_ROWS }).rows) {
+      const { budget, settled } = allotmentRowSchema.parse(value)
+      add(budget, settled)
+    }
+    return billed
+  }
+
   private createConfig (): GatewayConfig {
     const { teams, kinds, requestsPerS, prepaidTrafficMs, prepaidRatio } = this.shape
     const meanTokens = kinds.reduce((sum, { part, used }) => sum + part * used, 0)
@@ -195,7 +247,7 @@
       holder,
       domain: `domain${this.vms.length % 3}`,
       place: name,
-      store: this.createStore(holder),
+      store: this.createStore(holder, name),
       // The monotonic clock of a process starts at 0.
       clock: { now: () => ({ mono: this.time.mono - startedAt, wall: this.time.mono }) },
       log: { write: () => {} },
@@ -263,6 +315,7 @@
     }
     await this.time.sleep(LINK_LATENCY_MS)
     if (this.timedOutLinks.delete(`${from} ${address}`)) this.clearStalled(from)
+    if (!this.vms.some(vm => vm.address === address)) return Left(new Failure('peerUnreachable', 'connection refused', { ran: 'no' }))
     const answer = this.answer(address, call)
     await this.time.sleep(LINK_LATENCY_MS)
     return Right(answer)
@@ -281,20 +334,21 @@
     for (const { address } of this.vms) this.stalledLinks.delete(`${from} ${address}`)
   }
 
-  private createStore (holder: string): TableStore {
+  private createStore (holder: string, address: string): TableStore {
+    const caller = { holder, address }
     return {
       // The modelled store reads one row per call.
-      read: async (keys: readonly RowKey[]) => await this.callStore<ReadAnswer>(holder, keys.length, 0, () => Right(this.state.read(keys))),
-      scan: async (req: ScanRequest) => await this.callStore<ScanAnswer>(holder, 1, 0, () => Right(this.state.scan(req))),
-      transact: async (tx: Transaction) => await this.callStore<TransactAnswer>(holder, 0, 1, () =>
+      read: async (keys: readonly RowKey[]) => await this.callStore<ReadAnswer>(caller, keys.length, 0, () => Right(this.state.read(keys))),
+      scan: async (req: ScanRequest) => await this.callStore<ScanAnswer>(caller, 1, 0, () => Right(this.state.scan(req))),
+      transact: async (tx: Transaction) => await this.callStore<TransactAnswer>(caller, 0, 1, () =>
         this.state.transact(structuredClone(tx)).mapLeft(() => new Failure('platformConflict', 'transaction condition failed: a row has changed')))
     }
   }
 
-  private async callStore<T> (holder: string, reads: number, writes: number, execute: () => Either<Failure, T>): Promise<Either<Failure, T>> {
+  private async callStore<T> ({ holder, address }: Pick<FleetVm, 'holder' | 'address'>, reads: number, writes: number, execute: () => Either<Failure, T>): Promise<Either<Failure, T>> {
     if (this.ended.has(holder)) return await new Promise(() => {})
     this.storeCalls += reads + writes
-    if (this.stalledLinks.delete(`${holder} store`) || this.time.mono < this.storeOutageUntil) {
+    if (this.stalledLinks.delete(`${holder} store`) || this.time.mono < (this.cutOffUntil.get(address) ?? 0)) {
       await this.time.sleep(STORE_TIMEOUT_MS)
       return Left(new Failure(writes > 0 ? 'platformOutcomeUnknown' : 'platformUnavailable', 'store call timed out', { ran: 'unknown' }))
     }
