Tell what a budget has spent with each draw

A sum of budgetDrawn, budgetReturned and budgetRecovered was the only way to learn from logs what a budget has spent, and misses calls whose answer was lost. The draw reads both figures anyway.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -22,7 +22,7 @@
   digestFollowed: { number: 1006, level: 'info', title: 'This VM started or stopped relying on the digest of the heartbeat tables; fields: isFollowed, entries (in the digest)' },
   fault: { number: 1099, level: 'error', title: 'Unexpected internal error; fields: err' },
 
-  budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left' },
+  budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left, paid and spent (of the budget, in total)' },
   budgetFlushed: { number: 2002, level: 'info', title: 'Bills were stored durably; fields: seq, bills, tokens' },
   budgetTransferred: { number: 2003, level: 'info', title: 'Tokens moved between VMs of a domain; fields: budget, tokens, from, to' },
   budgetRecalled: { number: 2004, level: 'info', title: 'A recall requested other holders to return tokens; fields: budget, tokens' },
--- a/packages/rosemaryspread/src/budget/drawExecutor.ts
+++ b/packages/rosemaryspread/src/budget/drawExecutor.ts
@@ -72,8 +72,9 @@
     if (plan.kind === 'closed' || plan.kind === 'unknownBudget') return { kind: plan.kind }
     if (plan.kind === 'short') return await this.short(action, plan.left)
     const { tokens, left } = plan
-    this.log.write('budgetDrawn', { budget: action.budget, tokens, left })
-    const fleet = plan.kind === 'write' ? { fleet: { paid: plan.paid, spent: plan.spent, holders: this.self.holders() } } : {}
+    const spending = plan.kind === 'write' ? { paid: plan.paid, spent: plan.spent } : undefined
+    this.log.write('budgetDrawn', { budget: action.budget, tokens, left, ...spending })
+    const fleet = spending === undefined ? {} : { fleet: { ...spending, holders: this.self.holders() } }
     return { kind: 'granted', tokens, left, sentAt, ...fleet }
   }
 
