Let unreported use grow with the demand of a VM, not with what it holds

Cause: a VM without the store may use a fifth of its allotment a second without a report, and its successor bills all of that. An allotment covers 45 s of demand, so the allowance grows nine times as fast as requests use it, and after 6.5 s all that was held is billed. All allotments of a fleet together are what is unspent: nothing stays in the budget's row.

Ruled out: connections and targets (service is good right after the return and falls later, all of it refusals for tokens); use by hot teams alone (sums of billed answers by team stay below what was paid by the loss).

Change: growth is the demand rate at the report, between 0.02 and 0.2 of what is held a second; an allotment covers 25 s of demand, so that the rest lies in the budget's row, where no end reaches it.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -167,7 +167,8 @@
       held: this.held,
       largestPeerRequest: this.peerDemand.largestRequest,
       maxUnreported: this.peerDemand.largestRequest > 0 ? this.desired.maxUnreported : Infinity,
-      unmetPeerTokens: this.peerDemand.unmetTokens(now.mono)
+      unmetPeerTokens: this.peerDemand.unmetTokens(now.mono),
+      demandPerMs: this.desired.rate.perMs(now.mono)
     })
   }
 
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -36,11 +36,11 @@
  */
 const GROWTH_AFTER_MS = 1_500
 /**
- * Fraction of an allotment added per second after that: a VM that is cut off may use up its allotment in about six seconds, as
- * teams with few tokens left do. A lower value refuses requests during partitions; with a higher one a VM that is unreachable for
- * three seconds loses most of its allotment.
+ * Range of the fraction of an allotment added per second after that. Within it the allowance grows with the demand: all that it
+ * allows is billed if the holder terminates, so growth beyond the demand is lost. The minimum serves callers that move here later.
  */
-const GROWTH_RATIO_PER_S = 0.2
+const MIN_GROWTH_RATIO_PER_S = 0.02
+const MAX_GROWTH_RATIO_PER_S = 0.2
 const MS_PER_SECOND = 1_000
 
 export interface AllowanceInputs {
@@ -54,13 +54,20 @@
   readonly maxUnreported: number
   /** Tokens of a recent grant request that could not be met, for which this report is sent. */
   readonly unmetPeerTokens: number
+  /** Demand at this holder in tokens per millisecond. */
+  readonly demandPerMs: number
 }
 
 /** Computes the allowance of a report. */
-export function allowanceOf ({ inUse, held, largestPeerRequest, maxUnreported, unmetPeerTokens }: AllowanceInputs): ReportAllowance {
+export function allowanceOf ({ inUse, held, largestPeerRequest, maxUnreported, unmetPeerTokens, demandPerMs }: AllowanceInputs): ReportAllowance {
   const unreported = Math.min(maxUnreported, Math.max(held * UNREPORTED_RATIO, Math.min(held, largestPeerRequest)))
   const immediate = Math.max(unreported, Math.min(held, unmetPeerTokens))
-  return { tokens: Math.ceil(inUse + immediate), perMs: held * GROWTH_RATIO_PER_S / MS_PER_SECOND }
+  return { tokens: Math.ceil(inUse + immediate), perMs: growthPerMs(held, demandPerMs) }
+}
+
+function growthPerMs (held: number, demandPerMs: number): number {
+  const heldPerMs = held / MS_PER_SECOND
+  return Math.min(heldPerMs * MAX_GROWTH_RATIO_PER_S, Math.max(heldPerMs * MIN_GROWTH_RATIO_PER_S, demandPerMs))
 }
 
 /**
@@ -77,7 +84,7 @@
  * @param held - tokens allotted by the draw
  */
 export function withAllotment<T extends ReportAllowance> (report: T, held: number): T {
-  const allowance = allowanceOf({ inUse: 0, held, largestPeerRequest: 0, maxUnreported: Infinity, unmetPeerTokens: 0 })
+  const allowance = allowanceOf({ inUse: 0, held, largestPeerRequest: 0, maxUnreported: Infinity, unmetPeerTokens: 0, demandPerMs: 0 })
   return { ...report, tokens: report.tokens + allowance.tokens, perMs: report.perMs + allowance.perMs }
 }
 
--- a/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayBudgetPolicy.ts
@@ -21,7 +21,8 @@
 /** Budget policy of the gateway; docs/design/platform.md compares the alternatives. */
 export const gatewayBudgetPolicy: BudgetPolicy = {
   ...defaultBudgetPolicy,
-  horizonMs: 45_000,
+  // Outlasts an outage of the store; tokens that no VM holds are not lost when VMs terminate.
+  horizonMs: 25_000,
   rateWindowMs: 3_000,
   boundsUnreportedUse: true,
   demandSource: 'reservations',
