Do not allow once more, in a report, what the same flush bills

Cause: a report allows the tokens in use and a part of what is held beyond them. Tokens in use were counted with the bills of the flush that writes the report; these are settled by the same transaction. The first flush after an outage bills seconds of traffic, and until the next one an end of the VM bills them a second time.

Change: the open flush's bills are left out. The holder's own bound left them out already (ReportBounds.capacity), so it may use as much as before.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -163,7 +163,8 @@
   /** Allowance of a report made now. */
   allowance (now: Instant): ReportAllowance {
     return allowanceOf({
-      inUse: this.reserved + this.unsettled + this.waitingTokens,
+      // Without the bills of the open flush: they are settled by the transaction that writes the report.
+      inUse: this.reserved + this.unsettled - this.flushing + this.waitingTokens,
       held: this.held,
       largestPeerRequest: this.peerDemand.largestRequest,
       maxUnreported: this.peerDemand.largestRequest > 0 ? this.desired.maxUnreported : Infinity,
--- a/packages/decisions/src/budget/budgetLedger.spec.ts
+++ b/packages/decisions/src/budget/budgetLedger.spec.ts
@@ -182,6 +182,13 @@
       expect(kinds(after)).to.include('admit')
     })
 
+    it('does not allow once more, in a report, the tokens that the same flush bills', () => {
+      const harness = boundedHarness()
+      harness.settle('r0', LARGEST)
+      const flush = harness.pass(policy.flushMs).find(action => action.kind === 'flush')
+      expect([flush?.bills.map(({ tokens }) => tokens), flush?.reports?.map(({ tokens }) => tokens)]).to.deep.equal([[LARGEST], [100_000]])
+    })
+
     it('admits no more while the outcome of the report is unknown', () => {
       const harness = boundedHarness()
       const flush = fill(harness).last.find(action => action.kind === 'flush')
