Let the fair share of a VM be used in a partition, besides its demand

Cause: callers of one team keep to one VM, and in a partition that VM can reach only what the others may grant without a report. Their own demand is small, so at 0.02 of what they hold a second their shares stayed unused.

Change: growth reaches, in 5 s, the fair share or what the demand takes in that time, whichever is more. Allotments beyond both are not at risk. It replaces the range of 0.02 to 0.2 of what is held.

Tests: the two cases of budgetFairShare.spec.ts that had broken pass again, unchanged.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -169,7 +169,8 @@
       largestPeerRequest: this.peerDemand.largestRequest,
       maxUnreported: this.peerDemand.largestRequest > 0 ? this.desired.maxUnreported : Infinity,
       unmetPeerTokens: this.peerDemand.unmetTokens(now.mono),
-      demandPerMs: this.desired.rate.perMs(now.mono)
+      demandPerMs: this.desired.rate.perMs(now.mono),
+      fairShare: this.desired.fairShare
     })
   }
 
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -36,12 +36,11 @@
  */
 const GROWTH_AFTER_MS = 1_500
 /**
- * Range of the fraction of an allotment added per second after that. Within it the allowance grows with the demand: all that it
- * allows is billed if the holder terminates, so growth beyond the demand is lost. The minimum serves callers that move here later.
+ * Milliseconds of growth after which a holder may have used its fair share, or what its demand takes in that time if that is more.
+ * Growth beyond both would be billed unused if the holder terminates. The fair share is for callers that move here later, and for
+ * grants: a VM that is cut off can reach only the tokens of the VMs on its side.
  */
-const MIN_GROWTH_RATIO_PER_S = 0.02
-const MAX_GROWTH_RATIO_PER_S = 0.2
-const MS_PER_SECOND = 1_000
+const GROWTH_PERIOD_MS = 5_000
 
 export interface AllowanceInputs {
   /** Tokens reserved, requested by waiting requests, or billed and not flushed. */
@@ -56,18 +55,15 @@
   readonly unmetPeerTokens: number
   /** Demand at this holder in tokens per millisecond. */
   readonly demandPerMs: number
+  /** Fair share of this holder, see budgetPolicy. */
+  readonly fairShare: number
 }
 
 /** Computes the allowance of a report. */
-export function allowanceOf ({ inUse, held, largestPeerRequest, maxUnreported, unmetPeerTokens, demandPerMs }: AllowanceInputs): ReportAllowance {
+export function allowanceOf ({ inUse, held, largestPeerRequest, maxUnreported, unmetPeerTokens, demandPerMs, fairShare }: AllowanceInputs): ReportAllowance {
   const unreported = Math.min(maxUnreported, Math.max(held * UNREPORTED_RATIO, Math.min(held, largestPeerRequest)))
   const immediate = Math.max(unreported, Math.min(held, unmetPeerTokens))
-  return { tokens: Math.ceil(inUse + immediate), perMs: growthPerMs(held, demandPerMs) }
-}
-
-function growthPerMs (held: number, demandPerMs: number): number {
-  const heldPerMs = held / MS_PER_SECOND
-  return Math.min(heldPerMs * MAX_GROWTH_RATIO_PER_S, Math.max(heldPerMs * MIN_GROWTH_RATIO_PER_S, demandPerMs))
+  return { tokens: Math.ceil(inUse + immediate), perMs: Math.min(held, Math.max(fairShare, demandPerMs * GROWTH_PERIOD_MS)) / GROWTH_PERIOD_MS }
 }
 
 /**
@@ -84,7 +80,7 @@
  * @param held - tokens allotted by the draw
  */
 export function withAllotment<T extends ReportAllowance> (report: T, held: number): T {
-  const allowance = allowanceOf({ inUse: 0, held, largestPeerRequest: 0, maxUnreported: Infinity, unmetPeerTokens: 0, demandPerMs: 0 })
+  const allowance = allowanceOf({ inUse: 0, held, largestPeerRequest: 0, maxUnreported: Infinity, unmetPeerTokens: 0, demandPerMs: 0, fairShare: held })
   return { ...report, tokens: report.tokens + allowance.tokens, perMs: report.perMs + allowance.perMs }
 }
 
