--- a/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
+++ b/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
@@ -4,6 +4,7 @@
  * partition of seconds costs the rest of what was prepaid, and requests are refused as spent from then on.
  */
 import { expect } from 'chai'
+import seedrandom from 'seedrandom'
 import { GatewayFleet, type FleetCounts, type FleetShape } from './gatewayFleet.js'
 
 const SETTLE_MS = 8_000
@@ -17,6 +18,11 @@
 /** Seconds of the traffic of all VMs: prepaid tokens exceed a day's use by about 15 s, and a day may have several terminations. */
 const MAX_LOST_S = 3
 const MIN_SERVED_RATIO = 0.25
+/** Plays of random partitions and terminations; more by hand. */
+const PLAYS = Number(process.env['TERMINATION_SEEDS'] ?? 2)
+const STEPS = 8
+const LONGEST_PARTITION_MS = 8_000
+const SCARCE_TRAFFIC_MS = 12_000
 const MAX_REFUSED_RATIO = 0.05
 
 const shape: FleetShape = {
@@ -71,7 +77,31 @@
   return { fleet, cut }
 }
 
+/** Steps of a random play; partitions go on through the steps after them. */
+const steps: ReadonlyArray<(fleet: GatewayFleet, random: () => number) => Promise<unknown>> = [
+  async (fleet, random) => { fleet.cutOffStore(random() * LONGEST_PARTITION_MS, 1 + Math.floor(random() * shape.vms)) },
+  async fleet => { fleet.stallConnections() },
+  async (fleet, random) => { await fleet.restartAll(random() * 2 * DOWNTIME_MS) },
+  async (fleet, random) => { await fleet.restartInTurn(1 + Math.floor(random() * 3), random() * 2 * DOWNTIME_MS) },
+  async (fleet, random) => { await fleet.restartGracefully(1 + Math.floor(random() * 3), 2_000, random() * 2 * DOWNTIME_MS) }
+]
+
 describe('GatewayFleet', () => {
+  for (let play = 0; play < PLAYS; play += 1) {
+    it(`bills all tokens that requests use, through partitions and terminations in series (seed ${play})`, async () => {
+      const random = seedrandom(`play ${play}`)
+      // Scarce tokens: VMs use all that their reports allow.
+      const fleet = new GatewayFleet({ ...shape, seed: `play ${play}`, prepaidTrafficMs: SCARCE_TRAFFIC_MS })
+      await fleet.time.run(SETTLE_MS)
+      for (let step = 0; step < STEPS; step += 1) {
+        await fleet.serve(random() * 4_000)
+        await steps[Math.floor(random() * steps.length)]?.(fleet, random)
+      }
+      await fleet.time.run(LONGEST_PARTITION_MS + QUIET_MS)
+      expect([fleet.overspent, fleet.unbilledUse]).to.deep.equal([0, 0])
+    })
+  }
+
   for (const item of cases) {
     it(`loses few prepaid tokens when ${item.name}`, async () => {
       const { fleet } = await serveUntilTerminated(item)
