--- a/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
+++ b/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
@@ -2,6 +2,7 @@
  * Guards against tokens that recovery bills though no request used them. A VM without the store uses tokens that it cannot report, and
  * if it terminates, all that it was allowed to use is billed. If that grows faster than requests arrive, the end of a fleet after a
  * partition of seconds costs the rest of what was prepaid, and requests are refused as spent from then on.
+ * TERMINATION_SEEDS sets the number of random plays.
  */
 import { expect } from 'chai'
 import seedrandom from 'seedrandom'
@@ -9,7 +10,7 @@
 
 const SETTLE_MS = 8_000
 const BEFORE_MS = 20_000
-/** Partitions go on after the termination, unless it comes later. */
+/** Time from the termination of a VM to its restart, at which a partition ends too. */
 const DOWNTIME_MS = 900
 /** Time after which bills and returns of running requests are durable. */
 const QUIET_MS = 4_000
@@ -18,12 +19,15 @@
 /** Seconds of the traffic of all VMs: prepaid tokens exceed a day's use by about 15 s, and a day may have several terminations. */
 const MAX_LOST_S = 3
 const MIN_SERVED_RATIO = 0.25
-/** Plays of random partitions and terminations; more by hand. */
+const MAX_REFUSED_RATIO = 0.05
+
 const PLAYS = Number(process.env['TERMINATION_SEEDS'] ?? 2)
+/** Partitions and terminations of one play. */
 const STEPS = 8
+const MAX_STEP_GAP_MS = 4_000
 const LONGEST_PARTITION_MS = 8_000
+/** Traffic that prepaid tokens cover if they are scarce. */
 const SCARCE_TRAFFIC_MS = 12_000
-const MAX_REFUSED_RATIO = 0.05
 
 const shape: FleetShape = {
   seed: 'termination',
@@ -90,11 +94,11 @@
   for (let play = 0; play < PLAYS; play += 1) {
     it(`bills all tokens that requests use, through partitions and terminations in series (seed ${play})`, async () => {
       const random = seedrandom(`play ${play}`)
-      // Scarce tokens: VMs use all that their reports allow.
+      // With scarce tokens VMs use all that their reports allow.
       const fleet = new GatewayFleet({ ...shape, seed: `play ${play}`, prepaidTrafficMs: SCARCE_TRAFFIC_MS })
       await fleet.time.run(SETTLE_MS)
       for (let step = 0; step < STEPS; step += 1) {
-        await fleet.serve(random() * 4_000)
+        await fleet.serve(random() * MAX_STEP_GAP_MS)
         await steps[Math.floor(random() * steps.length)]?.(fleet, random)
       }
       await fleet.time.run(LONGEST_PARTITION_MS + QUIET_MS)
