--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -36,9 +36,9 @@
  */
 const GROWTH_AFTER_MS = 1_500
 /**
- * Milliseconds of growth after which a holder may have used its fair share, or what its demand takes in that time if that is more.
- * Growth beyond both would be billed unused if the holder terminates. The fair share is for callers that move here later, and for
- * grants: a VM that is cut off can reach only the tokens of the VMs on its side.
+ * Milliseconds in which the allowance grows by the fair share of the holder, or by what its demand takes in that time if that is
+ * more. Growth beyond both would be billed unused if the holder terminates. The fair share is for callers that move here later and
+ * for grants: a VM that is cut off reaches only the tokens of VMs on its side of the partition.
  */
 const GROWTH_PERIOD_MS = 5_000
 
@@ -53,7 +53,7 @@
   readonly maxUnreported: number
   /** Tokens of a recent grant request that could not be met, for which this report is sent. */
   readonly unmetPeerTokens: number
-  /** Demand at this holder in tokens per millisecond. */
+  /** Demand that this holder meets, in tokens per millisecond. */
   readonly demandPerMs: number
   /** Fair share of this holder, see budgetPolicy. */
   readonly fairShare: number
@@ -63,7 +63,8 @@
 export function allowanceOf ({ inUse, held, largestPeerRequest, maxUnreported, unmetPeerTokens, demandPerMs, fairShare }: AllowanceInputs): ReportAllowance {
   const unreported = Math.min(maxUnreported, Math.max(held * UNREPORTED_RATIO, Math.min(held, largestPeerRequest)))
   const immediate = Math.max(unreported, Math.min(held, unmetPeerTokens))
-  return { tokens: Math.ceil(inUse + immediate), perMs: Math.min(held, Math.max(fairShare, demandPerMs * GROWTH_PERIOD_MS)) / GROWTH_PERIOD_MS }
+  const growth = Math.min(held, Math.max(fairShare, demandPerMs * GROWTH_PERIOD_MS))
+  return { tokens: Math.ceil(inUse + immediate), perMs: growth / GROWTH_PERIOD_MS }
 }
 
 /**
