Survey a budget in one place; log nothing as billed where nothing is

The fleet in virtual time scanned and parsed the budget rows itself, up to one page of them; it asks surveyBudget now, and the sum of settled tokens, which stood in three places with it, is settledTokens. requestAnswered told tokens as billed for requests that reserve none; it tells 0. The optional metrics are passed on as they are, a private method stands behind the public ones, and a comment of the report's input follows the open flush.

--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -43,7 +43,7 @@
 const GROWTH_PERIOD_MS = 5_000
 
 export interface AllowanceInputs {
-  /** Tokens reserved, requested by waiting requests, or billed and not flushed. */
+  /** Tokens reserved, requested by waiting requests, or billed and not in the open flush. */
   readonly inUse: number
   /** Tokens of the allotment. */
   readonly held: number
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -42,7 +42,7 @@
   readonly clock: Clock
   readonly log: EventLog
   /** Counts what recovery bills without records of runs. */
-  readonly metrics?: Pick<Metrics, 'count'>
+  readonly metrics?: Pick<Metrics, 'count'> | undefined
   readonly policy?: BudgetPolicy
   /** Owners of each budget; absent where every holder owns all budgets. */
   readonly owners?: RendezvousOwners
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -11,10 +11,10 @@
 import { planRecovery, recoveryKeys, type OwedBill, type RecoveryRequest, type RecoveryPlan } from '@rosemaryspread/decisions/budget/recoveryPlan.js'
 import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { TerminatedVms, hasExpired, hasSuccessor, mayRunsBeDiscarded, successorSince, type PlacedHolder } from '@rosemaryspread/decisions/budget/recoveryRules.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { BudgetRegistry, ClosedAllotment, HolderAtVersion } from './budgetRegistry.js'
 import type { RunOwner } from './budgetRecoveryRuns.js'
-import type { Metrics } from '../metrics/metricsTypes.js'
 import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSurvey.js'
 import type { BudgetTable, Committed } from './budgetTable.js'
 
--- a/packages/rosemaryspread/src/budget/budgetSurvey.ts
+++ b/packages/rosemaryspread/src/budget/budgetSurvey.ts
@@ -60,6 +60,11 @@
   }).mapLeft(toFailure)
 }
 
+/** Tokens of bills that no draw or return has added to the spent ones yet. */
+export function settledTokens ({ allotments }: Pick<BudgetSurvey, 'allotments'>): number {
+  return allotments.reduce((sum, { row }) => sum + row.settled, 0)
+}
+
 function toAgedAllotment (row: Row, now: number): AgedAllotment {
   const { version, updatedAt } = row
   return { row: allotmentRowSchema.parse(row.value), version, updatedAt, ageMs: Math.max(0, now - updatedAt) }
--- a/packages/rosemaryspread/src/budget/budgetTopUps.ts
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -6,7 +6,7 @@
 import { planTopUp, topUpKeys } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import type { TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
-import { surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSurvey.js'
+import { settledTokens, surveyBudget, type AgedAllotment, type BudgetSurvey } from './budgetSurvey.js'
 import type { BudgetTable } from './budgetTable.js'
 
 /** Returns whether an allotment is in doubt: its holder may be unable to spend it any more. */
@@ -36,7 +36,7 @@
   private answer (id: string, survey: BudgetSurvey): Either<Failure, BudgetAnswer> {
     const { budget, allotments } = survey
     if (budget === undefined) return Left(new Failure('budgetUnknown', `there is no budget ${id}`))
-    const settled = allotments.reduce((sum, item) => sum + item.row.settled, 0)
+    const settled = settledTokens(survey)
     const inDoubt = allotments.filter(this.isInDoubt).reduce((sum, item) => sum + item.row.held, 0)
     const holders = allotments
       .filter(item => item.row.state === 'open')
--- a/packages/rosemaryspread/src/budget/drawExecutor.ts
+++ b/packages/rosemaryspread/src/budget/drawExecutor.ts
@@ -10,7 +10,7 @@
 import { drawKeys, planDraw, type DrawRequest, type DrawPlan } from '@rosemaryspread/decisions/budget/budgetPlans.js'
 import type { BudgetTable } from './budgetTable.js'
 import { FirstAttemptTimes } from './firstAttemptTimes.js'
-import { surveyBudget } from './budgetSurvey.js'
+import { settledTokens, surveyBudget } from './budgetSurvey.js'
 
 /** The drawing holder; `holders` is read for each draw. */
 export interface DrawingHolder {
@@ -84,10 +84,10 @@
     if (action.atLeast === 0) return { kind: 'short', left, elsewhere: Infinity, sentAt }
     const survey = await surveyBudget(this.table.store, action.budget)
     if (survey.isLeft()) return this.failed(action, survey.extract())
-    const { budget, allotments } = survey.unsafeCoerce()
+    const found = survey.unsafeCoerce()
+    const { budget } = found
     if (budget === undefined) return { kind: 'unknownBudget' }
-    const settled = allotments.reduce((sum, item) => sum + item.row.settled, 0)
-    const unspent = budget.paid - budget.spent - settled
+    const unspent = budget.paid - budget.spent - settledTokens(found)
     return { kind: 'short', left, elsewhere: unspent - left, unspent, sentAt }
   }
 
--- a/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
+++ b/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
@@ -61,7 +61,7 @@
     peers: new NoTransferPeers(() => fleet.members()),
     clock,
     log,
-    ...(metrics === undefined ? {} : { metrics }),
+    metrics,
     grantRequester: new BudgetGrantCalls({
       holder,
       clock,
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -70,9 +70,9 @@
     return this.firstMs !== undefined || this.failedAnswer !== undefined
   }
 
-  /** Tokens to bill: the prompt, and the answer as far as it was relayed; 0 if nothing was delivered. */
+  /** Tokens to bill: the prompt, and the answer as far as it was relayed; 0 if nothing was reserved or delivered. */
   get billedTokens (): number {
-    if (!this.mayHaveRun || !this.isDelivered) return 0
+    if (this.reservation === undefined || !this.mayHaveRun || !this.isDelivered) return 0
     const { call, tokensPerEvent } = this.admitted
     return call.promptTokens + Math.min(call.maxTokens, this.relay.events * tokensPerEvent)
   }
--- a/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
+++ b/packages/stand-ins/src/measure/gateway/fleetTermination.spec.ts
@@ -102,7 +102,8 @@
         await steps[Math.floor(random() * steps.length)]?.(fleet, random)
       }
       await fleet.time.run(LONGEST_PARTITION_MS + QUIET_MS)
-      expect([fleet.overspent, fleet.unbilledUse]).to.deep.equal([0, 0])
+      const { unbilledUse } = await fleet.compareBills()
+      expect([fleet.overspent, unbilledUse]).to.deep.equal([0, 0])
     })
   }
 
@@ -110,8 +111,9 @@
     it(`loses few prepaid tokens when ${item.name}`, async () => {
       const { fleet } = await serveUntilTerminated(item)
       await fleet.time.run(QUIET_MS)
-      const lostS = fleet.billedUnused / tokensPerS
-      expect(fleet.unbilledUse, `lost ${lostS.toFixed(2)} s`).to.equal(0)
+      const { billedUnused, unbilledUse } = await fleet.compareBills()
+      const lostS = billedUnused / tokensPerS
+      expect(unbilledUse, `lost ${lostS.toFixed(2)} s`).to.equal(0)
       expect(lostS).to.be.at.most(MAX_LOST_S)
     })
 
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -8,12 +8,12 @@
 import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
 import { GRANT_METHOD, type GrantRequest, type Handover } from 'rosemaryspread/budget/budgetGrantCalls.js'
+import { settledTokens, surveyBudget } from 'rosemaryspread/budget/budgetSurvey.js'
 import { BudgetPreparation } from 'rosemaryspread/gateway/budgetPreparation.js'
-import { budgetTables } from '@rosemaryspread/decisions/budget/budgetKeys.js'
-import { allotmentRowSchema, budgetRowSchema } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { createBudgetDriver } from 'rosemaryspread/gateway/budgetDriverFactory.js'
 import { gatewayConfigSchema, type GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
-import { MAX_SCAN_ROWS, TableState } from '../../table/tableState.js'
+import { MemoryTableStore } from '../../table/memoryTableStore.js'
+import { TableState } from '../../table/tableState.js'
 import { VirtualTime } from '../../time/virtualTime.js'
 
 const TICK_MS = 50
@@ -61,6 +61,14 @@
   readonly storeCalls: number
 }
 
+/** Bills against use; tokens of requests that still run count as used. */
+export interface BillComparison {
+  /** Tokens counted as spent beyond those used. */
+  readonly billedUnused: number
+  /** Used tokens that are not counted as spent. */
+  readonly unbilledUse: number
+}
+
 /** Counts of a time span in progress. */
 interface OpenCounts {
   asked: number
@@ -173,33 +181,24 @@
     await this.restart(stopped, downtimeMs)
   }
 
-  private async restart (vms: readonly FleetVm[], downtimeMs: number): Promise<void> {
-    const names = vms.map(({ address }) => address)
-    for (const { holder } of vms) this.ended.add(holder)
-    this.vms = this.vms.filter(vm => !vms.includes(vm))
-    this.generation += 1
-    await this.time.run(downtimeMs)
-    const started = names.map(name => this.startVm(name))
-    this.vms.push(...started)
-    for (const { budgets } of started) this.recoverPredecessors(budgets)
-  }
-
   /** Used tokens as a share of all prepaid tokens. */
   get usedShare (): number {
     const paid = Object.values(this.config.teams).reduce((sum, { prepaidTokens }) => sum + (prepaidTokens ?? 0), 0)
     return [...this.used.values()].reduce((sum, tokens) => sum + tokens, 0) / paid
   }
 
-  /** Tokens that the store counts as spent and no request used. */
-  get billedUnused (): number {
-    const billed = this.billedTokens()
-    return Object.keys(this.config.teams).reduce((sum, team) => sum + (billed.get(team) ?? 0) - (this.used.get(team) ?? 0), 0)
-  }
-
-  /** Sum over all budgets of the used tokens that the store does not count as spent. */
-  get unbilledUse (): number {
-    const billed = this.billedTokens()
-    return [...this.used].reduce((sum, [team, tokens]) => sum + Math.max(0, tokens - (billed.get(team) ?? 0)), 0)
+  /** Compares the tokens that the store counts as spent with those that requests used, as sums over all budgets. */
+  async compareBills (): Promise<BillComparison> {
+    const store = new MemoryTableStore(this.state)
+    let billedUnused = 0
+    let unbilledUse = 0
+    for (const team of Object.keys(this.config.teams)) {
+      const survey = (await surveyBudget(store, team)).unsafeCoerce()
+      const unused = (survey.budget?.spent ?? 0) + settledTokens(survey) - (this.used.get(team) ?? 0)
+      billedUnused += unused
+      unbilledUse += Math.max(0, -unused)
+    }
+    return { billedUnused, unbilledUse }
   }
 
   /** Sum over all budgets of the tokens used beyond the prepaid ones. */
@@ -208,19 +207,15 @@
       sum + Math.max(0, (this.used.get(team) ?? 0) - (prepaidTokens ?? 0)), 0)
   }
 
-  /** Spent tokens by budget, with those of bills that no draw has added to the budget yet. */
-  private billedTokens (): ReadonlyMap<string, number> {
-    const billed = new Map<string, number>()
-    const add = (budget: string, tokens: number): void => { billed.set(budget, (billed.get(budget) ?? 0) + tokens) }
-    for (const { value } of this.state.scan({ table: budgetTables.budgets, prefix: '', limit: MAX_SCAN_ROWS }).rows) {
-      const { budget, spent } = budgetRowSchema.parse(value)
-      add(budget, spent)
-    }
-    for (const { value } of this.state.scan({ table: budgetTables.allotments, prefix: '', limit: MAX_SCAN_ROWS }).rows) {
-      const { budget, settled } = allotmentRowSchema.parse(value)
-      add(budget, settled)
-    }
-    return billed
+  private async restart (vms: readonly FleetVm[], downtimeMs: number): Promise<void> {
+    const names = vms.map(({ address }) => address)
+    for (const { holder } of vms) this.ended.add(holder)
+    this.vms = this.vms.filter(vm => !vms.includes(vm))
+    this.generation += 1
+    await this.time.run(downtimeMs)
+    const started = names.map(name => this.startVm(name))
+    this.vms.push(...started)
+    for (const { budgets } of started) this.recoverPredecessors(budgets)
   }
 
   private createConfig (): GatewayConfig {
