End all background work of a VM with its drain

What was seen: in one run of all specs, platformVm.spec found one or two requests at the fake targets that nobody had sent, the first without an id, in 'gives a request an id if its caller sent none' and eight cases after it.

Cause: a drained VM went on. The feed of the operators' rows was never stopped, and that of the register only if the return of tokens was done within the grace time. Both call the address of a store that its spec has closed, every 150 ms, and a later fake target may be given that port by the system. Ruled out: a second send of a caller's request (each gets an id first), load.

--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -117,11 +117,18 @@
     // Requests that arrived on open connections meanwhile are finished as well, and their last bytes are sent.
     await work.waitUntilIdle(leftMs())
     await pause(ANSWER_FLUSH_MS)
-    this.container.get(ids.quarantineSync).stop()
-    await this.container.get(ids.links).close()
+    await this.stop()
+    this.log.write('stopped', { open: work.openCount() })
+  }
+
+  /** Ends the background work at once, and accepts no more requests. */
+  async stop (): Promise<void> {
+    this.container.get(ids.work).draining = true
     this.ticks?.stop()
     this.timers.forEach(timer => { clearInterval(timer) })
-    this.log.write('stopped', { open: work.openCount() })
+    this.container.get(ids.quarantineSync).stop()
+    this.container.get(ids.digest).stop()
+    await this.container.get(ids.links).close()
   }
 
   private openLinks (): void {
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -103,6 +103,7 @@
   private async key (): Promise<string | undefined> {
     while (!this.isClosed) {
       const key = await fleetKey(this.parts.table)
+      if (this.isClosed) return undefined
       if (key.isRight()) return key.extract()
       key.ifLeft(({ code }) => { this.parts.log.write('fleetKeyMissing', { code }) })
       await pause(KEY_RETRY_MS)
