End the start of a VM that is drained meanwhile

Change: after each wait the start checks whether the VM is draining. Test: vmShutdown.spec.ts holds the first call of the table until the drain is over; two of its three cases failed (two calls in 2.5 s after the end), now three runs of three pass.

--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -32,7 +32,10 @@
     this.log = container.get(ids.log)
   }
 
-  /** Starts the servers and timers; fails with `settingsInvalid` when it cannot listen on an address. */
+  /**
+   * Starts the servers and timers, then joins the fleet unless the VM is drained meanwhile; fails with `settingsInvalid` when it cannot
+   * listen on an address.
+   */
   async start (): Promise<Either<Failure, void>> {
     const settings = this.container.get(ids.settings)
     const identity = this.container.get(ids.identity)
@@ -48,11 +51,7 @@
     this.log.write('started', { ...identity })
     this.startTimers()
     await this.container.get(ids.configStore).load()
-    const propagation = this.container.get(ids.configPropagation)
-    this.container.get(ids.versionHints).onHint(() => { this.runInBackground(propagation.poll()) })
-    propagation.start()
-    await this.container.get(ids.members).start()
-    this.container.get(ids.placementLease).start()
+    await this.join()
     return Right(undefined)
   }
 
@@ -85,6 +84,17 @@
       .catch(() => process.exit(1))
   }
 
+  /** A start may wait for the table, and a drain may pass it in that time. */
+  private async join (): Promise<void> {
+    const work = this.container.get(ids.work)
+    if (work.draining) return
+    const propagation = this.container.get(ids.configPropagation)
+    this.container.get(ids.versionHints).onHint(() => { this.runInBackground(propagation.poll()) })
+    propagation.start()
+    await this.container.get(ids.members).start()
+    if (!work.draining) this.container.get(ids.placementLease).start()
+  }
+
   private subscribeToConfig (): void {
     const routing = this.container.get(ids.routing)
     const teamKeys = this.container.get(ids.teamKeys)
