Count the time limit of a request from its arrival, also on a VM that reads it late

What callers see: on a VM short of processor time the final answer comes up to five turns of its event loop after the time limit of the route; the users' rule CONFIG allows half a second for all but a quarter.

Cause: the limit counted from the moment at which the headers were read, two turns passed until a close behind the request would have been read, one until the timer ran, and one until the aborted request to the target reported its end.

--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -217,6 +217,19 @@
     expect([sink.ends, client.sent.length]).to.deep.equal([['allotmentClosed no'], 0])
   })
 
+  for (const { name, path, inMs, ends } of [
+    { name: 'refuses a call whose deadline passes before it can be forwarded', path: '/p/x', inMs: 5_100, ends: ['deadlineExceeded no'] },
+    { name: 'leaves a call that can be forwarded in time', path: '/p/x', inMs: 4_900, ends: [] },
+    { name: 'leaves a call without a route to the refusal that is due', path: '/none', inMs: 5_100, ends: [] }
+  ]) {
+    it(name, () => {
+      const sink = new FakeSink()
+      const call = { ...callOf(new AbortController().signal), path }
+      const isRefused = pipelineOf(new FakeClient([]), new FakeBudgets(), {}).pipeline.refuseLate(call, sink, call.receivedAt.mono + inMs)
+      expect([isRefused, sink.ends]).to.deep.equal([ends.length > 0, ends])
+    })
+  }
+
   it('aborts the run of a caller that disconnects', async () => {
     const client = new FakeClient([])
     const sink = new FakeSink()
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -14,6 +14,8 @@
 
 /** Retry-After while no configuration is loaded. */
 const NO_CONFIG_RETRY_MS = 500
+/** Retry-After of a call that was read too late. */
+const LATE_RETRY_MS = 100
 
 export interface PipelineDeps {
   readonly random: RandomSource
@@ -45,6 +47,17 @@
     }
   }
 
+  /**
+   * Refuses a call that cannot be forwarded before its deadline.
+   * @param forwardableAt - monotonic milliseconds of the earliest time at which it can be
+   * @returns whether the call was refused
+   */
+  refuseLate (call: GatewayCall, sink: CallSink, forwardableAt: number): boolean {
+    const isLate = this.admit(call).map(({ deadline }) => deadline <= forwardableAt).orDefault(false)
+    if (isLate) this.fail(call, sink, new Failure('deadlineExceeded', 'the call was read too late to be forwarded', { ran: 'no', retryAfterMs: LATE_RETRY_MS }))
+    return isLate
+  }
+
   private admit (call: GatewayCall): Either<Failure, AdmittedCall> {
     const prepared = this.deps.config.current()
     if (prepared === undefined) {
--- a/packages/rosemaryspread/src/gateway/ingressMonitor.ts
+++ b/packages/rosemaryspread/src/gateway/ingressMonitor.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
+import { UnreadTime } from './unreadTime.js'
 
 /** Length of a measurement window, and so the minimum interval between two log lines. */
 const WINDOW_MS = 1_000
@@ -62,11 +63,13 @@
   private currentWindow: IngressWindow
   private previousWindow: IngressWindow
   private stableWindows = STABLE_WINDOWS
+  private readonly unreadTime: UnreadTime
 
   constructor (private readonly deps: IngressMonitorDeps) {
     this.lastTickAt = deps.clock.now().mono
     this.currentWindow = this.startWindow()
     this.previousWindow = this.currentWindow
+    this.unreadTime = new UnreadTime(() => ({ turns: deps.turns(), busyMs: deps.busyMs() }))
     deps.metrics.gauge('front_connections_open', () => this.open)
     deps.metrics.gauge('loop_turns', () => deps.turns())
     deps.metrics.gauge('loop_longest_ms', () => Math.max(this.currentWindow.longestMs, this.previousWindow.longestMs))
@@ -82,6 +85,11 @@
     return this.stableWindows < STABLE_WINDOWS
   }
 
+  /** Milliseconds for which a request that is read now may have lain unread, at most. */
+  readUnreadMs (): number {
+    return this.unreadTime.read()
+  }
+
   /** Counts an accepted connection; returns the function to call when it closes, with whether it carried a request. */
   taken (): (isUsed: boolean) => void {
     this.open += 1
@@ -111,6 +119,7 @@
     const { mono } = this.deps.clock.now()
     this.currentWindow.longestMs = Math.max(this.currentWindow.longestMs, mono - this.lastTickAt)
     this.lastTickAt = mono
+    this.unreadTime.tick()
     if (mono - this.currentWindow.startedAt < WINDOW_MS) return
     this.report(mono)
     this.previousWindow = this.currentWindow
