Let unreported use grow with the demand over 20 s, not over 3 s

What callers lose: if all VMs terminate while some are without the store, recovery bills 3.1 to 5.3 s of traffic that nobody used; 3 s are allowed.

Cause, in part: a report allows growth by the demand over 3 s or the fair share, whichever is more. Requests differ by a factor of 40 in size, so over 3 s the estimate is noise, and the larger of a noisy figure and a constant is on the average too large: reports together allow 1.3 times the demand.

Change: growth follows the demand over 20 s; a short history is extrapolated as before.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -100,7 +100,7 @@
     this.recordRequest(mono)
     this.desired.largest = Math.max(this.desired.largest, tokens)
     this.peerDemand.record(tokens, granted, mono)
-    this.desired.rate.add(tokens, mono)
+    this.desired.recordDemand(tokens, mono)
   }
 
   /** Clears the shortage and all pauses, so that the table is queried again immediately. */
@@ -169,7 +169,7 @@
       largestPeerRequest: this.peerDemand.largestRequest,
       maxUnreported: this.peerDemand.largestRequest > 0 ? this.desired.maxUnreported : Infinity,
       unmetPeerTokens: this.peerDemand.unmetTokens(now.mono),
-      demandPerMs: this.desired.rate.perMs(now.mono),
+      demandPerMs: this.desired.sustainedRate.perMs(now.mono),
       fairShare: this.desired.fairShare
     })
   }
--- a/packages/decisions/src/budget/budgetSettlement.ts
+++ b/packages/decisions/src/budget/budgetSettlement.ts
@@ -122,7 +122,7 @@
 
   private bill (entry: BudgetEntry, bill: Bill, now: Instant): void {
     entry.unsettled += bill.tokens
-    if (this.policy.demandSource === 'bills') entry.desired.rate.add(bill.tokens, now.mono)
+    if (this.policy.demandSource === 'bills') entry.desired.recordDemand(bill.tokens, now.mono)
     this.queue.addBill(bill, now.mono)
   }
 
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -119,7 +119,7 @@
       const reserved = entry.reserve(item.tokens, now)
       if (reserved === undefined) return true
       this.settlement.open(item.reservationId, entry.budget, reserved)
-      if (this.policy.demandSource === 'reservations') entry.desired.rate.add(item.tokens, now.mono)
+      if (this.policy.demandSource === 'reservations') entry.desired.recordDemand(item.tokens, now.mono)
       actions.push({ kind: 'admit', reservationId: item.reservationId })
       return false
     })
--- a/packages/decisions/src/budget/demandRate.spec.ts
+++ b/packages/decisions/src/budget/demandRate.spec.ts
@@ -5,6 +5,7 @@
 import { DemandRate } from './demandRate.js'
 
 const WINDOW_MS = 3_000
+const MIN_HISTORY_MS = 500
 
 /** 10 tokens per millisecond for `ms`, in steps of 10 ms. */
 function steady (ms: number, extrapolates: boolean): DemandRate {
@@ -24,6 +25,14 @@
     it(name, () => { expect(steady(ms, extrapolates).perMs(ms)).to.be.within(least, most) })
   }
 
+  it('extrapolates a history far shorter than a long window, but no first request', () => {
+    const rate = new DemandRate(10 * WINDOW_MS, true, MIN_HISTORY_MS)
+    rate.add(100, 0)
+    const first = rate.perMs(0)
+    for (let mono = 10; mono <= 2 * MIN_HISTORY_MS; mono += 10) rate.add(100, mono)
+    expect([first, rate.perMs(2 * MIN_HISTORY_MS)].map(value => Math.round(value * 10) / 10)).to.deep.equal([0.2, 10.1])
+  })
+
   it('is zero without demand', () => {
     expect(new DemandRate(WINDOW_MS, true).perMs(1_000)).to.equal(0)
   })
--- a/packages/decisions/src/budget/demandRate.ts
+++ b/packages/decisions/src/budget/demandRate.ts
@@ -3,8 +3,8 @@
  */
 import { DecayingSum } from '../clock/decayingSum.js'
 
-/** Minimum fraction of the window that counts as filled, so that the first requests are not extrapolated too far. */
-const MIN_FILLED_RATIO = 0.25
+/** Fraction of the window from which a history is extrapolated by default, so that the first requests are not extrapolated too far. */
+export const MIN_FILLED_RATIO = 0.25
 
 /** Tokens per millisecond, averaged over an exponentially decaying window. */
 export class DemandRate {
@@ -14,8 +14,9 @@
   /**
    * @param windowMs - time constant in milliseconds
    * @param extrapolates - whether a history shorter than the window is extrapolated
+   * @param minHistoryMs - milliseconds from which a history is extrapolated; a shorter one counts as this long
    */
-  constructor (private readonly windowMs: number, private readonly extrapolates = false) {
+  constructor (private readonly windowMs: number, private readonly extrapolates = false, private readonly minHistoryMs = windowMs * MIN_FILLED_RATIO) {
     this.sum = new DecayingSum(windowMs)
   }
 
@@ -39,6 +40,6 @@
   /** Fraction of the window that the history fills. */
   private filledRatio (mono: number): number {
     if (!this.extrapolates || this.since === undefined) return 1
-    return Math.max(MIN_FILLED_RATIO, 1 - Math.exp((this.since - mono) / this.windowMs))
+    return Math.max(this.minHistoryMs / this.windowMs, 1 - Math.exp((this.since - mono) / this.windowMs))
   }
 }
--- a/packages/decisions/src/budget/desiredAllotment.ts
+++ b/packages/decisions/src/budget/desiredAllotment.ts
@@ -4,7 +4,7 @@
 import { fairShareTokens, desiredTokens, type BudgetPolicy } from './budgetPolicy.js'
 import { MAX_TOKENS } from './budgetRows.js'
 import type { FleetSpending } from './budgetTypes.js'
-import { DemandRate } from './demandRate.js'
+import { DemandRate, MIN_FILLED_RATIO } from './demandRate.js'
 import { maxUnreportedTokens } from './reportBound.js'
 
 /**
@@ -14,11 +14,18 @@
 const BUSY_FROM_REQUESTS_PER_S = 6
 const BUSY_UNTIL_REQUESTS_PER_S = 2
 const MS_PER_SECOND = 1_000
+/**
+ * Window of the sustained demand rate, in milliseconds. Requests differ by a factor of 40 in size, so a shorter window shows which of them came
+ * last rather than what a partition of seconds will need.
+ */
+const SUSTAINED_WINDOW_MS = 20_000
 
 /** Desired allotment of one holder in one budget. Times in monotonic milliseconds. */
 export class DesiredAllotment {
   /** Demand at this holder in tokens. */
   readonly rate: DemandRate
+  /** The same over a long window. */
+  readonly sustainedRate: DemandRate
   /** Largest request seen. */
   largest = 0
   /** Spending of all holders as of the last draw. */
@@ -29,9 +36,17 @@
   /** @param isOwned - whether this holder owns the budget; otherwise, unless busy, it draws only what waiting requests need */
   constructor (private readonly policy: BudgetPolicy, private readonly isOwned: () => boolean) {
     this.rate = new DemandRate(policy.rateWindowMs, policy.demandSource === 'reservations')
+    const sustainedWindowMs = Math.max(policy.rateWindowMs, SUSTAINED_WINDOW_MS)
+    this.sustainedRate = new DemandRate(sustainedWindowMs, policy.demandSource === 'reservations', policy.rateWindowMs * MIN_FILLED_RATIO)
     this.requests = new DemandRate(policy.rateWindowMs, policy.demandSource === 'reservations')
   }
 
+  /** Counts demand at this holder. */
+  recordDemand (tokens: number, mono: number): void {
+    this.rate.add(tokens, mono)
+    this.sustainedRate.add(tokens, mono)
+  }
+
   /** Updates the spending of all holders from a draw. */
   updateFleet (fleet: FleetSpending): void {
     this.fleet = fleet
--- a/packages/decisions/src/budget/reportBound.ts
+++ b/packages/decisions/src/budget/reportBound.ts
@@ -53,7 +53,7 @@
   readonly maxUnreported: number
   /** Tokens of a recent grant request that could not be met, for which this report is sent. */
   readonly unmetPeerTokens: number
-  /** Demand that this holder meets, in tokens per millisecond. */
+  /** Sustained demand that this holder meets, in tokens per millisecond. */
   readonly demandPerMs: number
   /** Fair share of this holder, see budgetPolicy. */
   readonly fairShare: number
