--- a/packages/decisions/src/budget/desiredAllotment.ts
+++ b/packages/decisions/src/budget/desiredAllotment.ts
@@ -15,8 +15,8 @@
 const BUSY_UNTIL_REQUESTS_PER_S = 2
 const MS_PER_SECOND = 1_000
 /**
- * Window of the sustained demand rate, in milliseconds. Requests differ by a factor of 40 in size, so a shorter window shows which of them came
- * last rather than what a partition of seconds will need.
+ * Window of the sustained demand rate, in milliseconds. Requests differ much in size, so a short window shows which of them came last
+ * rather than what a partition of seconds will need.
  */
 const SUSTAINED_WINDOW_MS = 20_000
 
@@ -24,7 +24,7 @@
 export class DesiredAllotment {
   /** Demand at this holder in tokens. */
   readonly rate: DemandRate
-  /** The same over a long window. */
+  /** The same over a long window; reports allow unreported use to grow with it. */
   readonly sustainedRate: DemandRate
   /** Largest request seen. */
   largest = 0
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -84,7 +84,7 @@
       .catch(() => process.exit(1))
   }
 
-  /** A start may wait for the table, and a drain may pass it in that time. */
+  /** Joins the fleet, unless the VM was drained while its start waited for the table. */
   private async join (): Promise<void> {
     const work = this.container.get(ids.work)
     if (work.draining) return
--- a/packages/rosemaryspread/src/gateway/unreadTime.ts
+++ b/packages/rosemaryspread/src/gateway/unreadTime.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds the time for which a request lay unread. The sockets are read once in each turn of the event loop, so a request that is read
- * now arrived after the read before; if it had found the loop idle, it would have been read at once. The bound is therefore the busy
- * time since a moment that is certainly not later than that read.
+ * now arrived after the read before. An idle loop would have read it at once, so the bound is the busy time since that read, or since
+ * the last sample before it: Node reports neither when sockets are read nor when their data arrived.
  */
 
 /** Counters of the event loop. */
@@ -38,7 +38,7 @@
       this.readBefore = this.lastRead
       this.lastRead = now
     }
-    // A tick of the turn before ran after the read of that turn.
+    // A tick of the last turn ran after the read of that turn, so only the one before precedes it.
     const tick = this.lastTick.turns < now.turns - 1 ? this.lastTick : this.tickBefore
     return now.busyMs - Math.max(tick.busyMs, this.readBefore.busyMs)
   }
