--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -33,6 +33,8 @@
   loop_longest_ms: { kind: 'gauge', title: 'Longest time between two ticks in the last seconds, in milliseconds; a tick is due every 50 to 150' },
   memory_bytes: { kind: 'gauge', title: 'Memory in use by the process, in bytes' },
   domains_evacuated: { kind: 'gauge', title: 'Failure domains evacuated by operators' },
+  targets_ejected: { kind: 'gauge', title: 'Targets that get no requests of this VM for a time, as it could not connect to them or they failed' },
+  vms_advertised: { kind: 'gauge', title: 'VMs that this VM advertises to a caller of its own failure domain' },
   targets_paused: { kind: 'gauge', title: 'Targets whose requested pause has not ended' },
   first_token_ms: { kind: 'histogram', title: 'Time from the receipt of a request until its first event is relayed' },
   between_tokens_ms: { kind: 'histogram', title: 'Time between two pieces of a streamed response' },
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -167,6 +167,11 @@
     if (end === 'unreachable' && !state.health.isEjected(mono)) state.health.eject('unreachable', mono)
   }
 
+  /** Number of targets that are ejected. */
+  ejected (mono: number): number {
+    return [...this.states.values()].filter(({ health }) => health.isEjected(mono)).length
+  }
+
   /** Number of this VM's open requests at a target. */
   open (id: string): number {
     return this.states.get(id)?.open ?? 0
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -66,6 +66,8 @@
     const metrics = this.container.get(ids.metrics)
     metrics.gauge('domains_evacuated', () => targets.evacuated().length)
     metrics.gauge('targets_paused', () => targets.paused)
+    metrics.gauge('targets_ejected', () => this.container.get(ids.balancer).ejected(this.clock.now().mono))
+    metrics.gauge('vms_advertised', () => presence.addresses({ caller: this.settings.vm, domain: this.settings.domain, region: this.settings.region }).length)
     metrics.gauge('memory_bytes', () => process.memoryUsage.rss())
     presence.start()
     this.container.get(ids.quarantineSync).start()
