Send requests of a VM without a path to targets through another VM

What callers saw: a VM that loses its connections to all targets, while callers, the store and the other VMs still reach it, goes on being advertised and serves nothing: requests wait for their deadline (connections hang) or are refused at once (connections are refused). Cause: reachability was judged for each target, never for the VM itself, and there was one way to a target, the VM's own connection. Class: health of the other side, none of one's own. Ruled out: waiting alone (the second cut refuses within 11 ms), the directory alone (callers keep addresses for up to three times their cache time). Change: a VM that can connect to no target of a service (two probes, then the others, after a failed connection or 300 ms without anything from its targets) takes its path for lost. Its requests go to their targets through another VM, over the links that exist: one hop, budget, choice, retries and settlement stay where the caller is. It says so in its presence row, so that callers are sent to VMs that reach each service that any VM reaches, and probes until a connection is accepted. Where no VM reaches a service, requests are refused at once. What an interrupted connection leaves without an answer is broken off only where it may be sent again. A target counts as terminated only if others of its service accept connections, or another VM finds so.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -60,6 +60,8 @@
   quarantineLifted: { number: 4010, level: 'warn', title: 'An operator lifted the suspicion from a request; fields: digest, processes' },
   domainEvacuated: { number: 4011, level: 'warn', title: 'Operators evacuated a failure domain, or lifted its evacuation; fields: domain, isEvacuated, targets (number listed there now)' },
   targetReported: { number: 4012, level: 'info', title: 'A target reported in a response that it is leaving, or that this VM should pause; fields: request, runner, startedAt, isLeaving, pauseMs, flaw (a pause that could not be parsed)' },
+  targetPath: { number: 4013, level: 'warn', title: 'This VM can connect to no target of a service any more, or to one again; fields: service, isLost, probed (number of targets)' },
+  callRelayed: { number: 4014, level: 'info', title: 'Another VM sent a request to its target for this one, whose own path is lost; fields: request, runner, peer, code and ran (of a failure)' },
 
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -53,7 +53,7 @@
 
 /** The chosen target, and the reason for the log. */
 export interface TargetChoice {
-  readonly target: Pick<TargetView, 'id' | 'address' | 'domain' | 'startedAt'>
+  readonly target: Pick<TargetView, 'id' | 'service' | 'address' | 'domain' | 'startedAt'>
   /** Number of candidates, or their names. */
   readonly candidates: number | readonly string[]
   readonly reason: string
@@ -82,7 +82,7 @@
 
 interface TargetState {
   readonly nameHash: number
-  readonly health: TargetHealth
+  health: TargetHealth
   readonly load: TargetLoad
   /** Absent for a target that reported no warm-up. */
   warmUpShare?: WarmUpShare
@@ -167,6 +167,11 @@
     if (end === 'unreachable' && !state.health.isEjected(mono)) state.health.eject('unreachable', mono)
   }
 
+  /** Drops what this VM concluded from failed requests at targets, which were not the cause. */
+  forgetFailures (ids: readonly string[]): void {
+    for (const id of ids) this.stateOf(id).health = new TargetHealth()
+  }
+
   /** Number of targets that are ejected. */
   ejected (mono: number): number {
     return [...this.states.values()].filter(({ health }) => health.isEjected(mono)).length
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -138,6 +138,11 @@
     return this.byService.get(service) ?? []
   }
 
+  /** Services that have targets which accept new requests. */
+  get services (): readonly string[] {
+    return [...this.byService.keys()]
+  }
+
   /** Targets of a service that accept new requests now, and the pauses of those that requested one. */
   available (service: string, mono: number): AvailableTargets {
     const pausesMs: number[] = []
--- a/packages/decisions/src/membership/advertisedVms.ts
+++ b/packages/decisions/src/membership/advertisedVms.ts
@@ -19,6 +19,8 @@
   readonly region?: string | undefined
   /** Whether it is overloaded. */
   readonly isPressed?: boolean | undefined
+  /** Services whose targets it cannot reach. */
+  readonly unreachable?: readonly string[] | undefined
 }
 
 /** Location of a caller that requests addresses. */
@@ -35,8 +37,9 @@
  * @param serving - VMs that serve requests
  */
 export function selectAdvertisedVms<T extends AdvertisedVm> (location: CallerLocation, serving: readonly T[]): readonly T[] {
-  const withCapacity = serving.filter(vm => vm.isPressed !== true)
-  const usable = withCapacity.length > 0 ? withCapacity : serving
+  const reaching = withPaths(serving)
+  const withCapacity = reaching.filter(vm => vm.isPressed !== true)
+  const usable = withCapacity.length > 0 ? withCapacity : reaching
   const inDomain = usable.filter(vm => vm.domain === location.domain)
   const candidates = isSufficient(inDomain, location, serving) ? inDomain : usable
   const key = hashName(location.caller)
@@ -47,6 +50,15 @@
     .map(({ vm }) => vm)
 }
 
+/** VMs that reach each service that any VM reaches; all if there are none. */
+function withPaths<T extends AdvertisedVm> (serving: readonly T[]): readonly T[] {
+  const isLost = (vm: T, service: string): boolean => vm.unreachable?.includes(service) === true
+  const services = new Set(serving.flatMap(({ unreachable = [] }) => unreachable))
+  const reached = [...services].filter(service => serving.some(vm => !isLost(vm, service)))
+  const reaching = serving.filter(vm => !reached.some(service => isLost(vm, service)))
+  return reaching.length > 0 ? reaching : serving
+}
+
 function isSufficient (withCapacity: readonly AdvertisedVm[], location: CallerLocation, serving: readonly AdvertisedVm[]): boolean {
   const inDomain = serving.filter(vm => vm.domain === location.domain).length
   return withCapacity.length >= MIN_DOMAIN_VMS && withCapacity.length >= inDomain * MIN_DOMAIN_SHARE
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -16,9 +16,14 @@
 import { FleetLinks } from '../presence/fleetLinks.js'
 import { TableDigest } from '../digest/tableDigest.js'
 import { VmPresence } from '../presence/vmPresence.js'
+import { DirectClient } from '../paths/directClient.js'
+import { TargetPaths } from '../paths/targetPaths.js'
 import { CallQuarantine } from '../quarantine/callQuarantine.js'
 import { QuarantineSync } from '../quarantine/quarantineSync.js'
 import { TargetEndDetector } from '../quarantine/targetEndDetector.js'
+import { RelayClient } from '../relay/relayClient.js'
+import { RelayingClient } from '../relay/relayingClient.js'
+import { RelayServer } from '../relay/relayServer.js'
 import { createBudgetDriver } from './budgetDriverFactory.js'
 import type { ConnectionLiveness } from './connectionLiveness.js'
 import { CallDispatch } from './callDispatch.js'
@@ -49,8 +54,9 @@
   bindBase(container, settings, ports, holder)
   bindFleet(container, settings, ports, holder)
   bindBudgets(container, settings, ports, holder)
+  bindTargetClients(container, ports)
   bindQuarantine(container, settings, ports)
-  bindPipeline(container, settings, ports)
+  bindPipeline(container, settings)
 }
 
 function bindBase (container: Container, { vm, domain, logLevel }: GatewaySettings, { clock }: GatewayPorts, holder: string): void {
@@ -97,7 +103,33 @@
   }), [ids.presence, ids.config, ids.clock, ids.log, ids.metrics, ids.links]).inSingletonScope()
 }
 
-function bindQuarantine (container: Container, { vm }: GatewaySettings, { table, feed, client }: GatewayPorts): void {
+function bindTargetClients (container: Container, { client }: GatewayPorts): void {
+  container.bind(ids.paths).toResolvedValue((clock, log, random, targets, balancer) => new TargetPaths({
+    clock,
+    log,
+    random,
+    probe: client,
+    targets: service => targets.serving(service),
+    services: () => targets.services,
+    onChanged: service => { balancer.forgetFailures(targets.serving(service).map(({ id }) => id)) }
+  }), [ids.clock, ids.log, ids.random, ids.targets, ids.balancer]).inSingletonScope()
+  container.bind(ids.directClient).toResolvedValue((clock, log, paths) =>
+    new DirectClient({ client, paths, clock, log }), [ids.clock, ids.log, ids.paths]).inSingletonScope()
+  container.bind(ids.relayServer).toResolvedValue((direct, probe, work, metrics) =>
+    new RelayServer({ client: direct, probe, work, metrics }), [ids.directClient, ids.paths, ids.work, ids.metrics]).inSingletonScope()
+  container.bind(ids.relayClient).toResolvedValue((log, metrics, random, presence, links) => new RelayClient({
+    log,
+    metrics,
+    random,
+    peers: service => presence.servingPeers().filter(({ unreachable }) => !unreachable.includes(service)),
+    call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
+    notify: (address, method, params) => { links.notify(address, method, params) }
+  }), [ids.log, ids.metrics, ids.random, ids.presence, ids.links]).inSingletonScope()
+  container.bind(ids.targetClient).toResolvedValue((direct, paths, relay) =>
+    new RelayingClient({ direct, probe: paths, relay, paths }), [ids.directClient, ids.paths, ids.relayClient]).inSingletonScope()
+}
+
+function bindQuarantine (container: Container, { vm }: GatewaySettings, { table, feed }: GatewayPorts): void {
   container.bind(ids.quarantineSync).toResolvedValue((clock, log, random, presence, links): QuarantineSync => new QuarantineSync({
     vm,
     table,
@@ -109,11 +141,11 @@
     notify: (address, method, params) => { links.notify(address, method, params) },
     onUpdate: update => { container.get(ids.quarantine).receive(update) }
   }), [ids.clock, ids.log, ids.random, ids.presence, ids.links]).inSingletonScope()
-  container.bind(ids.quarantine).toResolvedValue((clock, log, metrics, share) =>
-    new CallQuarantine({ clock, log, metrics, share, endDetector: new TargetEndDetector({ clock, probe: client }) }), [ids.clock, ids.log, ids.metrics, ids.quarantineSync]).inSingletonScope()
+  container.bind(ids.quarantine).toResolvedValue((clock, log, metrics, share, probe) =>
+    new CallQuarantine({ clock, log, metrics, share, endDetector: new TargetEndDetector({ clock, probe }) }), [ids.clock, ids.log, ids.metrics, ids.quarantineSync, ids.targetClient]).inSingletonScope()
 }
 
-function bindPipeline (container: Container, { vm, retries }: GatewaySettings, { client }: GatewayPorts): void {
+function bindPipeline (container: Container, { vm, retries }: GatewaySettings): void {
   container.bind(ids.pipeline).toDynamicValue(context => {
     const log = context.get(ids.log)
     const metrics = context.get(ids.metrics)
@@ -122,6 +154,8 @@
     const random = context.get(ids.random)
     const report = new CallReport(log, metrics)
     const links = context.get(ids.links)
+    const paths = context.get(ids.paths)
+    const relay = context.get(ids.relayClient)
     const notifications = new WorkNotifications({
       clock,
       peers: () => presence.peers(),
@@ -136,11 +170,12 @@
         clock,
         random,
         vm,
+        isUnreachable: service => paths.isLost(service) && !relay.canRelay(service),
         vms: () => presence.names,
         notifyPeers: notification => { notifications.notifyPeers(notification) }
       }),
       retries: new GatewayRetries(retries, () => presence.size),
-      client,
+      client: context.get(ids.targetClient),
       metrics,
       report,
       guard: context.get(ids.quarantine)
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -135,6 +135,7 @@
     const { call, team, priority } = open.admitted
     const { requestId, method, path, headers, body } = call
     return {
+      service: open.admitted.service,
       target,
       requestId,
       method,
@@ -144,7 +145,8 @@
       timeoutMs: Math.max(1, Math.floor(open.leftMs)),
       team,
       priority,
-      resumeAfter: open.sink.isStarted ? open.relay.lastId : undefined
+      resumeAfter: open.sink.isStarted ? open.relay.lastId : undefined,
+      isRepeatable: open.admitted.route.repeat !== 'never'
     }
   }
 
@@ -156,6 +158,7 @@
   private mayRetry (open: OpenCall, outcome: AttemptOutcome): boolean {
     if (outcome.kind === 'answered' || open.stopped !== undefined) return false
     const { route, service } = open.admitted
+    if (outcome.kind === 'notRun' && outcome.failure.code === 'targetsUnreachable') return false
     if (open.wasAbsent(outcome)) return open.absentTargets <= Math.max(MAX_ABSENT_TARGETS, route.attempts) && this.mayRetryAbsent(outcome, service)
     if (open.attempts >= route.attempts) return false
     if (outcome.kind !== 'notRun' && !this.isRepeatable(open)) return false
@@ -206,7 +209,7 @@
 /** What the outcome of an attempt says about the target. */
 function verdictOf (outcome: AttemptOutcome, open: OpenCall): TargetVerdict {
   if (outcome.kind === 'answered' || outcome.kind === 'failedAnswer') return 'good'
-  if (open.stopped !== undefined) return 'none'
+  if (open.stopped !== undefined || outcome.failure.code === 'targetsUnreachable') return 'none'
   if (outcome.kind === 'notRun') return open.wasAbsent(outcome) ? 'unreachable' : 'none'
   return 'failed'
 }
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -82,6 +82,7 @@
 }
 
 export interface TargetRequest {
+  readonly service: string
   readonly target: Pick<TargetView, 'id' | 'address'>
   readonly requestId: string
   readonly method: string
@@ -95,6 +96,8 @@
   readonly priority: number
   /** Id of the last event that the caller received, when a stream is resumed. */
   readonly resumeAfter: string | undefined
+  /** Whether the request may be broken off without an answer and sent again. */
+  readonly isRepeatable: boolean
 }
 
 export interface TargetAnswer {
@@ -126,6 +129,20 @@
    * @param address - IPv4:port
    */
   isRefused (address: string, timeoutMs: number): Promise<boolean>
+  /**
+   * Whether a connection is accepted within the timeout.
+   * @param address - IPv4:port
+   */
+  canConnect (address: string, timeoutMs: number): Promise<boolean>
+}
+
+/** Tells the termination of a target from a lost path to it. */
+export interface TargetEndProbe {
+  /**
+   * Whether a target has terminated: its address refuses connections, and other targets of its service do not.
+   * @param address - IPv4:port
+   */
+  isTerminated (address: string, service: string, timeoutMs: number): Promise<boolean>
 }
 
 /** What the outcome of a request says about its target. */
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -6,6 +6,7 @@
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { AvailableTargets } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { RandomSource } from '../completion/completionPorts.js'
+import { pathLostFailure } from '../paths/pathLostFailure.js'
 import type { AdmittedCall, TargetChooser, TargetVerdict } from './callTypes.js'
 import type { TargetDirectory } from './gatewayTypes.js'
 
@@ -19,6 +20,8 @@
   readonly random: RandomSource
   /** Name of this VM. */
   readonly vm: string
+  /** Whether neither this VM nor another one for it can reach a service. */
+  isUnreachable (service: string): boolean
   /** Names of the VMs that share the load of targets that warm up; empty until they are known. */
   vms (): readonly string[]
   /** Notifies other VMs of a large request. */
@@ -35,6 +38,7 @@
     const available = this.parts.targets.available(service)
     const refusal = this.refusalFor(service, available)
     if (refusal !== undefined) return Left(refusal)
+    if (this.parts.isUnreachable(service)) return Left(pathLostFailure('no'))
     const demand: TargetDemand = {
       sharedParts,
       sharedTokens,
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -8,8 +8,13 @@
 import type { TableDigest } from '../digest/tableDigest.js'
 import type { FleetLinks } from '../presence/fleetLinks.js'
 import type { VmPresence } from '../presence/vmPresence.js'
+import type { DirectClient } from '../paths/directClient.js'
+import type { TargetPaths } from '../paths/targetPaths.js'
 import type { CallQuarantine } from '../quarantine/callQuarantine.js'
 import type { QuarantineSync } from '../quarantine/quarantineSync.js'
+import type { RelayClient } from '../relay/relayClient.js'
+import type { RelayingClient } from '../relay/relayingClient.js'
+import type { RelayServer } from '../relay/relayServer.js'
 import type { IngressMonitor } from './ingressMonitor.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
@@ -35,6 +40,11 @@
   targets: id<GatewayTargets>('GatewayTargets'),
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineSync: id<QuarantineSync>('QuarantineSync'),
+  paths: id<TargetPaths>('TargetPaths'),
+  directClient: id<DirectClient>('DirectClient'),
+  relayClient: id<RelayClient>('RelayClient'),
+  relayServer: id<RelayServer>('RelayServer'),
+  targetClient: id<RelayingClient>('RelayingClient'),
   ingressMonitor: id<IngressMonitor>('IngressMonitor'),
   pipeline: id<GatewayPipeline>('GatewayPipeline')
 }
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -34,6 +34,16 @@
     return this.set.available(service, this.mono)
   }
 
+  /** Targets of a service that are neither leaving nor evacuated. */
+  serving (service: string): readonly TargetView[] {
+    return this.set.serving(service)
+  }
+
+  /** Services that have such targets. */
+  get services (): readonly string[] {
+    return this.set.services
+  }
+
   /** Number of targets that have paused this VM. */
   get paused (): number {
     return this.set.all().filter(({ id }) => this.set.isPaused(id, this.mono)).length
--- a/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
+++ b/packages/rosemaryspread/src/presence/callerAddresses.spec.ts
@@ -45,6 +45,7 @@
   presence.start()
   handler?.replaced(others.map((value): FeedRow => ({ key: value.vm, value, version: 1 })))
   presence.setOverloaded(self.isPressed === true)
+  presence.setUnreachable(self.unreachable ?? [])
   await presence.publishState(self.state)
   return presence
 }
@@ -132,6 +133,33 @@
       domain: 'calderon',
       check: addresses => { expect(addresses).to.have.length(20) }
     },
+    {
+      name: 'no VM that lacks a path to a service which others reach',
+      rows: fleetRows(60).map((row, index) => index % 3 === 1 ? { ...row, unreachable: ['s'] } : row),
+      domain: 'nowhere',
+      check: addresses => { expect(addresses).to.have.length(40) }
+    },
+    {
+      name: 'other domains when no VM of the domain of the caller has a path to the targets',
+      rows: fleetRows(100).map(row => row.domain === 'cumbaya' ? { ...row, unreachable: ['s', 'other'] } : row),
+      domain: 'cumbaya',
+      check: addresses => {
+        expect(addresses).to.have.length(MAX_ADDRESSES)
+        expect(addresses.map(domainOf)).to.not.include('cumbaya')
+      }
+    },
+    {
+      name: 'VMs without a path to a service if no VM has one',
+      rows: fleetRows(20).map(row => ({ ...row, unreachable: ['s'] })),
+      domain: 'nowhere',
+      check: addresses => { expect(addresses).to.have.length(20) }
+    },
+    {
+      name: 'all VMs if each lacks a path to some service',
+      rows: fleetRows(20).map((row, index) => ({ ...row, unreachable: [index % 2 === 0 ? 's' : 'other'] })),
+      domain: 'nowhere',
+      check: addresses => { expect(addresses).to.have.length(20) }
+    },
     {
       name: 'no leaving or starting VM',
       rows: fleetRows(60).map((row, index) => ({ ...row, state: index % 3 === 0 ? 'serving' : index % 3 === 1 ? 'leaving' : 'starting' })),
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -20,6 +20,8 @@
   state: z.enum(['starting', 'serving', 'leaving']),
   /** Set while the VM is overloaded; absent otherwise. */
   isPressed: z.boolean().optional(),
+  /** Services none of whose targets the VM can connect to; absent if there are none. */
+  unreachable: z.array(z.string()).optional(),
   /** Set when a digest reports that the VM missed heartbeats; never written by the VM itself. */
   isLate: z.boolean().optional(),
   /** Heartbeat counter, so that every write is a change. */
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -35,6 +35,11 @@
   readonly address: string
 }
 
+/** Another VM that serves, and the services that it cannot reach. */
+export interface ServingPeer extends PeerVm {
+  readonly unreachable: readonly string[]
+}
+
 export interface PresenceParts {
   readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
   readonly table: TableStore
@@ -58,6 +63,7 @@
   /** Last reported holder of each other VM. */
   private readonly reportedHolders = new Map<string, string>()
   private isPressed = false
+  private unreachable: readonly string[] = []
   private hasLeft = false
   private beat = 0
   private nextHeartbeatAt = 0
@@ -125,6 +131,11 @@
     return this.view.presentPeers(this.mono).flatMap(({ holder, peers, state }) => peers === undefined || state === 'leaving' ? [] : [{ holder, address: peers }])
   }
 
+  /** The other VMs that serve callers and can be called over links. */
+  servingPeers (): readonly ServingPeer[] {
+    return this.view.onTimePeers(this.mono).flatMap(({ holder, peers, state, unreachable = [] }) => peers === undefined || state !== 'serving' ? [] : [{ holder, address: peers, unreachable }])
+  }
+
   /** Whether VMs that started together with this one had time to publish their rows. */
   get isSettled (): boolean {
     return this.firstReadAt !== undefined && this.mono - this.firstReadAt >= SETTLE_MS
@@ -155,8 +166,20 @@
     this.isPressed = isOverloaded
   }
 
+  /** Sets the services that this VM cannot reach; a change is published with the next tick. */
+  setUnreachable (services: readonly string[]): void {
+    if (services.join() !== this.unreachable.join()) this.nextHeartbeatAt = Math.min(this.nextHeartbeatAt, this.mono)
+    this.unreachable = services
+  }
+
   private get localRow (): PresenceRow {
-    return { ...this.parts.self, state: this.state, beat: this.beat, ...(this.isPressed ? { isPressed: true } : {}) }
+    return {
+      ...this.parts.self,
+      state: this.state,
+      beat: this.beat,
+      ...(this.isPressed ? { isPressed: true } : {}),
+      ...(this.unreachable.length === 0 ? {} : { unreachable: [...this.unreachable] })
+    }
   }
 
   private get mono (): number {
--- a/packages/rosemaryspread/src/quarantine/targetEndDetector.ts
+++ b/packages/rosemaryspread/src/quarantine/targetEndDetector.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { processKey } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
-import type { TargetProbe } from '../gateway/callTypes.js'
+import type { TargetEndProbe } from '../gateway/callTypes.js'
 
 /** Timeout of the probe connection; on a working network it is accepted or refused within three milliseconds. */
 const PROBE_TIMEOUT_MS = 150
@@ -15,7 +15,7 @@
 
 export interface TargetEndDetectorParts {
   readonly clock: Clock
-  readonly probe: TargetProbe
+  readonly probe: TargetEndProbe
 }
 
 export interface BrokenProcess {
@@ -31,13 +31,13 @@
   constructor (private readonly parts: TargetEndDetectorParts) {}
 
   /** Checks a target on which a call broke without an answer. */
-  check (target: Pick<TargetView, 'id' | 'address' | 'startedAt'>): BrokenProcess {
+  check (target: Pick<TargetView, 'id' | 'service' | 'address' | 'startedAt'>): BrokenProcess {
     const now = this.parts.clock.now().mono
     this.evictExpired(now)
     const name = processKey({ target: target.id, startedAt: target.startedAt })
     const cached = this.results.get(name)
     if (cached !== undefined) return cached
-    const fresh = { isEnded: this.parts.probe.isRefused(target.address, PROBE_TIMEOUT_MS), since: now }
+    const fresh = { isEnded: this.parts.probe.isTerminated(target.address, target.service, PROBE_TIMEOUT_MS), since: now }
     this.results.set(name, fresh)
     return fresh
   }
--- /dev/null
+++ b/packages/rosemaryspread/src/relay/relayServer.ts
@@ -0,0 +1,82 @@
+/**
+ * Sends requests to targets for VMs that have lost their own path, always over connections of this VM: a request is relayed once at most.
+ */
+import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
+import type { PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
+import type { DrainState } from '../completion/completionPorts.js'
+import type { TargetClient, TargetEndProbe } from '../gateway/callTypes.js'
+import type { Metrics } from '../metrics/metricsTypes.js'
+import { RelayedExchange } from './relayedExchange.js'
+import { encodeFailure, exchangeSchema, probedTargetSchema, relayedRequestSchema, relayMethods, type RelayedBytes } from './relayTypes.js'
+
+export interface RelayServerParts {
+  /** Sends over connections of this VM only. */
+  readonly client: TargetClient
+  /** Checks over connections of this VM only. */
+  readonly probe: TargetEndProbe
+  readonly work: DrainState
+  readonly metrics: Metrics
+}
+
+export class RelayServer {
+  /** Open requests, by the VM that asked and its id. */
+  private readonly exchanges = new Map<string, RelayedExchange>()
+
+  constructor (private readonly parts: RelayServerParts) {}
+
+  /** Link methods by their name. */
+  methods (): ReadonlyMap<string, PeerMethodHandler> {
+    return new Map<string, PeerMethodHandler>([
+      [relayMethods.send, async (params, from) => await this.send(params, from)],
+      [relayMethods.read, async (params, from) => await this.read(params, from)],
+      [relayMethods.cancel, async (params, from) => { this.exchanges.get(keyOf(params, from))?.cancel() }],
+      [relayMethods.probe, async params => {
+        const { address, service, timeoutMs } = probedTargetSchema.parse(params)
+        return await this.parts.probe.isTerminated(address, service, timeoutMs)
+      }]
+    ])
+  }
+
+  private async send (params: unknown, from: string): Promise<unknown> {
+    const { exchange: _, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
+    const { client, work, metrics } = this.parts
+    if (work.draining) throw new Failure('draining', 'this VM is draining')
+    metrics.count('calls_relayed_for_others')
+    const exchange = this.open(keyOf(params, from))
+    let report: TargetReport | undefined
+    const sent = await client.send({ ...req, team, resumeAfter }, exchange.signal, received => { report = received })
+    const failure = failureOf(sent)
+    if (failure !== undefined) {
+      exchange.cancel()
+      return { ...(report === undefined ? {} : { report }), failure: encodeFailure(failure) }
+    }
+    const answer = sent.unsafeCoerce()
+    exchange.receive(answer)
+    return { ...(report === undefined ? {} : { report }), head: answer.head, first: encodeBytes(await exchange.readFirst()) }
+  }
+
+  private async read (params: unknown, from: string): Promise<unknown> {
+    const exchange = this.exchanges.get(keyOf(params, from))
+    if (exchange === undefined) throw new Failure('answerCut', 'the request is not open at this VM any more', { ran: 'unknown' })
+    return encodeBytes(await exchange.read())
+  }
+
+  private open (key: string): RelayedExchange {
+    const close = this.parts.work.open()
+    const exchange = new RelayedExchange(() => {
+      this.exchanges.delete(key)
+      close()
+    })
+    this.exchanges.set(key, exchange)
+    return exchange
+  }
+}
+
+function keyOf (params: unknown, from: string): string {
+  return `${from}/${exchangeSchema.parse(params).exchange}`
+}
+
+function encodeBytes ({ failure, ...piece }: RelayedBytes): unknown {
+  return { ...piece, ...(failure === undefined ? {} : { failure: encodeFailure(failure) }) }
+}
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -25,9 +25,9 @@
     private readonly clock: Clock
   ) {}
 
-  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice> {
+  choose ({ service }: AdmittedCall, exclude: ReadonlySet<string>): Either<Failure, TargetChoice> {
     return chooseServiceRunner(this.service, this.domain, this.load, [...exclude], this.clock.now().mono)
-      .map(({ runner, address, domain, candidates }) => ({ target: { id: runner, address, domain }, candidates, reason: REASON, work: 0 }))
+      .map(({ runner, address, domain, candidates }) => ({ target: { id: runner, service, address, domain }, candidates, reason: REASON, work: 0 }))
   }
 
   refusal (): undefined {}
--- a/packages/rosemaryspread/src/service/serviceRoute.spec.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.spec.ts
@@ -65,7 +65,7 @@
     const chooser = new ServiceChooser(service, 'd1', load, { now: () => ({ mono: 0, wall: 0 }) })
     const targets = new ApplicationTargets({ call: async () => Right({ status: 503, contentType: '', body: Buffer.alloc(0), pauseMs: 2_000 }) })
     const choice = chooser.choose({} as AdmittedCall, new Set()).unsafeCoerce()
-    const req = { target: choice.target, requestId: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), timeoutMs: 100, team: undefined, priority: 0, resumeAfter: undefined }
+    const req = { service: choice.target.service, target: choice.target, requestId: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), timeoutMs: 100, team: undefined, priority: 0, resumeAfter: undefined, isRepeatable: false }
     await targets.send(req, new AbortController().signal, report => { chooser.recordReport(choice, report) })
     expect([choice.target.id, chooser.choose({} as AdmittedCall, new Set()).unsafeCoerce().target.id]).to.deep.equal(['a', 'b'])
   })
