Share the places of brittle targets among the VMs

What callers would have seen: targets that say in all answers that they terminate if they have to refuse more than N requests within a second, and VMs that send on: 14 to 30 terminations in 10 s where 2 are allowed, and their requests lost with them. Cause: what an answer says of its target's limit was not decoded, and nothing bounds what all VMs together have open at one target. Change: the header is decoded once in platform/; while a service's targets report it, its places (slots of the register) are divided among the VMs by rendezvous hashing, so that together they fill each target without a refusal and without talk. A VM with more requests takes further places one by one, all VMs together one each 250 ms a target; a refusal takes them back, at all VMs that have links. What finds no place waits at the gateway for half of its objective at most, the most urgent first, and is refused at once where the queue is as long as the places. A fleet of more than 21 VMs has no links to all, so only the first 20 are told of a refusal.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -60,6 +60,7 @@
   quarantineLifted: { number: 4010, level: 'warn', title: 'An operator lifted the suspicion from a request; fields: digest, processes' },
   domainEvacuated: { number: 4011, level: 'warn', title: 'Operators evacuated a failure domain, or lifted its evacuation; fields: domain, isEvacuated, targets (number listed there now)' },
   targetReported: { number: 4012, level: 'info', title: 'A target reported in a response that it is leaving, or that this VM should pause; fields: request, runner, startedAt, isLeaving, pauseMs, flaw (a pause that could not be parsed)' },
+  placesLimited: { number: 4015, level: 'warn', title: 'Targets of a service reported that they terminate if they have to refuse too much, so VMs share their places; fields: service, refusalLimit (per second), runner (the first that reported it)' },
   targetPath: { number: 4013, level: 'warn', title: 'This VM can connect to no target of a service any more, or to one again; fields: service, isLost, probed (number of targets)' },
   callRelayed: { number: 4014, level: 'info', title: 'Another VM sent a request to its target for this one, whose own path is lost; fields: request, runner, peer, code and ran (of a failure)' },
 
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -9,6 +9,7 @@
 import { Failure } from '../codes/failure.js'
 import { hashName, pairWeight } from '../routing/rendezvous.js'
 import { TargetHealth } from '../routing/targetHealth.js'
+import { PlaceLimits, type PlaceSharing } from './placeLimits.js'
 import { TargetLoad } from './targetLoad.js'
 import type { TargetView } from './targetSet.js'
 import { WarmUpShare, type WarmUpRate } from './warmUpShare.js'
@@ -25,6 +26,8 @@
 const PREFILL_AGAIN_FACTOR = 4
 /** Peers are notified of requests from this size on, which delay others by some ten milliseconds. */
 const MIN_NOTIFIED_TOKENS = 2_000
+/** Retry delay when this VM has no place left at any target. */
+const FULL_RETRY_MS = 250
 /** Retry delay when no target is listed, or every one was tried. */
 const NO_TARGET_RETRY_MS = 300
 
@@ -41,6 +44,8 @@
   readonly suspicion?: Suspicion
   /** Rate limit of targets that warm up; absent if unbounded. */
   readonly warmUp?: WarmUpRate
+  /** The VMs that share the places of targets that limit refusals; absent if places are not limited. */
+  readonly sharing?: PlaceSharing
 }
 
 /** Marks a request that may have terminated targets; all VMs send it to the same target. */
@@ -92,6 +97,7 @@
 /** Balances the requests of one VM. Times are monotonic milliseconds. */
 export class TargetBalancer {
   private readonly states = new Map<string, TargetState>()
+  private readonly places = new PlaceLimits()
 
   /**
    * Chooses a target.
@@ -105,7 +111,9 @@
     }
     const accepting = untried.filter(({ id }) => this.warmUpWaitMs(id, demand, mono) === 0)
     if (accepting.length === 0) return Left(this.warmUpFailure(untried, demand, mono))
-    const candidates = this.withoutEjected(accepting, mono)
+    const withRoom = this.withRoom(accepting, demand, mono)
+    if (withRoom.length === 0) return Left(new Failure('targetsFull', 'this VM has no place left at the targets of the service', { retryAfterMs: FULL_RETRY_MS }))
+    const candidates = this.withoutEjected(withRoom, mono)
     if (demand.suspicion !== undefined) return Right(this.suspected(candidates, demand.suspicion, demand))
     if (demand.sharedParts.length > 0) return Right(this.chooseByAffinity(candidates, demand, mono))
     const target = this.chooseFewestOpen(candidates, random)
@@ -167,6 +175,34 @@
     if (end === 'unreachable' && !state.health.isEjected(mono)) state.health.eject('unreachable', mono)
   }
 
+  /**
+   * Records that targets of a service terminate if they have to refuse too much.
+   * @param refusalLimit - refusals within a second that a target bears
+   * @returns whether the places of the service were not limited before
+   */
+  limitPlaces (service: string, refusalLimit: number, mono: number): boolean {
+    return this.places.report(service, refusalLimit, mono)
+  }
+
+  /**
+   * Handles a refusal for want of room, before {@link ended}.
+   * @returns whether other VMs should know of it
+   */
+  refused (id: string, service: string, mono: number): boolean {
+    this.places.refused(id, service, Math.max(0, this.open(id) - 1), mono)
+    return this.places.isLimited(service, mono)
+  }
+
+  /** Handles a refusal of another VM's request for want of room. */
+  refusedElsewhere (id: string, service: string, mono: number): void {
+    this.places.refusedElsewhere(id, service, mono)
+  }
+
+  /** Requests that this VM may have open at some targets in all. */
+  placesAt (targets: readonly TargetView[]): number {
+    return targets.reduce((sum, target) => sum + this.places.limit(target), 0)
+  }
+
   /** Drops what this VM concluded from failed requests at targets, which were not the cause. */
   forgetFailures (ids: readonly string[]): void {
     for (const id of ids) this.stateOf(id).health = new TargetHealth()
@@ -184,6 +220,7 @@
 
   /** Drops the state of targets that are no longer listed and have no open requests. */
   forgetUnlisted (isListed: (id: string) => boolean): void {
+    this.places.forgetUnlisted(isListed)
     for (const [id, { open }] of this.states) if (open === 0 && !isListed(id)) this.states.delete(id)
   }
 
@@ -205,6 +242,10 @@
     return new Failure('targetsWarmUp', 'the remaining targets are warming up and accept no further request of this VM now', { retryAfterMs: Math.ceil(waitMs) })
   }
 
+  private withRoom (targets: readonly TargetView[], { sharing }: TargetDemand, mono: number): readonly TargetView[] {
+    return sharing === undefined ? targets : targets.filter(target => this.places.hasRoom(target, this.open(target.id), sharing, mono))
+  }
+
   /** Leaves out ejected targets unless all are ejected: a degraded service is better than refusing everything. */
   private withoutEjected (targets: readonly TargetView[], mono: number): readonly TargetView[] {
     const healthy = targets.filter(({ id }) => {
--- a/packages/decisions/src/gateway/targetReports.ts
+++ b/packages/decisions/src/gateway/targetReports.ts
@@ -22,8 +22,10 @@
   readonly isLeaving: boolean
   /** Milliseconds for which this VM should send no further request; absent if no pause was requested. */
   readonly pauseMs?: number
-  /** The pause as sent, if it could not be parsed. */
+  /** The value as sent, if it could not be parsed. */
   readonly flaw?: string
+  /** Refusals for want of room within a second beyond which the target terminates; absent if it does not limit them. */
+  readonly refusalLimit?: number
 }
 
 /** One process of a target; a restart may reuse the id. */
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -13,7 +13,7 @@
 import { SystemRandom } from '../completion/completionSystem.js'
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
-import { FleetLinks } from '../presence/fleetLinks.js'
+import { FleetLinks, MAX_NOTIFIED_PEERS } from '../presence/fleetLinks.js'
 import { TableDigest } from '../digest/tableDigest.js'
 import { VmPresence } from '../presence/vmPresence.js'
 import { DirectClient } from '../paths/directClient.js'
@@ -35,6 +35,7 @@
 import { GatewayRetries } from './gatewayRetries.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { GatewayTargets } from './gatewayTargets.js'
+import { REFUSED_METHOD } from './refusedNotifications.js'
 import { WorkNotifications } from './workNotifications.js'
 import type { TargetClient, TargetProbe } from './callTypes.js'
 
@@ -146,13 +147,10 @@
 }
 
 function bindPipeline (container: Container, { vm, retries }: GatewaySettings): void {
-  container.bind(ids.pipeline).toDynamicValue(context => {
+  container.bind(ids.chooser).toDynamicValue(context => {
     const log = context.get(ids.log)
-    const metrics = context.get(ids.metrics)
     const presence = context.get(ids.presence)
     const clock = context.get(ids.clock)
-    const random = context.get(ids.random)
-    const report = new CallReport(log, metrics)
     const links = context.get(ids.links)
     const paths = context.get(ids.paths)
     const relay = context.get(ids.relayClient)
@@ -161,19 +159,32 @@
       peers: () => presence.peers(),
       notify: (address, method, params) => { links.notify(address, method, params) }
     })
+    return new GatewayChooser({
+      targets: context.get(ids.targets),
+      balancer: context.get(ids.balancer),
+      clock,
+      log,
+      random: context.get(ids.random),
+      vm,
+      isUnreachable: service => paths.isLost(service) && !relay.canRelay(service),
+      vms: () => presence.names,
+      notifyPeers: notification => { notifications.notifyPeers(notification) },
+      notifyRefused: notification => {
+        for (const { address } of presence.peers().slice(0, MAX_NOTIFIED_PEERS)) links.notify(address, REFUSED_METHOD, notification)
+      }
+    })
+  }).inSingletonScope()
+  container.bind(ids.pipeline).toDynamicValue(context => {
+    const log = context.get(ids.log)
+    const metrics = context.get(ids.metrics)
+    const presence = context.get(ids.presence)
+    const clock = context.get(ids.clock)
+    const random = context.get(ids.random)
+    const report = new CallReport(log, metrics)
     const dispatch = new CallDispatch({
       clock,
       budgets: context.get(ids.budgets),
-      chooser: new GatewayChooser({
-        targets: context.get(ids.targets),
-        balancer: context.get(ids.balancer),
-        clock,
-        random,
-        vm,
-        isUnreachable: service => paths.isLost(service) && !relay.canRelay(service),
-        vms: () => presence.names,
-        notifyPeers: notification => { notifications.notifyPeers(notification) }
-      }),
+      chooser: context.get(ids.chooser),
       retries: new GatewayRetries(retries, () => presence.size),
       client: context.get(ids.targetClient),
       metrics,
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -5,7 +5,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { BudgetPort } from '../budget/budgetPort.js'
@@ -73,7 +73,8 @@
       open.checkDeadline()
       open.stopped ??= this.deps.guard?.refusal(open)
       if (open.stopped !== undefined) return Left(open.stopped)
-      const chosen = this.choose(open)
+      const chosen = await this.choose(open)
+      if (open.stopped !== undefined) return Left(open.stopped)
       if (chosen.isLeft()) return this.concludeFailed(open, chosen.extract())
       const confirmed = this.confirm(open)
       if (confirmed.isLeft()) return this.concludeFailed(open, confirmed.extract())
@@ -92,8 +93,13 @@
     return this.deps.report.answered(open, target.id)
   }
 
-  private choose (open: OpenCall): Either<Failure, TargetChoice> {
-    return this.deps.chooser.choose(open.admitted, open.excluded, this.deps.guard?.suspicion(open)).ifRight(choice => { this.deps.report.routed(open, choice) })
+  /** Waits for a place if all are taken. */
+  private async choose (open: OpenCall): Promise<Either<Failure, TargetChoice>> {
+    const { chooser, guard, report } = this.deps
+    for (;;) {
+      const chosen = chooser.choose(open.admitted, open.excluded, guard?.suspicion(open)).ifRight(choice => { report.routed(open, choice) })
+      if (failureOf(chosen)?.code !== 'targetsFull' || open.stopped !== undefined || !await chooser.untilRoom(open.admitted)) return chosen
+    }
   }
 
   private confirm (open: OpenCall): Either<Failure, void> {
@@ -117,6 +123,7 @@
     const outcome = await runAttempt({ client, sink, relay, streamed, retriesFailures: mayRetryFailures, onFirstOutput, onReport }, this.requestFor(open, choice), open.stopSignal())
     chooser.endPrefill(choice, ticket, false)
     const isTerminated = await this.isTargetTerminated(open, choice, outcome)
+    if (outcome.kind === 'notRun' && outcome.failure.code === 'runnerRefused') chooser.refused(choice)
     chooser.ended(choice, isTerminated ? 'unreachable' : verdictOf(outcome, open))
     return outcome
   }
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -9,6 +9,11 @@
 import type { OpenCall } from './openCall.js'
 import type { OpaqueCall } from './callTypes.js'
 
+/** Whether a report says that its target is leaving or paused, or is malformed. */
+export function isStateReport ({ isLeaving, pauseMs, flaw }: TargetReport): boolean {
+  return isLeaving || pauseMs !== undefined || flaw !== undefined
+}
+
 export class CallReport {
   constructor (private readonly log: EventLog, private readonly metrics: Metrics) {}
 
@@ -19,7 +24,9 @@
   }
 
   /** Reports the state that a target sent with its answer. */
-  targetReported ({ admitted }: OpenCall, { target }: TargetChoice, { isLeaving, pauseMs, flaw }: TargetReport): void {
+  targetReported ({ admitted }: OpenCall, { target }: TargetChoice, report: TargetReport): void {
+    const { isLeaving, pauseMs, flaw } = report
+    if (!isStateReport(report)) return
     if (isLeaving) this.metrics.count('target_answers_leaving')
     if (pauseMs !== undefined) this.metrics.count('target_answers_pause')
     if (flaw !== undefined) this.metrics.count('target_answers_flawed')
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -167,6 +167,10 @@
   endPrefill (choice: TargetChoice, ticket: number, isAnswered: boolean): void
   /** Records the state that the target sent with its answer. */
   recordReport (choice: TargetChoice, report: TargetReport): void
+  /** Records that the target refused the request for want of room; called before {@link ended}. */
+  refused (choice: TargetChoice): void
+  /** Waits until a place at a target may be free; resolves to false if the call must not wait any longer. */
+  untilRoom (admitted: AdmittedCall): Promise<boolean>
   /** Records the end of the attempt; called once for each {@link sent}. */
   ended (choice: TargetChoice, verdict: TargetVerdict): void
 }
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -2,13 +2,18 @@
 import { Left, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { PlaceSharing } from '@rosemaryspread/decisions/gateway/placeLimits.js'
 import type { Suspicion, TargetBalancer, TargetChoice, TargetDemand, WorkNotification } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { AvailableTargets } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import { pathLostFailure } from '../paths/pathLostFailure.js'
+import { isStateReport } from './callReport.js'
 import type { AdmittedCall, TargetChooser, TargetVerdict } from './callTypes.js'
 import type { TargetDirectory } from './gatewayTypes.js'
+import { PlaceQueue } from './placeQueue.js'
+import type { RefusedNotification } from './refusedNotifications.js'
 
 /** Operators evacuate and restore domains by hand, so an earlier retry is of no use. */
 const EVACUATED_RETRY_MS = 1_000
@@ -17,6 +22,7 @@
   readonly targets: TargetDirectory
   readonly balancer: TargetBalancer
   readonly clock: Clock
+  readonly log: EventLog
   readonly random: RandomSource
   /** Name of this VM. */
   readonly vm: string
@@ -26,10 +32,14 @@
   vms (): readonly string[]
   /** Notifies other VMs of a large request. */
   notifyPeers (notification: WorkNotification): void
+  /** Notifies other VMs of a refusal for want of room. */
+  notifyRefused (refused: RefusedNotification): void
 }
 
 /** Chooses by the balancer and notifies other VMs of large requests. */
 export class GatewayChooser implements TargetChooser {
+  private readonly queue = new PlaceQueue()
+
   constructor (private readonly parts: ChooserParts) {}
 
   choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice> {
@@ -44,6 +54,7 @@
       sharedTokens,
       unsharedTokens: Math.max(0, call.promptTokens - sharedTokens),
       exclude,
+      sharing: this.sharing,
       ...this.warmUpDemand(admitted),
       ...(suspicion === undefined ? {} : { suspicion })
     }
@@ -65,11 +76,28 @@
   }
 
   recordReport ({ target }: TargetChoice, report: TargetReport): void {
-    this.parts.targets.recordReport(target, report)
+    const { refusalLimit, ...state } = report
+    if (refusalLimit !== undefined) this.limitPlaces(target, refusalLimit)
+    if (isStateReport(report)) this.parts.targets.recordReport(target, state)
+  }
+
+  refused ({ target: { id, service } }: TargetChoice): void {
+    if (this.parts.balancer.refused(id, service, this.mono)) this.parts.notifyRefused({ target: id, service })
+  }
+
+  async untilRoom ({ service, priority, route: { objectiveMs }, call: { receivedAt } }: AdmittedCall): Promise<boolean> {
+    const places = this.parts.balancer.placesAt(this.parts.targets.available(service).targets)
+    return await this.queue.wait({ service, priority, objectiveMs, ageMs: this.mono - receivedAt.mono }, places)
+  }
+
+  /** Lets requests that wait for a place try again; to be called several times a second. */
+  tick (): void {
+    this.queue.tick()
   }
 
   ended ({ target }: TargetChoice, verdict: TargetVerdict): void {
     this.parts.balancer.ended(target.id, verdict, this.mono)
+    this.queue.wake(target.service)
   }
 
   private refusalFor (service: string, { targets, pausesMs }: AvailableTargets): Failure | undefined {
@@ -82,6 +110,15 @@
     return new Failure('targetsPaused', 'all targets of the service have paused this VM', { retryAfterMs })
   }
 
+  private limitPlaces ({ id, service }: TargetChoice['target'], refusalLimit: number): void {
+    if (this.parts.balancer.limitPlaces(service, refusalLimit, this.mono)) this.parts.log.write('placesLimited', { service, refusalLimit, runner: id })
+  }
+
+  private get sharing (): PlaceSharing {
+    const { vm, vms, random } = this.parts
+    return { vm, vms, random: () => random.next() }
+  }
+
   private warmUpDemand ({ warmUpPerS: perS }: AdmittedCall): Pick<TargetDemand, 'warmUp'> {
     return perS === undefined ? {} : { warmUp: { perS, vm: this.parts.vm, vms: () => this.parts.vms() } }
   }
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -16,6 +16,7 @@
 import type { RelayingClient } from '../relay/relayingClient.js'
 import type { RelayServer } from '../relay/relayServer.js'
 import type { IngressMonitor } from './ingressMonitor.js'
+import type { GatewayChooser } from './gatewayChooser.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
 import type { GatewayTargets } from './gatewayTargets.js'
@@ -40,6 +41,7 @@
   targets: id<GatewayTargets>('GatewayTargets'),
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineSync: id<QuarantineSync>('QuarantineSync'),
+  chooser: id<GatewayChooser>('GatewayChooser'),
   paths: id<TargetPaths>('TargetPaths'),
   directClient: id<DirectClient>('DirectClient'),
   relayClient: id<RelayClient>('RelayClient'),
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -163,7 +163,7 @@
       clock,
       budgets,
       chooser: new GatewayChooser({
-        targets: { available: () => ({ targets, pausesMs: [] }), isEvacuated: () => false, recordReport: () => {} }, balancer: new TargetBalancer(), clock, random, vm: 'v', isUnreachable: () => false, vms: () => ['v'], notifyPeers: () => {}
+        targets: { available: () => ({ targets, pausesMs: [] }), isEvacuated: () => false, recordReport: () => {} }, balancer: new TargetBalancer(), clock, random, vm: 'v', isUnreachable: () => false, vms: () => ['v'], notifyPeers: () => {}, notifyRefused: () => {}, log: silentLog
       }),
       retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
       client,
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -116,7 +116,7 @@
     for (const state of this.set.recordReport(process, report, this.parts.clock.now())) {
       this.parts.log.write('runnerState', { runner: process.id, state, reason: 'reported with an answer', ...(state === 'paused' ? { pauseMs: report.pauseMs } : {}) })
     }
-    if (report.flaw !== undefined) this.malformedAnswers.logOnce(process.id, `malformed pause '${report.flaw}'`)
+    if (report.flaw !== undefined) this.malformedAnswers.logOnce(process.id, `malformed report '${report.flaw}'`)
   }
 
   /** Records that a read of the register failed. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -15,6 +15,7 @@
 import { BudgetPreparation } from './budgetPreparation.js'
 import { IngressMonitor, loopBusyMs, loopTurns } from './ingressMonitor.js'
 import { PacedTicks } from './pacedTicks.js'
+import { REFUSED_METHOD, refusedMethod } from './refusedNotifications.js'
 import { WORK_METHOD, workMethod } from './workNotifications.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -62,6 +63,7 @@
     const digest = this.container.get(ids.digest)
     const targets = this.container.get(ids.targets)
     const paths = this.container.get(ids.paths)
+    const chooser = this.container.get(ids.chooser)
     const directClient = this.container.get(ids.directClient)
     this.container.get(ids.config).onPaidChanged((team, isLowered) => { budgets.paidChanged(team, isLowered) })
     const quarantine = this.container.get(ids.quarantine)
@@ -84,6 +86,7 @@
       targets.tick()
       paths.tick()
       directClient.tick()
+      chooser.tick()
       quarantine.tick()
       if (this.isReady) await presence.publishState('serving')
       presence.setOverloaded(ingressMonitor.isPressed)
@@ -146,6 +149,7 @@
     links.serve(GRANT_METHOD, grantMethod(request => budgets.onGrantRequest(request)))
     links.serve(HANDOVER_METHOD, handoverMethod((budget, tokens) => { budgets.onHandover(budget, tokens) }))
     links.serve(WORK_METHOD, workMethod(notification => { balancer.recordPeerWork(notification, this.clock.now().mono) }))
+    links.serve(REFUSED_METHOD, refusedMethod(({ target, service }) => { balancer.refusedElsewhere(target, service, this.clock.now().mono) }))
     links.serve(QUARANTINE_METHOD, this.container.get(ids.quarantineSync).method())
     for (const [name, method] of this.container.get(ids.relayServer).methods()) links.serve(name, method)
     this.inBackground(links.open())
--- a/packages/rosemaryspread/src/relay/relayTypes.ts
+++ b/packages/rosemaryspread/src/relay/relayTypes.ts
@@ -53,7 +53,7 @@
 export const relayedBytesSchema = z.object({ bytes: bytesSchema, isEnd: z.boolean(), failure: failureSchema.optional() })
 export type RelayedBytes = z.infer<typeof relayedBytesSchema>
 
-const reportSchema = z.object({ isLeaving: z.boolean(), pauseMs: z.number().optional(), flaw: z.string().optional() })
+const reportSchema = z.object({ isLeaving: z.boolean(), pauseMs: z.number().optional(), flaw: z.string().optional(), refusalLimit: z.number().optional() })
 
 /** The head of an answer with its first bytes, or why there is none; and what the target reported. */
 export const relayedHeadSchema = z.object({
--- a/packages/rosemaryspread/src/service/serviceDispatch.ts
+++ b/packages/rosemaryspread/src/service/serviceDispatch.ts
@@ -32,6 +32,12 @@
 
   refusal (): undefined {}
 
+  refused (): void {}
+
+  async untilRoom (): Promise<boolean> {
+    return false
+  }
+
   sent ({ target }: TargetChoice): number {
     this.load.add(target.id, 1)
     return 0
