Go on to the next target without a check of the path after one refused connection

A request whose target had terminated waited for the check of the path, some milliseconds and more on a busy VM, before its next target was tried. The check now goes on beside it, and is awaited from the second target on.

--- a/packages/decisions/src/gateway/servicePaths.spec.ts
+++ b/packages/decisions/src/gateway/servicePaths.spec.ts
@@ -45,6 +45,20 @@
     })
   }
 
+  const doubts: ReadonlyArray<{ readonly ids: readonly string[], readonly failed: readonly string[], readonly isDoubtful: boolean }> = [
+    { ids: listed, failed: ['a'], isDoubtful: false },
+    { ids: listed, failed: ['a', 'a'], isDoubtful: false },
+    { ids: listed, failed: ['a', 'd'], isDoubtful: true },
+    { ids: ['a'], failed: ['a'], isDoubtful: true }
+  ]
+  for (const { ids, failed, isDoubtful } of doubts) {
+    it(`is ${isDoubtful ? '' : 'not '}in doubt after failures of ${failed.join(' and ')} among ${ids.length}`, () => {
+      const paths = new ServicePaths()
+      for (const target of failed) paths.recordFailed('s', target, 0)
+      expect(paths.isDoubtful('s', ids, 10)).to.equal(isDoubtful)
+    })
+  }
+
   it('is found again with the first accepted connection', () => {
     const paths = new ServicePaths()
     observe(paths, [[0, 'failed', 'a']])
--- a/packages/decisions/src/gateway/servicePaths.ts
+++ b/packages/decisions/src/gateway/servicePaths.ts
@@ -7,6 +7,8 @@
 const FAILURE_TTL_MS = 1_000
 /** Targets that are probed at most to decide on a large service. */
 const MAX_EVIDENCE = 16
+/** Failed targets from which on the path is in doubt; a single one has often terminated. */
+const MIN_DOUBTFUL_FAILURES = 2
 /** Targets probed first; they suffice if one of them accepts the connection. */
 const FIRST_PROBES = 2
 
@@ -58,6 +60,11 @@
     return untried.slice(0, Math.max(0, failed.length < FIRST_PROBES ? Math.min(missing, FIRST_PROBES) : missing))
   }
 
+  /** Whether connections to more than one target failed, or to the only one. */
+  isDoubtful (service: string, listed: readonly string[], mono: number): boolean {
+    return this.failedOf(service, listed, mono).length >= Math.min(listed.length, MIN_DOUBTFUL_FAILURES)
+  }
+
   /**
    * Concludes from the recorded failures whether the path is lost.
    * @returns whether this begins the loss of the path
--- a/packages/rosemaryspread/src/paths/targetPaths.ts
+++ b/packages/rosemaryspread/src/paths/targetPaths.ts
@@ -47,12 +47,16 @@
   }
 
   /**
-   * Records that no connection to a target could be made, and checks the others.
-   * @returns whether the path to the service is lost
+   * Records that no connection to a target could be made, and checks the others. The result is awaited only from the second target on, so that
+   * a request whose target has terminated goes on to the next one without delay.
+   * @returns whether the path to the service is known to be lost
    */
   async handleFailed (service: string, target: string): Promise<boolean> {
     this.paths.recordFailed(service, target, this.mono)
-    return await this.check(service)
+    const check = this.check(service)
+    if (this.paths.isDoubtful(service, this.parts.targets(service).map(({ id }) => id), this.mono)) return await check
+    this.inBackground(check)
+    return false
   }
 
   /**
