Relay no request whose cancellation overtook it

On a link that is being opened a notification may be sent before the call that waits for it. The VM that relays then knew nothing to cancel, and sent a request for a caller that had left. Cancelled ids are remembered for a second. Found by reading; test with it, failing before (the request was sent).

--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -11,6 +11,7 @@
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { RelayClient } from './relayClient.js'
 import { RelayServer } from './relayServer.js'
+import { relayMethods } from './relayTypes.js'
 
 const head = { status: 200, headers: [['X-A', 'b'] as const] }
 
@@ -180,6 +181,18 @@
     expect([failure?.code, target.stops, fleet.open]).to.deep.equal(['answerCut', 1, 0])
   })
 
+  it('is not sent if it was stopped before it arrived', async () => {
+    const target = new FakeTargetClient(undefined, ['ok'])
+    const server = new RelayServer({ client: target, probe: { isTerminated: async () => false }, work: new OpenWork(), metrics: new MetricsRecorder() }).methods()
+    const { body, headers, target: { id, address }, service, requestId, method, path, timeoutMs, priority, isRepeatable } = request
+    await server.get(relayMethods.cancel)?.({ exchange: '1' }, 'asking')
+    const params = { exchange: '1', body, headers, target: { id, address }, service, requestId, method, path, timeoutMs, priority, isRepeatable }
+    const failure = await server.get(relayMethods.send)?.(params, 'asking').then(() => undefined, toFailure)
+    expect([failure?.code, failure?.ran, target.sent]).to.deep.equal(['callerGone', 'no', []])
+    await server.get(relayMethods.send)?.(params, 'another')
+    expect(target.sent).to.have.length(1)
+  })
+
   it('breaks off with its link, and may have run', async () => {
     const fleet = new RelayFleet([new FakeTargetClient(undefined, Array.from({ length: 1_000 }, () => 'x'))])
     const reading = fleet.read()
--- a/packages/rosemaryspread/src/relay/relayServer.ts
+++ b/packages/rosemaryspread/src/relay/relayServer.ts
@@ -10,6 +10,9 @@
 import { RelayedExchange } from './relayedExchange.js'
 import { encodeFailure, exchangeSchema, probedTargetSchema, relayedRequestSchema, relayMethods, type RelayedBytes } from './relayTypes.js'
 
+/** Time for which a cancelled request is refused if it arrives; opening a link takes less. */
+const EARLY_CANCEL_TTL_MS = 1_000
+
 export interface RelayServerParts {
   /** Sends over connections of this VM only. */
   readonly client: TargetClient
@@ -22,6 +25,7 @@
 export class RelayServer {
   /** Open requests, by the VM that asked and its id. */
   private readonly exchanges = new Map<string, RelayedExchange>()
+  private readonly cancelledEarly = new Set<string>()
 
   constructor (private readonly parts: RelayServerParts) {}
 
@@ -30,7 +34,7 @@
     return new Map<string, PeerMethodHandler>([
       [relayMethods.send, async (params, from) => await this.send(params, from)],
       [relayMethods.read, async (params, from) => await this.read(params, from)],
-      [relayMethods.cancel, async (params, from) => { this.exchanges.get(keyOf(params, from))?.cancel() }],
+      [relayMethods.cancel, async (params, from) => { this.cancel(keyOf(params, from)) }],
       [relayMethods.probe, async params => {
         const { address, service, timeoutMs } = probedTargetSchema.parse(params)
         return await this.parts.probe.isTerminated(address, service, timeoutMs)
@@ -42,8 +46,10 @@
     const { exchange: _, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
     const { client, work, metrics } = this.parts
     if (work.draining) throw new Failure('draining', 'this VM is draining')
+    const key = keyOf(params, from)
+    if (this.cancelledEarly.has(key)) throw new Failure('callerGone', 'the request was cancelled before it arrived')
     metrics.count('calls_relayed_for_others')
-    const exchange = this.open(keyOf(params, from))
+    const exchange = this.open(key)
     let report: TargetReport | undefined
     const sent = await client.send({ ...req, team, resumeAfter }, exchange.signal, received => { report = received })
     const failure = failureOf(sent)
@@ -62,6 +68,17 @@
     return encodeBytes(await exchange.read())
   }
 
+  /** A notification may overtake the call before it on a link that is being opened. */
+  private cancel (key: string): void {
+    const exchange = this.exchanges.get(key)
+    if (exchange !== undefined) {
+      exchange.cancel()
+      return
+    }
+    this.cancelledEarly.add(key)
+    setTimeout(() => { this.cancelledEarly.delete(key) }, EARLY_CANCEL_TTL_MS).unref()
+  }
+
   private open (key: string): RelayedExchange {
     const close = this.parts.work.open()
     const exchange = new RelayedExchange(() => {
