--- a/packages/decisions/src/gateway/placeLimits.spec.ts
+++ b/packages/decisions/src/gateway/placeLimits.spec.ts
@@ -77,6 +77,18 @@
     expect(fill(limits, target('t', 8), share, 4_500)).to.equal(2)
   })
 
+  it('are divided anew when targets report the limit again after a time', () => {
+    const limits = new PlaceLimits()
+    const share = sharing('vm-0', vmNames(4), () => 0)
+    for (let mono = 0; mono <= 4_000; mono += 100) {
+      limits.report(SERVICE, 5, mono)
+      fill(limits, target('t', 8), share, mono)
+    }
+    expect(fill(limits, target('t', 8), share, 4_000)).to.equal(8)
+    limits.report(SERVICE, 5, 10_000)
+    expect(fill(limits, target('t', 8), share, 10_000)).to.equal(2)
+  })
+
   it('are given back when they are no longer needed', () => {
     const limits = new PlaceLimits()
     const share = sharing('vm-0', vmNames(4), () => 0)
--- a/packages/decisions/src/gateway/placeLimits.ts
+++ b/packages/decisions/src/gateway/placeLimits.ts
@@ -51,6 +51,7 @@
 }
 
 interface PlaceLimit {
+  readonly service: string
   limit: number
   /** Places that belong to this VM. */
   own: number
@@ -76,6 +77,7 @@
    */
   report (service: string, refusalLimit: number, mono: number): boolean {
     const isNew = !this.isLimited(service, mono)
+    if (isNew) this.forgetService(service)
     this.services.set(service, { reportedAt: mono, refusalLimit })
     return isNew
   }
@@ -124,6 +126,10 @@
     for (const id of this.limits.keys()) if (!isListed(id)) this.limits.delete(id)
   }
 
+  private forgetService (service: string): void {
+    for (const [id, limit] of this.limits) if (limit.service === service) this.limits.delete(id)
+  }
+
   /** Time in which all VMs may be refused once without more than a share of the refusals that a target bears. */
   private holdMs (service: string, vms: number, ratio: number): number {
     const refusalsPerS = Math.max(1, this.services.get(service)?.refusalLimit ?? 1) * ratio
@@ -133,19 +139,24 @@
   private update (target: LimitedTarget, open: number, sharing: PlaceSharing, mono: number): PlaceLimit {
     const state = this.limits.get(target.id) ?? this.create(target, sharing, mono)
     if (mono - state.ownAt > SHARE_TTL_MS) this.updateOwn(state, target, sharing, mono)
-    const elapsedMs = mono - state.checkedAt
+    const isSurplus = mono - state.wantedAt > SURPLUS_TTL_MS
+    if (isSurplus) state.limit = Math.min(state.limit, Math.max(state.own, open))
+    this.grow(state, target.slots, sharing, mono)
     state.checkedAt = mono
+    return state
+  }
+
+  /** Takes one more place while requests find none: places of its own soon, further ones in competition with the other VMs. */
+  private grow (state: PlaceLimit, slots: number, { random }: PlaceSharing, mono: number): void {
     const isWanted = mono - state.wantedAt <= DEMAND_TTL_MS
-    if (mono - state.wantedAt > SURPLUS_TTL_MS) state.limit = Math.min(state.limit, Math.max(state.own, open))
     const isOwn = state.limit < state.own
-    if (!isWanted || mono < (isOwn ? state.restoreAt : state.growAt) || state.limit >= target.slots) return state
-    const chance = elapsedMs / GROWTH_MS / (isOwn ? 1 : state.vms)
-    if (sharing.random() < chance) state.limit += 1
-    return state
+    if (!isWanted || state.limit >= slots || mono < (isOwn ? state.restoreAt : state.growAt)) return
+    const chance = (mono - state.checkedAt) / GROWTH_MS / (isOwn ? 1 : state.vms)
+    if (random() < chance) state.limit += 1
   }
 
   private create (target: LimitedTarget, sharing: PlaceSharing, mono: number): PlaceLimit {
-    const state: PlaceLimit = { limit: 0, own: 0, ownAt: mono, vms: 1, checkedAt: mono, restoreAt: -Infinity, growAt: -Infinity, wantedAt: -Infinity }
+    const state: PlaceLimit = { service: target.service, limit: 0, own: 0, ownAt: mono, vms: 1, checkedAt: mono, restoreAt: -Infinity, growAt: -Infinity, wantedAt: -Infinity }
     this.limits.set(target.id, state)
     this.updateOwn(state, target, sharing, mono)
     state.limit = state.own
