Pass on the time that is left with a relayed request

A request that waited for a connection of its own, or for a link, was sent by another VM with the time it had at the start, so that a target could be given up to a second more than its caller waits. Found by reading; tests with it (relayClient.spec.ts).

--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -118,16 +118,17 @@
     new DirectClient({ client, paths, clock, log }), [ids.clock, ids.log, ids.paths]).inSingletonScope()
   container.bind(ids.relayServer).toResolvedValue((direct, probe, work, metrics) =>
     new RelayServer({ client: direct, probe, work, metrics }), [ids.directClient, ids.paths, ids.work, ids.metrics]).inSingletonScope()
-  container.bind(ids.relayClient).toResolvedValue((log, metrics, random, presence, links) => new RelayClient({
+  container.bind(ids.relayClient).toResolvedValue((clock, log, metrics, random, presence, links) => new RelayClient({
+    clock,
     log,
     metrics,
     random,
     peers: service => presence.servingPeers().filter(({ unreachable }) => !unreachable.includes(service)),
     call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
     notify: (address, method, params) => { links.notify(address, method, params) }
-  }), [ids.log, ids.metrics, ids.random, ids.presence, ids.links]).inSingletonScope()
-  container.bind(ids.targetClient).toResolvedValue((direct, paths, relay) =>
-    new RelayingClient({ direct, probe: paths, relay, paths }), [ids.directClient, ids.paths, ids.relayClient]).inSingletonScope()
+  }), [ids.clock, ids.log, ids.metrics, ids.random, ids.presence, ids.links]).inSingletonScope()
+  container.bind(ids.targetClient).toResolvedValue((clock, direct, paths, relay) =>
+    new RelayingClient({ clock, direct, probe: paths, relay, paths }), [ids.clock, ids.directClient, ids.paths, ids.relayClient]).inSingletonScope()
 }
 
 function bindQuarantine (container: Container, { vm }: GatewaySettings, { table, feed }: GatewayPorts): void {
--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -10,9 +10,13 @@
 import type { TargetAnswer, TargetClient, TargetRequest } from '../gateway/callTypes.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { RelayClient } from './relayClient.js'
+import { RelayingClient } from './relayingClient.js'
 import { RelayServer } from './relayServer.js'
 import { relayMethods } from './relayTypes.js'
 
+/** Time that a call takes. */
+const CALL_MS = 100
+
 const head = { status: 200, headers: [['X-A', 'b'] as const] }
 
 const request: TargetRequest = {
@@ -61,6 +65,7 @@
   readonly works: readonly OpenWork[]
   readonly reports: TargetReport[] = []
   readonly stop = new AbortController()
+  private mono = 0
   /** Failures of calls to a VM instead of its answer. */
   readonly linkFailures = new Map<string, Failure>()
 
@@ -73,12 +78,14 @@
       metrics: new MetricsRecorder()
     }).methods()]))
     this.client = new RelayClient({
+      clock: { now: () => ({ mono: this.mono, wall: 0 }) },
       log: { write: () => {} },
       metrics: new MetricsRecorder(),
       random: { next: () => 0, id: () => '' },
       peers: () => [...servers.keys()].map(vm => ({ holder: vm, address: vm })),
       call: async (address, method, params) => {
         const failure = this.linkFailures.get(address)
+        this.mono += CALL_MS
         if (failure !== undefined) return Left(failure)
         try {
           return Right(await servers.get(address)?.get(method)?.(params, 'asking'))
@@ -157,6 +164,42 @@
     expect(target.sent[0]).to.deep.equal(request)
   })
 
+  it('arrives with the time that is left', async () => {
+    const target = new FakeTargetClient(undefined, ['ok'])
+    const fleet = new RelayFleet([target, target])
+    fleet.linkFailures.set('vm-0', unlinked)
+    await fleet.read()
+    expect(target.sent.map(({ timeoutMs }) => timeoutMs)).to.deep.equal([request.timeoutMs - CALL_MS])
+  })
+
+  it('goes to another VM with the time that its own attempt has left', async () => {
+    let mono = 0
+    const relayed: TargetRequest[] = []
+    const paths = { isLost: () => true }
+    const probe = { isTerminated: async () => false }
+    const client = new RelayingClient({
+      clock: { now: () => ({ mono, wall: 0 }) },
+      direct: {
+        send: async () => {
+          mono += 450
+          return Left(lost)
+        }
+      },
+      probe,
+      paths,
+      relay: {
+        ...probe,
+        send: async req => {
+          relayed.push(req)
+          return Left(lost)
+        }
+      }
+    })
+    await client.send(request, new AbortController().signal, () => {})
+    await client.send({ ...request, timeoutMs: 400 }, new AbortController().signal, () => {})
+    expect(relayed.map(({ timeoutMs }) => timeoutMs)).to.deep.equal([50])
+  })
+
   it('is answered whole and in order', async () => {
     const chunks = Array.from({ length: 40 }, (_, index) => `${index},`)
     const fleet = new RelayFleet([new FakeTargetClient(undefined, chunks)])
--- a/packages/rosemaryspread/src/relay/relayClient.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.ts
@@ -2,6 +2,7 @@
  * Sends requests to targets through other VMs that reach them.
  */
 import { Either, Left, Right } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
@@ -16,6 +17,7 @@
 const MAX_PEERS = 3
 
 export interface RelayClientParts {
+  readonly clock: Clock
   readonly log: EventLog
   readonly metrics: Metrics
   readonly random: RandomSource
@@ -48,11 +50,12 @@
   /** Like {@link TargetClient.send}; `targetsUnreachable` if no VM reaches the service, or the one that does is lost. */
   async send (req: TargetRequest, stop: AbortSignal, onReport: (report: TargetReport) => void): Promise<Either<Failure, TargetAnswer>> {
     const asked = new Set<string>()
+    const deadline = this.mono + req.timeoutMs
     while (asked.size < MAX_PEERS && !stop.aborted) {
       const peer = this.leastUsed(this.parts.peers(req.service).filter(({ address }) => !asked.has(address)))
       if (peer === undefined) break
       asked.add(peer.address)
-      const sent = await this.sendThrough(peer, req, stop, onReport)
+      const sent = await this.sendThrough(peer, { ...req, timeoutMs: Math.max(1, Math.floor(deadline - this.mono)) }, stop, onReport)
       if (!mayAskAnother(sent)) return sent
     }
     return Left(pathLostFailure('no'))
@@ -123,9 +126,14 @@
     }
   }
 
-  private track ({ peer: { address }, exchange, stop }: RelayedCall): () => void {
+  private cancel ({ peer: { address }, exchange }: RelayedCall): void {
+    this.parts.notify(address, relayMethods.cancel, { exchange })
+  }
+
+  private track (relayed: RelayedCall): () => void {
+    const { peer: { address }, stop } = relayed
     const count = (step: number): void => { this.open.set(address, (this.open.get(address) ?? 0) + step) }
-    const onStop = (): void => { this.parts.notify(address, relayMethods.cancel, { exchange }) }
+    const onStop = (): void => { this.cancel(relayed) }
     count(1)
     stop.addEventListener('abort', onStop)
     return () => {
@@ -134,6 +142,10 @@
     }
   }
 
+  private get mono (): number {
+    return this.parts.clock.now().mono
+  }
+
   private leastUsed (peers: readonly PeerVm[]): PeerVm | undefined {
     const least = Math.min(...peers.map(({ address }) => this.open.get(address) ?? 0))
     const equals = peers.filter(({ address }) => (this.open.get(address) ?? 0) === least)
