Cancel a relayed request whose answer cannot be taken

Where the answer is too large to be held, or breaks off at this VM, the other VM went on reading it for ten seconds. Found by reading; test with it, failing before.

--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -200,6 +200,15 @@
     expect(relayed.map(({ timeoutMs }) => timeoutMs)).to.deep.equal([50])
   })
 
+  it('is cancelled if the caller cannot take its answer', async () => {
+    const target = new FakeTargetClient(undefined, Array.from({ length: 1_000 }, () => 'x'))
+    const fleet = new RelayFleet([target])
+    const answer = (await fleet.send()).unsafeCoerce()
+    const failure = await answer.read(() => { throw new Failure('answerCut', 'too large') }).then(() => undefined, toFailure)
+    await pause(20)
+    expect([failure?.message, target.stops, fleet.open]).to.deep.equal(['too large', 1, 0])
+  })
+
   it('is answered whole and in order', async () => {
     const chunks = Array.from({ length: 40 }, (_, index) => `${index},`)
     const fleet = new RelayFleet([new FakeTargetClient(undefined, chunks)])
--- a/packages/rosemaryspread/src/relay/relayClient.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.ts
@@ -90,10 +90,14 @@
     return Right({
       head,
       read: async onBytes => {
+        let isComplete = false
         try {
-          return await this.readAll(relayed, first, onBytes)
+          const read = await this.readAll(relayed, first, onBytes)
+          isComplete = read.isRight()
+          return read
         } finally {
           close()
+          if (!isComplete) this.cancel(relayed)
         }
       }
     })
