--- a/packages/decisions/src/gateway/servicePaths.ts
+++ b/packages/decisions/src/gateway/servicePaths.ts
@@ -1,6 +1,6 @@
 /**
- * Decides to the targets of which services this VM has lost its network path. One target without a connection may have terminated; only
- * if this VM can connect to none of them, its own path is in doubt. Whether the path or the targets are gone can only be told by other VMs.
+ * Tracks for each service whether this VM can connect to its targets. A single target without a connection has probably terminated. If no
+ * target accepts a connection, this VM has lost its path to the service, or all targets are down; only other VMs can tell which.
  */
 
 /** Time for which a failed connection attempt counts as evidence. */
