--- a/packages/decisions/src/gateway/placeLimits.spec.ts
+++ b/packages/decisions/src/gateway/placeLimits.spec.ts
@@ -25,6 +25,14 @@
   return open
 }
 
+/** Lets a VM take all places of a target in the first four seconds. */
+function takeAll (limits: PlaceLimits, share: PlaceSharing): void {
+  for (let mono = 0; mono <= 4_000; mono += 100) {
+    limits.report(SERVICE, 5, mono)
+    fill(limits, target('t', 8), share, mono)
+  }
+}
+
 interface ShareCase {
   readonly vms: number
   readonly slots: number
@@ -64,10 +72,7 @@
   it('are taken from VMs that do not need them, and given back after a refusal', () => {
     const limits = new PlaceLimits()
     const share = sharing('vm-0', vmNames(4), () => 0)
-    for (let mono = 0; mono <= 4_000; mono += 100) {
-      limits.report(SERVICE, 5, mono)
-      fill(limits, target('t', 8), share, mono)
-    }
+    takeAll(limits, share)
     expect(fill(limits, target('t', 8), share, 4_000)).to.equal(8)
     limits.refused('t', SERVICE, 7, 4_000)
     expect(fill(limits, target('t', 8), share, 4_100)).to.equal(5)
@@ -80,10 +85,7 @@
   it('are divided anew when targets report the limit again after a time', () => {
     const limits = new PlaceLimits()
     const share = sharing('vm-0', vmNames(4), () => 0)
-    for (let mono = 0; mono <= 4_000; mono += 100) {
-      limits.report(SERVICE, 5, mono)
-      fill(limits, target('t', 8), share, mono)
-    }
+    takeAll(limits, share)
     expect(fill(limits, target('t', 8), share, 4_000)).to.equal(8)
     limits.report(SERVICE, 5, 10_000)
     expect(fill(limits, target('t', 8), share, 10_000)).to.equal(2)
@@ -92,10 +94,7 @@
   it('are given back when they are no longer needed', () => {
     const limits = new PlaceLimits()
     const share = sharing('vm-0', vmNames(4), () => 0)
-    for (let mono = 0; mono <= 4_000; mono += 100) {
-      limits.report(SERVICE, 5, mono)
-      fill(limits, target('t', 8), share, mono)
-    }
+    takeAll(limits, share)
     limits.report(SERVICE, 5, 8_000)
     limits.hasRoom(target('t', 8), 0, share, 8_000)
     expect(limits.limit(target('t', 8))).to.equal(2)
