Read once more: silence asked once a service, ids of relayed requests decoded once, one rotation

No behaviour changes. The tick of the direct client scanned its open requests once for each of them; a relayed request's parameters were parsed twice; the recheck of a lost path rotated its targets by a copy of the loop in servicePaths; a report was copied to leave out a field that its reader ignores.

--- a/packages/decisions/src/gateway/servicePaths.ts
+++ b/packages/decisions/src/gateway/servicePaths.ts
@@ -82,7 +82,11 @@
   }
 }
 
-function rotated (ids: readonly string[], random: number): readonly string[] {
-  const start = Math.floor(random * ids.length)
-  return [...ids.slice(start), ...ids.slice(0, start)]
+/**
+ * The elements in their order, beginning at a random one.
+ * @param random - a number in [0, 1)
+ */
+export function rotated<T> (elements: readonly T[], random: number): readonly T[] {
+  const start = Math.floor(random * elements.length)
+  return [...elements.slice(start), ...elements.slice(0, start)]
 }
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -76,9 +76,8 @@
   }
 
   recordReport ({ target }: TargetChoice, report: TargetReport): void {
-    const { refusalLimit, ...state } = report
-    if (refusalLimit !== undefined) this.limitPlaces(target, refusalLimit)
-    if (isStateReport(report)) this.parts.targets.recordReport(target, state)
+    if (report.refusalLimit !== undefined) this.limitPlaces(target, report.refusalLimit)
+    if (isStateReport(report)) this.parts.targets.recordReport(target, report)
   }
 
   refused ({ target: { id, service } }: TargetChoice): void {
--- a/packages/rosemaryspread/src/paths/directClient.ts
+++ b/packages/rosemaryspread/src/paths/directClient.ts
@@ -59,8 +59,8 @@
 
   /** Checks the paths to services whose targets are silent; to be called several times a second. */
   tick (): void {
-    const silent = new Set([...this.open].map(({ service }) => service).filter(service => this.isSilent(service)))
-    for (const service of silent) {
+    for (const service of new Set([...this.open].map(exchange => exchange.service))) {
+      if (!this.isSilent(service)) continue
       if (this.parts.paths.isLost(service)) this.breakOff(service)
       else this.checkSilent(service)
     }
--- a/packages/rosemaryspread/src/paths/targetPaths.ts
+++ b/packages/rosemaryspread/src/paths/targetPaths.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
-import { ServicePaths } from '@rosemaryspread/decisions/gateway/servicePaths.js'
+import { rotated, ServicePaths } from '@rosemaryspread/decisions/gateway/servicePaths.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { RandomSource } from '../completion/completionPorts.js'
 import type { TargetEndProbe, TargetProbe } from '../gateway/callTypes.js'
@@ -118,8 +118,7 @@
 
   private async recheck (service: string): Promise<void> {
     const targets = this.parts.targets(service)
-    const start = Math.floor(this.parts.random.next() * targets.length)
-    await this.probe(service, [...targets.slice(start), ...targets.slice(0, start)].slice(0, RECHECK_PROBES))
+    await this.probe(service, rotated(targets, this.parts.random.next()).slice(0, RECHECK_PROBES))
   }
 
   private reportChange (service: string, probed: number): void {
--- a/packages/rosemaryspread/src/relay/relayServer.ts
+++ b/packages/rosemaryspread/src/relay/relayServer.ts
@@ -34,7 +34,7 @@
     return new Map<string, PeerMethodHandler>([
       [relayMethods.send, async (params, from) => await this.send(params, from)],
       [relayMethods.read, async (params, from) => await this.read(params, from)],
-      [relayMethods.cancel, async (params, from) => { this.cancel(keyOf(params, from)) }],
+      [relayMethods.cancel, async (params, from) => { this.cancel(keyOf(exchangeSchema.parse(params).exchange, from)) }],
       [relayMethods.probe, async params => {
         const { address, service, timeoutMs } = probedTargetSchema.parse(params)
         return await this.parts.probe.isTerminated(address, service, timeoutMs)
@@ -43,10 +43,10 @@
   }
 
   private async send (params: unknown, from: string): Promise<unknown> {
-    const { exchange: _, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
+    const { exchange: id, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
     const { client, work, metrics } = this.parts
     if (work.draining) throw new Failure('draining', 'this VM is draining')
-    const key = keyOf(params, from)
+    const key = keyOf(id, from)
     if (this.cancelledEarly.has(key)) throw new Failure('callerGone', 'the request was cancelled before it arrived')
     metrics.count('calls_relayed_for_others')
     const exchange = this.open(key)
@@ -63,7 +63,7 @@
   }
 
   private async read (params: unknown, from: string): Promise<unknown> {
-    const exchange = this.exchanges.get(keyOf(params, from))
+    const exchange = this.exchanges.get(keyOf(exchangeSchema.parse(params).exchange, from))
     if (exchange === undefined) throw new Failure('answerCut', 'the request is not open at this VM any more', { ran: 'unknown' })
     return encodeBytes(await exchange.read())
   }
@@ -90,8 +90,8 @@
   }
 }
 
-function keyOf (params: unknown, from: string): string {
-  return `${from}/${exchangeSchema.parse(params).exchange}`
+function keyOf (exchange: string, from: string): string {
+  return `${from}/${exchange}`
 }
 
 function encodeBytes ({ failure, ...piece }: RelayedBytes): unknown {
