Log which software version a stream goes on at

Callers' streams held events of two software versions. The logs show two choices of one request where a stream is resumed within its response, but no version, and they don't tell a stream that a caller takes up from a new one. The register's entry is decoded with its version, a request with the stream that it resumes; routed (4001) names the version, streamResumed (4016) each resumption. No decision depends on them yet.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -46,7 +46,7 @@
   callClaimed: { number: 3006, level: 'info', title: 'A non-repeatable call was claimed; fields: request, service' },
   callerGone: { number: 3007, level: 'info', title: 'The caller closed the connection; fields: request, cancelled' },
 
-  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, paused (targets left out because they requested a pause), choice, reason, work' },
+  routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, paused (targets left out because they requested a pause), choice, version (of the software of the target), reason, work' },
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
   runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, paused, ejected or notLoaded; fields: runner, state, reason, pauseMs' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
@@ -63,6 +63,7 @@
   placesLimited: { number: 4015, level: 'warn', title: 'Targets of a service reported that they terminate if they have to refuse too much, so VMs share their places; fields: service, refusalLimit (per second), runner (the first that reported it)' },
   targetPath: { number: 4013, level: 'warn', title: 'This VM can connect to no target of a service any more, or to one again; fields: service, isLost, probed (number of targets)' },
   callRelayed: { number: 4014, level: 'info', title: 'Another VM sent a request to its target for this one, whose own path is lost; fields: request, runner, peer, code and ran (of a failure)' },
+  streamResumed: { number: 4016, level: 'info', title: 'A target was chosen to continue a stream, within its response or for its caller; fields: request, stream (the request that brought its first event), after (id of the last event), runner, version (of the software of the target)' },
 
   configApplied: { number: 5001, level: 'info', title: 'A configuration version came into force; fields: version, source' },
   configAccepted: { number: 5002, level: 'info', title: 'A patch was accepted; fields: version, patchId, author' },
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -58,7 +58,7 @@
 
 /** The chosen target, and the reason for the log. */
 export interface TargetChoice {
-  readonly target: Pick<TargetView, 'id' | 'service' | 'address' | 'domain' | 'startedAt'>
+  readonly target: Pick<TargetView, 'id' | 'service' | 'address' | 'domain' | 'version' | 'startedAt'>
   /** Number of candidates, or their names. */
   readonly candidates: number | readonly string[]
   readonly reason: string
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -17,6 +17,8 @@
   /** Requests that it handles concurrently. */
   readonly slots: number
   readonly isLeaving: boolean
+  /** Version of its software, which may differ among the targets of a service; absent if not listed. */
+  readonly version?: string
   /** Start of its process in Unix milliseconds; absent if not reported. A process may restart under the same id. */
   readonly startedAt?: number
   /** Milliseconds of warm-up left when it was reported; absent or 0 for a warm target. */
--- a/packages/decisions/src/gateway/targetView.ts
+++ b/packages/decisions/src/gateway/targetView.ts
@@ -11,6 +11,7 @@
   domain: z.string(),
   slots: z.number(),
   isLeaving: z.boolean(),
+  version: z.string().optional(),
   startedAt: z.number().optional(),
   /** null replaces a number that JSON cannot represent, such as NaN. */
   warmUpMs: z.number().nullish()
@@ -18,9 +19,10 @@
 
 /** @throws if `value` is not a target */
 export function decodeTargetView (value: unknown): TargetView {
-  const { startedAt, warmUpMs, ...rest } = viewSchema.parse(value)
+  const { version, startedAt, warmUpMs, ...rest } = viewSchema.parse(value)
   return {
     ...rest,
+    ...(version === undefined ? {} : { version }),
     ...(startedAt === undefined ? {} : { startedAt }),
     ...(warmUpMs === undefined ? {} : { warmUpMs: warmUpMs ?? NaN })
   }
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -111,6 +111,7 @@
     const { chooser, client } = this.deps
     const { sink, relay, admitted: { route: { streamed, retriesFailures: mayRetryFailures } } } = open
     open.lastTarget = choice.target.id
+    this.deps.report.resumed(open, choice)
     const ticket = chooser.sent(choice, open.admitted)
     const onFirstOutput = (): void => {
       chooser.endPrefill(choice, ticket, true)
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -20,7 +20,15 @@
   /** Reports that a target was chosen. */
   routed ({ admitted }: OpenCall, { target, candidates, paused, reason, work }: TargetChoice): void {
     const { call, service, team, sharedTokens } = admitted
-    this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, paused, choice: target.id, reason, work })
+    this.log.write('routed', { request: call.requestId, team, service, promptTokens: call.promptTokens, sharedTokens, candidates, paused, choice: target.id, version: target.version, reason, work })
+  }
+
+  /** Reports that a target was chosen to continue a stream, of this call or of an earlier one. */
+  resumed ({ admitted: { call }, sink, relay }: OpenCall, { target }: TargetChoice): void {
+    const after = sink.isStarted ? relay.lastId : call.resumption?.after
+    if (after === undefined) return
+    const stream = call.resumption === undefined ? call.requestId : call.resumption.requestId
+    this.log.write('streamResumed', { request: call.requestId, stream, after, runner: target.id, version: target.version })
   }
 
   /** Reports the state that a target sent with its answer. */
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -14,6 +14,14 @@
 /** A header as received; names may repeat. */
 export type HeaderPair = readonly [name: string, value: string]
 
+/** Where a caller resumes a stream of an earlier request. */
+export interface Resumption {
+  /** Id of the request that brought the first event of the stream; absent if the caller does not name it. */
+  readonly requestId?: string
+  /** Id of the last event that the caller received. */
+  readonly after: string
+}
+
 export interface OpaqueCall {
   readonly requestId: string
   readonly method: string
@@ -25,6 +33,8 @@
   readonly promptTokens: number
   /** Upper bound of the answer, in tokens. */
   readonly maxTokens: number
+  /** Set for a request that resumes a stream. */
+  readonly resumption?: Resumption
   readonly receivedAt: Instant
   /** Aborted when the caller disconnects. */
   readonly gone: AbortSignal
