Resume a broken stream only at targets of the version that began it

What callers saw: streams with events of two software versions of a service, within one response. Cause: the balancer chose the next target of a broken stream like that of a new request; the version of the target was not even decoded. With the first event a call now takes the version of its target, and every later choice is made among targets of this version only, so that no fallback (all ejected, suspicion, warm-up, affinity, places) leaves it. A target that is proved to have terminated is not eligible until it is listed with a later start: its id may come back with another version. Unit cases for each fallback.

--- a/packages/decisions/src/gateway/targetBalancer.spec.ts
+++ b/packages/decisions/src/gateway/targetBalancer.spec.ts
@@ -158,6 +158,46 @@
     expect(failure).to.include({ code: 'noRunner', ran: 'no', retryAfterMs: 300 })
   })
 
+  interface VersionCase {
+    readonly name: string
+    readonly demand: Partial<TargetDemand>
+    /** Called before each choice. */
+    readonly before?: (balancer: TargetBalancer, target: string) => void
+  }
+
+  const versionCases: readonly VersionCase[] = [
+    { name: 'by affinity', demand: {} },
+    { name: 'with the fewest open', demand: { sharedParts: [], sharedTokens: 0 } },
+    { name: 'after its targets were ejected', demand: {}, before: (balancer, target) => { balancer.ended(target, 'unreachable', 0) } },
+    { name: 'under suspicion', demand: { suspicion: { digest: 'x', domains: ['d'] } } },
+    { name: 'while targets warm up', demand: { warmUp: { perS: 100, vm: 'vm', vms: () => ['vm'] } }, before: (balancer, target) => { balancer.updateWarmUp(target, 1_000, 0) } }
+  ]
+  const versioned = targets.map((target, index) => ({ ...target, version: index < 2 ? 'new' : 'old' }))
+  for (const { name, demand: over, before } of versionCases) {
+    it(`chooses only targets of the version that a stream needs: ${name}`, () => {
+      const balancer = new TargetBalancer()
+      const exclude = new Set<string>()
+      for (const target of versioned.slice(0, 2)) {
+        before?.(balancer, target.id)
+        const { target: { id, version } } = balancer.choose(versioned, demand({ ...over, version: 'new', exclude }), 0, 0.5).unsafeCoerce()
+        exclude.add(id)
+        expect(version).to.equal('new')
+      }
+      expect(balancer.choose(versioned, demand({ ...over, version: 'new', exclude }), 0, 0.5).swap().unsafeCoerce().code).to.equal('noRunner')
+    })
+  }
+
+  it('refuses a stream whose version no target runs, one that terminated included until it is listed with a later start', () => {
+    const balancer = new TargetBalancer()
+    const choose = (version: string): string => balancer.choose(versioned, demand({ version }), 0, 0.5).caseOf<string>({ Left: ({ code }) => code, Right: ({ target }) => target.id })
+    balancer.ended('a', 'terminated', 0)
+    expect([choose('newest'), choose('new')]).to.deep.equal(['versionUnavailable', 'b'])
+    balancer.ended('b', 'terminated', 0)
+    expect(choose('new')).to.equal('versionUnavailable')
+    balancer.resetTarget('a')
+    expect(choose('new')).to.equal('a')
+  })
+
   it('spreads many keys over all targets', () => {
     const balancer = new TargetBalancer()
     const counts = new Map<string, number>()
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -11,7 +11,7 @@
 import { TargetHealth } from '../routing/targetHealth.js'
 import { PlaceLimits, type PlaceSharing } from './placeLimits.js'
 import { TargetLoad } from './targetLoad.js'
-import type { TargetView } from './targetSet.js'
+import { versionOf, type TargetView } from './targetSet.js'
 import { WarmUpShare, type WarmUpRate } from './warmUpShare.js'
 
 /**
@@ -40,6 +40,8 @@
   readonly unsharedTokens: number
   /** Ids of the targets tried already. */
   readonly exclude: ReadonlySet<string>
+  /** Software version that has to serve the request, see {@link versionOf}; absent if any may. */
+  readonly version?: string
   /** Set for a request during which targets terminated. */
   readonly suspicion?: Suspicion
   /** Rate limit of targets that warm up; absent if unbounded. */
@@ -91,6 +93,8 @@
   readonly load: TargetLoad
   /** Absent for a target that reported no warm-up. */
   warmUpShare?: WarmUpShare
+  /** Whether its listed process has terminated; the next one may run another version. */
+  isTerminated: boolean
   open: number
 }
 
@@ -105,7 +109,11 @@
    * @param random - a number in [0, 1), breaks ties
    */
   choose (targets: readonly TargetView[], demand: TargetDemand, mono: number, random: number): Either<Failure, TargetChoice> {
-    const untried = targets.filter(({ id }) => !demand.exclude.has(id))
+    const eligible = this.withVersion(targets, demand)
+    if (eligible.length === 0 && targets.length > 0) {
+      return Left(new Failure('versionUnavailable', `no target runs software version '${demand.version}', which began the stream`, { retryAfterMs: NO_TARGET_RETRY_MS }))
+    }
+    const untried = eligible.filter(({ id }) => !demand.exclude.has(id))
     if (untried.length === 0) {
       return Left(new Failure('noRunner', 'no target of the service is left that accepts new requests', { retryAfterMs: NO_TARGET_RETRY_MS }))
     }
@@ -164,15 +172,16 @@
 
   /**
    * Handles the end of a request.
-   * @param end - `good` if the target responded, `failed` if it did not, `unreachable` if no connection could be made, `none` if
-   * the end says nothing about the target
+   * @param end - `good` if the target responded, `failed` if it did not, `unreachable` if no connection could be made, `terminated` if
+   * its process has terminated, `none` if the end says nothing about the target
    */
-  ended (id: string, end: 'good' | 'failed' | 'unreachable' | 'none', mono: number): void {
+  ended (id: string, end: 'good' | 'failed' | 'unreachable' | 'terminated' | 'none', mono: number): void {
     const state = this.stateOf(id)
     state.open = Math.max(0, state.open - 1)
     if (end === 'good') state.health.recordSuccess(mono)
     if (end === 'failed') state.health.recordFailure(mono)
-    if (end === 'unreachable' && !state.health.isEjected(mono)) state.health.eject('unreachable', mono)
+    if (end === 'terminated') state.isTerminated = true
+    if ((end === 'unreachable' || end === 'terminated') && !state.health.isEjected(mono)) state.health.eject('unreachable', mono)
   }
 
   /**
@@ -232,6 +241,11 @@
     this.stateOf(id).open = previous.open
   }
 
+  /** The targets that run the version which a request needs, if it needs one. */
+  private withVersion (targets: readonly TargetView[], { version }: TargetDemand): readonly TargetView[] {
+    return version === undefined ? targets : targets.filter(target => versionOf(target) === version && this.states.get(target.id)?.isTerminated !== true)
+  }
+
   private warmUpWaitMs (id: string, { warmUp }: TargetDemand, mono: number): number {
     const share = this.states.get(id)?.warmUpShare
     return share === undefined || warmUp === undefined ? 0 : share.waitMs(warmUp, mono)
@@ -294,7 +308,7 @@
   private stateOf (id: string): TargetState {
     const current = this.states.get(id)
     if (current !== undefined) return current
-    const fresh = { nameHash: hashName(id), health: new TargetHealth(), load: new TargetLoad(), open: 0 }
+    const fresh = { nameHash: hashName(id), health: new TargetHealth(), load: new TargetLoad(), isTerminated: false, open: 0 }
     this.states.set(id, fresh)
     return fresh
   }
--- a/packages/decisions/src/gateway/targetSet.ts
+++ b/packages/decisions/src/gateway/targetSet.ts
@@ -25,6 +25,11 @@
   readonly warmUpMs?: number
 }
 
+/** Software version of a target; empty if it is not listed. */
+export function versionOf ({ version = '' }: Pick<TargetView, 'version'>): string {
+  return version
+}
+
 /** Time after a register failure for which removed entries are retained; live targets are listed again within two seconds. */
 export const RELIST_TIMEOUT_MS = 2_200
 
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
+import { versionOf } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { BudgetPort } from '../budget/budgetPort.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
@@ -97,7 +98,7 @@
   private async choose (open: OpenCall): Promise<Either<Failure, TargetChoice>> {
     const { chooser, guard, report } = this.deps
     for (;;) {
-      const chosen = chooser.choose(open.admitted, open.excluded, guard?.suspicion(open)).ifRight(choice => { report.routed(open, choice) })
+      const chosen = chooser.choose(open.admitted, open.excluded, guard?.suspicion(open), open.streamVersion).ifRight(choice => { report.routed(open, choice) })
       if (failureOf(chosen)?.code !== 'targetsFull' || open.stopped !== undefined || !await chooser.untilRoom(open.admitted)) return chosen
     }
   }
@@ -115,7 +116,7 @@
     const ticket = chooser.sent(choice, open.admitted)
     const onFirstOutput = (): void => {
       chooser.endPrefill(choice, ticket, true)
-      this.recordFirstOutput(open)
+      this.recordFirstOutput(open, choice)
     }
     const onReport = (report: TargetReport): void => {
       this.deps.report.targetReported(open, choice, report)
@@ -125,7 +126,7 @@
     chooser.endPrefill(choice, ticket, false)
     const isTerminated = await this.isTargetTerminated(open, choice, outcome)
     if (outcome.kind === 'notRun' && outcome.failure.code === 'runnerRefused') chooser.refused(choice)
-    chooser.ended(choice, isTerminated ? 'unreachable' : verdictOf(outcome, open))
+    chooser.ended(choice, isTerminated ? 'terminated' : verdictOf(outcome, open))
     return outcome
   }
 
@@ -158,8 +159,9 @@
     }
   }
 
-  private recordFirstOutput (open: OpenCall): void {
+  private recordFirstOutput (open: OpenCall, { target }: TargetChoice): void {
     open.firstMs ??= open.ageMs
+    open.streamVersion ??= versionOf(target)
     if (open.admitted.route.streamed) this.deps.metrics.record('first_token_ms', open.firstMs)
   }
 
@@ -218,6 +220,7 @@
 function verdictOf (outcome: AttemptOutcome, open: OpenCall): TargetVerdict {
   if (outcome.kind === 'answered' || outcome.kind === 'failedAnswer') return 'good'
   if (open.stopped !== undefined || outcome.failure.code === 'targetsUnreachable') return 'none'
+  if (outcome.kind === 'notRun' && outcome.failure.code === 'targetReplaced') return 'terminated'
   if (outcome.kind === 'notRun') return open.wasAbsent(outcome) ? 'unreachable' : 'none'
   return 'failed'
 }
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -156,7 +156,7 @@
 }
 
 /** What the outcome of a request says about its target. */
-export type TargetVerdict = 'good' | 'failed' | 'unreachable' | 'none'
+export type TargetVerdict = 'good' | 'failed' | 'unreachable' | 'terminated' | 'none'
 
 /** Chooses targets and tracks the outcome of each choice. */
 export interface TargetChooser {
@@ -164,8 +164,9 @@
    * Chooses a target.
    * @param exclude - ids of targets tried already
    * @param suspicion - set for a request that may have terminated targets
+   * @param version - software version of the stream that the request resumes; absent if any may serve it
    */
-  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice>
+  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion, version?: string): Either<Failure, TargetChoice>
   /** Why no target of the service accepts requests; undefined if one does. */
   refusal (admitted: AdmittedCall): Failure | undefined
   /** Records that the request is sent; returns a ticket for {@link endPrefill}. */
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -42,7 +42,7 @@
 
   constructor (private readonly parts: ChooserParts) {}
 
-  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion): Either<Failure, TargetChoice> {
+  choose (admitted: AdmittedCall, exclude: ReadonlySet<string>, suspicion?: Suspicion, version?: string): Either<Failure, TargetChoice> {
     const { balancer, random } = this.parts
     const { service, call, sharedParts, sharedTokens } = admitted
     const available = this.parts.targets.available(service)
@@ -56,7 +56,8 @@
       exclude,
       sharing: this.sharing,
       ...this.warmUpDemand(admitted),
-      ...(suspicion === undefined ? {} : { suspicion })
+      ...(suspicion === undefined ? {} : { suspicion }),
+      ...(version === undefined ? {} : { version })
     }
     return balancer.choose(available.targets, demand, this.mono, random.next()).map(choice => ({ ...choice, paused: available.pausesMs.length }))
   }
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -25,6 +25,8 @@
   failedAnswer: FailedAnswer | undefined
   /** Target of the latest attempt. */
   lastTarget: string | undefined
+  /** Software version that began the stream of the call: only targets of this version may continue it. Undefined before the first event. */
+  streamVersion: string | undefined
   /** Milliseconds that the call waited for tokens. */
   reserveMs = 0
   /** Milliseconds from receipt until the first event, or the complete answer, was relayed. */
