Quarantine parts of prompts that terminate the targets that run them

What callers saw: targets of one service ended one after the other for half a minute at a time, and chats, drafts and summaries with them. Cause: ends were counted by the digest of a request (path, team, body); requests with the part are no two alike, so no request ever had more ends than its own attempts (199 requests suspected in the logs, none of more than three ends). Ends are now also counted for each part of a prompt but the last, by all VMs, with the rows and messages that carry the ends of requests. Bystanders' parts are at the same ends, so a count alone would blame them: an answer clears a part, and of the rest the part with most ends takes them and leaves only what it does not explain to others. What a part explains does not count against requests either. An answer with neither length nor chunks ends with its connection also when its target terminates, so it clears only once the same process has answered a later request; until then its call is held like one that was cancelled.

--- a/packages/decisions/src/codes/resultCodes.ts
+++ b/packages/decisions/src/codes/resultCodes.ts
@@ -49,7 +49,7 @@
   answerMixed: { number: 307, status: 502, title: 'The runner sent pieces of another answer' },
   callerGone: { number: 308, status: 499, title: 'The caller closed the connection' },
   callerSlow: { number: 309, status: 499, title: 'The caller read its answer too slowly' },
-  requestQuarantined: { number: 310, status: 400, title: 'Targets ended each time this request ran; it is not sent on any more' },
+  requestQuarantined: { number: 310, status: 400, title: 'Targets ended each time this request, or one with a part of its prompt, ran; it is not sent on any more' },
 
   noRunner: { number: 401, status: 503, title: 'No runner serves this model now' },
   queueFull: { number: 402, status: 429, title: 'The queue of the team is full' },
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -55,9 +55,9 @@
 
   targetsRead: { number: 4007, level: 'info', title: 'The register of targets was read completely; fields: targets' },
 
-  requestSuspected: { number: 4008, level: 'warn', title: 'A target terminated while a request was open there; fields: request, digest (identifies repeats of the request), runner, startedAt' },
-  requestQuarantined: { number: 4009, level: 'error', title: 'A request was quarantined because targets terminated each time it was executed; fields: digest, runners, level (number of quarantines), by' },
-  quarantineLifted: { number: 4010, level: 'warn', title: 'An operator lifted the suspicion from a request; fields: digest, processes' },
+  requestSuspected: { number: 4008, level: 'warn', title: 'A target terminated while a request was open there; fields: request, digest (identifies repeats of the request), parts (digests of the parts of its prompt, the last one left out), runner, startedAt' },
+  requestQuarantined: { number: 4009, level: 'error', title: 'A request, or each request with a part in its prompt, was quarantined because targets terminated each time it was executed; fields: digest (of a part if it begins with `part.`), runners, level (number of quarantines), by' },
+  quarantineLifted: { number: 4010, level: 'warn', title: 'The suspicion was lifted from a request or a part of prompts, by an operator or as a target had answered it right before; fields: digest, processes' },
   domainEvacuated: { number: 4011, level: 'warn', title: 'Operators evacuated a failure domain, or lifted its evacuation; fields: domain, isEvacuated, targets (number listed there now)' },
   targetReported: { number: 4012, level: 'info', title: 'A target reported in a response that it is leaving, or that this VM should pause; fields: request, runner, startedAt, isLeaving, pauseMs, flaw (a pause that could not be parsed)' },
   placesLimited: { number: 4015, level: 'warn', title: 'Targets of a service reported that they terminate if they have to refuse too much, so VMs share their places; fields: service, refusalLimit (per second), runner (the first that reported it)' },
--- a/packages/decisions/src/quarantine/quarantineTypes.ts
+++ b/packages/decisions/src/quarantine/quarantineTypes.ts
@@ -11,6 +11,8 @@
 export const MAX_DIGESTS = 500
 /** Ends per row, and therefore also per request. */
 export const MAX_ENDS = 50
+/** Parts of prompts per row, at some 40 bytes each. */
+export const MAX_PARTS = 500
 const MAX_CHARACTERS = 200
 
 const digestSchema = z.string().min(1).max(MAX_CHARACTERS)
@@ -31,11 +33,13 @@
 export const endReportSchema = z.object({
   kind: z.literal('ended'),
   ends: z.array(targetEndSchema).min(1).max(MAX_ENDS),
-  digests: z.array(digestSchema).max(MAX_DIGESTS)
+  digests: z.array(digestSchema).max(MAX_DIGESTS),
+  /** Digests of the parts of their prompts that other requests may have too, each with the indices of the requests in `digests`. */
+  parts: z.array(z.tuple([digestSchema, z.array(z.number().int().nonnegative()).max(MAX_DIGESTS)])).max(MAX_PARTS).optional()
 })
 export type EndReport = z.infer<typeof endReportSchema>
 
-/** A request is no longer forwarded. */
+/** A request, or each one with a part of a prompt, is no longer forwarded. */
 export const verdictSchema = z.object({
   kind: z.literal('quarantined'),
   digest: digestSchema,
@@ -60,7 +64,7 @@
 /** `suspected` once a target terminated during the request, `quarantined` when it is no longer forwarded. */
 export type RequestStanding = 'clear' | 'suspected' | 'quarantined'
 
-/** A request under suspicion, as shown to operators. */
+/** A request or a part of prompts under suspicion, as shown to operators. */
 export interface SuspectView {
   readonly digest: string
   readonly standing: RequestStanding
--- a/packages/decisions/src/quarantine/requestQuarantine.ts
+++ b/packages/decisions/src/quarantine/requestQuarantine.ts
@@ -19,6 +19,11 @@
 export class RequestQuarantine {
   private readonly suspects = new Map<string, SuspectRequest>()
   private lastExpiryAt = 0
+  /** Process keys of ends that have another cause. */
+  private explained: ReadonlySet<string> = new Set()
+
+  /** @param quarantinesOnEnds - whether enough ends quarantine; otherwise only a verdict does */
+  constructor (private readonly quarantinesOnEnds = true) {}
 
   /** False while any request is stored, also one whose ends were all cleared. */
   get isEmpty (): boolean {
@@ -28,10 +33,25 @@
   standing (digest: string, mono: number): RequestStanding {
     const suspect = this.suspects.get(digest)
     if (suspect === undefined) return 'clear'
-    if (suspect.isQuarantined(mono)) return 'quarantined'
+    if (suspect.isQuarantined(mono) && suspect.hasReachedThreshold(this.explained)) return 'quarantined'
     return suspect.isSuspected ? 'suspected' : 'clear'
   }
 
+  /** Whether a request is stored. */
+  has (digest: string): boolean {
+    return this.suspects.has(digest)
+  }
+
+  /** Sets the ends that have another cause and therefore don't count. */
+  explain (processes: ReadonlySet<string>): void {
+    this.explained = processes
+  }
+
+  /** Quarantines a request under suspicion; returns the verdict to publish unless it is not due. */
+  quarantine (digest: string, mono: number): readonly Verdict[] {
+    return this.suspects.has(digest) ? this.applyToRequest(digest, { ends: [], level: 1 }, mono, true) : []
+  }
+
   /** Failure domains of the targets whose termination counts against a request. */
   domainsOf (digest: string): readonly string[] {
     return this.suspects.get(digest)?.countedEnds.map(({ domain }) => domain) ?? []
@@ -41,7 +61,7 @@
   apply (update: QuarantineUpdate, mono: number): readonly Verdict[] {
     switch (update.kind) {
       case 'ended': return this.applyEnds(update, mono)
-      case 'quarantined': return this.applyToRequest(update.digest, update, mono)
+      case 'quarantined': return this.applyToRequest(update.digest, update, mono, true)
       case 'cleared': return this.applyClearance(update, mono)
     }
   }
@@ -87,7 +107,7 @@
   }
 
   private applyEnds ({ ends, digests }: EndReport, mono: number): readonly Verdict[] {
-    return digests.flatMap(digest => this.applyToRequest(digest, { ends, level: 1 }, mono))
+    return digests.flatMap(digest => this.applyToRequest(digest, { ends, level: 1 }, mono, this.quarantinesOnEnds))
   }
 
   private applyClearance ({ digest, processes }: Clearance, mono: number): readonly Verdict[] {
@@ -95,10 +115,10 @@
     return []
   }
 
-  private applyToRequest (digest: string, { ends, level }: Pick<Verdict, 'ends' | 'level'>, mono: number): readonly Verdict[] {
+  private applyToRequest (digest: string, { ends, level }: Pick<Verdict, 'ends' | 'level'>, mono: number, quarantines: boolean): readonly Verdict[] {
     const suspect = this.getOrCreateSuspect(digest, mono)
     suspect.add(ends)
-    if (!suspect.quarantineIfDue(mono, level)) return []
+    if (!quarantines || !suspect.hasReachedThreshold(this.explained) || !suspect.quarantineIfDue(mono, level)) return []
     return [{ kind: 'quarantined', digest, ends: [...suspect.countedEnds], level: suspect.level }]
   }
 
--- a/packages/decisions/src/quarantine/suspectRequest.ts
+++ b/packages/decisions/src/quarantine/suspectRequest.ts
@@ -44,6 +44,14 @@
     return this.leftMs(mono) > 0
   }
 
+  /**
+   * Whether enough ends count for a quarantine.
+   * @param explained - process keys of ends that have another cause
+   */
+  hasReachedThreshold (explained: ReadonlySet<string> = new Set()): boolean {
+    return this.countedEnds.filter(end => !explained.has(processKey(end))).length >= QUARANTINE_THRESHOLD
+  }
+
   /** Milliseconds until its quarantine expires; 0 when there is none. */
   leftMs (mono: number): number {
     if (this.quarantinedAt === undefined) return 0
@@ -65,7 +73,7 @@
    */
   clear (processes: readonly string[]): void {
     for (const name of processes) this.cleared.add(name)
-    if (!this.hasReachedThreshold) this.quarantinedAt = undefined
+    if (!this.hasReachedThreshold()) this.quarantinedAt = undefined
   }
 
   /**
@@ -73,7 +81,7 @@
    * @param level - how often other VMs have quarantined it, including this time
    */
   quarantineIfDue (mono: number, level = 1): boolean {
-    if (!this.hasReachedThreshold || this.isQuarantined(mono)) return false
+    if (!this.hasReachedThreshold() || this.isQuarantined(mono)) return false
     this.level = Math.max(this.level + 1, level)
     this.quarantinedAt = mono
     return true
@@ -96,8 +104,4 @@
     const names = [...this.ends].sort(([a, { at }], [b, other]) => at - other.at || (a < b ? -1 : 1)).map(([name]) => name)
     for (const name of names.slice(0, -MAX_ENDS)) this.ends.delete(name)
   }
-
-  private get hasReachedThreshold (): boolean {
-    return this.countedEnds.length >= QUARANTINE_THRESHOLD
-  }
 }
--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -13,9 +13,12 @@
 const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
 
+/** Headers of which an answer has one unless it ends with its connection. */
+const delimitingHeaders = new Set(['content-length', 'transfer-encoding'])
+
 export type AttemptOutcome =
   /** The complete answer was relayed. */
-  | { readonly kind: 'answered', readonly status: number }
+  | { readonly kind: 'answered', readonly status: number, readonly isDelimited: boolean }
   /** The target answered with a server error, which has not been relayed. */
   | { readonly kind: 'failedAnswer', readonly head: AnswerHead, readonly body: Buffer }
   /** The target proved that it did not run the request. */
@@ -62,6 +65,11 @@
   return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
 }
 
+/** Whether the end of an answer is marked; otherwise it ends with its connection. */
+function isDelimited ({ headers }: AnswerHead): boolean {
+  return headers.some(([name]) => delimitingHeaders.has(name.toLowerCase()))
+}
+
 async function relayBuffered ({ sink, retriesFailures: mayRetryFailures, onFirstOutput: notifyFirstOutput }: AttemptParts, answer: TargetAnswer): Promise<AttemptOutcome> {
   const chunks: Buffer[] = []
   let size = 0
@@ -77,7 +85,7 @@
   if ((answer.head.status >= MIN_SERVER_ERROR_STATUS && mayRetryFailures) || sink.isStarted) return { kind: 'failedAnswer', head: answer.head, body }
   notifyFirstOutput()
   sink.whole(answer.head, body)
-  return { kind: 'answered', status: answer.head.status }
+  return { kind: 'answered', status: answer.head.status, isDelimited: isDelimited(answer.head) }
 }
 
 /** Sends the head together with the first event; until then another target can be tried. */
@@ -99,7 +107,7 @@
   }
   if (!sink.isStarted) sink.head(answer.head)
   sink.end()
-  return { kind: 'answered', status: answer.head.status }
+  return { kind: 'answered', status: answer.head.status, isDelimited: isDelimited(answer.head) }
 }
 
 function truncatedOutcome (relay: EventRelay): AttemptOutcome {
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -92,7 +92,7 @@
       const confirmed = this.confirm(open)
       if (confirmed.isLeft()) return this.concludeFailed(open, confirmed.extract())
       const outcome = await this.attempt(open, chosen.unsafeCoerce())
-      if (outcome.kind === 'answered') return this.answered(open, chosen.unsafeCoerce(), outcome.status)
+      if (outcome.kind === 'answered') return this.answered(open, chosen.unsafeCoerce(), outcome)
       open.recordAttempt(chosen.unsafeCoerce().target.id, outcome)
       const isRetried = this.mayRetry(open, outcome)
       this.deps.report.attemptFailed(open, chosen.unsafeCoerce().target.id, outcome, isRetried)
@@ -101,9 +101,9 @@
   }
 
   /** A refusal does not show that the request is safe for the target, so only a success is reported to the guard. */
-  private answered (open: OpenCall, { target }: TargetChoice, status: number): Either<Failure, void> {
-    if (isSuccess(status)) this.deps.guard?.answered(open)
-    return this.deps.report.answered(open, target.id)
+  private answered (open: OpenCall, choice: TargetChoice, { status, isDelimited }: Extract<AttemptOutcome, { kind: 'answered' }>): Either<Failure, void> {
+    if (isSuccess(status)) this.deps.guard?.answered(open, choice, { isDelimited, sentAt: open.sentAt })
+    return this.deps.report.answered(open, choice.target.id)
   }
 
   /** Waits for a place if all are taken. */
@@ -124,6 +124,7 @@
     const { chooser, client } = this.deps
     const { sink, relay, admitted: { route: { streamed, retriesFailures: mayRetryFailures } } } = open
     open.lastTarget = choice.target.id
+    open.sentAt = this.deps.clock.now().mono
     this.deps.report.resumed(open, choice)
     const ticket = chooser.sent(choice, open.admitted)
     const onFirstOutput = (): void => {
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -60,7 +60,9 @@
   readonly tokensPerEvent: number
   /** Requests per second that all VMs together may send to a target of the service while it warms up; absent for no limit. */
   readonly warmUpPerS?: number
-  /** Ids of the prompt parts that other requests share. */
+  /** Ids of all parts of the prompt but the last, which is specific to the request. */
+  readonly promptParts: readonly string[]
+  /** Those by which targets are chosen; empty without affinity. */
   readonly sharedParts: readonly string[]
   /** Tokens of the shared parts. */
   readonly sharedTokens: number
@@ -195,6 +197,14 @@
   versionOf (admitted: AdmittedCall): Promise<Either<Failure, KnownVersion>>
 }
 
+/** An answer that a target served. */
+export interface ServedAnswer {
+  /** Whether a length or chunks mark its end; otherwise it ends with its connection, also if the target terminates. */
+  readonly isDelimited: boolean
+  /** When the request was sent, in monotonic milliseconds. */
+  readonly sentAt: number
+}
+
 /** Protects targets from requests that terminate them. */
 export interface CallGuard {
   /** Called when a call starts. */
@@ -212,7 +222,7 @@
   /** Called when a target was absent. */
   targetAbsent (choice: TargetChoice): void
   /** Called when a target served the call. */
-  answered (call: OpenCall): void
+  answered (call: OpenCall, choice: TargetChoice, answer: ServedAnswer): void
 }
 
 /** Limits retries. */
--- a/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
@@ -31,8 +31,8 @@
   if (service === undefined) return Left(new Failure('noRunner', 'the route has no service', { retryAfterMs: NO_SERVICE_RETRY_MS }))
   const { tokensPerEvent = 1, warmUpPerS } = config.services[service] ?? {}
   const teamConfig = team === undefined ? undefined : config.teams[team]
-  // The last part is specific to the request.
-  const sharedPromptParts = route.hasAffinity ? call.promptParts.slice(0, -1) : []
+  const promptParts = call.promptParts.slice(0, -1)
+  const sharedPromptParts = route.hasAffinity ? promptParts : []
   const waitMs = Math.min(call.timeoutMs ?? route.timeoutMs, route.timeoutMs)
   return Right({
     call,
@@ -43,6 +43,7 @@
     priority: teamConfig?.priority ?? route.priority,
     tokensPerEvent,
     ...(warmUpPerS === undefined ? {} : { warmUpPerS }),
+    promptParts: promptParts.map(({ id }) => id),
     sharedParts: sharedPromptParts.map(({ id }) => id),
     sharedTokens: sharedPromptParts.reduce((sum, { tokens }) => sum + tokens, 0),
     deadline: call.receivedAt.mono + waitMs
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -6,7 +6,7 @@
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { KnownVersion, VersionSource } from '@rosemaryspread/decisions/streams/streamVersion.js'
 import type { Reservation } from '../budget/budgetPort.js'
-import { requestDigest } from '../quarantine/requestDigest.js'
+import { partDigest, requestDigest } from '../quarantine/requestDigest.js'
 import { EventRelay } from './eventRelay.js'
 import type { AttemptOutcome } from './callAttempt.js'
 import type { AdmittedCall, CallSink } from './callTypes.js'
@@ -30,6 +30,8 @@
   streamVersion: string | undefined
   /** How the version of a stream of an earlier call is known. */
   versionSource: VersionSource | undefined
+  /** Monotonic milliseconds of the latest attempt. */
+  sentAt = 0
   /** Milliseconds that the call waited for tokens. */
   reserveMs = 0
   /** Milliseconds from receipt until the first event, or the complete answer, was relayed. */
@@ -42,6 +44,7 @@
   absentTargets = 0
   private ran = false
   private cachedDigest: string | undefined
+  private cachedPartDigests: readonly string[] | undefined
   private readonly stop = new AbortController()
   private readonly timer: NodeJS.Timeout
 
@@ -57,6 +60,12 @@
     return this.cachedDigest
   }
 
+  /** Digests of the parts of the prompt that other requests may have too; computed on first use. */
+  get partDigests (): readonly string[] {
+    this.cachedPartDigests ??= this.admitted.promptParts.map(part => partDigest(this.admitted.service, part))
+    return this.cachedPartDigests
+  }
+
   /** Milliseconds until the deadline; negative after it. */
   get leftMs (): number {
     return this.admitted.deadline - this.clock.now().mono
--- a/packages/rosemaryspread/src/quarantine/abandonedCalls.ts
+++ b/packages/rosemaryspread/src/quarantine/abandonedCalls.ts
@@ -1,7 +1,7 @@
 /**
- * Calls that this side cancelled while a target may have run them. A target that terminates right afterwards may have
- * done so because of the call, though its connection was closed by then. Without this, the request of a caller with a
- * short timeout would never be detected.
+ * Calls whose end at their target is not known: this side cancelled them while the target may have run them, or their answer ended with
+ * its connection. A target that terminates right afterwards may have done so because of the call, though its connection was closed by then.
+ * Without this, the request of a caller with a short timeout would never be detected.
  */
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import { processKey } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
@@ -11,6 +11,11 @@
  * within 0.2 s of running such a request.
  */
 const ATTRIBUTION_WINDOW_MS = 1_000
+/**
+ * Milliseconds after an answer that ended with its connection in which a later request confirms it; by then a terminated target cannot have
+ * restarted under its id.
+ */
+const CONFIRMATION_WINDOW_MS = 500
 /** Maximum number of stored calls: more than all VMs of a small fleet have open. */
 const MAX_CALLS = 1_000
 
@@ -20,11 +25,19 @@
 export interface CallIdentity {
   readonly requestId: string
   readonly digest: string
+  /** Digests of the parts of its prompt that other requests may have too. */
+  readonly partDigests: readonly string[]
+}
+
+/** A call whose answer ended with its connection. */
+export interface UnconfirmedAnswer extends CallIdentity {
+  /** Whether the answer counts for other requests with its digest. */
+  readonly isEligible: boolean
 }
 
 interface AbandonedCall {
   readonly process: string
-  readonly call: CallIdentity
+  readonly call: CallIdentity | UnconfirmedAnswer
   readonly at: number
 }
 
@@ -36,7 +49,7 @@
    * Stores an abandoned call.
    * @param target - where it may have run
    */
-  add (call: CallIdentity, target: Process, mono: number): void {
+  add (call: CallIdentity | UnconfirmedAnswer, target: Process, mono: number): void {
     this.calls = [...this.calls.filter(({ at }) => mono - at <= ATTRIBUTION_WINDOW_MS).slice(1 - MAX_CALLS), { process: processNameOf(target), call, at: mono }]
   }
 
@@ -45,6 +58,17 @@
     return this.calls.some(({ process }) => process === processNameOf(target))
   }
 
+  /**
+   * Removes and returns the answers that a target survived.
+   * @param sentAt - when a later request was sent that the target has answered
+   */
+  removeConfirmed (target: Process, sentAt: number): readonly UnconfirmedAnswer[] {
+    const name = processNameOf(target)
+    const confirmed = new Set(this.calls.filter(({ process, call, at }) => process === name && 'isEligible' in call && at < sentAt && sentAt - at <= CONFIRMATION_WINDOW_MS))
+    if (confirmed.size > 0) this.calls = this.calls.filter(call => !confirmed.has(call))
+    return [...confirmed].flatMap(({ call }) => 'isEligible' in call ? call : [])
+  }
+
   /**
    * Removes and returns the calls abandoned shortly before a target terminated.
    * @param endedAt - when the termination was detected
--- a/packages/rosemaryspread/src/quarantine/answeredRequests.ts
+++ b/packages/rosemaryspread/src/quarantine/answeredRequests.ts
@@ -10,13 +10,16 @@
 const MAX_BODY_BYTES = 2_048
 /** Milliseconds for which an answer counts. */
 const RETENTION_MS = 60_000
-/** Maximum number of stored digests; a VM answers some 20 such requests a second. */
+/** Default maximum of stored digests; a VM answers some 20 such requests a second. */
 const MAX_ENTRIES = 2_000
 
 /** Recently answered requests of one VM. Times are monotonic milliseconds. */
 export class AnsweredRequests {
   private readonly at = new Map<string, number>()
 
+  /** @param maxEntries - maximum of stored digests; the oldest are dropped */
+  constructor (private readonly maxEntries = MAX_ENTRIES) {}
+
   /** Whether a request with this body is small enough to be stored. */
   isEligible (body: Buffer): boolean {
     return body.length <= MAX_BODY_BYTES
@@ -25,14 +28,19 @@
   add (digest: string, mono: number): void {
     this.at.delete(digest)
     this.at.set(digest, mono)
-    if (this.at.size <= MAX_ENTRIES) return
+    if (this.at.size <= this.maxEntries) return
     const [oldest] = this.at.keys()
     if (oldest !== undefined) this.at.delete(oldest)
   }
 
   /** Whether a request was answered recently. */
   has (digest: string, mono: number): boolean {
+    return this.lastAt(digest, mono) !== undefined
+  }
+
+  /** Time of the last answer; undefined if there was none recently. */
+  lastAt (digest: string, mono: number): number | undefined {
     const at = this.at.get(digest)
-    return at !== undefined && mono - at <= RETENTION_MS
+    return at !== undefined && mono - at <= RETENTION_MS ? at : undefined
   }
 }
--- a/packages/rosemaryspread/src/quarantine/quarantineSync.ts
+++ b/packages/rosemaryspread/src/quarantine/quarantineSync.ts
@@ -4,7 +4,7 @@
  * or sent before a target has terminated.
  */
 import {
-  MAX_DIGESTS, processKey, quarantineUpdateSchema, type Clearance, type QuarantineUpdate, type TargetEnd, type Verdict
+  MAX_DIGESTS, MAX_PARTS, processKey, quarantineUpdateSchema, type Clearance, type EndReport, type QuarantineUpdate, type TargetEnd, type Verdict
 } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
 import type { PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
 import { MAX_NOTIFIED_PEERS } from '../presence/fleetLinks.js'
@@ -35,6 +35,8 @@
 interface OpenReport {
   readonly end: TargetEnd
   readonly digests: Set<string>
+  /** Digests of the requests by the digest of a part of their prompts. */
+  readonly parts: Map<string, Set<string>>
   readonly since: number
   isPublished: boolean
 }
@@ -73,11 +75,13 @@
   /**
    * Publishes the termination of a target on which a request was open.
    * @param digest - digest of the request
+   * @param partDigests - digests of the parts of its prompt that other requests may have too
    */
-  ended (end: TargetEnd, digest: string): void {
+  ended (end: TargetEnd, digest: string, partDigests: readonly string[] = []): void {
     const name = processKey(end)
-    const open = this.reports.get(name) ?? { end, digests: new Set<string>(), since: this.mono, isPublished: true }
+    const open = this.reports.get(name) ?? { end, digests: new Set<string>(), parts: new Map<string, Set<string>>(), since: this.mono, isPublished: true }
     open.digests.add(digest)
+    for (const part of partDigests) open.parts.set(part, (open.parts.get(part) ?? new Set()).add(digest))
     open.isPublished = false
     this.reports.set(name, open)
     this.batchTimer ??= setTimeout(() => { this.publishBatch() }, BATCH_WINDOW_MS)
@@ -102,7 +106,7 @@
   private publishBatch (): void {
     this.batchTimer = undefined
     for (const [name, open] of this.reports) {
-      if (!open.isPublished) this.publish(`ended/${name}/${this.parts.vm}`, { kind: 'ended', ends: [open.end], digests: [...open.digests].slice(0, MAX_DIGESTS) })
+      if (!open.isPublished) this.publish(`ended/${name}/${this.parts.vm}`, toReport(open))
       open.isPublished = true
       if (this.mono - open.since > REPORT_RETENTION_MS) this.reports.delete(name)
     }
@@ -119,6 +123,13 @@
   }
 }
 
+function toReport ({ end, digests: all, parts: allParts }: OpenReport): EndReport {
+  const digests = [...all].slice(0, MAX_DIGESTS)
+  const indices = new Map(digests.map((digest, index) => [digest, index]))
+  const parts = [...allParts].slice(0, MAX_PARTS).map(([part, requests]): [string, number[]] => [part, [...requests].flatMap(digest => indices.get(digest) ?? [])])
+  return { kind: 'ended', ends: [end], digests, ...(parts.length === 0 ? {} : { parts }) }
+}
+
 function verdictKey (digest: string): string {
   return `quarantined/${digest}`
 }
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -187,6 +187,7 @@
     isPrepaid: false,
     priority: 0,
     tokensPerEvent: 1,
+    promptParts: [],
     sharedParts: [],
     sharedTokens: 0,
     deadline: startedAt.mono + timeoutMs
