--- a/packages/rosemaryspread/src/streams/streamVersions.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.ts
@@ -74,10 +74,11 @@
   }
 
   async versionOf ({ service, team, call: { resumption } }: AdmittedCall): Promise<Either<Failure, KnownVersion>> {
-    const key = resumption?.requestId === undefined ? undefined : streamKey(service, team, resumption.requestId)
-    const recorded = key === undefined ? undefined : this.records.versionOf(key)
+    // Of a stream that its caller does not name there is no record, but its service may have had one version only.
+    const key = streamKey(service, team, resumption?.requestId ?? '')
+    const recorded = this.records.versionOf(key)
     if (recorded !== undefined) return Right({ version: recorded, source: 'ownRecord' })
-    const answers = key === undefined ? [] : await this.ask({ key, service })
+    const answers = await this.ask({ key, service })
     const known = decideVersion(this.versionsOf(service), answers)
     return known === undefined ? Left(new Failure('streamUnknown', 'no VM that can be asked knows which software version began the stream')) : Right(known)
   }
