Count evidence against parts only where enough requests hold them

The tick listed all suspects to find those that explain ends, some thousand for ten minutes after a series of ends. It reads the quarantined parts, and those with three requests and more, instead.

--- a/packages/decisions/src/quarantine/promptPartQuarantine.ts
+++ b/packages/decisions/src/quarantine/promptPartQuarantine.ts
@@ -41,6 +41,7 @@
   /** Digests of the requests that were open with a part when targets terminated. */
   private readonly requests = new Map<string, Set<string>>()
   private readonly reportedAt = new Map<string, number>()
+  private readonly quarantined = new Set<string>()
   private hasNews = false
 
   /** @param answeredAt - when a target last answered a request with a part; undefined if none did recently */
@@ -71,7 +72,9 @@
       this.applyEnds(update, mono)
       return []
     }
-    return this.parts.apply(update, mono)
+    const verdicts = this.parts.apply(update, mono)
+    if (this.isQuarantined(update.digest, mono)) this.quarantined.add(update.digest)
+    return verdicts
   }
 
   /** Clears a part that a target answered; see {@link RequestQuarantine.answered}. */
@@ -91,8 +94,8 @@
 
   /** Process keys of the ends that quarantined parts explain. */
   explained (mono: number): ReadonlySet<string> {
-    const quarantined = this.parts.list(mono).filter(({ standing }) => standing === 'quarantined')
-    return new Set(quarantined.flatMap(({ ends }) => ends.map(processKey)))
+    for (const digest of this.quarantined) if (!this.isQuarantined(digest, mono)) this.quarantined.delete(digest)
+    return new Set([...this.quarantined].flatMap(digest => this.parts.endsOf(digest).map(processKey)))
   }
 
   /** Quarantines the parts that explain the ends reported so far, and drops old evidence; to be called several times a second. */
@@ -102,7 +105,9 @@
     for (const digest of this.requests.keys()) if (!this.parts.has(digest)) this.requests.delete(digest)
     if (!this.hasNews) return []
     this.hasNews = [...this.reportedAt.values()].some(at => mono - at <= SETTLE_MS + MIN_UNANSWERED_MS)
-    return this.explain(mono).flatMap(digest => this.parts.quarantine(digest, mono))
+    const verdicts = this.explain(mono).flatMap(digest => this.parts.quarantine(digest, mono))
+    for (const { digest } of verdicts) this.quarantined.add(digest)
+    return verdicts
   }
 
   /** Digests of the parts that explain the ends best, not counting what quarantined parts explain. */
@@ -128,11 +133,11 @@
   }
 
   private evidence (mono: number): readonly PartEvidence[] {
-    return this.parts.list(mono).flatMap(({ digest, standing, ends }) => {
-      if (standing === 'quarantined' || (this.requests.get(digest)?.size ?? 0) < MIN_REQUESTS) return []
+    return [...this.requests].flatMap(([digest, { size }]) => {
+      if (size < MIN_REQUESTS || this.isQuarantined(digest, mono)) return []
       const answeredAt = this.answeredAt(digest)
       if (answeredAt !== undefined && mono - answeredAt < MIN_UNANSWERED_MS) return []
-      const settled = ends.filter(end => mono - (this.reportedAt.get(processKey(end)) ?? -Infinity) >= SETTLE_MS)
+      const settled = this.parts.endsOf(digest).filter(end => mono - (this.reportedAt.get(processKey(end)) ?? -Infinity) >= SETTLE_MS)
       return { digest, ends: new Map(settled.map(end => [processKey(end), end.at])), wasAnswered: answeredAt !== undefined }
     })
   }
--- a/packages/decisions/src/quarantine/requestQuarantine.ts
+++ b/packages/decisions/src/quarantine/requestQuarantine.ts
@@ -4,7 +4,7 @@
  * the same ones, in any order and more than once, reaches the same standing.
  */
 import {
-  type Clearance, type EndReport, type QuarantineUpdate, type RequestStanding, type SuspectView, type Verdict
+  type Clearance, type EndReport, type QuarantineUpdate, type RequestStanding, type SuspectView, type TargetEnd, type Verdict
 } from './quarantineTypes.js'
 import { SuspectRequest } from './suspectRequest.js'
 
@@ -54,7 +54,12 @@
 
   /** Failure domains of the targets whose termination counts against a request. */
   domainsOf (digest: string): readonly string[] {
-    return this.suspects.get(digest)?.countedEnds.map(({ domain }) => domain) ?? []
+    return this.endsOf(digest).map(({ domain }) => domain)
+  }
+
+  /** Terminations that count against a request, earliest first. */
+  endsOf (digest: string): readonly TargetEnd[] {
+    return this.suspects.get(digest)?.countedEnds ?? []
   }
 
   /** Applies an update from this VM or another; returns verdicts on the requests that it quarantines. */
