--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -235,7 +235,6 @@
 function verdictOf (outcome: AttemptOutcome, open: OpenCall): TargetVerdict {
   if (outcome.kind === 'answered' || outcome.kind === 'failedAnswer') return 'good'
   if (open.stopped !== undefined || outcome.failure.code === 'targetsUnreachable') return 'none'
-  if (outcome.kind === 'notRun' && outcome.failure.code === 'targetReplaced') return 'terminated'
   if (outcome.kind === 'notRun') return open.wasAbsent(outcome) ? 'unreachable' : 'none'
   return 'failed'
 }
--- a/packages/rosemaryspread/src/quarantine/abandonedCalls.ts
+++ b/packages/rosemaryspread/src/quarantine/abandonedCalls.ts
@@ -64,9 +64,9 @@
    */
   removeConfirmed (target: Process, sentAt: number): readonly UnconfirmedAnswer[] {
     const name = processNameOf(target)
-    const confirmed = new Set(this.calls.filter(({ process, call, at }) => process === name && 'isEligible' in call && at < sentAt && sentAt - at <= CONFIRMATION_WINDOW_MS))
+    const confirmed = new Set(this.calls.filter(({ process, call, at }) => process === name && isUnconfirmedAnswer(call) && at < sentAt && sentAt - at <= CONFIRMATION_WINDOW_MS))
     if (confirmed.size > 0) this.calls = this.calls.filter(call => !confirmed.has(call))
-    return [...confirmed].flatMap(({ call }) => 'isEligible' in call ? call : [])
+    return [...confirmed].map(({ call }) => call).filter(isUnconfirmedAnswer)
   }
 
   /**
@@ -81,6 +81,10 @@
   }
 }
 
+function isUnconfirmedAnswer (call: CallIdentity | UnconfirmedAnswer): call is UnconfirmedAnswer {
+  return 'isEligible' in call
+}
+
 function processNameOf ({ id, startedAt }: Process): string {
   return processKey({ target: id, startedAt })
 }
--- a/packages/rosemaryspread/src/quarantine/callQuarantine.ts
+++ b/packages/rosemaryspread/src/quarantine/callQuarantine.ts
@@ -6,21 +6,21 @@
 import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { Suspicion, TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
-import type { QuarantineUpdate, SuspectView, TargetEnd, Verdict } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
 import { PromptPartQuarantine } from '@rosemaryspread/decisions/quarantine/promptPartQuarantine.js'
+import type { QuarantineUpdate, SuspectView, TargetEnd, Verdict } from '@rosemaryspread/decisions/quarantine/quarantineTypes.js'
 import { RequestQuarantine } from '@rosemaryspread/decisions/quarantine/requestQuarantine.js'
 import type { CallGuard, ServedAnswer } from '../gateway/callTypes.js'
 import type { OpenCall } from '../gateway/openCall.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { AnsweredRequests } from './answeredRequests.js'
 import { AbandonedCalls, type CallIdentity, type UnconfirmedAnswer } from './abandonedCalls.js'
-import { isPartDigest } from './requestDigest.js'
 import type { QuarantineSync } from './quarantineSync.js'
+import { isPartDigest } from './requestDigest.js'
 import type { TargetEndDetector } from './targetEndDetector.js'
 
 /** Parts of which recent answers are stored; a service may have several thousand in use. */
 const MAX_ANSWERED_PARTS = 10_000
-/** Time after an answer in which a verdict on a part of its prompt is wrong. */
+/** A verdict on a part is wrong if a target answered a request with it within this time before. */
 const ANSWER_PROOF_MS = 1_000
 
 type Target = TargetChoice['target']
