--- a/packages/decisions/src/quarantine/promptPartQuarantine.ts
+++ b/packages/decisions/src/quarantine/promptPartQuarantine.ts
@@ -20,6 +20,7 @@
 const SETTLE_MS = 250
 /** Time after the last end of a part for which its requests are stored. */
 const EVIDENCE_MS = 600_000
+/** Requests stored for a part; more than enough to tell one request from several. */
 const MAX_REQUESTS = 50
 
 interface PartEvidence {
@@ -40,7 +41,9 @@
   private readonly parts = new RequestQuarantine(false)
   /** Digests of the requests that were open with a part when targets terminated. */
   private readonly requests = new Map<string, Set<string>>()
+  /** Time of the first report of each end, by process key. */
   private readonly reportedAt = new Map<string, number>()
+  /** Digests of quarantined parts. */
   private readonly quarantined = new Set<string>()
   private hasNews = false
 
--- a/packages/decisions/src/streams/streamTypes.ts
+++ b/packages/decisions/src/streams/streamTypes.ts
@@ -12,7 +12,6 @@
 
 /** Streams that began, by their key, and their software versions. */
 export const begunStreamsSchema = z.object({ streams: z.array(z.tuple([keySchema, versionSchema])).max(MAX_STREAMS) })
-export type BegunStreams = z.infer<typeof begunStreamsSchema>
 
 /** Asks which version began a stream. */
 export const streamQuerySchema = z.object({ key: keySchema, service: versionSchema })
--- a/packages/decisions/src/streams/versionHistory.ts
+++ b/packages/decisions/src/streams/versionHistory.ts
@@ -43,11 +43,4 @@
     const isObserved = this.isReadable && this.readableSince !== undefined && mono - this.readableSince >= spanMs
     return isObserved && sole !== undefined ? { kind: 'sole', version: sole[0] } : { kind: 'unknown' }
   }
-
-  /** Drops versions that were not listed within a time. */
-  forget (spanMs: number, mono: number): void {
-    for (const versions of this.lastListedAt.values()) {
-      for (const [version, at] of versions) if (mono - at > spanMs) versions.delete(version)
-    }
-  }
 }
