--- a/packages/rosemaryspread/src/streams/streamVersions.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.ts
@@ -88,8 +88,10 @@
     const lifetimeMs = this.parts.lifetimeMs()
     this.records.forget(lifetimeMs, this.mono)
     const due: Array<[key: string, version: string]> = []
+    const soleByService = new Map<string, boolean>()
     for (const [key, { service, version, at }] of this.untold) {
-      const isSole = this.versionsOf(service).kind === 'sole'
+      const isSole = soleByService.get(service) ?? this.versionsOf(service).kind === 'sole'
+      soleByService.set(service, isSole)
       if (!isSole) due.push([key, version])
       if (!isSole || this.mono - at > lifetimeMs) this.untold.delete(key)
     }
