The code cache holds functions that are first called later

Cause: the cache was written once all modules were loaded and held only what had run until then; the functions of a request and of the feeds were compiled while the VM served. Change: the cache is compiled with --no-lazy, and written under the flags of the reader, which V8 checks. Ruled out: more memory (resident 68.9 against 69.2 MB).

--- a/deploy/runBundle.cjs
+++ b/deploy/runBundle.cjs
@@ -7,6 +7,7 @@
 
 const { existsSync, readFileSync, writeFileSync } = require('node:fs')
 const { dirname, join } = require('node:path')
+const { setFlagsFromString } = require('node:v8')
 const { Script } = require('node:vm')
 
 const bundleFile = join(__dirname, '..', 'target', 'rosemaryspreadVm.cjs')
@@ -16,11 +17,15 @@
 const cachedData = !isWriting && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined
 // The bundle is ASCII; reading it as latin1 avoids UTF-8 decoding.
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'latin1')}\n})`
+// With functions that are first called later, such as those of a request, none has to be compiled while the VM serves.
+if (isWriting) setFlagsFromString('--no-lazy')
 const script = new Script(source, { filename: bundleFile, ...(cachedData === undefined ? {} : { cachedData }) })
 if (script.cachedDataRejected === true) console.error('the code cache is from another build or Node version and is not used')
 
-// Without settings the program exits once all modules are loaded; the cache then contains what was compiled so far.
+// Without settings the program exits once all modules are loaded.
 if (isWriting) {
+  // V8 rejects a cache that was written under other flags than those of the process that reads it.
+  setFlagsFromString('--lazy')
   process.once('exit', () => {
     writeFileSync(cacheFile, script.createCachedData())
     process.exitCode = 0
