Only the writer of the code cache loads node:v8

Cause: loading the module at each start took 12 ms (trial: Module._load timed at the start of the bundle, one run: node:v8 12.0 ms, node:crypto 9.8, node:http 7.4, assert 3.4 for bunyan).

--- a/deploy/runBundle.cjs
+++ b/deploy/runBundle.cjs
@@ -7,7 +7,6 @@
 
 const { existsSync, readFileSync, writeFileSync } = require('node:fs')
 const { dirname, join } = require('node:path')
-const { setFlagsFromString } = require('node:v8')
 const { Script } = require('node:vm')
 
 const bundleFile = join(__dirname, '..', 'target', 'rosemaryspreadVm.cjs')
@@ -18,14 +17,14 @@
 // The bundle is ASCII; reading it as latin1 avoids UTF-8 decoding.
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'latin1')}\n})`
 // With functions that are first called later, such as those of a request, none has to be compiled while the VM serves.
-if (isWriting) setFlagsFromString('--no-lazy')
+if (isWriting) setFlag('--no-lazy')
 const script = new Script(source, { filename: bundleFile, ...(cachedData === undefined ? {} : { cachedData }) })
 if (script.cachedDataRejected === true) console.error('the code cache is from another build or Node version and is not used')
 
 // Without settings the program exits once all modules are loaded.
 if (isWriting) {
   // V8 rejects a cache that was written under other flags than those of the process that reads it.
-  setFlagsFromString('--lazy')
+  setFlag('--lazy')
   process.once('exit', () => {
     writeFileSync(cacheFile, script.createCachedData())
     process.exitCode = 0
@@ -34,3 +33,8 @@
 
 const bundle = { exports: {} }
 script.runInThisContext()(bundle.exports, require, bundle, bundleFile, dirname(bundleFile))
+
+/** Loads the module here, as loading it takes time at each start. */
+function setFlag (flag) {
+  require('node:v8').setFlagsFromString(flag)
+}
