--- a/packages/rosemaryspread/src/directory/keyDirectory.ts
+++ b/packages/rosemaryspread/src/directory/keyDirectory.ts
@@ -2,7 +2,7 @@
  * Finds the owner of a bearer key. Only SHA-256 hashes of keys are configured; a key is looked up by
  * its hash, and the hash is then compared in constant time.
  */
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { hash, timingSafeEqual } from 'node:crypto'
 
 /** Owners of keys, teams or operators, by key hash. */
 export class KeyDirectory {
@@ -23,10 +23,10 @@
 
   /** The owner of a key as sent by the caller; undefined when no owner has it. */
   ownerOf (key: string): string | undefined {
-    const digest = createHash('sha256').update(key).digest()
-    const hash = digest.toString('hex')
-    const owner = this.owners.get(hash)
-    const expected = Buffer.from(owner === undefined ? '0'.repeat(hash.length) : hash, 'hex')
+    const digest = hash('sha256', key, 'buffer')
+    const keyHash = digest.toString('hex')
+    const owner = this.owners.get(keyHash)
+    const expected = Buffer.from(owner === undefined ? '0'.repeat(keyHash.length) : keyHash, 'hex')
     return timingSafeEqual(expected, digest) ? owner : undefined
   }
 }
--- a/packages/rosemaryspread/src/quarantine/callQuarantine.ts
+++ b/packages/rosemaryspread/src/quarantine/callQuarantine.ts
@@ -13,7 +13,7 @@
 import type { OpenCall } from '../gateway/openCall.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { AnsweredRequests } from './answeredRequests.js'
-import { AbandonedCalls, type CallIdentity, type UnconfirmedAnswer } from './abandonedCalls.js'
+import { AbandonedCalls, type CallIdentity } from './abandonedCalls.js'
 import type { QuarantineSync } from './quarantineSync.js'
 import { isPartDigest } from './requestDigest.js'
 import type { TargetEndDetector } from './targetEndDetector.js'
@@ -79,10 +79,10 @@
   }
 
   answered (call: OpenCall, { target }: TargetChoice, { isDelimited, sentAt }: ServedAnswer): void {
-    for (const confirmed of this.abandonedCalls.removeConfirmed(target, sentAt)) this.clear(confirmed)
-    const answer: UnconfirmedAnswer = { ...identityOf(call), isEligible: this.answers.isEligible(call.admitted.call.body) }
-    if (isDelimited) this.clear(answer)
-    else this.abandonedCalls.add(answer, target, this.mono)
+    for (const confirmed of this.abandonedCalls.removeConfirmed(target, sentAt)) this.clear(confirmed, confirmed.isEligible)
+    const isEligible = this.answers.isEligible(call.admitted.call.body)
+    if (isDelimited) this.clear(call, isEligible)
+    else this.abandonedCalls.add({ ...identityOf(call), isEligible }, target, this.mono)
   }
 
   /** Handles an update from another VM. */
@@ -143,12 +143,16 @@
     for (const verdict of verdicts) this.parts.share.quarantined(verdict)
   }
 
-  /** A target served the call and lives on: neither the request nor a part of its prompt terminates targets. */
-  private clear ({ digest, partDigests, isEligible }: UnconfirmedAnswer): void {
-    if (isEligible) this.answers.add(digest, this.mono)
+  /**
+   * A target served the call and lives on: neither the request nor a part of its prompt terminates targets.
+   * @param call - its digest is read only where it is needed, as an open call hashes its body for it
+   */
+  private clear (call: Pick<CallIdentity, 'digest' | 'partDigests'>, isEligible: boolean): void {
+    const { partDigests } = call
+    if (isEligible) this.answers.add(call.digest, this.mono)
     for (const part of partDigests) this.answeredParts.add(part, this.mono)
     if (this.requests.isEmpty) return
-    for (const each of [digest, ...partDigests]) {
+    for (const each of [call.digest, ...partDigests]) {
       const clearance = this.quarantineOf(each).answered(each, this.mono)
       if (clearance !== undefined) this.parts.share.cleared(clearance)
     }
--- a/packages/rosemaryspread/src/quarantine/requestDigest.ts
+++ b/packages/rosemaryspread/src/quarantine/requestDigest.ts
@@ -1,7 +1,7 @@
 /**
  * Identifies repeated requests by path, team and body, as ids and deadlines differ on each repeat; and parts of prompts, which different requests share.
  */
-import { createHash } from 'node:crypto'
+import { createHash, hash } from 'node:crypto'
 import type { OpaqueCall } from '../gateway/callTypes.js'
 
 /** Length of the digest in bytes; two of a day's 300 million requests collide with a probability below 1 in 10^21. */
@@ -24,7 +24,7 @@
  * @param part - its id
  */
 export function partDigest (service: string, part: string): string {
-  return `${PART_PREFIX}${createHash('sha256').update(JSON.stringify([service, part])).digest().subarray(0, DIGEST_BYTES).toString('base64url')}`
+  return `${PART_PREFIX}${hash('sha256', JSON.stringify([service, part]), 'buffer').subarray(0, DIGEST_BYTES).toString('base64url')}`
 }
 
 /** Whether a digest is that of a part. */
