Granted tokens go back to owners, urgent requests get scarce ones first, fewer asks for empty budgets

Cause: a holder that owns no budget keeps what a request left over of a grant, until a request of the same team comes there. Towards the end of a budget no VM has enough for a request. Owners grant in order of arrival, so the largest and most urgent requests lose tokens to small ones.

Change: section `grants` of the gateway's settings. Tokens that no request used for a whole period go back to owners, all budgets of an owner in one message; a message with unknown outcome is not repeated. The pause between grant requests doubles while owners that answer grant nothing. Requests carry their priority; the most urgent is admitted first, and owners and holders keep free tokens for it for a bounded time. Without the section a VM is as it was.

Tests: grantReturns.spec (tables and a model of two owners and three holders over lost, late, doubled messages, cuts and ends), grantReturnCalls.spec. The case without the policy shows the former behaviour.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -60,6 +60,8 @@
   /** Id of the open grant request. */
   grantRequestId: string | undefined
   nextGrantRequestAt = 0
+  /** Pause after the last grant request, longer each time that nothing was granted. */
+  grantPauseMs = 0
   /** When other holders last granted less than waiting requests need. */
   grantsShortAt = -Infinity
   /** When a grant request last got no answer from any peer. */
@@ -93,19 +95,25 @@
 
   /**
    * Counts a grant request as demand, because a holder that does not own the budget draws nothing for it.
-   * @param tokens - tokens requested
    * @param granted - tokens granted
    */
-  recordPeerDemand (tokens: number, granted: number, mono: number): void {
+  recordPeerDemand ({ tokens, priority }: { readonly tokens: number, readonly priority?: number }, granted: number, mono: number): void {
     this.recordRequest(mono)
     this.desired.largest = Math.max(this.desired.largest, tokens)
-    this.peerDemand.record(tokens, granted, mono)
+    this.peerDemand.record(tokens, granted, mono, priority)
     this.desired.recordDemand(tokens, mono)
   }
 
+  /** Tokens kept for more urgent grant requests, see {@link PeerDemand.heldFor}. */
+  heldForPeers (priority: number, holdMs: number, mono: number): number {
+    return this.peerDemand.heldFor(priority, holdMs, mono)
+  }
+
   /** Clears the shortage and all pauses, so that the table is queried again immediately. */
   clearShortage (): void {
     this.shortage = undefined
+    this.nextGrantRequestAt = 0
+    this.grantPauseMs = 0
     this.nextDrawAt = 0
     this.drawPauseMs = 0
     this.nextRoundAt = 0
--- a/packages/decisions/src/budget/budgetEntryTypes.ts
+++ b/packages/decisions/src/budget/budgetEntryTypes.ts
@@ -8,6 +8,8 @@
 export interface WaitingRequest {
   readonly reservationId: string
   readonly tokens: number
+  /** 0 is the most urgent. */
+  readonly priority: number
   readonly since: Instant
   readonly giveUpAfterMs: number
 }
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -16,6 +16,9 @@
 import { BudgetSupply } from './budgetSupply.js'
 import type { BudgetAction, BudgetDecider, BudgetEvent, BudgetView, DrawOutcome, Transfer } from './budgetTypes.js'
 import { EntrySet } from './entrySet.js'
+import type { GrantPolicy } from './grantPolicy.js'
+import { GrantReturns } from './grantReturns.js'
+import { DEFAULT_PRIORITY } from './admissionOrder.js'
 import { FlushQueue } from './flushQueue.js'
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
@@ -32,18 +35,21 @@
   private readonly supply: BudgetSupply
   private readonly transfers: BudgetTransfers
   private readonly grants: PeerGrants
+  private readonly grantReturns: GrantReturns
   private readonly maintenance: BudgetMaintenance
   private readonly settlement: BudgetSettlement
   private readonly steps: BudgetStep
   private draining = false
 
-  constructor (private readonly holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy, private readonly owners: BudgetOwnership = ownedByAll(() => 1)) {
+  /** @param grantPolicy - absent where granted tokens are kept and requests are served as they arrive */
+  constructor (private readonly holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy, private readonly owners: BudgetOwnership = ownedByAll(() => 1), grantPolicy?: GrantPolicy) {
     this.queue = new FlushQueue(policy)
     this.transfers = new BudgetTransfers(holder, policy, this.queue)
     this.maintenance = new BudgetMaintenance(policy, this.queue, this.entries.all)
     this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy)
-    this.supply = new BudgetSupply(holder, policy, this.settlement)
-    this.grants = new PeerGrants(holder, policy, this.queue)
+    this.supply = new BudgetSupply(holder, policy, this.settlement, grantPolicy)
+    this.grants = new PeerGrants(holder, policy, this.queue, grantPolicy)
+    this.grantReturns = new GrantReturns(grantPolicy)
     this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, maintenance: this.maintenance, grants: this.grants })
   }
 
@@ -112,7 +118,7 @@
     const entry = this.entryOf(budget)
     entry.recordRequest(now.mono)
     entry.desired.recordRequest(tokens, now.mono)
-    entry.waiting.push({ reservationId, tokens, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
+    entry.waiting.push({ reservationId, tokens, priority: event.priority ?? DEFAULT_PRIORITY, since: now, giveUpAfterMs: event.giveUpAfterMs ?? DEFAULT_GIVE_UP_MS })
     return this.step(entry, now)
   }
 
@@ -148,7 +154,7 @@
   private tick (now: Instant): readonly BudgetAction[] {
     const actions = [...this.entries.pending].flatMap(entry => this.step(entry, now))
     for (const entry of this.maintenance.visit(now, this.draining)) this.entries.setPending(entry)
-    return actions
+    return this.draining ? actions : [...actions, ...this.grantReturns.due(this.entries.all.values(), now)]
   }
 
   private drawAnswered (event: EventOf<'drawAnswered'>, now: Instant): readonly BudgetAction[] {
@@ -217,7 +223,7 @@
   /** Prepares for further grant requests of a holder that does not own the budget. */
   private supplyPeer (entry: BudgetEntry, event: EventOf<'grantRequested'>, granted: number, now: Instant): readonly BudgetAction[] {
     if (this.draining || !entry.isOwned) return []
-    entry.recordPeerDemand(event.tokens, granted, now.mono)
+    entry.recordPeerDemand(event, granted, now.mono)
     if (granted < event.tokens && entry.free > 0) this.maintenance.report(entry, now)
     return this.step(entry, now)
   }
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -5,10 +5,12 @@
 import type { Instant } from '../clock/clockTypes.js'
 import type { BudgetEntry } from './budgetEntry.js'
 import type { OpenDraw, RoundStage, Shortage } from './budgetEntryTypes.js'
+import { admitInOrder } from './admissionOrder.js'
 import { lowWaterMark, type BudgetPolicy } from './budgetPolicy.js'
 import { mayRetryTable, refusalOf } from './budgetRefusal.js'
 import type { BudgetSettlement } from './budgetSettlement.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
+import type { GrantPolicy } from './grantPolicy.js'
 import { withAllotment } from './reportBound.js'
 
 const nextStages: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
@@ -19,11 +21,13 @@
   /**
    * @param holder - holder id, prefix of operation ids
    * @param settlement - opens a reservation for each admitted request
+   * @param grantPolicy - absent where requests are admitted as they arrive
    */
   constructor (
     private readonly holder: string,
     private readonly policy: BudgetPolicy,
-    private readonly settlement: Pick<BudgetSettlement, 'open'>
+    private readonly settlement: Pick<BudgetSettlement, 'open'>,
+    private readonly grantPolicy?: GrantPolicy
   ) {}
 
   /** Admits requests that fit, refuses those that cannot be served, and advances the acquisition of tokens. */
@@ -115,14 +119,14 @@
   private admit (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     if (entry.waiting.length === 0) return []
     const actions: BudgetAction[] = []
-    entry.waiting = entry.waiting.filter(item => {
+    entry.waiting = admitInOrder(entry.waiting, this.grantPolicy, item => {
       const reserved = entry.reserve(item.tokens, now)
-      if (reserved === undefined) return true
+      if (reserved === undefined) return false
       this.settlement.open(item.reservationId, entry.budget, reserved)
       if (this.policy.demandSource === 'reservations') entry.desired.recordDemand(item.tokens, now.mono)
       actions.push({ kind: 'admit', reservationId: item.reservationId })
-      return false
-    })
+      return true
+    }, now)
     return actions
   }
 
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -119,8 +119,8 @@
 
 /** Input of the budget decider. */
 export type BudgetEvent =
-  /** Reserves the worst-case cost of a request; answered by `admit` or `refuse` with the same id, possibly after later events. */
-  | { readonly kind: 'reserve', readonly reservationId: string, readonly budget: string, readonly tokens: number, readonly giveUpAfterMs?: number }
+  /** Reserves the worst-case cost of a request; answered by `admit` or `refuse` with the same id, possibly after later events. `priority` 0 is the most urgent. */
+  | { readonly kind: 'reserve', readonly reservationId: string, readonly budget: string, readonly tokens: number, readonly giveUpAfterMs?: number, readonly priority?: number }
   /** A run ended; closes the reservation. No `bill` if nothing is owed. */
   | { readonly kind: 'settle', readonly reservationId: string, readonly bill?: Bill }
   /** The caller cancelled a waiting reservation. */
@@ -137,10 +137,10 @@
   | { readonly kind: 'recallRequested', readonly budget: string, readonly wanted: number, readonly atLeast?: number }
   | { readonly kind: 'recallAnswered', readonly recallId: string, readonly returned: number, readonly unreachable?: number }
   /** Another holder requests a grant; answered immediately by `answerGrant` with the same id. */
-  | { readonly kind: 'grantRequested', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly to: string }
+  | { readonly kind: 'grantRequested', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly to: string, readonly priority?: number }
   /** Result of a grant request: `tokens` is the total granted, `isReached` whether any peer answered. */
   | { readonly kind: 'grantAnswered', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly isReached: boolean }
-  /** A terminating holder handed its tokens over to this one. */
+  /** Another holder handed tokens over to this one: it terminates, or does not use them. */
   | { readonly kind: 'handoverReceived', readonly budget: string, readonly tokens: number }
   /** A holder terminated: no transfer from or to it may start, and its late answers are void. */
   | { readonly kind: 'fence', readonly holder: string }
@@ -186,11 +186,13 @@
   /** Answers `transferRequested`; the tokens are already subtracted. Without `transfer` nothing is transferred. */
   | { readonly kind: 'answerTransfer', readonly transferId: string, readonly transfer?: Transfer }
   /** Requests tokens from other holders for immediate use, without the table. */
-  | { readonly kind: 'requestGrant', readonly giftId: string, readonly budget: string, readonly tokens: number }
+  | { readonly kind: 'requestGrant', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly priority?: number }
   /** Answers `grantRequested`: `tokens`, already billed here, belong to the requester; `left` could be granted in addition. */
   | { readonly kind: 'answerGrant', readonly giftId: string, readonly tokens: number, readonly left: number }
   /** Hands already billed tokens over to another holder on shutdown, when they cannot be returned to the table. */
   | { readonly kind: 'handOver', readonly budget: string, readonly tokens: number }
+  /** Hands already billed tokens that are not used here back to owners of their budgets. */
+  | { readonly kind: 'handBack', readonly grants: readonly GrantedTokens[] }
   /** Requests that holders in all domains return tokens that they do not need. */
   | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
   /** Answers `recallRequested`: `tokens` are being returned to the table. */
@@ -203,6 +205,12 @@
   readonly budget: string
 }
 
+/** Granted tokens of one budget, which their granter billed. */
+export interface GrantedTokens {
+  readonly budget: string
+  readonly tokens: number
+}
+
 /** Unspent tokens to return to the table. */
 export interface BudgetReturn {
   readonly budget: string
--- a/packages/decisions/src/budget/grantPool.ts
+++ b/packages/decisions/src/budget/grantPool.ts
@@ -6,6 +6,8 @@
 /** Granted tokens of one budget that are not reserved. */
 export class GrantPool {
   private tokens = 0
+  /** Lowest balance since the last call of {@link withdrawUnused}. */
+  private lowest = 0
 
   get free (): number {
     return this.tokens
@@ -20,6 +22,14 @@
   withdraw (wanted: number): number {
     const withdrawn = Math.min(this.tokens, wanted)
     this.tokens -= withdrawn
+    this.lowest = Math.min(this.lowest, this.tokens)
     return withdrawn
   }
+
+  /** Removes the tokens that no request used since the last call; a balance under steady demand reaches 0 in between. */
+  withdrawUnused (): number {
+    const unused = this.withdraw(this.lowest)
+    this.lowest = this.tokens
+    return unused
+  }
 }
--- a/packages/decisions/src/budget/peerDemand.ts
+++ b/packages/decisions/src/budget/peerDemand.ts
@@ -1,6 +1,7 @@
 /**
  * Grant requests to an owner of a budget by holders that do not own it: the largest, and the last that could not be met in full.
  */
+import { DEFAULT_PRIORITY } from './admissionOrder.js'
 
 /** Time within which a holder that was granted too little requests again: it retries after 40 ms, for at most half of its objective. */
 const UNMET_REQUEST_MS = 200
@@ -9,6 +10,8 @@
 export class PeerDemand {
   private maxRequested = 0
   private lastUnmet = { tokens: 0, at: -Infinity }
+  /** The most urgent request that was not met: what it lacked, the first time and the last. */
+  private urgent: { readonly priority: number, readonly tokens: number, readonly since: number, readonly at: number } | undefined
 
   /**
    * Largest grant request so far. Reports allow this much only for peers that do not own the budget: if all holders own it,
@@ -22,10 +25,30 @@
    * Records a grant request.
    * @param requested - tokens requested
    * @param granted - tokens granted
+   * @param priority - 0 is the most urgent
    */
-  record (requested: number, granted: number, mono: number): void {
+  record (requested: number, granted: number, mono: number, priority = DEFAULT_PRIORITY): void {
     this.maxRequested = Math.max(this.maxRequested, requested)
     this.lastUnmet = { tokens: granted < requested ? requested : 0, at: mono }
+    this.recordUrgent(requested - granted, priority, mono)
+  }
+
+  /**
+   * Tokens that a more urgent grant request lacked and asks for again soon. They are kept for it for at most `holdMs` from the first
+   * request that was not met, so that a request larger than any balance does not stop the others.
+   */
+  heldFor (priority: number, holdMs: number, mono: number): number {
+    const { urgent } = this
+    if (urgent === undefined || priority <= urgent.priority || mono - urgent.since >= holdMs) return 0
+    return urgent.tokens
+  }
+
+  private recordUrgent (lacking: number, priority: number, mono: number): void {
+    const { urgent } = this
+    const isCurrent = urgent !== undefined && mono - urgent.at < UNMET_REQUEST_MS
+    if (isCurrent && priority > urgent.priority) return
+    if (lacking <= 0) this.urgent = undefined
+    else this.urgent = { priority, tokens: lacking, since: isCurrent && priority === urgent.priority ? urgent.since : mono, at: mono }
   }
 
   /** Tokens of an unmet grant request that is about to be repeated. */
--- a/packages/decisions/src/budget/peerGrants.ts
+++ b/packages/decisions/src/budget/peerGrants.ts
@@ -7,7 +7,9 @@
 import type { BudgetEntry } from './budgetEntry.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetAction, BudgetEvent } from './budgetTypes.js'
+import { DEFAULT_PRIORITY, mostUrgent } from './admissionOrder.js'
 import type { FlushQueue } from './flushQueue.js'
+import type { GrantPolicy } from './grantPolicy.js'
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
@@ -23,21 +25,26 @@
   /**
    * @param holder - holder id, prefix of request ids
    * @param queue - receives the bills of granted tokens
+   * @param grantPolicy - absent where all grant requests count as equally urgent
    */
   constructor (
     private readonly holder: string,
     private readonly policy: Pick<BudgetPolicy, 'grantAfterMs'>,
-    private readonly queue: FlushQueue
+    private readonly queue: FlushQueue,
+    private readonly grantPolicy?: GrantPolicy
   ) {}
 
   /**
-   * Grants usable tokens, unless local requests wait: received grants first, then tokens of the allotment, which are billed.
+   * Grants usable tokens, unless local requests wait that are as urgent: received grants first, then tokens of the allotment,
+   * which are billed. Tokens that a more urgent grant request lacked are kept for it for a short time.
    * @param entry - undefined if this holder has no entry for the budget
    */
-  answerRequest ({ giftId, tokens, to }: EventOf<'grantRequested'>, entry: BudgetEntry | undefined, now: Instant): number {
-    if (entry === undefined || entry.waiting.length > 0) return 0
-    const passedOn = entry.grantedBalance.withdraw(tokens)
-    const fromAllotment = Math.min(tokens - passedOn, usableTokens(entry, now))
+  answerRequest ({ giftId, tokens, to, priority = DEFAULT_PRIORITY }: EventOf<'grantRequested'>, entry: BudgetEntry | undefined, now: Instant): number {
+    if (entry === undefined || this.needsItself(entry, priority)) return 0
+    const held = this.grantPolicy === undefined ? 0 : entry.heldForPeers(priority, this.grantPolicy.urgentHoldMs, now.mono)
+    const wanted = Math.min(tokens, Math.max(0, entry.grantedBalance.free + usableTokens(entry, now) - held))
+    const passedOn = entry.grantedBalance.withdraw(wanted)
+    const fromAllotment = Math.min(wanted - passedOn, usableTokens(entry, now))
     if (fromAllotment > 0) this.billAsUsed(entry, fromAllotment, `${giftId} ${to}`, now)
     return passedOn + fromAllotment
   }
@@ -70,7 +77,8 @@
     if (tokens <= 0) return []
     this.requestCount += 1
     entry.grantRequestId = `${this.holder}.gift${this.requestCount}`
-    return [{ kind: 'requestGrant', giftId: entry.grantRequestId, budget: entry.budget, tokens }]
+    const priority = this.grantPolicy === undefined ? undefined : mostUrgent(entry.waiting)
+    return [{ kind: 'requestGrant', giftId: entry.grantRequestId, budget: entry.budget, tokens, ...(priority === undefined ? {} : { priority }) }]
   }
 
   /** Handles the outcome of a grant request. */
@@ -79,9 +87,18 @@
     if (!isReached) entry.peersUnresponsiveAt = now.mono
     entry.grantRequestId = undefined
     entry.grantedBalance.add(tokens)
+    const pauseMs = entry.drawsAhead(now.mono) ? PEERS_PAUSE_MS : OWNERS_PAUSE_MS
+    const isFutile = this.grantPolicy !== undefined && isReached && tokens === 0
+    entry.grantPauseMs = isFutile ? Math.min(Math.max(pauseMs, entry.grantPauseMs * 2), Math.max(pauseMs, this.grantPolicy?.maxAskPauseMs ?? 0)) : pauseMs
     if (missingTokens(entry, now) <= 0) return
     entry.grantsShortAt = now.mono
-    entry.nextGrantRequestAt = now.mono + (entry.drawsAhead(now.mono) ? PEERS_PAUSE_MS : OWNERS_PAUSE_MS)
+    entry.nextGrantRequestAt = now.mono + entry.grantPauseMs
+  }
+
+  /** Whether a request waits here that is as urgent as the grant request. */
+  private needsItself ({ waiting }: BudgetEntry, priority: number): boolean {
+    const urgent = mostUrgent(waiting)
+    return urgent !== undefined && (this.grantPolicy === undefined || urgent <= priority)
   }
 
   private billAsUsed (entry: BudgetEntry, tokens: number, requestId: string, now: Instant): void {
--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -36,6 +36,7 @@
   budgetGiftsTaken: { number: 2011, level: 'info', title: 'Tokens were requested from other VMs; fields: budget, asked (tokens requested), tokens (received), peers (number of VMs), tookMs' },
   budgetHandedOver: { number: 2013, level: 'info', title: 'This VM is terminating and handed tokens over to another VM, without the table; fields: budget, tokens, isTaken' },
   budgetGiftLate: { number: 2014, level: 'info', title: 'Granted tokens arrived after their request timed out, and are retained for later requests; fields: budget, tokens, from' },
+  budgetHandedBack: { number: 2015, level: 'info', title: 'Granted tokens that were not used here were handed back to owners of their budgets; fields: budgets (number of them), tokens, kept (accepted by no owner)' },
   fleetKeyMissing: { number: 2012, level: 'warn', title: 'The key of the links between VMs could not be read from the table; the read will be retried; fields: code' },
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
--- a/packages/rosemaryspread/src/budget/budgetActionExecutor.ts
+++ b/packages/rosemaryspread/src/budget/budgetActionExecutor.ts
@@ -5,7 +5,7 @@
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { BudgetOwnership } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
-import type { BudgetAction, BudgetEvent } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { BudgetAction, BudgetEvent, GrantedTokens } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import { TransferRequester } from './transferRequester.js'
 import { DrawExecutor, type DrawAction } from './drawExecutor.js'
 import type { BudgetDriverParts, GrantOutcome } from './budgetDriverTypes.js'
@@ -74,6 +74,7 @@
       case 'requestTransfer': this.run(this.transferRequester.requestTransfer(action)); break
       case 'requestGrant': this.run(this.requestGrant(action)); break
       case 'handOver': this.run(this.handOver(action)); break
+      case 'handBack': this.run(this.handBack(action)); break
       case 'recall': this.run(this.transferRequester.recall(action)); break
       case 'closed': this.reportClosed(action); break
       case 'answerTransfer':
@@ -109,10 +110,10 @@
     })
   }
 
-  private async requestGrant ({ giftId, budget, tokens }: Extract<BudgetAction, { kind: 'requestGrant' }>): Promise<void> {
+  private async requestGrant ({ giftId, budget, tokens, priority }: Extract<BudgetAction, { kind: 'requestGrant' }>): Promise<void> {
     let outcome: GrantOutcome = { tokens: 0, isReached: false }
     try {
-      outcome = await this.parts.grantRequester?.ask(giftId, budget, tokens) ?? outcome
+      outcome = await this.parts.grantRequester?.ask(giftId, budget, tokens, priority) ?? outcome
     } finally {
       // Without this event the ledger would never request a grant again.
       this.targets.dispatch({ kind: 'grantAnswered', giftId, budget, ...outcome })
@@ -124,6 +125,12 @@
     this.parts.log.write('budgetHandedOver', { budget, tokens, isTaken })
   }
 
+  private async handBack ({ grants }: Extract<BudgetAction, { kind: 'handBack' }>): Promise<void> {
+    const kept = await this.parts.grantRequester?.handBack(grants) ?? grants
+    for (const { budget, tokens } of kept) this.targets.dispatch({ kind: 'handoverReceived', budget, tokens })
+    this.parts.log.write('budgetHandedBack', { budgets: grants.length, tokens: sumOf(grants), kept: sumOf(kept) })
+  }
+
   private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
     const outcome = await this.flushExecutor.flush(action)
     this.targets.dispatch({ kind: 'flushAnswered', seq: action.seq, outcome })
@@ -140,3 +147,7 @@
     this.parts.log.write('allotmentClosed', { budget: action.budget, inDoubt: action.inDoubt })
   }
 }
+
+function sumOf (grants: readonly GrantedTokens[]): number {
+  return grants.reduce((sum, { tokens }) => sum + tokens, 0)
+}
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -49,7 +49,7 @@
     const { holder, domain, store, clock } = parts
     this.policy = parts.policy ?? defaultBudgetPolicy
     this.owners = parts.owners ?? ownedByAll(() => parts.peers.members().length + 1)
-    this.ledger = new BudgetLedger(holder, this.policy, this.owners)
+    this.ledger = new BudgetLedger(holder, this.policy, this.owners, parts.grantPolicy)
     this.table = new BudgetTable(store, clock, new BudgetRowCache(key => isAllotmentOf(key, holder)))
     this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place, processStartedAt: parts.processStartedAt })
     this.reservations = new OpenReservations(holder)
@@ -59,9 +59,9 @@
     this.topUps = new BudgetTopUps(this.table, item => this.isInDoubt(item))
   }
 
-  async reserve (budget: string, tokens: number, giveUpAfterMs: number): Promise<Either<Failure, Reservation>> {
+  async reserve (budget: string, tokens: number, giveUpAfterMs: number, priority?: number): Promise<Either<Failure, Reservation>> {
     return await this.reservations.add(budget, tokens, ({ reservationId }) => {
-      this.dispatch({ kind: 'reserve', reservationId, budget, tokens, giveUpAfterMs })
+      this.dispatch({ kind: 'reserve', reservationId, budget, tokens, giveUpAfterMs, ...(priority === undefined ? {} : { priority }) })
       if (this.isWaiting) this.notifyWaiting()
     })
   }
@@ -183,15 +183,15 @@
   }
 
   /** Handles a grant request of another holder: the tokens can be used at once. */
-  onGrantRequest ({ giftId, budget, tokens, to }: GrantRequest): GrantResponse {
-    const actions = this.dispatch({ kind: 'grantRequested', giftId, budget, tokens, to })
+  onGrantRequest ({ giftId, budget, tokens, to, priority }: GrantRequest): GrantResponse {
+    const actions = this.dispatch({ kind: 'grantRequested', giftId, budget, tokens, to, ...(priority === undefined ? {} : { priority }) })
     const grant = actions.find(action => action.kind === 'answerGrant')
     const answer = { tokens: grant?.tokens ?? 0, left: grant?.left ?? 0 }
     if (answer.tokens > 0) this.parts.log.write('budgetGiven', { budget, to, ...answer })
-    return answer
+    return this.parts.grantPolicy === undefined ? answer : { ...answer, takesBack: true }
   }
 
-  /** Accepts tokens that a terminating holder hands over. */
+  /** Accepts tokens that another holder hands over. */
   onHandover (budget: string, tokens: number): void {
     this.dispatch({ kind: 'handoverReceived', budget, tokens })
   }
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -1,9 +1,10 @@
 /**
  * Dependencies and counters of the budget driver.
  */
-import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { DeclaredPaid, GrantedTokens } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import type { GrantPolicy } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
@@ -23,11 +24,13 @@
 /** Requests grants from other holders: tokens that can be used at once. */
 export interface GrantRequester {
   /** Requests tokens from other holders until enough is granted; `tokens` is the amount lacking. */
-  ask (giftId: string, budget: string, tokens: number): Promise<GrantOutcome>
+  ask (giftId: string, budget: string, tokens: number, priority?: number): Promise<GrantOutcome>
   /** Opens a link to an owner of a budget ahead of demand. */
   connectOwner (budget: string): Promise<void>
   /** Hands tokens over to another holder; resolves to whether one accepted them. */
   handOver (budget: string, tokens: number): Promise<boolean>
+  /** Hands unused tokens back to owners; resolves to those that certainly none accepted. */
+  handBack (grants: readonly GrantedTokens[]): Promise<readonly GrantedTokens[]>
 }
 
 export interface BudgetDriverParts {
@@ -44,6 +47,8 @@
   /** Counts what recovery bills without records of runs. */
   readonly metrics?: Pick<Metrics, 'count'> | undefined
   readonly policy?: BudgetPolicy
+  /** Absent where granted tokens are kept and requests are served as they arrive. */
+  readonly grantPolicy?: GrantPolicy | undefined
   /** Owners of each budget; absent where every holder owns all budgets. */
   readonly owners?: RendezvousOwners
   /** Requests grants from other holders; absent where holders grant none. */
--- a/packages/rosemaryspread/src/budget/budgetGrantCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGrantCalls.ts
@@ -5,12 +5,14 @@
  */
 import * as z from 'zod'
 import type { Either } from 'purify-ts'
+import type { GrantedTokens } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { LateResponseHandler, PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import type { GrantOutcome } from './budgetDriverTypes.js'
+import { GrantReturnCalls } from './grantReturnCalls.js'
 import { parseAnswer } from './peerAnswer.js'
 
 /** Names of the peer methods. */
@@ -26,15 +28,15 @@
 const BALANCE_TTL_MS = 3_000
 
 const amount = z.number().int().nonnegative()
-const grantRequestSchema = z.object({ giftId: z.string(), budget: z.string(), to: z.string(), tokens: amount })
-const grantResponseSchema = z.object({ tokens: amount, left: amount })
+const grantRequestSchema = z.object({ giftId: z.string(), budget: z.string(), to: z.string(), tokens: amount, priority: amount.optional() })
+const grantResponseSchema = z.object({ tokens: amount, left: amount, takesBack: z.boolean().optional() })
 
 const handoverSchema = z.object({ budget: z.string(), tokens: amount })
 
 /** Tokens handed over to another VM. */
 export type Handover = z.infer<typeof handoverSchema>
 export type GrantRequest = z.infer<typeof grantRequestSchema>
-/** Tokens granted, and the balance that remains to grant. */
+/** Tokens granted, the balance that remains to grant, and whether unused tokens may be handed back. */
 export type GrantResponse = z.infer<typeof grantResponseSchema>
 
 export interface GrantCallsParts {
@@ -61,13 +63,20 @@
   private readonly balances = new Map<string, ReportedBalance>()
   private readonly unresponsiveUntil = new Map<string, number>()
 
-  constructor (private readonly parts: GrantCallsParts) {}
+  /** VMs that accept tokens handed back, as they said with their last grant. */
+  private readonly takingBack = new Set<string>()
+  private readonly returns: GrantReturnCalls
+
+  constructor (private readonly parts: GrantCallsParts) {
+    this.returns = new GrantReturnCalls(parts)
+  }
 
   /**
    * Requests a grant.
    * @param tokens - tokens lacking
+   * @param priority - of the most urgent request that lacks them
    */
-  async ask (giftId: string, budget: string, tokens: number): Promise<GrantOutcome> {
+  async ask (giftId: string, budget: string, tokens: number, priority?: number): Promise<GrantOutcome> {
     const { clock, log } = this.parts
     const startedAt = clock.now().mono
     let granted = 0
@@ -76,7 +85,7 @@
     for (const peer of this.rankedPeers(budget)) {
       if (granted >= tokens) break
       callCount += 1
-      granted += await this.requestWithRetry(peer, { giftId: `${giftId}/${callCount}`, budget, to: this.parts.holder, tokens: tokens - granted })
+      granted += await this.requestWithRetry(peer, { giftId: `${giftId}/${callCount}`, budget, to: this.parts.holder, tokens: tokens - granted, ...(priority === undefined ? {} : { priority }) })
       isReached ||= !this.isUnresponsive(peer)
     }
     log.write('budgetGiftsTaken', { budget, asked: tokens, tokens: granted, peers: callCount, tookMs: clock.now().mono - startedAt })
@@ -107,6 +116,11 @@
     return false
   }
 
+  /** Hands tokens that are not used here back to owners; resolves to those that certainly none accepted. */
+  async handBack (grants: readonly GrantedTokens[]): Promise<readonly GrantedTokens[]> {
+    return await this.returns.handBack(grants, budget => this.parts.peersFor(budget).filter(peer => this.takingBack.has(peer.holder) && !this.isUnresponsive(peer)))
+  }
+
   /**
    * Retries once, because the link may have become unresponsive: the second call uses another link, which avoids trying
    * one VM after another over unresponsive links.
@@ -140,7 +154,8 @@
         this.unresponsiveUntil.set(peer.holder, mono + UNRESPONSIVE_MS)
         return 0
       },
-      Right: ({ tokens, left }) => {
+      Right: ({ tokens, left, takesBack }) => {
+        if (takesBack === true) this.takingBack.add(peer.holder)
         this.balances.set(keyOf(peer, request.budget), { left, at: mono })
         return Math.min(tokens, request.tokens)
       }
--- a/packages/rosemaryspread/src/budget/budgetPort.ts
+++ b/packages/rosemaryspread/src/budget/budgetPort.ts
@@ -18,8 +18,9 @@
    * Reserves the worst case of a request; resolves at once when the allotment suffices.
    * @param tokens - prompt estimate plus the cap of generated tokens
    * @param giveUpAfterMs - wait in milliseconds after which the reservation is refused
+   * @param priority - 0 is the most urgent; absent where all are equally urgent
    */
-  reserve (budget: string, tokens: number, giveUpAfterMs: number): Promise<Either<Failure, Reservation>>
+  reserve (budget: string, tokens: number, giveUpAfterMs: number, priority?: number): Promise<Either<Failure, Reservation>>
   /**
    * Checks that a reservation may still be spent. To be called right before the run is dispatched, after the last wait: a
    * VM that was paused in between has lost its allotment.
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -91,11 +91,12 @@
     new GatewayTargets({ clock, balancer, log }), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
 }
 
-function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayPorts, holder: string): void {
+function bindBudgets (container: Container, { domain, callers, grants }: GatewaySettings, { table }: GatewayPorts, holder: string): void {
   container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, metrics, links) => createBudgetDriver({
     holder,
     domain,
     place: callers,
+    grants,
     store: table,
     clock,
     log,
--- a/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
+++ b/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
@@ -4,6 +4,7 @@
  */
 import type { Either } from 'purify-ts'
 import { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
+import type { GrantPolicy } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
@@ -43,6 +44,8 @@
   readonly log: EventLog
   readonly metrics?: Pick<Metrics, 'count'>
   readonly fleet: BudgetFleet
+  /** Absent where granted tokens are kept and requests are served as they arrive. */
+  readonly grants?: GrantPolicy | undefined
   /** Calls another VM over a link. */
   call (address: string, method: string, params: unknown, timeoutMs: number, onLate?: LateResponseHandler): Promise<Either<Failure, unknown>>
   /** Amount paid for a budget according to the current configuration. */
@@ -50,7 +53,7 @@
 }
 
 export function createBudgetDriver (parts: BudgetDriverOptions): BudgetDriver {
-  const { holder, domain, place, store, clock, log, metrics, fleet, call, declared } = parts
+  const { holder, domain, place, store, clock, log, metrics, fleet, call, declared, grants } = parts
   const owners = new RendezvousOwners(holder)
   const budgets: BudgetDriver = new BudgetDriver({
     holder,
@@ -72,6 +75,7 @@
       preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
     }),
     owners,
+    grantPolicy: grants,
     policy: fleetBudgetPolicy(() => fleet.size),
     unbilledRuns: new AssumedSpentRuns(),
     declared
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -69,12 +69,12 @@
   }
 
   private async reserve (open: OpenCall): Promise<Either<Failure, void>> {
-    const { call, team, route, isPrepaid } = open.admitted
+    const { call, team, route, isPrepaid, priority } = open.admitted
     const { budgets } = this.deps
     if (!isPrepaid || team === undefined || budgets === undefined) return Right(undefined)
     const startedAtMono = this.deps.clock.now().mono
     const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_WAIT_RATIO, open.leftMs))
-    const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs)
+    const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs, priority)
     open.reserveMs = this.deps.clock.now().mono - startedAtMono
     this.deps.metrics.record('reserve_wait_ms', open.reserveMs)
     return reserved.map(reservation => open.setReservation(reservation))
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -3,6 +3,7 @@
  * decodes its settings file to this schema, which defines both the type and the validation.
  */
 import * as z from 'zod'
+import { grantPolicySchema } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 
 const milliseconds = z.number().nonnegative()
 
@@ -17,6 +18,8 @@
   peers: z.string().optional(),
   /** Retries that all VMs together may add, see gatewayRetries. */
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
+  /** What becomes of tokens granted by other VMs, and who gets scarce ones, see grantPolicy; absent: unused ones are kept, and requests are served as they arrive. */
+  grants: grantPolicySchema.optional(),
   /** Time between the order to stop and the end of the process. */
   graceMs: milliseconds,
   /** Descriptors that the process may open; absent for no limit. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { HAND_BACK_METHOD, handBackMethod } from '../budget/grantReturnCalls.js'
 import { GRANT_METHOD, grantMethod, HANDOVER_METHOD, handoverMethod } from '../budget/budgetGrantCalls.js'
 import { QUARANTINE_METHOD } from '../quarantine/quarantineSync.js'
 import { gatewayIds as ids } from './gatewayIds.js'
@@ -150,6 +151,7 @@
     const balancer = this.container.get(ids.balancer)
     links.serve(GRANT_METHOD, grantMethod(request => budgets.onGrantRequest(request)))
     links.serve(HANDOVER_METHOD, handoverMethod((budget, tokens) => { budgets.onHandover(budget, tokens) }))
+    links.serve(HAND_BACK_METHOD, handBackMethod((budget, tokens) => { budgets.onHandover(budget, tokens) }))
     links.serve(WORK_METHOD, workMethod(notification => { balancer.recordPeerWork(notification, this.clock.now().mono) }))
     links.serve(REFUSED_METHOD, refusedMethod(({ target, service }) => { balancer.refusedElsewhere(target, service, this.clock.now().mono) }))
     links.serve(QUARANTINE_METHOD, this.container.get(ids.quarantineSync).method())
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -8,9 +8,11 @@
 import type { ReadAnswer, RowKey, ScanAnswer, ScanRequest, TableStore, TransactAnswer, Transaction } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { BudgetDriver } from 'rosemaryspread/budget/budgetDriver.js'
 import { GRANT_METHOD, type GrantRequest, type Handover } from 'rosemaryspread/budget/budgetGrantCalls.js'
+import { HAND_BACK_METHOD } from 'rosemaryspread/budget/grantReturnCalls.js'
 import { settledTokens, surveyBudget } from 'rosemaryspread/budget/budgetSurvey.js'
 import { BudgetPreparation } from 'rosemaryspread/gateway/budgetPreparation.js'
 import { createBudgetDriver } from 'rosemaryspread/gateway/budgetDriverFactory.js'
+import type { GrantPolicy } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 import { gatewayConfigSchema, type GatewayConfig } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import { MemoryTableStore } from '../../table/memoryTableStore.js'
 import { TableState } from '../../table/tableState.js'
@@ -46,8 +48,10 @@
   readonly prepaidTrafficMs: number
   /** Whether all callers of the largest team use the first VM. */
   readonly isLargestTeamPinned?: boolean
-  /** Kinds of request: share of the traffic, reserved and used tokens, execution time and reservation timeout. */
-  readonly kinds: ReadonlyArray<{ readonly part: number, readonly tokens: number, readonly used: number, readonly runMs: number, readonly waitMs: number }>
+  /** Absent where granted tokens are kept and requests are served as they arrive. */
+  readonly grants?: GrantPolicy
+  /** Kinds of request: share of the traffic, reserved and used tokens, execution time, reservation timeout and priority. */
+  readonly kinds: ReadonlyArray<{ readonly priority?: number, readonly part: number, readonly tokens: number, readonly used: number, readonly runMs: number, readonly waitMs: number }>
 }
 
 /** Outcomes of the requests that arrived in one time span. */
@@ -58,7 +62,10 @@
   readonly wrongfullyRefused: number
   /** Refusals by result code. */
   readonly codes: Readonly<Record<string, number>>
+  /** The wrong refusals by priority. */
+  readonly wrongByPriority: Readonly<Record<number, number>>
   readonly storeCalls: number
+  readonly peerCalls: number
 }
 
 /** Bills against use; tokens of requests that still run count as used. */
@@ -75,6 +82,7 @@
   refused: number
   wrongfullyRefused: number
   readonly codes: Record<string, number>
+  readonly wrongByPriority: Record<number, number>
 }
 
 /** A call from one VM to another. */
@@ -111,6 +119,7 @@
   private reads = 0
   private writes = 0
   private storeCalls = 0
+  private peerCalls = 0
   private requests = 0
 
   constructor (private readonly shape: FleetShape) {
@@ -127,10 +136,11 @@
   async serve (ms: number): Promise<FleetCounts> {
     const end = this.time.mono + ms
     const callsBefore = this.storeCalls
-    const counts: OpenCounts = { asked: 0, refused: 0, wrongfullyRefused: 0, codes: {} }
+    const peerCallsBefore = this.peerCalls
+    const counts: OpenCounts = { asked: 0, refused: 0, wrongfullyRefused: 0, codes: {}, wrongByPriority: {} }
     for (let at = this.nextArrivalMs(); at < ms; at += this.nextArrivalMs()) this.time.after(at, () => { this.startRequest(counts) })
     await this.time.runUntil(end)
-    return { ...counts, storeCalls: this.storeCalls - callsBefore }
+    return { ...counts, storeCalls: this.storeCalls - callsBefore, peerCalls: this.peerCalls - peerCallsBefore }
   }
 
   /** Runs one recovery pass for terminated holders on each VM; resolves to the number of store calls made. */
@@ -244,6 +254,7 @@
       place: name,
       store: this.createStore(holder, name),
       // The monotonic clock of a process starts at 0.
+      grants: this.shape.grants,
       clock: { now: () => ({ mono: this.time.mono - startedAt, wall: this.time.mono }) },
       log: { write: () => {} },
       fleet: {
@@ -281,10 +292,14 @@
     this.requests += 1
     const requestId = `r${this.requests}`
     counts.asked += 1
-    vm.budgets.reserve(team, kind.tokens, kind.waitMs).then(reserved => reserved.caseOf({
+    vm.budgets.reserve(team, kind.tokens, kind.waitMs, kind.priority).then(reserved => reserved.caseOf({
       Left: ({ code, message }) => {
         counts.refused += 1
-        if (this.isWithinGuarantee(team, kind.tokens)) counts.wrongfullyRefused += 1
+        if (this.isWithinGuarantee(team, kind.tokens)) {
+          const priority = kind.priority ?? 0
+          counts.wrongfullyRefused += 1
+          counts.wrongByPriority[priority] = (counts.wrongByPriority[priority] ?? 0) + 1
+        }
         counts.codes[code] = (counts.codes[code] ?? 0) + 1
       },
       Right: reservation => {
@@ -303,6 +318,7 @@
   }
 
   private async callVm (from: string, address: string, call: LinkCall, timeoutMs: number): Promise<Either<Failure, unknown>> {
+    this.peerCalls += 1
     if (this.stalledLinks.delete(`${from} ${address}`)) {
       this.timedOutLinks.add(`${from} ${address}`)
       await this.time.sleep(timeoutMs)
@@ -319,8 +335,8 @@
   private answer (address: string, { method, params }: LinkCall): unknown {
     const budgets = this.vms.find(vm => vm.address === address)?.budgets
     if (method === GRANT_METHOD) return budgets?.onGrantRequest(params as GrantRequest)
-    const { budget, tokens } = params as Handover
-    budgets?.onHandover(budget, tokens)
+    const handovers = method === HAND_BACK_METHOD ? (params as { readonly grants: readonly Handover[] }).grants : [params as Handover]
+    for (const { budget, tokens } of handovers) budgets?.onHandover(budget, tokens)
     return null
   }
 
