Busy VMs give up allotted tokens that no other VM asks for, once an owner is short

Change (section `grants`): with the message that hands granted tokens back a VM names the allotments that it doesn't own and that exceed two seconds of its demand. An owner whose latest grant request was not met and for which the table has nothing left says so, and the VM gives up the excess: what its report allows at once as a grant, the rest over the table with its next flush.

--- a/packages/decisions/src/budget/budgetEntry.ts
+++ b/packages/decisions/src/budget/budgetEntry.ts
@@ -109,6 +109,11 @@
     return this.peerDemand.heldFor(priority, holdMs, mono)
   }
 
+  /** Whether a grant request of another holder recently got too little, and the table has no more. */
+  isShortForPeers (mono: number): boolean {
+    return this.shortage?.kind === 'short' && this.peerDemand.isShort(mono)
+  }
+
   /** Clears the shortage and all pauses, so that the table is queried again immediately. */
   clearShortage (): void {
     this.shortage = undefined
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -49,7 +49,7 @@
     this.settlement = new BudgetSettlement(this.entries.all, this.queue, policy)
     this.supply = new BudgetSupply(holder, policy, this.settlement, grantPolicy)
     this.grants = new PeerGrants(holder, policy, this.queue, grantPolicy)
-    this.grantReturns = new GrantReturns(grantPolicy)
+    this.grantReturns = new GrantReturns({ grants: this.grants, maintenance: this.maintenance, budgetPolicy: policy, policy: grantPolicy })
     this.steps = new BudgetStep({ entries: this.entries, supply: this.supply, maintenance: this.maintenance, grants: this.grants })
   }
 
@@ -82,6 +82,12 @@
     return reservation.fromAllotment === 0 || this.entries.all.get(reservation.budget)?.isUsable(now) === true
   }
 
+  /** Whether grant requests for a budget, of which this holder is an owner, recently got too little. */
+  isShort (budget: string, now: Instant): boolean {
+    const entry = this.entries.all.get(budget)
+    return entry?.isOwned === true && entry.isShortForPeers(now.mono)
+  }
+
   /** Whether a transfer from or to a holder may be unrecorded. */
   hasTransferWith (holder: string): boolean {
     return this.queue.hasTransferWith(holder)
@@ -104,6 +110,7 @@
       case 'grantRequested': return this.grantRequested(event, now)
       case 'grantAnswered': return this.grantAnswered(event, now)
       case 'handoverReceived': return this.handoverReceived(event, now)
+      case 'ownerShort': return this.ownerShort(event, now)
       case 'fence': this.transfers.fence(event.holder, now); return []
       case 'paidChanged': return this.paidChanged(event, now)
       case 'drain': return this.drain(now)
@@ -241,6 +248,11 @@
     return this.step(entry, now)
   }
 
+  private ownerShort ({ budget }: EventOf<'ownerShort'>, now: Instant): readonly BudgetAction[] {
+    const entry = this.entries.all.get(budget)
+    return entry === undefined || this.draining ? [] : this.grantReturns.spare(entry, now)
+  }
+
   private paidChanged ({ budget, isLowered }: EventOf<'paidChanged'>, now: Instant): readonly BudgetAction[] {
     const entry = this.entries.all.get(budget)
     if (entry === undefined) return []
--- a/packages/decisions/src/budget/budgetTypes.ts
+++ b/packages/decisions/src/budget/budgetTypes.ts
@@ -142,6 +142,8 @@
   | { readonly kind: 'grantAnswered', readonly giftId: string, readonly budget: string, readonly tokens: number, readonly isReached: boolean }
   /** Another holder handed tokens over to this one: it terminates, or does not use them. */
   | { readonly kind: 'handoverReceived', readonly budget: string, readonly tokens: number }
+  /** An owner of a budget lacks tokens that grant requests need; answered with `handBack` where this holder can spare some. */
+  | { readonly kind: 'ownerShort', readonly budget: string }
   /** A holder terminated: no transfer from or to it may start, and its late answers are void. */
   | { readonly kind: 'fence', readonly holder: string }
   /** The paid amount changed: a recorded shortage is void, and free tokens are returned if the amount was lowered. */
@@ -191,7 +193,7 @@
   | { readonly kind: 'answerGrant', readonly giftId: string, readonly tokens: number, readonly left: number }
   /** Hands already billed tokens over to another holder on shutdown, when they cannot be returned to the table. */
   | { readonly kind: 'handOver', readonly budget: string, readonly tokens: number }
-  /** Hands already billed tokens that are not used here back to owners of their budgets. */
+  /** Hands already billed tokens that are not used here back to owners of their budgets, and asks them which of the allotted ones are short. */
   | { readonly kind: 'handBack', readonly grants: readonly GrantedTokens[] }
   /** Requests that holders in all domains return tokens that they do not need. */
   | { readonly kind: 'recall', readonly recallId: string, readonly budget: string, readonly tokens: number, readonly atLeast: number }
@@ -208,7 +210,10 @@
 /** Granted tokens of one budget, which their granter billed. */
 export interface GrantedTokens {
   readonly budget: string
+  /** 0 where the owner is only asked about the budget. */
   readonly tokens: number
+  /** Whether this holder has an allotment that it does not own; owners answer whether they lack tokens. */
+  readonly isAllotted?: true
 }
 
 /** Unspent tokens to return to the table. */
--- a/packages/decisions/src/budget/peerDemand.ts
+++ b/packages/decisions/src/budget/peerDemand.ts
@@ -6,10 +6,14 @@
 /** Time within which a holder that was granted too little requests again: it retries after 40 ms, for at most half of its objective. */
 const UNMET_REQUEST_MS = 200
 
+/** Time after a request that was not met in which other holders are asked to give up tokens that they do not need soon. */
+const SHORT_MS = 1_000
+
 /** Demand of other holders for one budget. Times in monotonic milliseconds. */
 export class PeerDemand {
   private maxRequested = 0
   private lastUnmet = { tokens: 0, at: -Infinity }
+  private shortAt = -Infinity
   /** The most urgent request that was not met: what it lacked, the first time and the last. */
   private urgent: { readonly priority: number, readonly tokens: number, readonly since: number, readonly at: number } | undefined
 
@@ -30,6 +34,7 @@
   record (requested: number, granted: number, mono: number, priority = DEFAULT_PRIORITY): void {
     this.maxRequested = Math.max(this.maxRequested, requested)
     this.lastUnmet = { tokens: granted < requested ? requested : 0, at: mono }
+    if (granted < requested) this.shortAt = mono
     this.recordUrgent(requested - granted, priority, mono)
   }
 
@@ -43,6 +48,11 @@
     return urgent.tokens
   }
 
+  /** Whether a request was not met recently. */
+  isShort (mono: number): boolean {
+    return mono - this.shortAt < SHORT_MS
+  }
+
   private recordUrgent (lacking: number, priority: number, mono: number): void {
     const { urgent } = this
     const isCurrent = urgent !== undefined && mono - urgent.at < UNMET_REQUEST_MS
--- a/packages/decisions/src/budget/peerGrants.ts
+++ b/packages/decisions/src/budget/peerGrants.ts
@@ -67,6 +67,16 @@
     return tokens === 0 ? [] : [{ kind: 'handOver', budget, tokens }]
   }
 
+  /**
+   * Bills allotted tokens that may be used now, so that they can be handed to an owner; returns their number.
+   * @param kept - free tokens to retain
+   */
+  withdrawSpare (entry: BudgetEntry, kept: number, now: Instant): number {
+    const tokens = Math.max(0, Math.min(usableTokens(entry, now), Math.floor(entry.free) - kept))
+    if (tokens > 0) this.billAsUsed(entry, tokens, 'spare', now)
+    return tokens
+  }
+
   /** Requests the tokens that waiting requests lack; one open request at a time. */
   ask (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const oldest = entry.waiting[0]
--- a/packages/rosemaryspread/src/budget/budgetActionExecutor.ts
+++ b/packages/rosemaryspread/src/budget/budgetActionExecutor.ts
@@ -126,9 +126,10 @@
   }
 
   private async handBack ({ grants }: Extract<BudgetAction, { kind: 'handBack' }>): Promise<void> {
-    const kept = await this.parts.grantRequester?.handBack(grants) ?? grants
-    for (const { budget, tokens } of kept) this.targets.dispatch({ kind: 'handoverReceived', budget, tokens })
-    this.parts.log.write('budgetHandedBack', { budgets: grants.length, tokens: sumOf(grants), kept: sumOf(kept) })
+    const { kept, short } = await this.parts.grantRequester?.handBack(grants) ?? { kept: grants, short: [] }
+    for (const { budget, tokens } of kept) if (tokens > 0) this.targets.dispatch({ kind: 'handoverReceived', budget, tokens })
+    if (sumOf(grants) > 0) this.parts.log.write('budgetHandedBack', { budgets: grants.length, tokens: sumOf(grants), kept: sumOf(kept) })
+    for (const budget of short) this.targets.dispatch({ kind: 'ownerShort', budget })
   }
 
   private async performFlush (action: Extract<BudgetAction, { kind: 'flush' }>): Promise<void> {
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -8,13 +8,14 @@
 import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
 import { ownedByAll, type BudgetOwnership } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
-import type { Bill, BudgetAction, BudgetEvent, BudgetView, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Bill, BudgetAction, BudgetEvent, BudgetView, GrantedTokens, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
 import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { BudgetActionExecutor } from './budgetActionExecutor.js'
 import { BudgetRowCache } from './budgetRowCache.js'
 import type { BudgetCounters, BudgetDriverParts } from './budgetDriverTypes.js'
 import type { GrantResponse, GrantRequest } from './budgetGrantCalls.js'
+import type { HandBackResponse } from './grantReturnCalls.js'
 import type { ConfirmResponse, ConfirmRequest, TransferResponse, TransferRequest, RecallResponse, RecallRequest } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
 import { BudgetRecovery, type VmListEvidence } from './budgetRecovery.js'
@@ -196,6 +197,13 @@
     this.dispatch({ kind: 'handoverReceived', budget, tokens })
   }
 
+  /** Accepts tokens that another holder does not use, and says of which of its allotted budgets this owner lacks tokens. */
+  onHandBack (grants: readonly GrantedTokens[]): HandBackResponse {
+    for (const { budget, tokens } of grants) if (tokens > 0) this.onHandover(budget, tokens)
+    const now = this.parts.clock.now()
+    return { short: grants.filter(({ budget, isAllotted }) => isAllotted === true && this.ledger.isShort(budget, now)).map(({ budget }) => budget) }
+  }
+
   /**
    * Confirms whether no transfer with a terminated holder is unrecorded here, and fences that holder: no transfer with it
    * starts afterwards.
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
+import type { HandBackOutcome } from './grantReturnCalls.js'
 import type { BudgetPeers } from './budgetPeers.js'
 import type { UnbilledRuns } from './budgetRecovery.js'
 import type { RecoveryRunners } from './budgetRecoveryRuns.js'
@@ -29,8 +30,8 @@
   connectOwner (budget: string): Promise<void>
   /** Hands tokens over to another holder; resolves to whether one accepted them. */
   handOver (budget: string, tokens: number): Promise<boolean>
-  /** Hands unused tokens back to owners; resolves to those that certainly none accepted. */
-  handBack (grants: readonly GrantedTokens[]): Promise<readonly GrantedTokens[]>
+  /** Hands unused tokens back to owners. */
+  handBack (grants: readonly GrantedTokens[]): Promise<HandBackOutcome>
 }
 
 export interface BudgetDriverParts {
--- a/packages/rosemaryspread/src/budget/budgetGrantCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetGrantCalls.ts
@@ -12,7 +12,7 @@
 import type { LateResponseHandler, PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import type { GrantOutcome } from './budgetDriverTypes.js'
-import { GrantReturnCalls } from './grantReturnCalls.js'
+import { GrantReturnCalls, type HandBackOutcome } from './grantReturnCalls.js'
 import { parseAnswer } from './peerAnswer.js'
 
 /** Names of the peer methods. */
@@ -116,8 +116,8 @@
     return false
   }
 
-  /** Hands tokens that are not used here back to owners; resolves to those that certainly none accepted. */
-  async handBack (grants: readonly GrantedTokens[]): Promise<readonly GrantedTokens[]> {
+  /** Hands tokens that are not used here back to owners. */
+  async handBack (grants: readonly GrantedTokens[]): Promise<HandBackOutcome> {
     return await this.returns.handBack(grants, budget => this.parts.peersFor(budget).filter(peer => this.takingBack.has(peer.holder) && !this.isUnresponsive(peer)))
   }
 
--- a/packages/rosemaryspread/src/budget/grantReturnCalls.ts
+++ b/packages/rosemaryspread/src/budget/grantReturnCalls.ts
@@ -7,6 +7,7 @@
 import type { PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import type { GrantCallsParts } from './budgetGrantCalls.js'
+import { parseAnswer } from './peerAnswer.js'
 
 /** Name of the peer method. */
 export const HAND_BACK_METHOD = 'budget.handBack'
@@ -14,8 +15,20 @@
 const CALL_TIMEOUT_MS = 1_000
 
 const handBackSchema = z.object({
-  grants: z.array(z.object({ budget: z.string(), tokens: z.number().int().positive() }))
+  grants: z.array(z.object({ budget: z.string(), tokens: z.number().int().nonnegative(), isAllotted: z.literal(true).optional() }))
 })
+const handBackResponseSchema = z.object({ short: z.array(z.string()) })
+
+/** Budgets among the allotted ones of a message that an owner lacks tokens of. */
+export type HandBackResponse = z.infer<typeof handBackResponseSchema>
+
+/** Outcome of handing tokens back. */
+export interface HandBackOutcome {
+  /** Tokens that certainly no owner accepted. */
+  readonly kept: readonly GrantedTokens[]
+  /** Allotted budgets of which an owner lacks tokens. */
+  readonly short: readonly string[]
+}
 
 /** Calls owners with granted tokens that are not used here. */
 export class GrantReturnCalls {
@@ -24,26 +37,27 @@
   /**
    * Hands tokens back.
    * @param ownersOf - owners of a budget that accept them
-   * @returns the tokens that certainly no owner accepted
    */
-  async handBack (grants: readonly GrantedTokens[], ownersOf: (budget: string) => readonly PeerVm[]): Promise<readonly GrantedTokens[]> {
+  async handBack (grants: readonly GrantedTokens[], ownersOf: (budget: string) => readonly PeerVm[]): Promise<HandBackOutcome> {
     const { batches, unassigned } = assignToOwners(grants, ownersOf)
-    const refused = await Promise.all(batches.map(async ({ owner, grants: batch }) => {
-      const answer = await this.parts.call(owner.address, HAND_BACK_METHOD, { grants: batch }, CALL_TIMEOUT_MS)
-      return answer.caseOf({ Left: ({ ran }) => ran === 'no' ? batch : [], Right: () => [] })
-    }))
-    return [...unassigned, ...refused.flat()]
+    const outcomes = await Promise.all(batches.map(async batch => await this.callOwner(batch)))
+    return { kept: [...unassigned, ...outcomes.flatMap(({ kept }) => kept)], short: outcomes.flatMap(({ short }) => short) }
+  }
+
+  private async callOwner ({ owner, grants }: OwnerBatch): Promise<HandBackOutcome> {
+    const answer = await this.parts.call(owner.address, HAND_BACK_METHOD, { grants }, CALL_TIMEOUT_MS)
+    if (answer.isLeft()) return { kept: answer.extract().ran === 'no' ? grants : [], short: [] }
+    const short = answer.chain(value => parseAnswer(handBackResponseSchema, value, HAND_BACK_METHOD)).map(response => response.short)
+    return { kept: [], short: short.orDefault([]) }
   }
 }
 
 /**
  * Peer method that accepts tokens handed back.
- * @param accept - adds tokens to the budgets of this VM
+ * @param accept - adds tokens to the budgets of this VM, and says which of them are short
  */
-export function handBackMethod (accept: (budget: string, tokens: number) => void): PeerMethodHandler {
-  return async params => {
-    for (const { budget, tokens } of handBackSchema.parse(params).grants) accept(budget, tokens)
-  }
+export function handBackMethod (accept: (grants: readonly GrantedTokens[]) => HandBackResponse): PeerMethodHandler {
+  return async params => accept(handBackSchema.parse(params).grants.map(({ budget, tokens, isAllotted }) => ({ budget, tokens, ...(isAllotted === undefined ? {} : { isAllotted }) })))
 }
 
 interface OwnerBatch {
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -151,7 +151,7 @@
     const balancer = this.container.get(ids.balancer)
     links.serve(GRANT_METHOD, grantMethod(request => budgets.onGrantRequest(request)))
     links.serve(HANDOVER_METHOD, handoverMethod((budget, tokens) => { budgets.onHandover(budget, tokens) }))
-    links.serve(HAND_BACK_METHOD, handBackMethod((budget, tokens) => { budgets.onHandover(budget, tokens) }))
+    links.serve(HAND_BACK_METHOD, handBackMethod(grants => budgets.onHandBack(grants)))
     links.serve(WORK_METHOD, workMethod(notification => { balancer.recordPeerWork(notification, this.clock.now().mono) }))
     links.serve(REFUSED_METHOD, refusedMethod(({ target, service }) => { balancer.refusedElsewhere(target, service, this.clock.now().mono) }))
     links.serve(QUARANTINE_METHOD, this.container.get(ids.quarantineSync).method())
