--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -16,7 +16,7 @@
 import { BudgetSupply } from './budgetSupply.js'
 import type { BudgetAction, BudgetDecider, BudgetEvent, BudgetView, DrawOutcome, Transfer } from './budgetTypes.js'
 import { EntrySet } from './entrySet.js'
-import type { GrantPolicy } from './grantPolicy.js'
+import type { GrantPolicySource } from './grantPolicy.js'
 import { GrantReturns } from './grantReturns.js'
 import { DEFAULT_PRIORITY } from './admissionOrder.js'
 import { FlushQueue } from './flushQueue.js'
@@ -41,8 +41,7 @@
   private readonly steps: BudgetStep
   private draining = false
 
-  /** @param grantPolicy - absent where granted tokens are kept and requests are served as they arrive */
-  constructor (private readonly holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy, private readonly owners: BudgetOwnership = ownedByAll(() => 1), grantPolicy?: GrantPolicy) {
+  constructor (private readonly holder: string, private readonly policy: BudgetPolicy = defaultBudgetPolicy, private readonly owners: BudgetOwnership = ownedByAll(() => 1), grantPolicy: GrantPolicySource = () => undefined) {
     this.queue = new FlushQueue(policy)
     this.transfers = new BudgetTransfers(holder, policy, this.queue)
     this.maintenance = new BudgetMaintenance(policy, this.queue, this.entries.all)
--- a/packages/decisions/src/budget/budgetSupply.ts
+++ b/packages/decisions/src/budget/budgetSupply.ts
@@ -10,7 +10,7 @@
 import { mayRetryTable, refusalOf } from './budgetRefusal.js'
 import type { BudgetSettlement } from './budgetSettlement.js'
 import type { BudgetAction, DrawOutcome } from './budgetTypes.js'
-import type { GrantPolicy } from './grantPolicy.js'
+import type { GrantPolicySource } from './grantPolicy.js'
 import { withAllotment } from './reportBound.js'
 
 const nextStages: Readonly<Partial<Record<RoundStage, RoundStage>>> = { draw: 'give', give: 'recall', recall: 'redraw' }
@@ -21,13 +21,13 @@
   /**
    * @param holder - holder id, prefix of operation ids
    * @param settlement - opens a reservation for each admitted request
-   * @param grantPolicy - absent where requests are admitted as they arrive
+   * @param grantPolicy - order of admission
    */
   constructor (
     private readonly holder: string,
     private readonly policy: BudgetPolicy,
     private readonly settlement: Pick<BudgetSettlement, 'open'>,
-    private readonly grantPolicy?: GrantPolicy
+    private readonly grantPolicy: GrantPolicySource
   ) {}
 
   /** Admits requests that fit, refuses those that cannot be served, and advances the acquisition of tokens. */
@@ -119,7 +119,7 @@
   private admit (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     if (entry.waiting.length === 0) return []
     const actions: BudgetAction[] = []
-    entry.waiting = admitInOrder(entry.waiting, this.grantPolicy, item => {
+    entry.waiting = admitInOrder(entry.waiting, this.grantPolicy(), item => {
       const reserved = entry.reserve(item.tokens, now)
       if (reserved === undefined) return false
       this.settlement.open(item.reservationId, entry.budget, reserved)
--- a/packages/decisions/src/budget/grantPolicy.ts
+++ b/packages/decisions/src/budget/grantPolicy.ts
@@ -18,3 +18,6 @@
   urgentHoldMs: milliseconds
 })
 export type GrantPolicy = z.infer<typeof grantPolicySchema>
+
+/** The policy at present; undefined without one, and where every holder owns all budgets. */
+export type GrantPolicySource = () => GrantPolicy | undefined
--- a/packages/decisions/src/budget/grantReturns.spec.ts
+++ b/packages/decisions/src/budget/grantReturns.spec.ts
@@ -30,7 +30,7 @@
   /** @param isAllotted - whether it draws an allotment before others become the owners */
   constructor (name: string, grants: GrantPolicy | undefined = grantPolicy, isAllotted = false) {
     let isDrawing = isAllotted
-    this.ledger = new BudgetLedger(name, policy, { ...ownership, owns: holder => isOwner(holder) || (isDrawing && holder === name) }, grants)
+    this.ledger = new BudgetLedger(name, policy, { ...ownership, owns: holder => isOwner(holder) || (isDrawing && holder === name) }, () => grants)
     const draw = this.send({ kind: 'prepare', budget: 'b' }).find(action => action.kind === 'draw')
     if (draw !== undefined) this.send({ kind: 'drawAnswered', drawId: draw.drawId, outcome: { kind: 'granted', tokens: HELD, left: 0, sentAt: this.now } })
     isDrawing = false
--- a/packages/decisions/src/budget/grantReturns.ts
+++ b/packages/decisions/src/budget/grantReturns.ts
@@ -8,7 +8,7 @@
 import type { BudgetMaintenance } from './budgetMaintenance.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetAction, GrantedTokens } from './budgetTypes.js'
-import type { GrantPolicy } from './grantPolicy.js'
+import type { GrantPolicySource } from './grantPolicy.js'
 import type { PeerGrants } from './peerGrants.js'
 
 /** Period of its own demand for which a holder keeps allotted tokens while owners are short. */
@@ -18,8 +18,8 @@
   readonly grants: Pick<PeerGrants, 'withdrawSpare'>
   readonly maintenance: Pick<BudgetMaintenance, 'returnFree'>
   readonly budgetPolicy: Pick<BudgetPolicy, 'emptyDrawPauseMs'>
-  /** Absent where holders keep their tokens. */
-  readonly policy: Pick<GrantPolicy, 'handBackAfterMs'> | undefined
+  /** Without a policy holders keep their tokens. */
+  readonly policy: GrantPolicySource
 }
 
 export class GrantReturns {
@@ -29,7 +29,7 @@
 
   /** Withdraws the granted tokens that were unused for the whole period that ends now, if one does. */
   due (entries: Iterable<BudgetEntry>, now: Instant): readonly BudgetAction[] {
-    const { policy } = this.parts
+    const policy = this.parts.policy()
     if (policy === undefined || now.mono < this.dueAt) return []
     this.dueAt = now.mono + policy.handBackAfterMs
     const grants = [...entries].flatMap(entry => returnOf(entry, now))
@@ -42,7 +42,7 @@
    */
   spare (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const { grants, maintenance, budgetPolicy, policy } = this.parts
-    if (policy === undefined || entry.isOwned || entry.waiting.length > 0) return []
+    if (policy() === undefined || entry.isOwned || entry.waiting.length > 0) return []
     const kept = keptTokens(entry, now)
     const tokens = grants.withdrawSpare(entry, kept, now)
     maintenance.returnFree(entry, kept, now)
--- a/packages/decisions/src/budget/peerGrants.ts
+++ b/packages/decisions/src/budget/peerGrants.ts
@@ -9,7 +9,7 @@
 import type { BudgetAction, BudgetEvent } from './budgetTypes.js'
 import { DEFAULT_PRIORITY, mostUrgent } from './admissionOrder.js'
 import type { FlushQueue } from './flushQueue.js'
-import type { GrantPolicy } from './grantPolicy.js'
+import type { GrantPolicySource } from './grantPolicy.js'
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
@@ -25,13 +25,13 @@
   /**
    * @param holder - holder id, prefix of request ids
    * @param queue - receives the bills of granted tokens
-   * @param grantPolicy - absent where all grant requests count as equally urgent
+   * @param grantPolicy - order and pauses of grant requests
    */
   constructor (
     private readonly holder: string,
     private readonly policy: Pick<BudgetPolicy, 'grantAfterMs'>,
     private readonly queue: FlushQueue,
-    private readonly grantPolicy?: GrantPolicy
+    private readonly grantPolicy: GrantPolicySource
   ) {}
 
   /**
@@ -41,7 +41,8 @@
    */
   answerRequest ({ giftId, tokens, to, priority = DEFAULT_PRIORITY }: EventOf<'grantRequested'>, entry: BudgetEntry | undefined, now: Instant): number {
     if (entry === undefined || this.needsItself(entry, priority)) return 0
-    const held = this.grantPolicy === undefined ? 0 : entry.heldForPeers(priority, this.grantPolicy.urgentHoldMs, now.mono)
+    const policy = this.grantPolicy()
+    const held = policy === undefined ? 0 : entry.heldForPeers(priority, policy.urgentHoldMs, now.mono)
     const wanted = Math.min(tokens, Math.max(0, entry.grantedBalance.free + usableTokens(entry, now) - held))
     const passedOn = entry.grantedBalance.withdraw(wanted)
     const fromAllotment = Math.min(wanted - passedOn, usableTokens(entry, now))
@@ -87,7 +88,7 @@
     if (tokens <= 0) return []
     this.requestCount += 1
     entry.grantRequestId = `${this.holder}.gift${this.requestCount}`
-    const priority = this.grantPolicy === undefined ? undefined : mostUrgent(entry.waiting)
+    const priority = this.grantPolicy() === undefined ? undefined : mostUrgent(entry.waiting)
     return [{ kind: 'requestGrant', giftId: entry.grantRequestId, budget: entry.budget, tokens, ...(priority === undefined ? {} : { priority }) }]
   }
 
@@ -98,8 +99,8 @@
     entry.grantRequestId = undefined
     entry.grantedBalance.add(tokens)
     const pauseMs = entry.drawsAhead(now.mono) ? PEERS_PAUSE_MS : OWNERS_PAUSE_MS
-    const isFutile = this.grantPolicy !== undefined && isReached && tokens === 0
-    entry.grantPauseMs = isFutile ? Math.min(Math.max(pauseMs, entry.grantPauseMs * 2), Math.max(pauseMs, this.grantPolicy?.maxAskPauseMs ?? 0)) : pauseMs
+    const longestMs = isReached && tokens === 0 ? this.grantPolicy()?.maxAskPauseMs ?? 0 : 0
+    entry.grantPauseMs = Math.max(pauseMs, Math.min(entry.grantPauseMs * 2, longestMs))
     if (missingTokens(entry, now) <= 0) return
     entry.grantsShortAt = now.mono
     entry.nextGrantRequestAt = now.mono + entry.grantPauseMs
@@ -108,7 +109,7 @@
   /** Whether a request waits here that is as urgent as the grant request. */
   private needsItself ({ waiting }: BudgetEntry, priority: number): boolean {
     const urgent = mostUrgent(waiting)
-    return urgent !== undefined && (this.grantPolicy === undefined || urgent <= priority)
+    return urgent !== undefined && (this.grantPolicy() === undefined || urgent <= priority)
   }
 
   private billAsUsed (entry: BudgetEntry, tokens: number, requestId: string, now: Instant): void {
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -189,7 +189,7 @@
     const grant = actions.find(action => action.kind === 'answerGrant')
     const answer = { tokens: grant?.tokens ?? 0, left: grant?.left ?? 0 }
     if (answer.tokens > 0) this.parts.log.write('budgetGiven', { budget, to, ...answer })
-    return this.parts.grantPolicy === undefined ? answer : { ...answer, takesBack: true }
+    return this.parts.grantPolicy?.() === undefined ? answer : { ...answer, takesBack: true }
   }
 
   /** Accepts tokens that another holder hands over. */
--- a/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriverTypes.ts
@@ -4,7 +4,7 @@
 import type { DeclaredPaid, GrantedTokens } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import type { BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
-import type { GrantPolicy } from '@rosemaryspread/decisions/budget/grantPolicy.js'
+import type { GrantPolicySource } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
@@ -49,7 +49,7 @@
   readonly metrics?: Pick<Metrics, 'count'> | undefined
   readonly policy?: BudgetPolicy
   /** Absent where granted tokens are kept and requests are served as they arrive. */
-  readonly grantPolicy?: GrantPolicy | undefined
+  readonly grantPolicy?: GrantPolicySource
   /** Owners of each budget; absent where every holder owns all budgets. */
   readonly owners?: RendezvousOwners
   /** Requests grants from other holders; absent where holders grant none. */
--- a/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
+++ b/packages/rosemaryspread/src/gateway/budgetDriverFactory.ts
@@ -3,7 +3,7 @@
  * VMs over their links.
  */
 import type { Either } from 'purify-ts'
-import { RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
+import { MAX_VMS_ALL_OWN, RendezvousOwners } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import type { GrantPolicy } from '@rosemaryspread/decisions/budget/grantPolicy.js'
 import type { DeclaredPaid } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
@@ -75,7 +75,7 @@
       preference: (peer, budget) => pairWeight(hashName(`${holder} ${budget}`), hashName(peer)) / HASH_RANGE
     }),
     owners,
-    grantPolicy: grants,
+    grantPolicy: () => fleet.size > MAX_VMS_ALL_OWN ? grants : undefined,
     policy: fleetBudgetPolicy(() => fleet.size),
     unbilledRuns: new AssumedSpentRuns(),
     declared
