--- a/packages/decisions/src/budget/peerGrants.ts
+++ b/packages/decisions/src/budget/peerGrants.ts
@@ -7,7 +7,9 @@
 import type { BudgetEntry } from './budgetEntry.js'
 import type { BudgetPolicy } from './budgetPolicy.js'
 import type { BudgetAction, BudgetEvent } from './budgetTypes.js'
+import { DEFAULT_PRIORITY, mostUrgent } from './admissionOrder.js'
 import type { FlushQueue } from './flushQueue.js'
+import type { GrantPolicySource } from './grantPolicy.js'
 
 type EventOf<K extends BudgetEvent['kind']> = Extract<BudgetEvent, { kind: K }>
 
@@ -23,21 +25,27 @@
   /**
    * @param holder - holder id, prefix of request ids
    * @param queue - receives the bills of granted tokens
+   * @param grantPolicy - order and pauses of grant requests
    */
   constructor (
     private readonly holder: string,
     private readonly policy: Pick<BudgetPolicy, 'grantAfterMs'>,
-    private readonly queue: FlushQueue
+    private readonly queue: FlushQueue,
+    private readonly grantPolicy: GrantPolicySource
   ) {}
 
   /**
-   * Grants usable tokens, unless local requests wait: received grants first, then tokens of the allotment, which are billed.
+   * Grants usable tokens, unless local requests wait that are as urgent: received grants first, then tokens of the allotment,
+   * which are billed. Tokens that a more urgent grant request lacked are kept for it for a short time.
    * @param entry - undefined if this holder has no entry for the budget
    */
-  answerRequest ({ giftId, tokens, to }: EventOf<'grantRequested'>, entry: BudgetEntry | undefined, now: Instant): number {
-    if (entry === undefined || entry.waiting.length > 0) return 0
-    const passedOn = entry.grantedBalance.withdraw(tokens)
-    const fromAllotment = Math.min(tokens - passedOn, usableTokens(entry, now))
+  answerRequest ({ giftId, tokens, to, priority = DEFAULT_PRIORITY }: EventOf<'grantRequested'>, entry: BudgetEntry | undefined, now: Instant): number {
+    if (entry === undefined || this.needsItself(entry, priority)) return 0
+    const policy = this.grantPolicy()
+    const held = policy === undefined ? 0 : entry.heldForPeers(priority, policy.urgentHoldMs, now.mono)
+    const wanted = Math.min(tokens, Math.max(0, entry.grantedBalance.free + usableTokens(entry, now) - held))
+    const passedOn = entry.grantedBalance.withdraw(wanted)
+    const fromAllotment = Math.min(wanted - passedOn, usableTokens(entry, now))
     if (fromAllotment > 0) this.billAsUsed(entry, fromAllotment, `${giftId} ${to}`, now)
     return passedOn + fromAllotment
   }
@@ -60,6 +68,16 @@
     return tokens === 0 ? [] : [{ kind: 'handOver', budget, tokens }]
   }
 
+  /**
+   * Bills allotted tokens that may be used now, so that they can be handed to an owner; returns their number.
+   * @param kept - free tokens to retain
+   */
+  withdrawSpare (entry: BudgetEntry, kept: number, now: Instant): number {
+    const tokens = Math.max(0, Math.min(usableTokens(entry, now), Math.floor(entry.free) - kept))
+    if (tokens > 0) this.billAsUsed(entry, tokens, 'spare', now)
+    return tokens
+  }
+
   /** Requests the tokens that waiting requests lack; one open request at a time. */
   ask (entry: BudgetEntry, now: Instant): readonly BudgetAction[] {
     const oldest = entry.waiting[0]
@@ -70,7 +88,8 @@
     if (tokens <= 0) return []
     this.requestCount += 1
     entry.grantRequestId = `${this.holder}.gift${this.requestCount}`
-    return [{ kind: 'requestGrant', giftId: entry.grantRequestId, budget: entry.budget, tokens }]
+    const priority = this.grantPolicy() === undefined ? undefined : mostUrgent(entry.waiting)
+    return [{ kind: 'requestGrant', giftId: entry.grantRequestId, budget: entry.budget, tokens, ...(priority === undefined ? {} : { priority }) }]
   }
 
   /** Handles the outcome of a grant request. */
@@ -79,9 +98,18 @@
     if (!isReached) entry.peersUnresponsiveAt = now.mono
     entry.grantRequestId = undefined
     entry.grantedBalance.add(tokens)
+    const pauseMs = entry.drawsAhead(now.mono) ? PEERS_PAUSE_MS : OWNERS_PAUSE_MS
+    const longestMs = isReached && tokens === 0 ? this.grantPolicy()?.maxAskPauseMs ?? 0 : 0
+    entry.grantPauseMs = Math.max(pauseMs, Math.min(entry.grantPauseMs * 2, longestMs))
     if (missingTokens(entry, now) <= 0) return
     entry.grantsShortAt = now.mono
-    entry.nextGrantRequestAt = now.mono + (entry.drawsAhead(now.mono) ? PEERS_PAUSE_MS : OWNERS_PAUSE_MS)
+    entry.nextGrantRequestAt = now.mono + entry.grantPauseMs
+  }
+
+  /** Whether a request waits here that is as urgent as the grant request. */
+  private needsItself ({ waiting }: BudgetEntry, priority: number): boolean {
+    const urgent = mostUrgent(waiting)
+    return urgent !== undefined && (this.grantPolicy() === undefined || urgent <= priority)
   }
 
   private billAsUsed (entry: BudgetEntry, tokens: number, requestId: string, now: Instant): void {
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -8,13 +8,14 @@
 import { BudgetLedger } from '@rosemaryspread/decisions/budget/budgetLedger.js'
 import { ownedByAll, type BudgetOwnership } from '@rosemaryspread/decisions/budget/budgetOwners.js'
 import { defaultBudgetPolicy, type BudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
-import type { Bill, BudgetAction, BudgetEvent, BudgetView, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import type { Bill, BudgetAction, BudgetEvent, BudgetView, GrantedTokens, TopUpRow } from '@rosemaryspread/decisions/budget/budgetTypes.js'
 import type { BudgetAnswer } from '@rosemaryspread/operators/admin/adminTypes.js'
 import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { BudgetActionExecutor } from './budgetActionExecutor.js'
 import { BudgetRowCache } from './budgetRowCache.js'
 import type { BudgetCounters, BudgetDriverParts } from './budgetDriverTypes.js'
 import type { GrantResponse, GrantRequest } from './budgetGrantCalls.js'
+import type { HandBackResponse } from './grantReturnCalls.js'
 import type { ConfirmResponse, ConfirmRequest, TransferResponse, TransferRequest, RecallResponse, RecallRequest } from './budgetPeers.js'
 import type { BudgetPort, Reservation } from './budgetPort.js'
 import { BudgetRecovery, type VmListEvidence } from './budgetRecovery.js'
@@ -49,7 +50,7 @@
     const { holder, domain, store, clock } = parts
     this.policy = parts.policy ?? defaultBudgetPolicy
     this.owners = parts.owners ?? ownedByAll(() => parts.peers.members().length + 1)
-    this.ledger = new BudgetLedger(holder, this.policy, this.owners)
+    this.ledger = new BudgetLedger(holder, this.policy, this.owners, parts.grantPolicy)
     this.table = new BudgetTable(store, clock, new BudgetRowCache(key => isAllotmentOf(key, holder)))
     this.registry = new BudgetRegistry(this.table, { holder, domain, place: parts.place, processStartedAt: parts.processStartedAt })
     this.reservations = new OpenReservations(holder)
@@ -59,9 +60,9 @@
     this.topUps = new BudgetTopUps(this.table, item => this.isInDoubt(item))
   }
 
-  async reserve (budget: string, tokens: number, giveUpAfterMs: number): Promise<Either<Failure, Reservation>> {
+  async reserve (budget: string, tokens: number, giveUpAfterMs: number, priority?: number): Promise<Either<Failure, Reservation>> {
     return await this.reservations.add(budget, tokens, ({ reservationId }) => {
-      this.dispatch({ kind: 'reserve', reservationId, budget, tokens, giveUpAfterMs })
+      this.dispatch({ kind: 'reserve', reservationId, budget, tokens, giveUpAfterMs, ...(priority === undefined ? {} : { priority }) })
       if (this.isWaiting) this.notifyWaiting()
     })
   }
@@ -183,19 +184,26 @@
   }
 
   /** Handles a grant request of another holder: the tokens can be used at once. */
-  onGrantRequest ({ giftId, budget, tokens, to }: GrantRequest): GrantResponse {
-    const actions = this.dispatch({ kind: 'grantRequested', giftId, budget, tokens, to })
+  onGrantRequest ({ giftId, budget, tokens, to, priority }: GrantRequest): GrantResponse {
+    const actions = this.dispatch({ kind: 'grantRequested', giftId, budget, tokens, to, ...(priority === undefined ? {} : { priority }) })
     const grant = actions.find(action => action.kind === 'answerGrant')
     const answer = { tokens: grant?.tokens ?? 0, left: grant?.left ?? 0 }
     if (answer.tokens > 0) this.parts.log.write('budgetGiven', { budget, to, ...answer })
-    return answer
+    return this.parts.grantPolicy?.() === undefined ? answer : { ...answer, takesBack: true }
   }
 
-  /** Accepts tokens that a terminating holder hands over. */
+  /** Accepts tokens that another holder hands over. */
   onHandover (budget: string, tokens: number): void {
     this.dispatch({ kind: 'handoverReceived', budget, tokens })
   }
 
+  /** Accepts tokens that another holder does not use, and says of which of its allotted budgets this owner lacks tokens. */
+  onHandBack (grants: readonly GrantedTokens[]): HandBackResponse {
+    for (const { budget, tokens } of grants) if (tokens > 0) this.onHandover(budget, tokens)
+    const now = this.parts.clock.now()
+    return { short: grants.filter(({ budget, isAllotted }) => isAllotted === true && this.ledger.isShort(budget, now)).map(({ budget }) => budget) }
+  }
+
   /**
    * Confirms whether no transfer with a terminated holder is unrecorded here, and fences that holder: no transfer with it
    * starts afterwards.
