--- a/packages/decisions/src/routing/fairQueue.ts
+++ b/packages/decisions/src/routing/fairQueue.ts
@@ -17,7 +17,7 @@
 
 /** Fair queue of one VM for one model; see {@link RequestQueue}. */
 export class FairQueue<T> implements RequestQueue<T> {
-  private readonly teams = new Map<string, TeamQueue<T>>()
+  private readonly teams = new Map<string, TeamQueue<QueueItem<T>>>()
   private readonly serviceMs = new Ewma()
   private virtualTime = 0
   private waitingCount = 0
@@ -113,7 +113,7 @@
     this.deleteIfIdle(item.team, team)
   }
 
-  private queueStateFor (team: TeamQueue<T>, item: QueueItem<T>): QueueState {
+  private queueStateFor (team: TeamQueue<QueueItem<T>>, item: QueueItem<T>): QueueState {
     return {
       teamInFlight: team.items.length + team.running,
       waiting: this.waitingCount,
@@ -124,13 +124,13 @@
   }
 
   /** Predicted wait: the number of requests that would start earlier, times the current start interval. */
-  private waitMs (team: TeamQueue<T>, item: QueueItem<T>): number {
+  private waitMs (team: TeamQueue<QueueItem<T>>, item: QueueItem<T>): number {
     if (this.waitingCount === 0 && this.runningCount < this.concurrency) return 0
     return (this.countStartsBefore(team, item) + 0.5) * this.startIntervalMs(item.serviceMs)
   }
 
   /** Waiting requests that would start before a new one. */
-  private countStartsBefore (team: TeamQueue<T>, item: QueueItem<T>): number {
+  private countStartsBefore (team: TeamQueue<QueueItem<T>>, item: QueueItem<T>): number {
     const ahead = team.items.filter(other => other.priority >= item.priority)
     const tokensAhead = ahead.reduce((sum, other) => sum + other.tokens, 0)
     const tag = Math.max(team.tag, this.virtualTime) + tokensAhead / team.weight - headStart(item)
@@ -140,7 +140,7 @@
   }
 
   /** Milliseconds between two starts of a team, as long as all waiting teams have requests. */
-  private teamStartIntervalMs (team: TeamQueue<T>): number {
+  private teamStartIntervalMs (team: TeamQueue<QueueItem<T>>): number {
     let weights = team.items.length === 0 ? team.weight : 0
     for (const other of this.teams.values()) if (other.items.length > 0) weights += other.weight
     return this.startIntervalMs(0) * weights / team.weight
@@ -153,30 +153,30 @@
     return serviceMs / Math.max(1, concurrent)
   }
 
-  private getOrCreateTeam (item: QueueItem<T>): TeamQueue<T> {
+  private getOrCreateTeam (item: QueueItem<T>): TeamQueue<QueueItem<T>> {
     const existing = this.teams.get(item.team)
     if (existing !== undefined) {
       existing.weight = item.weight
       return existing
     }
-    const team: TeamQueue<T> = { weight: item.weight, tag: this.virtualTime, running: 0, items: [] }
+    const team: TeamQueue<QueueItem<T>> = { weight: item.weight, tag: this.virtualTime, running: 0, items: [] }
     this.teams.set(item.team, team)
     return team
   }
 
-  private stopped (team: TeamQueue<T>): void {
+  private stopped (team: TeamQueue<QueueItem<T>>): void {
     team.running = Math.max(0, team.running - 1)
     this.runningCount = Math.max(0, this.runningCount - 1)
   }
 
-  private removeItems (team: TeamQueue<T>, removed: readonly QueueItem<T>[]): void {
+  private removeItems (team: TeamQueue<QueueItem<T>>, removed: readonly QueueItem<T>[]): void {
     const remaining = team.items.filter(item => !removed.includes(item))
     this.waitingCount -= team.items.length - remaining.length
     team.items.splice(0, team.items.length, ...remaining)
   }
 
   /** A team whose tag is ahead of the virtual time stays, or it would lose what it was charged. */
-  private deleteIfIdle (name: string, team: TeamQueue<T>): void {
+  private deleteIfIdle (name: string, team: TeamQueue<QueueItem<T>>): void {
     if (team.items.length === 0 && team.running === 0 && team.tag <= this.virtualTime) this.teams.delete(name)
   }
 }
--- a/packages/decisions/src/routing/teamQueue.ts
+++ b/packages/decisions/src/routing/teamQueue.ts
@@ -1,33 +1,41 @@
 /**
  * Queue of one team within a fair queue, and the virtual time at which the team is next served.
  */
-import type { QueueItem } from './queueTypes.js'
-
 /** Head start over other teams per priority level, as virtual time (tokens at weight 1). */
 const HEAD_START_TOKENS = 4_000
 
-export interface TeamQueue<T> {
+/** What the order of items depends on. */
+export interface FairItem {
+  /** Higher goes first within the team, and gives a head start against other teams. */
+  readonly priority: number
+  /** What the item costs its team. */
+  readonly tokens: number
+  /** Share of its team. */
+  readonly weight: number
+}
+
+export interface TeamQueue<Item extends FairItem> {
   weight: number
   /** Virtual time at which its next item starts. */
   tag: number
   running: number
   /** Waiting items by priority, then by arrival. */
-  readonly items: QueueItem<T>[]
+  readonly items: Item[]
 }
 
 /** Inserts an item after those of the same or a higher priority. */
-export function insertByPriority<T> (items: QueueItem<T>[], item: QueueItem<T>): void {
+export function insertByPriority<Item extends FairItem> (items: Item[], item: Item): void {
   const index = items.findIndex(other => other.priority < item.priority)
   items.splice(index < 0 ? items.length : index, 0, item)
 }
 
 /** Virtual time by which an item may start ahead of its team's tag. */
-export function headStart<T> (item: QueueItem<T>): number {
+export function headStart (item: FairItem): number {
   return item.priority * HEAD_START_TOKENS
 }
 
 /** Number of items of a team that start before the virtual time `tag`. */
-export function countStartsBefore<T> (team: TeamQueue<T>, tag: number): number {
+export function countStartsBefore<Item extends FairItem> (team: TeamQueue<Item>, tag: number): number {
   let nextTag = team.tag
   let count = 0
   for (const item of team.items) {
@@ -39,8 +47,8 @@
 }
 
 /** The team whose head item has the lowest tag; the first one of equal tags. */
-export function nextTeam<T> (teams: Iterable<TeamQueue<T>>): TeamQueue<T> | undefined {
-  let next: TeamQueue<T> | undefined
+export function nextTeam<Item extends FairItem> (teams: Iterable<TeamQueue<Item>>): TeamQueue<Item> | undefined {
+  let next: TeamQueue<Item> | undefined
   let lowest = Infinity
   for (const team of teams) {
     const [head] = team.items
