Gateway: admission under load before tokens are reserved, switched by the section admission

Change: gateway/callAdmission, a step of callDispatch between the route and the reservation; a caller that leaves is dropped from the queue, a drain refuses what waits, the place ends with the first output or the call.

--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -27,6 +27,7 @@
 import { StreamVersions } from '../streams/streamVersions.js'
 import { createBudgetDriver } from './budgetDriverFactory.js'
 import type { ConnectionLiveness } from './connectionLiveness.js'
+import { CallAdmission } from './callAdmission.js'
 import { CallDispatch } from './callDispatch.js'
 import { CallReport } from './callReport.js'
 import { GatewayChooser } from './gatewayChooser.js'
@@ -59,6 +60,7 @@
   bindTargetClients(container, ports)
   bindQuarantine(container, settings, ports)
   bindStreams(container)
+  bindAdmission(container, settings)
   bindPipeline(container, settings)
 }
 
@@ -160,6 +162,18 @@
   }), [ids.clock, ids.config, ids.targets, ids.presence, ids.links]).inSingletonScope()
 }
 
+function bindAdmission (container: Container, { admission }: GatewaySettings): void {
+  if (admission === undefined) return
+  container.bind(ids.admission).toResolvedValue((clock, random, log, metrics) => new CallAdmission({
+    clock,
+    random,
+    log,
+    metrics,
+    settings: admission,
+    busyRatio: () => container.get(ids.ingressMonitor).busyRatio
+  }), [ids.clock, ids.random, ids.log, ids.metrics]).inSingletonScope()
+}
+
 function bindPipeline (container: Container, { vm, retries }: GatewaySettings): void {
   container.bind(ids.chooser).toDynamicValue(context => {
     const log = context.get(ids.log)
@@ -204,6 +218,7 @@
       metrics,
       report,
       streams: context.get(ids.streams),
+      ...(container.isBound(ids.admission) ? { admission: context.get(ids.admission) } : {}),
       guard: context.get(ids.quarantine)
     })
     return new GatewayPipeline({ random, config: context.get(ids.config), work: context.get(ids.work), dispatch, log, report })
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -14,7 +14,7 @@
 import { isSuccess, runAttempt, type AttemptOutcome } from './callAttempt.js'
 import type { CallReport } from './callReport.js'
 import { OpenCall } from './openCall.js'
-import type { AdmittedCall, CallGuard, CallRetries, CallSink, StreamOrigins, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from './callTypes.js'
+import type { AdmittedCall, CallGuard, CallRetries, CallSink, LoadAdmission, StreamOrigins, TargetChooser, TargetClient, TargetRequest, TargetVerdict } from './callTypes.js'
 
 /** Share of the latency objective that a call may wait for tokens. */
 const RESERVE_WAIT_RATIO = 0.5
@@ -32,6 +32,8 @@
   readonly report: CallReport
   /** Absent where no stream is resumed by its caller. */
   readonly streams?: StreamOrigins
+  /** Absent where calls are sent whatever the load. */
+  readonly admission?: LoadAdmission
   /** Absent where requests are not quarantined. */
   readonly guard?: CallGuard
 }
@@ -49,12 +51,15 @@
       if (refusal !== undefined) return Left(refusal)
       const resumed = await this.resume(open)
       if (resumed.isLeft()) return resumed
+      const placed = await this.place(open)
+      if (placed.isLeft()) return placed
       const reserved = await this.reserve(open)
       if (reserved.isLeft()) return reserved
       this.deps.retries.recordFirstAttempt(admitted.service, this.deps.clock.now())
       return await this.tryTargets(open)
     } finally {
       this.settle(open)
+      open.place?.ended()
       this.deps.guard?.closed(open)
       open.close()
     }
@@ -68,6 +73,13 @@
     return (await streams.versionOf(admitted)).map(stream => open.setStream(stream))
   }
 
+  /** Waits for its turn while the load is high. */
+  private async place (open: OpenCall): Promise<Either<Failure, void>> {
+    const { admission } = this.deps
+    if (admission === undefined) return Right(undefined)
+    return (await admission.admit(open.admitted)).map(place => open.setPlace(place))
+  }
+
   private async reserve (open: OpenCall): Promise<Either<Failure, void>> {
     const { call, team, route, isPrepaid } = open.admitted
     const { budgets } = this.deps
@@ -127,6 +139,7 @@
     open.sentAt = this.deps.clock.now().mono
     this.deps.report.resumed(open, choice)
     const ticket = chooser.sent(choice, open.admitted)
+    open.place?.sent()
     const onFirstOutput = (): void => {
       chooser.endPrefill(choice, ticket, true)
       this.recordFirstOutput(open, choice)
@@ -174,6 +187,7 @@
 
   private recordFirstOutput (open: OpenCall, { target }: TargetChoice): void {
     open.firstMs ??= open.ageMs
+    open.place?.firstOutput()
     open.streamVersion ??= versionOf(target)
     const { admitted } = open
     if (admitted.route.streamed) this.deps.metrics.record('first_token_ms', open.firstMs)
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -225,6 +225,22 @@
   answered (call: OpenCall, choice: TargetChoice, answer: ServedAnswer): void
 }
 
+/** The place of a call that was admitted under load. */
+export interface CallPlace {
+  /** Records that the call is sent to a target. */
+  sent (): void
+  /** Records that its first output was relayed. */
+  firstOutput (): void
+  /** Records its end; called once. */
+  ended (): void
+}
+
+/** Orders and refuses calls under load. */
+export interface LoadAdmission {
+  /** Waits until the call may be sent; fails if its turn would come too late, or if its caller disconnects meanwhile. */
+  admit (admitted: AdmittedCall): Promise<Either<Failure, CallPlace>>
+}
+
 /** Limits retries. */
 export interface CallRetries {
   /** Counts a first attempt towards the retry budget of a service. */
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -17,6 +17,7 @@
 import type { RelayServer } from '../relay/relayServer.js'
 import type { StreamVersions } from '../streams/streamVersions.js'
 import type { IngressMonitor } from './ingressMonitor.js'
+import type { CallAdmission } from './callAdmission.js'
 import type { GatewayChooser } from './gatewayChooser.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
@@ -42,6 +43,8 @@
   targets: id<GatewayTargets>('GatewayTargets'),
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineSync: id<QuarantineSync>('QuarantineSync'),
+  /** Bound only if the settings have a section `admission`. */
+  admission: id<CallAdmission>('CallAdmission'),
   chooser: id<GatewayChooser>('GatewayChooser'),
   paths: id<TargetPaths>('TargetPaths'),
   directClient: id<DirectClient>('DirectClient'),
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -19,6 +19,11 @@
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
   /** Time between the order to stop and the end of the process. */
   graceMs: milliseconds,
+  /** Order and refusal of calls under load, see callAdmission; absent: calls are sent whatever the load. */
+  admission: z.object({
+    /** How the limit of the calls in flight follows the load. */
+    limit: z.enum(['aimd', 'gradient']).default('aimd')
+  }).optional(),
   /** Descriptors that the process may open; absent for no limit. */
   descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -13,6 +13,7 @@
 import { gatewayIds as ids } from './gatewayIds.js'
 import { bindGateway, type GatewayPorts } from './bindGateway.js'
 import { BudgetPreparation } from './budgetPreparation.js'
+import type { CallAdmission } from './callAdmission.js'
 import { IngressMonitor, loopBusyMs, loopTurns } from './ingressMonitor.js'
 import { PacedTicks } from './pacedTicks.js'
 import { REFUSED_METHOD, refusedMethod } from './refusedNotifications.js'
@@ -56,6 +57,10 @@
     return this.container.get(ids.clock)
   }
 
+  private get admission (): CallAdmission | undefined {
+    return this.container.isBound(ids.admission) ? this.container.get(ids.admission) : undefined
+  }
+
   /** Starts the background work. */
   start (): void {
     const budgets = this.container.get(ids.budgets)
@@ -79,8 +84,10 @@
     this.container.get(ids.quarantineSync).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     const ingressMonitor = this.container.get(ids.ingressMonitor)
+    const admission = this.admission
     const tick = async (): Promise<void> => {
       ingressMonitor.tick()
+      admission?.tick()
       const prepared = this.container.get(ids.config).current()
       if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
       budgets.tick()
@@ -122,6 +129,7 @@
     const leftMs = (): number => Math.max(0, this.settings.graceMs * FINISH_RATIO - (this.clock.now().mono - startedAt))
     work.draining = true
     this.log.write('draining', { open: work.openCount() })
+    this.admission?.drain()
     this.inBackground(this.container.get(ids.presence).publishState('leaving'))
     await pause(this.settings.graceMs * LINGER_RATIO)
     stopAccepting()
--- a/packages/rosemaryspread/src/gateway/ingressMonitor.ts
+++ b/packages/rosemaryspread/src/gateway/ingressMonitor.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { VmLoad } from '@rosemaryspread/decisions/load/loadTypes.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { UnreadTime } from './unreadTime.js'
 
@@ -57,12 +58,13 @@
   return performance.eventLoopUtilization().active
 }
 
-export class IngressMonitor {
+export class IngressMonitor implements VmLoad {
   private open = 0
   private lastTickAt: number
   private currentWindow: IngressWindow
   private previousWindow: IngressWindow
   private stableWindows = STABLE_WINDOWS
+  private latestBusyRatio = 0
   private readonly unreadTime: UnreadTime
 
   constructor (private readonly deps: IngressMonitorDeps) {
@@ -85,6 +87,11 @@
     return this.stableWindows < STABLE_WINDOWS
   }
 
+  /** Share of busy time of the event loop in the latest window. */
+  get busyRatio (): number {
+    return this.latestBusyRatio
+  }
+
   /** Milliseconds for which a request that is read now may have lain unread, at most. */
   readUnreadMs (): number {
     return this.unreadTime.read()
@@ -132,7 +139,8 @@
     const spanMs = Math.round(mono - startedAt)
     const hasBacklog = (taken >= MIN_ACCEPTED && taken >= turns * BACKLOG_RATIO) || dropped > 0
     const isBlocked = longestMs >= BLOCKED_LOOP_MS
-    const isBusy = this.deps.busyMs() - busyBeforeMs >= spanMs * BUSY_RATIO
+    this.latestBusyRatio = Math.min(1, (this.deps.busyMs() - busyBeforeMs) / Math.max(1, spanMs))
+    const isBusy = this.latestBusyRatio >= BUSY_RATIO
     this.stableWindows = hasBacklog || isBlocked || isBusy ? 0 : this.stableWindows + 1
     if (!hasBacklog && !isBlocked) return
     this.deps.log.write('frontPressed', {
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -9,7 +9,7 @@
 import { partDigest, requestDigest } from '../quarantine/requestDigest.js'
 import { EventRelay } from './eventRelay.js'
 import type { AttemptOutcome } from './callAttempt.js'
-import type { AdmittedCall, CallSink } from './callTypes.js'
+import type { AdmittedCall, CallPlace, CallSink } from './callTypes.js'
 
 type FailedAnswer = Extract<AttemptOutcome, { kind: 'failedAnswer' }>
 
@@ -20,6 +20,8 @@
   readonly relay = new EventRelay()
   readonly excluded = new Set<string>()
   reservation: Reservation | undefined
+  /** Set once the call was admitted under load. */
+  place: CallPlace | undefined
   /** Why the call ends early; undefined until then. */
   stopped: Failure | undefined
   lastFailure: Failure | undefined
@@ -107,6 +109,10 @@
     this.reservation = reservation
   }
 
+  setPlace (place: CallPlace): void {
+    this.place = place
+  }
+
   /** Sets the version of the stream that the call resumes. */
   setStream ({ version, source }: KnownVersion): void {
     this.streamVersion = version
