Ingress monitor measures the busy ratio of the latest 300 ms, and counts the second connection of a forwarded one

Cause: what adapts to load needs it several times a second; the monitor judged it once a second, over three seconds. It implements VmLoad now. joined() counts the connection to another VM over which one of a caller is forwarded, so that both count towards the limit of open connections. What is pressed, and when, stays.

Tests: ratio at the start, steady, after a change, and over a blocked event loop; count of both connections (npm test -- -f IngressMonitor).

--- a/packages/rosemaryspread/src/gateway/ingressMonitor.spec.ts
+++ b/packages/rosemaryspread/src/gateway/ingressMonitor.spec.ts
@@ -40,6 +40,16 @@
     busyMs: () => this.busyMs
   })
 
+  /** A second whose busy time is spread evenly over its ticks. */
+  evenSecond ({ turns, busyMs = 100 }: Omit<SecondOfLoad, 'name' | 'lines'>): void {
+    for (const end = this.mono + 1_000; this.mono < end;) {
+      this.mono += TICK_MS
+      this.turns += turns * TICK_MS / 1_000
+      this.busyMs += busyMs * TICK_MS / 1_000
+      this.monitor.tick()
+    }
+  }
+
   second ({ taken = 0, dropped = 0, turns, lateMs = 0, busyMs = 100 }: Omit<SecondOfLoad, 'name' | 'lines'>): void {
     for (let i = 0; i < taken; i += 1) this.monitor.taken()(i % 2 === 0)
     for (let i = 0; i < dropped; i += 1) this.monitor.dropped()
@@ -89,6 +99,39 @@
     })
   }
 
+  const ratioCases: ReadonlyArray<{ readonly name: string, readonly seconds: ReadonlyArray<Omit<SecondOfLoad, 'name' | 'lines'>>, readonly busyRatio: number }> = [
+    { name: '0 at the start', seconds: [], busyRatio: 0 },
+    { name: 'the one of a steady load', seconds: [{ turns: 900, busyMs: 400 }], busyRatio: 0.4 },
+    { name: 'the one of the latest ticks only', seconds: [{ turns: 900, busyMs: 1_000 }, { turns: 900, busyMs: 200 }], busyRatio: 0.2 }
+  ]
+  for (const { name, seconds, busyRatio } of ratioCases) {
+    it(`measures a busy ratio: ${name}`, () => {
+      const harness = new MonitorHarness()
+      for (const second of seconds) harness.evenSecond(second)
+      expect(harness.monitor.busyRatio).to.be.closeTo(busyRatio, 0.001)
+    })
+  }
+
+  it('measures a busy ratio of 1 at most, over the whole time of a blocked event loop', () => {
+    const harness = new MonitorHarness()
+    harness.evenSecond({ turns: 900, busyMs: 300 })
+    harness.busyMs += 2_100
+    harness.mono += 2_000
+    harness.monitor.tick()
+    expect(harness.monitor.busyRatio).to.equal(1)
+  })
+
+  it('counts the connection over which one of a caller is forwarded as open', () => {
+    const harness = new MonitorHarness()
+    const closed = harness.monitor.taken()
+    const peerClosed = harness.monitor.joined()
+    const open = [harness.monitor.openConnections]
+    peerClosed()
+    closed(true)
+    open.push(harness.monitor.openConnections)
+    expect(open).to.deep.equal([2, 0])
+  })
+
   it('decrements the gauge of open connections when one closes', () => {
     const harness = new MonitorHarness()
     const closed = harness.monitor.taken()
--- a/packages/rosemaryspread/src/gateway/ingressMonitor.ts
+++ b/packages/rosemaryspread/src/gateway/ingressMonitor.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { VmLoad } from '@rosemaryspread/decisions/load/loadTypes.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { UnreadTime } from './unreadTime.js'
 
@@ -18,6 +19,9 @@
 /** With fewer accepted connections a window says nothing about a backlog. */
 const MIN_ACCEPTED = 20
 
+/** Time over which the busy ratio is measured. */
+const BUSY_SPAN_MS = 300
+
 /** Share of busy time of the event loop from which the VM counts as overloaded. */
 const BUSY_RATIO = 0.9
 /** Consecutive windows without overload before the VM advertises capacity again. */
@@ -47,6 +51,12 @@
   longestMs: number
 }
 
+/** Busy time of the event loop at one tick. */
+interface BusySample {
+  readonly mono: number
+  readonly busyMs: number
+}
+
 /** Turns of the event loop of this process so far. */
 export function loopTurns (): number {
   return performance.nodeTiming.uvMetricsInfo.loopCount
@@ -57,11 +67,13 @@
   return performance.eventLoopUtilization().active
 }
 
-export class IngressMonitor {
+export class IngressMonitor implements VmLoad {
   private open = 0
   private lastTickAt: number
   private currentWindow: IngressWindow
   private previousWindow: IngressWindow
+  /** Samples of the latest ticks, oldest first. */
+  private readonly busySamples: BusySample[] = []
   private stableWindows = STABLE_WINDOWS
   private readonly unreadTime: UnreadTime
 
@@ -85,6 +97,14 @@
     return this.stableWindows < STABLE_WINDOWS
   }
 
+  /** Share of the latest ticks for which the event loop was busy; 0 before the second tick. */
+  get busyRatio (): number {
+    const first = this.busySamples[0]
+    const last = this.busySamples.at(-1)
+    if (first === undefined || last === undefined || last.mono === first.mono) return 0
+    return Math.min(1, Math.max(0, (last.busyMs - first.busyMs) / (last.mono - first.mono)))
+  }
+
   /** Milliseconds for which a request that is read now may have lain unread, at most. */
   readUnreadMs (): number {
     return this.unreadTime.read()
@@ -103,6 +123,12 @@
     }
   }
 
+  /** Counts the connection to another VM over which one of a caller is forwarded; returns the function to call when it closes. */
+  joined (): () => void {
+    this.open += 1
+    return () => { this.open -= 1 }
+  }
+
   /** Counts a connection that was closed at once, as the limit of open connections is reached. */
   dropped (): void {
     this.currentWindow.dropped += 1
@@ -120,12 +146,19 @@
     this.currentWindow.longestMs = Math.max(this.currentWindow.longestMs, mono - this.lastTickAt)
     this.lastTickAt = mono
     this.unreadTime.tick()
+    this.sampleBusy(mono)
     if (mono - this.currentWindow.startedAt < WINDOW_MS) return
     this.report(mono)
     this.previousWindow = this.currentWindow
     this.currentWindow = this.startWindow()
   }
 
+  private sampleBusy (mono: number): void {
+    const samples = this.busySamples
+    samples.push({ mono, busyMs: this.deps.busyMs() })
+    while ((samples[1]?.mono ?? Infinity) <= mono - BUSY_SPAN_MS) samples.shift()
+  }
+
   private report (mono: number): void {
     const { taken, dropped, unused, requests, longestMs, startedAt, turnsBefore, busyBeforeMs } = this.currentWindow
     const turns = this.deps.turns() - turnsBefore
