An overloaded VM forwards new connections to VMs of its failure domain with capacity

Cause: a quarter to a half of all requests meet 2 to 5 of 65 VMs; they wait unread in the backlog of a VM that bears 40 a second and gets 97. Change: with the section gateway.forwarding a VM accepts connections paused. One that stays goes to the HTTP server; another is joined, unparsed, with a connection to the other VM's address for it (presence row, field `forwarding`), where it is served, never forwarded again, and closed after one answer. If that VM does not accept within 200 ms, the connection is served here: nothing was read. Closes, resets and backpressure pass both ways; a cut answer is never completed, nothing is sent twice. Without the section nothing changes.

No existing test was changed.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -20,6 +20,8 @@
   clockJumped: { number: 1004, level: 'warn', title: 'A clock jumped: the process was paused or the clock was set; fields: jumpMs' },
   frontPressed: { number: 1005, level: 'warn', title: 'New connections wait for this VM, or its event loop was blocked; fields: spanMs, taken (connections accepted; the event loop accepts one per turn), turns, unused (closed before a request), dropped (closed at once), requests, longestMs (longest time between two ticks), open, isReady' },
   digestFollowed: { number: 1006, level: 'info', title: 'This VM started or stopped relying on the digest of the heartbeat tables; fields: isFollowed, entries (in the digest)' },
+  forwardingStarted: { number: 1010, level: 'info', title: 'This VM is overloaded and started forwarding new connections to other VMs; fields: share (of new connections), busyRatio (of the event loop), peers (VMs that get them), open (forwarded connections)' },
+  forwardingEnded: { number: 1011, level: 'info', title: 'This VM serves all its new connections itself again; fields: busyRatio (of the event loop), peers (VMs that got them), open (forwarded connections)' },
   fault: { number: 1099, level: 'error', title: 'Unexpected internal error; fields: err' },
 
   budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left, paid and spent (of the budget, in total)' },
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -11,6 +11,7 @@
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { SystemRandom } from '../completion/completionSystem.js'
+import { ConnectionForwarder } from '../forwarding/connectionForwarder.js'
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { FleetLinks, MAX_NOTIFIED_PEERS } from '../presence/fleetLinks.js'
@@ -55,6 +56,7 @@
   const holder = holderOf(settings.vm, randomBytes(INCARNATION_BYTES).toString('hex'))
   bindBase(container, settings, ports, holder)
   bindFleet(container, settings, ports, holder)
+  if (settings.forwarding !== undefined) bindForwarding(container, settings)
   bindBudgets(container, settings, ports, holder)
   bindTargetClients(container, ports)
   bindQuarantine(container, settings, ports)
@@ -71,12 +73,12 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
-function bindFleet (container: Container, { vm, domain, region, callers, peers }: GatewaySettings, { table, feed, liveness: connectionLiveness }: GatewayPorts, holder: string): void {
+function bindFleet (container: Container, { vm, domain, region, callers, peers, forwarding }: GatewaySettings, { table, feed, liveness: connectionLiveness }: GatewayPorts, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.digest).toResolvedValue((clock, log) =>
     new TableDigest({ vm, table, feed, clock, log, vms: () => container.get(ids.presence).names }), [ids.clock, ids.log]).inSingletonScope()
   container.bind(ids.presence).toResolvedValue((clock, log, digest) => new VmPresence({
-    self: { vm, holder, domain, region, callers, peers },
+    self: { vm, holder, domain, region, callers, peers, forwarding: forwarding?.listen },
     table,
     feed,
     digest,
@@ -91,6 +93,19 @@
     new GatewayTargets({ clock, balancer, log }), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
 }
 
+function bindForwarding (container: Container, { vm }: GatewaySettings): void {
+  container.bind(ids.forwarder).toResolvedValue((clock, log, metrics, work, random, presence, load) => new ConnectionForwarder({
+    vm,
+    clock,
+    log,
+    metrics,
+    load,
+    work,
+    random: () => random.next(),
+    peers: () => presence.forwardingPeers()
+  }), [ids.clock, ids.log, ids.metrics, ids.work, ids.random, ids.presence, ids.ingressMonitor]).inSingletonScope()
+}
+
 function bindBudgets (container: Container, { domain, callers }: GatewaySettings, { table }: GatewayPorts, holder: string): void {
   container.bind(ids.budgets).toResolvedValue((presence, config, clock, log, metrics, links) => createBudgetDriver({
     holder,
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -6,6 +6,7 @@
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { ids } from '../compose/serviceIds.js'
 import type { TableDigest } from '../digest/tableDigest.js'
+import type { ConnectionForwarder } from '../forwarding/connectionForwarder.js'
 import type { FleetLinks } from '../presence/fleetLinks.js'
 import type { VmPresence } from '../presence/vmPresence.js'
 import type { DirectClient } from '../paths/directClient.js'
@@ -48,6 +49,7 @@
   relayClient: id<RelayClient>('RelayClient'),
   relayServer: id<RelayServer>('RelayServer'),
   targetClient: id<RelayingClient>('RelayingClient'),
+  forwarder: id<ConnectionForwarder>('ConnectionForwarder'),
   ingressMonitor: id<IngressMonitor>('IngressMonitor'),
   streams: id<StreamVersions>('StreamVersions'),
   pipeline: id<GatewayPipeline>('GatewayPipeline')
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod'
 
+const IPV4_PORT = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
 const milliseconds = z.number().nonnegative()
 
 export const gatewaySettingsSchema = z.object({
@@ -15,6 +16,11 @@
   callers: z.string(),
   /** Listen address for other VMs, IPv4:port; without it this VM neither grants tokens to others nor requests them. */
   peers: z.string().optional(),
+  /** Forwarding of connections while this VM is overloaded; absent: it serves all itself and accepts none of other VMs. */
+  forwarding: z.object({
+    /** Listen address for connections that other VMs forward, IPv4:port. */
+    listen: z.string().regex(IPV4_PORT, 'use IPv4:port')
+  }).optional(),
   /** Retries that all VMs together may add, see gatewayRetries. */
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
   /** Time between the order to stop and the end of the process. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -79,8 +79,10 @@
     this.container.get(ids.quarantineSync).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     const ingressMonitor = this.container.get(ids.ingressMonitor)
+    const forwarder = this.container.isBound(ids.forwarder) ? this.container.get(ids.forwarder) : undefined
     const tick = async (): Promise<void> => {
       ingressMonitor.tick()
+      forwarder?.tick()
       const prepared = this.container.get(ids.config).current()
       if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
       budgets.tick()
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -140,6 +140,42 @@
   }
 })
 
+/**
+ * Guards against forwarding to a VM that cannot serve what it gets: each connection costs time before it is served here after all,
+ * or fails.
+ */
+describe('VMs to which connections are forwarded', () => {
+  const serving: PresenceRow = { vm: 'b', holder: 'b~1', domain: 'd', callers: 'b:1', forwarding: 'b:2', state: 'serving', beat: 1 }
+  const cases: ReadonlyArray<{ readonly name: string, readonly change: Partial<PresenceRow>, readonly peers: ReadonlyArray<{ readonly vm: string, readonly address: string }> }> = [
+    { name: 'include one that serves', change: {}, peers: [{ vm: 'b', address: 'b:2' }] },
+    { name: 'leave out one without an address for it', change: { forwarding: undefined }, peers: [] },
+    { name: 'leave out one of another failure domain', change: { domain: 'other' }, peers: [] },
+    { name: 'leave out an overloaded one', change: { isPressed: true }, peers: [] },
+    { name: 'leave out one that starts', change: { state: 'starting' }, peers: [] },
+    { name: 'leave out one that leaves', change: { state: 'leaving' }, peers: [] },
+    { name: 'leave out one that is late', change: { isLate: true }, peers: [] },
+    { name: 'leave out one that has lost its path to targets', change: { unreachable: ['s'] }, peers: [] }
+  ]
+  for (const { name, change, peers } of cases) {
+    it(name, () => {
+      const feed = new ManualFeed()
+      const presence = createPresence(feed, { mono: 0 })
+      presence.start()
+      const value = JSON.parse(JSON.stringify({ ...serving, ...change })) as unknown
+      feed.handler?.replaced([{ key: 'b', value, version: 1 }])
+      expect(presence.forwardingPeers()).to.deep.equal(peers)
+    })
+  }
+
+  it('leave out this VM', () => {
+    const feed = new ManualFeed()
+    const presence = createPresence(feed, { mono: 0 })
+    presence.start()
+    feed.handler?.replaced([{ key: 'a', value: { ...serving, vm: 'a', holder: 'a~1' }, version: 1 }])
+    expect(presence.forwardingPeers()).to.deep.equal([])
+  })
+})
+
 describe('presence of a VM that left', () => {
   it('does not write its row again, even when the VM becomes overloaded', async () => {
     const writes: unknown[] = []
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { selectAdvertisedVms, type CallerLocation } from '@rosemaryspread/decisions/membership/advertisedVms.js'
+import type { ForwardingPeer } from '@rosemaryspread/decisions/load/forwardingPeers.js'
 import { HASH_RANGE, hashName } from '@rosemaryspread/decisions/routing/rendezvous.js'
 import type { FeedRow, TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
 import type { TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
@@ -41,7 +42,7 @@
 }
 
 export interface PresenceParts {
-  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers'>
+  readonly self: Pick<PresenceRow, 'vm' | 'holder' | 'domain' | 'region' | 'callers' | 'peers' | 'forwarding'>
   readonly table: TableStore
   readonly feed: TableFeed
   readonly digest: Pick<TableDigest, 'follow'>
@@ -136,6 +137,13 @@
     return this.view.onTimePeers(this.mono).flatMap(({ holder, peers, state, unreachable = [] }) => peers === undefined || state !== 'serving' ? [] : [{ holder, address: peers, unreachable }])
   }
 
+  /** The other VMs of this failure domain that serve, have capacity, reach their targets and accept forwarded connections. */
+  forwardingPeers (): readonly ForwardingPeer[] {
+    return this.view.onTimePeers(this.mono)
+      .filter(({ domain, state, isPressed, unreachable = [] }) => domain === this.parts.self.domain && state === 'serving' && isPressed !== true && unreachable.length === 0)
+      .flatMap(({ vm, forwarding }) => forwarding === undefined ? [] : [{ vm, address: forwarding }])
+  }
+
   /** Whether VMs that started together with this one had time to publish their rows. */
   get isSettled (): boolean {
     return this.firstReadAt !== undefined && this.mono - this.firstReadAt >= SETTLE_MS
