--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -86,9 +86,11 @@
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     const ingressMonitor = this.container.get(ids.ingressMonitor)
     const admission = this.admission
+    const forwarder = this.container.isBound(ids.forwarder) ? this.container.get(ids.forwarder) : undefined
     const tick = async (): Promise<void> => {
       ingressMonitor.tick()
       admission?.tick()
+      forwarder?.tick()
       const prepared = this.container.get(ids.config).current()
       if (prepared !== undefined && this.isReady && presence.isSettled) preparation.tick(prepared.config, this.clock.now().mono)
       budgets.tick()
--- a/packages/rosemaryspread/src/gateway/ingressMonitor.ts
+++ b/packages/rosemaryspread/src/gateway/ingressMonitor.ts
@@ -19,6 +19,9 @@
 /** With fewer accepted connections a window says nothing about a backlog. */
 const MIN_ACCEPTED = 20
 
+/** Time over which the busy ratio is measured. */
+const BUSY_SPAN_MS = 300
+
 /** Share of busy time of the event loop from which the VM counts as overloaded. */
 const BUSY_RATIO = 0.9
 /** Consecutive windows without overload before the VM advertises capacity again. */
@@ -48,6 +51,12 @@
   longestMs: number
 }
 
+/** Busy time of the event loop at one tick. */
+interface BusySample {
+  readonly mono: number
+  readonly busyMs: number
+}
+
 /** Turns of the event loop of this process so far. */
 export function loopTurns (): number {
   return performance.nodeTiming.uvMetricsInfo.loopCount
@@ -63,8 +72,9 @@
   private lastTickAt: number
   private currentWindow: IngressWindow
   private previousWindow: IngressWindow
+  /** Samples of the latest ticks, oldest first. */
+  private readonly busySamples: BusySample[] = []
   private stableWindows = STABLE_WINDOWS
-  private latestBusyRatio = 0
   private readonly unreadTime: UnreadTime
 
   constructor (private readonly deps: IngressMonitorDeps) {
@@ -87,9 +97,12 @@
     return this.stableWindows < STABLE_WINDOWS
   }
 
-  /** Share of busy time of the event loop in the latest window. */
+  /** Share of the latest ticks for which the event loop was busy; 0 before the second tick. */
   get busyRatio (): number {
-    return this.latestBusyRatio
+    const first = this.busySamples[0]
+    const last = this.busySamples.at(-1)
+    if (first === undefined || last === undefined || last.mono === first.mono) return 0
+    return Math.min(1, Math.max(0, (last.busyMs - first.busyMs) / (last.mono - first.mono)))
   }
 
   /** Milliseconds for which a request that is read now may have lain unread, at most. */
@@ -110,6 +123,12 @@
     }
   }
 
+  /** Counts the connection to another VM over which one of a caller is forwarded; returns the function to call when it closes. */
+  joined (): () => void {
+    this.open += 1
+    return () => { this.open -= 1 }
+  }
+
   /** Counts a connection that was closed at once, as the limit of open connections is reached. */
   dropped (): void {
     this.currentWindow.dropped += 1
@@ -127,20 +146,26 @@
     this.currentWindow.longestMs = Math.max(this.currentWindow.longestMs, mono - this.lastTickAt)
     this.lastTickAt = mono
     this.unreadTime.tick()
+    this.sampleBusy(mono)
     if (mono - this.currentWindow.startedAt < WINDOW_MS) return
     this.report(mono)
     this.previousWindow = this.currentWindow
     this.currentWindow = this.startWindow()
   }
 
+  private sampleBusy (mono: number): void {
+    const samples = this.busySamples
+    samples.push({ mono, busyMs: this.deps.busyMs() })
+    while ((samples[1]?.mono ?? Infinity) <= mono - BUSY_SPAN_MS) samples.shift()
+  }
+
   private report (mono: number): void {
     const { taken, dropped, unused, requests, longestMs, startedAt, turnsBefore, busyBeforeMs } = this.currentWindow
     const turns = this.deps.turns() - turnsBefore
     const spanMs = Math.round(mono - startedAt)
     const hasBacklog = (taken >= MIN_ACCEPTED && taken >= turns * BACKLOG_RATIO) || dropped > 0
     const isBlocked = longestMs >= BLOCKED_LOOP_MS
-    this.latestBusyRatio = Math.min(1, (this.deps.busyMs() - busyBeforeMs) / Math.max(1, spanMs))
-    const isBusy = this.latestBusyRatio >= BUSY_RATIO
+    const isBusy = this.deps.busyMs() - busyBeforeMs >= spanMs * BUSY_RATIO
     this.stableWindows = hasBacklog || isBlocked || isBusy ? 0 : this.stableWindows + 1
     if (!hasBacklog && !isBlocked) return
     this.deps.log.write('frontPressed', {
