--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -57,7 +57,7 @@
   const holder = holderOf(settings.vm, randomBytes(INCARNATION_BYTES).toString('hex'))
   bindBase(container, settings, ports, holder)
   bindFleet(container, settings, ports, holder)
-  if (settings.forwarding !== undefined) bindForwarding(container, settings)
+  if (settings.forwarding !== undefined) bindForwarding(container, settings.vm, settings.forwarding)
   bindBudgets(container, settings, ports, holder)
   bindTargetClients(container, ports)
   bindQuarantine(container, settings, ports)
@@ -95,7 +95,7 @@
     new GatewayTargets({ clock, balancer, log }), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
 }
 
-function bindForwarding (container: Container, { vm }: GatewaySettings): void {
+function bindForwarding (container: Container, vm: string, { minVms }: NonNullable<GatewaySettings['forwarding']>): void {
   container.bind(ids.forwarder).toResolvedValue((clock, log, metrics, work, random, presence, load) => new ConnectionForwarder({
     vm,
     clock,
@@ -104,7 +104,7 @@
     load,
     work,
     random: () => random.next(),
-    peers: () => presence.forwardingPeers()
+    peers: () => presence.size >= minVms ? presence.forwardingPeers() : []
   }), [ids.clock, ids.log, ids.metrics, ids.work, ids.random, ids.presence, ids.ingressMonitor]).inSingletonScope()
 }
 
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -20,7 +20,9 @@
   /** Forwarding of connections while this VM is overloaded; absent: it serves all itself and accepts none of other VMs. */
   forwarding: z.object({
     /** Listen address for connections that other VMs forward, IPv4:port. */
-    listen: z.string().regex(IPV4_PORT, 'use IPv4:port')
+    listen: z.string().regex(IPV4_PORT, 'use IPv4:port'),
+    /** Least number of VMs present with which connections are forwarded. */
+    minVms: z.number().int().positive().default(1)
   }).optional(),
   /** Retries that all VMs together may add, see gatewayRetries. */
   retries: z.object({ ratio: z.number(), slack: z.number(), windowMs: milliseconds }),
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -7,6 +7,7 @@
 import { Container } from 'inversify'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { SpareCapacity } from '@rosemaryspread/decisions/load/spareCapacity.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { HAND_BACK_METHOD, handBackMethod } from '../budget/grantReturnCalls.js'
 import { GRANT_METHOD, grantMethod, HANDOVER_METHOD, handoverMethod } from '../budget/budgetGrantCalls.js'
@@ -85,6 +86,7 @@
     this.container.get(ids.quarantineSync).start()
     const preparation = new BudgetPreparation(this.settings.vm, budgets)
     const ingressMonitor = this.container.get(ids.ingressMonitor)
+    const spareCapacity = new SpareCapacity()
     const admission = this.admission
     const forwarder = this.container.isBound(ids.forwarder) ? this.container.get(ids.forwarder) : undefined
     const tick = async (): Promise<void> => {
@@ -102,6 +104,8 @@
       quarantine.tick()
       if (this.isReady) await presence.publishState('serving')
       presence.setOverloaded(ingressMonitor.isPressed)
+      spareCapacity.update(ingressMonitor, this.clock.now().mono)
+      presence.setSpareCapacity(spareCapacity.hasSpare)
       presence.setUnreachable(paths.lost)
       presence.tick()
       digest.tick()
--- a/packages/rosemaryspread/src/presence/presenceTypes.ts
+++ b/packages/rosemaryspread/src/presence/presenceTypes.ts
@@ -16,7 +16,7 @@
   callers: z.string(),
   /** IPv4:port for other VMs; absent when the VM has no links. */
   peers: z.string().optional(),
-  /** IPv4:port for connections that other VMs forward; absent when the VM accepts none. */
+  /** IPv4:port for connections that other VMs forward; absent while the VM accepts none. */
   forwarding: z.string().optional(),
   /** `starting` until it can serve, `leaving` once it was ordered to stop. */
   state: z.enum(['starting', 'serving', 'leaving']),
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -176,6 +176,66 @@
   })
 })
 
+/** Guards against connections that are forwarded to a VM which is busy itself, and to one that publishes the end of its spare capacity late. */
+describe('address for forwarded connections', () => {
+  const cases: ReadonlyArray<{ readonly name: string, readonly forwarding?: string, readonly spare: readonly boolean[], readonly rows: ReadonlyArray<string | undefined> }> = [
+    { name: 'is published with the next heartbeat once the VM has spare capacity', forwarding: 'a:2', spare: [true], rows: [undefined] },
+    { name: 'is withdrawn with the next tick', forwarding: 'a:2', spare: [true, false], rows: [undefined, undefined] },
+    { name: 'is never published by a VM that accepts none', spare: [true, false], rows: [undefined] }
+  ]
+  for (const { name, forwarding, spare, rows } of cases) {
+    it(name, async () => {
+      const written: Array<string | undefined> = []
+      const presence = new VmPresence({
+        self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1', forwarding },
+        table: {
+          ...store,
+          transact: async ({ writes: [write] }) => {
+            written.push((write?.value as PresenceRow).forwarding)
+            return Right({ version: 1, now: 0 })
+          }
+        },
+        feed: new ManualFeed(),
+        digest: directTables,
+        clock: { now: () => ({ mono: 0, wall: 0 }) },
+        log: { write: () => {} },
+        onJoined: () => {}
+      })
+      presence.start()
+      await presence.publishState('serving')
+      for (const hasSpare of spare) {
+        presence.setSpareCapacity(hasSpare)
+        presence.tick()
+        await Promise.resolve()
+      }
+      expect(written).to.deep.equal(rows)
+    })
+  }
+
+  it('stands in rows that are written while the VM has spare capacity', async () => {
+    const written: Array<string | undefined> = []
+    const presence = new VmPresence({
+      self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1', forwarding: 'a:2' },
+      table: {
+        ...store,
+        transact: async ({ writes: [write] }) => {
+          written.push((write?.value as PresenceRow).forwarding)
+          return Right({ version: 1, now: 0 })
+        }
+      },
+      feed: new ManualFeed(),
+      digest: directTables,
+      clock: { now: () => ({ mono: 0, wall: 0 }) },
+      log: { write: () => {} },
+      onJoined: () => {}
+    })
+    presence.start()
+    presence.setSpareCapacity(true)
+    await presence.publishState('serving')
+    expect(written).to.deep.equal(['a:2'])
+  })
+})
+
 describe('presence of a VM that left', () => {
   it('does not write its row again, even when the VM becomes overloaded', async () => {
     const writes: unknown[] = []
--- a/packages/rosemaryspread/src/presence/vmPresence.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.ts
@@ -64,6 +64,7 @@
   /** Last reported holder of each other VM. */
   private readonly reportedHolders = new Map<string, string>()
   private isPressed = false
+  private hasSpareCapacity = false
   private unreachable: readonly string[] = []
   private hasLeft = false
   private beat = 0
@@ -174,6 +175,15 @@
     this.isPressed = isOverloaded
   }
 
+  /**
+   * Sets whether this VM accepts forwarded connections. The end is published with the next tick, the begin with the next heartbeat: VMs that
+   * learn of it late only miss capacity.
+   */
+  setSpareCapacity (hasSpareCapacity: boolean): void {
+    if (this.parts.self.forwarding !== undefined && this.hasSpareCapacity && !hasSpareCapacity) this.nextHeartbeatAt = Math.min(this.nextHeartbeatAt, this.mono)
+    this.hasSpareCapacity = hasSpareCapacity
+  }
+
   /** Sets the services that this VM cannot reach; a change is published with the next tick. */
   setUnreachable (services: readonly string[]): void {
     if (services.join() !== this.unreachable.join()) this.nextHeartbeatAt = Math.min(this.nextHeartbeatAt, this.mono)
@@ -181,8 +191,10 @@
   }
 
   private get localRow (): PresenceRow {
+    const { forwarding, ...self } = this.parts.self
     return {
-      ...this.parts.self,
+      ...self,
+      ...(forwarding === undefined || !this.hasSpareCapacity ? {} : { forwarding }),
       state: this.state,
       beat: this.beat,
       ...(this.isPressed ? { isPressed: true } : {}),
