--- a/packages/rosemaryspread/src/forwarding/connectionForwarder.ts
+++ b/packages/rosemaryspread/src/forwarding/connectionForwarder.ts
@@ -79,8 +79,8 @@
       this.parts.log.write('peerFault', { peer: peer.vm, method: 'forward', code: 'notConnected' })
       return false
     }
-    this.peers.accepted(peer.vm)
     this.parts.metrics.count('connections_forwarded')
+    socket.once('data', () => { this.peers.accepted(peer.vm) })
     if (caller.destroyed) {
       socket.destroy()
       onEnded()
@@ -92,6 +92,11 @@
     return true
   }
 
+  /** Closes the forwarded connections on which their callers have sent nothing. */
+  closeUnused (): void {
+    for (const caller of this.callers) if (caller.bytesRead === 0) caller.destroySoon()
+  }
+
   /** Closes all forwarded connections, whether their requests are answered or not. */
   abort (): void {
     for (const caller of this.callers) caller.resetAndDestroy()
--- a/packages/rosemaryspread/src/forwarding/joinedSockets.ts
+++ b/packages/rosemaryspread/src/forwarding/joinedSockets.ts
@@ -4,8 +4,11 @@
  */
 import { connect, type Socket } from 'node:net'
 
+const MAX_PORT = 65_535
 /** Time for a connection to another VM; a handshake takes about 1 ms. */
 const CONNECT_TIMEOUT_MS = 200
+/** Time after which a connection that its caller closed is given up, if the other VM does not close it. */
+const CLOSED_CALLER_MS = 1_000
 
 /**
  * Connects to another VM; resolves to undefined if it fails or takes too long.
@@ -13,6 +16,7 @@
  */
 export function connectWithin (address: string): Promise<Socket | undefined> {
   const [host, port] = address.split(':')
+  if (!isPort(Number(port))) return Promise.resolve(undefined)
   return new Promise(resolve => {
     const socket = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true })
     // A busy event loop runs a timer before it sees the connection that was established in time.
@@ -28,6 +32,10 @@
   })
 }
 
+function isPort (port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port <= MAX_PORT
+}
+
 /**
  * Passes everything between both sockets until they are closed.
  * @param caller - connection of the caller, from which nothing was read
@@ -40,6 +48,10 @@
   peer.pipe(caller, { end: false })
   peer.once('end', () => { caller.destroySoon() })
   peer.once('close', () => { if (!peer.readableEnded) caller.resetAndDestroy() })
+  caller.once('end', () => {
+    const timer = setTimeout(() => { caller.resetAndDestroy() }, CLOSED_CALLER_MS).unref()
+    caller.once('close', () => { clearTimeout(timer) })
+  })
   caller.once('close', () => {
     if (peer.readableEnded) peer.destroy()
     else if (!peer.destroyed) peer.resetAndDestroy()
