--- a/packages/decisions/src/admission/adaptiveLimit.ts
+++ b/packages/decisions/src/admission/adaptiveLimit.ts
@@ -16,7 +16,7 @@
 /** Share of slow calls that is a sign of load. */
 const LOADED_SLOW_SHARE = 0.3
 /** The same while the processor has no time left. */
-const BUSY_SLOW_SHARE = 0.25
+const BUSY_SLOW_SHARE = 0.15
 /** Latency against the best recent one from which slow calls are a sign of load. */
 const LOADED_LATENCY_FACTOR = 1.3
 /** Share of busy time of the event loop from which the processor has no time left. */
