--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -178,6 +178,28 @@
 
 /** Guards against connections that are forwarded to a VM which is busy itself, and to one that publishes the end of its spare capacity late. */
 describe('address for forwarded connections', () => {
+  /** Starts the presence of a VM; `written` gets the address for forwarded connections in each row that it writes. */
+  function startPublishing (forwarding: string | undefined): { readonly presence: VmPresence, readonly written: ReadonlyArray<string | undefined> } {
+    const written: Array<string | undefined> = []
+    const presence = new VmPresence({
+      self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1', forwarding },
+      table: {
+        ...store,
+        transact: async ({ writes: [write] }) => {
+          written.push((write?.value as PresenceRow).forwarding)
+          return Right({ version: 1, now: 0 })
+        }
+      },
+      feed: new ManualFeed(),
+      digest: directTables,
+      clock: { now: () => ({ mono: 0, wall: 0 }) },
+      log: { write: () => {} },
+      onJoined: () => {}
+    })
+    presence.start()
+    return { presence, written }
+  }
+
   const cases: ReadonlyArray<{ readonly name: string, readonly forwarding?: string, readonly spare: readonly boolean[], readonly rows: ReadonlyArray<string | undefined> }> = [
     { name: 'is published with the next heartbeat once the VM has spare capacity', forwarding: 'a:2', spare: [true], rows: [undefined] },
     { name: 'is withdrawn with the next tick', forwarding: 'a:2', spare: [true, false], rows: [undefined, undefined] },
@@ -185,23 +207,7 @@
   ]
   for (const { name, forwarding, spare, rows } of cases) {
     it(name, async () => {
-      const written: Array<string | undefined> = []
-      const presence = new VmPresence({
-        self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1', forwarding },
-        table: {
-          ...store,
-          transact: async ({ writes: [write] }) => {
-            written.push((write?.value as PresenceRow).forwarding)
-            return Right({ version: 1, now: 0 })
-          }
-        },
-        feed: new ManualFeed(),
-        digest: directTables,
-        clock: { now: () => ({ mono: 0, wall: 0 }) },
-        log: { write: () => {} },
-        onJoined: () => {}
-      })
-      presence.start()
+      const { presence, written } = startPublishing(forwarding)
       await presence.publishState('serving')
       for (const hasSpare of spare) {
         presence.setSpareCapacity(hasSpare)
@@ -213,23 +219,7 @@
   }
 
   it('stands in rows that are written while the VM has spare capacity', async () => {
-    const written: Array<string | undefined> = []
-    const presence = new VmPresence({
-      self: { vm: 'a', holder: 'a~1', domain: 'd', callers: 'a:1', forwarding: 'a:2' },
-      table: {
-        ...store,
-        transact: async ({ writes: [write] }) => {
-          written.push((write?.value as PresenceRow).forwarding)
-          return Right({ version: 1, now: 0 })
-        }
-      },
-      feed: new ManualFeed(),
-      digest: directTables,
-      clock: { now: () => ({ mono: 0, wall: 0 }) },
-      log: { write: () => {} },
-      onJoined: () => {}
-    })
-    presence.start()
+    const { presence, written } = startPublishing('a:2')
     presence.setSpareCapacity(true)
     await presence.publishState('serving')
     expect(written).to.deep.equal(['a:2'])
