--- a/review/lib/vmFleet.mjs
+++ b/review/lib/vmFleet.mjs
@@ -27,7 +27,7 @@
   vms = []
   folder = mkdtempSync(join(tmpdir(), 'review-'))
 
-  /** @param options - network, store (its address), zones (one VM in each), and bounds or limits that differ from those of the pages */
+  /** @param options - network, store (its address, or storeOf for one of each VM), zones (one VM in each), and bounds or limits that differ from those of the pages */
   constructor (options) {
     this.options = options
   }
@@ -51,6 +51,7 @@
     this.fleet = fleet
     this.name = `edge-${zone}-1`
     this.zone = zone
+    this.index = index
     this.ip = `${fleet.options.network}${11 + index}`
     this.front = `${this.ip}:${PORTS.front}`
   }
@@ -67,7 +68,7 @@
   }
 
   get settings () {
-    const { store, zones, network, bounds = {}, limits = {} } = this.fleet.options
+    const { store, storeOf = () => store, zones, network, bounds = {}, limits = {} } = this.fleet.options
     const { ip, zone, name } = this
     return {
       nodeName: name,
@@ -84,7 +85,7 @@
       listenAddrs: { front: this.front, ready: `${ip}:${PORTS.ready}`, control: `${ip}:${PORTS.control}`, directory: `${ip}:${PORTS.directory}` },
       limits: { cpuShare: 0.675, cpuCores: 1, memoryMb: 350, maxFds: 4_200, ...limits },
       bounds: { drainMs: 2_000, graceS: 8, configApplyMs: 2_000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, ...bounds },
-      platform: { address: store }
+      platform: { address: storeOf(this.index) }
     }
   }
 
