Review: a case that can't run ends with 2 and leaves no process behind

Cause: a missing program, or a signal, ended the script with 1 or left VMs running. Done: handlers for signals and for errors that nobody caught.

--- a/review/lib/caseRun.mjs
+++ b/review/lib/caseRun.mjs
@@ -20,18 +20,22 @@
   const file = createWriteStream(join(folder, 'record.txt'))
   const ends = []
   const record = event => { file.write(`${JSON.stringify({ s: Number(((performance.now() - startedAt) / 1_000).toFixed(3)), ...event })}\n`) }
-  let status = 2
+  let isFinished = false
   const timer = setTimeout(() => { finish('the case took too long', 2) }, TIME_LIMIT_MS)
   const finish = async (text, code) => {
+    if (isFinished) return
+    isFinished = true
     clearTimeout(timer)
     for (const end of ends.reverse()) await Promise.resolve(end()).catch(() => {})
     record({ what: 'result', text, status: code })
     console.log(text)
     file.end(() => { process.exit(code) })
   }
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.on(event, err => { finish(`the case could not run: ${err.stack}`, 2) })
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { finish(`the case was ended by ${signal}`, 2) })
   try {
     const { broken, summary } = await play({ record, onEnd: end => { ends.push(end) } })
-    status = broken.length > 0 ? 1 : 0
+    const status = broken.length > 0 ? 1 : 0
     for (const text of broken) record({ what: 'broken', text })
     await finish(`${summary}; ${status === 0 ? 'the rule held' : `the rule was broken ${broken.length} times, first: ${broken[0]}`}`, status)
   } catch (err) {
