--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -108,6 +108,7 @@
     await pause(REQUEST_EVERY_MS)
   }
   await Promise.all(open)
+  for (const vm of fleet.vms) note({ what: 'readiness asked', vm: vm.name, isReady: await vm.isReady() })
   return judge(events, confirmedAt)
 })
 
@@ -142,7 +143,7 @@
   const sum = name => resets.reduce((total, event) => total + event[name], 0)
   const last = old.at(-1)
   return {
-    summary: `${sum('reset')} connections to the store reset, ${sum('onTheWay')} of them with an answer on its way; ${sent.length} requests sent after the bound, ${old.length} run by the old service${last === undefined ? '' : `, the last ${Math.round((last.at - confirmedAt) / 1_000)} s after the confirmation`}`,
+    summary: `${sum('reset')} connections to the store reset, ${sum('onTheWay')} of them with an answer on its way; ${sent.length} requests sent after the bound, ${old.length} run by the old service${last === undefined ? '' : `, the last ${Math.round((last.at - confirmedAt) / 1_000)} s after the confirmation`}; ${events.filter(({ what, isReady }) => what === 'readiness asked' && isReady).length} of ${ZONES.length} VMs say that they are ready`,
     broken: old.map(({ id, vm, at }) => `CONFIG: request ${id}, sent to ${vm} ${Math.round(at - confirmedAt)} ms after the confirmation, was run by the old service`)
   }
 }
