Calls over got end when the server switches protocols

Not seen by callers; found by looking for the cause of the endless store calls in the other HTTP client of the project.

Cause: got neither fails nor times out a request whose connection Node closes for a status 101, as no 'response' or 'error' event follows.

Change: the call is cancelled when the protocol is switched; it counts as connected, so the outcome of a write is unknown.

Test, failing before: platformClients.spec.ts, 2 of 15 (no end within 5 s, with a timeout of the call of 20 s; with 400 ms the same was open after 1.5 s); 15 pass now.

--- a/packages/infra/src/http/httpTransport.ts
+++ b/packages/infra/src/http/httpTransport.ts
@@ -99,6 +99,13 @@
       pending.on('downloadProgress', progress => {
         if (progress.transferred > maxBytes) sizeAbort.abort()
       })
+      // Closes the connection without a response or an error, and got does not time it out.
+      pending.on('request', req => {
+        req.once('upgrade', (_res, socket) => {
+          socket.destroy()
+          pending.cancel()
+        })
+      })
       const res = await pending
       return Right({ status: res.statusCode, headers: res.headers, body: res.body as Buffer })
     } catch (err) {
--- a/packages/infra/src/http/platformClients.spec.ts
+++ b/packages/infra/src/http/platformClients.spec.ts
@@ -24,10 +24,17 @@
   res.end()
 }
 
+/** Guards against a call that stays open for ever, as its connection closes without a response or an error. */
+const switchProtocols: TestHandler = res => {
+  res.socket?.end('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n')
+}
+
 const cases: readonly [call: keyof typeof calls, title: string, handler: TestHandler, expected: unknown][] = [
   ['get', 'an object', res => { res.end('bytes') }, Just('bytes')],
   ['get', 'no object', respondWith(404, {}), Nothing],
   ['get', 'a truncated object', dropMidResponse, 'platformUnavailable'],
+  ['get', 'a switch of protocols', switchProtocols, 'platformUnavailable'],
+  ['put', 'a switch of protocols', switchProtocols, 'platformOutcomeUnknown'],
   ['put', 'a confirmation', noContent, undefined],
   ['put', 'a dropped connection', dropConnection, 'platformOutcomeUnknown'],
   ['put', 'an outage', respondWith(503, {}), 'platformUnavailable'],
