A feed of the store that makes no progress is logged, and shown by a metric

What an operator saw of the VM that served by its old configuration: nothing. It was ready; `configUnreachable` is written when a call fails, and the call neither failed nor ended; no metric held the version in force.

Readiness stays as it is: a VM out of touch with the store goes on serving.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -80,7 +80,8 @@
   leaseTaken: { number: 6003, level: 'info', title: 'A lease was acquired; fields: role, fencing' },
   leaseLost: { number: 6004, level: 'warn', title: 'A lease was lost; fields: role, fencing' },
   peerSeen: { number: 6005, level: 'info', title: 'A VM joined, left or is suspected; fields: peer, state, evidence' },
-  connectionsSilent: { number: 6006, level: 'warn', title: 'An established connection got no response while a new one did, so idle connections are dropped; fields: by (store, peers or targets), since' }
+  connectionsSilent: { number: 6006, level: 'warn', title: 'An established connection got no response while a new one did, so idle connections are dropped; fields: by (store, peers or targets), since' },
+  feedStalled: { number: 6007, level: 'warn', title: 'A change feed of the store got no answer for some seconds, so this VM serves by what it last read, or gets answers again; fields: table, isStalled, ageMs (time since its last answer), failures (failed calls since then; 0 if a call does not end)' }
 } as const satisfies Record<string, LogEvent>
 
 export type LogEventName = keyof typeof logEvents
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -47,6 +47,8 @@
   targets_ejected: { kind: 'gauge', title: 'Targets that get no requests of this VM for a time, as it could not connect to them or they failed' },
   vms_advertised: { kind: 'gauge', title: 'VMs that this VM advertises to a caller of its own failure domain' },
   targets_paused: { kind: 'gauge', title: 'Targets whose requested pause has not ended' },
+  config_version: { kind: 'gauge', title: 'Version of the configuration in force; 0 before the first one' },
+  store_feed_age_ms: { kind: 'gauge', title: 'Longest time since a change feed of the store was answered, in milliseconds' },
   admission_wait_ms: { kind: 'histogram', title: 'Time spent waiting for a turn under load' },
   first_token_ms: { kind: 'histogram', title: 'Time from the receipt of a request until its first event is relayed' },
   between_tokens_ms: { kind: 'histogram', title: 'Time between two pieces of a streamed response' },
