--- a/packages/infra/src/http/httpTransport.ts
+++ b/packages/infra/src/http/httpTransport.ts
@@ -99,7 +99,7 @@
       pending.on('downloadProgress', progress => {
         if (progress.transferred > maxBytes) sizeAbort.abort()
       })
-      // Closes the connection without a response or an error, and got does not time it out.
+      // A switch of protocols closes the connection without a response or an error, and got does not time it out.
       pending.on('request', req => {
         req.once('upgrade', (_res, socket) => {
           socket.destroy()
