A read of a relayed answer that wasn't sent doesn't promise that the request hasn't run

Callers of a VM that had lost its path to a service got 503 (ran: no), while the request ran: another VM had sent it, its head had come back, and the next relay.read failed on the link before it was sent (limit of open calls, closed link, backoff, handshake, draining). Such a failure says ran: no, which is true of the read call and not of the request; RelayClient.readAll passed it on.

It is now targetsUnreachable with ran: unknown, as for a read that got no response. Streams that had begun were cut before, and still are.

Ruled out: a failure of the target that is relayed in `first` or `read` with ran: no. It comes from reading the body at the other VM, which makes answerCut or targetsUnreachable with yes or unknown only.

--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -10,6 +10,8 @@
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
+import { RelayClient } from '../relay/relayClient.js'
+import { relayMethods } from '../relay/relayTypes.js'
 import { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import { CallDispatch } from './callDispatch.js'
 import { CallReport } from './callReport.js'
@@ -144,7 +146,7 @@
   }
 }
 
-function pipelineOf (client: FakeClient, budgets: FakeBudgets, route: Partial<GatewayRoute>): { readonly pipeline: GatewayPipeline, readonly config: GatewayConfigHolder } {
+function pipelineOf (client: TargetClient, budgets: BudgetPort, route: Partial<GatewayRoute>): { readonly pipeline: GatewayPipeline, readonly config: GatewayConfigHolder } {
   const config = new GatewayConfigHolder(silentLog)
   const whole = { name: 'p', host: 'h', prefix: '/p/', services: [{ service: 's', weight: 1 }], repeat: 'never', streamed: false, timeoutMs: 5_000, objectiveMs: 100, attempts: 2, priority: 0, isOpen: true, hasAffinity: false, ...route }
   config.apply(gatewayConfigSchema.parse({ version: 1, routes: [whole], services: { s: { tokensPerEvent: 3 } }, teams: { team: { keyHashes: [], prepaidTokens: 1 } } }))
@@ -176,7 +178,35 @@
   return { pipeline, config }
 }
 
+/** Sends through another VM, to which the link fails before a further read of the answer is sent. */
+function relayLosingReads (piece: string, failure: Failure): TargetClient {
+  return new RelayClient({
+    clock: { now: () => ({ mono: performance.now(), wall: 0 }) },
+    log: silentLog,
+    metrics: new MetricsRecorder(),
+    random: { next: () => 0, id: () => '' },
+    peers: () => [{ holder: 'vm', address: 'vm' }],
+    call: async (_address, method) => method === relayMethods.read ? Left(failure) : Right({ head: OK, first: { bytes: Buffer.from(piece), isEnd: false } }),
+    notify: () => {}
+  })
+}
+
 describe('GatewayPipeline', () => {
+  for (const { name, route, piece, ends } of [
+    { name: 'a buffered answer', route: {}, piece: 'a', ends: ['targetsUnreachable unknown'] },
+    { name: 'a stream without an event yet', route: stream, piece: 'id: 1', ends: ['targetsUnreachable unknown'] },
+    { name: 'a stream with an event', route: stream, piece: event(1), ends: ['cut'] }
+  ]) {
+    for (const code of ['overloaded', 'peerUnreachable', 'peerRefused', 'draining'] as const) {
+      it(`does not report a call that another VM sent as not run if the link fails with ${code} while it reads ${name}`, async () => {
+        const sink = new FakeSink()
+        const client = relayLosingReads(piece, new Failure(code, 'not sent', { ran: 'no' }))
+        await pipelineOf(client, new FakeBudgets(), route).pipeline.serve(callOf(new AbortController().signal), sink)
+        expect(sink.ends).to.deep.equal(ends)
+      })
+    }
+  }
+
   for (const test of cases) {
     it(`with ${test.name}: ${test.end}`, async () => {
       const client = new FakeClient([...test.scripts])
--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -68,6 +68,9 @@
   private mono = 0
   /** Failures of calls to a VM instead of its answer. */
   readonly linkFailures = new Map<string, Failure>()
+  /** Failure of one of the reads that follow the first bytes, by its number from 1. */
+  readonly readFailures = new Map<number, Failure>()
+  private reads = 0
 
   constructor (targets: readonly FakeTargetClient[]) {
     this.works = targets.map(() => new OpenWork())
@@ -84,7 +87,8 @@
       random: { next: () => 0, id: () => '' },
       peers: () => [...servers.keys()].map(vm => ({ holder: vm, address: vm })),
       call: async (address, method, params) => {
-        const failure = this.linkFailures.get(address)
+        if (method === relayMethods.read) this.reads += 1
+        const failure = this.linkFailures.get(address) ?? (method === relayMethods.read ? this.readFailures.get(this.reads) : undefined)
         this.mono += CALL_MS
         if (failure !== undefined) return Left(failure)
         try {
@@ -124,6 +128,20 @@
 const unlinked = new Failure('peerUnreachable', 'no link', { ran: 'no' })
 const unanswered = new Failure('peerUnreachable', 'no response', { ran: 'unknown' })
 
+/** Failures of links that are made before a call is sent, so they say nothing about earlier calls. */
+const unsentReads: readonly Failure[] = [
+  new Failure('overloaded', 'the limit of open calls to the VM', { ran: 'no' }),
+  new Failure('overloaded', 'the limit of concurrent calls of the connection', { ran: 'no' }),
+  new Failure('peerUnreachable', 'the client is closed', { ran: 'no' }),
+  new Failure('peerUnreachable', 'the link was closed', { ran: 'no' }),
+  new Failure('peerUnreachable', 'no new attempt before the backoff ends', { ran: 'no' }),
+  new Failure('peerUnreachable', 'no connection in time', { ran: 'no' }),
+  new Failure('peerRefused', 'the peer did not accept the proof', { ran: 'no' }),
+  new Failure('peerRefused', 'no such method', { ran: 'no' }),
+  new Failure('bodyTooLarge', 'the frame exceeds the limit', { ran: 'no' }),
+  new Failure('draining', 'this VM is draining', { ran: 'no' })
+]
+
 interface SendCase {
   readonly name: string
   /** Failure of each VM's own attempt, or of the link to it. */
@@ -254,6 +272,20 @@
     expect([failure?.code, failure?.ran]).to.deep.equal(['targetsUnreachable', 'unknown'])
   })
 
+  for (const failure of unsentReads) {
+    for (const read of [1, 2]) {
+      it(`may have run if read ${read} of its answer is not sent: ${failure.code}, ${failure.message}`, async () => {
+        const target = new FakeTargetClient(undefined, Array.from({ length: 1_000 }, () => 'x'))
+        const fleet = new RelayFleet([target, new FakeTargetClient(undefined, ['again'])])
+        fleet.readFailures.set(read, failure)
+        const { text, failure: seen } = await fleet.read()
+        await pause(20)
+        expect([seen?.code, seen?.ran]).to.deep.equal(['targetsUnreachable', 'unknown'])
+        expect([/^x+$/.test(text), target.stops, fleet.open]).to.deep.equal([true, 1, 0])
+      })
+    }
+  }
+
   for (const failure of [undefined, refused]) {
     it(`passes on what the target reports, with ${failure === undefined ? 'an answer' : 'a refusal'}`, async () => {
       const fleet = new RelayFleet([new FakeTargetClient(failure, ['ok'], undefined, { isLeaving: true, pauseMs: 500 })])
--- a/packages/rosemaryspread/src/relay/relayClient.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.ts
@@ -110,7 +110,7 @@
       if (piece.failure !== undefined) return Left(piece.failure)
       if (piece.isEnd) return Right(undefined)
       const next = (await this.call(relayed, relayMethods.read, { exchange }, req.timeoutMs)).chain(value => decode(() => relayedBytesSchema.parse(value)))
-      if (next.isLeft()) return next
+      if (next.isLeft()) return next.mapLeft(toReadFailure)
       piece = next.unsafeCoerce()
     }
   }
@@ -170,6 +170,11 @@
   return failure.ran !== 'no' && failure.code === 'peerUnreachable' ? pathLostFailure(failure.ran) : failure
 }
 
+/** A read that was not sent says nothing about the request, which the other VM has sent to the target. */
+function toReadFailure (failure: Failure): Failure {
+  return failure.ran === 'no' ? pathLostFailure('unknown') : failure
+}
+
 /** Whether the request reached no target, and another VM may reach one. */
 function mayAskAnother (sent: Either<Failure, unknown>): boolean {
   const failure = failureOf(sent)
