Whether a failed call promises that nothing ran follows from its attempts

The status that a caller gets was taken from the failure that ended the call. An attempt that may have run the request ends as `broken`, but its failure came from any part that was at work: a client's read, a failure that was thrown, the guard, the chooser, budgets, settlement. Where one of these said ran: no, which may be true of what it did itself, the caller got 503 though a target had the request.

CallDispatch.serve now sets this in one place, for failures that are returned and thrown: while its OpenCall records that an attempt may have run, no failure leaves it with ran: no. The outcome `broken` of an attempt never carries it either, so lastFailure, the log line of the attempt and the refusal of the service, which replaces a failure of calls that haven't run, agree with it.

The guard and the deadline looked at mayHaveRun already.

--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -72,6 +72,12 @@
   return new Failure('internal', err instanceof Error ? err.message : String(err), { ran: 'unknown' })
 }
 
+/** The failure of a request that may have run: the same one if it makes no other claim. */
+export function mayHaveRun (failure: Failure): Failure {
+  const { code, ran, message, errors } = failure
+  return ran === 'no' ? new Failure(code, message, { ran: 'unknown', errors }) : failure
+}
+
 /** The failure of a result; undefined on success. */
 export function failureOf (result: Either<Failure, unknown>): Failure | undefined {
   return result.caseOf<Failure | undefined>({ Left: failure => failure, Right: () => undefined })
--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -2,7 +2,7 @@
  * One attempt at one target: sends the request, relays the answer and classifies the outcome. Answers that
  * are not streamed are buffered, so that an answer that breaks off can be requested again.
  */
-import { failureOf, Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { failureOf, Failure, mayHaveRun, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
@@ -23,7 +23,7 @@
   | { readonly kind: 'failedAnswer', readonly head: AnswerHead, readonly body: Buffer }
   /** The target proved that it did not run the request. */
   | { readonly kind: 'notRun', readonly failure: Failure }
-  /** The request may have run. */
+  /** The request may have run; the failure never says otherwise. */
   | { readonly kind: 'broken', readonly failure: Failure }
 
 export interface AttemptParts {
@@ -47,11 +47,11 @@
   try {
     const sent = await parts.client.send(req, stop, parts.onReport)
     return await sent.caseOf<Promise<AttemptOutcome>>({
-      Left: async failure => failure.ran === 'no' ? { kind: 'notRun', failure } : { kind: 'broken', failure },
+      Left: async failure => failure.ran === 'no' ? { kind: 'notRun', failure } : broken(failure),
       Right: async answer => await relayAnswer(parts, answer)
     })
   } catch (err) {
-    return { kind: 'broken', failure: toFailure(err) }
+    return broken(toFailure(err))
   }
 }
 
@@ -80,7 +80,7 @@
     return undefined
   })
   const failure = failureOf(read)
-  if (failure !== undefined) return { kind: 'broken', failure }
+  if (failure !== undefined) return broken(failure)
   const body = Buffer.concat(chunks)
   if ((answer.head.status >= MIN_SERVER_ERROR_STATUS && mayRetryFailures) || sink.isStarted) return { kind: 'failedAnswer', head: answer.head, body }
   notifyFirstOutput()
@@ -103,14 +103,19 @@
   if (failure === undefined && relay.hasPartialEvent) return truncatedOutcome(relay)
   if (failure !== undefined) {
     relay.discardPartial()
-    return { kind: 'broken', failure }
+    return broken(failure)
   }
   if (!sink.isStarted) sink.head(answer.head)
   sink.end()
   return { kind: 'answered', status: answer.head.status, isDelimited: isDelimited(answer.head) }
 }
 
+/** Only a client that returns a failure of its own proves that nothing ran: any later one may be about another call or part. */
+function broken (failure: Failure): AttemptOutcome {
+  return { kind: 'broken', failure: mayHaveRun(failure) }
+}
+
 function truncatedOutcome (relay: EventRelay): AttemptOutcome {
   relay.discardPartial()
-  return { kind: 'broken', failure: new Failure('answerCut', 'the stream ended within an event', { ran: 'yes' }) }
+  return broken(new Failure('answerCut', 'the stream ended within an event', { ran: 'yes' }))
 }
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -5,7 +5,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { versionOf } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
@@ -42,9 +42,20 @@
 export class CallDispatch {
   constructor (private readonly deps: DispatchDeps) {}
 
-  /** Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink. */
+  /**
+   * Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink. Whether the failure,
+   * returned or thrown, promises that the request has not run follows from the attempts alone.
+   */
   async serve (admitted: AdmittedCall, sink: CallSink): Promise<Either<Failure, void>> {
     const open = new OpenCall(admitted, sink, this.deps.clock)
+    try {
+      return (await this.serveOpen(open)).mapLeft(failure => open.reported(failure))
+    } catch (err) {
+      throw open.reported(toFailure(err))
+    }
+  }
+
+  private async serveOpen (open: OpenCall): Promise<Either<Failure, void>> {
     this.deps.guard?.opened(open)
     try {
       const refusal = this.deps.guard?.refusal(open)
@@ -55,7 +66,7 @@
       if (placed.isLeft()) return placed
       const reserved = await this.reserve(open)
       if (reserved.isLeft()) return reserved
-      this.deps.retries.recordFirstAttempt(admitted.service, this.deps.clock.now())
+      this.deps.retries.recordFirstAttempt(open.admitted.service, this.deps.clock.now())
       return await this.tryTargets(open)
     } finally {
       this.settle(open)
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -3,7 +3,7 @@
  * has disconnected.
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, mayHaveRun } from '@rosemaryspread/decisions/codes/failure.js'
 import type { KnownVersion, VersionSource } from '@rosemaryspread/decisions/streams/streamVersion.js'
 import type { Reservation } from '../budget/budgetPort.js'
 import { partDigest, requestDigest } from '../quarantine/requestDigest.js'
@@ -133,6 +133,11 @@
     if (outcome.kind === 'notRun' || outcome.kind === 'broken') this.lastFailure = this.combineFailures(outcome.failure)
   }
 
+  /** The failure as the caller may see it: the attempts decide whether it may promise that nothing ran, whichever part made it. */
+  reported (failure: Failure): Failure {
+    return this.mayHaveRun ? mayHaveRun(failure) : failure
+  }
+
   /** Whether the target was absent, so that the outcome says nothing about other targets. */
   wasAbsent (outcome: AttemptOutcome): boolean {
     return outcome.kind === 'notRun' && (outcome.failure.code === 'runnerUnreachable' || outcome.failure.code === 'targetReplaced')
