A completion whose run was lost isn't refused with ran: no because later runners didn't start it

Callers of the own interface got 503 with ran: no after an attempt that had started the run and lost its stream before the first piece, when the further runners refused the run or could not be reached: the failure of the last attempt was the answer. It now says ran: unknown once an attempt may have started the run, and an exception makes no promise either.

Not shown: an exception that carries ran: no; no part is known to throw one.

--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -47,6 +47,8 @@
   { name: 'an unreachable runner', scripts: { r1: { unreachableFrom: 'all' } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r2:finished'] },
   { name: 'all runners unreachable', scripts: { r1: { unreachableFrom: 'all' }, r2: { unreachableFrom: 'all' }, r3: { unreachableFrom: 'all' } }, refused: ['runnerUnreachable', 'no'], bills: [], startedRuns: [] },
   { name: 'a stream broken once', scripts: { r1: { cuts: [2] } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:finished'] },
+  { name: 'a lost response to the submit, then only runners that refuse', scripts: { r1: { loseSubmit: true }, r2: { isLeaving: true }, r3: { isLeaving: true } }, refused: ['runnerRefused', 'unknown'], bills: [], startedRuns: ['r1:cancelled'] },
+  { name: 'a stream that cannot be resumed before any piece, then only runners without a connection', scripts: { r1: { cuts: [0, 0, 0, 0] }, r2: { unreachableFrom: 'all' }, r3: { unreachableFrom: 'all' } }, refused: ['runnerUnreachable', 'unknown'], bills: [], startedRuns: ['r1:cancelled'] },
   { name: 'a resumed stream that overlaps', scripts: { r1: { cuts: [2], overlap: 1 } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:finished'] },
   { name: 'a stream that cannot be resumed after some pieces', scripts: { r1: { cuts: [2, 0, 0, 0] } }, refused: ['answerCut', 'yes'], bills: [0], startedRuns: ['r1:cancelled'] },
   { name: 'a stream that cannot be resumed before any piece', scripts: { r1: { cuts: [0, 0, 0, 0] } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:cancelled', 'r2:finished'] },
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -6,7 +6,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { AnswerSink, CompletionCall, CompletionService } from '@rosemaryspread/callers/completion/completionTypes.js'
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, mayHaveRun, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { VersionedConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import { defaultRetryPolicy } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { admitCompletion, type AdmittedCompletion } from './completionAdmission.js'
@@ -65,7 +65,7 @@
       served.ifLeft(failure => { relay.fail(this.report.refused(admitted.requestId, admitted.team, failure)) })
     } catch (err) {
       this.deps.log.write('fault', { err: toFailure(err).message })
-      relay.fail(toFailure(err))
+      relay.fail(mayHaveRun(toFailure(err)))
     } finally {
       close()
     }
@@ -97,7 +97,8 @@
   private async runAndSettle (completion: OpenCompletion, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     const attempts: EndedAttempt[] = []
     try {
-      return await this.tryRunners(completion, attempts, onStarted)
+      const tried = await this.tryRunners(completion, attempts, onStarted)
+      return attempts.some(({ outcome }) => outcome.kind === 'cut') ? tried.mapLeft(mayHaveRun) : tried
     } finally {
       this.settlement.settleAll(completion.admitted, attempts)
       this.deps.routing.finish(completion.admitted, usedTokens(completion, attempts))
