A repeat that can't join the run of its key isn't refused with ran: no

A keyed completion that had found the run of its key (finished, or in progress at another or the same VM) got 503 with ran: no if the connection for its answer failed: `runnerUnreachable` without a connection is true of the call that reads, while the run exists. CompletionRuns.join now says ran: unknown, which the API describes for an earlier attempt under the same key.

Both new tests ('that cannot join the') failed before the fix with 'no'.

--- a/packages/rosemaryspread/src/completion/completionRun.ts
+++ b/packages/rosemaryspread/src/completion/completionRun.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { CompletionCall } from '@rosemaryspread/callers/completion/completionTypes.js'
-import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { mayHaveRun, type Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EngineStream } from '@rosemaryspread/runners/engine/engineTypes.js'
 import type { AdmittedCompletion } from './completionAdmission.js'
 import { runAttempt, type AttemptContext, type AttemptOutcome } from './completionAttempt.js'
@@ -48,7 +48,7 @@
     return outcome
   }
 
-  /** Relays the answer of a run that another request started and pays for. */
+  /** Relays the answer of a run that another request started and pays for. A failure says at most that it could not be read. */
   async join (completion: OpenCompletion, plan: PlannedRun): Promise<Either<Failure, void>> {
     const { admitted } = completion
     this.deps.log.write('requestJoined', { request: admitted.requestId, runner: plan.at.runner })
@@ -56,7 +56,7 @@
       await this.deps.engines.resume(plan.at.address, admitted.requestId, 0))
     if (outcome.kind !== 'whole') {
       this.report.attemptFailed(admitted.requestId, plan.at.runner, outcome.failure, false)
-      return Left(outcome.failure)
+      return Left(mayHaveRun(outcome.failure))
     }
     this.answered(completion, plan.at.runner, outcome)
     return Right(undefined)
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -3,7 +3,7 @@
  * billed once, and refusals report correctly whether it ran. Faulty clients show that the checks can fail.
  */
 import { expect } from 'chai'
-import { Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import { Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
@@ -177,6 +177,19 @@
     { name: 'no runner is believed up', scripts: {}, ran: 'no' },
     { name: 'the first runner is unreachable', scripts: { r1: { unreachableFrom: 'all' as const } }, ran: 'unknown' }
   ]
+  for (const { name, vm } of [{ name: 'finished run of another VM', vm: 'b' as const }, { name: 'run in progress at the same VM', vm: 'a' as const }]) {
+    it(`that cannot join the ${name} isn't refused with ran=no`, async () => {
+      const fleet = createFleet(UnjoinableClient)
+      fleet.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 50)) })
+      const first = fleet.a.ask({ key: 'k' })
+      if (vm === 'b') await first
+      else await new Promise(resolve => setTimeout(resolve, 10))
+      expectRefused(await fleet[vm].ask({ key: 'k' }), 'runnerUnreachable', 'unknown')
+      expectComplete(await first)
+      expect(fleet.engines.startedRuns()).to.deep.equal(['r1:finished'])
+    })
+  }
+
   for (const { name, scripts, ran } of refusals) {
     it(`that never ran is refused with ran=${ran} when ${name}`, async () => {
       const { engines, a } = createFleet()
@@ -282,6 +295,13 @@
   }
 })
 
+/** Cannot connect again to an engine where a run was found. */
+class UnjoinableClient extends FakeEngineClient {
+  override async resume (): Promise<Either<Failure, EngineStream>> {
+    return Left(new Failure('runnerUnreachable', 'no connection', { ran: 'no' }))
+  }
+}
+
 /** Reports runners as sealed without sealing them. */
 class UnsealedClient extends FakeEngineClient {
   override async seal (): Promise<Either<Failure, Maybe<RunRecord>>> {
