--- a/packages/callers/src/api/callerServer.spec.ts
+++ b/packages/callers/src/api/callerServer.spec.ts
@@ -20,11 +20,11 @@
 const validBody = { model: 'asistente', messages: [{ role: 'user', content: '¿A qué hora sale?' }] }
 
 const directory: CallerDirectory = {
-  authenticate: (bearer) => bearer === 'good' ? Right({ team: 'manos' }) : Left(new Failure('unauthorized', 'no such key')),
+  authenticate: (bearer) => bearer === 'good' ? Right({ team: 'manos' }) : Left(new Failure('unauthorized', 'no such key', { ran: 'no' })),
   models: () => ['asistente'],
   addresses: () => ({ version: 3, addresses: ['http://127.0.0.1:8001'], keepMs: 9900 }),
-  usage: async () => Left(new Failure('platformUnavailable', 'the table is down', { retryAfterMs: 1200 })),
-  ready: () => Left(new Failure('draining', 'leaving', { retryAfterMs: 1 })),
+  usage: async () => Left(new Failure('platformUnavailable', 'the table is down', { ran: 'no', retryAfterMs: 1200 })),
+  ready: () => Left(new Failure('draining', 'leaving', { ran: 'no', retryAfterMs: 1 })),
   metrics: () => 'requests 3\n'
 }
 
@@ -71,7 +71,7 @@
     services: {
       call: async (call) => {
         calls.push(call)
-        return call.path === '/refuse' ? Left(new Failure('notClaimed', 'no table', { retryAfterMs: 2001 })) : Right(serviceAnswer)
+        return call.path === '/refuse' ? Left(new Failure('notClaimed', 'no table', { ran: 'no', retryAfterMs: 2001 })) : Right(serviceAnswer)
       }
     },
     directory,
@@ -323,7 +323,7 @@
           sink.piece('x'.repeat(65_536))
           await new Promise(setImmediate)
         }
-        sink.fail(new Failure('callerGone', 'gone'))
+        sink.fail(new Failure('callerGone', 'gone', { ran: 'no' }))
         stop()
       }, { bufferedBytes: 200_000 })
       const socket = raw()
--- a/packages/callers/src/api/servicePath.ts
+++ b/packages/callers/src/api/servicePath.ts
@@ -26,7 +26,7 @@
 export function parseServicePath (url: string): Either<Failure, ServicePath> {
   const match = servicePattern.exec(url)
   const [, service, path] = match ?? []
-  if (service === undefined || path === undefined) return Left(new Failure('notFound', `${url} is not a service path`))
-  if (!isNormalized(path)) return Left(new Failure('badRequest', 'path: must be normalized, without dot segments, empty first segment, fragment or unnecessary percent-encoding'))
+  if (service === undefined || path === undefined) return Left(new Failure('notFound', `${url} is not a service path`, { ran: 'no' }))
+  if (!isNormalized(path)) return Left(new Failure('badRequest', 'path: must be normalized, without dot segments, empty first segment, fragment or unnecessary percent-encoding', { ran: 'no' }))
   return Right({ service, path })
 }
--- a/packages/decisions/src/budget/budgetLedger.ts
+++ b/packages/decisions/src/budget/budgetLedger.ts
@@ -119,8 +119,8 @@
   private reserve (event: EventOf<'reserve'>, now: Instant): readonly BudgetAction[] {
     const { reservationId, budget, tokens } = event
     const refuse = (failure: Failure): readonly BudgetAction[] => [{ kind: 'refuse', reservationId, failure }]
-    if (!isAmount(tokens) || tokens === 0) return refuse(new Failure('amountInvalid', `${tokens} tokens cannot be reserved`))
-    if (this.draining) return refuse(new Failure('draining', 'this VM is draining', { retryAfterMs: 0 }))
+    if (!isAmount(tokens) || tokens === 0) return refuse(new Failure('amountInvalid', `${tokens} tokens cannot be reserved`, { ran: 'no' }))
+    if (this.draining) return refuse(new Failure('draining', 'this VM is draining', { ran: 'no', retryAfterMs: 0 }))
     const entry = this.entryOf(budget)
     entry.recordRequest(now.mono)
     entry.desired.recordRequest(tokens, now.mono)
@@ -271,7 +271,7 @@
     const actions: BudgetAction[] = []
     for (const entry of this.entries.all.values()) {
       for (const item of entry.waiting) {
-        const failure = new Failure('draining', 'this VM is draining', { retryAfterMs: 0 })
+        const failure = new Failure('draining', 'this VM is draining', { ran: 'no', retryAfterMs: 0 })
         actions.push({ kind: 'refuse', reservationId: item.reservationId, failure })
       }
       entry.waiting = []
--- a/packages/decisions/src/budget/budgetPlans.ts
+++ b/packages/decisions/src/budget/budgetPlans.ts
@@ -162,7 +162,7 @@
   if (earlier !== undefined) {
     const same = earlier.budget === topUp.budget && earlier.tokens === topUp.tokens
     if (same) return Right({ kind: 'done' })
-    return Left(new Failure('topUpConflict', `operation ${topUp.operationId} already added ${earlier.tokens} tokens to ${earlier.budget}`))
+    return Left(new Failure('topUpConflict', `operation ${topUp.operationId} already added ${earlier.tokens} tokens to ${earlier.budget}`, { ran: 'no' }))
   }
   return applyTopUp(budgetOf(rows, topUp.budget), topUp.budget, topUp.tokens).map(row => {
     putBudget(rows, row)
--- a/packages/decisions/src/budget/budgetRefusal.ts
+++ b/packages/decisions/src/budget/budgetRefusal.ts
@@ -26,9 +26,9 @@
 /** The failure of a request that has to be refused now; undefined while it may wait. */
 export function refusalOf (entry: BudgetEntry, request: WaitingRequest, times: RefusalTimes, now: Instant): Failure | undefined {
   const shortage = currentShortage(entry, request, now)
-  if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `budget ${entry.budget} does not exist`)
+  if (shortage?.kind === 'unknownBudget') return new Failure('budgetUnknown', `budget ${entry.budget} does not exist`, { ran: 'no' })
   if (shortage?.kind === 'short' && isSpent(entry, shortage.unspent, request.tokens)) {
-    return new Failure('budgetSpent', `fewer than ${request.tokens} tokens of ${entry.budget} are unspent`, { retryAfterMs: SPENT_RETRY_MS })
+    return new Failure('budgetSpent', `fewer than ${request.tokens} tokens of ${entry.budget} are unspent`, { ran: 'no', retryAfterMs: SPENT_RETRY_MS })
   }
   const untilUsableMs = entry.untilUsableMs(request.tokens, now)
   if (untilUsableMs !== undefined) return unreportedFailure(entry, request, untilUsableMs, now)
@@ -69,14 +69,14 @@
   const isFutile = untilUsableMs > remainingWaitMs && isExhausted(entry, item, now)
   if (remainingWaitMs > 0 && !isFutile) return undefined
   const retryAfterMs = Math.min(Math.ceil(untilUsableMs), MAX_REPORT_RETRY_MS)
-  return new Failure('budgetUnreported', `${item.tokens} of ${entry.free} free tokens of ${entry.budget} may not be used before their use is reported to the table`, { retryAfterMs })
+  return new Failure('budgetUnreported', `${item.tokens} of ${entry.free} free tokens of ${entry.budget} may not be used before their use is reported to the table`, { ran: 'no', retryAfterMs })
 }
 
 function timeoutFailure (entry: BudgetEntry, item: WaitingRequest, { otherVmRetryMs }: RefusalTimes, now: Instant): Failure {
   const otherVmMs = isExhausted(entry, item, now) ? undefined : otherVmRetryMs
   if (entry.shortage?.kind === 'short' && entry.unreachable > 0) {
-    return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are allotted to unreachable VMs`, { retryAfterMs: otherVmMs ?? UNREACHABLE_RETRY_MS })
+    return new Failure('budgetElsewhere', `${entry.unreachable} tokens of ${entry.budget} are allotted to unreachable VMs`, { ran: 'no', retryAfterMs: otherVmMs ?? UNREACHABLE_RETRY_MS })
   }
   const retryAfterMs = otherVmMs ?? Math.max(MIN_PENDING_RETRY_MS, entry.nextRoundAt - now.mono)
-  return new Failure('budgetPending', `tokens of ${entry.budget} could not be acquired in time`, { retryAfterMs })
+  return new Failure('budgetPending', `tokens of ${entry.budget} could not be acquired in time`, { ran: 'no', retryAfterMs })
 }
--- a/packages/decisions/src/budget/budgetRows.ts
+++ b/packages/decisions/src/budget/budgetRows.ts
@@ -26,15 +26,15 @@
 }
 
 function invalidAmount<T> (tokens: unknown): Either<Failure, T> {
-  return Left(new Failure('amountInvalid', `${String(tokens)} is not a valid number of tokens`))
+  return Left(new Failure('amountInvalid', `${String(tokens)} is not a valid number of tokens`, { ran: 'no' }))
 }
 
 function invariantViolation<T> (detail: string): Either<Failure, T> {
-  return Left(new Failure('internal', detail))
+  return Left(new Failure('internal', detail, { ran: 'no' }))
 }
 
 function closed<T> (row: AllotmentRow): Either<Failure, T> {
-  return Left(new Failure('allotmentClosed', `the allotment of ${row.holder} in ${row.budget} is closed`))
+  return Left(new Failure('allotmentClosed', `the allotment of ${row.holder} in ${row.budget} is closed`, { ran: 'no' }))
 }
 
 /** Tokens of a budget that are neither spent nor allotted. */
@@ -65,7 +65,7 @@
   if (!Number.isSafeInteger(paid)) return invalidAmount(tokens)
   if (paid < before.spent + before.allotted) {
     const committed = before.spent + before.allotted
-    return Left(new Failure('budgetBelowCommitted', `${committed} tokens of ${budget} are spent or allotted`))
+    return Left(new Failure('budgetBelowCommitted', `${committed} tokens of ${budget} are spent or allotted`, { ran: 'no' }))
   }
   return Right({ ...before, paid })
 }
--- a/packages/decisions/src/budget/flushPlan.ts
+++ b/packages/decisions/src/budget/flushPlan.ts
@@ -80,7 +80,7 @@
 function recordTransfer (rows: RowSet, transfer: Transfer, domain: string): Either<Failure, void> {
   if (isRecorded(rows, transfer)) return Right(undefined)
   const senderRow = allotmentOf(rows, transfer.budget, transfer.from)
-  if (senderRow === undefined) return Left(new Failure('internal', `${transfer.from} has no allotment to transfer from`))
+  if (senderRow === undefined) return Left(new Failure('internal', `${transfer.from} has no allotment to transfer from`, { ran: 'no' }))
   const receiver = allotmentOf(rows, transfer.budget, transfer.to) ?? emptyAllotment(transfer.budget, transfer.to, domain)
   return applyTransfer({ sender: senderRow, receiver }, transfer).ifRight(pair => {
     putAllotment(rows, pair.sender)
@@ -100,7 +100,7 @@
   const budget = budgetOf(rows, item.budget)
   const allotment = allotmentOf(rows, item.budget, flusher.holder)
   if (budget === undefined || allotment === undefined) {
-    return Left(new Failure('internal', `budget or allotment row of ${item.budget} is missing; tokens cannot be returned`))
+    return Left(new Failure('internal', `budget or allotment row of ${item.budget} is missing; tokens cannot be returned`, { ran: 'no' }))
   }
   return applyReturn({ budget, allotment }, item.tokens).ifRight(pair => {
     putBudget(rows, pair.budget)
--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -5,10 +5,10 @@
 import type { Either } from 'purify-ts'
 import { resultCodes, type ExecutionStatus, type ResultCode, type ResultName } from './resultCodes.js'
 
-/** Optional properties of a {@link Failure}. */
+/** Further properties of a {@link Failure}. */
 export interface FailureOptions {
-  /** Whether the request was executed; `no` by default. */
-  readonly ran?: ExecutionStatus
+  /** Whether the request was executed. `no` is a promise to the caller: it needs a proof at the place where the failure is made. */
+  readonly ran: ExecutionStatus
   /** Milliseconds after which to retry. */
   readonly retryAfterMs?: number
   /** Individual errors, if there are several. */
@@ -23,11 +23,11 @@
   readonly errors: readonly string[]
 
   /** @param detail - what happened, for people */
-  constructor (code: ResultName, detail: string, options: FailureOptions = {}) {
+  constructor (code: ResultName, detail: string, options: FailureOptions) {
     super(detail)
     this.name = 'Failure'
     this.code = code
-    this.ran = options.ran ?? 'no'
+    this.ran = options.ran
     this.retryAfterMs = options.retryAfterMs === undefined ? undefined : Math.ceil(options.retryAfterMs)
     this.errors = options.errors ?? []
   }
--- a/packages/decisions/src/config/configCheck.ts
+++ b/packages/decisions/src/config/configCheck.ts
@@ -111,7 +111,7 @@
 function invalidConfig (errors: readonly string[]): Failure {
   const listed = errors.slice(0, MAX_ERRORS)
   const detail = errors.length > listed.length ? `${errors.length} errors, the first ${MAX_ERRORS} are listed` : `${errors.length} error(s): ${listed[0]}`
-  return new Failure('configInvalid', detail, { errors: listed })
+  return new Failure('configInvalid', detail, { ran: 'no', errors: listed })
 }
 
 function freezeDeep<T> (value: T): T {
--- a/packages/decisions/src/config/configPatch.ts
+++ b/packages/decisions/src/config/configPatch.ts
@@ -69,7 +69,7 @@
   if (last === undefined) return Right(base)
   let document = base.document
   for (const [index, row] of rows.entries()) {
-    if (row.version !== base.version + 1 + index) return Left(new Failure('configInvalid', `version ${base.version + 1 + index} is missing`))
+    if (row.version !== base.version + 1 + index) return Left(new Failure('configInvalid', `version ${base.version + 1 + index} is missing`, { ran: 'no' }))
     const applied = applyOperations(document, row.delta)
     if (applied.isLeft()) return applied
     document = applied.extract() as ConfigDocument
@@ -85,7 +85,7 @@
   const { version, digest, document } = fullConfig
   return parseConfig(document).chain(config => documentDigest(document) === digest
     ? Right({ version, digest, document, config })
-    : Left(new Failure('configInvalid', `version ${version} does not have the digest ${digest}`)))
+    : Left(new Failure('configInvalid', `version ${version} does not have the digest ${digest}`, { ran: 'no' })))
 }
 
 /**
@@ -99,10 +99,10 @@
       current = jsonPatch.applyOperation(current, structuredClone(operation) as Operation, true, true, true, index).newDocument
     } catch (err) {
       const line = operationLine(index, operation, err)
-      return Left(new Failure('patchInvalid', line, { errors: [line] }))
+      return Left(new Failure('patchInvalid', line, { ran: 'no', errors: [line] }))
     }
   }
-  return isObject(current) ? Right(current) : Left(new Failure('patchInvalid', 'the patched document is not an object', { errors: ['/: expected an object'] }))
+  return isObject(current) ? Right(current) : Left(new Failure('patchInvalid', 'the patched document is not an object', { ran: 'no', errors: ['/: expected an object'] }))
 }
 
 function readOperations (operations: readonly unknown[]): Either<Failure, PatchOperation[]> {
@@ -111,14 +111,14 @@
     ? []
     : result.error.issues.map(issue => `operation ${index}${issue.path.map(part => `/${String(part)}`).join('')}: ${issue.message}`))
   const errors = [...malformed, ...operations.flatMap(forbiddenNameErrors)]
-  if (errors.length > 0) return Left(new Failure('patchInvalid', errors[0] ?? '', { errors }))
+  if (errors.length > 0) return Left(new Failure('patchInvalid', errors[0] ?? '', { ran: 'no', errors }))
   return Right(results.flatMap(result => result.success ? [result.data] : []))
 }
 
 function checkSize<T> (what: string, value: T): Either<Failure, T> {
   const bytes = Buffer.byteLength(JSON.stringify(value))
   if (bytes <= MAX_PATCH_BYTES) return Right(value)
-  return Left(new Failure('bodyTooLarge', `the ${what} has ${bytes} bytes, the limit is ${MAX_PATCH_BYTES}; split the patch`))
+  return Left(new Failure('bodyTooLarge', `the ${what} has ${bytes} bytes, the limit is ${MAX_PATCH_BYTES}; split the patch`, { ran: 'no' }))
 }
 
 /** Checks operations as received, because schema parsing silently drops such members. */
--- a/packages/decisions/src/gateway/targetBalancer.ts
+++ b/packages/decisions/src/gateway/targetBalancer.ts
@@ -111,16 +111,16 @@
   choose (targets: readonly TargetView[], demand: TargetDemand, mono: number, random: number): Either<Failure, TargetChoice> {
     const eligible = this.withVersion(targets, demand)
     if (eligible.length === 0 && targets.length > 0) {
-      return Left(new Failure('versionUnavailable', `no target runs software version '${demand.version}', which began the stream`, { retryAfterMs: NO_TARGET_RETRY_MS }))
+      return Left(new Failure('versionUnavailable', `no target runs software version '${demand.version}', which began the stream`, { ran: 'no', retryAfterMs: NO_TARGET_RETRY_MS }))
     }
     const untried = eligible.filter(({ id }) => !demand.exclude.has(id))
     if (untried.length === 0) {
-      return Left(new Failure('noRunner', 'no target of the service is left that accepts new requests', { retryAfterMs: NO_TARGET_RETRY_MS }))
+      return Left(new Failure('noRunner', 'no target of the service is left that accepts new requests', { ran: 'no', retryAfterMs: NO_TARGET_RETRY_MS }))
     }
     const accepting = untried.filter(({ id }) => this.warmUpWaitMs(id, demand, mono) === 0)
     if (accepting.length === 0) return Left(this.warmUpFailure(untried, demand, mono))
     const withRoom = this.withRoom(accepting, demand, mono)
-    if (withRoom.length === 0) return Left(new Failure('targetsFull', 'this VM has no place left at the targets of the service', { retryAfterMs: FULL_RETRY_MS }))
+    if (withRoom.length === 0) return Left(new Failure('targetsFull', 'this VM has no place left at the targets of the service', { ran: 'no', retryAfterMs: FULL_RETRY_MS }))
     const candidates = this.withoutEjected(withRoom, mono)
     if (demand.suspicion !== undefined) return Right(this.suspected(candidates, demand.suspicion, demand))
     if (demand.sharedParts.length > 0) return Right(this.chooseByAffinity(candidates, demand, mono))
@@ -253,7 +253,7 @@
 
   private warmUpFailure (targets: readonly TargetView[], demand: TargetDemand, mono: number): Failure {
     const waitMs = Math.min(...targets.map(({ id }) => this.warmUpWaitMs(id, demand, mono)))
-    return new Failure('targetsWarmUp', 'the remaining targets are warming up and accept no further request of this VM now', { retryAfterMs: Math.ceil(waitMs) })
+    return new Failure('targetsWarmUp', 'the remaining targets are warming up and accept no further request of this VM now', { ran: 'no', retryAfterMs: Math.ceil(waitMs) })
   }
 
   private withRoom (targets: readonly TargetView[], { sharing }: TargetDemand, mono: number): readonly TargetView[] {
--- a/packages/http/src/body/bodyReader.ts
+++ b/packages/http/src/body/bodyReader.ts
@@ -11,7 +11,7 @@
 const discardFactor = 4
 
 function tooLarge (maxBytes: number): Failure {
-  return new Failure('bodyTooLarge', `the limit is ${maxBytes} bytes`)
+  return new Failure('bodyTooLarge', `the limit is ${maxBytes} bytes`, { ran: 'no' })
 }
 
 export interface BodyLimits {
@@ -38,8 +38,8 @@
       if (receivedBytes > maxBytes * discardFactor) settle(Left(tooLarge(maxBytes)))
     }
     const onEnd = (): void => settle(receivedBytes > maxBytes ? Left(tooLarge(maxBytes)) : Right(Buffer.concat(chunks)))
-    const onClose = (): void => settle(Left(new Failure('callerGone', 'the connection closed before the whole body arrived')))
-    const onTimeout = (): void => settle(Left(new Failure('badRequest', 'the body did not arrive within the time limit')))
+    const onClose = (): void => settle(Left(new Failure('callerGone', 'the connection closed before the whole body arrived', { ran: 'no' })))
+    const onTimeout = (): void => settle(Left(new Failure('badRequest', 'the body did not arrive within the time limit', { ran: 'no' })))
     const timer = setTimeout(onTimeout, limits.requestMs)
     const settle = (outcome: Either<Failure, Buffer>): void => {
       clearTimeout(timer)
--- a/packages/http/src/input/inputChecks.ts
+++ b/packages/http/src/input/inputChecks.ts
@@ -42,5 +42,5 @@
 /** Creates the failure for invalid input. */
 export function badRequest (inputErrors: readonly string[]): Failure {
   const detail = inputErrors.length === 1 ? String(inputErrors[0]) : `${inputErrors.length} mistakes, see errors`
-  return new Failure('badRequest', detail, { errors: inputErrors })
+  return new Failure('badRequest', detail, { ran: 'no', errors: inputErrors })
 }
--- a/packages/http/src/server/httpServer.spec.ts
+++ b/packages/http/src/server/httpServer.spec.ts
@@ -44,7 +44,7 @@
   const server = new HttpServer({ log: { write: () => {} }, limits: httpLimitsSchema.parse({}) }, router)
   server.route('GET', '/plain', async exchange => Right(exchange.sendJson(200, { route: 'plain' })))
   server.route('POST', '/things/:name/lift', async exchange => Right(exchange.sendJson(200, { name: exchange.params.name })))
-  server.route('GET', '/refused', async () => Left(new Failure('notFound', 'there is none')))
+  server.route('GET', '/refused', async () => Left(new Failure('notFound', 'there is none', { ran: 'no' })))
   server.route('GET', '/faulty', async () => { throw new Error('broken') })
   return server
 }
--- a/packages/http/src/server/pathRouter.ts
+++ b/packages/http/src/server/pathRouter.ts
@@ -70,8 +70,8 @@
 
 function routingFailure (req: IncomingMessage, matches: readonly PathMatch[]): Failure {
   const path = requestPath(req)
-  if (matches.length === 0) return new Failure('notFound', `${path} does not exist`)
-  return new Failure('methodNotAllowed', `${req.method ?? 'this method'} is not allowed on ${path}`)
+  if (matches.length === 0) return new Failure('notFound', `${path} does not exist`, { ran: 'no' })
+  return new Failure('methodNotAllowed', `${req.method ?? 'this method'} is not allowed on ${path}`, { ran: 'no' })
 }
 
 function requestPath (req: IncomingMessage): string {
--- a/packages/http/src/server/protocolFailures.ts
+++ b/packages/http/src/server/protocolFailures.ts
@@ -18,17 +18,17 @@
 /** Maps an error of restify's router to a failure. */
 export function routerFailure (err: StatusError): Failure {
   const status = err.statusCode ?? serverErrorStatus
-  if (status === notFoundStatus) return new Failure('notFound', err.message)
-  if (status === methodNotAllowedStatus) return new Failure('methodNotAllowed', err.message)
-  if (status < serverErrorStatus) return new Failure('badRequest', err.message)
+  if (status === notFoundStatus) return new Failure('notFound', err.message, { ran: 'no' })
+  if (status === methodNotAllowedStatus) return new Failure('methodNotAllowed', err.message, { ran: 'no' })
+  if (status < serverErrorStatus) return new Failure('badRequest', err.message, { ran: 'no' })
   return new Failure('internal', 'the request could not be routed', { ran: 'unknown' })
 }
 
 /** Maps an error code of Node's HTTP parser to a failure. */
 export function parserFailure (errCode: string | undefined): Failure {
-  if (errCode === 'HPE_HEADER_OVERFLOW') return new Failure('badRequest', 'the headers are too large')
-  if (errCode === 'ERR_HTTP_REQUEST_TIMEOUT') return new Failure('badRequest', 'the request did not arrive in time')
-  return new Failure('badRequest', 'the request is not valid HTTP')
+  if (errCode === 'HPE_HEADER_OVERFLOW') return new Failure('badRequest', 'the headers are too large', { ran: 'no' })
+  if (errCode === 'ERR_HTTP_REQUEST_TIMEOUT') return new Failure('badRequest', 'the request did not arrive in time', { ran: 'no' })
+  return new Failure('badRequest', 'the request is not valid HTTP', { ran: 'no' })
 }
 
 /** Writes a problem response to a connection on which no request could be parsed, and closes it. */
--- a/packages/infra/src/table/httpTableStore.ts
+++ b/packages/infra/src/table/httpTableStore.ts
@@ -32,7 +32,7 @@
   return parseJson(conflictAnswerSchema, answer.body).caseOf({
     Left: detail => unknownOutcomeFailure(`status 409 without a valid list of conflicts: ${detail}`),
     Right: ({ conflicts }) => new Failure('platformConflict', 'a check failed and nothing was written', {
-      errors: conflicts.map(item => `${item.table}/${item.key}`)
+      ran: 'no', errors: conflicts.map(item => `${item.table}/${item.key}`)
     })
   })
 }
--- a/packages/infra/src/table/tableTransact.spec.ts
+++ b/packages/infra/src/table/tableTransact.spec.ts
@@ -17,7 +17,7 @@
 const COUNTER = { table: 'budgets', key: 'one' }
 const MARKER = { table: 'topups', key: 'op' }
 const unknownOutcome = (): Failure => new Failure('platformOutcomeUnknown', 'lost', { ran: 'unknown' })
-const unavailable = (): Failure => new Failure('platformUnavailable', 'down')
+const unavailable = (): Failure => new Failure('platformUnavailable', 'down', { ran: 'no' })
 
 /** In-memory table with scripted outcomes. */
 class ScriptedTable implements TableStore {
@@ -50,7 +50,7 @@
     if (outcome === 'raced') this.apply({ checks: [], writes: [{ ...COUNTER, value: this.counter() }] })
     const applied = this.apply(tx)
     if (outcome === 'lostAfter') return Left(unknownOutcome())
-    return applied ? Right({ version: this.version, now: 0 }) : Left(new Failure('platformConflict', 'raced'))
+    return applied ? Right({ version: this.version, now: 0 }) : Left(new Failure('platformConflict', 'raced', { ran: 'no' }))
   }
 
   /** Applies late transactions whose checks still hold. */
--- a/packages/infra/src/table/tableTransact.ts
+++ b/packages/infra/src/table/tableTransact.ts
@@ -77,7 +77,7 @@
   ) {}
 
   async run (): Promise<Either<Failure, AppliedTransaction>> {
-    let lastFailure = new Failure('platformUnavailable', 'the limit allows no attempt')
+    let lastFailure = new Failure('platformUnavailable', 'the limit allows no attempt', { ran: 'no' })
     for (let round = 0; round <= this.limits.attempts; round++) {
       if (round > 0) await this.limits.pause(this.pauseMs(round))
       const mayWrite = round < this.limits.attempts
@@ -96,7 +96,7 @@
     const read = answer.unsafeCoerce()
     if (this.wasApplied(read.rows)) return Right({ detectedBy: this.sent > 0 ? 'readBack' : 'before', read })
     this.unresolved = this.unresolved.filter(tx => mayStillApply(tx, this.builder.keys, read.rows))
-    if (!mayWrite) return Left(new Failure('platformConflict', 'all attempts are used up'))
+    if (!mayWrite) return Left(new Failure('platformConflict', 'all attempts are used up', { ran: 'no' }))
     return await this.attempt(read)
   }
 
@@ -104,7 +104,7 @@
     const built = this.builder.build(read)
     if (built.isLeft()) return Left(built.extract() as Failure)
     const tx = built.unsafeCoerce()
-    if (!writesCheckedRow(tx)) return Left(new Failure('internal', 'a transaction must check a row that it writes'))
+    if (!writesCheckedRow(tx)) return Left(new Failure('internal', 'a transaction must check a row that it writes', { ran: 'no' }))
     this.sent++
     const answer = await this.store.transact(tx)
     if (answer.isRight()) return Right({ detectedBy: 'answered', read, tx })
--- a/packages/infra/src/weights/httpWeightStore.ts
+++ b/packages/infra/src/weights/httpWeightStore.ts
@@ -31,7 +31,7 @@
     const url = `${this.baseUrl}/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`
     const answer = await this.transport.call({ method: 'GET', url, timeoutMs: this.timeoutMs })
     return answer.mapLeft(error => readFailure(error.detail)).chain(res => {
-      if (res.status === 404) return Left(new Failure('notFound', `no weights for model ${model} version ${version}`))
+      if (res.status === 404) return Left(new Failure('notFound', `no weights for model ${model} version ${version}`, { ran: 'no' }))
       if (res.status !== 200) return Left(readStatusFailure(res))
       const schema = weightInfoSchema.refine(info => info.model === model && info.version === version, 'weights of a different model or version')
       return parseJson(schema, res.body).mapLeft(detail => readFailure(detail))
--- a/packages/operators/src/admin/adminServer.spec.ts
+++ b/packages/operators/src/admin/adminServer.spec.ts
@@ -84,7 +84,7 @@
     runners: async () => { throw new Error('bug') },
     history: async () => Right([{ version: 4, patchId: 'p0', author: 'ana', at: 0, patch: [{}] }]),
     config: async (version?: number) => version === 99
-      ? Left(new Failure('notFound', 'no version 99'))
+      ? Left(new Failure('notFound', 'no version 99', { ran: 'no' }))
       : Right({ version: version ?? 4, config: { teams: {} } })
   }
   const server = new AdminServer({
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -78,7 +78,7 @@
     return operator.chain(({ operator: name, role }) => {
       exchange.client = name
       if (method === 'GET' || role === 'admin') return Right(undefined)
-      return Left(new Failure('forbidden', `operator ${name} has read access only`))
+      return Left(new Failure('forbidden', `operator ${name} has read access only`, { ran: 'no' }))
     })
   }
 
--- a/packages/operators/src/admin/fakeAdminService.spec.ts
+++ b/packages/operators/src/admin/fakeAdminService.spec.ts
@@ -16,7 +16,7 @@
 function authenticateKey (bearer: string): Either<Failure, OperatorIdentity> {
   if (bearer === 'admin') return Right({ operator: 'ana', role: 'admin' })
   if (bearer === 'view') return Right({ operator: 'luz', role: 'viewer' })
-  return Left(new Failure('unauthorized', 'no operator has this key'))
+  return Left(new Failure('unauthorized', 'no operator has this key', { ran: 'no' }))
 }
 
 export interface FakeAdminService extends AdminService {
@@ -37,19 +37,19 @@
     config: async (version) => Right({ version: version ?? fake.version, config: { teams: fake.teams } }),
     patch: async (req) => {
       fake.patches.push(req)
-      if (req.base !== fake.version) return Left(new Failure('configConflict', `version ${fake.version} is in force`))
+      if (req.base !== fake.version) return Left(new Failure('configConflict', `version ${fake.version} is in force`, { ran: 'no' }))
       if (req.dryRun) return Right({ version: fake.version + 1, repeated: false, dryRun: true })
       fake.version++
       return Right({ version: fake.version, repeated: false, dryRun: false })
     },
     history: async () => Right([]),
     topUp: async (name, { operationId, tokens }) => {
-      if (budget.paid + tokens < budget.spent + budget.allotted) return Left(new Failure('budgetBelowCommitted', 'too low'))
+      if (budget.paid + tokens < budget.spent + budget.allotted) return Left(new Failure('budgetBelowCommitted', 'too low', { ran: 'no' }))
       fake.topUps.set(operationId, tokens)
       const added = [...fake.topUps.values()].reduce((sum, amount) => sum + amount, 0)
       return Right({ ...budget, budget: name, paid: budget.paid + added })
     },
-    budget: async (name) => name === budget.budget ? Right(budget) : Left(new Failure('budgetUnknown', `no budget ${name}`)),
+    budget: async (name) => name === budget.budget ? Right(budget) : Left(new Failure('budgetUnknown', `no budget ${name}`, { ran: 'no' })),
     vms: async () => Right(fakeVms),
     runners: async () => Right([]),
     addresses: () => ({ addresses: ['http://127.0.0.1:8001'], keepMs: 10_000 })
--- a/packages/operators/src/ctl/configCommands.ts
+++ b/packages/operators/src/ctl/configCommands.ts
@@ -71,9 +71,9 @@
   try {
     const value: unknown = JSON.parse(await io.read(file))
     return validate(patchRequestSchema.shape.patch, value, 'patch')
-      .mapLeft((errors) => new Failure('usage', `${file} is not a valid list of RFC 6902 operations`, { errors }))
+      .mapLeft((errors) => new Failure('usage', `${file} is not a valid list of RFC 6902 operations`, { ran: 'no', errors }))
   } catch (err) {
-    return Left(new Failure('usage', `${file} cannot be read: ${(err as Error).message}`))
+    return Left(new Failure('usage', `${file} cannot be read: ${(err as Error).message}`, { ran: 'no' }))
   }
 }
 
--- a/packages/operators/src/ctl/ctlProgram.spec.ts
+++ b/packages/operators/src/ctl/ctlProgram.spec.ts
@@ -162,7 +162,7 @@
 
     it('does not report a write as refused if an earlier attempt may have taken effect', async () => {
       const droppingServer = await startDroppingServer()
-      fake.topUp = async () => Left(new Failure('platformUnavailable', 'the table is down'))
+      fake.topUp = async () => Left(new Failure('platformUnavailable', 'the table is down', { ran: 'no' }))
       const ran = await runCommand(`--server ${droppingServer.url} --server ${url} ${topUpCommand}`)
       droppingServer.server.close()
       expect(ran.exit).to.equal(3)
--- a/packages/operators/src/ctl/ctlProgram.ts
+++ b/packages/operators/src/ctl/ctlProgram.ts
@@ -58,7 +58,7 @@
 /** Messages of yargs may have several lines: a summary, then one line for each invalid argument. */
 function toUsageFailure (message: string): Failure {
   const [detail = '', ...errors] = message.split('\n').map((line) => line.trim()).filter((line) => line !== '')
-  return new Failure('usage', `${detail.replace(/:$/, '')} (see --help)`, { errors })
+  return new Failure('usage', `${detail.replace(/:$/, '')} (see --help)`, { ran: 'no', errors })
 }
 
 function createClient ({ server, key, timeoutMs }: GlobalArgs, io: CtlIo): Either<Failure, AdminClient> {
--- a/packages/operators/src/ctl/teamCommands.ts
+++ b/packages/operators/src/ctl/teamCommands.ts
@@ -59,7 +59,7 @@
   const { id, displayName, budget, models, services, weight, author } = args
   const keyHashes = [createHash('sha256').update(key).digest('hex')]
   return validate(teamSchema, { displayName, keyHashes, budget, models, services, weight }, 'team')
-    .mapLeft((errors) => new Failure('usage', 'invalid team', { errors }))
+    .mapLeft((errors) => new Failure('usage', 'invalid team', { ran: 'no', errors }))
     .map((team) => ({ id, team, patchId: io.newId(), author }))
 }
 
@@ -87,7 +87,7 @@
   const keyHash = team.keyHashes[0] ?? ''
   const existing = Object.hasOwn(teams, id) ? teams[id] : undefined
   if (existing !== undefined && !existing.keyHashes.includes(keyHash)) {
-    return Left(new Failure('patchInvalid', `team ${id} exists already`))
+    return Left(new Failure('patchInvalid', `team ${id} exists already`, { ran: 'no' }))
   }
   const operation = { op: 'add', path: `/teams/${id}`, value: team }
   return Right({ base, patchId, author, dryRun: false, patch: [operation] })
--- a/packages/peers/src/link/address.ts
+++ b/packages/peers/src/link/address.ts
@@ -18,6 +18,6 @@
 export function parseAddress (address: string): HostPort {
   const match = ADDRESS.exec(address)
   const port = Number(match?.[2])
-  if (match === null || port > MAX_PORT) throw new Failure('badRequest', `'${address}' is not IPv4:port`)
+  if (match === null || port > MAX_PORT) throw new Failure('badRequest', `'${address}' is not IPv4:port`, { ran: 'no' })
   return { host: match[1]!, port }
 }
--- a/packages/peers/src/link/failureCodec.ts
+++ b/packages/peers/src/link/failureCodec.ts
@@ -36,6 +36,6 @@
     return new Failure(name, error.message, { ran, errors, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
   }
   if (error.code === LOCAL_ERROR_CODE) return new Failure('peerUnreachable', error.message, { ran: 'unknown' })
-  if (error.code === JSONRPCErrorCode.MethodNotFound) return new Failure('peerRefused', error.message)
+  if (error.code === JSONRPCErrorCode.MethodNotFound) return new Failure('peerRefused', error.message, { ran: 'no' })
   return new Failure('peerRefused', error.message, { ran: 'unknown' })
 }
--- a/packages/peers/src/link/frameChannel.ts
+++ b/packages/peers/src/link/frameChannel.ts
@@ -48,12 +48,12 @@
    * @param value - any value that msgpackr can serialize
    */
   send (value: unknown): Either<Failure, void> {
-    if (this.socket.destroyed) return Left(new Failure('peerUnreachable', 'the link is closed'))
+    if (this.socket.destroyed) return Left(new Failure('peerUnreachable', 'the link is closed', { ran: 'no' }))
     const frame = this.packr.pack(value)
     if (frame.length > this.limits.frameBytes) {
       // The record shapes defined in this frame never reach the peer, so they must be defined again.
       this.packr.clearSharedData()
-      return Left(new Failure('bodyTooLarge', `frame of ${frame.length} bytes exceeds the limit of ${this.limits.frameBytes} bytes`))
+      return Left(new Failure('bodyTooLarge', `frame of ${frame.length} bytes exceeds the limit of ${this.limits.frameBytes} bytes`, { ran: 'no' }))
     }
     this.socket.write(frame)
     return Right(undefined)
--- a/packages/peers/src/link/handshake.ts
+++ b/packages/peers/src/link/handshake.ts
@@ -55,7 +55,7 @@
    */
   constructor (private readonly keys: readonly string[]) {
     if (keys.length === 0 || keys.some(key => key === '')) {
-      throw new Failure('settingsInvalid', 'peerKeys must contain at least one key and no empty key')
+      throw new Failure('settingsInvalid', 'peerKeys must contain at least one key and no empty key', { ran: 'no' })
     }
   }
 
--- a/packages/peers/src/link/peerClient.ts
+++ b/packages/peers/src/link/peerClient.ts
@@ -85,7 +85,7 @@
   async call (address: string, method: string, params: unknown, timeoutMs: number, onLate?: LateResponseHandler): Promise<Either<Failure, unknown>> {
     const peer = this.getOrCreatePeer(address)
     if (peer.openCalls >= this.limits.openCalls) {
-      return Left(new Failure('overloaded', `${peer.openCalls} calls to ${address} are open, which is the limit`, { retryAfterMs: this.limits.backoffMinMs }))
+      return Left(new Failure('overloaded', `${peer.openCalls} calls to ${address} are open, which is the limit`, { ran: 'no', retryAfterMs: this.limits.backoffMinMs }))
     }
     peer.openCalls += 1
     try {
@@ -127,12 +127,12 @@
 
   private getOrOpenLink (address: string, peer: PeerState): Either<Failure, PeerLink> {
     if (peer.link?.isUsable === true) return Either.of(peer.link)
-    if (this.isClosed) return Left(new Failure('peerUnreachable', 'the client is closed'))
+    if (this.isClosed) return Left(new Failure('peerUnreachable', 'the client is closed', { ran: 'no' }))
     const waitMs = peer.nextAttemptAt - this.clock.now().mono
     if (waitMs > 0) {
-      return Left(new Failure('peerUnreachable', `the last connection attempt to ${address} failed; no new attempt before the backoff ends`, { retryAfterMs: Math.ceil(waitMs) }))
+      return Left(new Failure('peerUnreachable', `the last connection attempt to ${address} failed; no new attempt before the backoff ends`, { ran: 'no', retryAfterMs: Math.ceil(waitMs) }))
     }
-    return Either.encase(() => this.openLink(address, peer)).mapLeft(err => new Failure('peerUnreachable', err.message))
+    return Either.encase(() => this.openLink(address, peer)).mapLeft(err => new Failure('peerUnreachable', err.message, { ran: 'no' }))
   }
 
   private openLink (address: string, peer: PeerState): PeerLink {
@@ -185,7 +185,7 @@
 async function readyWithin (timeoutMs: number, ready: Promise<Either<Failure, void>>): Promise<Either<Failure, void>> {
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<Either<Failure, void>>(resolve => {
-    timer = setTimeout(() => resolve(Left(new Failure('peerUnreachable', `no connection within ${timeoutMs} ms`))), timeoutMs)
+    timer = setTimeout(() => resolve(Left(new Failure('peerUnreachable', `no connection within ${timeoutMs} ms`, { ran: 'no' }))), timeoutMs)
   })
   try {
     return await Promise.race([ready, timeout])
--- a/packages/peers/src/link/peerLink.spec.ts
+++ b/packages/peers/src/link/peerLink.spec.ts
@@ -39,7 +39,7 @@
     server.register('echo', async params => params)
     server.register('whoCalls', async (_params, from) => from)
     server.register('never', () => new Promise(() => {}))
-    server.register('refuse', async () => { throw new Failure('draining', 'going away', { retryAfterMs: 700 }) })
+    server.register('refuse', async () => { throw new Failure('draining', 'going away', { ran: 'no', retryAfterMs: 700 }) })
     server.register('break', async () => { throw new Error('broken') })
     server.register('large', async () => 'x'.repeat(defaultLinkLimits.frameBytes))
     await server.listen('127.0.0.1:0')
--- a/packages/peers/src/link/peerLink.ts
+++ b/packages/peers/src/link/peerLink.ts
@@ -80,7 +80,7 @@
    */
   async request (method: string, params: unknown, timeoutMs: number, onLate: LateResponseHandler = () => {}): Promise<Either<Failure, unknown>> {
     this.checkLiveness()
-    if (!this.isUsable) return Left(new Failure('peerUnreachable', 'the link was closed'))
+    if (!this.isUsable) return Left(new Failure('peerUnreachable', 'the link was closed', { ran: 'no' }))
     this.nextId += 1
     const id = this.nextId
     const sentAt = this.context.clock.now().mono
@@ -165,7 +165,7 @@
   }
 
   private refuse (detail: string): void {
-    this.resolveReady(Left(new Failure('peerRefused', detail)))
+    this.resolveReady(Left(new Failure('peerRefused', detail, { ran: 'no' })))
     this.socket.destroy()
   }
 
@@ -175,8 +175,8 @@
     clearTimeout(this.deadline)
     // A peer that closes the connection instead of sending a welcome did not accept the proof.
     this.resolveReady(Left(lastState === 'awaitingWelcome'
-      ? new Failure('peerRefused', 'the peer did not accept the proof')
-      : new Failure('peerUnreachable', 'the connection closed before the handshake completed')))
+      ? new Failure('peerRefused', 'the peer did not accept the proof', { ran: 'no' })
+      : new Failure('peerUnreachable', 'the connection closed before the handshake completed', { ran: 'no' })))
     this.rpc.rejectAllPendingRequests('the connection was lost')
   }
 
--- a/packages/peers/src/link/peerServer.ts
+++ b/packages/peers/src/link/peerServer.ts
@@ -61,7 +61,7 @@
   /** The bound address, as IPv4:port. */
   get address (): string {
     const bound = this.server.address()
-    if (bound === null || typeof bound === 'string') throw new Failure('internal', 'the peer server is not listening')
+    if (bound === null || typeof bound === 'string') throw new Failure('internal', 'the peer server is not listening', { ran: 'no' })
     return `${bound.address}:${bound.port}`
   }
 
--- a/packages/peers/src/link/peerSession.ts
+++ b/packages/peers/src/link/peerSession.ts
@@ -93,7 +93,7 @@
 
   private refuseCall (req: JSONRPCRequest): void {
     if (req.id === undefined) return
-    this.channel.send(toErrorResponse(req.id, new Failure('overloaded', 'the limit of concurrent calls for this connection is reached')))
+    this.channel.send(toErrorResponse(req.id, new Failure('overloaded', 'the limit of concurrent calls for this connection is reached', { ran: 'no' })))
   }
 
   private async run (req: JSONRPCRequest, from: string): Promise<void> {
--- a/packages/rosemaryspread/src/admin/adminService.ts
+++ b/packages/rosemaryspread/src/admin/adminService.ts
@@ -51,7 +51,7 @@
     const isBootstrap = this.deps.keys.isEmpty && this.deps.bootstrapKeys.ownerOf(bearer) !== undefined
     return isBootstrap
       ? Right({ operator: BOOTSTRAP_OPERATOR, role: 'admin' })
-      : Left(new Failure('unauthorized', 'no operator has this key'))
+      : Left(new Failure('unauthorized', 'no operator has this key', { ran: 'no' }))
   }
 
   async config (version?: number): Promise<Either<Failure, ConfigAnswer>> {
--- a/packages/rosemaryspread/src/budget/budgetDriver.ts
+++ b/packages/rosemaryspread/src/budget/budgetDriver.ts
@@ -69,7 +69,7 @@
 
   confirm (reservation: Reservation): Either<Failure, void> {
     if (this.ledger.isValid(reservation.reservationId, this.parts.clock.now())) return Right(undefined)
-    return Left(new Failure('allotmentClosed', 'the allotment expired or was closed before the run started', { retryAfterMs: 1000 }))
+    return Left(new Failure('allotmentClosed', 'the allotment expired or was closed before the run started', { ran: 'no', retryAfterMs: 1000 }))
   }
 
   settle (reservation: Reservation, bill?: Bill): void {
--- a/packages/rosemaryspread/src/budget/budgetPeerCalls.ts
+++ b/packages/rosemaryspread/src/budget/budgetPeerCalls.ts
@@ -49,7 +49,7 @@
 
   private async call<T> (holder: string, method: string, request: unknown, schema: z.ZodType<T>, timeoutMs: number): Promise<Either<Failure, T>> {
     const member = this.remoteMembers().find(other => other.holder === holder)
-    if (member === undefined) return Left(new Failure('peerUnreachable', `no current member has the holder id ${holder}`))
+    if (member === undefined) return Left(new Failure('peerUnreachable', `no current member has the holder id ${holder}`, { ran: 'no' }))
     const answer = await this.parts.client.call(member.peers, method, request, timeoutMs)
     return answer.chain(value => parseAnswer(schema, value, method))
   }
--- a/packages/rosemaryspread/src/budget/budgetRecovery.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecovery.ts
@@ -64,7 +64,7 @@
 }
 
 function pendingFailure (detail: string): Failure {
-  return new Failure('budgetPending', detail)
+  return new Failure('budgetPending', detail, { ran: 'no' })
 }
 
 export class BudgetRecovery {
--- a/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
+++ b/packages/rosemaryspread/src/budget/budgetRecoveryRuns.ts
@@ -119,7 +119,7 @@
   private async list (holder: string): Promise<Either<Failure, readonly FoundRun[]>> {
     const declared = this.runners.declared()
     // Without a configuration the runners are unknown, so nothing is proved.
-    if (declared.length === 0) return Left(new Failure('budgetPending', 'the configuration declares no runner'))
+    if (declared.length === 0) return Left(new Failure('budgetPending', 'the configuration declares no runner', { ran: 'no' }))
     const found: FoundRun[] = []
     for (let from = 0; from < declared.length; from += MAX_PARALLEL_QUERIES) {
       const answers = await Promise.all(declared.slice(from, from + MAX_PARALLEL_QUERIES).map(async ({ runner, address }) =>
@@ -160,7 +160,7 @@
 function endedRuns (found: readonly FoundRun[], owner: RunOwner, budget: string): Either<Failure, readonly FoundRun[]> {
   const runs = found.filter(({ record }) => record.budget === budget && record.state !== 'sealed')
   const running = runs.filter(({ record }) => record.state === 'running').length
-  return running === 0 ? Right(runs) : Left(new Failure('budgetPending', `${running} runs of ${owner.holder} have not finished`))
+  return running === 0 ? Right(runs) : Left(new Failure('budgetPending', `${running} runs of ${owner.holder} have not finished`, { ran: 'no' }))
 }
 
 function toBill (record: RunRecord, runner: string): OwedBill['bill'] {
--- a/packages/rosemaryspread/src/budget/budgetTable.ts
+++ b/packages/rosemaryspread/src/budget/budgetTable.ts
@@ -68,7 +68,7 @@
       if (failure.code === 'platformUnavailable') return Left(failure)
       if (failure.code !== 'platformConflict') this.recordUnknownOutcome(ids, startedAt)
     }
-    return Left(new Failure('platformUnavailable', 'the transaction conflicted too often'))
+    return Left(new Failure('platformUnavailable', 'the transaction conflicted too often', { ran: 'no' }))
   }
 
   /** Whether a write of an operation may have taken effect without an answer. */
--- a/packages/rosemaryspread/src/budget/budgetTopUps.ts
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -35,7 +35,7 @@
 
   private answer (id: string, survey: BudgetSurvey): Either<Failure, BudgetAnswer> {
     const { budget, allotments } = survey
-    if (budget === undefined) return Left(new Failure('budgetUnknown', `there is no budget ${id}`))
+    if (budget === undefined) return Left(new Failure('budgetUnknown', `there is no budget ${id}`, { ran: 'no' }))
     const settled = settledTokens(survey)
     const inDoubt = allotments.filter(this.isInDoubt).reduce((sum, item) => sum + item.row.held, 0)
     const holders = allotments
--- a/packages/rosemaryspread/src/completion/completionAdmission.ts
+++ b/packages/rosemaryspread/src/completion/completionAdmission.ts
@@ -44,14 +44,14 @@
   const { team } = call.caller
   const { model, adapter, messages } = call.body
   const teamConfig = config.teams[team]
-  if (teamConfig === undefined) return Left(new Failure('forbidden', `team ${team} is not in the configuration`))
+  if (teamConfig === undefined) return Left(new Failure('forbidden', `team ${team} is not in the configuration`, { ran: 'no' }))
   const modelConfig = teamConfig.models.includes(model) ? config.models[model] : undefined
-  if (modelConfig === undefined) return Left(new Failure('unknownModel', `team ${team} may not use model ${model}`))
+  if (modelConfig === undefined) return Left(new Failure('unknownModel', `team ${team} may not use model ${model}`, { ran: 'no' }))
   if (adapter !== undefined && !modelConfig.adapters.includes(adapter)) {
-    return Left(new Failure('unknownModel', `model ${model} has no adapter ${adapter}`))
+    return Left(new Failure('unknownModel', `model ${model} has no adapter ${adapter}`, { ran: 'no' }))
   }
   const budget = resolveBudget(teamConfig.budget, call.budget)
-  if (budget === undefined) return Left(new Failure('forbidden', `team ${team} may not draw on budget ${call.budget}`))
+  if (budget === undefined) return Left(new Failure('forbidden', `team ${team} may not draw on budget ${call.budget}`, { ran: 'no' }))
   const requestedTokens = call.body.max_completion_tokens ?? call.body.max_tokens ?? modelConfig.maxTokens
   const timeoutMs = Math.min(call.timeoutMs ?? config.limits.requestTimeoutMs, config.limits.requestTimeoutMs)
   return Right({
--- a/packages/rosemaryspread/src/completion/completionFakes.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionFakes.spec.ts
@@ -95,8 +95,8 @@
         this.engines.scripts.set(address, { unreachableFrom: [this.vm] })
         return Left(new Failure('runnerUnreachable', 'reset', { ran: 'unknown' }))
       }
-      if (existing?.state === 'sealed') return Left(new Failure('runnerRefused', 'sealed'))
-      if (existing !== undefined && existing.req.digest !== req.digest) return Left(new Failure('keyReused', 'another body'))
+      if (existing?.state === 'sealed') return Left(new Failure('runnerRefused', 'sealed', { ran: 'no' }))
+      if (existing !== undefined && existing.req.digest !== req.digest) return Left(new Failure('keyReused', 'another body', { ran: 'no' }))
       const run = existing ?? { req, state: 'running' as const }
       runs.set(req.requestId, run)
       const script = this.engines.script(address)
@@ -111,7 +111,7 @@
   async resume (address: string, requestId: string, sequence: number): Promise<Either<Failure, EngineStream>> {
     return await this.whenReachable(address, async () => {
       const run = this.engines.at(address).get(requestId)
-      if (run === undefined || run.state === 'sealed') return Left(new Failure('runnerRefused', 'unknown run'))
+      if (run === undefined || run.state === 'sealed') return Left(new Failure('runnerRefused', 'unknown run', { ran: 'no' }))
       return Right(this.stream(address, run, Math.max(0, sequence - (this.engines.script(address).overlap ?? 0))))
     })
   }
@@ -128,7 +128,7 @@
     return await this.whenReachable(address, async () => {
       const run = this.engines.at(address).get(requestId)
       if (run?.state === 'running') run.state = 'cancelled'
-      return this.record(address, requestId).toEither(new Failure('notFound', 'unknown run'))
+      return this.record(address, requestId).toEither(new Failure('notFound', 'unknown run', { ran: 'no' }))
     })
   }
 
@@ -143,11 +143,11 @@
   }
 
   async load (): Promise<Either<Failure, LoadReport>> {
-    return Left(new Failure('runnerUnreachable', 'no load'))
+    return Left(new Failure('runnerUnreachable', 'no load', { ran: 'no' }))
   }
 
   async cacheEvents (): Promise<Either<Failure, CacheEvents>> {
-    return Left(new Failure('runnerUnreachable', 'no events'))
+    return Left(new Failure('runnerUnreachable', 'no events', { ran: 'no' }))
   }
 
   async order (): Promise<Either<Failure, void>> {
@@ -163,7 +163,7 @@
 
   private async whenReachable<T> (address: string, work: () => Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
     const { unreachableFrom: from } = this.engines.script(address)
-    if (from === 'all' || from?.includes(this.vm) === true) return Left(new Failure('runnerUnreachable', 'no connection'))
+    if (from === 'all' || from?.includes(this.vm) === true) return Left(new Failure('runnerUnreachable', 'no connection', { ran: 'no' }))
     return await work()
   }
 
@@ -224,7 +224,7 @@
   async route (admitted: AdmittedCompletion, exclude: readonly string[]): Promise<Either<RouteRefusal, RoutedRunner>> {
     const usable = this.runners.filter(({ runner }) => !exclude.includes(runner))
     const choice = usable.find(({ runner }) => !this.believedDown.includes(runner))
-    if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { retryAfterMs: 100 }), lookupRunners: admitted.keyed ? this.runners : [] })
+    if (choice === undefined) return Left({ failure: new Failure('noRunner', 'none', { ran: 'no', retryAfterMs: 100 }), lookupRunners: admitted.keyed ? this.runners : [] })
     this.open += 1
     const run = { streamOpened: () => {}, leaving: () => { this.reportedLeaving.push(choice.runner) }, firstToken: () => {}, ended: () => { this.open -= 1 } }
     return Right({ run, choice, runnersToSeal: admitted.keyed ? usable.slice(0, usable.indexOf(choice)) : [] })
--- a/packages/rosemaryspread/src/completion/completionPlanner.ts
+++ b/packages/rosemaryspread/src/completion/completionPlanner.ts
@@ -97,7 +97,7 @@
 
 /** Failure for an idempotency key that is reused with a different body. */
 export function keyReusedFailure (): Failure {
-  return new Failure('keyReused', 'the Idempotency-Key was used with another body')
+  return new Failure('keyReused', 'the Idempotency-Key was used with another body', { ran: 'no' })
 }
 
 function planJoin (admitted: AdmittedCompletion, { runner, record }: ExistingRun): Either<Failure, PlannedRun> {
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -77,8 +77,8 @@
 
   const refusals = [
     { name: 'a draining VM', arrange: (vm: FakeVm) => { vm.work.draining = true }, code: 'draining' as const },
-    { name: 'a spent budget', arrange: (vm: FakeVm) => { vm.budgets.refuse = new Failure('budgetSpent', 'spent') }, code: 'budgetSpent' as const },
-    { name: 'an allotment that expired while the VM was paused', arrange: (vm: FakeVm) => { vm.budgets.confirmFailure = new Failure('allotmentClosed', 'expired') }, code: 'allotmentClosed' as const }
+    { name: 'a spent budget', arrange: (vm: FakeVm) => { vm.budgets.refuse = new Failure('budgetSpent', 'spent', { ran: 'no' }) }, code: 'budgetSpent' as const },
+    { name: 'an allotment that expired while the VM was paused', arrange: (vm: FakeVm) => { vm.budgets.confirmFailure = new Failure('allotmentClosed', 'expired', { ran: 'no' }) }, code: 'allotmentClosed' as const }
   ]
   for (const { name, arrange, code } of refusals) {
     it(`is refused without dispatch for ${name}`, async () => {
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -73,10 +73,10 @@
 
   private activeConfig (): Either<Failure, VersionedConfig> {
     if (this.deps.work.draining) {
-      return Left(new Failure('draining', 'this VM is draining; use another address', { retryAfterMs: DRAINING_RETRY_MS }))
+      return Left(new Failure('draining', 'this VM is draining; use another address', { ran: 'no', retryAfterMs: DRAINING_RETRY_MS }))
     }
     return this.deps.config.current()
-      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { ran: 'no', retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
   private async runOrJoin (completion: OpenCompletion): Promise<Either<Failure, void>> {
@@ -124,7 +124,7 @@
       if (delayMs === null) break
       await pause(delayMs)
     }
-    return Left(lastFailure ?? new Failure('noRunner', 'no runner accepted the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+    return Left(lastFailure ?? new Failure('noRunner', 'no runner accepted the request', { ran: 'no', retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
   /** Milliseconds until the next attempt; null when there is none. */
--- a/packages/rosemaryspread/src/compose/vmProcess.ts
+++ b/packages/rosemaryspread/src/compose/vmProcess.ts
@@ -46,7 +46,7 @@
       await this.container.get(ids.adminServer).listen(settings.listen.operators)
       await this.container.get(ids.callerServer).listen(settings.listen.callers)
     } catch (err) {
-      return Left(new Failure('settingsInvalid', `cannot listen on the configured addresses: ${toFailure(err).message}`))
+      return Left(new Failure('settingsInvalid', `cannot listen on the configured addresses: ${toFailure(err).message}`, { ran: 'no' }))
     }
     this.log.write('started', { ...identity })
     this.startTimers()
--- a/packages/rosemaryspread/src/config/configPatcher.ts
+++ b/packages/rosemaryspread/src/config/configPatcher.ts
@@ -102,7 +102,7 @@
   }
 
   #prepare (read: ReadAnswer, at: number): Either<Failure, PreparedPatch> {
-    if (read.rows[1] != null) return Left(new Failure('patchIdReused', `patch id '${this.req.patchId}' belongs to another patch`))
+    if (read.rows[1] != null) return Left(new Failure('patchIdReused', `patch id '${this.req.patchId}' belongs to another patch`, { ran: 'no' }))
     return this.reader.parseCurrentRow(read.rows[0] ?? null)
       .chain(ref => this.#resolveBase(ref))
       .chain(base => preparePatch(base, this.req.patch, at))
@@ -111,11 +111,11 @@
   #resolveBase (ref: VersionRef): Either<Failure, VerifiedConfig> {
     const current = this.inForce()
     if (ref.version !== this.req.base) {
-      return Left(new Failure('configConflict', `the patch is based on version ${this.req.base}, the current version is ${ref.version}`))
+      return Left(new Failure('configConflict', `the patch is based on version ${this.req.base}, the current version is ${ref.version}`, { ran: 'no' }))
     }
     if (current?.version === ref.version && current.digest === ref.digest) return Right(current)
     const detail = `version ${ref.version} is not in force on this VM yet`
-    return Left(new Failure('configNotLoaded', detail, { retryAfterMs: RETRY_AFTER_MS }))
+    return Left(new Failure('configNotLoaded', detail, { ran: 'no', retryAfterMs: RETRY_AFTER_MS }))
   }
 
   #toAccepted (outcome: AppliedTransaction): Either<Failure, AcceptedPatch> {
@@ -136,9 +136,9 @@
     case 'platformOutcomeUnknown':
       return new Failure('platformOutcomeUnknown', `${message}; send the patch again under the same patch id`, { ran: 'unknown', retryAfterMs: RETRY_AFTER_MS, errors })
     case 'platformConflict':
-      return new Failure('platformUnavailable', message, { retryAfterMs: RETRY_AFTER_MS })
+      return new Failure('platformUnavailable', message, { ran: 'no', retryAfterMs: RETRY_AFTER_MS })
     case 'platformUnavailable':
-      return new Failure('platformUnavailable', message, { retryAfterMs: RETRY_AFTER_MS })
+      return new Failure('platformUnavailable', message, { ran: 'no', retryAfterMs: RETRY_AFTER_MS })
     default:
       return failure
   }
--- a/packages/rosemaryspread/src/config/configPropagation.ts
+++ b/packages/rosemaryspread/src/config/configPropagation.ts
@@ -53,7 +53,7 @@
 function parseParams<T> (schema: z.ZodType<T>, params: unknown): T {
   const result = schema.safeParse(params)
   if (result.success) return result.data
-  throw new Failure('badRequest', result.error.message)
+  throw new Failure('badRequest', result.error.message, { ran: 'no' })
 }
 
 /** Configuration propagation of one VM. */
--- a/packages/rosemaryspread/src/config/configReader.ts
+++ b/packages/rosemaryspread/src/config/configReader.ts
@@ -26,7 +26,7 @@
   const result = schema.safeParse(row.value)
   if (result.success) return Right(result.data)
   const errors = result.error.issues.map(issue => `/${issue.path.join('/')}: ${issue.message}`)
-  return Left(new Failure('configInvalid', `row ${row.table}/${row.key} is malformed`, { errors }))
+  return Left(new Failure('configInvalid', `row ${row.table}/${row.key} is malformed`, { ran: 'no', errors }))
 }
 
 export class ConfigReader {
@@ -67,7 +67,7 @@
   async row (version: number): Promise<Either<Failure, VersionRow>> {
     const answer = await this.table.read([{ table: VERSION_TABLE, key: versionKey(version) }])
     return answer.chain(({ rows }) => rows[0] == null
-      ? Left(new Failure('notFound', `there is no version ${version}`))
+      ? Left(new Failure('notFound', `there is no version ${version}`, { ran: 'no' }))
       : parseRow(versionRowSchema, rows[0]))
   }
 
@@ -86,7 +86,7 @@
       const rows = page.chain(answer => parseAll(answer.rows))
       if (rows.isLeft()) return rows
       const read = rows.unsafeCoerce().filter(row => row.version <= upTo)
-      if (read.length === 0) return Left(new Failure('platformUnavailable', `version ${last + 1} cannot be read yet`))
+      if (read.length === 0) return Left(new Failure('platformUnavailable', `version ${last + 1} cannot be read yet`, { ran: 'no' }))
       found.push(...read)
       last = read.at(-1)?.version ?? upTo
     }
@@ -122,9 +122,9 @@
       if (confirmed.isRight()) return answer
       const failure = confirmed.extract() as Failure
       const isRetryable = failure.code === 'platformConflict' || failure.code === 'platformOutcomeUnknown'
-      if (!isRetryable) return Left(new Failure('platformUnavailable', failure.message))
+      if (!isRetryable) return Left(new Failure('platformUnavailable', failure.message, { ran: 'no' }))
     }
-    return Left(new Failure('platformUnavailable', 'no read of the table could be confirmed'))
+    return Left(new Failure('platformUnavailable', 'no read of the table could be confirmed', { ran: 'no' }))
   }
 
   async scan (req: ScanRequest): Promise<Either<Failure, ScanAnswer>> {
--- a/packages/rosemaryspread/src/config/configSnapshots.ts
+++ b/packages/rosemaryspread/src/config/configSnapshots.ts
@@ -114,6 +114,6 @@
   try {
     return Right(schema.parse(JSON.parse(bytes.toString('utf8'))))
   } catch {
-    return Left(new Failure('configInvalid', `object ${name} is malformed`))
+    return Left(new Failure('configInvalid', `object ${name} is malformed`, { ran: 'no' }))
   }
 }
--- a/packages/rosemaryspread/src/config/configStore.ts
+++ b/packages/rosemaryspread/src/config/configStore.ts
@@ -76,7 +76,7 @@
     if (this.inForce === undefined) await this.#fetcher.loadSnapshot()
     const held = this.inForce
     if (held !== undefined) return Right(held)
-    return Left(new Failure('configNotLoaded', outcome.swap().map(failure => failure.message).orDefault('no version could be verified')))
+    return Left(new Failure('configNotLoaded', outcome.swap().map(failure => failure.message).orDefault('no version could be verified'), { ran: 'no' }))
   }
 
   /**
@@ -150,7 +150,7 @@
     const held = this.inForce
     if (version === undefined || version === held?.version) {
       if (held !== undefined) return Right({ version: held.version, config: held.config })
-      return Left(new Failure('configNotLoaded', 'no configuration is in force on this VM yet'))
+      return Left(new Failure('configNotLoaded', 'no configuration is in force on this VM yet', { ran: 'no' }))
     }
     return (await this.#versions.at(version)).map(found => ({ version, config: found.config }))
   }
@@ -210,6 +210,6 @@
     await this.refresh()
     const changes = await this.#versions.changesSince(req.base, this.inForce?.version ?? 0)
     const detail = changes.length === 0 ? failure.message : `${failure.message}; since then: ${changes.join('; ')}`
-    return new Failure('configConflict', detail, { errors: changes })
+    return new Failure('configConflict', detail, { ran: 'no', errors: changes })
   }
 }
--- a/packages/rosemaryspread/src/config/configVersions.ts
+++ b/packages/rosemaryspread/src/config/configVersions.ts
@@ -78,7 +78,7 @@
 
   async #replayBase (version: number): Promise<VerifiedConfig> {
     const whole = await this.#periodicSnapshot(version)
-    return whole.toEither(new Failure('notFound', 'no snapshot')).chain(verifyDocument).orDefault(this.initial)
+    return whole.toEither(new Failure('notFound', 'no snapshot', { ran: 'no' })).chain(verifyDocument).orDefault(this.initial)
   }
 }
 
--- a/packages/rosemaryspread/src/directory/callerDirectory.ts
+++ b/packages/rosemaryspread/src/directory/callerDirectory.ts
@@ -36,7 +36,7 @@
   authenticate (bearer: string): Either<Failure, CallerIdentity> {
     if (this.deps.config.current().isNothing()) return Left(configNotLoadedFailure())
     const team = this.deps.keys.ownerOf(bearer)
-    return team === undefined ? Left(new Failure('unauthorized', 'the key belongs to no team')) : Right({ team })
+    return team === undefined ? Left(new Failure('unauthorized', 'the key belongs to no team', { ran: 'no' })) : Right({ team })
   }
 
   models (caller: CallerIdentity): readonly string[] {
@@ -54,13 +54,13 @@
 
   async usage (caller: CallerIdentity): Promise<Either<Failure, UsageAnswer>> {
     const budget = this.config()?.teams[caller.team]?.budget
-    if (budget === undefined) return Left(new Failure('forbidden', `team ${caller.team} is not in the configuration`))
+    if (budget === undefined) return Left(new Failure('forbidden', `team ${caller.team} is not in the configuration`, { ran: 'no' }))
     const answer = await this.deps.budgets.show(budget)
     return answer.map(({ paid, spent, allotted }) => ({ team: caller.team, budget, paid, spent, allotted }))
   }
 
   ready (): Either<Failure, void> {
-    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining', { retryAfterMs: NOT_READY_RETRY_MS }))
+    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining', { ran: 'no', retryAfterMs: NOT_READY_RETRY_MS }))
     return this.deps.config.current().isNothing() ? Left(configNotLoadedFailure()) : Right(undefined)
   }
 
@@ -74,5 +74,5 @@
 }
 
 function configNotLoadedFailure (): Failure {
-  return new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NOT_READY_RETRY_MS })
+  return new Failure('configNotLoaded', 'no configuration is in force yet', { ran: 'no', retryAfterMs: NOT_READY_RETRY_MS })
 }
--- a/packages/rosemaryspread/src/gateway/budgetDriverFactory.spec.ts
+++ b/packages/rosemaryspread/src/gateway/budgetDriverFactory.spec.ts
@@ -36,7 +36,7 @@
         clock: new SteadyClock(),
         log: { write: () => {} },
         fleet: { members: () => [], peers: () => [], size: 1 },
-        call: async () => Left(new Failure('peerUnreachable', 'there is no other VM')),
+        call: async () => Left(new Failure('peerUnreachable', 'there is no other VM', { ran: 'no' })),
         declared: () => ({ tokens: 100_000, version: 1 })
       })
       const ticking = setInterval(() => { budgets.tick() }, 10)
--- a/packages/rosemaryspread/src/gateway/callAdmission.ts
+++ b/packages/rosemaryspread/src/gateway/callAdmission.ts
@@ -102,7 +102,7 @@
     if (outcome.kind !== 'waits') return
     this.deps.metrics.count('admission_waits')
     pending.wait(outcome.latestStart - this.now, () => { this.advance(service) }, () => {
-      if (admission.remove(request)) pending.settle(Left(new Failure('callerGone', 'the caller closed the connection while the call waited')))
+      if (admission.remove(request)) pending.settle(Left(new Failure('callerGone', 'the caller closed the connection while the call waited', { ran: 'no' })))
     })
     if (this.isDraining) this.drain()
   }
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -233,7 +233,7 @@
       sink.whole(failedAnswer.head, failedAnswer.body)
       return this.deps.report.answered(open, 'failed')
     }
-    return Left(open.stopped ?? this.serviceRefusal(open) ?? open.lastFailure ?? failure ?? new Failure('internal', 'the call ended without an attempt or a failure'))
+    return Left(open.stopped ?? this.serviceRefusal(open) ?? open.lastFailure ?? failure ?? new Failure('internal', 'the call ended without an attempt or a failure', { ran: 'no' }))
   }
 
   /** For a call that did not run: why no other target accepts it, which determines its Retry-After. */
--- a/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayAdmission.ts
@@ -24,11 +24,11 @@
 export function admitCall (call: GatewayCall, prepared: PreparedConfig, random: number): Either<Failure, AdmittedCall> {
   const { config, routes, keys } = prepared
   const route = routes.find(call.host, call.path)
-  if (route === undefined) return Left(new Failure('notFound', 'no route for this host and path'))
+  if (route === undefined) return Left(new Failure('notFound', 'no route for this host and path', { ran: 'no' }))
   const team = call.key === undefined ? undefined : keys.ownerOf(call.key)
-  if (team === undefined && !route.isOpen) return Left(new Failure('unauthorized', 'the key is missing or belongs to no team'))
+  if (team === undefined && !route.isOpen) return Left(new Failure('unauthorized', 'the key is missing or belongs to no team', { ran: 'no' }))
   const service = chooseService(route.services, random)
-  if (service === undefined) return Left(new Failure('noRunner', 'the route has no service', { retryAfterMs: NO_SERVICE_RETRY_MS }))
+  if (service === undefined) return Left(new Failure('noRunner', 'the route has no service', { ran: 'no', retryAfterMs: NO_SERVICE_RETRY_MS }))
   const { tokensPerEvent = 1, warmUpPerS } = config.services[service] ?? {}
   const teamConfig = team === undefined ? undefined : config.teams[team]
   const promptParts = call.promptParts.slice(0, -1)
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -102,12 +102,12 @@
 
   private refusalFor (service: string, { targets, pausesMs }: AvailableTargets): Failure | undefined {
     if (this.parts.targets.isEvacuated(service)) {
-      return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { retryAfterMs: EVACUATED_RETRY_MS })
+      return new Failure('domainsEvacuated', 'all targets of the service are in evacuated failure domains', { ran: 'no', retryAfterMs: EVACUATED_RETRY_MS })
     }
     if (targets.length > 0 || pausesMs.length === 0) return undefined
     // Each caller gets the end of a random target's pause, so that not all of them retry at the earliest one.
     const retryAfterMs = pausesMs[Math.floor(this.parts.random.next() * pausesMs.length)]
-    return new Failure('targetsPaused', 'all targets of the service have paused this VM', { retryAfterMs })
+    return new Failure('targetsPaused', 'all targets of the service have paused this VM', { ran: 'no', retryAfterMs })
   }
 
   private limitPlaces ({ id, service }: TargetChoice['target'], refusalLimit: number): void {
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -137,7 +137,7 @@
   { name: 'a truncated stream that may be resumed', route: resumable, scripts: [{ head: OK, pieces: [`${event(1)}id: 2`], end: cutShort }, { head: OK, pieces: [event(2)] }], end: 'end', text: event(1) + event(2), sends: 2, billed: 106 },
   { name: 'a target that does not answer within the timeout of the route', route: { timeoutMs: 30 }, scripts: [], end: 'deadlineExceeded unknown', sends: 1 },
   { name: 'a caller that disconnected before anything was sent', route: stream, scripts: [], gone: true, end: 'callerGone unknown', sends: 0 },
-  { name: 'an exhausted budget', scripts: [], refusal: new Failure('budgetSpent', 'spent'), end: 'budgetSpent no', sends: 0 }
+  { name: 'an exhausted budget', scripts: [], refusal: new Failure('budgetSpent', 'spent', { ran: 'no' }), end: 'budgetSpent no', sends: 0 }
 ]
 
 function callOf (gone: AbortSignal): GatewayCall {
@@ -233,7 +233,7 @@
     const client = new FakeClient([lost])
     const budgets = new FakeBudgets()
     const sink = new FakeSink()
-    budgets.confirmations = [Right(undefined), Left(new Failure('allotmentClosed', 'closed'))]
+    budgets.confirmations = [Right(undefined), Left(new Failure('allotmentClosed', 'closed', { ran: 'no' }))]
     await pipelineOf(client, budgets, { repeat: 'always' }).pipeline.serve({ ...callOf(new AbortController().signal), key: 'k' }, sink)
     expect([sink.ends, client.sent.length]).to.deep.equal([['runnerUnreachable unknown'], 1])
   })
@@ -241,7 +241,7 @@
   it('sends nothing if the allotment closed while the call waited', async () => {
     const client = new FakeClient([])
     const budgets = new FakeBudgets()
-    budgets.confirmations = [Left(new Failure('allotmentClosed', 'closed'))]
+    budgets.confirmations = [Left(new Failure('allotmentClosed', 'closed', { ran: 'no' }))]
     const sink = new FakeSink()
     await pipelineOf(client, budgets, {}).pipeline.serve({ ...callOf(new AbortController().signal), key: 'k' }, sink)
     expect([sink.ends, client.sent.length]).to.deep.equal([['allotmentClosed no'], 0])
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -61,7 +61,7 @@
   private admit (call: GatewayCall): Either<Failure, AdmittedCall> {
     const prepared = this.deps.config.current()
     if (prepared === undefined) {
-      return Left(new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+      return Left(new Failure('configNotLoaded', 'no configuration is in force yet', { ran: 'no', retryAfterMs: NO_CONFIG_RETRY_MS }))
     }
     return admitCall(call, prepared, this.deps.random.next())
   }
--- a/packages/rosemaryspread/src/membership/leaseDriver.ts
+++ b/packages/rosemaryspread/src/membership/leaseDriver.ts
@@ -160,7 +160,7 @@
   }
 
   private lost (): Failure {
-    return new Failure('leaseLost', `this process does not hold the lease of role ${this.options.role}`)
+    return new Failure('leaseLost', `this process does not hold the lease of role ${this.options.role}`, { ran: 'no' })
   }
 
   private now (): Instant {
--- a/packages/rosemaryspread/src/membership/membershipTable.fixture.ts
+++ b/packages/rosemaryspread/src/membership/membershipTable.fixture.ts
@@ -23,8 +23,8 @@
   }
 
   async transact ({ checks, writes }: Transaction): Promise<Either<Failure, TransactAnswer>> {
-    if (this.down) return Left(new Failure('platformUnavailable', 'down'))
-    if (!checks.every(check => this.holds(check))) return Left(new Failure('platformConflict', 'conflict'))
+    if (this.down) return Left(new Failure('platformUnavailable', 'down', { ran: 'no' }))
+    if (!checks.every(check => this.holds(check))) return Left(new Failure('platformConflict', 'conflict', { ran: 'no' }))
     this.version += 1
     for (const write of writes) this.put(write)
     if (this.loseAnswers === 0) return Right({ version: this.version, now: this.now })
@@ -37,7 +37,7 @@
   }
 
   private whenUp<T> (answer: () => T): Either<Failure, T> {
-    return this.down ? Left(new Failure('platformUnavailable', 'down')) : Right(answer())
+    return this.down ? Left(new Failure('platformUnavailable', 'down', { ran: 'no' })) : Right(answer())
   }
 
   private holds (check: RowCheck): boolean {
--- a/packages/rosemaryspread/src/placement/placementDriver.spec.ts
+++ b/packages/rosemaryspread/src/placement/placementDriver.spec.ts
@@ -49,7 +49,7 @@
   get lease (): PlacementLease {
     return {
       mayAct: () => this.fencing !== undefined,
-      fencing: () => this.fencing === undefined ? Left(new Failure('leaseLost', '')) : Right(this.fencing)
+      fencing: () => this.fencing === undefined ? Left(new Failure('leaseLost', '', { ran: 'no' })) : Right(this.fencing)
     }
   }
 
@@ -120,11 +120,11 @@
 
   const outcomes: ReadonlyArray<readonly [string, Either<Failure, void>, object]> = [
     ['done', Right(undefined), { kind: 'done' }],
-    ['old fencing number', Left(new Failure('leaseLost', '')), { kind: 'oldFencing' }],
+    ['old fencing number', Left(new Failure('leaseLost', '', { ran: 'no' })), { kind: 'oldFencing' }],
     ['no connection', Left(new Failure('runnerUnreachable', '', { ran: 'no' })), { kind: 'notSent' }],
     ['lost response', Left(new Failure('runnerUnreachable', '', { ran: 'unknown' })), { kind: 'unknown' }],
-    ['weight store over its rate limit', Left(new Failure('runnerRefused', 'status 429', { retryAfterMs: 7_000 })), { kind: 'refused', retryAfterMs: 7_000 }],
-    ['no such weights', Left(new Failure('runnerRefused', 'status 404')), { kind: 'refused' }],
+    ['weight store over its rate limit', Left(new Failure('runnerRefused', 'status 429', { ran: 'no', retryAfterMs: 7_000 })), { kind: 'refused', retryAfterMs: 7_000 }],
+    ['no such weights', Left(new Failure('runnerRefused', 'status 404', { ran: 'no' })), { kind: 'refused' }],
     ['engine fault', Left(new Failure('runnerRefused', 'status 500', { ran: 'unknown' })), { kind: 'unknown' }]
   ]
   for (const [name, answer, outcome] of outcomes) {
--- a/packages/rosemaryspread/src/presence/fleetKey.ts
+++ b/packages/rosemaryspread/src/presence/fleetKey.ts
@@ -20,7 +20,7 @@
   const found = read.unsafeCoerce().rows[0]
   if (found === null || found === undefined) return await createKey(table)
   const row = keyRowSchema.safeParse(found.value)
-  return row.success ? Right(row.data.secret) : Left(new Failure('internal', 'the stored row of the fleet key is malformed'))
+  return row.success ? Right(row.data.secret) : Left(new Failure('internal', 'the stored row of the fleet key is malformed', { ran: 'no' }))
 }
 
 async function createKey (table: TableStore): Promise<Either<Failure, string>> {
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -80,7 +80,7 @@
    * @param onLate - receives a result that arrives after the timeout
    */
   async call (address: string, method: string, params: unknown, timeoutMs: number, onLate?: LateResponseHandler): Promise<Either<Failure, unknown>> {
-    if (this.client === undefined) return Left(new Failure('peerUnreachable', 'the links of this VM are not open'))
+    if (this.client === undefined) return Left(new Failure('peerUnreachable', 'the links of this VM are not open', { ran: 'no' }))
     return await this.client.call(address, method, params, timeoutMs, onLate)
   }
 
--- a/packages/rosemaryspread/src/presence/vmPresence.spec.ts
+++ b/packages/rosemaryspread/src/presence/vmPresence.spec.ts
@@ -132,7 +132,7 @@
       for (let beat = 2; clock.mono < afterMs; beat += 1) {
         clock.mono += 500
         presence.tick()
-        if (isFeedDown) feed.handler?.failed(new Failure('platformUnavailable', 'no connection'))
+        if (isFeedDown) feed.handler?.failed(new Failure('platformUnavailable', 'no connection', { ran: 'no' }))
         else feed.handler?.changed(others.slice(ended).map(vm => row(vm, '1', beat)))
       }
       expect(presence.addresses({ caller: 'c' })).to.have.length(advertised)
--- a/packages/rosemaryspread/src/quarantine/quarantineSync.spec.ts
+++ b/packages/rosemaryspread/src/quarantine/quarantineSync.spec.ts
@@ -51,7 +51,7 @@
       read: async () => Right({ rows: [], now: 0 }),
       scan: async () => Right({ rows: [], now: 0 }),
       transact: async ({ writes }): Promise<Either<Failure, TransactAnswer>> => {
-        if (this.isDown) return Left(new Failure('platformUnavailable', 'down'))
+        if (this.isDown) return Left(new Failure('platformUnavailable', 'down', { ran: 'no' }))
         this.written.push(...writes)
         return Right({ version: 1, now: 0 })
       }
--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -222,7 +222,7 @@
     const target = new FakeTargetClient(undefined, Array.from({ length: 1_000 }, () => 'x'))
     const fleet = new RelayFleet([target])
     const answer = (await fleet.send()).unsafeCoerce()
-    const failure = await answer.read(() => { throw new Failure('answerCut', 'too large') }).then(() => undefined, toFailure)
+    const failure = await answer.read(() => { throw new Failure('answerCut', 'too large', { ran: 'no' }) }).then(() => undefined, toFailure)
     await pause(20)
     expect([failure?.message, target.stops, fleet.open]).to.deep.equal(['too large', 1, 0])
   })
--- a/packages/rosemaryspread/src/relay/relayServer.ts
+++ b/packages/rosemaryspread/src/relay/relayServer.ts
@@ -45,9 +45,9 @@
   private async send (params: unknown, from: string): Promise<unknown> {
     const { exchange: id, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
     const { client, work, metrics } = this.parts
-    if (work.draining) throw new Failure('draining', 'this VM is draining')
+    if (work.draining) throw new Failure('draining', 'this VM is draining', { ran: 'no' })
     const key = keyOf(id, from)
-    if (this.cancelledEarly.has(key)) throw new Failure('callerGone', 'the request was cancelled before it arrived')
+    if (this.cancelledEarly.has(key)) throw new Failure('callerGone', 'the request was cancelled before it arrived', { ran: 'no' })
     metrics.count('calls_relayed_for_others')
     const exchange = this.open(key)
     let report: TargetReport | undefined
--- a/packages/rosemaryspread/src/routing/routingQueue.spec.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.spec.ts
@@ -9,8 +9,8 @@
 import { RouteQueues, type RouteAttempt } from './routingQueue.js'
 
 const FREE: RouteAttempt = { kind: 'routed', routed: { choice: { runner: 'r', address: 'r' }, runnersToSeal: [], run: { streamOpened: () => {}, leaving: () => {}, firstToken: () => {}, ended: () => {} } } }
-const FULL: RouteAttempt = { kind: 'full', refusal: { failure: new Failure('overloaded', 'full'), lookupRunners: [] } }
-const NONE: RouteAttempt = { kind: 'refused', refusal: { failure: new Failure('noRunner', 'none'), lookupRunners: [] } }
+const FULL: RouteAttempt = { kind: 'full', refusal: { failure: new Failure('overloaded', 'full', { ran: 'no' }), lookupRunners: [] } }
+const NONE: RouteAttempt = { kind: 'refused', refusal: { failure: new Failure('noRunner', 'none', { ran: 'no' }), lookupRunners: [] } }
 
 /** Queues in front of one model with a scripted runner. */
 class QueueUnderTest {
--- a/packages/rosemaryspread/src/routing/routingQueue.ts
+++ b/packages/rosemaryspread/src/routing/routingQueue.ts
@@ -115,7 +115,7 @@
 
   private withdraw (queue: FairQueue<WaitingRequest>, item: QueueItem<WaitingRequest>): void {
     if (!queue.remove(item.id)) return
-    item.value.resolve(Left(refusalFor(item.value.admitted, new Failure('callerGone', 'the caller closed the connection while the request was queued'))))
+    item.value.resolve(Left(refusalFor(item.value.admitted, new Failure('callerGone', 'the caller closed the connection while the request was queued', { ran: 'no' }))))
   }
 
   private queueFor (model: string): FairQueue<WaitingRequest> {
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -76,9 +76,9 @@
   }
 
   private check (call: ServiceCall): Either<Failure, CheckedCall> {
-    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining; use another address', { retryAfterMs: NOT_READY_RETRY_MS }))
+    if (this.deps.work.draining) return Left(new Failure('draining', 'this VM is draining; use another address', { ran: 'no', retryAfterMs: NOT_READY_RETRY_MS }))
     return this.deps.config.current()
-      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NOT_READY_RETRY_MS }))
+      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { ran: 'no', retryAfterMs: NOT_READY_RETRY_MS }))
       .chain(({ config }) => this.checkAgainst(call, config))
   }
 
@@ -86,10 +86,10 @@
     const { caller, idempotencyKey } = call
     const allowed = config.teams[caller.team]?.services.includes(call.service) === true
     const service = allowed ? config.services[call.service] : undefined
-    if (service === undefined) return Left(new Failure('notFound', `team ${caller.team} has no service ${call.service}`))
+    if (service === undefined) return Left(new Failure('notFound', `team ${caller.team} has no service ${call.service}`, { ran: 'no' }))
     const repeatable = isRepeatable(service, call.method, call.path)
     if (!repeatable && idempotencyKey === undefined) {
-      return Left(new Failure('keyRequired', 'this call must not be repeated: send an Idempotency-Key'))
+      return Left(new Failure('keyRequired', 'this call must not be repeated: send an Idempotency-Key', { ran: 'no' }))
     }
     return Right({
       call,
@@ -134,7 +134,7 @@
   private async dispatchClaimed (checked: CheckedCall, claim: AcquiredClaim, sentAt: Instant): Promise<Either<Failure, ServiceAnswer>> {
     if (elapsedMs(sentAt, this.deps.clock.now()) > MAX_CLAIM_AGE_MS) {
       this.deps.background.abandon(claim)
-      return Left(new Failure('notClaimed', 'the claim took too long and was abandoned', { retryAfterMs: IN_PROGRESS_RETRY_MS }))
+      return Left(new Failure('notClaimed', 'the claim took too long and was abandoned', { ran: 'no', retryAfterMs: IN_PROGRESS_RETRY_MS }))
     }
     const answer = await this.dispatch(checked)
     answer.caseOf({
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -85,7 +85,7 @@
   private async claimExisting (newRow: ClaimRow, row: Row): Promise<Either<Failure, ClaimOutcome>> {
     const parsed = claimRowSchema.safeParse(row.value)
     if (!parsed.success) return Left(notClaimed('the claim row is malformed'))
-    if (parsed.data.digest !== newRow.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body'))
+    if (parsed.data.digest !== newRow.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body', { ran: 'no' }))
     if (parsed.data.nonce === newRow.nonce) return Right(acquired(newRow, row.version))
     if (parsed.data.state !== 'abandoned') return Right({ kind: 'found', row: parsed.data })
     const rewritten = await this.write(newRow, row.version)
@@ -111,7 +111,7 @@
         const parsed = claimRowSchema.safeParse(stored?.value)
         const isOurs = parsed.success && parsed.data.nonce === row.nonce && parsed.data.state === row.state
         if (isOurs && stored !== undefined) return Right(stored.version)
-        return Left(stored === undefined ? notClaimed('the claim was not written') : new Failure('platformConflict', 'another attempt claimed the request'))
+        return Left(stored === undefined ? notClaimed('the claim was not written') : new Failure('platformConflict', 'another attempt claimed the request', { ran: 'no' }))
       })
   }
 
@@ -126,5 +126,5 @@
 }
 
 function notClaimed (detail: string): Failure {
-  return new Failure('notClaimed', detail, { retryAfterMs: TABLE_RETRY_MS })
+  return new Failure('notClaimed', detail, { ran: 'no', retryAfterMs: TABLE_RETRY_MS })
 }
--- a/packages/rosemaryspread/src/service/serviceRoute.ts
+++ b/packages/rosemaryspread/src/service/serviceRoute.ts
@@ -84,11 +84,11 @@
 export function chooseServiceRunner (service: ServiceConfig, domain: string, load: ServiceLoad, exclude: readonly string[], mono: number): Either<Failure, ServiceChoice> {
   const active = Object.entries(service.runners)
     .filter(([runner, { state }]) => state === 'active' && !exclude.includes(runner))
-  if (active.length === 0) return Left(new Failure('noRunner', 'no application runner is left to try', { retryAfterMs: NO_RUNNER_RETRY_MS }))
+  if (active.length === 0) return Left(new Failure('noRunner', 'no application runner is left to try', { ran: 'no', retryAfterMs: NO_RUNNER_RETRY_MS }))
   const pauseMs = Math.min(...active.map(([runner]) => load.pauseMs(runner, mono)))
-  if (pauseMs > 0) return Left(new Failure('targetsPaused', 'every application runner has paused this VM', { retryAfterMs: pauseMs }))
+  if (pauseMs > 0) return Left(new Failure('targetsPaused', 'every application runner has paused this VM', { ran: 'no', retryAfterMs: pauseMs }))
   const free = active.filter(([runner]) => load.pauseMs(runner, mono) === 0).filter(([runner, { maxInFlight }]) => load.of(runner) < maxInFlight)
-  if (free.length === 0) return Left(new Failure('overloaded', 'every application runner is full', { retryAfterMs: ALL_FULL_RETRY_MS }))
+  if (free.length === 0) return Left(new Failure('overloaded', 'every application runner is full', { ran: 'no', retryAfterMs: ALL_FULL_RETRY_MS }))
   const domainRank = (other: string): number => other === domain ? 0 : 1
   const usable = free.filter(([runner]) => load.isUsable(runner, mono))
   const [chosen] = (usable.length > 0 ? usable : free).sort(([a, left], [b, right]) =>
--- a/packages/rosemaryspread/src/settings/settingsLoader.ts
+++ b/packages/rosemaryspread/src/settings/settingsLoader.ts
@@ -14,7 +14,7 @@
  */
 export async function loadSettings (file: string): Promise<Either<Failure, Settings>> {
   const text = await readFile(file, 'utf8').catch(() => undefined)
-  if (text === undefined) return Left(new Failure('settingsInvalid', `settings file ${file} cannot be read`))
+  if (text === undefined) return Left(new Failure('settingsInvalid', `settings file ${file} cannot be read`, { ran: 'no' }))
   return parseSettings(text)
 }
 
@@ -29,7 +29,7 @@
 }
 
 function invalidSettings (errors: readonly string[]): Failure {
-  return new Failure('settingsInvalid', `${errors.length} ${errors.length === 1 ? 'error' : 'errors'} in the settings`, { errors })
+  return new Failure('settingsInvalid', `${errors.length} ${errors.length === 1 ? 'error' : 'errors'} in the settings`, { ran: 'no', errors })
 }
 
 function describeIssue (issue: z.core.$ZodIssue): string[] {
--- a/packages/rosemaryspread/src/streams/streamVersions.spec.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.spec.ts
@@ -32,7 +32,7 @@
 
   private async deliver (address: string, method: string, params: unknown): Promise<Either<Failure, unknown>> {
     this.sent.push(method)
-    if (this.gone.has(address)) return Left(new Failure('peerUnreachable', 'gone'))
+    if (this.gone.has(address)) return Left(new Failure('peerUnreachable', 'gone', { ran: 'no' }))
     return Right(await this.vm(Number(address)).methods().get(method)?.(params, 'other'))
   }
 }
--- a/packages/rosemaryspread/src/streams/streamVersions.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.ts
@@ -80,7 +80,7 @@
     if (recorded !== undefined) return Right({ version: recorded, source: 'ownRecord' })
     const answers = await this.ask({ key, service })
     const known = decideVersion(this.versionsOf(service), answers)
-    return known === undefined ? Left(new Failure('streamUnknown', 'no VM that can be asked knows which software version began the stream')) : Right(known)
+    return known === undefined ? Left(new Failure('streamUnknown', 'no VM that can be asked knows which software version began the stream', { ran: 'no' })) : Right(known)
   }
 
   /** Tells of streams whose service has several versions now, and drops old records; to be called several times a second. */
--- a/packages/runners/src/application/httpApplicationClient.ts
+++ b/packages/runners/src/application/httpApplicationClient.ts
@@ -27,7 +27,7 @@
   }
 
   async call (address: string, call: ApplicationCall): Promise<Either<Failure, ApplicationAnswer>> {
-    if (!call.path.startsWith('/')) return Left(new Failure('badRequest', 'the path must start with a slash'))
+    if (!call.path.startsWith('/')) return Left(new Failure('badRequest', 'the path must start with a slash', { ran: 'no' }))
     const answer = await this.transport.call({
       method: call.method,
       url: `http://${address}${call.path}`,
--- a/packages/runners/src/engine/engineAnswer.spec.ts
+++ b/packages/runners/src/engine/engineAnswer.spec.ts
@@ -87,7 +87,7 @@
     expect(engine.calls[1]?.url).to.equal('/v1/runs/req-1/events?from=2')
   })
 
-  const deadlineFailure = new Failure('deadlineExceeded', 'late')
+  const deadlineFailure = new Failure('deadlineExceeded', 'late', { ran: 'no' })
   const aborts: readonly [title: string, script: readonly Connection[], events: number, reason: unknown, expected: string][] = [
     ['before anything was sent', [[completeAnswer, 'close']], 0, deadlineFailure, 'deadlineExceeded no 0'],
     ['before the engine responded', ['hang'], 0, deadlineFailure, 'deadlineExceeded unknown 1'],
--- a/packages/runners/src/engine/engineFailure.ts
+++ b/packages/runners/src/engine/engineFailure.ts
@@ -20,8 +20,8 @@
 
 /** Failure of a refused submit. */
 export function submitFailure (status: number, headers: HttpAnswer['headers']): Failure {
-  if (status === 409) return new Failure('keyReused', 'the existing run has a different digest')
-  if (status === 410) return new Failure('runnerRefused', 'sealed')
+  if (status === 409) return new Failure('keyReused', 'the existing run has a different digest', { ran: 'no' })
+  if (status === 410) return new Failure('runnerRefused', 'sealed', { ran: 'no' })
   const ran = NOT_STARTED_STATUSES.includes(status) ? 'no' : 'unknown'
   return new Failure('runnerRefused', `status ${status}`, { ran, retryAfterMs: retryAfterMs(headers) })
 }
@@ -34,6 +34,6 @@
 
 /** Failure of a refused order. */
 export function orderFailure (status: number, headers: HttpAnswer['headers']): Failure {
-  if (status === 412) return new Failure('leaseLost', 'the engine has accepted a higher fencing number')
+  if (status === 412) return new Failure('leaseLost', 'the engine has accepted a higher fencing number', { ran: 'no' })
   return submitFailure(status, headers)
 }
--- a/packages/stand-ins/src/budget/recoveryRuns.spec.ts
+++ b/packages/stand-ins/src/budget/recoveryRuns.spec.ts
@@ -41,11 +41,11 @@
     engines: {
       listByHolder: async (address, holder) => Right([runs[address]].filter(run => run?.holder === holder) as RunRecord[]),
       find: async address => {
-        if (address === unresponsiveRunner) return Left(new Failure('runnerUnreachable', 'no answer'))
+        if (address === unresponsiveRunner) return Left(new Failure('runnerUnreachable', 'no answer', { ran: 'no' }))
         const run = runs[address]
         return Right(run === undefined ? Nothing : Just(run))
       },
-      cancel: async () => Left(new Failure('notFound', 'none'))
+      cancel: async () => Left(new Failure('notFound', 'none', { ran: 'no' }))
     }
   }
 }
--- a/packages/stand-ins/src/config/configStore.spec.ts
+++ b/packages/stand-ins/src/config/configStore.spec.ts
@@ -55,7 +55,7 @@
 /** Counter-example: a table client that reports a write whose answer was lost as not executed. */
 class AssumesFailureTable extends LosingTable {
   override async transact (tx: Transaction): Promise<Either<Failure, TransactAnswer>> {
-    return (await super.transact(tx)).mapLeft(failure => failure.code === 'platformOutcomeUnknown' ? new PlatformFailure('platformUnavailable', '') : failure)
+    return (await super.transact(tx)).mapLeft(failure => failure.code === 'platformOutcomeUnknown' ? new PlatformFailure('platformUnavailable', '', { ran: 'no' }) : failure)
   }
 }
 
--- a/packages/stand-ins/src/config/fleetTable.ts
+++ b/packages/stand-ins/src/config/fleetTable.ts
@@ -64,7 +64,7 @@
   async #call<T> (request: unknown, effect: () => Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
     if (this.cut) {
       if (this.cutTimeoutMs > 0) await this.sleep(this.cutTimeoutMs)
-      return Left(new Failure('platformUnavailable', 'simulated loss of the connection to the table'))
+      return Left(new Failure('platformUnavailable', 'simulated loss of the connection to the table', { ran: 'no' }))
     }
     await this.delayMessage()
     const answer = await effect()
--- a/packages/stand-ins/src/config/memoryObjects.ts
+++ b/packages/stand-ins/src/config/memoryObjects.ts
@@ -22,5 +22,5 @@
 }
 
 function unavailable (): Either<Failure, never> {
-  return Left(new Failure('platformUnavailable', 'simulated outage of the object store'))
+  return Left(new Failure('platformUnavailable', 'simulated outage of the object store', { ran: 'no' }))
 }
--- a/packages/stand-ins/src/digest/digestFleet.fixture.ts
+++ b/packages/stand-ins/src/digest/digestFleet.fixture.ts
@@ -74,7 +74,7 @@
 /** Current fault of a VM. */
 export type VmFault = 'ended' | 'frozen' | 'cut' | 'writesFail' | 'readsFail'
 
-const unreachable = new Failure('platformUnavailable', 'no connection')
+const unreachable = new Failure('platformUnavailable', 'no connection', { ran: 'no' })
 
 export class DigestVm {
   /** Number of feed calls, and of rows received by them. */
--- a/packages/stand-ins/src/history/historyFile.ts
+++ b/packages/stand-ins/src/history/historyFile.ts
@@ -19,7 +19,7 @@
     if (typeof parsed === 'string') errors.push(`line ${index + 1}: ${parsed}`)
     else records.push(parsed)
   }
-  if (errors.length > 0) return Left(new Failure('badRequest', 'The history has malformed lines', { errors }))
+  if (errors.length > 0) return Left(new Failure('badRequest', 'The history has malformed lines', { ran: 'no', errors }))
   return Right(records)
 }
 
--- a/packages/stand-ins/src/measure/budget/budgetBaselines.ts
+++ b/packages/stand-ins/src/measure/budget/budgetBaselines.ts
@@ -68,9 +68,9 @@
     const { budget, reservationId } = reservation
     return await this.table.run(reservationId, [budgetRowKey(budget)], rows => {
       const row = rows.get(budgetRowSchema, budgetTables.budgets, budget)
-      if (row === undefined) return Left(new Failure('budgetUnknown', budget))
+      if (row === undefined) return Left(new Failure('budgetUnknown', budget, { ran: 'no' }))
       const updated = update(row)
-      if (updated.spent + updated.allotted > updated.paid) return Left(new Failure('budgetSpent', budget))
+      if (updated.spent + updated.allotted > updated.paid) return Left(new Failure('budgetSpent', budget, { ran: 'no' }))
       rows.set(budgetTables.budgets, budget, updated)
       return Right({ kind: 'write' })
     })
@@ -93,7 +93,7 @@
 
   async reserve (budget: string, tokens: number): Promise<Either<Failure, Reservation>> {
     const count = this.countOf(budget)
-    if (this.spendable(count) < tokens) return Left(new Failure('budgetSpent', budget))
+    if (this.spendable(count) < tokens) return Left(new Failure('budgetSpent', budget, { ran: 'no' }))
     count.reserved += tokens
     return Right(this.createReservation(budget, tokens))
   }
--- a/packages/stand-ins/src/measure/budget/budgetEngines.ts
+++ b/packages/stand-ins/src/measure/budget/budgetEngines.ts
@@ -76,5 +76,5 @@
 }
 
 function requireRecord (record: RunRecord | undefined): Either<Failure, RunRecord> {
-  return record === undefined ? Left(new Failure('notFound', 'no such run')) : Right(record)
+  return record === undefined ? Left(new Failure('notFound', 'no such run', { ran: 'no' })) : Right(record)
 }
--- a/packages/stand-ins/src/measure/budget/budgetFaults.spec.ts
+++ b/packages/stand-ins/src/measure/budget/budgetFaults.spec.ts
@@ -47,7 +47,7 @@
     engines: {
       ...runners.engines,
       listByHolder: async (address, holder) => clock.now().mono < 120_000
-        ? Left(new Failure('runnerUnreachable', 'no answer'))
+        ? Left(new Failure('runnerUnreachable', 'no answer', { ran: 'no' }))
         : await runners.engines.listByHolder(address, holder)
     }
   }
--- a/packages/stand-ins/src/measure/budget/budgetNetwork.ts
+++ b/packages/stand-ins/src/measure/budget/budgetNetwork.ts
@@ -64,7 +64,7 @@
     const sent = structuredClone(tx)
     return await this.call(() => {
       this.writes += 1
-      return this.state.transact(sent).mapLeft(() => new Failure('platformConflict', 'a row changed'))
+      return this.state.transact(sent).mapLeft(() => new Failure('platformConflict', 'a row changed', { ran: 'no' }))
     }, true)
   }
 
@@ -72,7 +72,7 @@
     await this.time.sleep(this.latencies.table + this.faults.slowMs * this.random())
     if (this.isDown) {
       await this.time.sleep(this.faults.outage ? this.latencies.table : CALL_TIMEOUT_MS)
-      return Left(new Failure('platformUnavailable', 'the table cannot be reached'))
+      return Left(new Failure('platformUnavailable', 'the table cannot be reached', { ran: 'no' }))
     }
     if (this.random() < this.faults.lostRequestShare) return await this.lost(isWrite)
     const answer = effect()
@@ -89,7 +89,7 @@
     await this.time.sleep(CALL_TIMEOUT_MS)
     return Left(isWrite
       ? new Failure('platformOutcomeUnknown', 'the answer was lost', { ran: 'unknown' })
-      : new Failure('platformUnavailable', 'the answer was lost'))
+      : new Failure('platformUnavailable', 'the answer was lost', { ran: 'no' }))
   }
 }
 
--- a/packages/stand-ins/src/measure/capacity/recoveryProbe.ts
+++ b/packages/stand-ins/src/measure/capacity/recoveryProbe.ts
@@ -37,7 +37,7 @@
   const state = new TableState(() => mono)
   const names = Array.from({ length: budgets }, (_, index) => `budget-${index}`)
   for (const budget of names) state.transact({ checks: [], writes: [{ table: budgetTables.budgets, key: budget, value: { budget, paid: PAID_TOKENS, spent: 0, allotted: 0 } }] })
-  const unreachable = async (): Promise<Either<Failure, never>> => Left(new Failure('peerUnreachable', 'the fleet has no other VMs'))
+  const unreachable = async (): Promise<Either<Failure, never>> => Left(new Failure('peerUnreachable', 'the fleet has no other VMs', { ran: 'no' }))
   const peers = { members: () => [], requestTransfer: unreachable, recall: unreachable, confirmNoTransfers: unreachable }
   const terminated = new BudgetDriver({ holder: `${TERMINATED_VM}~0123456789ab`, domain: DOMAIN, store: new MemoryTableStore(state), peers, clock, log })
   for (const budget of names) {
@@ -57,7 +57,7 @@
         return Right([])
       },
       find: async () => Right(Nothing),
-      cancel: async () => Left(new Failure('notFound', 'no such run'))
+      cancel: async () => Left(new Failure('notFound', 'no such run', { ran: 'no' }))
     },
     declared: () => Array.from({ length: runners }, (_, index) => ({ runner: `runner-${index}`, address: `10.1.0.${index}:8000`, servesSince: {} }))
   }
--- a/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
+++ b/packages/stand-ins/src/measure/gateway/gatewayFleet.ts
@@ -354,7 +354,7 @@
       read: async (keys: readonly RowKey[]) => await this.callStore<ReadAnswer>(caller, keys.length, 0, () => Right(this.state.read(keys))),
       scan: async (req: ScanRequest) => await this.callStore<ScanAnswer>(caller, 1, 0, () => Right(this.state.scan(req))),
       transact: async (tx: Transaction) => await this.callStore<TransactAnswer>(caller, 0, 1, () =>
-        this.state.transact(structuredClone(tx)).mapLeft(() => new Failure('platformConflict', 'transaction condition failed: a row has changed')))
+        this.state.transact(structuredClone(tx)).mapLeft(() => new Failure('platformConflict', 'transaction condition failed: a row has changed', { ran: 'no' })))
     }
   }
 
--- a/packages/stand-ins/src/request/serviceFakes.spec.ts
+++ b/packages/stand-ins/src/request/serviceFakes.spec.ts
@@ -29,7 +29,7 @@
 
   async call (address: string, call: ApplicationCall): Promise<Either<Failure, ApplicationAnswer>> {
     const fault = this.faults.get(address) ?? 'none'
-    if (fault === 'unreachable') return Left(new Failure('runnerUnreachable', 'no connection'))
+    if (fault === 'unreachable') return Left(new Failure('runnerUnreachable', 'no connection', { ran: 'no' }))
     this.executions.push(call.requestId)
     if (fault === 'crashesDuringCall') return Left(new Failure('runnerUnreachable', 'the answer was lost', { ran: 'unknown' }))
     return Right({ status: 200, contentType: 'application/json', body: Buffer.from(`done ${this.executions.length}`) })
--- a/packages/stand-ins/src/scenario/language/scenarioParser.ts
+++ b/packages/stand-ins/src/scenario/language/scenarioParser.ts
@@ -106,5 +106,5 @@
   const reader = new ScenarioReader(text)
   const scenario = reader.read()
   if (scenario !== undefined && reader.errors.length === 0) return Right(scenario)
-  return Left(new Failure('badRequest', 'The scenario file is invalid', { errors: reader.errors }))
+  return Left(new Failure('badRequest', 'The scenario file is invalid', { ran: 'no', errors: reader.errors }))
 }
--- a/packages/stand-ins/src/table/memoryTableStore.ts
+++ b/packages/stand-ins/src/table/memoryTableStore.ts
@@ -40,17 +40,17 @@
   private async call<T> (operation: TableOperation, effect: () => Either<Failure, T>): Promise<Either<Failure, T>> {
     this.calls[operation]++
     await this.beforeCall(operation)
-    if (this.outage) return Left(new Failure('platformUnavailable', 'simulated outage of the table'))
+    if (this.outage) return Left(new Failure('platformUnavailable', 'simulated outage of the table', { ran: 'no' }))
     return cloneOutcome(effect())
   }
 
   private commit (tx: Transaction): Either<Failure, TransactAnswer> {
     const checked = transactionSchema.safeParse(tx)
-    if (!checked.success) return Left(new Failure('badRequest', checked.error.message))
+    if (!checked.success) return Left(new Failure('badRequest', checked.error.message, { ran: 'no' }))
     if (consumeFault(this, 'loseRequests')) return Left(outcomeUnknown())
     const outcome = this.state.transact(tx)
     if (outcome.isRight() && consumeFault(this, 'loseAnswers')) return Left(outcomeUnknown())
-    return outcome.mapLeft(conflicts => new Failure('platformConflict', conflicts.map(({ table, key }) => `${table}/${key}`).join(', ')))
+    return outcome.mapLeft(conflicts => new Failure('platformConflict', conflicts.map(({ table, key }) => `${table}/${key}`).join(', '), { ran: 'no' }))
   }
 }
 
