A top-up that was written isn't answered with ran: no because the budget can't be read after it

Operators got 503 `platformUnavailable` with ran: no though their top-up had taken effect: the answer shows the budget, and the failure of that read, which changes nothing, was returned as the outcome of the top-up. It now has ran: yes. A repeat with the same operation id still answers with the budget and adds nothing.

The new test of budgetDriver.spec.ts failed before the fix: ran was 'no'.

--- a/packages/rosemaryspread/src/budget/budgetTopUps.ts
+++ b/packages/rosemaryspread/src/budget/budgetTopUps.ts
@@ -18,13 +18,13 @@
 
   /**
    * Adds paid tokens once for each operation id, or lowers the budget when `tokens` is negative. A failure with `ran:
-   * unknown` is resolved by repeating the same call.
+   * unknown` or `yes` is resolved by repeating the same call.
    */
   async topUp (topUp: TopUpRow): Promise<Either<Failure, BudgetAnswer>> {
     const keys = topUpKeys(topUp.operationId, topUp.budget)
     const done = await this.table.run(topUp.operationId, keys, rows => planTopUp(rows, topUp))
     if (done.isLeft()) return Left(this.withUnknownOutcome(done.extract(), topUp.operationId))
-    return await this.show(topUp.budget)
+    return (await this.show(topUp.budget)).mapLeft(writtenFailure)
   }
 
   /** Reads a budget with all its holders. */
@@ -51,3 +51,8 @@
     return new Failure('platformOutcomeUnknown', failure.message, { ran: 'unknown', retryAfterMs: 1000 })
   }
 }
+
+/** The top-up was written; only the budget could not be read for the answer. */
+function writtenFailure ({ code, message, retryAfterMs }: Failure): Failure {
+  return new Failure(code, `the top-up was written; ${message}`, { ran: 'yes', retryAfterMs })
+}
--- a/packages/stand-ins/src/budget/budgetDriver.spec.ts
+++ b/packages/stand-ins/src/budget/budgetDriver.spec.ts
@@ -140,6 +140,16 @@
     }
   }
 
+  it('does not report a top-up that was written as not executed if the budget cannot be read after it', async () => {
+    const harness = new DriverHarness()
+    await harness.topUp(10, 'a')
+    harness.store.state.onCommit(() => { harness.store.outage = true })
+    const failed = await harness.driver.topUp({ operationId: 'b', budget: 'b', tokens: 5, author: 'ana' })
+    expect(failed.extract()).to.include({ code: 'platformUnavailable', ran: 'yes' })
+    harness.store.outage = false
+    expect(await harness.topUp(5, 'b')).to.equal('15')
+  })
+
   for (const isRowMalformed of [false, true]) {
     it(`refills many budgets in one transaction${isRowMalformed ? ', except the one whose row is malformed' : ''}`, async () => {
       const harness = new DriverHarness()
