A keyed call whose claim exists isn't refused with ran: no because the claim can't be read or taken over

A repeat under a key got 503 `notClaimed` with ran: no where the write of its claim conflicted, so that another attempt holds one, and the claim could not be read, or was taken by that attempt first. The other attempt may have run the call; the API gives ran: unknown for this. Only `keyReused` still says no, as it speaks of this body.

mayHaveRun keeps the retry delay of the failure, with which a repeat under the key gets the answer.

Not changed: a claim that can't be written at all, in an outage of the table, says no; whether an earlier attempt exists can't be known then.

--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -74,8 +74,8 @@
 
 /** The failure of a request that may have run: the same one if it makes no other claim. */
 export function mayHaveRun (failure: Failure): Failure {
-  const { code, ran, message, errors } = failure
-  return ran === 'no' ? new Failure(code, message, { ran: 'unknown', errors }) : failure
+  const { code, ran, message, retryAfterMs, errors } = failure
+  return ran === 'no' ? new Failure(code, message, { ran: 'unknown', retryAfterMs, errors }) : failure
 }
 
 /** The failure of a result; undefined on success. */
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod'
 import { Left, Right, type Either } from 'purify-ts'
-import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf, mayHaveRun } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 const CLAIMS_TABLE = 'claims'
@@ -49,6 +49,11 @@
   async claim (newRow: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
     const first = await this.write(newRow, null)
     if (failureOf(first)?.code !== 'platformConflict') return first.map(version => acquired(newRow, version))
+    return (await this.claimAfterConflict(newRow)).mapLeft(failure => failure.code === 'keyReused' ? failure : mayHaveRun(failure))
+  }
+
+  /** The row exists, so an earlier attempt may have run the request. */
+  private async claimAfterConflict (newRow: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
     const found = await this.read(newRow.requestId)
     if (found.isLeft()) return Left(notClaimed('the claim could not be read'))
     const row = found.unsafeCoerce()
--- a/packages/stand-ins/src/request/serviceCalls.spec.ts
+++ b/packages/stand-ins/src/request/serviceCalls.spec.ts
@@ -114,6 +114,35 @@
     answers.filter(answer => typeof answer !== 'string').forEach(([code, ran]) => { expect([code, ran]).to.deep.equal(['claimOutcomeUnknown', 'unknown']) })
   })
 
+  const unseenClaims: ReadonlyArray<{ readonly name: string, readonly arrange: (fleet: ServiceFleet) => Promise<void> }> = [
+    {
+      name: 'cannot be read',
+      arrange: async ({ a, b }) => {
+        await a.dispatch()
+        b.table.beforeCall = async operation => { b.table.outage = operation === 'read' }
+      }
+    },
+    {
+      name: 'replaces an abandoned one meanwhile',
+      arrange: async fleet => {
+        const { a, b } = fleet
+        allUnreachable(fleet)
+        await a.dispatch()
+        await a.work.waitUntilIdle(1_000)
+        healRunners(fleet)
+        b.table.beforeCall = async operation => { if (operation === 'transact' && b.table.calls.transact === 2) await a.dispatch() }
+      }
+    }
+  ]
+  for (const { name, arrange } of unseenClaims) {
+    it(`whose claim by another VM ${name} isn't reported as not run`, async () => {
+      const fleet = createServiceFleet()
+      await arrange(fleet)
+      expect((await fleet.b.dispatch()).extract()).to.include({ code: 'notClaimed', ran: 'unknown' })
+      expect(fleet.applications.executions).to.have.length(1)
+    })
+  }
+
   it('whose VM crashed after the claim is never run by another VM, and a repeat gets an unknown outcome', async () => {
     const { a, b, applications } = createServiceFleet()
     await b.dispatch()
