A keyed completion that may have run at a runner that doesn't answer isn't refused with ran: no

A repeat under the key of a completion that had run got 503 with ran: no when its runner could not be reached, so that its run was neither found nor excluded, and the repeat then failed before a run of its own: no runner could be reached, or the budget was spent. The search for the run now tells that a runner is left of which nothing is known, and the refusal says ran: unknown, as it did already when all runners were believed down.

Both new tests of completionService.spec.ts ("that ran isn't refused with ran=no") failed before the fix with 'no'; 92 tests of completions pass.

--- a/packages/rosemaryspread/src/completion/completionFinder.ts
+++ b/packages/rosemaryspread/src/completion/completionFinder.ts
@@ -19,6 +19,8 @@
   readonly unsealed: readonly RunnerAddress[]
   /** Whether an earlier attempt sealed the chosen runner: the run, if any, is then at a later runner of the order. */
   readonly isChoiceSealed: boolean
+  /** Whether an earlier attempt may have run the request at a runner that did not answer. */
+  readonly isUncertain: boolean
 }
 
 /**
@@ -35,14 +37,15 @@
       continue
     }
     const record = startedRun(sealed.unsafeCoerce())
-    if (record !== undefined) return { at: { runner, record }, unsealed, isChoiceSealed: false }
+    if (record !== undefined) return { at: { runner, record }, unsealed, isChoiceSealed: false, isUncertain: false }
   }
   const found = await client.find(choice.address, requestId)
-  if (found.isLeft()) return { unsealed, isChoiceSealed: false }
+  if (found.isLeft()) return { unsealed, isChoiceSealed: false, isUncertain: true }
+  const isUncertain = unsealed.length > 0
   const record = found.unsafeCoerce().extractNullable()
-  if (record === null) return { unsealed, isChoiceSealed: false }
-  if (record.state === 'sealed') return { unsealed, isChoiceSealed: true }
-  return { at: { runner: choice, record }, unsealed, isChoiceSealed: false }
+  if (record === null) return { unsealed, isChoiceSealed: false, isUncertain }
+  if (record.state === 'sealed') return { unsealed, isChoiceSealed: true, isUncertain }
+  return { at: { runner: choice, record }, unsealed, isChoiceSealed: false, isUncertain: false }
 }
 
 /** Result of {@link lookUpRun}. */
--- a/packages/rosemaryspread/src/completion/completionPlanner.ts
+++ b/packages/rosemaryspread/src/completion/completionPlanner.ts
@@ -41,6 +41,8 @@
 export interface TriedRunners {
   readonly exclude: string[]
   readonly unsealed: RunnerAddress[]
+  /** Whether an earlier attempt under the key may have run the request at a runner that did not answer. */
+  isUncertain: boolean
 }
 
 export class CompletionPlanner {
@@ -65,6 +67,7 @@
     const { choice, runnersToSeal, run } = routed
     if (!admitted.keyed) return await this.reserveAt(admitted, routed, [])
     const found = await sealAndFindRun(this.deps.engines, admitted.requestId, runnersToSeal, choice)
+    if (found.isUncertain) tried.isUncertain = true
     if (found.at === undefined && !found.isChoiceSealed) {
       return await this.reserveAt(admitted, routed, [...tried.unsealed, ...found.unsealed])
     }
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -177,6 +177,21 @@
     { name: 'no runner is believed up', scripts: {}, ran: 'no' },
     { name: 'the first runner is unreachable', scripts: { r1: { unreachableFrom: 'all' as const } }, ran: 'unknown' }
   ]
+  const unseenRuns: ReadonlyArray<{ readonly name: string, readonly unreachable: readonly string[], readonly refusal?: Failure, readonly code: ResultName }> = [
+    { name: 'no runner can be reached', unreachable: ['r1', 'r2', 'r3'], code: 'runnerUnreachable' },
+    { name: 'its runner cannot be reached and the budget is spent', unreachable: ['r1'], refusal: new Failure('budgetSpent', 'spent', { ran: 'no' }), code: 'budgetSpent' }
+  ]
+  for (const { name, unreachable, refusal, code } of unseenRuns) {
+    it(`that ran isn't refused with ran=no when ${name}`, async () => {
+      const { engines, budgets, a, b } = createFleet()
+      expectComplete(await a.ask({ key: 'k' }))
+      unreachable.forEach(address => engines.scripts.set(address, { unreachableFrom: 'all' }))
+      budgets.refuse = refusal
+      expectRefused(await b.ask({ key: 'k' }), code, 'unknown')
+      expect(engines.startedRuns()).to.deep.equal(['r1:finished'])
+    })
+  }
+
   for (const { name, vm } of [{ name: 'finished run of another VM', vm: 'b' as const }, { name: 'run in progress at the same VM', vm: 'a' as const }]) {
     it(`that cannot join the ${name} isn't refused with ran=no`, async () => {
       const fleet = createFleet(UnjoinableClient)
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -96,17 +96,17 @@
   /** Tries runners until the answer is complete, a piece was received, or no attempt is left; then settles all attempts. */
   private async runAndSettle (completion: OpenCompletion, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     const attempts: EndedAttempt[] = []
+    const tried: TriedRunners = { exclude: [], unsealed: [], isUncertain: false }
     try {
-      const tried = await this.tryRunners(completion, attempts, onStarted)
-      return attempts.some(({ outcome }) => outcome.kind === 'cut') ? tried.mapLeft(mayHaveRun) : tried
+      const ended = await this.tryRunners(completion, attempts, tried, onStarted)
+      return tried.isUncertain || attempts.some(({ outcome }) => outcome.kind === 'cut') ? ended.mapLeft(mayHaveRun) : ended
     } finally {
       this.settlement.settleAll(completion.admitted, attempts)
       this.deps.routing.finish(completion.admitted, usedTokens(completion, attempts))
     }
   }
 
-  private async tryRunners (completion: OpenCompletion, attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
-    const tried: TriedRunners = { exclude: [], unsealed: [] }
+  private async tryRunners (completion: OpenCompletion, attempts: EndedAttempt[], tried: TriedRunners, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     let lastFailure: Failure | undefined
     while (attempts.length < MAX_ATTEMPTS) {
       const planned = await this.planner.plan(completion.admitted, tried, completion.call.gone)
