--- a/packages/decisions/src/codes/failure.ts
+++ b/packages/decisions/src/codes/failure.ts
@@ -5,10 +5,10 @@
 import type { Either } from 'purify-ts'
 import { resultCodes, type ExecutionStatus, type ResultCode, type ResultName } from './resultCodes.js'
 
-/** Optional properties of a {@link Failure}. */
+/** Further properties of a {@link Failure}. */
 export interface FailureOptions {
-  /** Whether the request was executed; `no` by default. */
-  readonly ran?: ExecutionStatus
+  /** Whether the request was executed. `no` is a promise to the caller: it needs a proof at the place where the failure is made. */
+  readonly ran: ExecutionStatus
   /** Milliseconds after which to retry. */
   readonly retryAfterMs?: number
   /** Individual errors, if there are several. */
@@ -23,11 +23,11 @@
   readonly errors: readonly string[]
 
   /** @param detail - what happened, for people */
-  constructor (code: ResultName, detail: string, options: FailureOptions = {}) {
+  constructor (code: ResultName, detail: string, options: FailureOptions) {
     super(detail)
     this.name = 'Failure'
     this.code = code
-    this.ran = options.ran ?? 'no'
+    this.ran = options.ran
     this.retryAfterMs = options.retryAfterMs === undefined ? undefined : Math.ceil(options.retryAfterMs)
     this.errors = options.errors ?? []
   }
@@ -72,6 +72,12 @@
   return new Failure('internal', err instanceof Error ? err.message : String(err), { ran: 'unknown' })
 }
 
+/** The failure of a request that may have run: the same one if it makes no other claim. */
+export function mayHaveRun (failure: Failure): Failure {
+  const { code, ran, message, retryAfterMs, errors } = failure
+  return ran === 'no' ? new Failure(code, message, { ran: 'unknown', retryAfterMs, errors }) : failure
+}
+
 /** The failure of a result; undefined on success. */
 export function failureOf (result: Either<Failure, unknown>): Failure | undefined {
   return result.caseOf<Failure | undefined>({ Left: failure => failure, Right: () => undefined })
--- a/packages/rosemaryspread/src/completion/completionService.spec.ts
+++ b/packages/rosemaryspread/src/completion/completionService.spec.ts
@@ -3,7 +3,7 @@
  * billed once, and refusals report correctly whether it ran. Faulty clients show that the checks can fail.
  */
 import { expect } from 'chai'
-import { Nothing, Right, type Either, type Maybe } from 'purify-ts'
+import { Left, Nothing, Right, type Either, type Maybe } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 import { keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
@@ -47,6 +47,8 @@
   { name: 'an unreachable runner', scripts: { r1: { unreachableFrom: 'all' } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r2:finished'] },
   { name: 'all runners unreachable', scripts: { r1: { unreachableFrom: 'all' }, r2: { unreachableFrom: 'all' }, r3: { unreachableFrom: 'all' } }, refused: ['runnerUnreachable', 'no'], bills: [], startedRuns: [] },
   { name: 'a stream broken once', scripts: { r1: { cuts: [2] } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:finished'] },
+  { name: 'a lost response to the submit, then only runners that refuse', scripts: { r1: { loseSubmit: true }, r2: { isLeaving: true }, r3: { isLeaving: true } }, refused: ['runnerRefused', 'unknown'], bills: [], startedRuns: ['r1:cancelled'] },
+  { name: 'a stream that cannot be resumed before any piece, then only runners without a connection', scripts: { r1: { cuts: [0, 0, 0, 0] }, r2: { unreachableFrom: 'all' }, r3: { unreachableFrom: 'all' } }, refused: ['runnerUnreachable', 'unknown'], bills: [], startedRuns: ['r1:cancelled'] },
   { name: 'a resumed stream that overlaps', scripts: { r1: { cuts: [2], overlap: 1 } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:finished'] },
   { name: 'a stream that cannot be resumed after some pieces', scripts: { r1: { cuts: [2, 0, 0, 0] } }, refused: ['answerCut', 'yes'], bills: [0], startedRuns: ['r1:cancelled'] },
   { name: 'a stream that cannot be resumed before any piece', scripts: { r1: { cuts: [0, 0, 0, 0] } }, bills: [ANSWER_COST_TOKENS], startedRuns: ['r1:cancelled', 'r2:finished'] },
@@ -75,8 +77,8 @@
 
   const refusals = [
     { name: 'a draining VM', arrange: (vm: FakeVm) => { vm.work.draining = true }, code: 'draining' as const },
-    { name: 'a spent budget', arrange: (vm: FakeVm) => { vm.budgets.refuse = new Failure('budgetSpent', 'spent') }, code: 'budgetSpent' as const },
-    { name: 'an allotment that expired while the VM was paused', arrange: (vm: FakeVm) => { vm.budgets.confirmFailure = new Failure('allotmentClosed', 'expired') }, code: 'allotmentClosed' as const }
+    { name: 'a spent budget', arrange: (vm: FakeVm) => { vm.budgets.refuse = new Failure('budgetSpent', 'spent', { ran: 'no' }) }, code: 'budgetSpent' as const },
+    { name: 'an allotment that expired while the VM was paused', arrange: (vm: FakeVm) => { vm.budgets.confirmFailure = new Failure('allotmentClosed', 'expired', { ran: 'no' }) }, code: 'allotmentClosed' as const }
   ]
   for (const { name, arrange, code } of refusals) {
     it(`is refused without dispatch for ${name}`, async () => {
@@ -175,6 +177,34 @@
     { name: 'no runner is believed up', scripts: {}, ran: 'no' },
     { name: 'the first runner is unreachable', scripts: { r1: { unreachableFrom: 'all' as const } }, ran: 'unknown' }
   ]
+  const unseenRuns: ReadonlyArray<{ readonly name: string, readonly unreachable: readonly string[], readonly refusal?: Failure, readonly code: ResultName }> = [
+    { name: 'no runner can be reached', unreachable: ['r1', 'r2', 'r3'], code: 'runnerUnreachable' },
+    { name: 'its runner cannot be reached and the budget is spent', unreachable: ['r1'], refusal: new Failure('budgetSpent', 'spent', { ran: 'no' }), code: 'budgetSpent' }
+  ]
+  for (const { name, unreachable, refusal, code } of unseenRuns) {
+    it(`that ran isn't refused with ran=no when ${name}`, async () => {
+      const { engines, budgets, a, b } = createFleet()
+      expectComplete(await a.ask({ key: 'k' }))
+      unreachable.forEach(address => engines.scripts.set(address, { unreachableFrom: 'all' }))
+      budgets.refuse = refusal
+      expectRefused(await b.ask({ key: 'k' }), code, 'unknown')
+      expect(engines.startedRuns()).to.deep.equal(['r1:finished'])
+    })
+  }
+
+  for (const { name, vm } of [{ name: 'finished run of another VM', vm: 'b' as const }, { name: 'run in progress at the same VM', vm: 'a' as const }]) {
+    it(`that cannot join the ${name} isn't refused with ran=no`, async () => {
+      const fleet = createFleet(UnjoinableClient)
+      fleet.engines.scripts.set('r1', { hold: new Promise(resolve => setTimeout(resolve, 50)) })
+      const first = fleet.a.ask({ key: 'k' })
+      if (vm === 'b') await first
+      else await new Promise(resolve => setTimeout(resolve, 10))
+      expectRefused(await fleet[vm].ask({ key: 'k' }), 'runnerUnreachable', 'unknown')
+      expectComplete(await first)
+      expect(fleet.engines.startedRuns()).to.deep.equal(['r1:finished'])
+    })
+  }
+
   for (const { name, scripts, ran } of refusals) {
     it(`that never ran is refused with ran=${ran} when ${name}`, async () => {
       const { engines, a } = createFleet()
@@ -280,6 +310,13 @@
   }
 })
 
+/** Cannot connect again to an engine where a run was found. */
+class UnjoinableClient extends FakeEngineClient {
+  override async resume (): Promise<Either<Failure, EngineStream>> {
+    return Left(new Failure('runnerUnreachable', 'no connection', { ran: 'no' }))
+  }
+}
+
 /** Reports runners as sealed without sealing them. */
 class UnsealedClient extends FakeEngineClient {
   override async seal (): Promise<Either<Failure, Maybe<RunRecord>>> {
--- a/packages/rosemaryspread/src/completion/completionService.ts
+++ b/packages/rosemaryspread/src/completion/completionService.ts
@@ -6,7 +6,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { AnswerSink, CompletionCall, CompletionService } from '@rosemaryspread/callers/completion/completionTypes.js'
 import type { Instant } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, mayHaveRun, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { VersionedConfig } from '@rosemaryspread/decisions/config/configSchema.js'
 import { defaultRetryPolicy } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import { admitCompletion, type AdmittedCompletion } from './completionAdmission.js'
@@ -65,7 +65,7 @@
       served.ifLeft(failure => { relay.fail(this.report.refused(admitted.requestId, admitted.team, failure)) })
     } catch (err) {
       this.deps.log.write('fault', { err: toFailure(err).message })
-      relay.fail(toFailure(err))
+      relay.fail(mayHaveRun(toFailure(err)))
     } finally {
       close()
     }
@@ -73,10 +73,10 @@
 
   private activeConfig (): Either<Failure, VersionedConfig> {
     if (this.deps.work.draining) {
-      return Left(new Failure('draining', 'this VM is draining; use another address', { retryAfterMs: DRAINING_RETRY_MS }))
+      return Left(new Failure('draining', 'this VM is draining; use another address', { ran: 'no', retryAfterMs: DRAINING_RETRY_MS }))
     }
     return this.deps.config.current()
-      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+      .toEither(new Failure('configNotLoaded', 'no configuration is in force yet', { ran: 'no', retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
   private async runOrJoin (completion: OpenCompletion): Promise<Either<Failure, void>> {
@@ -96,16 +96,17 @@
   /** Tries runners until the answer is complete, a piece was received, or no attempt is left; then settles all attempts. */
   private async runAndSettle (completion: OpenCompletion, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     const attempts: EndedAttempt[] = []
+    const tried: TriedRunners = { exclude: [], unsealed: [], isUncertain: false }
     try {
-      return await this.tryRunners(completion, attempts, onStarted)
+      const ended = await this.tryRunners(completion, attempts, tried, onStarted)
+      return tried.isUncertain || attempts.some(({ outcome }) => outcome.kind === 'cut') ? ended.mapLeft(mayHaveRun) : ended
     } finally {
       this.settlement.settleAll(completion.admitted, attempts)
       this.deps.routing.finish(completion.admitted, usedTokens(completion, attempts))
     }
   }
 
-  private async tryRunners (completion: OpenCompletion, attempts: EndedAttempt[], onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
-    const tried: TriedRunners = { exclude: [], unsealed: [] }
+  private async tryRunners (completion: OpenCompletion, attempts: EndedAttempt[], tried: TriedRunners, onStarted: (runner: RunnerAddress) => void): Promise<Either<Failure, void>> {
     let lastFailure: Failure | undefined
     while (attempts.length < MAX_ATTEMPTS) {
       const planned = await this.planner.plan(completion.admitted, tried, completion.call.gone)
@@ -123,7 +124,7 @@
       if (delayMs === null) break
       await pause(delayMs)
     }
-    return Left(lastFailure ?? new Failure('noRunner', 'no runner accepted the request', { retryAfterMs: NO_CONFIG_RETRY_MS }))
+    return Left(lastFailure ?? new Failure('noRunner', 'no runner accepted the request', { ran: 'no', retryAfterMs: NO_CONFIG_RETRY_MS }))
   }
 
   /** Milliseconds until the next attempt; null when there is none. */
--- a/packages/rosemaryspread/src/service/serviceClaim.ts
+++ b/packages/rosemaryspread/src/service/serviceClaim.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod'
 import { Left, Right, type Either } from 'purify-ts'
-import { Failure, failureOf } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, failureOf, mayHaveRun } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Row, TableStore } from '@rosemaryspread/infra/table/tableTypes.js'
 
 const CLAIMS_TABLE = 'claims'
@@ -49,6 +49,11 @@
   async claim (newRow: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
     const first = await this.write(newRow, null)
     if (failureOf(first)?.code !== 'platformConflict') return first.map(version => acquired(newRow, version))
+    return (await this.claimAfterConflict(newRow)).mapLeft(failure => failure.code === 'keyReused' ? failure : mayHaveRun(failure))
+  }
+
+  /** The row exists, so an earlier attempt may have run the request. */
+  private async claimAfterConflict (newRow: ClaimRow): Promise<Either<Failure, ClaimOutcome>> {
     const found = await this.read(newRow.requestId)
     if (found.isLeft()) return Left(notClaimed('the claim could not be read'))
     const row = found.unsafeCoerce()
@@ -85,7 +90,7 @@
   private async claimExisting (newRow: ClaimRow, row: Row): Promise<Either<Failure, ClaimOutcome>> {
     const parsed = claimRowSchema.safeParse(row.value)
     if (!parsed.success) return Left(notClaimed('the claim row is malformed'))
-    if (parsed.data.digest !== newRow.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body'))
+    if (parsed.data.digest !== newRow.digest) return Left(new Failure('keyReused', 'the Idempotency-Key was used with another body', { ran: 'no' }))
     if (parsed.data.nonce === newRow.nonce) return Right(acquired(newRow, row.version))
     if (parsed.data.state !== 'abandoned') return Right({ kind: 'found', row: parsed.data })
     const rewritten = await this.write(newRow, row.version)
@@ -111,7 +116,7 @@
         const parsed = claimRowSchema.safeParse(stored?.value)
         const isOurs = parsed.success && parsed.data.nonce === row.nonce && parsed.data.state === row.state
         if (isOurs && stored !== undefined) return Right(stored.version)
-        return Left(stored === undefined ? notClaimed('the claim was not written') : new Failure('platformConflict', 'another attempt claimed the request'))
+        return Left(stored === undefined ? notClaimed('the claim was not written') : new Failure('platformConflict', 'another attempt claimed the request', { ran: 'no' }))
       })
   }
 
@@ -126,5 +131,5 @@
 }
 
 function notClaimed (detail: string): Failure {
-  return new Failure('notClaimed', detail, { retryAfterMs: TABLE_RETRY_MS })
+  return new Failure('notClaimed', detail, { ran: 'no', retryAfterMs: TABLE_RETRY_MS })
 }
