Gateway: a refusal is logged with what shows that nothing ran, and its attempts

What operators saw: the line of a refusal (3003) gave code, ran and a detail, not what the claim that nothing ran rests on, nor the attempts before it; a claim against a recorded attempt that may have run stood in no line and no metric.

Now each line of a refused or failed call has, right after the request, code, ran, the proof (notSent, notConnected, rejected, replaced, notRelayed; none if an attempt has none) and each attempt with runner, code, ran, proof and times. The proof is derived in one place from the recorded ends of attempts; an attempt that started and has no end may have run. A refusal that its attempts don't bear out writes claimUnproven (3008, warn) and counts claims_unproven. Refusals are counted by proof, and those after an attempt by themselves. attemptFailed (4006) has code, ran, proof and ms right after the request.

What callers and targets get is unchanged. A call that succeeds adds one small record for each attempt.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -43,18 +43,19 @@
 
   requestAccepted: { number: 3001, level: 'info', title: 'A request was admitted; fields: request, team, model, reserved' },
   requestAnswered: { number: 3002, level: 'info', title: 'A complete response was sent; fields: request, runner, team, tokens or events, billed (tokens billed for it), route, firstMs (time to the first event), totalMs' },
-  requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, team, code, ran, retryAfterMs' },
-  requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran' },
+  requestRefused: { number: 3003, level: 'info', title: 'A request was refused; fields: request, code, ran, proof (what shows that it was not executed: notSent, notConnected, rejected, replaced or notRelayed; none if nothing does), attempts (runner, code, ran, proof, ms and sentMs of each), ageMs (time since its receipt), team, retryAfterMs, detail' },
+  requestFailed: { number: 3004, level: 'warn', title: 'A request failed after dispatch; fields: request, code, ran, attempts (as in requestRefused), ageMs, team, detail' },
   requestJoined: { number: 3005, level: 'info', title: 'A repeated request joined the execution of an earlier one; fields: request, runner' },
   callClaimed: { number: 3006, level: 'info', title: 'A non-repeatable call was claimed; fields: request, service' },
   callerGone: { number: 3007, level: 'info', title: 'The caller closed the connection; fields: request, cancelled' },
+  claimUnproven: { number: 3008, level: 'warn', title: 'A request was refused as not executed, but nothing shows it for one of its attempts; fields: request, code, attempts (as in requestRefused), detail' },
 
   routed: { number: 4001, level: 'info', title: 'A routing decision; fields: request, promptTokens, sharedTokens, candidates, paused (targets left out because they requested a pause), choice, version (of the software of the target), reason, work' },
   routeRefused: { number: 4002, level: 'info', title: 'No runner was chosen; fields: request, candidates, reason' },
   runnerState: { number: 4003, level: 'warn', title: 'A runner changed state as this VM sees it: active, leaving, paused, ejected or notLoaded; fields: runner, state, reason, pauseMs' },
   placed: { number: 4004, level: 'info', title: 'A placement decision; fields: runner, order, reason' },
   placementFault: { number: 4005, level: 'warn', title: 'A placement order failed or its outcome is unknown; fields: runner, order, code, detail' },
-  attemptFailed: { number: 4006, level: 'warn', title: 'An attempt at a runner did not complete; fields: request, runner, code, ran, retried (whether another runner is tried if one is left), detail' },
+  attemptFailed: { number: 4006, level: 'warn', title: 'An attempt at a runner did not complete; fields: request, code, ran, proof (what shows that it was not executed, if anything does), ms (from its start to its end), runner, retried (whether another runner is tried if one is left), detail' },
 
   targetsRead: { number: 4007, level: 'info', title: 'The register of targets was read completely; fields: targets' },
 
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -1,8 +1,9 @@
 /**
  * Table of metrics: every counter, gauge and histogram that a VM serves. docs/METRICS.md is generated from this table, and a test
- * compares the two. Refusals are counted per result code, under one entry.
+ * compares the two. Refusals are counted per result code under one entry, and per proof that they were not executed under another.
  */
 import type { ResultName } from '../codes/resultCodes.js'
+import type { ExecutionProof } from '../gateway/executionProof.js'
 
 /** Counters only grow, gauges show the current value, histograms hold durations in milliseconds. */
 export type MetricKind = 'counter' | 'gauge' | 'histogram'
@@ -18,6 +19,9 @@
   answers: { kind: 'counter', title: 'Complete responses sent to callers' },
   attempts_failed: { kind: 'counter', title: 'Attempts at a target without a complete response' },
   refusals: { kind: 'counter', title: 'Requests refused or failed; one counter for each result code, with its name as suffix' },
+  refusals_proven: { kind: 'counter', title: 'Requests refused as not executed; one counter for each proof, with its name as suffix: notSent, notConnected, rejected, replaced or notRelayed' },
+  refusals_after_attempts: { kind: 'counter', title: 'Requests refused as not executed after at least one attempt at a target' },
+  claims_unproven: { kind: 'counter', title: 'Requests refused as not executed although an attempt may have been executed' },
   requests_suspected: { kind: 'counter', title: 'Requests that were open at a target when it terminated' },
   requests_quarantined: { kind: 'counter', title: 'Requests quarantined because targets terminated each time they were executed' },
   tokens_billed: { kind: 'counter', title: 'Tokens billed for responses that callers received, completely or in part' },
@@ -60,6 +64,6 @@
 /** Names of the metrics of one kind. */
 type NamesOf<Kind extends MetricKind> = { [Name in keyof typeof metricTable]: (typeof metricTable)[Name]['kind'] extends Kind ? Name : never }[keyof typeof metricTable]
 
-export type CounterName = Exclude<NamesOf<'counter'>, 'refusals'> | `refusals_${ResultName}`
+export type CounterName = Exclude<NamesOf<'counter'>, 'refusals' | 'refusals_proven'> | `refusals_${ResultName}` | `refusals_proven_${ExecutionProof}`
 export type GaugeName = NamesOf<'gauge'>
 export type HistogramName = NamesOf<'histogram'>
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -42,9 +42,13 @@
 export class CallDispatch {
   constructor (private readonly deps: DispatchDeps) {}
 
-  /** Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink. */
-  async serve (admitted: AdmittedCall, sink: CallSink): Promise<Either<Failure, void>> {
+  /**
+   * Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink.
+   * @param onOpened - called with the state of the call, for reports of its failure
+   */
+  async serve (admitted: AdmittedCall, sink: CallSink, onOpened: (open: OpenCall) => void = () => {}): Promise<Either<Failure, void>> {
     const open = new OpenCall(admitted, sink, this.deps.clock)
+    onOpened(open)
     this.deps.guard?.opened(open)
     try {
       const refusal = this.deps.guard?.refusal(open)
--- a/packages/rosemaryspread/src/gateway/callReport.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.ts
@@ -2,12 +2,19 @@
 import { Right, type Either } from 'purify-ts'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import { refusalProof, type AttemptRecord, type ExecutionProof } from '@rosemaryspread/decisions/gateway/executionProof.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import type { AttemptOutcome } from './callAttempt.js'
 import type { OpenCall } from './openCall.js'
-import type { OpaqueCall } from './callTypes.js'
+
+/** A call whose failure is reported. */
+export interface FailedCall {
+  readonly requestId: string
+  /** Absent where it is not known. */
+  readonly team?: string
+}
 
 /** Whether a report says that its target is leaving or paused, or is malformed. */
 export function isStateReport ({ isLeaving, pauseMs, flaw }: TargetReport): boolean {
@@ -62,16 +69,34 @@
   attemptFailed (open: OpenCall, target: string, outcome: AttemptOutcome, retried: boolean): void {
     if (outcome.kind === 'answered') return
     const request = open.admitted.call.requestId
-    const cause = outcome.kind === 'failedAnswer'
-      ? { code: 'runnerRefused', ran: 'yes', detail: `status ${outcome.head.status}` }
-      : { code: outcome.failure.code, ran: outcome.failure.ran, detail: outcome.failure.message }
+    const detail = outcome.kind === 'failedAnswer' ? `status ${outcome.head.status}` : outcome.failure.message
     this.metrics.count('attempts_failed')
-    this.log.write('attemptFailed', { request, runner: target, ...cause, retried })
+    this.log.write('attemptFailed', { request, ...open.latestEnd, runner: target, retried, detail })
   }
 
-  /** Reports a failure that is returned to the caller. */
-  failed (call: OpaqueCall, { code, ran, retryAfterMs, message }: Failure): void {
+  /**
+   * Reports a failure that is returned to the caller.
+   * @param open - absent if the call was not dispatched
+   */
+  failed (call: FailedCall, failure: Failure, open?: OpenCall): void {
+    const { code, ran, retryAfterMs, message: detail } = failure
+    const attempts = open?.attemptRecords ?? []
     this.metrics.count(`refusals_${code}`)
-    this.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: call.requestId, code, ran, retryAfterMs, detail: message })
+    const proof = ran === 'no' ? this.proofOf(call, failure, attempts) : undefined
+    const ageMs = open === undefined ? undefined : Math.round(open.ageMs)
+    this.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request: call.requestId, code, ran, proof, attempts, ageMs, team: call.team, retryAfterMs, detail })
+  }
+
+  /** What shows that a refused call was not executed. An attempt that may have been executed contradicts the refusal, which is reported. */
+  private proofOf ({ requestId }: FailedCall, { code, message }: Failure, attempts: readonly AttemptRecord[]): ExecutionProof | 'none' {
+    const proof = refusalProof(attempts)
+    if (attempts.length > 0) this.metrics.count('refusals_after_attempts')
+    if (proof === undefined) {
+      this.metrics.count('claims_unproven')
+      this.log.write('claimUnproven', { request: requestId, code, attempts, detail: message })
+      return 'none'
+    }
+    this.metrics.count(`refusals_proven_${proof}`)
+    return proof
   }
 }
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -11,6 +11,7 @@
 import type { AdmittedCall, CallSink } from './callTypes.js'
 import { admitCall, type PreparedConfig } from './gatewayAdmission.js'
 import type { GatewayCall } from './gatewayTypes.js'
+import type { OpenCall } from './openCall.js'
 
 /** Retry-After while no configuration is loaded. */
 const NO_CONFIG_RETRY_MS = 500
@@ -33,15 +34,16 @@
   /** Serves a call; its sink is ended exactly once, whatever happens. */
   async serve (call: GatewayCall, sink: CallSink): Promise<void> {
     const close = this.deps.work.open()
+    const dispatched: { open?: OpenCall } = {}
     try {
       const served = await this.admit(call).caseOf<Promise<Either<Failure, void>>>({
         Left: async failure => Left(failure),
-        Right: async admitted => await this.deps.dispatch.serve(admitted, sink)
+        Right: async admitted => await this.deps.dispatch.serve(admitted, sink, open => { dispatched.open = open })
       })
-      served.ifLeft(failure => { this.fail(call, sink, failure) })
+      served.ifLeft(failure => { this.fail(call, sink, failure, dispatched.open) })
     } catch (err) {
       this.deps.log.write('fault', { request: call.requestId, err: toFailure(err).message })
-      this.fail(call, sink, toFailure(err))
+      this.fail(call, sink, toFailure(err), dispatched.open)
     } finally {
       close()
     }
@@ -66,8 +68,8 @@
     return admitCall(call, prepared, this.deps.random.next())
   }
 
-  private fail (call: GatewayCall, sink: CallSink, failure: Failure): void {
-    this.deps.report.failed(call, failure)
+  private fail (call: GatewayCall, sink: CallSink, failure: Failure, open?: OpenCall): void {
+    this.deps.report.failed(call, failure, open)
     if (sink.isStarted) sink.cut()
     else sink.refuse(failure)
   }
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -4,9 +4,11 @@
  */
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { AttemptRecord } from '@rosemaryspread/decisions/gateway/executionProof.js'
 import type { KnownVersion, VersionSource } from '@rosemaryspread/decisions/streams/streamVersion.js'
 import type { Reservation } from '../budget/budgetPort.js'
 import { partDigest, requestDigest } from '../quarantine/requestDigest.js'
+import { AttemptHistory, type AttemptEnd } from './attemptHistory.js'
 import { EventRelay } from './eventRelay.js'
 import type { AttemptOutcome } from './callAttempt.js'
 import type { AdmittedCall, CallPlace, CallSink } from './callTypes.js'
@@ -45,6 +47,7 @@
   /** Targets that accepted no connection, or whose address belongs to another process. */
   absentTargets = 0
   private ran = false
+  private readonly history = new AttemptHistory()
   private cachedDigest: string | undefined
   private cachedPartDigests: readonly string[] | undefined
   private readonly stop = new AbortController()
@@ -78,6 +81,16 @@
     return this.clock.now().mono - this.admitted.call.receivedAt.mono
   }
 
+  /** All attempts so far, in order. */
+  get attemptRecords (): AttemptRecord[] {
+    return this.history.records(this.admitted.call.receivedAt.mono, this.clock.now().mono)
+  }
+
+  /** How the latest attempt failed; undefined if it has not. */
+  get latestEnd (): AttemptEnd | undefined {
+    return this.history.latestEnd
+  }
+
   /**
    * Whether any of an answer was relayed. Only then is the prompt billed: callers pay for what they receive, and
    * an answer that is lost on the way costs nothing.
@@ -96,6 +109,7 @@
   /** Signal that is aborted when the call ends early. Requested at the start of an attempt, so it also marks that the request may run. */
   stopSignal (): AbortSignal {
     this.mayHaveRun = true
+    this.history.start(this.lastTarget ?? '', this.sentAt)
     return this.stop.signal
   }
 
@@ -124,6 +138,7 @@
    * @param target - id of the target
    */
   recordAttempt (target: string, outcome: AttemptOutcome): void {
+    this.history.end(outcome, this.clock.now().mono)
     this.excluded.add(target)
     if (this.wasAbsent(outcome)) this.absentTargets += 1
     else this.attempts += 1
