--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -138,9 +138,9 @@
   private refuse (exchange: HttpExchange, failure: Failure): void {
     this.deps.log.write('requestRefused', {
       request: exchange.requestId,
-      team: exchange.client,
       code: failure.code,
       ran: failure.ran,
+      team: exchange.client,
       retryAfterMs: failure.retryAfterMs
     })
     exchange.refuse(failure)
--- a/packages/rosemaryspread/src/completion/completionReport.ts
+++ b/packages/rosemaryspread/src/completion/completionReport.ts
@@ -27,14 +27,14 @@
    * @param retried - whether another runner is tried
    */
   attemptFailed (request: string, runner: string, { code, ran, message }: Failure, retried: boolean): void {
-    this.deps.log.write('attemptFailed', { request, runner, code, ran, retried, detail: message })
+    this.deps.log.write('attemptFailed', { request, code, ran, runner, retried, detail: message })
   }
 
   /** Reports the failure that ends a request, and returns it for the caller. */
   refused (request: string, team: string, failure: Failure): Failure {
     const { code, ran, retryAfterMs } = failure
     this.deps.metrics.count(`refusals_${code}`)
-    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request, team, code, ran, retryAfterMs, detail: failure.message })
+    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request, code, ran, team, retryAfterMs, detail: failure.message })
     return failure
   }
 }
--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -14,6 +14,7 @@
 import { CallDispatch } from '../gateway/callDispatch.js'
 import { CallReport } from '../gateway/callReport.js'
 import type { AdmittedCall } from '../gateway/callTypes.js'
+import type { OpenCall } from '../gateway/openCall.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import type { BackgroundWrites } from './serviceBackground.js'
 import type { ClaimRow, ClaimStore, AcquiredClaim } from './serviceClaim.js'
@@ -41,6 +42,11 @@
   readonly metrics: Metrics
 }
 
+/** The state of a call at its runners, once it was dispatched. */
+interface DispatchedCall {
+  open?: OpenCall
+}
+
 /** A call that passed the checks. */
 interface CheckedCall {
   readonly call: ServiceCall
@@ -49,12 +55,16 @@
   readonly startedAt: Instant
   readonly timeoutMs: number
   readonly repeatable: boolean
+  readonly dispatched: DispatchedCall
 }
 
 export class ClaimedServiceCalls implements ApplicationService {
   private readonly load = new ServiceLoad()
+  private readonly report: CallReport
 
-  constructor (private readonly deps: ServiceDeps) {}
+  constructor (private readonly deps: ServiceDeps) {
+    this.report = new CallReport(deps.log, deps.metrics)
+  }
 
   async call (call: ServiceCall): Promise<Either<Failure, ServiceAnswer>> {
     const close = this.deps.work.open()
@@ -64,7 +74,8 @@
         ? Left(checked.extract())
         : await this.serve(checked.unsafeCoerce())
       const requestId = checked.map(checkedCall => checkedCall.requestId).orDefault(call.requestId ?? '-')
-      return answer.ifLeft(failure => { this.refused(requestId, call.caller.team, failure) })
+      const open = checked.map(({ dispatched }) => dispatched.open).orDefault(undefined)
+      return answer.ifLeft(failure => { this.report.failed({ requestId, team: call.caller.team }, failure, open) })
     } finally {
       close()
     }
@@ -97,7 +108,8 @@
       requestId: idempotencyKey === undefined ? call.requestId ?? this.deps.random.id() : keyedRequestId(caller.team, idempotencyKey),
       startedAt: this.deps.clock.now(),
       timeoutMs: Math.min(call.timeoutMs ?? service.timeoutMs, service.timeoutMs),
-      repeatable
+      repeatable,
+      dispatched: {}
     })
   }
 
@@ -146,7 +158,7 @@
 
   private async dispatch (checked: CheckedCall): Promise<Either<Failure, ServiceAnswer>> {
     const { requestId, startedAt } = checked
-    const { clock, metrics, log, runners, domain } = this.deps
+    const { clock, metrics, runners, domain } = this.deps
     const collector = new AnswerCollector()
     const dispatch = new CallDispatch({
       clock,
@@ -154,18 +166,12 @@
       retries: unboundedRetries,
       client: new ApplicationTargets(runners),
       metrics,
-      report: new CallReport(log, metrics)
+      report: this.report
     })
-    const served = await dispatch.serve(admittedOf(checked), collector)
+    const served = await dispatch.serve(admittedOf(checked), collector, open => { checked.dispatched.open = open })
     metrics.record('service_call_ms', elapsedMs(startedAt, clock.now()))
     return served.map(() => ({ ...collector.answer as ApplicationAnswer, requestId, repeated: false }))
   }
-
-  private refused (request: string, team: string, failure: Failure): void {
-    const { code, ran, retryAfterMs } = failure
-    this.deps.metrics.count(`refusals_${code}`)
-    this.deps.log.write(ran === 'no' ? 'requestRefused' : 'requestFailed', { request, team, code, ran, retryAfterMs, detail: failure.message })
-  }
 }
 
 /** Digest of everything that identifies a call: an idempotency key must not be reused for another service or path either. */
