--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -45,16 +45,25 @@
   /**
    * Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink. Whether the failure,
    * returned or thrown, promises that the request has not run follows from the attempts alone.
+   * @param onOpened - called with the state of the call, for reports of its failure
    */
-  async serve (admitted: AdmittedCall, sink: CallSink): Promise<Either<Failure, void>> {
+  async serve (admitted: AdmittedCall, sink: CallSink, onOpened: (open: OpenCall) => void = () => {}): Promise<Either<Failure, void>> {
     const open = new OpenCall(admitted, sink, this.deps.clock)
+    onOpened(open)
     try {
-      return (await this.serveOpen(open)).mapLeft(failure => open.reported(failure))
+      return (await this.serveOpen(open)).mapLeft(failure => this.reportable(open, failure))
     } catch (err) {
-      throw open.reported(toFailure(err))
+      throw this.reportable(open, toFailure(err))
     }
   }
 
+  /** The failure as the caller may see it. */
+  private reportable (open: OpenCall, failure: Failure): Failure {
+    const reported = open.reported(failure)
+    if (reported !== failure) this.deps.report.claimUnproven(open.admitted.call, failure, open.attemptRecords)
+    return reported
+  }
+
   private async serveOpen (open: OpenCall): Promise<Either<Failure, void>> {
     this.deps.guard?.opened(open)
     try {
@@ -107,7 +116,7 @@
   private async tryTargets (open: OpenCall): Promise<Either<Failure, void>> {
     for (;;) {
       open.checkDeadline()
-      open.stopped ??= this.deps.guard?.refusal(open)
+      open.stopped ??= this.guardRefusal(open)
       if (open.stopped !== undefined) return Left(open.stopped)
       const chosen = await this.choose(open)
       if (open.stopped !== undefined) return Left(open.stopped)
@@ -129,6 +138,11 @@
     return this.deps.report.answered(open, choice.target.id)
   }
 
+  private guardRefusal (open: OpenCall): Failure | undefined {
+    const refusal = this.deps.guard?.refusal(open)
+    return refusal === undefined ? undefined : open.reported(refusal)
+  }
+
   /** Waits for a place if all are taken. */
   private async choose (open: OpenCall): Promise<Either<Failure, TargetChoice>> {
     const { chooser, guard, report } = this.deps
