An attempt counts as not run only with a failure of which is known what it shows

A client of targets that returned any failure with ran: no ended an attempt as not run, so that the caller got a promise: also a link that refuses a call of its own (overloaded, draining, bodyTooLarge), which says nothing about the target. The codes that show it are the same for logs and for the dispatch now (executionProof.ts). A promise that the dispatch takes back is logged (claimUnproven, 3008) and counted; a guard's refusal after attempts isn't one.

callDispatch.spec.ts: 3 of 3 new sequences with a link that refuses failed before (503 in place of 502).

--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -3,6 +3,7 @@
  * are not streamed are buffered, so that an answer that breaks off can be requested again.
  */
 import { failureOf, Failure, mayHaveRun, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { attemptProof } from '@rosemaryspread/decisions/gateway/executionProof.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
@@ -47,7 +48,7 @@
   try {
     const sent = await parts.client.send(req, stop, parts.onReport)
     return await sent.caseOf<Promise<AttemptOutcome>>({
-      Left: async failure => failure.ran === 'no' ? { kind: 'notRun', failure } : broken(failure),
+      Left: async failure => attemptProof(failure.code, failure.ran) === undefined ? broken(failure) : { kind: 'notRun', failure },
       Right: async answer => await relayAnswer(parts, answer)
     })
   } catch (err) {
@@ -110,7 +111,7 @@
   return { kind: 'answered', status: answer.head.status, isDelimited: isDelimited(answer.head) }
 }
 
-/** Only a client that returns a failure of its own proves that nothing ran: any later one may be about another call or part. */
+/** Only certain failures to send prove that nothing ran: any other one, and any later one, may be about another call or part. */
 function broken (failure: Failure): AttemptOutcome {
   return { kind: 'broken', failure: mayHaveRun(failure) }
 }
--- a/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
@@ -14,17 +14,19 @@
 import type { CallGuard, CallSink, TargetAnswer, TargetChooser, TargetClient } from './callTypes.js'
 import { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import { GatewayPipeline } from './gatewayPipeline.js'
+import type { GatewayCall } from './gatewayTypes.js'
 
 const silentLog = { write: () => {} }
 const unsent = new Failure('overloaded', 'not sent', { ran: 'no' })
 
 /** What an attempt does: `send` and `read` name where it ends, and whether with a failure that is returned or thrown. */
-type Step = 'refused' | 'lost' | 'failed' | 'send throws' | 'read fails' | 'read throws' | 'stream fails'
+type Step = 'refused' | 'lost' | 'failed' | 'link refuses' | 'send throws' | 'read fails' | 'read throws' | 'stream fails'
 
 const steps: Readonly<Record<Step, () => Either<Failure, TargetAnswer>>> = {
   refused: () => Left(new Failure('runnerRefused', 'full', { ran: 'no' })),
   lost: () => Left(new Failure('runnerUnreachable', 'reset', { ran: 'unknown' })),
   failed: () => Right({ head: { status: 500, headers: [] }, read: async () => Right(undefined) }),
+  'link refuses': () => Left(unsent),
   'send throws': () => { throw unsent },
   'read fails': () => Right({ head: { status: 200, headers: [] }, read: async () => Left(unsent) }),
   'read throws': () => Right({ head: { status: 200, headers: [] }, read: async () => { throw unsent } }),
@@ -56,6 +58,9 @@
   { steps: ['refused', 'lost'], status: 502 },
   { steps: ['failed', 'refused'], status: 500 },
   { steps: ['refused', 'failed'], status: 500 },
+  { steps: ['link refuses'], status: 502 },
+  { steps: ['refused', 'link refuses'], status: 502 },
+  { steps: ['link refuses', 'refused'], status: 502 },
   { steps: ['send throws'], status: 502 },
   { steps: ['read fails'], status: 502 },
   { steps: ['read throws'], status: 502 },
@@ -81,6 +86,35 @@
   ])
 ]
 
+interface UnprovenCase extends Pick<DispatchCase, 'steps' | 'fault'> {
+  readonly unproven: number
+}
+
+/** A guard's refusal says what holds for a call that was not sent, so it is no contradiction. */
+const unprovenCases: readonly UnprovenCase[] = [
+  { steps: ['lost'], fault: 'retries throw', unproven: 1 },
+  { steps: ['lost'], fault: 'budgets.settle throws', unproven: 1 },
+  { steps: ['lost'], fault: 'guard.refusal', unproven: 0 },
+  { steps: ['lost'], fault: 'guard aborts', unproven: 0 },
+  { steps: ['refused'], fault: 'retries throw', unproven: 0 }
+]
+
+const call: GatewayCall = {
+  requestId: 'r',
+  method: 'POST',
+  host: 'h',
+  path: '/p/x',
+  key: 'k',
+  headers: [],
+  body: Buffer.alloc(0),
+  timeoutMs: undefined,
+  promptTokens: 1,
+  maxTokens: 1,
+  promptParts: [],
+  receivedAt: { mono: performance.now(), wall: 0 },
+  gone: new AbortController().signal
+}
+
 class StatusSink implements CallSink {
   isStarted = false
   readonly statuses: number[] = []
@@ -191,12 +225,11 @@
   }
 }
 
-function pipelineOf (parts: FaultyParts, streamed: boolean): GatewayPipeline {
+function pipelineOf (parts: FaultyParts, streamed: boolean, metrics = new MetricsRecorder()): GatewayPipeline {
   const route = { name: 'p', host: 'h', prefix: '/p/', services: [{ service: 's', weight: 1 }], repeat: streamed ? 'resume' : 'always', streamed, timeoutMs: 5_000, objectiveMs: 100, attempts: 4, priority: 0, isOpen: true, hasAffinity: false }
   const config = new GatewayConfigHolder(silentLog)
   config.apply(gatewayConfigSchema.parse({ version: 1, routes: [route], services: { s: { tokensPerEvent: 3 } }, teams: { team: { keyHashes: [], prepaidTokens: 1 } } }))
   const prepared = config.current()
-  const metrics = new MetricsRecorder()
   const report = new CallReport(silentLog, metrics)
   const clock = { now: () => ({ mono: performance.now(), wall: 0 }) }
   return new GatewayPipeline({
@@ -214,10 +247,16 @@
   for (const { steps: sequence, fault, streamed = false, status } of cases) {
     it(`answers ${status} after ${sequence.join(', ')}${fault === undefined ? '' : ` if ${fault}`}`, async () => {
       const sink = new StatusSink()
-      await pipelineOf(new FaultyParts(sequence, fault), streamed).serve({
-        requestId: 'r', method: 'POST', host: 'h', path: '/p/x', key: 'k', headers: [], body: Buffer.alloc(0), timeoutMs: undefined, promptTokens: 1, maxTokens: 1, promptParts: [], receivedAt: { mono: performance.now(), wall: 0 }, gone: new AbortController().signal
-      }, sink)
+      await pipelineOf(new FaultyParts(sequence, fault), streamed).serve(call, sink)
       expect(sink.statuses).to.deep.equal([status])
     })
   }
+
+  for (const { steps: sequence, fault, unproven } of unprovenCases) {
+    it(`counts ${unproven} unproven claims after ${sequence.join(', ')} if ${fault}`, async () => {
+      const metrics = new MetricsRecorder()
+      await pipelineOf(new FaultyParts(sequence, fault), false, metrics).serve(call, new StatusSink())
+      expect(metrics.render().includes('claims_unproven')).to.equal(unproven > 0)
+    })
+  }
 })
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -123,8 +123,9 @@
 }
 
 /**
- * Sends requests to targets. A failure with `ran: no` proves that the target did not run the request;
- * `runnerUnreachable` with `ran: no` means that the request did not arrive.
+ * Sends requests to targets. A failure with `ran: no` proves that the target did not run the request, if it has a code of which
+ * `executionProof.ts` knows what it shows; with any other code the request may have run. `runnerUnreachable` with `ran: no` means that
+ * the request did not arrive.
  */
 export interface TargetClient {
   /**
