A drain doesn't cut answers that callers still read

Cause: a call counted as done when its answer was handed to the socket. Node's closeIdleConnections, which Server.close calls too, destroys a connection from then on, however many bytes wait, and the drain ended 50 ms after the last call. The same happened near the limit of descriptors.

The drain waits for unsent answers within the same share of the grace time as for open requests, after tokens are returned, so that a caller who doesn't read holds nothing up.

--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -37,6 +37,14 @@
 /** Share of the grace time after which open requests are abandoned. */
 const FINISH_RATIO = 0.85
 
+/** The ingress of a VM that drains. */
+export interface DrainedIngress {
+  /** Closes idle connections and accepts no new ones. */
+  close (): void
+  /** Resolves to true once all answers have left the process, or to false after the timeout. */
+  untilAnswersSent (timeoutMs: number): Promise<boolean>
+}
+
 export class GatewayVm {
   readonly container = new Container()
   private readonly log: EventLog
@@ -128,9 +136,8 @@
   /**
    * Stops gracefully: sends callers elsewhere, finishes open requests and returns tokens. Resolves when the
    * process may exit, at the latest shortly before the end of the grace time.
-   * @param stopAccepting - closes idle connections and accepts no new ones
    */
-  async drain (stopAccepting: () => void): Promise<void> {
+  async drain (ingress: DrainedIngress): Promise<void> {
     const work = this.container.get(ids.work)
     const startedAt = this.clock.now().mono
     const leftMs = (): number => Math.max(0, this.settings.graceMs * FINISH_RATIO - (this.clock.now().mono - startedAt))
@@ -139,11 +146,12 @@
     this.admission?.drain()
     this.inBackground(this.container.get(ids.presence).publishState('leaving'))
     await pause(this.settings.graceMs * LINGER_RATIO)
-    stopAccepting()
+    ingress.close()
     await work.waitUntilIdle(leftMs())
     await Promise.race([this.returnState(), pause(leftMs())])
     // Requests that arrived on open connections meanwhile are finished as well, and their last bytes are sent.
     await work.waitUntilIdle(leftMs())
+    await ingress.untilAnswersSent(leftMs())
     await pause(ANSWER_FLUSH_MS)
     await this.stop()
     this.log.write('stopped', { open: work.openCount() })
