A request that is being handled isn't refused with ran: no because malformed bytes follow it

On the own interface, a complete request that was already handled got 400 with ran: no when its caller sent bytes on the connection that are no HTTP: the failure of the parser is about these bytes, and it was sent as the answer to the open request. It says ran: unknown now once the request was received completely.

--- a/packages/http/src/server/httpServer.spec.ts
+++ b/packages/http/src/server/httpServer.spec.ts
@@ -3,7 +3,8 @@
  * crashing the process, and each request reaches its handler or is answered with a numbered problem.
  */
 import { once } from 'node:events'
-import { createServer, type AddressInfo } from 'node:net'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
 import { expect } from 'chai'
 import got from 'got'
 import { Left, Right } from 'purify-ts'
@@ -57,6 +58,26 @@
       await server.close()
     })
 
+    it('does not report a request that is handled as not executed if malformed bytes follow it', async () => {
+      const server = createServerWithRoutes(make())
+      const isHandled = new Promise<void>(resolve => {
+        server.route('GET', '/slow', async exchange => {
+          resolve()
+          await pause(100)
+          return Right(exchange.sendJson(200, { route: 'slow' }))
+        })
+      })
+      const [host = '', port = ''] = (await server.listen('127.0.0.1:0')).split(':')
+      const socket = connect(Number(port), host)
+      socket.write('GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
+      await isHandled
+      socket.write('malformed\r\n\r\n')
+      const received = (await socket.toArray()).join('')
+      await server.close()
+      expect(received).to.match(/^HTTP\/1\.1 400 /)
+      expect(received).to.include('"ran":"unknown"')
+    })
+
     it('rejects when the address is in use', async () => {
       const occupyingServer = createServer().listen(0, '127.0.0.1')
       await once(occupyingServer, 'listening')
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Either } from 'purify-ts'
-import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, mayHaveRun } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { HttpExchange } from './httpExchange.js'
 import { ACCEPT_BACKLOG, type HttpLimits } from './httpLimits.js'
@@ -146,6 +146,7 @@
     exchange.refuse(failure)
   }
 
+  /** Malformed bytes may follow a complete request that is being handled. */
   private handleClientError (err: NodeJS.ErrnoException, socket: Socket): void {
     if (err.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
@@ -155,7 +156,7 @@
     const exchange = [...this.open].find((candidate) => candidate.req.socket === socket)
     if (exchange === undefined) refuseSocket(socket, failure)
     else if (exchange.res.headersSent) socket.destroy()
-    else this.refuseAndClose(exchange, failure)
+    else this.refuseAndClose(exchange, exchange.req.complete ? mayHaveRun(failure) : failure)
   }
 
   private refuseAndClose (exchange: HttpExchange, failure: Failure): void {
