A call whose claim is held by another attempt is answered claimOutcomeUnknown

Where the claim exists and can't be read or taken over, the refusal kept the code `notClaimed`, whose title says that the call was not run, beside ran: unknown. It is `claimOutcomeUnknown` now, as where the claim is found to be in progress. The claim that this attempt may have written is still abandoned in the background.

--- a/packages/rosemaryspread/src/service/serviceCalls.ts
+++ b/packages/rosemaryspread/src/service/serviceCalls.ts
@@ -127,8 +127,9 @@
 
   /** A claim whose write may have taken effect is abandoned in the background, so that a repeat can run. */
   private claimFailed (row: ClaimRow, failure: Failure): Either<Failure, ServiceAnswer> {
-    if (failure.code === 'notClaimed') this.deps.background.abandonIfWritten(row)
-    return Left(failure)
+    if (failure.code !== 'notClaimed') return Left(failure)
+    this.deps.background.abandonIfWritten(row)
+    return Left(failure.ran === 'no' ? failure : new Failure('claimOutcomeUnknown', failure.message, { ran: failure.ran, retryAfterMs: IN_PROGRESS_RETRY_MS }))
   }
 
   private async dispatchClaimed (checked: CheckedCall, claim: AcquiredClaim, sentAt: Instant): Promise<Either<Failure, ServiceAnswer>> {
--- a/packages/stand-ins/src/request/serviceCalls.spec.ts
+++ b/packages/stand-ins/src/request/serviceCalls.spec.ts
@@ -138,7 +138,7 @@
     it(`whose claim by another VM ${name} isn't reported as not run`, async () => {
       const fleet = createServiceFleet()
       await arrange(fleet)
-      expect((await fleet.b.dispatch()).extract()).to.include({ code: 'notClaimed', ran: 'unknown' })
+      expect((await fleet.b.dispatch()).extract()).to.include({ code: 'claimOutcomeUnknown', ran: 'unknown' })
       expect(fleet.applications.executions).to.have.length(1)
     })
   }
