--- a/packages/runners/src/application/httpApplicationClient.spec.ts
+++ b/packages/runners/src/application/httpApplicationClient.spec.ts
@@ -51,6 +51,28 @@
     })
   }
 
+  it('a connection that is dropped after it was used before: it may have run', async () => {
+    let calls = 0
+    const server = await startTestServer((...args) => {
+      calls += 1
+      if (calls === 1) args[0].end('done')
+      else dropConnection(...args)
+    })
+    const client = new HttpApplicationClient({ vm: 'vm-1', connectMs: LONG_TIMEOUT_MS, maxBytes: MAX_BYTES })
+    await client.call(server.address, { ...CALL, timeoutMs: LONG_TIMEOUT_MS })
+    const second = (await client.call(server.address, { ...CALL, timeoutMs: LONG_TIMEOUT_MS })).extract()
+    client.close()
+    await server.close()
+    expect(calls).to.equal(2)
+    expect(second).to.include({ code: 'runnerUnreachable', ran: 'unknown' })
+  })
+
+  it('an address without a server: it has not run', async () => {
+    const server = await startTestServer(dropConnection)
+    await server.close()
+    expect(await run(server.address, { ...CALL, timeoutMs: LONG_TIMEOUT_MS })).to.equal('runnerUnreachable no')
+  })
+
   const retryAfterCases: ReadonlyArray<{ readonly status: number, readonly retryAfter: string, readonly pauseMs: number | undefined }> = [
     { status: 503, retryAfter: '2.5', pauseMs: 2_500 },
     { status: 429, retryAfter: '1', pauseMs: 1_000 },
