Answers that are not streamed share one bound of buffered bytes

Eighty answers of 16 MB at the same time took a VM to 1,348 MB of resident memory (1,594 MB while the callers did not read); with 200 or 350 MB in all the platform ends it, with every request and stream it has open. Each answer was bounded (16 MB), all together were not, and the bytes went on being held until the caller had read them.

Now AnswerBuffers counts the bytes of all buffered answers of the VM until the sink has sent them (CallSink.whole may return a promise for that). The answer that would exceed gateway.answerBufferBytes (32 MiB by default) is cut: answerCut, ran yes, a 502 that promises nothing. A server error kept for a later attempt counts too, until it is replaced, sent or the call ends. Calls of the service API stay bounded one by one.

Ruled out: making answers wait for room (each holds a part of the room and none may come to its end), and the size as announced (chunks announce none).

--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -27,6 +27,7 @@
 import { RelayServer } from '../relay/relayServer.js'
 import { StreamVersions } from '../streams/streamVersions.js'
 import { createBudgetDriver } from './budgetDriverFactory.js'
+import { AnswerBuffers } from './answerBuffers.js'
 import type { ConnectionLiveness } from './connectionLiveness.js'
 import { CallAdmission } from './callAdmission.js'
 import { CallDispatch } from './callDispatch.js'
@@ -190,7 +191,7 @@
   }), [ids.clock, ids.random, ids.log, ids.metrics]).inSingletonScope()
 }
 
-function bindPipeline (container: Container, { vm, retries }: GatewaySettings): void {
+function bindPipeline (container: Container, { vm, retries, answerBufferBytes }: GatewaySettings): void {
   container.bind(ids.chooser).toDynamicValue(context => {
     const log = context.get(ids.log)
     const presence = context.get(ids.presence)
@@ -235,6 +236,7 @@
       report,
       streams: context.get(ids.streams),
       ...(container.isBound(ids.admission) ? { admission: context.get(ids.admission) } : {}),
+      buffers: new AnswerBuffers(answerBufferBytes),
       guard: context.get(ids.quarantine)
     })
     return new GatewayPipeline({ random, config: context.get(ids.config), work: context.get(ids.work), dispatch, log, report })
--- a/packages/rosemaryspread/src/gateway/callAttempt.ts
+++ b/packages/rosemaryspread/src/gateway/callAttempt.ts
@@ -4,11 +4,10 @@
  */
 import { failureOf, Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
+import type { AnswerBuffer, AnswerBuffers } from './answerBuffers.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerHead, CallSink, TargetAnswer, TargetClient, TargetRequest } from './callTypes.js'
 
-/** Largest answer that is buffered. */
-const MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
@@ -20,7 +19,7 @@
   /** The complete answer was relayed. */
   | { readonly kind: 'answered', readonly status: number, readonly isDelimited: boolean }
   /** The target answered with a server error, which has not been relayed. */
-  | { readonly kind: 'failedAnswer', readonly head: AnswerHead, readonly body: Buffer }
+  | { readonly kind: 'failedAnswer', readonly head: AnswerHead, readonly buffer: AnswerBuffer }
   /** The target proved that it did not run the request. */
   | { readonly kind: 'notRun', readonly failure: Failure }
   /** The request may have run. */
@@ -30,6 +29,7 @@
   readonly client: TargetClient
   readonly sink: CallSink
   readonly relay: EventRelay
+  readonly buffers: AnswerBuffers
   readonly streamed: boolean
   /** Whether a server error of the target may be retried at another target. */
   readonly retriesFailures: boolean
@@ -70,24 +70,30 @@
   return headers.some(([name]) => delimitingHeaders.has(name.toLowerCase()))
 }
 
-async function relayBuffered ({ sink, retriesFailures: mayRetryFailures, onFirstOutput: notifyFirstOutput }: AttemptParts, answer: TargetAnswer): Promise<AttemptOutcome> {
-  const chunks: Buffer[] = []
-  let size = 0
-  const read = await answer.read(bytes => {
-    size += bytes.length
-    if (size > MAX_BUFFERED_BYTES) throw new Failure('answerCut', `the answer exceeds the limit of ${MAX_BUFFERED_BYTES} bytes`, { ran: 'yes' })
-    chunks.push(bytes)
-    return undefined
-  })
-  const failure = failureOf(read)
-  if (failure !== undefined) return { kind: 'broken', failure }
-  const body = Buffer.concat(chunks)
-  if ((answer.head.status >= MIN_SERVER_ERROR_STATUS && mayRetryFailures) || sink.isStarted) return { kind: 'failedAnswer', head: answer.head, body }
+async function relayBuffered ({ sink, buffers, retriesFailures: mayRetryFailures, onFirstOutput: notifyFirstOutput }: AttemptParts, answer: TargetAnswer): Promise<AttemptOutcome> {
+  const buffer = buffers.open()
+  const failure = await fill(buffer, answer)
+  if (failure !== undefined) {
+    buffer.discard()
+    return { kind: 'broken', failure }
+  }
+  if ((answer.head.status >= MIN_SERVER_ERROR_STATUS && mayRetryFailures) || sink.isStarted) return { kind: 'failedAnswer', head: answer.head, buffer }
   notifyFirstOutput()
-  sink.whole(answer.head, body)
+  buffer.sendTo(sink, answer.head)
   return { kind: 'answered', status: answer.head.status, isDelimited: isDelimited(answer.head) }
 }
 
+async function fill (buffer: AnswerBuffer, answer: TargetAnswer): Promise<Failure | undefined> {
+  try {
+    return failureOf(await answer.read(bytes => {
+      buffer.append(bytes)
+      return undefined
+    }))
+  } catch (err) {
+    return toFailure(err)
+  }
+}
+
 /** Sends the head together with the first event; until then another target can be tried. */
 async function relayStream ({ sink, relay, onFirstOutput: notifyFirstOutput }: AttemptParts, answer: TargetAnswer): Promise<AttemptOutcome> {
   const read = await answer.read(bytes => {
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -11,6 +11,7 @@
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { BudgetPort } from '../budget/budgetPort.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
+import { AnswerBuffers } from './answerBuffers.js'
 import { isSuccess, runAttempt, type AttemptOutcome } from './callAttempt.js'
 import type { CallReport } from './callReport.js'
 import { OpenCall } from './openCall.js'
@@ -34,13 +35,19 @@
   readonly streams?: StreamOrigins
   /** Absent where calls are sent whatever the load. */
   readonly admission?: LoadAdmission
+  /** Absent where buffered answers are bounded one by one only. */
+  readonly buffers?: AnswerBuffers
   /** Absent where requests are not quarantined. */
   readonly guard?: CallGuard
 }
 
 /** Dispatches the admitted calls of one VM. */
 export class CallDispatch {
-  constructor (private readonly deps: DispatchDeps) {}
+  private readonly buffers: AnswerBuffers
+
+  constructor (private readonly deps: DispatchDeps) {
+    this.buffers = deps.buffers ?? new AnswerBuffers()
+  }
 
   /** Serves a call. On success the sink has been ended; on failure the caller of this method reports the failure to the sink. */
   async serve (admitted: AdmittedCall, sink: CallSink): Promise<Either<Failure, void>> {
@@ -148,7 +155,7 @@
       this.deps.report.targetReported(open, choice, report)
       chooser.recordReport(choice, report)
     }
-    const outcome = await runAttempt({ client, sink, relay, streamed, retriesFailures: mayRetryFailures, onFirstOutput, onReport }, this.requestFor(open, choice), open.stopSignal())
+    const outcome = await runAttempt({ client, sink, relay, buffers: this.buffers, streamed, retriesFailures: mayRetryFailures, onFirstOutput, onReport }, this.requestFor(open, choice), open.stopSignal())
     chooser.endPrefill(choice, ticket, false)
     const isTerminated = await this.isTargetTerminated(open, choice, outcome)
     if (outcome.kind === 'notRun' && outcome.failure.code === 'runnerRefused') chooser.refused(choice)
@@ -219,7 +226,7 @@
   private concludeFailed (open: OpenCall, failure: Failure | undefined): Either<Failure, void> {
     const { failedAnswer, sink } = open
     if (failedAnswer !== undefined && !sink.isStarted && open.stopped === undefined) {
-      sink.whole(failedAnswer.head, failedAnswer.body)
+      failedAnswer.buffer.sendTo(sink, failedAnswer.head)
       return this.deps.report.answered(open, 'failed')
     }
     return Left(open.stopped ?? this.serviceRefusal(open) ?? open.lastFailure ?? failure ?? new Failure('internal', 'the call ended without an attempt or a failure'))
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -80,8 +80,8 @@
 export interface CallSink {
   /** Whether anything was sent. */
   readonly isStarted: boolean
-  /** Sends a complete answer. */
-  whole (head: AnswerHead, body: Buffer): void
+  /** Sends a complete answer; a returned promise resolves when its bytes are no longer held. */
+  whole (head: AnswerHead, body: Buffer): Promise<void> | void
   /** Starts a streamed answer. */
   head (head: AnswerHead): void
   /** Sends a chunk; a returned promise resolves when the caller has read enough for the next (backpressure). */
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -7,6 +7,7 @@
 
 const IPV4_PORT = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
 const milliseconds = z.number().nonnegative()
+const DEFAULT_ANSWER_BUFFER_BYTES = 32 * 1024 * 1024
 
 export const gatewaySettingsSchema = z.object({
   /** Name of the VM; stable over restarts. */
@@ -35,6 +36,8 @@
     /** How the limit of the calls in flight follows the load. */
     limit: z.enum(['aimd', 'gradient']).default('aimd')
   }).optional(),
+  /** Bytes of answers that are not streamed and are buffered at the same time, for all calls together. */
+  answerBufferBytes: z.number().int().positive().default(DEFAULT_ANSWER_BUFFER_BYTES),
   /** Descriptors that the process may open; absent for no limit. */
   descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
--- a/packages/rosemaryspread/src/gateway/openCall.ts
+++ b/packages/rosemaryspread/src/gateway/openCall.ts
@@ -129,7 +129,10 @@
     else this.attempts += 1
     if (outcome.kind !== 'notRun') this.ran = true
     this.mayHaveRun = this.ran
-    if (outcome.kind === 'failedAnswer') this.failedAnswer = outcome
+    if (outcome.kind === 'failedAnswer') {
+      this.failedAnswer?.buffer.discard()
+      this.failedAnswer = outcome
+    }
     if (outcome.kind === 'notRun' || outcome.kind === 'broken') this.lastFailure = this.combineFailures(outcome.failure)
   }
 
@@ -143,8 +146,9 @@
     if (this.leftMs <= 0) this.timeOut()
   }
 
-  /** Releases the timer and the listener of the call. */
+  /** Releases the timer, the listener and the buffers of the call. */
   close (): void {
+    this.failedAnswer?.buffer.discard()
     clearTimeout(this.timer)
     this.admitted.call.gone.removeEventListener('abort', this.onCallerDisconnected)
   }
