--- a/packages/rosemaryspread/src/gateway/callReport.spec.ts
+++ b/packages/rosemaryspread/src/gateway/callReport.spec.ts
@@ -6,6 +6,7 @@
 import { attemptRecordSchema } from '@rosemaryspread/decisions/gateway/executionProof.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import type { AttemptOutcome } from './callAttempt.js'
+import { AnswerBuffers } from './answerBuffers.js'
 import { CallReport } from './callReport.js'
 import type { AdmittedCall, CallSink } from './callTypes.js'
 import { OpenCall } from './openCall.js'
@@ -70,7 +71,7 @@
 const lost: AttemptOutcome = { kind: 'broken', failure: new Failure('runnerUnreachable', 'reset', { ran: 'unknown' }) }
 const unexplained: AttemptOutcome = { kind: 'notRun', failure: new Failure('overloaded', 'full', { ran: 'no' }) }
 const brokenAsNotRun: AttemptOutcome = { kind: 'broken', failure: new Failure('runnerRefused', 'full', { ran: 'no' }) }
-const serverError: AttemptOutcome = { kind: 'failedAnswer', head: { status: 500, headers: [] }, body: Buffer.alloc(0) }
+const serverError: AttemptOutcome = { kind: 'failedAnswer', head: { status: 500, headers: [] }, buffer: new AnswerBuffers().open() }
 
 interface RefusalCase {
   readonly name: string
