Spec of dispatch: the outcome of an attempt that may have run doesn't say ran: no by itself

No case failed if AttemptOutcome `broken` kept a claim of ran: no (73 of 73 passed with mayHaveRun removed from callAttempt.ts), as CallDispatch takes the claim back at the end; the refusal of the service would have replaced the failure, and the claim would have been logged as unproven. Three cases without a fault expect no unproven claim: 3 of 76 fail without mayHaveRun there, all pass with it.

--- a/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
@@ -90,8 +90,11 @@
   readonly unproven: number
 }
 
-/** A guard's refusal says what holds for a call that was not sent, so it is no contradiction. */
+/** An attempt that may have run never says otherwise, and a guard's refusal says what holds for a call that was not sent: neither is a contradiction. */
 const unprovenCases: readonly UnprovenCase[] = [
+  { steps: ['link refuses'], unproven: 0 },
+  { steps: ['read fails'], unproven: 0 },
+  { steps: ['refused', 'read throws'], unproven: 0 },
   { steps: ['lost'], fault: 'retries throw', unproven: 1 },
   { steps: ['lost'], fault: 'budgets.settle throws', unproven: 1 },
   { steps: ['lost'], fault: 'guard.refusal', unproven: 0 },
@@ -253,7 +256,7 @@
   }
 
   for (const { steps: sequence, fault, unproven } of unprovenCases) {
-    it(`counts ${unproven} unproven claims after ${sequence.join(', ')} if ${fault}`, async () => {
+    it(`counts ${unproven} unproven claims after ${sequence.join(', ')}${fault === undefined ? '' : ` if ${fault}`}`, async () => {
       const metrics = new MetricsRecorder()
       await pipelineOf(new FaultyParts(sequence, fault), false, metrics).serve(call, new StatusSink())
       expect(metrics.render().includes('claims_unproven')).to.equal(unproven > 0)
