Relay: a request that is too large for the links isn't taken for a failure of its target

While the path of a VM to a service is lost, a request whose frame exceeds the limit of the links (4 MiB, as is the body's) got 413, and since an attempt counts as not run only with certain codes its target, which it never reached, got the verdict of a failed attempt. RelayClient.send returned the link's own bodyTooLarge as if it were the target's failure. It is treated like the other failures of links to send now: the call ends as targetsUnreachable with ran: no (503 with Retry-After), and the target gets no verdict.

--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -126,6 +126,7 @@
 const refused = new Failure('runnerRefused', 'full', { ran: 'no' })
 const lost = new Failure('targetsUnreachable', 'no path', { ran: 'no' })
 const unlinked = new Failure('peerUnreachable', 'no link', { ran: 'no' })
+const tooLarge = new Failure('bodyTooLarge', 'the frame exceeds the limit', { ran: 'no' })
 const unanswered = new Failure('peerUnreachable', 'no response', { ran: 'unknown' })
 
 /** Failures of links that are made before a call is sent, so they say nothing about earlier calls. */
@@ -158,6 +159,7 @@
   { name: 'through another VM if there is no link to the first', failures: [{ link: unlinked }, {}], sent: [0, 1] },
   { name: 'through no other VM once the target has refused it', failures: [{ own: refused }, {}], sent: [1, 0], failure: ['runnerRefused', 'no'] },
   { name: 'through no other VM once it may have run', failures: [{ link: unanswered }, {}], sent: [0, 0], failure: ['targetsUnreachable', 'unknown'] },
+  { name: 'through none if it is too large for the links', failures: [{ link: tooLarge }, { link: tooLarge }], sent: [0, 0], failure: ['targetsUnreachable', 'no'] },
   { name: 'through three VMs at most', failures: [{ own: lost }, { own: lost }, { own: lost }, {}], sent: [1, 1, 1, 0], failure: ['targetsUnreachable', 'no'] },
   { name: 'through none if there is none', failures: [], sent: [], failure: ['targetsUnreachable', 'no'] }
 ]
--- a/packages/rosemaryspread/src/relay/relayClient.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.ts
@@ -4,6 +4,7 @@
 import { Either, Left, Right } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { ResultName } from '@rosemaryspread/decisions/codes/resultCodes.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import type { RandomSource } from '../completion/completionPorts.js'
@@ -175,8 +176,11 @@
   return failure.ran === 'no' ? pathLostFailure('unknown') : failure
 }
 
+/** Failures of links and of VMs that have not sent the request; they say nothing about the target. */
+const unsentCodes = new Set<ResultName>(['peerUnreachable', 'peerRefused', 'overloaded', 'draining', 'bodyTooLarge', 'targetsUnreachable'])
+
 /** Whether the request reached no target, and another VM may reach one. */
 function mayAskAnother (sent: Either<Failure, unknown>): boolean {
   const failure = failureOf(sent)
-  return failure?.ran === 'no' && ['peerUnreachable', 'peerRefused', 'overloaded', 'draining', 'targetsUnreachable'].includes(failure.code)
+  return failure?.ran === 'no' && unsentCodes.has(failure.code)
 }
