Answers in small chunks: copy them together

One answer of 1 MB in chunks of one byte ended the VM, which is far below the limit of 16 MB: each chunk became a Buffer of its own, and a million of them exceed the heap of 120 MB. And an event of a stream in such chunks blocked it: each chunk copied and searched all that came before (23.7 s for 150,000 bytes; an event may have 1 MiB).

ByteChunks copies small chunks into blocks; AnswerBuffer and EventRelay use it, and the relay searches only the new bytes for the end of an event.

Same memory fault suspected, not run: bodies of callers (ingressCall), bytes waiting at a relaying VM (relayedExchange), answers of the store (storeTransport).

--- a/packages/rosemaryspread/src/gateway/answerBuffers.ts
+++ b/packages/rosemaryspread/src/gateway/answerBuffers.ts
@@ -3,6 +3,7 @@
  * and many large ones at the same time would exhaust the memory of the VM. Bytes count until the caller has received them.
  */
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { ByteChunks } from './byteChunks.js'
 import type { AnswerHead, CallSink } from './callTypes.js'
 
 /** Largest answer that is buffered. */
@@ -34,7 +35,8 @@
 
 /** Buffer of one answer; ended by either `sendTo` or `discard`. */
 export class AnswerBuffer {
-  private chunks: Buffer[] = []
+  private readonly chunks = new ByteChunks()
+  /** Bytes that count, also while they are being sent. */
   private size = 0
   private isSending = false
 
@@ -45,13 +47,12 @@
     if (this.size + bytes.length > MAX_BUFFERED_BYTES) throw cutFailure(`the answer exceeds the limit of ${MAX_BUFFERED_BYTES} bytes`)
     if (!this.all.tryHold(bytes.length)) throw cutFailure('the answers that are being buffered exceed their limit together')
     this.size += bytes.length
-    this.chunks.push(bytes)
+    this.chunks.append(bytes)
   }
 
   /** Sends the bytes as the body of a complete answer; they count until the sink has sent them. */
   sendTo (sink: CallSink, head: AnswerHead): void {
-    const body = Buffer.concat(this.chunks)
-    this.chunks = []
+    const body = this.chunks.take()
     this.isSending = true
     const release = (): void => { this.release() }
     try {
@@ -72,7 +73,7 @@
   private release (): void {
     this.all.release(this.size)
     this.size = 0
-    this.chunks = []
+    this.chunks.clear()
   }
 }
 
--- a/packages/rosemaryspread/src/gateway/eventRelay.ts
+++ b/packages/rosemaryspread/src/gateway/eventRelay.ts
@@ -2,15 +2,21 @@
  * Splits a byte stream into complete server-sent events without changing any byte, so that a stream that
  * breaks within an event can be resumed after a complete one. Counts events and stores the last id.
  */
+import { ByteChunks } from './byteChunks.js'
 
 const LINE_FEED = 0x0a
 /** Largest incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 1_048_576
+/** Bytes before a line feed that decide whether it ends an event. */
+const MAX_TAIL_BYTES = 2
+const EMPTY = Buffer.alloc(0)
 const idLine = /(?:^|\n)id: ?([^\r\n]*)/g
 
 /** Relays the events of one stream. */
 export class EventRelay {
-  private partial: Buffer = Buffer.alloc(0)
+  private readonly partial = new ByteChunks()
+  /** Last bytes of the incomplete event, so that only new bytes are searched for its end. */
+  private tail: Buffer = EMPTY
   private count = 0
   private id: string | undefined
 
@@ -26,23 +32,35 @@
 
   /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent (): boolean {
-    return this.partial.length > 0
+    return this.partial.size > 0
   }
 
   /** Buffers bytes and returns those that complete events. */
   push (bytes: Buffer): Buffer {
-    const buffered = this.partial.length === 0 ? bytes : Buffer.concat([this.partial, bytes])
-    const end = endOfLastEvent(buffered)
-    this.partial = buffered.subarray(end)
-    if (this.partial.length > MAX_EVENT_BYTES) throw new RangeError(`an event exceeds the limit of ${MAX_EVENT_BYTES} bytes`)
-    const completeEvents = buffered.subarray(0, end)
-    this.countEvents(completeEvents.toString('latin1'))
+    const searched = this.tail.length === 0 ? bytes : Buffer.concat([this.tail, bytes])
+    const end = Math.max(0, endOfLastEvent(searched) - this.tail.length)
+    const completeEvents = end === 0 ? EMPTY : this.complete(bytes.subarray(0, end))
+    this.partial.append(bytes.subarray(end))
+    this.tail = Buffer.from(searched.subarray(Math.max(searched.length - MAX_TAIL_BYTES, searched.length - this.partial.size)))
+    if (this.partial.size > MAX_EVENT_BYTES) throw new RangeError(`an event exceeds the limit of ${MAX_EVENT_BYTES} bytes`)
     return completeEvents
   }
 
+  /** Returns the buffered bytes with those that complete the event. */
+  private complete (bytes: Buffer): Buffer {
+    let events = bytes
+    if (this.hasPartialEvent) {
+      this.partial.append(bytes)
+      events = this.partial.take()
+    }
+    this.countEvents(events.toString('latin1'))
+    return events
+  }
+
   /** Discards the incomplete event after the stream broke. */
   discardPartial (): void {
-    this.partial = Buffer.alloc(0)
+    this.partial.clear()
+    this.tail = EMPTY
   }
 
   private countEvents (text: string): void {
