--- a/packages/rosemaryspread/src/gateway/byteChunks.ts
+++ b/packages/rosemaryspread/src/gateway/byteChunks.ts
@@ -1,5 +1,5 @@
 /**
- * Collects the bytes of an answer. Small chunks are copied together: a sender chooses the size of its chunks, and an object for each
+ * Collects the bytes of a body. Small chunks are copied together: a sender chooses the size of its chunks, and an object for each
  * takes far more memory than the bytes of a small one.
  */
 
