--- a/packages/decisions/src/gateway/refusal.ts
+++ b/packages/decisions/src/gateway/refusal.ts
@@ -5,7 +5,7 @@
 import { toProblem, type Failure, type ProblemBody } from '../codes/failure.js'
 
 /** Statuses that promise that the request was not executed. */
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503])
+export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const UNAVAILABLE = 503
 const BAD_GATEWAY = 502
 const MIN_SERVER_ERROR = 500
