Spec of CallDispatch: calls are received when their test runs

60 cases failed in whole runs and passed alone: the call was made when the spec was loaded, so that its time of 5 s was over by the time of its test.

--- a/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
@@ -102,20 +102,23 @@
   { steps: ['refused'], fault: 'retries throw', unproven: 0 }
 ]
 
-const call: GatewayCall = {
-  requestId: 'r',
-  method: 'POST',
-  host: 'h',
-  path: '/p/x',
-  key: 'k',
-  headers: [],
-  body: Buffer.alloc(0),
-  timeoutMs: undefined,
-  promptTokens: 1,
-  maxTokens: 1,
-  promptParts: [],
-  receivedAt: { mono: performance.now(), wall: 0 },
-  gone: new AbortController().signal
+/** A call that is received now. */
+function receivedCall (): GatewayCall {
+  return {
+    requestId: 'r',
+    method: 'POST',
+    host: 'h',
+    path: '/p/x',
+    key: 'k',
+    headers: [],
+    body: Buffer.alloc(0),
+    timeoutMs: undefined,
+    promptTokens: 1,
+    maxTokens: 1,
+    promptParts: [],
+    receivedAt: { mono: performance.now(), wall: 0 },
+    gone: new AbortController().signal
+  }
 }
 
 class StatusSink implements CallSink {
@@ -250,7 +253,7 @@
   for (const { steps: sequence, fault, streamed = false, status } of cases) {
     it(`answers ${status} after ${sequence.join(', ')}${fault === undefined ? '' : ` if ${fault}`}`, async () => {
       const sink = new StatusSink()
-      await pipelineOf(new FaultyParts(sequence, fault), streamed).serve(call, sink)
+      await pipelineOf(new FaultyParts(sequence, fault), streamed).serve(receivedCall(), sink)
       expect(sink.statuses).to.deep.equal([status])
     })
   }
@@ -258,7 +261,7 @@
   for (const { steps: sequence, fault, unproven } of unprovenCases) {
     it(`counts ${unproven} unproven claims after ${sequence.join(', ')}${fault === undefined ? '' : ` if ${fault}`}`, async () => {
       const metrics = new MetricsRecorder()
-      await pipelineOf(new FaultyParts(sequence, fault), false, metrics).serve(call, new StatusSink())
+      await pipelineOf(new FaultyParts(sequence, fault), false, metrics).serve(receivedCall(), new StatusSink())
       expect(metrics.render().includes('claims_unproven')).to.equal(unproven > 0)
     })
   }
