--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -16,8 +16,10 @@
 export const ROOT = resolve(HERE, '..', '..')
 export const HOST = 'front.example'
 const BEAT_MS = 1_200
-const STORE_HOST = '127.0.1.100'
-const RUNNER_HOST = '127.0.1.101'
+/** Loopback addresses of this run; the metrics of all VMs listen on the same port. */
+const NETWORK = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`
+const STORE_HOST = `${NETWORK}.100`
+const RUNNER_HOST = `${NETWORK}.101`
 
 /** Bounds of the site file, as far as the template uses them. */
 const BOUNDS = { retryBudgetRatio: 0.2, retrySlack: 52, budgetWindowS: 10, graceS: 8 }
@@ -105,7 +107,7 @@
   }
 
   async prepareVm (index) {
-    const host = `127.0.1.${index + 1}`
+    const host = `${NETWORK}.${index + 1}`
     const [front, ready, directory, peers] = await Promise.all([freePort(host), freePort(host), freePort(host), freePort(host)])
     const zones = ['zone-a', 'zone-b', 'zone-c']
     const fields = {
