Review: case 4, LOST on connections that were unused at the SIGTERM

Cause: a draining VM keeps connections that have received nothing, and passes requests on to the end.

--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -4,7 +4,7 @@
  */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync, appendFileSync } from 'node:fs'
-import { request } from 'node:http'
+import { Agent, request } from 'node:http'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { dirname, join, resolve } from 'node:path'
@@ -158,7 +158,7 @@
   }
 
   /** Sends one request; resolves with its status, events and whether the answer is complete. */
-  ask (vm, { id, path, method = 'POST', key, body = '', headers = {}, deadlineMs = 6_000, signal }) {
+  ask (vm, { id, path, method = 'POST', key, body = '', headers = {}, deadlineMs = 6_000, signal, socket }) {
     return new Promise(resolve => {
       const outcome = { id, vm: vm.name, sentAt: this.ms, status: 0, events: 0, text: '', isComplete: false }
       const finish = () => {
@@ -173,7 +173,7 @@
         port: vm.front,
         method,
         path,
-        agent: false,
+        agent: socket === undefined ? false : agentOf(socket),
         signal,
         headers: { Host: HOST, 'X-Request-Id': id, 'X-Deadline-Ms': String(deadlineMs), ...(key === undefined ? {} : { Authorization: `Bearer ${key}` }), 'Content-Length': Buffer.byteLength(body), ...headers }
       })
@@ -225,6 +225,13 @@
   }
 }
 
+/** Sends one request over an open connection. */
+function agentOf (socket) {
+  const agent = new Agent()
+  agent.createConnection = () => socket
+  return agent
+}
+
 /** Words of the run command in the deploy file. */
 function runCommand () {
   const text = readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8')
