--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -38,6 +38,7 @@
     this.startedAt = performance.now()
     if (recordFile !== undefined) writeFileSync(recordFile, '')
     process.once('exit', () => { this.stop() })
+    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { process.exit(2) })
   }
 
   get ms () {
