A VM that drains refuses requests that it could not answer before its end

The requests may run once only.

Cause: the drain was a state of the VM and its connections. Nothing compared the time that a request may take with the time until the VM cuts its answers.

Ruled out: closing unused connections as the mend. It leaves the other forms, and the caller of a request on its way could not tell whether it ran.

Change: DrainLimit. Checked at the head, after the body and before each attempt; waits for tokens and places are bounded by it.

--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -5,6 +5,7 @@
 import { randomBytes } from 'node:crypto'
 import type { Container } from 'inversify'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import type { TableFeed } from '@rosemaryspread/infra/table/tableFeed.js'
@@ -73,6 +74,7 @@
   container.bind(ids.log).toConstantValue(new BunyanEventLog({ vm, domain, holder, level: logLevel }))
   container.bind(ids.metrics).toConstantValue(new MetricsRecorder())
   container.bind(ids.work).toConstantValue(new OpenWork())
+  container.bind(ids.drainLimit).toConstantValue(new DrainLimit())
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
@@ -225,6 +227,7 @@
     const presence = context.get(ids.presence)
     const clock = context.get(ids.clock)
     const random = context.get(ids.random)
+    const drainLimit = context.get(ids.drainLimit)
     const report = new CallReport(log, metrics)
     const dispatch = new CallDispatch({
       clock,
@@ -234,11 +237,12 @@
       client: context.get(ids.targetClient),
       metrics,
       report,
+      drainLimit,
       streams: context.get(ids.streams),
       ...(container.isBound(ids.admission) ? { admission: context.get(ids.admission) } : {}),
       buffers: new AnswerBuffers(answerBufferBytes),
       guard: context.get(ids.quarantine)
     })
-    return new GatewayPipeline({ random, config: context.get(ids.config), work: context.get(ids.work), dispatch, log, report })
+    return new GatewayPipeline({ clock, random, config: context.get(ids.config), work: context.get(ids.work), drainLimit, dispatch, log, report })
   }).inSingletonScope()
 }
--- a/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.spec.ts
@@ -4,6 +4,7 @@
 import { expect } from 'chai'
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import { gatewayConfigSchema } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import { refusalOf } from '@rosemaryspread/decisions/gateway/refusal.js'
 import type { TargetView } from '@rosemaryspread/decisions/gateway/targetSet.js'
@@ -239,6 +240,8 @@
   const report = new CallReport(silentLog, metrics)
   const clock = { now: () => ({ mono: performance.now(), wall: 0 }) }
   return new GatewayPipeline({
+    clock,
+    drainLimit: new DrainLimit(),
     random: { next: () => 0, id: () => 'id' },
     // Every key belongs to the one team.
     config: { current: () => prepared === undefined ? undefined : { ...prepared, keys: { ownerOf: () => 'team' } as never } },
--- a/packages/rosemaryspread/src/gateway/callDispatch.ts
+++ b/packages/rosemaryspread/src/gateway/callDispatch.ts
@@ -6,6 +6,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import type { TargetChoice } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { versionOf } from '@rosemaryspread/decisions/gateway/targetSet.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
@@ -31,6 +32,8 @@
   readonly client: TargetClient
   readonly metrics: Metrics
   readonly report: CallReport
+  /** Absent where a stopping VM refuses all calls by itself. */
+  readonly drainLimit?: Pick<DrainLimit, 'refusal' | 'latestSend'>
   /** Absent where no stream is resumed by its caller. */
   readonly streams?: StreamOrigins
   /** Absent where calls are sent whatever the load. */
@@ -112,7 +115,7 @@
     const { budgets } = this.deps
     if (!isPrepaid || team === undefined || budgets === undefined) return Right(undefined)
     const startedAtMono = this.deps.clock.now().mono
-    const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_WAIT_RATIO, open.leftMs))
+    const waitMs = Math.max(0, Math.min(route.objectiveMs * RESERVE_WAIT_RATIO, open.leftMs, this.sendableMs(open)))
     const reserved = await budgets.reserve(team, call.promptTokens + call.maxTokens, waitMs, priority)
     open.reserveMs = this.deps.clock.now().mono - startedAtMono
     this.deps.metrics.record('reserve_wait_ms', open.reserveMs)
@@ -128,7 +131,7 @@
       const chosen = await this.choose(open)
       if (open.stopped !== undefined) return Left(open.stopped)
       if (chosen.isLeft()) return this.concludeFailed(open, chosen.extract())
-      const confirmed = this.confirm(open)
+      const confirmed = this.drainRefusal(open).chain(() => this.confirm(open))
       if (confirmed.isLeft()) return this.concludeFailed(open, confirmed.extract())
       const outcome = await this.attempt(open, chosen.unsafeCoerce())
       if (outcome.kind === 'answered') return this.answered(open, chosen.unsafeCoerce(), outcome)
@@ -155,10 +158,21 @@
     const { chooser, guard, report } = this.deps
     for (;;) {
       const chosen = chooser.choose(open.admitted, open.excluded, guard?.suspicion(open), open.streamVersion).ifRight(choice => { report.routed(open, choice) })
-      if (failureOf(chosen)?.code !== 'targetsFull' || open.stopped !== undefined || !await chooser.untilRoom(open.admitted)) return chosen
+      if (failureOf(chosen)?.code !== 'targetsFull' || open.stopped !== undefined || !await chooser.untilRoom(open.admitted, this.sendableMs(open))) return chosen
     }
   }
 
+  /** Each attempt counts as a new request to the drain. A stream that has begun goes on: it would be cut now instead of later. */
+  private drainRefusal ({ sink, admitted: { deadline } }: OpenCall): Either<Failure, void> {
+    const refusal = sink.isStarted ? undefined : this.deps.drainLimit?.refusal(this.deps.clock.now().mono, deadline)
+    return refusal === undefined ? Right(undefined) : Left(refusal)
+  }
+
+  /** Milliseconds for which a call may still be sent while this VM drains. */
+  private sendableMs ({ admitted: { deadline } }: OpenCall): number {
+    return (this.deps.drainLimit?.latestSend(deadline) ?? Infinity) - this.deps.clock.now().mono
+  }
+
   private confirm (open: OpenCall): Either<Failure, void> {
     const { budgets } = this.deps
     return open.reservation === undefined || budgets === undefined ? Right(undefined) : budgets.confirm(open.reservation)
--- a/packages/rosemaryspread/src/gateway/callTypes.ts
+++ b/packages/rosemaryspread/src/gateway/callTypes.ts
@@ -184,8 +184,11 @@
   recordReport (choice: TargetChoice, report: TargetReport): void
   /** Records that the target refused the request for want of room; called before {@link ended}. */
   refused (choice: TargetChoice): void
-  /** Waits until a place at a target may be free; resolves to false if the call must not wait any longer. */
-  untilRoom (admitted: AdmittedCall): Promise<boolean>
+  /**
+   * Waits until a place at a target may be free; resolves to false if the call must not wait any longer.
+   * @param maxWaitMs - milliseconds, if the call may not wait as long as its route allows
+   */
+  untilRoom (admitted: AdmittedCall, maxWaitMs: number): Promise<boolean>
   /** Records the end of the attempt; called once for each {@link sent}. */
   ended (choice: TargetChoice, verdict: TargetVerdict): void
 }
--- a/packages/rosemaryspread/src/gateway/gatewayChooser.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayChooser.ts
@@ -85,9 +85,9 @@
     if (this.parts.balancer.refused(id, service, this.mono)) this.parts.notifyRefused({ target: id, service })
   }
 
-  async untilRoom ({ service, priority, route: { objectiveMs }, call: { receivedAt } }: AdmittedCall): Promise<boolean> {
+  async untilRoom ({ service, priority, route: { objectiveMs }, call: { receivedAt } }: AdmittedCall, maxWaitMs: number): Promise<boolean> {
     const places = this.parts.balancer.placesAt(this.parts.targets.available(service).targets)
-    return await this.queue.wait({ service, priority, objectiveMs, ageMs: this.mono - receivedAt.mono }, places)
+    return await this.queue.wait({ service, priority, objectiveMs, ageMs: this.mono - receivedAt.mono, maxWaitMs }, places)
   }
 
   /** Lets requests that wait for a place try again; to be called several times a second. */
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -3,6 +3,7 @@
  * serviceIds.
  */
 import type { ServiceIdentifier } from 'inversify'
+import type { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import type { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { ids } from '../compose/serviceIds.js'
 import type { TableDigest } from '../digest/tableDigest.js'
@@ -44,6 +45,7 @@
   targets: id<GatewayTargets>('GatewayTargets'),
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineSync: id<QuarantineSync>('QuarantineSync'),
+  drainLimit: id<DrainLimit>('DrainLimit'),
   /** Bound only if the settings have a section `admission`. */
   admission: id<CallAdmission>('CallAdmission'),
   chooser: id<GatewayChooser>('GatewayChooser'),
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.spec.ts
@@ -5,6 +5,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { Bill } from '@rosemaryspread/decisions/budget/budgetTypes.js'
+import { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import { gatewayConfigSchema, type GatewayRoute } from '@rosemaryspread/decisions/gateway/gatewayConfig.js'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import type { BudgetPort, Reservation } from '../budget/budgetPort.js'
@@ -146,7 +147,7 @@
   }
 }
 
-function pipelineOf (client: TargetClient, budgets: BudgetPort, route: Partial<GatewayRoute>): { readonly pipeline: GatewayPipeline, readonly config: GatewayConfigHolder } {
+function pipelineOf (client: TargetClient, budgets: BudgetPort, route: Partial<GatewayRoute>, drainLimit = new DrainLimit()): { readonly pipeline: GatewayPipeline, readonly config: GatewayConfigHolder } {
   const config = new GatewayConfigHolder(silentLog)
   const whole = { name: 'p', host: 'h', prefix: '/p/', services: [{ service: 's', weight: 1 }], repeat: 'never', streamed: false, timeoutMs: 5_000, objectiveMs: 100, attempts: 2, priority: 0, isOpen: true, hasAffinity: false, ...route }
   config.apply(gatewayConfigSchema.parse({ version: 1, routes: [whole], services: { s: { tokensPerEvent: 3 } }, teams: { team: { keyHashes: [], prepaidTokens: 1 } } }))
@@ -157,6 +158,8 @@
   const targets = ['a', 'b', 'c', 'd'].map(id => ({ id, service: 's', address: id, domain: 'd', slots: 1, isLeaving: false }))
   const report = new CallReport(silentLog, metrics)
   const pipeline = new GatewayPipeline({
+    clock,
+    drainLimit,
     random,
     // Every key belongs to the one team.
     config: { current: () => prepared === undefined ? undefined : { ...prepared, keys: { ownerOf: () => 'team' } as never } },
@@ -170,7 +173,8 @@
       retries: new GatewayRetries({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1),
       client,
       metrics,
-      report
+      report,
+      drainLimit
     }),
     log: silentLog,
     report
@@ -260,6 +264,38 @@
     })
   }
 
+  for (const { name, route, scripts, ends, sends } of [
+    { name: 'a call whose first attempt was rejected meanwhile', route: {}, scripts: [notRun], ends: ['runnerRefused no'], sends: 1 },
+    { name: 'a call whose first attempt may have run', route: { repeat: 'always' }, scripts: [lost], ends: ['runnerUnreachable unknown'], sends: 1 },
+    { name: 'a call with a server error', route: { repeat: 'always' }, scripts: [{ head: FAILED, pieces: ['sorry'] }], ends: ['whole 500'], sends: 1 }
+  ] as const) {
+    it(`makes no further attempt of ${name} when the VM ends before its deadline`, async () => {
+      const limit = new DrainLimit()
+      const client = new FakeClient([...scripts, { head: OK, pieces: [] }])
+      const sink = new FakeSink()
+      const call = callOf(new AbortController().signal)
+      const serve = client.send.bind(client)
+      client.send = async (req, stop) => {
+        limit.begin({ lingerUntil: 0, cutAt: call.receivedAt.mono + 1_000 })
+        return await serve(req, stop)
+      }
+      await pipelineOf(client, new FakeBudgets(), route, limit).pipeline.serve(call, sink)
+      expect([sink.ends, client.sent.length]).to.deep.equal([ends, sends])
+    })
+  }
+
+  it('goes on with a stream that has begun when the VM ends before its deadline', async () => {
+    const limit = new DrainLimit()
+    const client = new FakeClient([{ head: OK, pieces: [event(1)], end: cutShort }, { head: OK, pieces: [event(2)] }])
+    const sink = new FakeSink()
+    sink.head = () => {
+      sink.isStarted = true
+      limit.begin({ lingerUntil: 0, cutAt: 0 })
+    }
+    await pipelineOf(client, new FakeBudgets(), resumable, limit).pipeline.serve(callOf(new AbortController().signal), sink)
+    expect([sink.ends, sink.text]).to.deep.equal([['end'], event(1) + event(2)])
+  })
+
   it('aborts the run of a caller that disconnects', async () => {
     const client = new FakeClient([])
     const sink = new FakeSink()
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -2,9 +2,11 @@
  * Entry point for opaque requests: admits a call by the current configuration, dispatches it and ensures
  * that its sink is ended exactly once.
  */
-import { Left, type Either } from 'purify-ts'
-import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import type { DrainState, RandomSource } from '../completion/completionPorts.js'
 import type { CallDispatch } from './callDispatch.js'
 import type { CallReport } from './callReport.js'
@@ -19,9 +21,11 @@
 const LATE_RETRY_MS = 100
 
 export interface PipelineDeps {
+  readonly clock: Clock
   readonly random: RandomSource
   readonly config: { current (): PreparedConfig | undefined }
   readonly work: DrainState
+  readonly drainLimit: Pick<DrainLimit, 'refusal'>
   readonly dispatch: CallDispatch
   readonly log: EventLog
   readonly report: CallReport
@@ -36,7 +40,7 @@
     const close = this.deps.work.open()
     const dispatched: { open?: OpenCall } = {}
     try {
-      const served = await this.admit(call).caseOf<Promise<Either<Failure, void>>>({
+      const served = await this.admit(call).chain(admitted => this.admitDuringDrain(admitted)).caseOf<Promise<Either<Failure, void>>>({
         Left: async failure => Left(failure),
         Right: async admitted => await this.deps.dispatch.serve(admitted, sink, open => { dispatched.open = open })
       })
@@ -60,6 +64,23 @@
     return isLate
   }
 
+  /**
+   * Refuses a call of which only the head has been read, if this VM ends before it has to be answered.
+   * @returns whether the call was refused
+   */
+  refuseDuringDrain (head: GatewayCall, sink: CallSink): boolean {
+    if (!this.deps.work.draining) return false
+    const refusal = failureOf(this.admit(head).chain(admitted => this.admitDuringDrain(admitted)))
+    if (refusal?.code !== 'draining') return false
+    this.fail(head, sink, refusal)
+    return true
+  }
+
+  private admitDuringDrain (admitted: AdmittedCall): Either<Failure, AdmittedCall> {
+    const refusal = this.deps.drainLimit.refusal(this.deps.clock.now().mono, admitted.deadline)
+    return refusal === undefined ? Right(admitted) : Left(refusal)
+  }
+
   private admit (call: GatewayCall): Either<Failure, AdmittedCall> {
     const prepared = this.deps.config.current()
     if (prepared === undefined) {
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -31,6 +31,8 @@
   grants: grantPolicySchema.optional(),
   /** Time between the order to stop and the end of the process. */
   graceMs: milliseconds,
+  /** What a stopping VM does with requests that it may not be able to answer before its end, see drainLimit. */
+  lateRequests: z.enum(['refuse', 'serve']).default('refuse'),
   /** Order and refusal of calls under load, see callAdmission; absent: calls are sent whatever the load. */
   admission: z.object({
     /** How the limit of the calls in flight follows the load. */
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -37,10 +37,22 @@
 /** Share of the grace time after which open requests are abandoned. */
 const FINISH_RATIO = 0.85
 
+/** Connections when an ingress closes. */
+export interface ClosedIngress {
+  /** Connections closed between two requests. */
+  readonly idle: number
+  /** Open connections that have received nothing yet. */
+  readonly unused: number
+  /** Open connections on which the head of a request is being received. */
+  readonly receiving: number
+}
+
 /** The ingress of a VM that drains. */
 export interface DrainedIngress {
   /** Closes idle connections and accepts no new ones. */
-  close (): void
+  close (): ClosedIngress
+  /** Refuses the requests that are being received and may not be sent any more. */
+  refuseUnsendable (): void
   /** Resolves to true once all answers have left the process, or to false after the timeout. */
   untilAnswersSent (timeoutMs: number): Promise<boolean>
 }
@@ -142,16 +154,21 @@
     const startedAt = this.clock.now().mono
     const leftMs = (): number => Math.max(0, this.settings.graceMs * FINISH_RATIO - (this.clock.now().mono - startedAt))
     work.draining = true
+    this.limitDrain(startedAt)
     this.log.write('draining', { open: work.openCount() })
     this.admission?.drain()
     this.inBackground(this.container.get(ids.presence).publishState('leaving'))
     await pause(this.settings.graceMs * LINGER_RATIO)
-    ingress.close()
+    this.log.write('ingressClosed', { ...ingress.close(), open: work.openCount() })
+    ingress.refuseUnsendable()
     await work.waitUntilIdle(leftMs())
     await Promise.race([this.returnState(), pause(leftMs())])
     // Requests that arrived on open connections meanwhile are finished as well, and their last bytes are sent.
     await work.waitUntilIdle(leftMs())
     await ingress.untilAnswersSent(leftMs())
+    // A request that arrives from now on could not be finished.
+    if (this.settings.lateRequests === 'refuse') this.container.get(ids.drainLimit).close()
+    ingress.refuseUnsendable()
     await pause(ANSWER_FLUSH_MS)
     await this.stop()
     this.log.write('stopped', { open: work.openCount() })
@@ -167,6 +184,12 @@
     await this.container.get(ids.links).close()
   }
 
+  private limitDrain (startedAt: number): void {
+    const { graceMs, lateRequests } = this.settings
+    if (lateRequests === 'serve') return
+    this.container.get(ids.drainLimit).begin({ lingerUntil: startedAt + graceMs * LINGER_RATIO, cutAt: startedAt + graceMs * FINISH_RATIO })
+  }
+
   private openLinks (): void {
     const links = this.container.get(ids.links)
     const budgets = this.container.get(ids.budgets)
--- a/packages/rosemaryspread/src/gateway/placeQueue.ts
+++ b/packages/rosemaryspread/src/gateway/placeQueue.ts
@@ -14,6 +14,8 @@
   readonly objectiveMs: number
   /** Milliseconds since the request was received. */
   readonly ageMs: number
+  /** Milliseconds for which it may wait at most, whatever its objective; absent for no such limit. */
+  readonly maxWaitMs?: number
 }
 
 interface Waiting {
@@ -29,9 +31,9 @@
    * @param places - places of the service for this VM
    * @returns false if the request must not wait any longer
    */
-  async wait ({ service, priority, objectiveMs, ageMs }: PlaceDemand, places: number): Promise<boolean> {
+  async wait ({ service, priority, objectiveMs, ageMs, maxWaitMs = Infinity }: PlaceDemand, places: number): Promise<boolean> {
     const queue = this.queues.get(service) ?? []
-    const waitMs = objectiveMs * MAX_WAIT_RATIO - ageMs
+    const waitMs = Math.min(objectiveMs * MAX_WAIT_RATIO - ageMs, maxWaitMs)
     if (waitMs <= 0 || queue.length >= Math.max(1, places)) return false
     this.queues.set(service, queue)
     return await new Promise(resolve => {
