Bodies of requests have a common bound, from the memory of the process

Cause: each body was held up to the limit of one body, with no bound on all together, and copied once more when whole. The peak follows the number of open bodies, finished or not: 364 MB with 70, 477 MB with 140 (one VM, here, before the change). Ruled out: answers (bounded, empty in the case), connections (small requests beside the rush add nothing).

Change: ByteBudget and requestBodyBound (gateway.memoryMb).

--- a/packages/rosemaryspread/src/gateway/answerBuffers.spec.ts
+++ b/packages/rosemaryspread/src/gateway/answerBuffers.spec.ts
@@ -95,9 +95,7 @@
   /** Whether all bytes can be held again. */
   async function isEmpty (): Promise<boolean> {
     await turn()
-    const isFree = buffers.tryHold(LIMIT_BYTES)
-    if (isFree) buffers.release(LIMIT_BYTES)
-    return isFree
+    return buffers.heldBytes === 0
   }
 
   it('cuts the answer that exceeds the limit of all together, and completes the others', async () => {
--- a/packages/rosemaryspread/src/gateway/answerBuffers.ts
+++ b/packages/rosemaryspread/src/gateway/answerBuffers.ts
@@ -3,6 +3,7 @@
  * and many large ones at the same time would exhaust the memory of the VM. Bytes count until the caller has received them.
  */
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { ByteBudget } from './byteBudget.js'
 import { ByteChunks } from './byteChunks.js'
 import type { AnswerHead, CallSink } from './callTypes.js'
 
@@ -11,25 +12,21 @@
 
 /** Buffers of all answers of one VM. */
 export class AnswerBuffers {
-  private heldBytes = 0
+  private readonly budget: ByteBudget
 
   /** @param maxBytes - limit of all buffers together */
-  constructor (private readonly maxBytes = Infinity) {}
-
-  /** Opens the buffer of one answer. */
-  open (): AnswerBuffer {
-    return new AnswerBuffer(this)
+  constructor (maxBytes = Infinity) {
+    this.budget = new ByteBudget(maxBytes)
   }
 
-  /** Counts bytes; returns false, and counts nothing, if they exceed the limit. */
-  tryHold (bytes: number): boolean {
-    if (this.heldBytes + bytes > this.maxBytes) return false
-    this.heldBytes += bytes
-    return true
+  /** Bytes that are buffered. */
+  get heldBytes (): number {
+    return this.budget.heldBytes
   }
 
-  release (bytes: number): void {
-    this.heldBytes -= bytes
+  /** Opens the buffer of one answer. */
+  open (): AnswerBuffer {
+    return new AnswerBuffer(this.budget)
   }
 }
 
@@ -40,7 +37,7 @@
   private size = 0
   private isSending = false
 
-  constructor (private readonly all: AnswerBuffers) {}
+  constructor (private readonly all: ByteBudget) {}
 
   /** Throws if a limit is exceeded. */
   append (bytes: Buffer): void {
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -5,6 +5,7 @@
 import { randomBytes } from 'node:crypto'
 import type { Container } from 'inversify'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
+import { BYTES_PER_MEGABYTE, requestBodyBound } from '@rosemaryspread/decisions/gateway/memoryPlan.js'
 import { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
@@ -29,6 +30,7 @@
 import { StreamVersions } from '../streams/streamVersions.js'
 import { createBudgetDriver } from './budgetDriverFactory.js'
 import { AnswerBuffers } from './answerBuffers.js'
+import { ByteBudget } from './byteBudget.js'
 import type { ConnectionLiveness } from './connectionLiveness.js'
 import { CallAdmission } from './callAdmission.js'
 import { CallDispatch } from './callDispatch.js'
@@ -58,6 +60,7 @@
 export function bindGateway (container: Container, settings: GatewaySettings, ports: GatewayPorts): void {
   const holder = holderOf(settings.vm, randomBytes(INCARNATION_BYTES).toString('hex'))
   bindBase(container, settings, ports, holder)
+  bindMemory(container, settings)
   bindFleet(container, settings, ports, holder)
   if (settings.forwarding !== undefined) bindForwarding(container, settings.vm, settings.forwarding)
   bindBudgets(container, settings, ports, holder)
@@ -78,6 +81,12 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
+function bindMemory (container: Container, { memoryMb, answerBufferBytes, boundsBodies }: GatewaySettings): void {
+  const bound = boundsBodies ? requestBodyBound({ grantedBytes: memoryMb * BYTES_PER_MEGABYTE, answerBytes: answerBufferBytes }) : Infinity
+  container.bind(ids.answerBuffers).toConstantValue(new AnswerBuffers(answerBufferBytes))
+  container.bind(ids.requestBodies).toConstantValue(new ByteBudget(bound))
+}
+
 function bindFleet (container: Container, { vm, domain, region, callers, peers, forwarding }: GatewaySettings, { table, feed, liveness: connectionLiveness }: GatewayPorts, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.digest).toResolvedValue((clock, log) =>
@@ -139,8 +148,8 @@
   }), [ids.clock, ids.log, ids.random, ids.targets, ids.balancer]).inSingletonScope()
   container.bind(ids.directClient).toResolvedValue((clock, log, paths) =>
     new DirectClient({ client, paths, clock, log }), [ids.clock, ids.log, ids.paths]).inSingletonScope()
-  container.bind(ids.relayServer).toResolvedValue((direct, probe, work, metrics) =>
-    new RelayServer({ client: direct, probe, work, metrics }), [ids.directClient, ids.paths, ids.work, ids.metrics]).inSingletonScope()
+  container.bind(ids.relayServer).toResolvedValue((direct, probe, work, bodies, metrics) =>
+    new RelayServer({ client: direct, probe, work, bodies, metrics }), [ids.directClient, ids.paths, ids.work, ids.requestBodies, ids.metrics]).inSingletonScope()
   container.bind(ids.relayClient).toResolvedValue((clock, log, metrics, random, presence, links) => new RelayClient({
     clock,
     log,
@@ -193,7 +202,7 @@
   }), [ids.clock, ids.random, ids.log, ids.metrics]).inSingletonScope()
 }
 
-function bindPipeline (container: Container, { vm, retries, answerBufferBytes }: GatewaySettings): void {
+function bindPipeline (container: Container, { vm, retries }: GatewaySettings): void {
   container.bind(ids.chooser).toDynamicValue(context => {
     const log = context.get(ids.log)
     const presence = context.get(ids.presence)
@@ -240,7 +249,7 @@
       drainLimit,
       streams: context.get(ids.streams),
       ...(container.isBound(ids.admission) ? { admission: context.get(ids.admission) } : {}),
-      buffers: new AnswerBuffers(answerBufferBytes),
+      buffers: context.get(ids.answerBuffers),
       guard: context.get(ids.quarantine)
     })
     return new GatewayPipeline({ clock, random, config: context.get(ids.config), work: context.get(ids.work), drainLimit, dispatch, log, report })
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -19,6 +19,8 @@
 import type { RelayServer } from '../relay/relayServer.js'
 import type { StreamVersions } from '../streams/streamVersions.js'
 import type { IngressMonitor } from './ingressMonitor.js'
+import type { AnswerBuffers } from './answerBuffers.js'
+import type { ByteBudget } from './byteBudget.js'
 import type { CallAdmission } from './callAdmission.js'
 import type { GatewayChooser } from './gatewayChooser.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
@@ -46,6 +48,8 @@
   quarantine: id<CallQuarantine>('CallQuarantine'),
   quarantineSync: id<QuarantineSync>('QuarantineSync'),
   drainLimit: id<DrainLimit>('DrainLimit'),
+  answerBuffers: id<AnswerBuffers>('AnswerBuffers'),
+  requestBodies: id<ByteBudget>('RequestBodies'),
   /** Bound only if the settings have a section `admission`. */
   admission: id<CallAdmission>('CallAdmission'),
   chooser: id<GatewayChooser>('GatewayChooser'),
--- a/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayPipeline.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
-import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
+import { Failure, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import type { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import type { DrainState, RandomSource } from '../completion/completionPorts.js'
@@ -65,15 +65,16 @@
   }
 
   /**
-   * Refuses a call of which only the head has been read, if this VM ends before it has to be answered.
-   * @returns whether the call was refused
+   * Why a call of which only the head has been read would be refused, and how long its body may take.
+   * @returns monotonic milliseconds of its deadline
    */
-  refuseDuringDrain (head: GatewayCall, sink: CallSink): boolean {
-    if (!this.deps.work.draining) return false
-    const refusal = failureOf(this.admit(head).chain(admitted => this.admitDuringDrain(admitted)))
-    if (refusal?.code !== 'draining') return false
-    this.fail(head, sink, refusal)
-    return true
+  checkHead (head: GatewayCall): Either<Failure, number> {
+    return this.admit(head).chain(admitted => this.admitDuringDrain(admitted)).map(({ deadline }) => deadline)
+  }
+
+  /** Refuses a call that was not served. */
+  refuse (head: GatewayCall, sink: CallSink, failure: Failure): void {
+    this.fail(head, sink, failure)
   }
 
   private admitDuringDrain (admitted: AdmittedCall): Either<Failure, AdmittedCall> {
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -7,6 +7,8 @@
 
 const IPV4_PORT = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
 const milliseconds = z.number().nonnegative()
+/** Memory of the smallest machine, in megabytes. */
+const DEFAULT_MEMORY_MB = 200
 const DEFAULT_ANSWER_BUFFER_BYTES = 32 * 1024 * 1024
 
 export const gatewaySettingsSchema = z.object({
@@ -40,6 +42,10 @@
   }).optional(),
   /** Bytes of answers that are not streamed and are buffered at the same time, for all calls together. */
   answerBufferBytes: z.number().int().positive().default(DEFAULT_ANSWER_BUFFER_BYTES),
+  /** Megabytes that the process may use, from which the bound of request bodies follows; a template without a value leaves `undefined`. */
+  memoryMb: z.preprocess(value => value === 'undefined' || value === null ? undefined : value, z.number().positive().default(DEFAULT_MEMORY_MB)),
+  /** Whether requests are refused whose bodies exceed this bound together. */
+  boundsBodies: z.boolean().default(true),
   /** Descriptors that the process may open; absent for no limit. */
   descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
--- a/packages/rosemaryspread/src/relay/relayClient.spec.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.spec.ts
@@ -7,6 +7,7 @@
 import { Failure, failureOf, toFailure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { TargetReport } from '@rosemaryspread/decisions/gateway/targetReports.js'
 import { OpenWork } from '../completion/completionDrain.js'
+import { ByteBudget } from '../gateway/byteBudget.js'
 import type { TargetAnswer, TargetClient, TargetRequest } from '../gateway/callTypes.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { RelayClient } from './relayClient.js'
@@ -78,6 +79,7 @@
       client,
       probe: { isTerminated: async () => true },
       work: this.works[index] as OpenWork,
+      bodies: new ByteBudget(),
       metrics: new MetricsRecorder()
     }).methods()]))
     this.client = new RelayClient({
@@ -255,7 +257,7 @@
 
   it('is not sent if it was stopped before it arrived', async () => {
     const target = new FakeTargetClient(undefined, ['ok'])
-    const server = new RelayServer({ client: target, probe: { isTerminated: async () => false }, work: new OpenWork(), metrics: new MetricsRecorder() }).methods()
+    const server = new RelayServer({ client: target, probe: { isTerminated: async () => false }, work: new OpenWork(), bodies: new ByteBudget(), metrics: new MetricsRecorder() }).methods()
     const { body, headers, target: { id, address }, service, requestId, method, path, timeoutMs, priority, isRepeatable } = request
     await server.get(relayMethods.cancel)?.({ exchange: '1' }, 'asking')
     const params = { exchange: '1', body, headers, target: { id, address }, service, requestId, method, path, timeoutMs, priority, isRepeatable }
--- a/packages/rosemaryspread/src/relay/relayClient.ts
+++ b/packages/rosemaryspread/src/relay/relayClient.ts
@@ -177,7 +177,7 @@
 }
 
 /** Failures of links and of VMs that have not sent the request; they say nothing about the target. */
-const unsentCodes = new Set<ResultName>(['peerUnreachable', 'peerRefused', 'overloaded', 'draining', 'bodyTooLarge', 'targetsUnreachable'])
+const unsentCodes = new Set<ResultName>(['peerUnreachable', 'peerRefused', 'overloaded', 'draining', 'bodyTooLarge', 'bodiesFull', 'targetsUnreachable'])
 
 /** Whether the request reached no target, and another VM may reach one. */
 function mayAskAnother (sent: Either<Failure, unknown>): boolean {
--- a/packages/rosemaryspread/src/relay/relayServer.ts
+++ b/packages/rosemaryspread/src/relay/relayServer.ts
@@ -6,6 +6,7 @@
 import type { PeerMethodHandler } from '@rosemaryspread/peers/link/linkTypes.js'
 import type { DrainState } from '../completion/completionPorts.js'
 import type { TargetClient, TargetEndProbe } from '../gateway/callTypes.js'
+import type { ByteBudget } from '../gateway/byteBudget.js'
 import type { Metrics } from '../metrics/metricsTypes.js'
 import { RelayedExchange } from './relayedExchange.js'
 import { encodeFailure, exchangeSchema, probedTargetSchema, relayedRequestSchema, relayMethods, type RelayedBytes } from './relayTypes.js'
@@ -19,6 +20,8 @@
   /** Checks over connections of this VM only. */
   readonly probe: TargetEndProbe
   readonly work: DrainState
+  /** Bodies of requests that this VM holds, its own callers' among them. */
+  readonly bodies: ByteBudget
   readonly metrics: Metrics
 }
 
@@ -44,12 +47,14 @@
 
   private async send (params: unknown, from: string): Promise<unknown> {
     const { exchange: id, team, resumeAfter, ...req } = relayedRequestSchema.parse(params)
-    const { client, work, metrics } = this.parts
+    const { client, work, bodies, metrics } = this.parts
     if (work.draining) throw new Failure('draining', 'this VM is draining', { ran: 'no' })
     const key = keyOf(id, from)
     if (this.cancelledEarly.has(key)) throw new Failure('callerGone', 'the request was cancelled before it arrived', { ran: 'no' })
+    const bodyBytes = req.body.length
+    if (!bodies.tryHold(bodyBytes)) throw new Failure('bodiesFull', 'this VM has no memory left for the body', { ran: 'no' })
     metrics.count('calls_relayed_for_others')
-    const exchange = this.open(key)
+    const exchange = this.open(key, () => { bodies.release(bodyBytes) })
     let report: TargetReport | undefined
     const sent = await client.send({ ...req, team, resumeAfter }, exchange.signal, received => { report = received })
     const failure = failureOf(sent)
@@ -79,11 +84,12 @@
     setTimeout(() => { this.cancelledEarly.delete(key) }, EARLY_CANCEL_TTL_MS).unref()
   }
 
-  private open (key: string): RelayedExchange {
+  private open (key: string, onClosed: () => void): RelayedExchange {
     const close = this.parts.work.open()
     const exchange = new RelayedExchange(() => {
       this.exchanges.delete(key)
       close()
+      onClosed()
     })
     this.exchanges.set(key, exchange)
     return exchange
