The store keeps which software versions began streams

After an end of all VMs, callers that resumed their streams got 200 and a text joined from two software versions, with nothing in the answer to show it (a report of the users; ORDER).

Cause: a VM took a service for one with one version once it had read the register for as long as a stream may be resumed. Its own uptime says nothing of what served before it. Evidence: streamResumed says soleVersion; the refusals before it turn into guesses with time. Ruled out: a record with the wrong version (no such source), a target other than the chosen one (routed names the version of the record).

Change: VersionRows, one row a service that names the versions that may have begun streams, read after the request came; nothing else shows that a service has one version. StreamRows, the streams of a service with several versions, some hundred milliseconds as one row; read where no VM that is asked knows. Versions and records count for a minute after the longest stream.

The case 'one version, read too recently' of VersionHistory is replaced: uptime decides nothing any more. In its place, as strict: a version that the store does not have is unknown however long it was read, another one or several in the store make several.

--- a/packages/decisions/src/streams/streamTypes.ts
+++ b/packages/decisions/src/streams/streamTypes.ts
@@ -21,7 +21,7 @@
 export const serviceVersionsSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('sole'), version: versionSchema }),
   z.object({ kind: z.literal('several') }),
-  /** The VM started too recently, or cannot read the register. */
+  /** The VM cannot read the register, or what the store knows of the service. */
   z.object({ kind: z.literal('unknown') })
 ])
 export type ServiceVersions = z.infer<typeof serviceVersionsSchema>
--- a/packages/decisions/src/streams/streamVersion.ts
+++ b/packages/decisions/src/streams/streamVersion.ts
@@ -4,7 +4,7 @@
 import type { ServiceVersions, StreamAnswer } from './streamTypes.js'
 
 /** How a VM knows the version of a stream. */
-export type VersionSource = 'ownRecord' | 'otherRecord' | 'soleVersion'
+export type VersionSource = 'ownRecord' | 'otherRecord' | 'storedRecord' | 'soleVersion'
 
 export interface KnownVersion {
   readonly version: string
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -27,7 +27,9 @@
 import { RelayClient } from '../relay/relayClient.js'
 import { RelayingClient } from '../relay/relayingClient.js'
 import { RelayServer } from '../relay/relayServer.js'
+import { noStreamRows, StreamRows } from '../streams/streamRows.js'
 import { StreamVersions } from '../streams/streamVersions.js'
+import { VersionRows } from '../streams/versionRows.js'
 import { createBudgetDriver } from './budgetDriverFactory.js'
 import { AnswerBuffers } from './answerBuffers.js'
 import { ByteBudget } from './byteBudget.js'
@@ -66,7 +68,7 @@
   bindBudgets(container, settings, ports, holder)
   bindTargetClients(container, ports)
   bindQuarantine(container, settings, ports)
-  bindStreams(container)
+  bindStreams(container, settings, ports, holder)
   bindAdmission(container, settings)
   bindPipeline(container, settings)
 }
@@ -179,15 +181,38 @@
     new CallQuarantine({ clock, log, metrics, share, endDetector: new TargetEndDetector({ clock, probe }) }), [ids.clock, ids.log, ids.metrics, ids.quarantineSync, ids.targetClient]).inSingletonScope()
 }
 
-function bindStreams (container: Container): void {
-  container.bind(ids.streams).toResolvedValue((clock, config, targets, presence, links) => new StreamVersions({
+function bindStreams (container: Container, { storesVersions }: GatewaySettings, { table }: GatewayPorts, holder: string): void {
+  container.bind(ids.versionRows).toResolvedValue((clock, log, random, config, targets, presence) => new VersionRows({
+    table,
+    clock,
+    log,
+    random: () => random.next(),
+    vms: () => presence.size,
+    services: () => storesVersions ? config.resumableServices : [],
+    lifetimeMs: () => config.streamLifetimeMs,
+    listed: (service, spanMs) => targets.listedVersions(service, spanMs)
+  }), [ids.clock, ids.log, ids.random, ids.config, ids.targets, ids.presence]).inSingletonScope()
+  container.bind(ids.streamRows).toResolvedValue((clock, log, random, config, presence) => new StreamRows({
+    table,
     clock,
+    log,
+    holder,
+    random: () => random.next(),
+    vms: () => presence.size,
+    lifetimeMs: () => config.streamLifetimeMs,
+    onRead: (key, version) => { container.get(ids.streams).receive(key, version) }
+  }), [ids.clock, ids.log, ids.random, ids.config, ids.presence]).inSingletonScope()
+  container.bind(ids.streams).toResolvedValue((clock, log, config, targets, presence, links, versionRows, streamRows): StreamVersions => new StreamVersions({
+    clock,
+    log,
+    stored: storesVersions ? streamRows : noStreamRows,
     lifetimeMs: () => config.streamLifetimeMs,
-    versions: (service, spanMs) => targets.versions(service, spanMs),
+    versions: (service, spanMs, maxAgeMs) => targets.versions(service, spanMs, versionRows.cached(service, maxAgeMs)),
+    confirmedVersions: async (service, spanMs) => targets.versions(service, spanMs, await versionRows.read(service)),
     peers: () => presence.peers(),
     call: async (address, method, params, timeoutMs) => await links.call(address, method, params, timeoutMs),
     notify: (address, method, params) => { links.notify(address, method, params) }
-  }), [ids.clock, ids.config, ids.targets, ids.presence, ids.links]).inSingletonScope()
+  }), [ids.clock, ids.log, ids.config, ids.targets, ids.presence, ids.links, ids.versionRows, ids.streamRows]).inSingletonScope()
 }
 
 function bindAdmission (container: Container, { admission }: GatewaySettings): void {
--- a/packages/rosemaryspread/src/gateway/gatewayConfigHolder.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayConfigHolder.ts
@@ -9,8 +9,8 @@
 import { KeyDirectory } from '../directory/keyDirectory.js'
 import type { PreparedConfig } from './gatewayAdmission.js'
 
-/** Time after the end of a request in which its caller may resume the stream. */
-const RESUME_DELAY_MS = 5_000
+/** Time after the end of a request in which its caller may resume the stream; callers whose attempts are refused come back for a while. */
+const RESUME_DELAY_MS = 60_000
 
 /** Called when the amount that a team paid has changed. */
 export type OnPaidChanged = (team: string, isLowered: boolean) => void
@@ -37,6 +37,12 @@
     return this.longestStreamMs + RESUME_DELAY_MS
   }
 
+  /** Services with streams that callers may resume. */
+  get resumableServices (): readonly string[] {
+    const routes = this.prepared?.config.routes ?? []
+    return [...new Set(routes.filter(({ repeat }) => repeat === 'resume').flatMap(({ services }) => services.map(({ service }) => service)))]
+  }
+
   /** Applies a configuration unless its version is not newer than the current one. */
   apply (config: GatewayConfig): void {
     const previous = this.prepared?.config
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -17,7 +17,9 @@
 import type { RelayClient } from '../relay/relayClient.js'
 import type { RelayingClient } from '../relay/relayingClient.js'
 import type { RelayServer } from '../relay/relayServer.js'
+import type { StreamRows } from '../streams/streamRows.js'
 import type { StreamVersions } from '../streams/streamVersions.js'
+import type { VersionRows } from '../streams/versionRows.js'
 import type { IngressMonitor } from './ingressMonitor.js'
 import type { AnswerBuffers } from './answerBuffers.js'
 import type { ByteBudget } from './byteBudget.js'
@@ -61,5 +63,7 @@
   forwarder: id<ConnectionForwarder>('ConnectionForwarder'),
   ingressMonitor: id<IngressMonitor>('IngressMonitor'),
   streams: id<StreamVersions>('StreamVersions'),
+  versionRows: id<VersionRows>('VersionRows'),
+  streamRows: id<StreamRows>('StreamRows'),
   pipeline: id<GatewayPipeline>('GatewayPipeline')
 }
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -46,6 +46,8 @@
   memoryMb: z.preprocess(value => value === 'undefined' || value === null ? undefined : value, z.number().positive().default(DEFAULT_MEMORY_MB)),
   /** Whether requests are refused whose bodies exceed this bound together. */
   boundsBodies: z.boolean().default(true),
+  /** Whether the store keeps which software versions began streams; if not, streams that no VM knows are refused. */
+  storesVersions: z.boolean().default(true),
   /** Descriptors that the process may open; absent for no limit. */
   descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
--- a/packages/rosemaryspread/src/gateway/gatewayTargets.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayTargets.ts
@@ -50,9 +50,18 @@
   /**
    * Software versions of a service.
    * @param spanMs - time until now that is considered
+   * @param stored - versions of the service as the store has them
    */
-  versions (service: string, spanMs: number): ServiceVersions {
-    return this.versionHistory.versions(service, spanMs, this.mono)
+  versions (service: string, spanMs: number, stored: ServiceVersions): ServiceVersions {
+    return this.versionHistory.versions(service, spanMs, this.mono, stored)
+  }
+
+  /**
+   * Software versions of a service that the register has listed.
+   * @param spanMs - time until now that is considered
+   */
+  listedVersions (service: string, spanMs: number): readonly string[] {
+    return this.versionHistory.listed(service, spanMs, this.mono)
   }
 
   /** Number of targets that have paused this VM. */
@@ -146,7 +155,7 @@
   }
 
   private handleRead (views: readonly TargetView[]): void {
-    this.versionHistory.readSucceeded(this.mono)
+    this.versionHistory.readSucceeded()
     this.versionHistory.observe(views, this.mono)
   }
 
--- a/packages/rosemaryspread/src/streams/streamVersions.spec.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.spec.ts
@@ -16,11 +16,25 @@
   mono = 0
   service: ServiceVersions = { kind: 'several' }
   readonly sent: string[] = []
+  /** Records in the store. */
+  readonly stored = new Map<string, string>()
+  isStoreReadable = false
   readonly gone = new Set<string>()
   readonly vms: readonly StreamVersions[] = Array.from({ length: VMS }, (_, index) => new StreamVersions({
     clock: { now: () => ({ mono: this.mono, wall: this.mono }) },
     lifetimeMs: () => LIFETIME_MS,
     versions: () => this.service,
+    confirmedVersions: async () => this.service,
+    log: { write: () => {} },
+    stored: {
+      add: (key, version) => { this.stored.set(key, version) },
+      load: async () => {
+        if (!this.isStoreReadable) return false
+        for (const [key, version] of this.stored) this.vm(index).receive(key, version)
+        return true
+      },
+      tick: () => {}
+    },
     peers: () => Array.from({ length: VMS }, (_peer, other) => ({ holder: `vm-${other}~x`, address: String(other) })).filter((_peer, other) => other !== index),
     call: async (address, method, params) => await this.deliver(address, method, params),
     notify: (address, method, params) => { this.deliver(address, method, params).catch(() => {}) }
@@ -57,6 +71,29 @@
     }
   })
 
+  it('are known from the store after all VMs that knew them are gone, and unknown while it cannot be read', async () => {
+    const fleet = new FakeFleet()
+    fleet.vm(0).began(call('r'), '1')
+    for (let vm = 0; vm < VMS - 1; vm += 1) fleet.gone.add(String(vm))
+    const restarted = fleet.vm(VMS - 1)
+    restarted.receive('other', '2')
+    const before = await versionAt(fleet, VMS - 1, call('next', 'unwritten'))
+    fleet.isStoreReadable = true
+    expect([before, await versionAt(fleet, VMS - 1, call('next', 'r')), await versionAt(fleet, VMS - 1, call('next', 'unwritten'))]).to.deep.equal(['streamUnknown', '1', 'streamUnknown'])
+  })
+
+  it('are stored once a second version appears', () => {
+    const fleet = new FakeFleet()
+    fleet.service = { kind: 'sole', version: '1' }
+    fleet.vm(0).began(call('r0'), '1')
+    fleet.vm(0).tick()
+    expect(fleet.stored.size).to.equal(0)
+    fleet.service = { kind: 'several' }
+    fleet.vm(0).began(call('r1'), '2')
+    fleet.vm(0).tick()
+    expect([...fleet.stored.values()].sort()).to.deep.equal(['1', '2'])
+  })
+
   it('are of no use to another team', async () => {
     const fleet = new FakeFleet()
     fleet.vm(0).began(call('r'), '1')
--- a/packages/rosemaryspread/src/streams/streamVersions.ts
+++ b/packages/rosemaryspread/src/streams/streamVersions.ts
@@ -1,10 +1,12 @@
 /**
  * Knows which software version began a stream, also if that was at another VM. While a service has several versions, each VM tells two others of
- * the streams that begin at it, and a VM that is to resume a stream asks them. With one version nothing is sent until a stream is resumed.
+ * the streams that begin at it and stores them, and a VM that is to resume a stream asks them and reads the store. With one version nothing is sent
+ * until a stream is resumed.
  */
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { vmOf } from '@rosemaryspread/decisions/names/nameTypes.js'
 import { ASKED_VMS, StreamHolders, TOLD_VMS } from '@rosemaryspread/decisions/streams/streamHolders.js'
 import { StreamRecords } from '@rosemaryspread/decisions/streams/streamRecords.js'
@@ -14,6 +16,7 @@
 import type { AdmittedCall, StreamOrigins } from '../gateway/callTypes.js'
 import type { PeerVm } from '../presence/vmPresence.js'
 import { streamKey } from './streamKey.js'
+import type { StreamRows } from './streamRows.js'
 
 /** Method names on the links between VMs. */
 export const streamMethods = {
@@ -25,20 +28,30 @@
 
 /** Time that the VMs asked have to answer; a round trip takes a few milliseconds. */
 const ASK_TIMEOUT_MS = 200
+/** Time for which what a VM knows from the store lets it tell others that a service has one version. */
+const CONFIRMED_MS = 2_000
 
 export interface StreamVersionsParts {
   readonly clock: Clock
   /** Time for which a stream may be resumed, in milliseconds. */
   lifetimeMs (): number
-  /** Versions of a service over a time until now. */
-  versions (service: string, spanMs: number): ServiceVersions
+  /**
+   * Versions of a service over a time until now.
+   * @param maxAgeMs - age of what is known from the store beyond which it does not show that the service has one version
+   */
+  versions (service: string, spanMs: number, maxAgeMs?: number): ServiceVersions
+  /** The same, confirmed by a read of the store that begins now. */
+  confirmedVersions (service: string, spanMs: number): Promise<ServiceVersions>
+  /** Records that outlive the VMs. */
+  readonly stored: Pick<StreamRows, 'add' | 'load' | 'tick'>
+  readonly log: EventLog
   /** The other VMs that can be called. */
   peers (): readonly PeerVm[]
   call (address: string, method: string, params: unknown, timeoutMs: number): Promise<Either<Failure, unknown>>
   notify (address: string, method: string, params: unknown): void
 }
 
-/** A stream of which no other VM was told, as its service had one version. */
+/** A stream that was not stored, as its service had one version as far as known. */
 interface UntoldStream {
   readonly service: string
   readonly version: string
@@ -54,6 +67,11 @@
 
   constructor (private readonly parts: StreamVersionsParts) {}
 
+  /** Takes over a record from the store; what this VM knows itself is newer. */
+  receive (key: string, version: string): void {
+    if (this.records.versionOf(key) === undefined) this.records.add(key, version, this.mono)
+  }
+
   /** Link methods by their name. */
   methods (): ReadonlyMap<string, PeerMethodHandler> {
     return new Map<string, PeerMethodHandler>([
@@ -69,18 +87,28 @@
     if (origin === undefined) return
     const key = streamKey(service, team, origin)
     this.records.add(key, version, this.mono)
-    if (this.versionsOf(service).kind === 'sole') this.untold.set(key, { service, version, at: this.mono })
-    else this.tell([[key, version]])
+    const { kind } = this.versionsOf(service)
+    if (kind !== 'several') this.untold.set(key, { service, version, at: this.mono })
+    if (kind !== 'sole') this.tell([[key, version]])
+    if (kind === 'several') this.parts.stored.add(key, version)
   }
 
-  async versionOf ({ service, team, call: { resumption } }: AdmittedCall): Promise<Either<Failure, KnownVersion>> {
+  async versionOf ({ service, team, call: { requestId, resumption } }: AdmittedCall): Promise<Either<Failure, KnownVersion>> {
     // Of a stream that its caller does not name there is no record, but its service may have had one version only.
     const key = streamKey(service, team, resumption?.requestId ?? '')
     const recorded = this.records.versionOf(key)
     if (recorded !== undefined) return Right({ version: recorded, source: 'ownRecord' })
+    const confirmed = this.parts.confirmedVersions(service, this.parts.lifetimeMs())
     const answers = await this.ask({ key, service })
-    const known = decideVersion(this.versionsOf(service), answers)
-    return known === undefined ? Left(new Failure('streamUnknown', 'no VM that can be asked knows which software version began the stream', { ran: 'no' })) : Right(known)
+    const isRecorded = answers.some(({ version }) => version !== undefined)
+    const own: ServiceVersions = isRecorded ? { kind: 'unknown' } : await confirmed
+    const known = decideVersion(own, answers)
+    if (known !== undefined) return Right(known)
+    const isLoaded = await this.parts.stored.load()
+    const stored = this.records.versionOf(key)
+    if (stored !== undefined) return Right({ version: stored, source: 'storedRecord' })
+    this.parts.log.write('streamUnknown', { request: requestId, stream: resumption?.requestId, own, answers: answers.map(({ service: other }) => other.kind), loaded: isLoaded })
+    return Left(new Failure('streamUnknown', 'neither the store nor a VM that can be asked knows which software version began the stream', { ran: 'no' }))
   }
 
   /** Tells of streams whose service has several versions now, and drops old records; to be called several times a second. */
@@ -88,19 +116,21 @@
     const lifetimeMs = this.parts.lifetimeMs()
     this.records.forget(lifetimeMs, this.mono)
     const due: Array<[key: string, version: string]> = []
-    const soleByService = new Map<string, boolean>()
+    const kinds = new Map<string, ServiceVersions['kind']>()
     for (const [key, { service, version, at }] of this.untold) {
-      const isSole = soleByService.get(service) ?? this.versionsOf(service).kind === 'sole'
-      soleByService.set(service, isSole)
-      if (!isSole) due.push([key, version])
-      if (!isSole || this.mono - at > lifetimeMs) this.untold.delete(key)
+      const kind = kinds.get(service) ?? this.versionsOf(service).kind
+      kinds.set(service, kind)
+      if (kind === 'several') due.push([key, version])
+      if (kind === 'several' || this.mono - at > lifetimeMs) this.untold.delete(key)
     }
     this.tell(due)
+    for (const [key, version] of due) this.parts.stored.add(key, version)
+    this.parts.stored.tick()
   }
 
   private answer ({ key, service }: StreamQuery): StreamAnswer {
     const version = this.records.versionOf(key)
-    return { ...(version === undefined ? {} : { version }), service: this.versionsOf(service) }
+    return { ...(version === undefined ? {} : { version }), service: this.versionsOf(service, CONFIRMED_MS) }
   }
 
   /** Resolves with the first record, or with all answers once none is left to come. */
@@ -137,8 +167,8 @@
     }
   }
 
-  private versionsOf (service: string): ServiceVersions {
-    return this.parts.versions(service, this.parts.lifetimeMs())
+  private versionsOf (service: string, maxAgeMs?: number): ServiceVersions {
+    return this.parts.versions(service, this.parts.lifetimeMs(), maxAgeMs)
   }
 
   private get mono (): number {
