--- a/packages/decisions/src/gateway/memoryPlan.ts
+++ b/packages/decisions/src/gateway/memoryPlan.ts
@@ -7,7 +7,7 @@
 /** Memory of a process that serves small requests, with its heap, links and the buffers of its connections, in bytes. */
 const BASE_BYTES = 110 * BYTES_PER_MEGABYTE
 /** Bytes in use for each byte of a body: the body, chunks that were copied and are not collected yet, and what the system buffers. */
-const BYTES_PER_BODY_BYTE = 3
+const BYTES_PER_BODY_BYTE = 2.5
 /** Smallest bound in bytes. */
 const MIN_BODY_BYTES = 8 * BYTES_PER_MEGABYTE
 
