Requests that clients send ahead have limits, at every HTTP server of a process

What callers saw: a client that sends many requests without reading their answers ends a VM: all connections and all requests that the process had are lost.

Cause: Node parses and passes on all requests of a connection as they come and keeps their answers in order. Nothing counted them, on any server.

Ruled out, by a trial: counting in the listener for requests and closing the connection there. 6 of 18 forms still ended the process: the parser goes on through the 64 KB that it has read and makes objects for some 1,600 requests of each connection, which are kept until the connections have closed.

Change: one factory makes all servers (callers, ready, directory, metrics; callers and operators of the own interface). A request is counted when its head is parsed, for its connection and for all connections of the process, before anything else is made for it. Beyond a limit it is presented to Node as a CONNECT that nobody takes over, at which Node stops parsing and closes the connection. Settings clients.aheadPerConnection (32) and clients.aheadTotal (512); log event 1013 clientsClosed, at most once a second for each server and reason; metrics clients_closed_sentAhead and requests_ahead. Routers no longer own a Node server.

--- a/packages/callers/src/api/callerServer.spec.ts
+++ b/packages/callers/src/api/callerServer.spec.ts
@@ -8,6 +8,7 @@
 import { Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { bodyDigest, keyedRequestId } from '@rosemaryspread/decisions/request/requestIdentity.js'
+import { createClientGuard } from '@rosemaryspread/http/server/clientGuard.fixture.js'
 import { httpLimitsSchema, type HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
 import type {
   AnswerSink, CallerDirectory, CompletionCall, ServiceAnswer, ServiceCall
@@ -76,6 +77,7 @@
     },
     directory,
     log: { write: (event, fields) => { events.push(`${event} ${String(fields.code ?? '')}`.trim()) } },
+    clients: createClientGuard(),
     limits: httpLimitsSchema.parse(limits)
   })
   openServers.push(server)
--- a/packages/callers/src/api/callerServer.ts
+++ b/packages/callers/src/api/callerServer.ts
@@ -6,6 +6,7 @@
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
 import { bearerKey } from '@rosemaryspread/http/auth/bearerKey.js'
+import type { ClientGuard } from '@rosemaryspread/http/server/clientGuard.js'
 import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
 import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
 import { HttpServer } from '@rosemaryspread/http/server/httpServer.js'
@@ -20,6 +21,7 @@
   readonly services: ApplicationService
   readonly directory: CallerDirectory
   readonly log: EventLog
+  readonly clients: ClientGuard
   readonly limits: HttpLimits
 }
 
@@ -33,7 +35,7 @@
 
   constructor (deps: CallerServerDeps) {
     this.directory = deps.directory
-    this.http = new HttpServer(deps, new RestifyRouter())
+    this.http = new HttpServer({ ...deps, name: 'callers' }, new RestifyRouter())
     const completions = new CompletionRoute(deps.completions, deps.directory, deps.log)
     const services = new ServiceRoute(deps.services, deps.directory)
     this.http.route('POST', '/v1/chat/completions', (exchange) => completions.serve(exchange))
--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -2,6 +2,7 @@
  * Table of metrics: every counter, gauge and histogram that a VM serves. docs/METRICS.md is generated from this table, and a test
  * compares the two. Refusals are counted per result code under one entry, and per proof that they were not executed under another.
  */
+import type { CloseReason } from '../clients/closeReason.js'
 import type { ResultName } from '../codes/resultCodes.js'
 import type { ExecutionProof } from '../gateway/executionProof.js'
 
@@ -22,6 +23,7 @@
   refusals_proven: { kind: 'counter', title: 'Requests refused as not executed; one counter for each proof, with its name as suffix: notSent, notConnected, rejected, replaced or notRelayed' },
   refusals_after_attempts: { kind: 'counter', title: 'Requests refused as not executed after at least one attempt at a target' },
   claims_unproven: { kind: 'counter', title: 'Failures that say that a request was not executed although an attempt may have been' },
+  clients_closed: { kind: 'counter', title: 'Connections of clients that a server closed; one counter for each reason, with its name as suffix: sentAhead (more requests sent ahead than the limits allow)' },
   requests_suspected: { kind: 'counter', title: 'Requests that were open at a target when it terminated' },
   requests_quarantined: { kind: 'counter', title: 'Requests quarantined because targets terminated each time they were executed' },
   tokens_billed: { kind: 'counter', title: 'Tokens billed for responses that callers received, completely or in part' },
@@ -44,6 +46,7 @@
   loop_turns: { kind: 'gauge', title: 'Turns of the event loop since the start' },
   loop_longest_ms: { kind: 'gauge', title: 'Longest time between two ticks in the last seconds, in milliseconds; a tick is due every 50 to 150' },
   memory_bytes: { kind: 'gauge', title: 'Memory in use by the process, in bytes' },
+  requests_ahead: { kind: 'gauge', title: 'Open requests that clients sent ahead: before the answer to an earlier one of the same connection' },
   request_body_bytes: { kind: 'gauge', title: 'Bytes of bodies of requests that are held, or counted by their declared length' },
   request_body_bound_bytes: { kind: 'gauge', title: 'Bound of request_body_bytes; requests beyond it are refused with bodiesFull' },
   answer_buffer_bytes: { kind: 'gauge', title: 'Bytes of answers that are buffered until their callers have received them' },
@@ -67,6 +70,6 @@
 /** Names of the metrics of one kind. */
 type NamesOf<Kind extends MetricKind> = { [Name in keyof typeof metricTable]: (typeof metricTable)[Name]['kind'] extends Kind ? Name : never }[keyof typeof metricTable]
 
-export type CounterName = Exclude<NamesOf<'counter'>, 'refusals' | 'refusals_proven'> | `refusals_${ResultName}` | `refusals_proven_${ExecutionProof}`
+export type CounterName = Exclude<NamesOf<'counter'>, 'refusals' | 'refusals_proven' | 'clients_closed'> | `clients_closed_${CloseReason}` | `refusals_${ResultName}` | `refusals_proven_${ExecutionProof}`
 export type GaugeName = NamesOf<'gauge'>
 export type HistogramName = NamesOf<'histogram'>
--- a/packages/http/src/server/httpRouter.ts
+++ b/packages/http/src/server/httpRouter.ts
@@ -2,7 +2,7 @@
  * Router interface. Servers with many routes use `RestifyRouter`; servers with a few fixed paths, whose process must start
  * quickly, use `PathRouter`, which loads no library.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 
 export type RouteMethod = 'GET' | 'POST'
@@ -15,9 +15,6 @@
 
 /** Dispatches requests to their handlers. */
 export interface HttpRouter {
-  /** The underlying Node server; the router adds no listeners for `clientError` and `upgrade`. */
-  readonly nodeServer: Server
-
   /**
    * Adds a route.
    * @param path - a segment `:name` matches any text, available to the handler as a member of the request's `params`
@@ -27,11 +24,6 @@
   /** Sets the handler of requests that match no route. */
   onUnrouted (handler: UnroutedHandler): void
 
-  /**
-   * Starts listening; rejects when the address cannot be bound.
-   * @param host - IPv4 address
-   * @param port - 0 selects any free port
-   * @param backlog - maximum number of connections that wait to be accepted
-   */
-  listen (host: string, port: number, backlog: number): Promise<void>
+  /** Passes a request to its handler. */
+  serve (req: IncomingMessage, res: ServerResponse): void
 }
--- a/packages/http/src/server/httpServer.spec.ts
+++ b/packages/http/src/server/httpServer.spec.ts
@@ -9,6 +9,7 @@
 import got from 'got'
 import { Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { createClientGuard } from './clientGuard.fixture.js'
 import { httpLimitsSchema } from './httpLimits.js'
 import type { HttpRouter, RouteMethod } from './httpRouter.js'
 import { HttpServer } from './httpServer.js'
@@ -42,7 +43,7 @@
 ]
 
 function createServerWithRoutes (router: HttpRouter): HttpServer {
-  const server = new HttpServer({ log: { write: () => {} }, limits: httpLimitsSchema.parse({}) }, router)
+  const server = new HttpServer({ name: 'spec', log: { write: () => {} }, clients: createClientGuard(), limits: httpLimitsSchema.parse({}) }, router)
   server.route('GET', '/plain', async exchange => Right(exchange.sendJson(200, { route: 'plain' })))
   server.route('POST', '/things/:name/lift', async exchange => Right(exchange.sendJson(200, { name: exchange.params.name })))
   server.route('GET', '/refused', async () => Left(new Failure('notFound', 'there is none', { ran: 'no' })))
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -2,12 +2,15 @@
  * HTTP server with limits on clients and a graceful close. Every failure, including an unexpected error of a handler, is
  * answered with a numbered problem.
  */
+import { once } from 'node:events'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Either } from 'purify-ts'
 import { Failure, mayHaveRun } from '@rosemaryspread/decisions/codes/failure.js'
 import type { EventLog } from '@rosemaryspread/decisions/events/logEvents.js'
+import type { ClientGuard } from './clientGuard.js'
 import { HttpExchange } from './httpExchange.js'
+import { createGuardedServer } from './guardedServer.js'
 import { ACCEPT_BACKLOG, type HttpLimits } from './httpLimits.js'
 import type { HttpRouter, RouteMethod } from './httpRouter.js'
 import { parserFailure, refuseSocket } from './protocolFailures.js'
@@ -16,13 +19,17 @@
 export type ExchangeHandler = (exchange: HttpExchange) => Promise<Either<Failure, void>>
 
 export interface HttpServerDeps {
+  /** For logs and metrics. */
+  readonly name: string
   readonly log: EventLog
+  readonly clients: ClientGuard
   readonly limits: HttpLimits
 }
 
 const keepAliveProbeMs = 30_000
 
 export class HttpServer {
+  private readonly nodeServer: Server
   private readonly open = new Set<HttpExchange>()
   private readonly sockets = new Set<Socket>()
   private isLingering = false
@@ -30,6 +37,7 @@
 
   /** @param router - a router without routes */
   constructor (private readonly deps: HttpServerDeps, private readonly router: HttpRouter) {
+    this.nodeServer = createGuardedServer({}, deps.name, deps.clients, (req, res) => { router.serve(req, res) })
     this.nodeServer.headersTimeout = deps.limits.headersMs
     this.nodeServer.requestTimeout = deps.limits.requestMs
     this.nodeServer.keepAliveTimeout = deps.limits.idleMs
@@ -49,12 +57,13 @@
   }
 
   /**
-   * Starts listening; resolves to the bound address, with the actual port if port 0 was requested.
+   * Starts listening; resolves to the bound address, with the actual port if port 0 was requested. Rejects if it cannot be bound.
    * @param address - IPv4:port
    */
   async listen (address: string): Promise<string> {
     const [host = '', port] = address.split(':')
-    await this.router.listen(host, Number(port), ACCEPT_BACKLOG)
+    this.nodeServer.listen({ host, port: Number(port), backlog: ACCEPT_BACKLOG })
+    await once(this.nodeServer, 'listening')
     const bound = this.nodeServer.address() as AddressInfo
     return `${bound.address}:${bound.port}`
   }
@@ -87,10 +96,6 @@
     return this.open.size
   }
 
-  private get nodeServer (): Server {
-    return this.router.nodeServer
-  }
-
   private trackSocket (socket: Socket): void {
     socket.setKeepAlive(true, keepAliveProbeMs)
     this.sockets.add(socket)
--- a/packages/http/src/server/pathRouter.ts
+++ b/packages/http/src/server/pathRouter.ts
@@ -1,7 +1,7 @@
 /**
  * Router with a linear list of paths, for servers with few routes. It loads no library, so its process starts faster.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import type { HttpRouter, RouteHandler, RouteMethod, UnroutedHandler } from './httpRouter.js'
 
@@ -26,7 +26,6 @@
 }
 
 export class PathRouter implements HttpRouter {
-  readonly nodeServer: Server = createServer((req, res) => { this.serve(req, res) })
   private readonly routes: PathRoute[] = []
   private unroutedHandler: UnroutedHandler = (_req, res) => { res.destroy() }
 
@@ -38,17 +37,7 @@
     this.unroutedHandler = handler
   }
 
-  listen (host: string, port: number, backlog: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.nodeServer.once('error', reject)
-      this.nodeServer.listen({ host, port, backlog }, () => {
-        this.nodeServer.off('error', reject)
-        resolve()
-      })
-    })
-  }
-
-  private serve (req: RoutedRequest, res: ServerResponse): void {
+  serve (req: RoutedRequest, res: ServerResponse): void {
     const matches = this.findMatches(requestPath(req))
     const match = matches.find(({ route }) => route.method === req.method)
     if (match === undefined) {
--- a/packages/http/src/server/restifyRouter.ts
+++ b/packages/http/src/server/restifyRouter.ts
@@ -1,7 +1,7 @@
 /**
  * Router based on restify.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import restify from 'restify'
 import type { HttpRouter, RouteHandler, RouteMethod, UnroutedHandler } from './httpRouter.js'
 import { routerFailure, type StatusError } from './protocolFailures.js'
@@ -11,15 +11,6 @@
 export class RestifyRouter implements HttpRouter {
   private readonly app = restify.createServer({ name: '', log: silentLog as never })
 
-  constructor () {
-    // Restify's `upgrade` listener never answers a request with `Upgrade`; without a listener Node serves it as a plain request.
-    this.nodeServer.removeAllListeners('upgrade')
-  }
-
-  get nodeServer (): Server {
-    return this.app.server as Server
-  }
-
   route (method: RouteMethod, path: string, handler: RouteHandler): void {
     const serve = (req: restify.Request, res: restify.Response, next: restify.Next): void => {
       handler(req, res).then(() => {
@@ -37,14 +28,8 @@
     })
   }
 
-  listen (host: string, port: number, backlog: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      // Restify re-emits errors of its server and throws when there is no listener.
-      this.app.once('error', reject)
-      this.app.listen(port, host, backlog, () => {
-        this.app.off('error', reject)
-        resolve()
-      })
-    })
+  /** Restify's own server never listens; it only passes requests on. */
+  serve (req: IncomingMessage, res: ServerResponse): void {
+    this.app.server.emit('request', req, res)
   }
 }
--- a/packages/operators/src/admin/adminServer.spec.ts
+++ b/packages/operators/src/admin/adminServer.spec.ts
@@ -5,6 +5,7 @@
 import got from 'got'
 import { Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { createClientGuard } from '@rosemaryspread/http/server/clientGuard.fixture.js'
 import { httpLimitsSchema } from '@rosemaryspread/http/server/httpLimits.js'
 import { AdminServer } from './adminServer.js'
 import { fakeAdminService, fakeVms } from './fakeAdminService.spec.js'
@@ -90,6 +91,7 @@
   const server = new AdminServer({
     service,
     log: { write: (event, fields) => { if (event === 'fault') faults.push(fields.err) } },
+    clients: createClientGuard(),
     limits: httpLimitsSchema.parse({})
   })
   let base = ''
--- a/packages/operators/src/admin/adminServer.ts
+++ b/packages/operators/src/admin/adminServer.ts
@@ -10,6 +10,7 @@
 import { readBody } from '@rosemaryspread/http/body/bodyReader.js'
 import { badRequest } from '@rosemaryspread/http/input/inputChecks.js'
 import { parseJsonBody } from '@rosemaryspread/http/input/jsonBody.js'
+import type { ClientGuard } from '@rosemaryspread/http/server/clientGuard.js'
 import type { HttpExchange } from '@rosemaryspread/http/server/httpExchange.js'
 import type { HttpLimits } from '@rosemaryspread/http/server/httpLimits.js'
 import type { RouteMethod } from '@rosemaryspread/http/server/httpRouter.js'
@@ -22,6 +23,7 @@
 export interface AdminServerDeps {
   readonly service: AdminService
   readonly log: EventLog
+  readonly clients: ClientGuard
   readonly limits: HttpLimits
 }
 
@@ -34,7 +36,7 @@
 
   constructor (deps: AdminServerDeps) {
     this.service = deps.service
-    this.http = new HttpServer(deps, new RestifyRouter())
+    this.http = new HttpServer({ ...deps, name: 'operators' }, new RestifyRouter())
     this.route('GET', '/admin/v1/config', (exchange) => this.config(exchange))
     this.route('POST', '/admin/v1/config/patches', (exchange) => this.patch(exchange))
     this.route('GET', '/admin/v1/config/history', (exchange) => this.history(exchange))
--- a/packages/operators/src/ctl/ctlProgram.spec.ts
+++ b/packages/operators/src/ctl/ctlProgram.spec.ts
@@ -6,6 +6,7 @@
 import { expect } from 'chai'
 import { Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
+import { createClientGuard } from '@rosemaryspread/http/server/clientGuard.fixture.js'
 import { httpLimitsSchema } from '@rosemaryspread/http/server/httpLimits.js'
 import { AdminServer } from '../admin/adminServer.js'
 import { fakeAdminService, type FakeAdminService } from '../admin/fakeAdminService.spec.js'
@@ -61,7 +62,7 @@
 
   beforeEach(async () => {
     fake = fakeAdminService()
-    server = new AdminServer({ service: fake, log: { write: () => undefined }, limits: httpLimitsSchema.parse({}) })
+    server = new AdminServer({ service: fake, log: { write: () => undefined }, clients: createClientGuard(), limits: httpLimitsSchema.parse({}) })
     url = await server.listen('127.0.0.1:0')
     const closed = await startDroppingServer()
     refusingUrl = closed.url
--- a/packages/rosemaryspread/src/compose/bindBase.ts
+++ b/packages/rosemaryspread/src/compose/bindBase.ts
@@ -10,6 +10,7 @@
 import { HttpVmList } from '@rosemaryspread/infra/vmList/httpVmList.js'
 import { HttpApplicationClient } from '@rosemaryspread/runners/application/httpApplicationClient.js'
 import { HttpEngineClient } from '@rosemaryspread/runners/engine/httpEngineClient.js'
+import { bindClients } from '../clients/bindClients.js'
 import { OpenWork } from '../completion/completionDrain.js'
 import { SystemClock, SystemRandom } from '../completion/completionSystem.js'
 import { BunyanEventLog } from '../log/logger.js'
@@ -33,6 +34,7 @@
   container.bind(ids.log).toConstantValue(new BunyanEventLog({ vm, domain, holder, level: settings.logLevel }))
   container.bind(ids.metrics).toConstantValue(new MetricsRecorder())
   container.bind(ids.work).toConstantValue(new OpenWork())
+  bindClients(container, settings.clients)
   bindPlatform(container, settings)
   bindRunners(container, settings)
   bindPeers(container, settings, holder)
--- a/packages/rosemaryspread/src/compose/bindServing.ts
+++ b/packages/rosemaryspread/src/compose/bindServing.ts
@@ -136,11 +136,13 @@
     services: ctx.get(ids.services),
     directory: ctx.get(ids.directory),
     log: ctx.get(ids.log),
+    clients: ctx.get(ids.clients),
     limits: httpLimitsSchema.parse({ bodyBytes: ctx.get(ids.settings).maxBodyBytes })
   })).inSingletonScope()
   container.bind(ids.adminServer).toDynamicValue(ctx => new AdminServer({
     service: ctx.get(ids.admin),
     log: ctx.get(ids.log),
+    clients: ctx.get(ids.clients),
     limits: httpLimitsSchema.parse({ bodyBytes: ctx.get(ids.settings).maxBodyBytes })
   })).inSingletonScope()
 }
--- a/packages/rosemaryspread/src/compose/serviceIds.ts
+++ b/packages/rosemaryspread/src/compose/serviceIds.ts
@@ -10,6 +10,7 @@
 import type { PollSchedule } from '@rosemaryspread/decisions/routing/pollSchedule.js'
 import type { RetryDecider } from '@rosemaryspread/decisions/routing/retryBudget.js'
 import type { RunnerRouter } from '@rosemaryspread/decisions/routing/runnerRouter.js'
+import type { ClientGuard } from '@rosemaryspread/http/server/clientGuard.js'
 import type { AdminService } from '@rosemaryspread/operators/admin/adminTypes.js'
 import type { JsonRpcPeerClient } from '@rosemaryspread/peers/link/peerClient.js'
 import type { PeerServer } from '@rosemaryspread/peers/link/linkTypes.js'
@@ -50,6 +51,7 @@
   log: serviceId<EventLog>('EventLog'),
   metrics: serviceId<Metrics>('Metrics'),
   work: serviceId<OpenWork>('OpenWork'),
+  clients: serviceId<ClientGuard>('ClientGuard'),
 
   table: serviceId<TableStore>('TableStore'),
   objects: serviceId<ObjectStore>('ObjectStore'),
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -14,6 +14,7 @@
 import { OpenWork } from '../completion/completionDrain.js'
 import { SystemRandom } from '../completion/completionSystem.js'
 import { ConnectionForwarder } from '../forwarding/connectionForwarder.js'
+import { bindClients } from '../clients/bindClients.js'
 import { BunyanEventLog } from '../log/logger.js'
 import { MetricsRecorder } from '../metrics/metricsRecorder.js'
 import { FleetLinks, MAX_NOTIFIED_PEERS } from '../presence/fleetLinks.js'
@@ -73,12 +74,13 @@
   bindPipeline(container, settings)
 }
 
-function bindBase (container: Container, { vm, domain, logLevel }: GatewaySettings, { clock }: GatewayPorts, holder: string): void {
+function bindBase (container: Container, { vm, domain, logLevel, clients }: GatewaySettings, { clock }: GatewayPorts, holder: string): void {
   container.bind(ids.clock).toConstantValue(clock)
   container.bind(ids.random).toConstantValue(new SystemRandom())
   container.bind(ids.log).toConstantValue(new BunyanEventLog({ vm, domain, holder, level: logLevel }))
   container.bind(ids.metrics).toConstantValue(new MetricsRecorder())
   container.bind(ids.work).toConstantValue(new OpenWork())
+  bindClients(container, clients)
   container.bind(ids.drainLimit).toConstantValue(new DrainLimit())
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -39,6 +39,7 @@
   log: ids.log,
   metrics: ids.metrics,
   work: ids.work,
+  clients: ids.clients,
   table: ids.table,
   budgets: ids.budgets,
   config: id<GatewayConfigHolder>('GatewayConfigHolder'),
--- a/packages/rosemaryspread/src/gateway/gatewaySettings.ts
+++ b/packages/rosemaryspread/src/gateway/gatewaySettings.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod'
 import { grantPolicySchema } from '@rosemaryspread/decisions/budget/grantPolicy.js'
+import { clientLimitsSchema } from '@rosemaryspread/http/server/clientLimits.js'
 
 const IPV4_PORT = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
 const milliseconds = z.number().nonnegative()
@@ -48,6 +49,8 @@
   boundsBodies: z.boolean().default(true),
   /** Whether the store keeps which software versions began streams; if not, streams that no VM knows are refused. */
   storesVersions: z.boolean().default(true),
+  /** What clients may send ahead, see clientLimits. */
+  clients: clientLimitsSchema.prefault({}),
   /** Descriptors that the process may open; absent for no limit. */
   descriptors: z.number().int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
--- a/packages/rosemaryspread/src/settings/settingsSchema.ts
+++ b/packages/rosemaryspread/src/settings/settingsSchema.ts
@@ -5,6 +5,7 @@
 import { isIPv4 } from 'node:net'
 import * as z from 'zod'
 import { defaultBudgetPolicy } from '@rosemaryspread/decisions/budget/budgetPolicy.js'
+import { clientLimitsSchema } from '@rosemaryspread/http/server/clientLimits.js'
 
 const MAX_PORT = 65_535
 const ipPort = z.string().refine(isIpPort, 'use IPv4:port, such as 10.0.0.4:7000')
@@ -47,6 +48,8 @@
   /** How long a stopping VM still refuses requests of callers that have not noticed the shutdown yet. */
   drainLingerMs: milliseconds.max(60_000).default(1_000),
   drainTimeoutMs: milliseconds.max(3_600_000).default(120_000),
+  /** What clients may send ahead, see clientLimits. */
+  clients: clientLimitsSchema.prefault({}),
   maxBodyBytes: z.number().int().positive().max(64 * 1024 * 1024).default(4 * 1024 * 1024),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
 })
--- a/packages/stand-ins/src/scenario/fleet/fleet.ts
+++ b/packages/stand-ins/src/scenario/fleet/fleet.ts
@@ -27,6 +27,8 @@
   readonly links: boolean
   /** Name of the faulty part to bind in all VMs. */
   readonly faultyPart: string | undefined
+  /** Arguments of `node` for each VM. */
+  readonly nodeArgs?: readonly string[]
 }
 
 export class Fleet {
@@ -196,12 +198,12 @@
   }
 
   private async prepareVms (): Promise<void> {
-    const { definition, folder, links, faultyPart } = this.options
+    const { definition, folder, links, faultyPart, nodeArgs } = this.options
     for (const [name, domain] of Object.entries(definition.vms)) {
       const [callers, operators, peers] = [await allocatePort(), await allocatePort(), await allocatePort()]
       const ports = { callers, operators, peers, link: links ? await allocatePort() : peers }
       const settings = vmSettings(definition, name, ports, this.platformUrls())
-      this.vms.set(name, new VmProcess(name, domain, ports, folder, settings, faultyPart))
+      this.vms.set(name, new VmProcess(name, domain, ports, folder, settings, faultyPart, nodeArgs))
       const link = new FakeLink(ports.link, ports.peers)
       this.links.set(name, link)
       if (links) await link.open()
--- a/packages/stand-ins/src/scenario/fleet/managedProcess.ts
+++ b/packages/stand-ins/src/scenario/fleet/managedProcess.ts
@@ -44,6 +44,10 @@
     })
   }
 
+  get pid (): number {
+    return this.child.pid ?? NaN
+  }
+
   get isAlive (): boolean {
     return this.exitCode === undefined
   }
--- a/packages/stand-ins/src/scenario/fleet/vmProcess.ts
+++ b/packages/stand-ins/src/scenario/fleet/vmProcess.ts
@@ -37,6 +37,7 @@
   /**
    * @param folder - folder for its settings and output
    * @param faultyPart - name of the faulty part to bind; runs the unmodified program when absent
+   * @param nodeArgs - arguments of `node` before the program
    */
   constructor (
     readonly name: string,
@@ -44,7 +45,8 @@
     readonly ports: VmPorts,
     private readonly folder: string,
     private readonly settings: object,
-    private readonly faultyPart: string | undefined
+    private readonly faultyPart: string | undefined,
+    private readonly nodeArgs: readonly string[] = []
   ) {}
 
   get callersUrl (): string {
@@ -70,6 +72,11 @@
     return this.version
   }
 
+  /** Process id; NaN before the first start. */
+  get pid (): number {
+    return this.process?.pid ?? NaN
+  }
+
   /** Exit code of the last process; `undefined` while it runs, `null` when a signal terminated it. */
   get exitCode (): number | null | undefined {
     return this.process?.exitCode
@@ -84,7 +91,7 @@
     this.killed = false
     this.version = 0
     const args = this.faultyPart === undefined ? [SERVE_MAIN, 'serve', '--config', file] : [FAULTY_VM_MAIN, this.faultyPart, file]
-    this.process = new ManagedProcess(args, join(this.folder, `${this.name}.log`), text => this.handleOutputLine(text))
+    this.process = new ManagedProcess([...this.nodeArgs, ...args], join(this.folder, `${this.name}.log`), text => this.handleOutputLine(text))
     await waitFor(`VM ${this.name} to listen`, START_TIMEOUT_MS, async () => {
       if (!this.running) throw new Error(`VM ${this.name} exited with code ${this.exitCode}; see ${this.folder}`)
       return await this.answers('/healthz')
