Responses that wait for their turn are closed with their connection

What callers saw: nothing at first. After a client that had sent requests ahead was gone, its later requests went on: they were sent to targets although nobody would read the answers, counted as open, and kept their memory until their time was up; at a server of the own interface their exchanges stayed in its list for good, so that a graceful stop waited for them.

Cause: Node emits `close` on the response that has the socket, and not on those queued behind it (shown by a server of three requests whose client leaves: one response of three gets it). The ingress and HttpServer rely on `close` for all of them.

Change: the factory of servers keeps the unanswered responses of each connection and closes those that Node leaves out.

--- a/packages/http/src/server/guardedServer.spec.ts
+++ b/packages/http/src/server/guardedServer.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Guards against servers that keep all requests that a client sends ahead.
+ * Guards against servers that keep all requests that a client sends ahead, and against responses that never learn that their connection closed.
  */
 import { once } from 'node:events'
 import type { RequestListener, Server } from 'node:http'
@@ -99,4 +99,14 @@
     }
     expect({ closed, isClosed: socket.destroyed }).to.deep.equal({ closed: [], isClosed: false })
   })
+
+  it('closes the responses that wait when their connection closes', async () => {
+    const closedPaths: Array<string | undefined> = []
+    await listen((req, res) => { res.once('close', () => { closedPaths.push(req.url) }) })
+    const socket = send(['/0', '/1', '/2'].map(path => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`).join(''))
+    await pause(SETTLE_MS)
+    socket.destroy()
+    await pause(SETTLE_MS)
+    expect(closedPaths.sort()).to.deep.equal(['/0', '/1', '/2'])
+  })
 })
--- a/packages/http/src/server/guardedServer.ts
+++ b/packages/http/src/server/guardedServer.ts
@@ -21,8 +21,10 @@
       if (!clients.tryOpen(socket, name)) presentAsConnect(this)
     }
   }
+  const unanswered = new UnansweredResponses()
   const server = createServer({ ...options, IncomingMessage: GuardedMessage }, (req, res) => {
     closeWith(req, res)
+    unanswered.add(req.socket, res)
     listener(req, res)
   })
   // Node would refuse unknown expectations itself, and not tell when they are answered.
@@ -38,6 +40,31 @@
   }
 }
 
+/** Responses that wait for those to earlier requests of their connection. Node does not tell them when it closes: it does for the first one. */
+class UnansweredResponses {
+  private readonly byConnection = new WeakMap<Socket, Set<ServerResponse>>()
+
+  add (socket: Socket, res: ServerResponse): void {
+    const responses = this.byConnection.get(socket) ?? this.follow(socket)
+    responses.add(res)
+    res.once('close', () => { responses.delete(res) })
+  }
+
+  private follow (socket: Socket): Set<ServerResponse> {
+    const responses = new Set<ServerResponse>()
+    this.byConnection.set(socket, responses)
+    socket.once('close', () => {
+      for (const res of responses) if (res.socket === null) closeResponse(res)
+    })
+    return responses
+  }
+}
+
+function closeResponse (res: ServerResponse): void {
+  res.destroy()
+  res.emit('close')
+}
+
 /** The parser sets these properties once the message is created. */
 function presentAsConnect (message: IncomingMessage): void {
   Object.defineProperties(message, { method: constant('CONNECT'), upgrade: constant(true) })
