Descriptors are shared out over all servers and targets, and waiting connections make room

What callers saw: a crowd that only connects holds all places of a VM, and no ordinary request is answered (0 of 3); one that connects to the ready, metrics or directory server, or works with a team's key, takes more descriptors than the process has. Without descriptors it reaches no target and no store and accepts nobody.

Cause: callers had half of the descriptors; four other servers had 4,096, 4,096, 4,096 and 1,024 places of their own, and connections to targets had no limit at all. `maxConnections` of a service is read from the configuration and used nowhere.

Change: one plan (descriptorPlan.ts) shares the descriptors without the 200 for files among callers, targets, links, directory, ready and metrics; callers keep their half. A server without a place closes the connection that has waited longest for its first whole head, after 100 ms at least; the new one only if there is none.

A trial without these 100 ms failed two specs of IngressServer: with all other places busy each new connection took that of the one before it, whose request had not been read yet.

Before, on, 600 descriptors, 700 clients: platformClients.spec.ts, 8 of 9 crowds failed (599 to 724 sockets and pipes of 400 allowed, no ordinary request served). After: 9 of 9 pass. Bytes that are no call at the peer server passed before as well.

Not mended: maxConnections of a service; links that wait for their handshake don't make room (they have 500 ms).

--- a/packages/http/src/server/clientGuard.ts
+++ b/packages/http/src/server/clientGuard.ts
@@ -32,7 +32,7 @@
     const others = this.open.get(socket)
     if (others === undefined) socket.once('close', () => { this.forget(socket) })
     else if (others > 0 && !this.tryOpenAhead(others)) {
-      this.monitor.closed(server, 'sentAhead')
+      this.closed(server, 'sentAhead')
       return false
     }
     this.open.set(socket, (others ?? 0) + 1)
@@ -47,6 +47,11 @@
     this.open.set(socket, open - 1)
   }
 
+  /** Reports a connection that its server closed. */
+  closed (server: string, reason: CloseReason): void {
+    this.monitor.closed(server, reason)
+  }
+
   private tryOpenAhead (others: number): boolean {
     const { aheadPerConnection, aheadTotal } = this.limits
     if (others > aheadPerConnection || this.ahead >= aheadTotal) return false
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -14,6 +14,7 @@
 import { ACCEPT_BACKLOG, type HttpLimits } from './httpLimits.js'
 import type { HttpRouter, RouteMethod } from './httpRouter.js'
 import { parserFailure, refuseSocket } from './protocolFailures.js'
+import { WaitingConnections } from './waitingConnections.js'
 
 /** Answers an exchange, or returns the failure with which it is refused. */
 export type ExchangeHandler = (exchange: HttpExchange) => Promise<Either<Failure, void>>
@@ -32,17 +33,20 @@
   private readonly nodeServer: Server
   private readonly open = new Set<HttpExchange>()
   private readonly sockets = new Set<Socket>()
+  private readonly waiting = new WaitingConnections()
   private isLingering = false
   private isClosing = false
 
   /** @param router - a router without routes */
   constructor (private readonly deps: HttpServerDeps, private readonly router: HttpRouter) {
-    this.nodeServer = createGuardedServer({}, deps.name, deps.clients, (req, res) => { router.serve(req, res) })
+    this.nodeServer = createGuardedServer({}, deps.name, deps.clients, (req, res) => {
+      this.waiting.requested(req.socket)
+      router.serve(req, res)
+    })
     this.nodeServer.headersTimeout = deps.limits.headersMs
     this.nodeServer.requestTimeout = deps.limits.requestMs
     this.nodeServer.keepAliveTimeout = deps.limits.idleMs
     this.nodeServer.maxHeadersCount = deps.limits.headerCount
-    this.nodeServer.maxConnections = deps.limits.connections
     this.nodeServer.on('connection', (socket: Socket) => this.trackSocket(socket))
     this.nodeServer.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => this.handleClientError(err, socket))
     router.onUnrouted((req, res, failure) => { this.refuse(this.createExchange(req, res), failure) })
@@ -99,7 +103,20 @@
   private trackSocket (socket: Socket): void {
     socket.setKeepAlive(true, keepAliveProbeMs)
     this.sockets.add(socket)
+    this.waiting.opened(socket)
     socket.once('close', () => this.sockets.delete(socket))
+    if (this.sockets.size > this.deps.limits.connections) this.makePlace(socket)
+  }
+
+  /** Closes another connection, or the new one if all others have a request. */
+  private makePlace (socket: Socket): void {
+    const { clients, name } = this.deps
+    if (this.waiting.closeOldest()) {
+      clients.closed(name, 'waited')
+      return
+    }
+    clients.closed(name, 'noPlace')
+    socket.destroy()
   }
 
   private closeUnusedSockets (): void {
--- a/packages/rosemaryspread/src/gateway/bindGateway.ts
+++ b/packages/rosemaryspread/src/gateway/bindGateway.ts
@@ -6,6 +6,7 @@
 import type { Container } from 'inversify'
 import type { Clock } from '@rosemaryspread/decisions/clock/clockTypes.js'
 import { BYTES_PER_MEGABYTE, requestBodyBound } from '@rosemaryspread/decisions/gateway/memoryPlan.js'
+import { planDescriptors } from '@rosemaryspread/decisions/gateway/descriptorPlan.js'
 import { DrainLimit } from '@rosemaryspread/decisions/gateway/drainLimit.js'
 import { TargetBalancer } from '@rosemaryspread/decisions/gateway/targetBalancer.js'
 import { holderOf } from '@rosemaryspread/decisions/names/nameTypes.js'
@@ -37,6 +38,7 @@
 import type { ConnectionLiveness } from './connectionLiveness.js'
 import { CallAdmission } from './callAdmission.js'
 import { CallDispatch } from './callDispatch.js'
+import { CallPlaces } from './callPlaces.js'
 import { CallReport } from './callReport.js'
 import { GatewayChooser } from './gatewayChooser.js'
 import { GatewayConfigHolder } from './gatewayConfigHolder.js'
@@ -85,13 +87,14 @@
   container.bind(ids.config).toResolvedValue(log => new GatewayConfigHolder(log), [ids.log]).inSingletonScope()
 }
 
-function bindMemory (container: Container, { memoryMb, answerBufferBytes, boundsBodies }: GatewaySettings): void {
+function bindMemory (container: Container, { descriptors, memoryMb, answerBufferBytes, boundsBodies }: GatewaySettings): void {
   const bound = boundsBodies ? requestBodyBound({ grantedBytes: memoryMb * BYTES_PER_MEGABYTE, answerBytes: answerBufferBytes }) : Infinity
   container.bind(ids.answerBuffers).toConstantValue(new AnswerBuffers(answerBufferBytes))
+  container.bind(ids.callPlaces).toConstantValue(new CallPlaces(planDescriptors(descriptors ?? undefined).targets))
   container.bind(ids.requestBodies).toConstantValue(new ByteBudget(bound))
 }
 
-function bindFleet (container: Container, { vm, domain, region, callers, peers, forwarding }: GatewaySettings, { table, feed, liveness: connectionLiveness }: GatewayPorts, holder: string): void {
+function bindFleet (container: Container, { vm, domain, region, callers, peers, forwarding, descriptors }: GatewaySettings, { table, feed, liveness: connectionLiveness }: GatewayPorts, holder: string): void {
   container.bind(ids.table).toConstantValue(table)
   container.bind(ids.digest).toResolvedValue((clock, log) =>
     new TableDigest({ vm, table, feed, clock, log, vms: () => container.get(ids.presence).names }), [ids.clock, ids.log]).inSingletonScope()
@@ -105,7 +108,7 @@
     onJoined: other => { container.get(ids.budgets).holderJoined(other) }
   }), [ids.clock, ids.log, ids.digest]).inSingletonScope()
   container.bind(ids.links).toResolvedValue((clock, random, log) =>
-    new FleetLinks({ holder, address: peers, table, clock, log, random: () => random.next(), onUnresponsive: since => { connectionLiveness.reportUnresponsive('peers', since) } }), [ids.clock, ids.random, ids.log]).inSingletonScope()
+    new FleetLinks({ holder, address: peers, table, clock, log, connections: planDescriptors(descriptors ?? undefined).peers, random: () => random.next(), onUnresponsive: since => { connectionLiveness.reportUnresponsive('peers', since) } }), [ids.clock, ids.random, ids.log]).inSingletonScope()
   container.bind(ids.balancer).toConstantValue(new TargetBalancer())
   container.bind(ids.targets).toResolvedValue((clock, balancer, log) =>
     new GatewayTargets({ clock, balancer, log }), [ids.clock, ids.balancer, ids.log]).inSingletonScope()
--- a/packages/rosemaryspread/src/gateway/connectionLimit.ts
+++ b/packages/rosemaryspread/src/gateway/connectionLimit.ts
@@ -2,9 +2,8 @@
  * Limit on open connections of callers. A process without free file descriptors closes new connections at
  * once without an error, while open ones keep working: the VM would report itself ready and accept nobody.
  */
+import { planDescriptors } from '@rosemaryspread/decisions/gateway/descriptorPlan.js'
 
-/** Share of the process's descriptors for callers; the rest is for targets, the store and other VMs. */
-const CALLERS_RATIO = 0.5
 /** Share of the limit above which idle connections are closed in favor of new ones. */
 const NEAR_LIMIT_RATIO = 0.9
 
@@ -14,7 +13,7 @@
 
   /** @param descriptors - descriptors that the process may open; absent for no limit */
   constructor (descriptors?: number) {
-    this.maxOpen = Math.floor((descriptors ?? Infinity) * CALLERS_RATIO)
+    this.maxOpen = planDescriptors(descriptors).callers
   }
 
   /**
--- a/packages/rosemaryspread/src/gateway/gatewayIds.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayIds.ts
@@ -24,6 +24,7 @@
 import type { AnswerBuffers } from './answerBuffers.js'
 import type { ByteBudget } from './byteBudget.js'
 import type { CallAdmission } from './callAdmission.js'
+import type { CallPlaces } from './callPlaces.js'
 import type { GatewayChooser } from './gatewayChooser.js'
 import type { GatewayConfigHolder } from './gatewayConfigHolder.js'
 import type { GatewayPipeline } from './gatewayPipeline.js'
@@ -53,6 +54,7 @@
   drainLimit: id<DrainLimit>('DrainLimit'),
   answerBuffers: id<AnswerBuffers>('AnswerBuffers'),
   requestBodies: id<ByteBudget>('RequestBodies'),
+  callPlaces: id<CallPlaces>('CallPlaces'),
   /** Bound only if the settings have a section `admission`. */
   admission: id<CallAdmission>('CallAdmission'),
   chooser: id<GatewayChooser>('GatewayChooser'),
--- a/packages/rosemaryspread/src/gateway/gatewayVm.ts
+++ b/packages/rosemaryspread/src/gateway/gatewayVm.ts
@@ -104,6 +104,8 @@
     metrics.gauge('vms_advertised', () => presence.addresses({ caller: this.settings.vm, domain: this.settings.domain, region: this.settings.region }).length)
     metrics.gauge('memory_bytes', () => process.memoryUsage.rss())
     const bodies = this.container.get(ids.requestBodies)
+    const callPlaces = this.container.get(ids.callPlaces)
+    metrics.gauge('calls_open', () => callPlaces.open)
     metrics.gauge('request_body_bytes', () => bodies.heldBytes)
     metrics.gauge('request_body_bound_bytes', () => bodies.maxBytes)
     metrics.gauge('answer_buffer_bytes', () => this.container.get(ids.answerBuffers).heldBytes)
--- a/packages/rosemaryspread/src/presence/fleetLinks.ts
+++ b/packages/rosemaryspread/src/presence/fleetLinks.ts
@@ -28,6 +28,8 @@
   readonly table: TableStore
   readonly clock: Clock
   readonly log: EventLog
+  /** Links that other VMs may open at the same time; absent for the default limit. */
+  readonly connections?: number
   /** Uniform in [0, 1). */
   random (): number
   /** Called when links were found unresponsive, with the monotonic milliseconds since which nothing was received. */
@@ -66,7 +68,8 @@
     const key = await this.key()
     if (key === undefined) return
     const identity = { holder, keys: [key] }
-    const server = new JsonRpcPeerServer(identity, log, linkLimits)
+    const { connections = linkLimits.connections } = this.parts
+    const server = new JsonRpcPeerServer(identity, log, { ...linkLimits, connections: Math.min(connections, linkLimits.connections) })
     for (const [method, handler] of this.methods) server.register(method, handler)
     this.server = server
     this.client = new JsonRpcPeerClient({ identity, clock, random, limits: linkLimits, onUnresponsive })
