Log lines that nobody reads are dropped beyond a bound, and counted

Hypotheses: (1) something keeps each request that ended in a 502: quarantine, reports of targets, maps by id. Out: 5,000 such requests on with a heap of 64 MB and the log discarded hold (one run). (2) The log: such a request writes several lines with its id, and standard output that is a pipe queues in the process what its reader has not taken (a process that writes 12 KB lines to a pipe that nobody reads had 69 MB queued after 5,800 lines). Holds: the same requests with an unread pipe end the process (SIGABRT).

Change: a line is dropped while more than 1 MB of lines waits to be read; the next one written is preceded by event 1014 linesDropped with the number. Standard output that is a file has no queue.

Before: the new case of platformClients.spec.ts, "a VM whose log nobody reads", failed (SIGABRT); after: passes. lineWriter.spec.ts: 4 cases.

--- a/packages/decisions/src/events/logEvents.ts
+++ b/packages/decisions/src/events/logEvents.ts
@@ -24,6 +24,7 @@
   forwardingEnded: { number: 1011, level: 'info', title: 'This VM serves all its new connections itself again; fields: busyRatio (of the event loop), peers (VMs that got them), open (forwarded connections)' },
   ingressClosed: { number: 1012, level: 'info', title: 'The VM that drains accepts no more connections of callers; fields: idle (connections closed between two requests), unused (open, nothing received), receiving (open, the head of a request is being received), open (requests)' },
   clientsClosed: { number: 1013, level: 'warn', title: 'A server closed connections of clients; written at most once a second for each server and reason; fields: server, reason (sentAhead: more requests were sent ahead than the limits allow; waited: no whole head of a request came while others needed the place; noPlace: new while all places were in use), closed (connections since the last such line)' },
+  linesDropped: { number: 1014, level: 'warn', title: 'Log lines were dropped before this one, as earlier ones were not read from standard output; fields: dropped' },
   fault: { number: 1099, level: 'error', title: 'Unexpected internal error; fields: err' },
 
   budgetDrawn: { number: 2001, level: 'info', title: 'Tokens were drawn from the table into the allotment; fields: budget, tokens, left, paid and spent (of the budget, in total)' },
--- a/packages/rosemaryspread/src/log/logger.ts
+++ b/packages/rosemaryspread/src/log/logger.ts
@@ -4,6 +4,7 @@
 import bunyan from 'bunyan'
 import { Either } from 'purify-ts'
 import { logEvents, type EventLog, type LogEventName } from '@rosemaryspread/decisions/events/logEvents.js'
+import { LineWriter } from './lineWriter.js'
 
 export interface LoggerOptions {
   readonly vm: string
@@ -24,6 +25,7 @@
 
 export class BunyanEventLog implements EventLog {
   private readonly logger: bunyan
+  private readonly lines = new LineWriter(() => process.stdout, dropped => this.fieldsLine('linesDropped', { dropped }))
   private readonly frames = new Map<LogEventName, EventFrame>()
   /** Names that a line has without the event's fields; a field of such a name replaces the value where it stands. */
   private readonly ownNames: ReadonlySet<string>
@@ -37,10 +39,10 @@
   /** Writes the line that bunyan writes; bunyan copies each record several times, so that it formats only what has no JSON. */
   write (event: LogEventName, fields: Readonly<Record<string, unknown>>): void {
     const { level, number, title } = logEvents[event]
-    if (levels[level] < this.logger.level()) return
+    if (levels[level] < this.logger.level() || !this.lines.hasRoom()) return
     Either.encase(() => this.hasOwnName(fields) ? this.recordLine(event, fields) : this.fieldsLine(event, fields)).caseOf({
       Left: () => { this.logger[level]({ event, number, ...fields }, titleWithoutFields(title)) },
-      Right: line => { process.stdout.write(line) }
+      Right: line => { this.lines.write(line) }
     })
   }
 
