Servers beside the ingress close connections between two requests to accept new ones

What callers would see: clients that ask the directory once and keep their connections hold all its places for 15 s, and new connections are closed.

Cause: only connections that wait for their first head made room.

Change: where none has waited long enough, the oldest connection between two requests is closed, as the ingress does near its limit; the new one only if all others have a request. Counted and logged with the reason `idle`.

Before: the new case of httpServer.spec.ts fails for both routers (the third of three requests on two places is closed); after: passes.

--- a/packages/decisions/src/events/metricTable.ts
+++ b/packages/decisions/src/events/metricTable.ts
@@ -23,7 +23,7 @@
   refusals_proven: { kind: 'counter', title: 'Requests refused as not executed; one counter for each proof, with its name as suffix: notSent, notConnected, rejected, replaced or notRelayed' },
   refusals_after_attempts: { kind: 'counter', title: 'Requests refused as not executed after at least one attempt at a target' },
   claims_unproven: { kind: 'counter', title: 'Failures that say that a request was not executed although an attempt may have been' },
-  clients_closed: { kind: 'counter', title: 'Connections of clients that a server closed; one counter for each reason, with its name as suffix: sentAhead (more requests sent ahead than the limits allow), waited (no whole head of a request while others needed the place) or noPlace (new while all places were in use)' },
+  clients_closed: { kind: 'counter', title: 'Connections of clients that a server closed; one counter for each reason, with its name as suffix: sentAhead (more requests sent ahead than the limits allow), waited (no whole head of a request while others needed the place), idle (between two requests while others needed the place) or noPlace (new while all places were in use)' },
   requests_suspected: { kind: 'counter', title: 'Requests that were open at a target when it terminated' },
   requests_quarantined: { kind: 'counter', title: 'Requests quarantined because targets terminated each time they were executed' },
   tokens_billed: { kind: 'counter', title: 'Tokens billed for responses that callers received, completely or in part' },
--- a/packages/http/src/server/httpServer.spec.ts
+++ b/packages/http/src/server/httpServer.spec.ts
@@ -3,14 +3,14 @@
  * crashing the process, and each request reaches its handler or is answered with a numbered problem.
  */
 import { once } from 'node:events'
-import { connect, createServer, type AddressInfo } from 'node:net'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
 import { expect } from 'chai'
 import got from 'got'
 import { Left, Right } from 'purify-ts'
 import { Failure } from '@rosemaryspread/decisions/codes/failure.js'
 import { createClientGuard } from './clientGuard.fixture.js'
-import { httpLimitsSchema } from './httpLimits.js'
+import { httpLimitsSchema, type HttpLimits } from './httpLimits.js'
 import type { HttpRouter, RouteMethod } from './httpRouter.js'
 import { HttpServer } from './httpServer.js'
 import { PathRouter } from './pathRouter.js'
@@ -42,8 +42,11 @@
   { title: 'invalid percent-encoding', method: 'POST', path: '/things/%E0%A4%A/lift', status: 404, body: {} }
 ]
 
-function createServerWithRoutes (router: HttpRouter): HttpServer {
-  const server = new HttpServer({ name: 'spec', log: { write: () => {} }, clients: createClientGuard(), limits: httpLimitsSchema.parse({}) }, router)
+/** Connections of a server that has few. */
+const PLACES = 2
+
+function createServerWithRoutes (router: HttpRouter, limits: Partial<HttpLimits> = {}): HttpServer {
+  const server = new HttpServer({ name: 'spec', log: { write: () => {} }, clients: createClientGuard(), limits: httpLimitsSchema.parse(limits) }, router)
   server.route('GET', '/plain', async exchange => Right(exchange.sendJson(200, { route: 'plain' })))
   server.route('POST', '/things/:name/lift', async exchange => Right(exchange.sendJson(200, { name: exchange.params.name })))
   server.route('GET', '/refused', async () => Left(new Failure('notFound', 'there is none', { ran: 'no' })))
@@ -79,6 +82,25 @@
       expect(received).to.include('"ran":"unknown"')
     })
 
+    it('closes connections between two requests to accept new ones, and new ones if all have a request', async () => {
+      const server = createServerWithRoutes(make(), { connections: PLACES })
+      server.route('GET', '/never', () => new Promise(() => {}))
+      const [host = '', port = ''] = (await server.listen('127.0.0.1:0')).split(':')
+      const sockets: Socket[] = []
+      const ask = async (path: string): Promise<string> => {
+        const socket = connect(Number(port), host)
+        sockets.push(socket)
+        socket.on('error', () => {})
+        socket.write(`GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`)
+        return await Promise.race([once(socket, 'data').then(([bytes]) => String(bytes).slice(9, 12)), once(socket, 'close').then(() => 'closed'), pause(200).then(() => 'open')])
+      }
+      const received: string[] = []
+      for (const path of ['/plain', '/plain', '/plain', '/never', '/never', '/plain']) received.push(await ask(path))
+      for (const socket of sockets) socket.destroy()
+      await server.close()
+      expect(received).to.deep.equal(['200', '200', '200', 'open', 'open', 'closed'])
+    })
+
     it('rejects when the address is in use', async () => {
       const occupyingServer = createServer().listen(0, '127.0.0.1')
       await once(occupyingServer, 'listening')
--- a/packages/http/src/server/httpServer.ts
+++ b/packages/http/src/server/httpServer.ts
@@ -115,12 +115,24 @@
       clients.closed(name, 'waited')
       return
     }
-    clients.closed(name, 'noPlace')
-    socket.destroy()
+    const idle = this.findIdle()
+    clients.closed(name, idle === undefined ? 'noPlace' : 'idle')
+    const closed = idle ?? socket
+    closed.destroy()
+  }
+
+  /** The oldest connection between two requests. */
+  private findIdle (): Socket | undefined {
+    const usedSockets = this.usedSockets()
+    return [...this.sockets].find(socket => !socket.destroyed && !usedSockets.has(socket) && !this.waiting.has(socket))
+  }
+
+  private usedSockets (): ReadonlySet<Socket> {
+    return new Set([...this.open].map((exchange) => exchange.req.socket))
   }
 
   private closeUnusedSockets (): void {
-    const usedSockets = new Set([...this.open].map((exchange) => exchange.req.socket))
+    const usedSockets = this.usedSockets()
     for (const socket of this.sockets) {
       if (!usedSockets.has(socket)) socket.destroy()
     }
--- a/packages/http/src/server/waitingConnections.ts
+++ b/packages/http/src/server/waitingConnections.ts
@@ -16,6 +16,10 @@
     socket.once('close', () => { this.waiting.delete(socket) })
   }
 
+  has (socket: Socket): boolean {
+    return this.waiting.has(socket)
+  }
+
   /** A whole head was received. */
   requested (socket: Socket): void {
     this.waiting.delete(socket)
